build: lay out the workspace and the shared vocabulary

Cause: every later crate needs one set of keys, names, time, table and VM types, or each would make its own. Conclusion: kernel crates depend on bergamotshift-core alone and can be written side by side.

--- /dev/null
+++ b/bergamotshift-capacity/src/lib.rs
@@ -0,0 +1,1 @@
+//! Capacity, placement and work-stealing policies without I/O.
--- /dev/null
+++ b/bergamotshift-core/src/clock.rs
@@ -0,0 +1,74 @@
+//! Kernel time: microseconds since an epoch that the shell chooses.
+//!
+//! The kernel never reads a clock. Every event carries an [`Instant`], so a test or a replay can run a day in a
+//! second and always sees the same order.
+
+use core::fmt;
+use core::ops::Add;
+use core::ops::Sub;
+use core::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A point in kernel time, in microseconds since the process's epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// The epoch.
+    pub const ZERO: Self = Self(0);
+
+    /// An instant that no event reaches.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Makes an instant from microseconds since the epoch.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Makes an instant from milliseconds since the epoch.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1_000))
+    }
+
+    /// Makes an instant from seconds since the epoch.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs.saturating_mul(1_000_000))
+    }
+
+    /// Returns the microseconds since the epoch.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time since `earlier`, or zero when `earlier` lies in the future.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+impl fmt::Display for Instant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
--- /dev/null
+++ b/bergamotshift-core/src/lib.rs
@@ -0,0 +1,29 @@
+//! The vocabulary that every bergamotshift crate shares.
+//!
+//! The crate holds small value types and no behaviour of its own: kernel time, arena keys, names, outcomes, VM classes
+//! and prices. Nothing here reads a clock, opens a socket or draws a random number, so the kernel crates that build on
+//! it can be replayed in virtual time.
+//!
+//! ```
+//! use bergamotshift_core::prelude::*;
+//! use core::time::Duration;
+//!
+//! let accepted = Instant::from_millis(1_000);
+//! let deadline = accepted + Duration::from_secs(2);
+//! assert_eq!(deadline.since(accepted), Duration::from_secs(2));
+//! assert!(Outcome::NotRun.may_repeat());
+//! ```
+
+pub mod attempt;
+pub mod clock;
+pub mod fingerprint;
+pub mod key;
+pub mod load;
+pub mod name;
+pub mod outcome;
+pub mod plugin;
+pub mod prelude;
+pub mod price;
+pub mod table;
+pub mod urgency;
+pub mod vm;
--- /dev/null
+++ b/bergamotshift-core/src/name.rs
@@ -0,0 +1,99 @@
+//! Names that operators give: stable across processes and restarts, and the only identifiers on the wire.
+
+use core::borrow::Borrow;
+use core::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(SmolStr);
+
+        impl $name {
+            /// Makes a name from text.
+            pub fn new(text: impl AsRef<str>) -> Self {
+                Self(SmolStr::new(text))
+            }
+
+            /// Makes a name from static text.
+            pub const fn new_static(text: &'static str) -> Self {
+                Self(SmolStr::new_static(text))
+            }
+
+            /// Returns the name's text.
+            pub fn as_str(&self) -> &str {
+                self.0.as_str()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                self.as_str()
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                self.as_str()
+            }
+        }
+    };
+}
+
+name! {
+    /// Names a region, which holds several availability zones.
+    Region
+}
+
+name! {
+    /// Names an availability zone.
+    Zone
+}
+
+name! {
+    /// Names a service that operators offer to callers.
+    Service
+}
+
+name! {
+    /// Names an organisation, whose callers share its keys, limits and rules.
+    Organisation
+}
+
+name! {
+    /// Names a model as callers ask for it.
+    Model
+}
+
+name! {
+    /// Names a VM as the platform lists it.
+    Vm
+}
+
+name! {
+    /// Names a machine class, such as an accelerator type, with one price per market.
+    Class
+}
+
+name! {
+    /// Names an entry (one daemon of the fleet).
+    Entry
+}
--- /dev/null
+++ b/bergamotshift-endpoint/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapters for endpoints: model engines and plain services.
--- /dev/null
+++ b/bergamotshift-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: callers' APIs, the request path, control tasks and the operators' address.
--- /dev/null
+++ b/bergamotshift-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, failure detection, leaving marks and handover placement without I/O.
--- /dev/null
+++ b/bergamotshift-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames between entries, carried by QUIC with mutual TLS.
--- /dev/null
+++ b/bergamotshift-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load, its ledger, fault plans and reports.
--- /dev/null
+++ b/bergamotshift-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapters for the platform: table service, object store, VM list, cloud and weight store.
--- /dev/null
+++ b/bergamotshift/src/lib.rs
@@ -0,0 +1,1 @@
+//! The façade and the one binary of bergamotshift.
--- /dev/null
+++ b/bergamotshift/src/main.rs
@@ -0,0 +1,3 @@
+//! The `bergamotshift` program.
+
+fn main() {}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Chores of the repository, run as `cargo xtask CHORE`.
+
+fn main() {}
