--- /dev/null
+++ b/bergamotshift-limit/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The types that users of the crate need most.
+
+pub use crate::backoff;
+pub use crate::backoff::Backoff;
+pub use crate::hedge;
+pub use crate::hedge::Hedge;
+pub use crate::quarantine;
+pub use crate::quarantine::Quarantine;
+pub use crate::quarantine::Verdict;
+pub use crate::retry;
+pub use crate::retry::Budget;
--- /dev/null
+++ b/bergamotshift-limit/src/quarantine/mod.rs
@@ -0,0 +1,266 @@
+//! Quarantine: recognising a request that kills each endpoint it runs on.
+//!
+//! A request that runs on an endpoint when it dies earns a suspicion, kept under its content fingerprint so that the
+//! caller's re-sends count. Suspected work runs alone; after two distinct deaths it is refused for a while. Deaths
+//! that have another explanation do not count: announced ones, and several at once ([`Settings::wave`]).
+//!
+//! The control thread folds deaths into a [`Quarantine`] and publishes a [`Table`]; workers ask the table. Entries
+//! exchange [`Suspicion`]s, whose merge is commutative and idempotent, so any order and repetition will do.
+//!
+//! ```
+//! use bergamotshift_core::prelude::*;
+//! use bergamotshift_limit::quarantine::{Death, Quarantine, Settings, Verdict, Victim};
+//!
+//! let poison = Fingerprint::of("planner-llm", "POST", "/v1/completions", b"{}");
+//! let mut quarantine = Quarantine::new(Settings::default());
+//! for (second, vm) in [(1, "vm-1"), (9, "vm-2")] {
+//!     let victim = Victim::new(name::Vm::from(vm), Incarnation::new(1));
+//!     quarantine.died(Instant::from_secs(second), Death { victim, announced: false, running: vec![poison] });
+//! }
+//! let verdict = quarantine.table().verdict(Instant::from_secs(10), poison);
+//! assert!(matches!(verdict, Verdict::Refused { .. }));
+//! ```
+
+mod record;
+mod table;
+
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use bergamotshift_core::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+use self::record::Record;
+pub use self::record::Standing;
+pub use self::record::Suspicion;
+pub use self::table::Table;
+pub use self::table::Verdict;
+
+/// One life of an endpoint's VM, the same on every entry.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Victim {
+    /// The VM's name.
+    pub vm: name::Vm,
+    /// Which life of that name.
+    pub incarnation: Incarnation,
+}
+
+impl Victim {
+    /// Makes a victim.
+    pub const fn new(vm: name::Vm, incarnation: Incarnation) -> Self {
+        Self { vm, incarnation }
+    }
+}
+
+/// The end of an endpoint, as one entry saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Death {
+    /// Who died.
+    pub victim: Victim,
+    /// Whether the platform or the endpoint had announced it.
+    pub announced: bool,
+    /// What ran there by this entry's doing.
+    pub running: Vec<Fingerprint>,
+}
+
+/// When work is suspected and refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Distinct deaths after which work is refused.
+    pub deaths: usize,
+    /// How long refused work stays refused after its last death.
+    pub hold: Duration,
+    /// How long a death is remembered: the work runs alone until then.
+    pub memory: Duration,
+    /// Deaths within this time of each other may have one cause.
+    pub window: Duration,
+    /// This many deaths in the window, not explained by work already suspected, are a wave and do not count.
+    pub wave: usize,
+    /// How many deaths may be forgiven to one request because they lay in a wave.
+    pub pardons: usize,
+    /// Most fingerprints kept; the oldest go first.
+    pub capacity: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            deaths: 2,
+            hold: Duration::from_mins(10),
+            memory: Duration::from_mins(20),
+            window: Duration::from_secs(3),
+            wave: 2,
+            pardons: 4,
+            capacity: 4_096,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns how long a death is kept: it counts for `memory`, and may be the first of a refusal that lasts `hold`.
+    fn lifetime(&self) -> Duration {
+        self.memory + self.hold
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Recent {
+    at: Instant,
+    victim: Victim,
+    explained: bool,
+    running: BTreeSet<Fingerprint>,
+}
+
+/// Folds deaths into suspicions.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    settings: Settings,
+    records: BTreeMap<Fingerprint, Record>,
+    recent: Vec<Recent>,
+    announced: BTreeMap<Victim, Instant>,
+}
+
+impl Quarantine {
+    /// Makes a quarantine that suspects nothing.
+    pub const fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            records: BTreeMap::new(),
+            recent: Vec::new(),
+            announced: BTreeMap::new(),
+        }
+    }
+
+    /// Notes the end of an endpoint; `running` is empty when nothing of this entry ran there.
+    ///
+    /// Deaths that hit no work of this entry belong here too: they show that a wave is under way.
+    ///
+    /// Failure: one request crashes whatever runs it, and its caller sends it again. Symptom: endpoints die one after
+    /// the other until none is left. Two distinct deaths end it, counted by content and shared between entries.
+    pub fn died(&mut self, now: Instant, death: Death) {
+        self.expire(now);
+        if death.announced {
+            self.announce(now, death.victim);
+            return;
+        }
+        if self.announced.contains_key(&death.victim) {
+            return;
+        }
+        let running = death.running.into_iter().collect();
+        self.note(now, &death.victim, running);
+        self.pardon_wave(now);
+        self.evict();
+    }
+
+    /// Notes that an endpoint's end was announced; deaths already counted for it count no longer.
+    ///
+    /// The platform's list lags, so the notice may be heard after the connections broke.
+    pub fn announce(&mut self, now: Instant, victim: Victim) {
+        self.pardon(&victim);
+        self.recent.retain(|recent| recent.victim != victim);
+        self.announced.insert(victim, now);
+    }
+
+    /// Merges what another entry suspects.
+    pub fn merge(&mut self, now: Instant, suspicions: &[Suspicion]) {
+        for suspicion in suspicions {
+            let record = self.records.entry(suspicion.fingerprint).or_default();
+            record.merge(now, suspicion, self.settings.lifetime());
+        }
+        self.expire(now);
+        for victim in self.announced.keys() {
+            for record in self.records.values_mut() {
+                record.pardon(victim);
+            }
+        }
+        self.evict();
+    }
+
+    /// Returns what other entries should know.
+    pub fn suspicions(&self, now: Instant) -> Vec<Suspicion> {
+        let export = |(fingerprint, record): (&Fingerprint, &Record)| record.export(*fingerprint, now);
+        self.records.iter().map(export).collect()
+    }
+
+    /// Returns the table that workers ask.
+    pub fn table(&self) -> Table {
+        Table::new(&self.settings, &self.records)
+    }
+
+    /// Forgets what no verdict depends on any longer.
+    pub fn expire(&mut self, now: Instant) {
+        let window = self.settings.window;
+        let lifetime = self.settings.lifetime();
+        self.records.retain(|_, record| record.expire(now, lifetime));
+        self.recent.retain(|recent| now.since(recent.at) <= window);
+        self.announced.retain(|_, at| now.since(*at) <= lifetime);
+    }
+
+    fn note(&mut self, now: Instant, victim: &Victim, running: BTreeSet<Fingerprint>) {
+        // Several entries may report one death, each with its own work.
+        if let Some(known) = self.recent.iter_mut().find(|recent| recent.victim == *victim) {
+            known.running.extend(running.iter().copied());
+        } else {
+            let explained = running.iter().any(|fingerprint| self.suspected(*fingerprint));
+            let running = running.clone();
+            self.recent.push(Recent {
+                at: now,
+                victim: victim.clone(),
+                explained,
+                running,
+            });
+        }
+        for fingerprint in running {
+            self.records.entry(fingerprint).or_default().count(now, victim);
+        }
+    }
+
+    /// Returns whether the work has a death that counts.
+    fn suspected(&self, fingerprint: Fingerprint) -> bool {
+        self.records
+            .get(&fingerprint)
+            .is_some_and(|record| record.latest_counted().is_some())
+    }
+
+    /// Takes back all deaths of the window when they have a common cause.
+    ///
+    /// Failure: a zone is lost without notice and each request there is next to a death, or to two when it was moved
+    /// within the zone. Symptom: innocent requests refused. Deaths of endpoints that ran nothing suspected cannot be
+    /// one request's doing, so two of them in a window show another cause. Two poisonous requests that start in the
+    /// same window look alike; the number of pardons bounds what they cost.
+    fn pardon_wave(&mut self, now: Instant) {
+        let Settings { window, wave, .. } = self.settings;
+        let within = |recent: &&Recent| now.since(recent.at) <= window;
+        let unexplained = self.recent.iter().filter(within).filter(|recent| !recent.explained);
+        if unexplained.count() < wave {
+            return;
+        }
+        let pardons = self.settings.pardons;
+        for recent in &self.recent {
+            for fingerprint in &recent.running {
+                if let Some(record) = self.records.get_mut(fingerprint) {
+                    record.forgive(&recent.victim, pardons);
+                }
+            }
+        }
+    }
+
+    fn pardon(&mut self, victim: &Victim) {
+        for record in self.records.values_mut() {
+            record.pardon(victim);
+        }
+    }
+
+    fn evict(&mut self) {
+        while self.records.len() > self.settings.capacity {
+            let oldest = self.records.iter().min_by_key(|(_, record)| record.latest());
+            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.records.remove(&fingerprint);
+        }
+    }
+}
