build(xtask): check links and file lengths

Cause: pages link pages that may be missing, and files grow long unnoticed. Conclusion: a Markdown library reads the links, so that code blocks don't count.

--- /dev/null
+++ b/xtask/src/lib.rs
@@ -0,0 +1,7 @@
+//! The chores behind `cargo xtask`.
+
+pub mod error;
+pub mod lines;
+pub mod links;
+pub mod steps;
+pub mod walk;
