feat(route): policies, views, estimates and prefix hints

The registry folds endpoint events and publishes an immutable view; five policies register themselves; sends are counted in atomics that outlive a view.

--- /dev/null
+++ b/bergamotshift-route/src/ask.rs
@@ -0,0 +1,64 @@
+//! A request as routing sees it.
+
+use bergamotshift_core::prelude::*;
+use core::time::Duration;
+
+use crate::set::Set;
+use crate::view::Service;
+
+/// What a request needs of an endpoint.
+///
+/// Hashes of the prompt's blocks are cumulative: the hash of block *i* covers blocks 0 to *i*, so that equal hashes
+/// mean equal prefixes.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The moment of the decision.
+    pub now: Instant,
+    /// The service that the request belongs to.
+    pub service: Service,
+    /// Availability zones in which the service's and the organisation's rules allow the request to run.
+    pub zones: Set,
+    /// Machine classes on which the rules allow it to run.
+    pub classes: Set,
+    /// Models and adapters that the endpoint must have loaded.
+    pub models: Set,
+    /// How soon the answer is needed.
+    pub urgency: Urgency,
+    /// Target for the time to the first token, or to the whole answer of a plain service.
+    pub first_token: Duration,
+    /// Target for the time between tokens.
+    pub between_tokens: Duration,
+    /// The last moment at which the answer is of use.
+    pub deadline: Instant,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Estimated tokens of the answer.
+    pub answer_tokens: u32,
+    /// Cumulative hashes of the prompt's blocks.
+    pub prefix: &'a [u64],
+    /// Tokens per block of `prefix`.
+    pub block_tokens: u32,
+    /// Endpoints that already failed this request or are suspected.
+    pub exclude: &'a [key::Endpoint],
+}
+
+impl Default for Ask<'_> {
+    fn default() -> Self {
+        Self {
+            now: Instant::ZERO,
+            service: Service::default(),
+            zones: Set::ALL,
+            classes: Set::ALL,
+            models: Set::EMPTY,
+            urgency: Urgency::Normal,
+            first_token: Duration::from_secs(2),
+            between_tokens: Duration::from_millis(77),
+            deadline: Instant::MAX,
+            prompt_tokens: 0,
+            answer_tokens: 256,
+            prefix: &[],
+            block_tokens: 256,
+            exclude: &[],
+        }
+    }
+}
--- /dev/null
+++ b/bergamotshift-route/src/policy/pair.rs
@@ -0,0 +1,35 @@
+//! Power of two choices: the less loaded of two endpoints drawn at random.
+
+use bergamotshift_core::plugin;
+use rand_pcg::Pcg64Mcg;
+
+use super::Kind;
+use super::Policy;
+use crate::ask::Ask;
+use crate::choice::Choice;
+use crate::choice::Refusal;
+use crate::estimate::Load;
+use crate::view::View;
+
+/// Draws two allowed endpoints and sends to the one with fewer sequences.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pair;
+
+impl Policy for Pair {
+    fn choose(&self, view: &View, ask: &Ask<'_>, rng: &mut Pcg64Mcg) -> Result<Choice, Refusal> {
+        let size = view.pool(ask.service).len();
+        let mut draw = || super::first_allowed(view, ask, super::below(rng, size)).ok_or(Refusal::Nowhere);
+        let (left, right) = (draw()?, draw()?);
+        let sequences = |place: u16| Load::of(view, &view.rows[usize::from(place)], ask.now).sequences;
+        let place = if sequences(right) < sequences(left) {
+            right
+        } else {
+            left
+        };
+        Ok(super::choice(view, ask, place))
+    }
+}
+
+plugin::inventory::submit! {
+    Kind { name: "power-of-two", build: || Box::new(Pair) }
+}
--- /dev/null
+++ b/bergamotshift-route/src/policy/rotation.rs
@@ -0,0 +1,34 @@
+//! Round robin: each endpoint in turn, whatever its load.
+
+use core::sync::atomic::AtomicUsize;
+use core::sync::atomic::Ordering;
+
+use bergamotshift_core::plugin;
+use rand_pcg::Pcg64Mcg;
+
+use super::Kind;
+use super::Policy;
+use crate::ask::Ask;
+use crate::choice::Choice;
+use crate::choice::Refusal;
+use crate::view::View;
+
+/// Sends to each allowed endpoint in turn.
+#[derive(Debug, Default)]
+pub struct Rotation {
+    next: AtomicUsize,
+}
+
+impl Policy for Rotation {
+    fn choose(&self, view: &View, ask: &Ask<'_>, _rng: &mut Pcg64Mcg) -> Result<Choice, Refusal> {
+        let pool = view.pool(ask.service);
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        let start = turn % pool.len().max(1);
+        let place = super::first_allowed(view, ask, start).ok_or(Refusal::Nowhere)?;
+        Ok(super::choice(view, ask, place))
+    }
+}
+
+plugin::inventory::submit! {
+    Kind { name: "round-robin", build: || Box::new(Rotation::default()) }
+}
--- /dev/null
+++ b/bergamotshift-route/src/set.rs
@@ -0,0 +1,66 @@
+//! Small sets of numbered names (zones, classes, models), tested in one instruction on the request path.
+
+/// A set of numbers below [`Set::CAPACITY`].
+///
+/// ```
+/// use bergamotshift_route::set::Set;
+///
+/// let zones = Set::EMPTY.with(1).with(3);
+/// assert!(zones.contains(3) && !zones.contains(2));
+/// assert!(Set::EMPTY.with(1).is_subset(zones));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Set(u128);
+
+impl Set {
+    /// Numbers from zero up to, not including, this one fit.
+    pub const CAPACITY: usize = 128;
+
+    /// Nothing.
+    pub const EMPTY: Self = Self(0);
+
+    /// Every number.
+    pub const ALL: Self = Self(u128::MAX);
+
+    /// Returns the set with `number` in it; numbers past the capacity are left out.
+    #[must_use]
+    pub const fn with(self, number: u8) -> Self {
+        match 1_u128.checked_shl(number as u32) {
+            Some(bit) => Self(self.0 | bit),
+            None => self,
+        }
+    }
+
+    /// Returns the set without `number`.
+    #[must_use]
+    pub const fn without(self, number: u8) -> Self {
+        match 1_u128.checked_shl(number as u32) {
+            Some(bit) => Self(self.0 & !bit),
+            None => self,
+        }
+    }
+
+    /// Returns whether `number` is in the set.
+    pub const fn contains(self, number: u8) -> bool {
+        match 1_u128.checked_shl(number as u32) {
+            Some(bit) => self.0 & bit != 0,
+            None => false,
+        }
+    }
+
+    /// Returns whether every number of this set is in `other`.
+    pub const fn is_subset(self, other: Self) -> bool {
+        self.0 & !other.0 == 0
+    }
+
+    /// Returns whether the set holds nothing.
+    pub const fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+}
+
+impl Default for Set {
+    fn default() -> Self {
+        Self::EMPTY
+    }
+}
--- /dev/null
+++ b/bergamotshift-route/src/view/mod.rs
@@ -0,0 +1,206 @@
+//! The immutable picture of all endpoints that one decision reads.
+
+use core::fmt;
+use std::sync::Arc;
+
+use bergamotshift_core::load::Report;
+use bergamotshift_core::prelude::*;
+
+use crate::ask::Ask;
+use crate::choice::Choice;
+use crate::estimate::Speed;
+use crate::flight;
+use crate::prefix;
+use crate::set::Set;
+
+/// A service's number in its registry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Service(pub(crate) u16);
+
+/// An availability zone's number in its registry, below [`Set::CAPACITY`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Zone(pub(crate) u8);
+
+impl Zone {
+    /// Returns the number, for use in a [`Set`].
+    pub const fn number(self) -> u8 {
+        self.0
+    }
+}
+
+/// A machine class's number in its registry, below [`Set::CAPACITY`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Class(pub(crate) u8);
+
+impl Class {
+    /// Returns the number, for use in a [`Set`].
+    pub const fn number(self) -> u8 {
+        self.0
+    }
+}
+
+/// What is known of one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Endpoint {
+    /// The service it runs.
+    pub service: Service,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its machine class.
+    pub class: Class,
+    /// The market its VM was bought on.
+    pub market: Market,
+    /// What its VM costs per hour.
+    pub price: Price,
+    /// Reclaims expected per hour of its zone, class and market, in thousandths.
+    pub reclaims_per_mille_hour: u32,
+    /// Models and adapters it has loaded.
+    pub models: Set,
+    /// How fast its engine is.
+    pub speed: Speed,
+}
+
+/// An endpoint in a view: what is known, and what changed since.
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub(crate) key: key::Endpoint,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) leaving: bool,
+    pub(crate) report: Option<Report>,
+    pub(crate) reported: Instant,
+    pub(crate) hints_from: Instant,
+    pub(crate) mark: flight::Mark,
+    pub(crate) counter: Arc<flight::Counter>,
+}
+
+impl Row {
+    /// Returns the endpoint's key.
+    pub const fn key(&self) -> key::Endpoint {
+        self.key
+    }
+
+    /// Returns what is known of the endpoint.
+    pub const fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
+    /// Returns whether the endpoint gets no new work.
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the last load report and when it arrived.
+    pub fn report(&self) -> Option<(Report, Instant)> {
+        self.report.map(|report| (report, self.reported))
+    }
+
+    /// Returns this entry's counts at the endpoint.
+    pub fn counter(&self) -> &flight::Counter {
+        &self.counter
+    }
+}
+
+/// Every endpoint at one moment, with each service's endpoints in the order of their price.
+#[derive(Clone)]
+pub struct View {
+    pub(crate) published: Instant,
+    pub(crate) rows: Vec<Row>,
+    /// Live endpoints of each service, cheapest first, as places in `rows`.
+    pub(crate) pools: Vec<Vec<u16>>,
+    /// The place in `rows` of each arena slot, or `u16::MAX`.
+    pub(crate) places: Vec<u16>,
+    pub(crate) hints: Arc<prefix::Index>,
+    pub(crate) entries: u32,
+}
+
+impl View {
+    /// Returns when the view was published.
+    pub const fn published(&self) -> Instant {
+        self.published
+    }
+
+    /// Returns how many entries send to these endpoints, this one included.
+    pub const fn entries(&self) -> u32 {
+        self.entries
+    }
+
+    /// Returns all endpoints, leaving ones included.
+    pub fn rows(&self) -> &[Row] {
+        &self.rows
+    }
+
+    /// Returns the places of a service's live endpoints, cheapest first.
+    pub fn pool(&self, service: Service) -> &[u16] {
+        self.pools.get(usize::from(service.0)).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the index of prefix hints that all views of a registry share.
+    pub fn hints(&self) -> &prefix::Index {
+        &self.hints
+    }
+
+    /// Finds an endpoint by its key.
+    pub fn find(&self, key: key::Endpoint) -> Option<&Row> {
+        let slot = prefix::Slot::of(key);
+        let place = *self.places.get(slot.place())?;
+        self.rows.get(usize::from(place)).filter(|row| row.key == key)
+    }
+
+    /// Returns the place of the endpoint in an arena slot.
+    pub(crate) fn place_of(&self, slot: prefix::Slot) -> Option<u16> {
+        let place = *self.places.get(slot.place())?;
+        let row = self.rows.get(usize::from(place))?;
+        (prefix::Slot::of(row.key) == slot).then_some(place)
+    }
+
+    /// Returns the place where a prompt's first block is computed when no endpoint is known to hold it.
+    ///
+    /// It follows from the block's hash and the endpoints' arena slots, so threads agree on it without talking and one
+    /// endpoint's leaving moves only the prefixes that it was home to.
+    pub(crate) fn home(&self, ask: &Ask<'_>) -> Option<u16> {
+        const TRIES: u64 = 4;
+        let &block = ask.prefix.first()?;
+        let slots = self.places.len() as u64;
+        (0..TRIES).find_map(|turn| {
+            let mixed = (block ^ turn.wrapping_mul(0x9E37_79B9_7F4A_7C15)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+            let slot = ((u128::from(mixed) * u128::from(slots)) >> 64) as usize;
+            let place = self.places[slot];
+            let row = self.rows.get(usize::from(place))?;
+            (row.endpoint.service == ask.service && self.allows(place, ask)).then_some(place)
+        })
+    }
+
+    /// Returns whether the rules and the request's history allow it to run at this place.
+    pub fn allows(&self, place: u16, ask: &Ask<'_>) -> bool {
+        let row = &self.rows[usize::from(place)];
+        let endpoint = &row.endpoint;
+        !row.leaving
+            && ask.zones.contains(endpoint.zone.0)
+            && ask.classes.contains(endpoint.class.0)
+            && ask.models.is_subset(endpoint.models)
+            && !ask.exclude.contains(&row.key)
+    }
+
+    /// Counts a chosen request as sent, and remembers where its prefix is now cached.
+    ///
+    /// The guard is dropped when the attempt ends, in whatever way.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `choice` was made on another view with more endpoints.
+    pub fn send(&self, choice: &Choice, ask: &Ask<'_>) -> flight::Guard {
+        let row = &self.rows[choice.index];
+        self.hints.record(ask.prefix, row.key, ask.now);
+        flight::Guard::start(&row.counter, choice.estimate.prompt_tokens)
+    }
+}
+
+impl fmt::Debug for View {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("View")
+            .field("published", &self.published)
+            .field("rows", &self.rows.len())
+            .field("entries", &self.entries)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/bergamotshift-route/tests/policy.rs
@@ -0,0 +1,187 @@
+//! What every registered policy keeps to, and what the default adds.
+
+use core::time::Duration;
+
+use bergamotshift_core::load::Report;
+use bergamotshift_core::prelude::*;
+use bergamotshift_route::prelude::*;
+use rand_pcg::Pcg64Mcg;
+
+/// A site of one service with endpoints at these prices, all reporting no load.
+fn site(prices: &[u64]) -> (Registry, Vec<key::Endpoint>) {
+    let mut registry = Registry::default();
+    let service = registry.service(&name::Service::new("planner")).unwrap();
+    let keys = prices
+        .iter()
+        .enumerate()
+        .map(|(number, &price)| {
+            let zone = registry.zone(&name::Zone::new(format!("zone-{}", number % 4))).unwrap();
+            let price = Price::from_micros(price);
+            let key = registry
+                .insert(Endpoint {
+                    service,
+                    zone,
+                    price,
+                    ..Endpoint::default()
+                })
+                .unwrap();
+            registry.report(key, report(1, 0), Instant::ZERO).unwrap();
+            key
+        })
+        .collect();
+    (registry, keys)
+}
+
+fn report(sequence: u64, running: u32) -> Report {
+    Report {
+        sequence,
+        running,
+        slots: 128,
+        ..Report::default()
+    }
+}
+
+fn ask() -> Ask<'static> {
+    Ask {
+        prompt_tokens: 800,
+        answer_tokens: 200,
+        ..Ask::default()
+    }
+}
+
+#[test]
+fn every_policy_keeps_to_the_rules() {
+    let (mut registry, keys) = site(&[5, 4, 3, 2, 1, 6, 7, 8]);
+    registry.leave(keys[4]).unwrap();
+    let view = registry.publish(Instant::ZERO);
+    let exclude = [keys[3]];
+    let ask = Ask {
+        zones: Set::EMPTY.with(0).with(3),
+        exclude: &exclude,
+        ..ask()
+    };
+    let allowed = [keys[0], keys[7]];
+    assert_eq!(policy::names().len(), 5);
+    for name in policy::names() {
+        let policy = policy::build(name).unwrap();
+        let mut rng = Pcg64Mcg::new(11);
+        for _ in 0..200 {
+            let choice = policy.choose(&view, &ask, &mut rng).unwrap();
+            assert!(allowed.contains(&choice.key), "{name} broke a rule");
+        }
+    }
+}
+
+#[test]
+fn every_policy_refuses_when_nothing_is_allowed() {
+    let (registry, _) = site(&[1, 2]);
+    let view = registry.publish(Instant::ZERO);
+    let models = Set::EMPTY.with(9);
+    for name in policy::names() {
+        let policy = policy::build(name).unwrap();
+        let refused = policy.choose(&view, &Ask { models, ..ask() }, &mut Pcg64Mcg::new(1));
+        assert_eq!(refused, Err(Refusal::Nowhere), "{name}");
+    }
+}
+
+#[test]
+fn leaving_stays_set_whatever_comes_late() {
+    // A VM gets its notice. A report and an update that were under way before it still call the VM live. Callers would
+    // see requests cut when the VM goes; the mark must therefore outlast both.
+    let (mut registry, keys) = site(&[1, 2]);
+    registry.leave(keys[0]).unwrap();
+    registry.report(keys[0], report(2, 0), Instant::from_secs(1)).unwrap();
+    let known = *registry.publish(Instant::ZERO).find(keys[0]).unwrap().endpoint();
+    registry.update(keys[0], known).unwrap();
+    let view = registry.publish(Instant::from_secs(1));
+    assert!(view.find(keys[0]).unwrap().is_leaving());
+    let policy = policy::build(policy::DEFAULT).unwrap();
+    assert_eq!(
+        policy.choose(&view, &ask(), &mut Pcg64Mcg::new(1)).unwrap().key,
+        keys[1]
+    );
+}
+
+#[test]
+fn the_default_takes_the_cheapest_that_meets_the_target() {
+    let (mut registry, keys) = site(&[3_000_000, 1_000_000, 2_000_000]);
+    let policy = policy::build(policy::DEFAULT).unwrap();
+    let mut rng = Pcg64Mcg::new(3);
+    let view = registry.publish(Instant::ZERO);
+    assert_eq!(policy.choose(&view, &ask(), &mut rng).unwrap().key, keys[1]);
+
+    registry
+        .report(
+            keys[1],
+            Report {
+                waiting: 400,
+                ..report(2, 128)
+            },
+            Instant::ZERO,
+        )
+        .unwrap();
+    let view = registry.publish(Instant::ZERO);
+    assert_eq!(policy.choose(&view, &ask(), &mut rng).unwrap().key, keys[2]);
+}
+
+#[test]
+fn own_sends_count_before_the_next_report() {
+    let (registry, keys) = site(&[1_000_000, 1_000_001]);
+    let view = registry.publish(Instant::ZERO);
+    let policy = policy::build(policy::DEFAULT).unwrap();
+    let mut rng = Pcg64Mcg::new(3);
+    let in_flight: Vec<_> = (0..60)
+        .map(|_| view.send(&policy.choose(&view, &ask(), &mut rng).unwrap(), &ask()))
+        .collect();
+    let second = view.find(keys[1]).unwrap().counter().in_flight();
+    assert!(
+        (20..=40).contains(&second),
+        "{second} of 60 went to the second of two equal endpoints"
+    );
+    drop(in_flight);
+    assert_eq!(view.find(keys[1]).unwrap().counter().in_flight(), 0);
+}
+
+#[test]
+fn a_cached_prefix_draws_the_request() {
+    let (registry, keys) = site(&[1_000_000; 6]);
+    let view = registry.publish(Instant::ZERO);
+    let prefix = [0x1111_2222_3333_4444, 0x5555_6666_7777_8888];
+    registry.hints().record(&prefix, keys[4], Instant::ZERO);
+    let ask = Ask {
+        prefix: &prefix,
+        now: Instant::from_secs(1),
+        ..ask()
+    };
+    for name in ["prefix-affinity", policy::DEFAULT] {
+        let choice = policy::build(name)
+            .unwrap()
+            .choose(&view, &ask, &mut Pcg64Mcg::new(5))
+            .unwrap();
+        assert_eq!(choice.key, keys[4], "{name}");
+        assert!(choice.estimate.prompt_tokens < 300, "{name}");
+    }
+}
+
+#[test]
+fn deferrable_work_waits_for_room_until_its_deadline_presses() {
+    let (mut registry, keys) = site(&[1_000_000]);
+    registry.report(keys[0], report(2, 120), Instant::ZERO).unwrap();
+    let view = registry.publish(Instant::ZERO);
+    let policy = policy::build(policy::DEFAULT).unwrap();
+    let ask = Ask {
+        urgency: Urgency::Deferrable,
+        deadline: Instant::from_secs(3_600),
+        ..ask()
+    };
+    let refused = policy.choose(&view, &ask, &mut Pcg64Mcg::new(1));
+    assert!(matches!(refused, Err(Refusal::Later { until }) if until < ask.deadline));
+    let pressed = Ask {
+        deadline: Instant::ZERO + Duration::from_secs(10),
+        ..ask
+    };
+    assert_eq!(
+        policy.choose(&view, &pressed, &mut Pcg64Mcg::new(1)).unwrap().key,
+        keys[0]
+    );
+}
