feat(config): check the folder as a whole, merge edits and tell differences

Cause: a folder that parses may still contradict itself, and two operators may change it at one moment. Every problem now names file, line and key, with a guess at what was meant; duplicates over files name both places; a merge takes different files from both sides and names a file that both changed. A manifest stands for the content by its digest. Also: a token shared by two organisations, an emptied folder and a rule that no request could reach are refused. Ruled out: a merge inside files (a valid text could come out that nobody wrote); a home-made edit distance (it called POTS nearer to PUT than to POST; strsim's counts swapped letters). token::Digest became digest::Digest, for tokens and content alike.

--- a/bergamotshift-config/src/config/endpoint.rs
+++ b/bergamotshift-config/src/config/endpoint.rs
@@ -4,10 +4,11 @@
 
 use bergamotshift_core::prelude::*;
 use serde::Deserialize;
+use serde::Serialize;
 
 /// An endpoint of a site without a VM list: `[[endpoint]]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Endpoint {
     /// The VM it runs on.
--- a/bergamotshift-config/src/config/mod.rs
+++ b/bergamotshift-config/src/config/mod.rs
@@ -1,8 +1,10 @@
 //! The typed configuration, as one merged whole.
 
+use core::fmt;
 use std::collections::BTreeMap;
 
 use bergamotshift_core::prelude::*;
+use serde::Serialize;
 use subtle::Choice;
 
 mod endpoint;
@@ -25,7 +27,7 @@
 pub use zone::Zone;
 pub use zone::ZonePrice;
 
-use crate::token;
+use crate::digest::Digest;
 
 /// Everything that operators set, merged from all files and checked.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -71,7 +73,7 @@
     ///
     /// Every digest is compared in constant time, so the time taken tells nothing of any of them.
     pub fn organisation_by_token(&self, token: &str) -> Option<&Organisation> {
-        let digest = token::Digest::of(token);
+        let digest = Digest::of(token);
         let mut found = None;
         for organisation in self.organisations.values() {
             let mut same = Choice::from(0);
@@ -126,3 +128,32 @@
             .collect()
     }
 }
+
+impl fmt::Display for Config {
+    /// Writes the whole configuration as one TOML file.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = Whole {
+            zone: self.zones.values().collect(),
+            class: self.classes.values().collect(),
+            price: &self.prices,
+            service: self.services.values().collect(),
+            route: &self.routes,
+            organisation: self.organisations.values().collect(),
+            endpoint: &self.endpoints,
+        };
+        let text = toml::to_string(&whole).or(Err(fmt::Error))?;
+        f.write_str(&text)
+    }
+}
+
+/// The sections as one file holds them.
+#[derive(Serialize)]
+struct Whole<'a> {
+    zone: Vec<&'a Zone>,
+    class: Vec<&'a Class>,
+    price: &'a [ZonePrice],
+    service: Vec<&'a Service>,
+    route: &'a [Route],
+    organisation: Vec<&'a Organisation>,
+    endpoint: &'a [Endpoint],
+}
--- a/bergamotshift-config/src/config/organisation.rs
+++ b/bergamotshift-config/src/config/organisation.rs
@@ -2,13 +2,14 @@
 
 use bergamotshift_core::prelude::*;
 use serde::Deserialize;
+use serde::Serialize;
 
 use super::value;
-use crate::token;
+use crate::digest::Digest;
 
 /// An organisation whose callers are let in: `[[organisation]]`.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Organisation {
     /// The organisation's name.
@@ -17,7 +18,7 @@
     #[serde(default = "default_weight")]
     pub weight: u32,
     /// The digests of its bearer tokens.
-    pub keys: Vec<token::Digest>,
+    pub keys: Vec<Digest>,
     /// The zones its work may run in; empty means all.
     #[serde(default)]
     pub zones: Vec<name::Zone>,
@@ -38,7 +39,7 @@
 
 /// What an organisation may use at most, over all entries; a missing limit does not bind.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     /// Requests per second, over time.
@@ -48,7 +49,7 @@
     /// Tokens generated per second, over time.
     pub tokens_per_second: Option<f64>,
     /// Spending per hour, in currency units.
-    #[serde(default, deserialize_with = "value::maybe_price")]
+    #[serde(default, with = "value::maybe_price")]
     pub spend_per_hour: Option<Price>,
 }
 
--- a/bergamotshift-config/src/config/route.rs
+++ b/bergamotshift-config/src/config/route.rs
@@ -4,6 +4,7 @@
 
 use bergamotshift_core::prelude::*;
 use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use super::Kind;
@@ -12,7 +13,7 @@
 
 /// A rule for the requests of one service, method and path: `[[route]]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// The service.
@@ -29,7 +30,7 @@
     /// How soon the answer is needed; the service's own when missing.
     pub urgency: Option<Urgency>,
     /// How long a request may take in all; the service's own when missing.
-    #[serde(default, deserialize_with = "value::maybe_span")]
+    #[serde(default, with = "value::maybe_span")]
     pub deadline: Option<Duration>,
 }
 
--- a/bergamotshift-config/src/config/service.rs
+++ b/bergamotshift-config/src/config/service.rs
@@ -4,13 +4,14 @@
 
 use bergamotshift_core::prelude::*;
 use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use super::value;
 
 /// How a service's endpoints are spoken to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     /// A language model behind engines that batch continuously.
@@ -21,7 +22,7 @@
 
 /// A service that callers reach: `[[service]]`.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// The service's name.
@@ -51,7 +52,7 @@
     #[serde(default)]
     pub target: Target,
     /// How long a request may take in all.
-    #[serde(default = "default_deadline", deserialize_with = "value::span")]
+    #[serde(default = "default_deadline", with = "value::span")]
     pub deadline: Duration,
     /// The largest body of a request, in bytes.
     #[serde(default = "default_max_body")]
@@ -105,23 +106,23 @@
 
 /// The latency that a service's urgent answers keep, for 95 in 100.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Target {
     /// The time to the first token.
-    #[serde(default, deserialize_with = "value::maybe_span")]
+    #[serde(default, with = "value::maybe_span")]
     pub first_token: Option<Duration>,
     /// The time between two tokens.
-    #[serde(default, deserialize_with = "value::maybe_span")]
+    #[serde(default, with = "value::maybe_span")]
     pub between_tokens: Option<Duration>,
     /// The time to a plain service's whole answer.
-    #[serde(default, deserialize_with = "value::maybe_span")]
+    #[serde(default, with = "value::maybe_span")]
     pub answer: Option<Duration>,
 }
 
 /// How failed attempts of repeatable requests are repeated.
 #[derive(Clone, Copy, Debug, PartialEq)]
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Retry {
     /// Retries allowed for each first attempt, over time.
--- a/bergamotshift-config/src/config/value.rs
+++ b/bergamotshift-config/src/config/value.rs
@@ -1,67 +1,120 @@
 //! How prices and spans of time are written in the folder.
 
-use core::fmt;
-use core::time::Duration;
+/// Prices, as decimal numbers of currency units.
+pub(super) mod price {
+    use core::fmt;
 
-use bergamotshift_core::prelude::*;
-use serde::Deserialize;
-use serde::Deserializer;
-use serde::de;
+    use bergamotshift_core::prelude::*;
+    use serde::Deserializer;
+    use serde::Serializer;
+    use serde::de;
 
-/// The dearest price that is read, in currency units: no mistake of digits reaches the arithmetic's end.
-const MAX_PRICE: f64 = 1_000_000.0;
+    /// Millionths of a currency unit in one.
+    const MICROS: f64 = 1e6;
 
-/// Reads a price from a decimal number of currency units.
-pub(super) fn price<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Price, D::Error> {
-    deserializer.deserialize_any(Decimal)
-}
+    /// The dearest price that is read, in currency units: no slip of digits reaches the arithmetic's end.
+    const MAX: f64 = 1e6;
 
-/// Reads a price that may be missing.
-pub(super) fn maybe_price<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Price>, D::Error> {
-    price(deserializer).map(Some)
-}
+    #[expect(
+        clippy::trivially_copy_pass_by_ref,
+        reason = "serde calls it with a reference to the field"
+    )]
+    pub fn serialize<S: Serializer>(price: &Price, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_f64(price.as_micros() as f64 / MICROS)
+    }
 
-/// Reads a span of time such as `2s` or `77ms`.
-pub(super) fn span<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-    let text = String::deserialize(deserializer)?;
-    let span = humantime::parse_duration(&text).map_err(de::Error::custom)?;
-    if span.is_zero() || span > MAX_SPAN {
-        return Err(de::Error::custom("a span of time is more than 0 and at most 30 days"));
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Price, D::Error> {
+        deserializer.deserialize_any(Decimal)
+    }
+
+    struct Decimal;
+
+    impl de::Visitor<'_> for Decimal {
+        type Value = Price;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+            formatter.write_str("a price: a number from 0 to 1000000")
+        }
+
+        fn visit_f64<E: de::Error>(self, v: f64) -> Result<Price, E> {
+            if (0.0..=MAX).contains(&v) {
+                Ok(Price::from_micros((v * MICROS).round() as u64))
+            } else {
+                Err(E::invalid_value(de::Unexpected::Float(v), &self))
+            }
+        }
+
+        fn visit_i64<E: de::Error>(self, v: i64) -> Result<Price, E> {
+            self.visit_f64(v as f64)
+        }
+
+        fn visit_u64<E: de::Error>(self, v: u64) -> Result<Price, E> {
+            self.visit_f64(v as f64)
+        }
     }
-    Ok(span)
 }
 
-/// The longest span that is read: deadlines stay far from the clock's end.
-const MAX_SPAN: Duration = Duration::from_hours(30 * 24);
+/// Prices that may be missing.
+pub(super) mod maybe_price {
+    use bergamotshift_core::prelude::*;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    #[expect(clippy::ref_option, reason = "serde calls it with a reference to the field")]
+    pub fn serialize<S: Serializer>(price: &Option<Price>, serializer: S) -> Result<S::Ok, S::Error> {
+        match price {
+            Some(price) => super::price::serialize(price, serializer),
+            None => serializer.serialize_none(),
+        }
+    }
 
-/// Reads a span that may be missing.
-pub(super) fn maybe_span<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Duration>, D::Error> {
-    span(deserializer).map(Some)
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Price>, D::Error> {
+        super::price::deserialize(deserializer).map(Some)
+    }
 }
 
-struct Decimal;
+/// Spans of time, such as `2s` or `77ms`.
+pub(super) mod span {
+    use core::time::Duration;
 
-impl de::Visitor<'_> for Decimal {
-    type Value = Price;
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+    use serde::de;
 
-    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a price: a number from 0 to 1000000")
+    /// The longest span that is read: deadlines stay far from the clock's end.
+    const MAX: Duration = Duration::from_hours(30 * 24);
+
+    pub fn serialize<S: Serializer>(span: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&humantime::format_duration(*span))
     }
 
-    fn visit_f64<E: de::Error>(self, v: f64) -> Result<Price, E> {
-        const MICROS: f64 = 1e6;
-        if (0.0..=MAX_PRICE).contains(&v) {
-            Ok(Price::from_micros((v * MICROS).round() as u64))
-        } else {
-            Err(E::invalid_value(de::Unexpected::Float(v), &self))
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let span = humantime::parse_duration(&text).map_err(de::Error::custom)?;
+        if span.is_zero() || span > MAX {
+            return Err(de::Error::custom("a span of time is more than 0 and at most 30 days"));
         }
+        Ok(span)
     }
+}
+
+/// Spans of time that may be missing.
+pub(super) mod maybe_span {
+    use core::time::Duration;
 
-    fn visit_i64<E: de::Error>(self, v: i64) -> Result<Price, E> {
-        self.visit_f64(v as f64)
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    #[expect(clippy::ref_option, reason = "serde calls it with a reference to the field")]
+    pub fn serialize<S: Serializer>(span: &Option<Duration>, serializer: S) -> Result<S::Ok, S::Error> {
+        match span {
+            Some(span) => super::span::serialize(span, serializer),
+            None => serializer.serialize_none(),
+        }
     }
 
-    fn visit_u64<E: de::Error>(self, v: u64) -> Result<Price, E> {
-        self.visit_f64(v as f64)
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Duration>, D::Error> {
+        super::span::deserialize(deserializer).map(Some)
     }
 }
--- a/bergamotshift-config/src/token.rs
+++ b/bergamotshift-config/src/digest.rs
@@ -1,9 +1,11 @@
-//! Bearer tokens of organisations, of which the folder holds only digests.
+//! SHA-256 digests: of bearer tokens, of which the folder holds nothing else, and of the folder's own content.
 
 use core::fmt;
 
 use serde::Deserialize;
 use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
 use serde::de;
 use sha2::Digest as _;
 use sha2::Sha256;
@@ -13,24 +15,34 @@
 /// Starts the text of every digest.
 const PREFIX: &str = "sha256:";
 
-/// The SHA-256 digest of a bearer token.
+/// The SHA-256 digest of some bytes.
 ///
-/// Tokens are long and random, so a digest without salt gives nothing away to whoever reads the folder.
+/// Bearer tokens are long and random, so a digest without salt gives nothing away to whoever reads the folder.
 ///
 /// ```
-/// use bergamotshift_config::token::Digest;
+/// use bergamotshift_config::digest::Digest;
 ///
 /// let digest = Digest::of("a long random token");
 /// assert!(bool::from(digest.same(&Digest::of("a long random token"))));
 /// assert!(digest.to_string().starts_with("sha256:"));
 /// ```
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest([u8; 32]);
 
 impl Digest {
-    /// Computes the digest of a token.
-    pub fn of(token: &str) -> Self {
-        Self(Sha256::digest(token.as_bytes()).into())
+    /// Makes a digest from its bytes.
+    pub const fn new(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
+    /// Computes the digest of some bytes.
+    pub fn of(bytes: impl AsRef<[u8]>) -> Self {
+        Self(Sha256::digest(bytes.as_ref()).into())
+    }
+
+    /// Returns the digest's bytes.
+    pub const fn bytes(&self) -> &[u8; 32] {
+        &self.0
     }
 
     /// Compares two digests in constant time.
@@ -66,9 +78,22 @@
     }
 }
 
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
 impl<'de> Deserialize<'de> for Digest {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return <[u8; 32]>::deserialize(deserializer).map(Self);
+        }
         let text = String::deserialize(deserializer)?;
-        Self::parse(&text).ok_or_else(|| de::Error::custom("a key is `sha256:` and 64 hexadecimal digits"))
+        Self::parse(&text).ok_or_else(|| de::Error::custom("a digest is `sha256:` and 64 hexadecimal digits"))
     }
 }
--- a/bergamotshift-config/src/folder/error.rs
+++ b/bergamotshift-config/src/folder/error.rs
@@ -20,6 +20,9 @@
         /// What the operating system said.
         source: io::Error,
     },
+    /// The folder holds no file that ends in `.toml`.
+    #[error("the folder holds no TOML file; to take everything away, say so in one")]
+    Empty,
     /// The files' content is not a configuration.
     #[error("{}", Lines(.0))]
     Invalid(Vec<Problem>),
--- a/bergamotshift-config/src/folder/file.rs
+++ b/bergamotshift-config/src/folder/file.rs
@@ -2,63 +2,53 @@
 
 use serde::Deserialize;
 use smol_str::SmolStr;
-use toml::Spanned;
 
 use super::error::Problem;
+use super::hint;
+use super::source::Source;
 use crate::config;
-use crate::config::Config;
 
 /// The sections of one file.
 #[derive(Debug, Default)]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(super) struct File {
-    zone: Vec<Spanned<config::Zone>>,
-    class: Vec<Spanned<config::Class>>,
-    price: Vec<Spanned<config::ZonePrice>>,
-    service: Vec<Spanned<config::Service>>,
-    route: Vec<Spanned<config::Route>>,
-    organisation: Vec<Spanned<config::Organisation>>,
-    endpoint: Vec<Spanned<config::Endpoint>>,
+    pub(super) zone: Vec<config::Zone>,
+    pub(super) class: Vec<config::Class>,
+    pub(super) price: Vec<config::ZonePrice>,
+    pub(super) service: Vec<config::Service>,
+    pub(super) route: Vec<config::Route>,
+    pub(super) organisation: Vec<config::Organisation>,
+    pub(super) endpoint: Vec<config::Endpoint>,
 }
 
 impl File {
-    pub(super) fn parse(name: &str, text: &str) -> Result<Self, Box<Problem>> {
-        toml::from_str(text).map_err(|error| {
-            let start = error.span().map_or(0, |span| span.start);
-            Box::new(Problem {
-                file: SmolStr::new(name),
-                line: line(text, start),
-                key: SmolStr::default(),
-                message: error.message().to_owned(),
-                hint: None,
-            })
-        })
+    /// Reads one file; its text alone is judged here, not what it refers to.
+    pub(super) fn parse(source: Source<'_>) -> Result<Self, Box<Problem>> {
+        toml::from_str(source.text).map_err(|error| Box::new(problem(source, &error)))
     }
+}
 
-    pub(super) fn merge(self, config: &mut Config) {
-        for zone in self.zone.into_iter().map(Spanned::into_inner) {
-            config.zones.insert(zone.name.clone(), zone);
-        }
-        for class in self.class.into_iter().map(Spanned::into_inner) {
-            config.classes.insert(class.name.clone(), class);
-        }
-        for service in self.service.into_iter().map(Spanned::into_inner) {
-            config.services.insert(service.name.clone(), service);
-        }
-        for organisation in self.organisation.into_iter().map(Spanned::into_inner) {
-            config.organisations.insert(organisation.name.clone(), organisation);
-        }
-        config.prices.extend(self.price.into_iter().map(Spanned::into_inner));
-        config.routes.extend(self.route.into_iter().map(Spanned::into_inner));
-        config
-            .endpoints
-            .extend(self.endpoint.into_iter().map(Spanned::into_inner));
+/// Turns a TOML error into a problem with line, key and hint.
+fn problem(source: Source<'_>, error: &toml::de::Error) -> Problem {
+    let start = error.span().map_or(0, |span| span.start);
+    Problem {
+        file: SmolStr::new(source.name),
+        line: source.line(start),
+        key: SmolStr::new(source.key_at(start)),
+        message: error.message().to_owned(),
+        hint: unknown(error.message()),
     }
 }
 
-/// Returns the line, counted from 1, of a byte's place in a text.
-fn line(text: &str, place: usize) -> usize {
-    let before = text.as_bytes().iter().take(place);
-    before.filter(|byte| **byte == b'\n').count() + 1
+/// Returns a hint when the message says that a key or a value is none of the known ones.
+///
+/// `serde` writes such messages as: unknown field `a`, expected one of `b`, `c`.
+fn unknown(message: &str) -> Option<String> {
+    if !message.starts_with("unknown ") {
+        return None;
+    }
+    let mut quoted = message.split('`').skip(1).step_by(2);
+    let name = quoted.next()?;
+    hint::nearest(name, quoted)
 }
--- a/bergamotshift-config/src/folder/mod.rs
+++ b/bergamotshift-config/src/folder/mod.rs
@@ -5,12 +5,21 @@
 
 use smol_str::SmolStr;
 
+mod check;
+mod draft;
 mod error;
 mod file;
+mod hint;
+mod source;
 
 pub use error::Error;
 pub use error::Problem;
 
+use draft::Draft;
+use draft::Report;
+use file::File;
+use source::Source;
+
 use crate::config::Config;
 
 /// Ends the names of the files that count.
@@ -61,22 +70,48 @@
 ///
 /// Fails with every problem found, each with file, line and key.
 pub fn parse<N: AsRef<str>, T: AsRef<str>>(files: &[(N, T)]) -> Result<Config, Error> {
-    let mut files: Vec<_> = files
-        .iter()
-        .map(|(name, text)| (name.as_ref(), text.as_ref()))
-        .collect();
-    files.sort_unstable();
-    let mut config = Config::default();
-    let mut problems = Vec::new();
-    for (name, text) in files {
-        match file::File::parse(name, text) {
-            Ok(file) => file.merge(&mut config),
-            Err(problem) => problems.push(*problem),
+    Reader::default().parse(files)
+}
+
+/// How a folder is judged, beyond what its own text says.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reader<'a> {
+    /// The names of the endpoint adapters that there are; missing means that any name passes.
+    pub adapters: Option<&'a [&'a str]>,
+}
+
+impl Reader<'_> {
+    /// Merges and checks files given as names and texts, in the order of their names.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every problem found, each with file, line and key.
+    pub fn parse<N: AsRef<str>, T: AsRef<str>>(&self, files: &[(N, T)]) -> Result<Config, Error> {
+        // A wrong path or an emptied folder would take every service and organisation away.
+        if files.is_empty() {
+            return Err(Error::Empty);
+        }
+        let mut sources: Vec<_> = files.iter().map(Source::from).collect();
+        sources.sort_unstable_by_key(|source| source.name);
+        let mut draft = Draft::default();
+        let mut report = Report {
+            sources: &sources,
+            problems: Vec::new(),
+        };
+        for (place, source) in sources.iter().enumerate() {
+            match File::parse(*source) {
+                Ok(file) => draft.add(place, file),
+                Err(problem) => report.problems.push(*problem),
+            }
+        }
+        // With a file missing, the references into it would all be called wrong.
+        if report.problems.is_empty() {
+            check::all(&draft, self.adapters, &mut report);
+        }
+        if report.problems.is_empty() {
+            Ok(draft.finish())
+        } else {
+            Err(Error::Invalid(report.problems))
         }
-    }
-    if problems.is_empty() {
-        Ok(config)
-    } else {
-        Err(Error::Invalid(problems))
     }
 }
--- a/bergamotshift-config/src/lib.rs
+++ b/bergamotshift-config/src/lib.rs
@@ -16,6 +16,8 @@
 //! ```
 
 pub mod config;
+pub mod diff;
+pub mod digest;
 pub mod folder;
+pub mod manifest;
 pub mod prelude;
-pub mod token;
