feat(standin): serve fake engines, plain services and a VM list on loopback

Cause: the entry's request path and the demo need endpoints and a VM list to talk to, over real HTTP, that die, pause, cross and cut answers on order.

All stand-ins of a process share three threads, so dozens stay light. A killed one shuts its listener from the caller's thread, so the next connection is refused without waiting for another thread. Ruled out: listening again on the same shut socket (connections stay refused on Linux 6.18); a restart binds a fresh socket beside the shut one, which keeps the port meanwhile.

The platform crate gets its traits and the VM list's HTTP adapter.

--- /dev/null
+++ b/bergamotshift-platform/src/http/client.rs
@@ -0,0 +1,147 @@
+//! Sends one request and tells what may be concluded when no answer comes.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ntex::SharedCfg;
+use ntex::client::ClientRequest;
+use ntex::client::Connector;
+use ntex::client::error::ClientError;
+use ntex::http::HeaderMap;
+use ntex::http::Method;
+use ntex::http::StatusCode;
+use ntex::http::header;
+use ntex::time::Millis;
+use serde::de::DeserializeOwned;
+
+use super::signer::Bearer;
+use super::signer::Signer;
+use crate::Error;
+
+/// Settings of the connection to one part of the platform.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where it is, such as `http://10.0.0.2:8000`.
+    pub base: String,
+    /// How long to wait for a whole answer.
+    pub timeout: Duration,
+    /// The largest answer taken, in bytes.
+    pub limit: usize,
+    /// The most connections at a time.
+    pub connections: usize,
+    /// Proves who asks.
+    pub signer: Rc<dyn Signer>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            base: String::new(),
+            timeout: Duration::from_secs(2),
+            limit: 64 << 20,
+            connections: 8,
+            signer: Rc::new(Bearer::default()),
+        }
+    }
+}
+
+/// Sends requests to one part of the platform.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: ntex::client::Client,
+    settings: Settings,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+impl Client {
+    /// Makes a client; it connects with its first request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`] when the HTTP client cannot be set up.
+    pub async fn new(settings: Settings) -> Result<Self, Error> {
+        // The HTTP client sets up TLS in any case; whichever provider the process chose first stays.
+        drop(rustls::crypto::ring::default_provider().install_default());
+        let connector = Connector::default().limit(settings.connections);
+        let timeout = Millis::from(settings.timeout);
+        let inner = ntex::client::Client::builder()
+            .connector::<()>(connector)
+            .response_timeout(timeout)
+            .response_payload_limit(settings.limit)
+            .response_payload_timeout(timeout)
+            .disable_redirects()
+            .build(SharedCfg::new("platform").build())
+            .await
+            .map_err(|cause| Error::Refused(cause.to_string()))?;
+        Ok(Self { inner, settings })
+    }
+
+    /// Begins a request to a path below the base.
+    pub(super) fn request(&self, method: Method, path: &str) -> ClientRequest {
+        self.inner.request(method, format!("{}{path}", self.settings.base))
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// A connection that was not made means that nothing was sent: `Refused`. Whatever fails later may have reached
+    /// the platform, even a write to a pooled connection that the platform had closed: `Unknown`.
+    pub(super) async fn send(&self, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
+        let signed = self.settings.signer.sign(request, &body);
+        let response = signed
+            .send_body(ntex::util::Bytes::copy_from_slice(&body))
+            .await
+            .map_err(failure)?;
+        let status = response.status();
+        let headers = response.headers().clone();
+        let body = response.body().limit(self.settings.limit).await;
+        let body = body.map_err(|cause| Error::Unknown(cause.to_string()))?;
+        Ok(Answer {
+            status,
+            headers,
+            body: Bytes::copy_from_slice(&body),
+        })
+    }
+}
+
+impl Answer {
+    /// Parses a successful answer's JSON, or turns the answer into an error.
+    pub(super) fn parse<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        if !self.status.is_success() {
+            return Err(self.error());
+        }
+        serde_json::from_slice(&self.body).map_err(|cause| Error::Unknown(cause.to_string()))
+    }
+
+    /// Turns an answer that is no success into an error.
+    pub(super) fn error(&self) -> Error {
+        match self.status {
+            StatusCode::TOO_MANY_REQUESTS => Error::Throttled {
+                retry_after: self.retry_after(),
+            },
+            StatusCode::PRECONDITION_FAILED | StatusCode::CONFLICT => Error::Conflict,
+            status if status.is_client_error() => Error::Refused(status.to_string()),
+            // A server error may come after the write took effect.
+            status => Error::Unknown(status.to_string()),
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        let seconds = self.headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+        Some(Duration::from_secs(seconds))
+    }
+}
+
+fn failure(error: ClientError) -> Error {
+    match error {
+        ClientError::Connect(cause) => Error::Refused(format!("{cause:?}")),
+        other => Error::Unknown(other.to_string()),
+    }
+}
--- /dev/null
+++ b/bergamotshift-standin/src/engine/completion.rs
@@ -0,0 +1,241 @@
+//! One completion: from the request through the batch to its stream or whole answer.
+
+use core::pin::Pin;
+use core::task::Context;
+use core::task::Poll;
+use std::collections::VecDeque;
+use std::error::Error;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use futures_util::Stream;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use ntex::http::body::Body;
+use ntex::http::body::BoxedBodyStream;
+use ntex::io::OnDisconnect;
+use ntex::util::Bytes;
+use tokio::sync::mpsc;
+
+use super::batch;
+use super::batch::Finish;
+use super::batch::Sequence;
+use super::batch::Token;
+use super::place::Place;
+use super::reply;
+use super::reply::Shape;
+use super::reply::Usage;
+use super::request::Request;
+use crate::fault::Ending;
+use crate::fault::Plan;
+use crate::host;
+use crate::host::Call;
+
+/// Returns whether a call asks for a stream of events.
+pub(super) fn streams(call: &Call) -> bool {
+    call.path.starts_with("/v1/") && serde_json::from_slice::<Request>(&call.body).is_ok_and(|request| request.stream)
+}
+
+/// Runs a completion and answers it.
+pub(super) async fn answer(place: &Arc<Place>, call: Call, plan: Plan) -> Response {
+    let request: Request = match call.parse() {
+        Ok(request) => request,
+        Err(response) => return response,
+    };
+    let models = &place.settings().models;
+    if !models.is_empty() && !models.contains(&request.model) {
+        let message = format!("The model `{}` does not exist.", request.model);
+        return host::error(StatusCode::NOT_FOUND, "NotFoundError", &message);
+    }
+    let Some(task) = Task::begin(place, &call, &request) else {
+        return host::error(
+            StatusCode::BAD_REQUEST,
+            "BadRequestError",
+            "a prompt or messages are needed",
+        );
+    };
+    let mut response = if request.stream {
+        let usage = request.stream_options.unwrap_or_default().include_usage;
+        let events = Events::new(task, plan.ending, usage);
+        Response::build(StatusCode::OK)
+            .content_type("text/event-stream")
+            .body(Body::from_message(BoxedBodyStream::new(events)))
+    } else {
+        task.whole().await
+    };
+    host::echo_attempt(&call, &mut response);
+    response
+}
+
+/// A request in the batch; dropping it cancels what is not computed yet.
+#[derive(Debug)]
+struct Task {
+    place: Arc<Place>,
+    id: batch::Id,
+    tokens: mpsc::UnboundedReceiver<Token>,
+    disconnect: Option<OnDisconnect>,
+    shape: Shape,
+    usage: Usage,
+}
+
+impl Task {
+    fn begin(place: &Arc<Place>, call: &Call, request: &Request) -> Option<Self> {
+        let prompt = request.prompt()?;
+        let settings = place.settings();
+        let natural = settings.answer_tokens.max(prompt.given + 1);
+        let (end, finish) = match request.maximum() {
+            Some(maximum) => (prompt.given + maximum.max(1), Finish::Length),
+            None => (natural, Finish::Stop),
+        };
+        let words = prompt.words.len() as u32;
+        // Tokens brought along are computed again, as part of the prompt.
+        let prefill = words + prompt.given;
+        let mut run = call.run(&settings.service);
+        run.prefilled = prefill;
+        let entry = place.begin(run);
+        let (sender, tokens) = mpsc::unbounded_channel();
+        let sequence = Sequence {
+            entry,
+            priority: request.priority,
+            digest: prompt.digest,
+            next: prompt.given,
+            end,
+            finish,
+            prefill,
+            sender,
+        };
+        let id = place.submit(&call.control, sequence);
+        Some(Self {
+            place: Arc::clone(place),
+            id,
+            tokens,
+            disconnect: call.io.as_ref().map(ntex::io::IoRef::on_disconnect),
+            shape: Shape::new(
+                request.messages.is_some(),
+                request.model.clone(),
+                call.attempt().unwrap_or("0"),
+            ),
+            usage: Usage {
+                prompt: prefill,
+                ..Usage::default()
+            },
+        })
+    }
+
+    /// Returns the next token; `None` when the caller or the engine is gone.
+    fn poll_token(&mut self, cx: &mut Context<'_>) -> Poll<Option<Token>> {
+        if let Poll::Ready(token) = self.tokens.poll_recv(cx) {
+            self.usage.generated += u32::from(token.is_some());
+            return Poll::Ready(token);
+        }
+        // A caller that goes away while no token is due would otherwise be noticed only at the next one.
+        match &self.disconnect {
+            Some(disconnect) if disconnect.poll_ready(cx).is_ready() => Poll::Ready(None),
+            _ => Poll::Pending,
+        }
+    }
+
+    async fn whole(mut self) -> Response {
+        let mut content = String::new();
+        loop {
+            let Some(token) = core::future::poll_fn(|cx| self.poll_token(cx)).await else {
+                return host::error(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "InternalServerError",
+                    "the engine died",
+                );
+            };
+            content.push_str(&token.text);
+            if let Some(finish) = token.finish {
+                return host::json(&self.shape.whole(&content, finish, self.usage));
+            }
+        }
+    }
+}
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.place.cancel(self.id);
+    }
+}
+
+/// The events of a stream.
+struct Events {
+    task: Task,
+    ending: Ending,
+    include_usage: bool,
+    ready: VecDeque<Bytes>,
+    state: Phase,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Open,
+    Ended,
+    Cut,
+}
+
+impl Events {
+    fn new(task: Task, ending: Ending, include_usage: bool) -> Self {
+        Self {
+            task,
+            ending,
+            include_usage,
+            ready: VecDeque::new(),
+            state: Phase::Open,
+        }
+    }
+
+    fn take(&mut self, token: &Token) {
+        let event = self.task.shape.event(token);
+        if token.finish.is_none() {
+            self.ready.push_back(event);
+            return;
+        }
+        match self.ending {
+            Ending::PartialEvent => {
+                self.ready.push_back(event.slice(..event.len() / 2));
+                self.state = Phase::Cut;
+            }
+            Ending::MissingEnd => {
+                self.ready.push_back(event);
+                self.state = Phase::Ended;
+            }
+            Ending::Whole | Ending::ShortBody => {
+                self.ready.push_back(event);
+                if self.include_usage {
+                    self.ready.push_back(self.task.shape.usage_event(self.task.usage));
+                }
+                self.ready.push_back(Bytes::from_static(reply::DONE));
+                self.state = Phase::Ended;
+            }
+        }
+    }
+}
+
+impl Stream for Events {
+    type Item = Result<Bytes, Rc<dyn Error>>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                return Poll::Ready(Some(Ok(event)));
+            }
+            match self.state {
+                Phase::Ended => return Poll::Ready(None),
+                Phase::Cut => return Poll::Ready(Some(Err(cut()))),
+                Phase::Open => {}
+            }
+            match self.task.poll_token(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => return Poll::Ready(Some(Err(cut()))),
+                Poll::Ready(Some(token)) => self.take(&token),
+            }
+        }
+    }
+}
+
+fn cut() -> Rc<dyn Error> {
+    Rc::new(io::Error::from(io::ErrorKind::ConnectionReset))
+}
--- /dev/null
+++ b/bergamotshift-standin/src/engine/settings.rs
@@ -0,0 +1,47 @@
+//! Settings of a model engine.
+
+use core::time::Duration;
+
+use smol_str::SmolStr;
+
+/// Settings of a model engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The VM's name.
+    pub name: SmolStr,
+    /// The service's name.
+    pub service: SmolStr,
+    /// The availability zone.
+    pub zone: SmolStr,
+    /// The models it serves; empty means any.
+    pub models: Vec<SmolStr>,
+    /// Requests in a full batch.
+    pub slots: u32,
+    /// Time between tokens of a request that runs alone.
+    pub token_interval: Duration,
+    /// What each further request in the batch adds to the time between tokens.
+    pub interval_per_request: Duration,
+    /// Time to the first token of an empty prompt.
+    pub first_token: Duration,
+    /// What each prompt token that is not cached adds to the time to the first token.
+    pub prefill_per_token: Duration,
+    /// Tokens of an answer whose request sets no maximum.
+    pub answer_tokens: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            name: SmolStr::new_static("engine-1"),
+            service: SmolStr::new_static("llm"),
+            zone: SmolStr::new_static("zone-a"),
+            models: Vec::new(),
+            slots: 16,
+            token_interval: Duration::from_millis(1),
+            interval_per_request: Duration::ZERO,
+            first_token: Duration::from_millis(1),
+            prefill_per_token: Duration::ZERO,
+            answer_tokens: 16,
+        }
+    }
+}
--- /dev/null
+++ b/bergamotshift-standin/src/host/control.rs
@@ -0,0 +1,232 @@
+//! The state of a host that its handle and its threads share.
+
+use core::fmt;
+use core::net::Ipv4Addr;
+use core::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use bergamotshift_core::vm::Incarnation;
+use smol_str::SmolStr;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+use tokio::sync::watch;
+
+use super::connection;
+use super::exchange::Site;
+use super::pool;
+use crate::fault::Board;
+use crate::fault::Fault;
+use crate::fault::Plan;
+
+const BACKLOG: i32 = 1024;
+
+/// Whether the host listens, and as which incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    Up(Incarnation),
+    Down,
+    Stopped,
+}
+
+/// What a host's handle and threads share.
+pub(crate) struct Control {
+    address: SocketAddr,
+    /// The listening socket; while the host is down, a shut one that keeps the port.
+    socket: Mutex<Socket>,
+    phase: watch::Sender<Phase>,
+    paused: watch::Sender<bool>,
+    calls: watch::Sender<u64>,
+    state: Mutex<State>,
+    on_death: Box<dyn Fn() + Send + Sync>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    incarnation: Incarnation,
+    board: Board,
+    counts: BTreeMap<SmolStr, u64>,
+    connections: BTreeMap<u64, TcpStream>,
+    next_connection: u64,
+}
+
+impl fmt::Debug for Control {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Control")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Control {
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.state().incarnation
+    }
+
+    pub(crate) fn counts(&self) -> BTreeMap<SmolStr, u64> {
+        self.state().counts.clone()
+    }
+
+    pub(crate) fn count(&self, kind: &str) {
+        *self.state().counts.entry(SmolStr::new(kind)).or_default() += 1;
+        self.calls.send_modify(|calls| *calls += 1);
+    }
+
+    /// Returns once so many calls came in.
+    pub(crate) async fn called(&self, total: u64) {
+        drop(self.calls.subscribe().wait_for(|calls| *calls >= total).await);
+    }
+
+    pub(crate) fn draw(&self, body: &[u8], stream: bool) -> Plan {
+        self.state().board.draw(body, stream)
+    }
+
+    /// Returns once the host is not paused.
+    pub(crate) async fn unpaused(&self) {
+        // The sender lives in `self`, so the wait cannot fail.
+        drop(self.paused.subscribe().wait_for(|paused| !paused).await);
+    }
+
+    pub(crate) fn fault(&self, fault: &Fault) {
+        match fault {
+            Fault::Down => self.down(),
+            Fault::Up => self.up(),
+            Fault::Pause => drop(self.paused.send_replace(true)),
+            Fault::Resume => drop(self.paused.send_replace(false)),
+            Fault::Clear => {
+                self.state().board.set(fault);
+                self.paused.send_replace(false);
+            }
+            other => self.state().board.set(other),
+        }
+    }
+
+    pub(super) fn phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Returns a second handle of the listening socket.
+    pub(super) fn listener(&self) -> io::Result<std::net::TcpListener> {
+        Ok(self.socket().try_clone()?.into())
+    }
+
+    /// Remembers a connection, so that it can be cut.
+    pub(super) fn opened(&self, stream: TcpStream) -> u64 {
+        let mut state = self.state();
+        state.next_connection += 1;
+        let id = state.next_connection;
+        state.connections.insert(id, stream);
+        id
+    }
+
+    pub(super) fn closed(&self, id: u64) {
+        self.state().connections.remove(&id);
+    }
+
+    pub(super) fn stop(&self) {
+        self.down();
+        self.phase.send_replace(Phase::Stopped);
+    }
+
+    fn down(&self) {
+        if !matches!(*self.phase.borrow(), Phase::Up(_)) {
+            return;
+        }
+        self.phase.send_replace(Phase::Down);
+        // A shut listening socket refuses connections at once and keeps its port, so nothing else can take it.
+        drop(self.socket().shutdown(std::net::Shutdown::Both));
+        let connections = core::mem::take(&mut self.state().connections);
+        for stream in connections.values() {
+            connection::cut(stream);
+        }
+        (self.on_death)();
+    }
+
+    fn up(&self) {
+        if *self.phase.borrow() != Phase::Down {
+            return;
+        }
+        let socket = bind(self.address).expect("the shut socket still keeps the port");
+        *self.socket() = socket;
+        let incarnation = {
+            let mut state = self.state();
+            state.incarnation = state.incarnation.next();
+            state.incarnation
+        };
+        self.phase.send_replace(Phase::Up(incarnation));
+    }
+
+    fn socket(&self) -> MutexGuard<'_, Socket> {
+        self.socket.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Listens at an address.
+fn bind(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    // Without it, a restart fails while connections that were cut, or the shut socket itself, still hold the port.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket)
+}
+
+/// A running host; dropping it stops it.
+#[derive(Debug)]
+pub(crate) struct Host {
+    control: Arc<Control>,
+}
+
+impl Host {
+    /// Binds an ephemeral loopback port and serves `site` there.
+    ///
+    /// `on_death` is called each time the host goes down.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket calls.
+    pub(crate) fn start(site: Arc<dyn Site>, on_death: impl Fn() + Send + Sync + 'static) -> io::Result<Self> {
+        let socket = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let address = socket
+            .local_addr()?
+            .as_socket()
+            .ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let control = Arc::new(Control {
+            address,
+            socket: Mutex::new(socket),
+            phase: watch::Sender::new(Phase::Up(Incarnation::default())),
+            paused: watch::Sender::new(false),
+            calls: watch::Sender::new(0),
+            state: Mutex::default(),
+            on_death: Box::new(on_death),
+        });
+        let shared = Arc::clone(&control);
+        pool::run(move || connection::serve(shared, site));
+        Ok(Self { control })
+    }
+
+    pub(crate) fn control(&self) -> &Control {
+        &self.control
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.control.stop();
+    }
+}
--- /dev/null
+++ b/bergamotshift-standin/tests/endpoints.rs
@@ -0,0 +1,224 @@
+//! Endpoint stand-ins over real sockets: what they answer, and what each fault looks like from outside.
+
+use bergamotshift_standin::engine::text;
+use bergamotshift_standin::ledger::State;
+use bergamotshift_standin::prelude::*;
+use ntex::client::Client;
+use ntex::client::ClientResponse;
+use ntex::client::error::ClientError;
+use ntex::http::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+
+const ATTEMPT: &str = "x-bergamotshift-attempt";
+
+async fn client() -> Client {
+    // The client sets up TLS in any case, and then wants to know which provider to use.
+    drop(rustls::crypto::ring::default_provider().install_default());
+    Client::new().await
+}
+
+async fn post(server: &engine::Server, path: &str, attempt: &str, body: &Value) -> Result<ClientResponse, ClientError> {
+    let url = format!("http://{}{path}", server.address());
+    Client::new()
+        .await
+        .post(url)
+        .header(ATTEMPT, attempt)
+        .send_json(body)
+        .await
+}
+
+async fn get(address: core::net::SocketAddr, path: &str) -> Result<ClientResponse, ClientError> {
+    client().await.get(format!("http://{address}{path}")).send().await
+}
+
+/// Returns the text of a stream and whether it ended in `[DONE]`; `None` when the connection was cut.
+async fn read(response: ClientResponse) -> Option<(String, bool)> {
+    let body = response.body().await.ok()?;
+    let events = String::from_utf8(body.to_vec()).expect("events are UTF-8");
+    let mut content = String::new();
+    let mut done = false;
+    for data in events.split("\n\n").filter_map(|event| event.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            done = true;
+            continue;
+        }
+        let event: Value = serde_json::from_str(data).expect("an event is JSON");
+        content.push_str(event["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+    }
+    Some((content, done))
+}
+
+fn chat(stream: bool, tokens: u32) -> Value {
+    json!({"model": "m", "stream": stream, "max_tokens": tokens, "messages": [{"role": "user", "content": "a b c"}]})
+}
+
+#[ntex::test]
+async fn engine_answers_whole_and_streamed_alike() {
+    let server = engine::Server::start(engine::Settings::default()).unwrap();
+    let wanted = text::expected(&chat(false, 5), 5).unwrap();
+
+    let whole = post(&server, "/v1/chat/completions", "a1", &chat(false, 5))
+        .await
+        .unwrap();
+    assert_eq!(whole.headers().get(ATTEMPT).unwrap(), "a1");
+    let body: Value = whole.json().await.unwrap();
+    assert_eq!(body["choices"][0]["message"]["content"], wanted);
+    assert_eq!(body["usage"]["completion_tokens"], 5);
+
+    let stream = post(&server, "/v1/chat/completions", "a2", &chat(true, 5))
+        .await
+        .unwrap();
+    assert_eq!(read(stream).await, Some((wanted, true)));
+
+    let ledger = server.ledger();
+    assert_eq!(ledger.len(), 2);
+    assert!(ledger.iter().all(|run| run.finished && run.tokens == 5));
+}
+
+#[ntex::test]
+async fn engine_resumes_where_the_text_stops() {
+    let server = engine::Server::start(engine::Settings::default()).unwrap();
+    let whole = text::expected(&chat(false, 6), 6).unwrap();
+    let (begun, rest) = whole.split_at(14);
+    let mut body = chat(true, 4);
+    body["continue_final_message"] = json!(true);
+    body["messages"]
+        .as_array_mut()
+        .unwrap()
+        .push(json!({"role": "assistant", "content": begun}));
+    let stream = post(&server, "/v1/chat/completions", "a1", &body).await.unwrap();
+    assert_eq!(read(stream).await, Some((rest.to_owned(), true)));
+}
+
+#[ntex::test]
+async fn engine_refuses_an_unknown_model() {
+    let settings = engine::Settings {
+        models: vec!["planner".into()],
+        ..Default::default()
+    };
+    let server = engine::Server::start(settings).unwrap();
+    let response = post(&server, "/v1/chat/completions", "a1", &chat(false, 1))
+        .await
+        .unwrap();
+    assert_eq!(response.status(), StatusCode::NOT_FOUND);
+    assert!(server.ledger().is_empty());
+}
+
+// The caller sees its stream break. The engine is killed while it decodes, so the connection ends without the last
+// chunk; the ledger says that the run died, and the address refuses until the restart.
+#[ntex::test]
+async fn killed_engine_cuts_its_streams_and_refuses() {
+    let server = engine::Server::start(engine::Settings::default()).unwrap();
+    let stream = post(&server, "/v1/chat/completions", "a1", &chat(true, 1_000_000))
+        .await
+        .unwrap();
+    server.kill();
+    assert_eq!(read(stream).await, None);
+    assert_eq!(server.ledger()[0].state, State::Died);
+    get(server.address(), "/health").await.unwrap_err();
+    let before = server.incarnation();
+    server.restart();
+    assert_eq!(get(server.address(), "/health").await.unwrap().status(), StatusCode::OK);
+    assert_eq!(server.incarnation(), before.next());
+}
+
+#[ntex::test]
+async fn dropped_server_refuses() {
+    let server = plain::Server::start(plain::Settings::default()).unwrap();
+    let address = server.address();
+    assert_eq!(get(address, "/health").await.unwrap().status(), StatusCode::OK);
+    drop(server);
+    get(address, "/health").await.unwrap_err();
+}
+
+#[ntex::test]
+async fn stream_faults_never_look_whole() {
+    let server = engine::Server::start(engine::Settings::default()).unwrap();
+    server.fault(Fault::MissingEnd { count: 1 });
+    let stream = post(&server, "/v1/chat/completions", "a1", &chat(true, 3))
+        .await
+        .unwrap();
+    assert!(matches!(read(stream).await, Some((_, false))));
+    server.fault(Fault::PartialEvent { count: 1 });
+    let stream = post(&server, "/v1/chat/completions", "a2", &chat(true, 3))
+        .await
+        .unwrap();
+    assert_eq!(read(stream).await, None);
+    server.fault(Fault::ShortBody { count: 1 });
+    let short = post(&server, "/v1/chat/completions", "a3", &chat(false, 3))
+        .await
+        .unwrap();
+    short.body().await.unwrap_err();
+    let whole = post(&server, "/v1/chat/completions", "a4", &chat(true, 3))
+        .await
+        .unwrap();
+    assert!(matches!(read(whole).await, Some((_, true))));
+}
+
+// Two callers ask at once and each gets the other's answer, with the other's attempt id.
+#[ntex::test]
+async fn crossed_answers_carry_the_other_attempt() {
+    let server = engine::Server::start(engine::Settings::default()).unwrap();
+    server.fault(Fault::Crossed { count: 1 });
+    let (one, two) = (chat(false, 1), chat(false, 2));
+    let (first, second) = futures_util::join!(
+        post(&server, "/v1/chat/completions", "a1", &one),
+        post(&server, "/v1/chat/completions", "a2", &two)
+    );
+    assert_eq!(first.unwrap().headers().get(ATTEMPT).unwrap(), "a2");
+    assert_eq!(second.unwrap().headers().get(ATTEMPT).unwrap(), "a1");
+}
+
+// One request takes down each endpoint that runs it: its caller sees a cut connection, and the ledger holds a run.
+#[ntex::test]
+async fn marker_in_a_body_crashes_the_endpoint() {
+    let server = engine::Server::start(engine::Settings::default()).unwrap();
+    server.fault(Fault::CrashOn {
+        marker: "poison".into(),
+    });
+    post(&server, "/v1/chat/completions", "a1", &chat(false, 2))
+        .await
+        .unwrap();
+    let body = json!({"model": "m", "prompt": "a poison b"});
+    post(&server, "/v1/completions", "a2", &body).await.unwrap_err();
+    assert_eq!(server.ledger()[1].state, State::Died);
+    get(server.address(), "/health").await.unwrap_err();
+}
+
+#[ntex::test]
+async fn paused_endpoint_answers_after_resume() {
+    let server = plain::Server::start(plain::Settings::default()).unwrap();
+    server.pause();
+    let address = server.address();
+    let (answer, ()) = futures_util::join!(get(address, "/status"), async {
+        server.called(1).await;
+        assert!(server.ledger().is_empty());
+        server.resume();
+    });
+    let body: Value = answer.unwrap().json().await.unwrap();
+    assert_eq!(body["run"], 1);
+}
+
+#[ntex::test]
+async fn lost_answer_leaves_a_finished_run() {
+    let server = plain::Server::start(plain::Settings::default()).unwrap();
+    let order = json!({"fault": "lose_answer_after_write", "count": 1});
+    let url = format!("http://{}", server.address());
+    let client = client().await;
+    assert_eq!(
+        client
+            .post(format!("{url}/_fault"))
+            .send_json(&order)
+            .await
+            .unwrap()
+            .status(),
+        StatusCode::NO_CONTENT
+    );
+    client.post(format!("{url}/shifts")).send_body("x").await.unwrap_err();
+    client.post(format!("{url}/shifts")).send_body("x").await.unwrap();
+    let ledger = server.ledger();
+    assert!(ledger.iter().all(|run| run.finished));
+    assert_eq!(ledger.len(), 2);
+    assert_eq!(ledger[0].digest, ledger[1].digest);
+}
