--- a/bergamotshift-standin/src/host/control.rs
+++ b/bergamotshift-standin/src/host/control.rs
@@ -145,10 +145,13 @@
         self.phase.send_replace(Phase::Down);
         // A shut listening socket refuses connections at once and keeps its port, so nothing else can take it.
         drop(self.socket().shutdown(std::net::Shutdown::Both));
+        // Before the cut, so that whoever sees a cut connection finds its run dead in the ledger already.
+        (self.on_death)();
         let connections = core::mem::take(&mut self.state().connections);
         for stream in connections.values() {
             connection::cut(stream);
         }
+        // Again, for a call that came in between.
         (self.on_death)();
     }
 
