feat(endpoint): carry attempts to model engines and plain services

Ruled out: a limit of 0 connections in the client's pool, which the library reads as no limit but then never wakes those who wait for a connection that is being opened.

--- /dev/null
+++ b/bergamotshift-endpoint/src/engine/event.rs
@@ -0,0 +1,123 @@
+//! Splits an engine's event stream into events without parsing them.
+
+use ntex::util::Bytes;
+use ntex::util::BytesMut;
+
+/// The data of the event that ends a stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// An event larger than this is a fault of the engine.
+const LARGEST: usize = 1024 * 1024;
+
+/// One event of a stream, as it came over the wire and without the empty line that ended it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event(Bytes);
+
+impl Event {
+    /// Makes an event from its lines.
+    pub const fn new(lines: Bytes) -> Self {
+        Self(lines)
+    }
+
+    /// Returns the event's lines.
+    pub const fn lines(&self) -> &Bytes {
+        &self.0
+    }
+
+    /// Returns the event's data, when it consists of one data line as engines send it.
+    pub fn data(&self) -> Option<&[u8]> {
+        let line = self.0.strip_prefix(b"data:")?;
+        let line = line.strip_prefix(b" ").unwrap_or(line);
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        (!line.contains(&b'\n')).then_some(line)
+    }
+
+    /// Returns whether this event says that the stream is whole.
+    pub fn is_done(&self) -> bool {
+        self.data() == Some(DONE)
+    }
+}
+
+/// The stream holds an event beyond all bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("an event of the stream is larger than {LARGEST} bytes")]
+pub struct TooLarge;
+
+/// Collects bytes until they make up events.
+///
+/// ```
+/// use bergamotshift_endpoint::engine::event::Splitter;
+///
+/// let mut splitter = Splitter::default();
+/// splitter.push(b"data: one\n\nda")?;
+/// splitter.push(b"ta: [DONE]\n\n")?;
+/// assert_eq!(splitter.next().and_then(|event| event.data().map(<[u8]>::to_vec)), Some(b"one".to_vec()));
+/// assert!(splitter.next().is_some_and(|event| event.is_done()));
+/// assert_eq!(splitter.next(), None);
+/// # Ok::<(), bergamotshift_endpoint::engine::event::TooLarge>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    /// Everything before this place holds no end of an event.
+    searched: usize,
+}
+
+impl Splitter {
+    /// Takes bytes as they came.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an event goes beyond all bounds.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), TooLarge> {
+        if self.buffer.len() + bytes.len() > LARGEST {
+            return Err(TooLarge);
+        }
+        self.buffer.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Returns whether bytes of an unfinished event wait.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    fn boundary(&mut self) -> Option<(usize, usize)> {
+        let mut from = self.searched;
+        while let Some(offset) = memchr::memchr(b'\n', &self.buffer[from..]) {
+            let end = from + offset;
+            let rest = &self.buffer[end + 1..];
+            if rest.first() == Some(&b'\n') {
+                return Some((end, end + 2));
+            }
+            if rest.starts_with(b"\r\n") {
+                return Some((end, end + 3));
+            }
+            if rest.is_empty() || rest == b"\r" {
+                self.searched = end;
+                return None;
+            }
+            from = end + 1;
+        }
+        self.searched = self.buffer.len();
+        None
+    }
+}
+
+impl Iterator for Splitter {
+    type Item = Event;
+
+    fn next(&mut self) -> Option<Event> {
+        loop {
+            let (end, after) = self.boundary()?;
+            let mut lines = self.buffer.split_to(after);
+            lines.truncate(end);
+            self.searched = 0;
+            // Engines send comments to keep a connection open; they are no events.
+            if !lines.is_empty() && !lines.starts_with(b":") {
+                return Some(Event(lines));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bergamotshift-endpoint/src/plain/mod.rs
@@ -0,0 +1,62 @@
+//! The adapter for plain services: HTTP as it is.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use bergamotshift_core::load;
+use bergamotshift_core::plugin;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use ntex::util::Bytes;
+
+use crate::adapter::Adapter;
+use crate::adapter::Kind;
+use crate::answer::Answer;
+use crate::answer::Failure;
+use crate::call::Call;
+use crate::call::Target;
+use crate::client::Client;
+use crate::engine::progress::Progress;
+use crate::engine::resume::Resumption;
+use crate::header;
+
+/// Where a plain service reports its load.
+const LOAD_PATH: &str = "/_load";
+
+/// How long a load report may take.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Carries requests to plain services.
+#[derive(Debug)]
+pub struct Plain {
+    client: Rc<Client>,
+}
+
+impl Plain {
+    /// Makes the adapter over a thread's connections.
+    pub const fn new(client: Rc<Client>) -> Self {
+        Self { client }
+    }
+}
+
+impl Adapter for Plain {
+    fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Answer, Failure>> {
+        self.client.send(call).boxed_local()
+    }
+
+    fn refuses(&self, answer: &Answer) -> bool {
+        header::says_not_run(&answer.headers) && answer.status.is_server_error()
+    }
+
+    fn load<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<load::Report, Failure>> {
+        self.client.load(target, LOAD_PATH, LOAD_TIMEOUT).boxed_local()
+    }
+
+    fn resume(&self, _path: &str, _body: &Bytes, _progress: &Progress) -> Resumption {
+        Resumption::Impossible
+    }
+}
+
+plugin::inventory::submit! {
+    Kind { name: "http", build: |client| Rc::new(Plain::new(client)) }
+}
