--- a/bergamotshift-config/src/lib.rs
+++ b/bergamotshift-config/src/lib.rs
@@ -15,7 +15,6 @@
 //! # Ok::<(), folder::Error>(())
 //! ```
 
-pub mod accept;
 pub mod config;
 pub mod diff;
 pub mod digest;
--- /dev/null
+++ b/bergamotshift-entry/src/admin/mod.rs
@@ -0,0 +1,43 @@
+//! The operators' address: metrics and status.
+
+use std::sync::Arc;
+
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use tokio::sync::oneshot;
+
+use crate::api::reply;
+use crate::control;
+use crate::worker::Shared;
+
+/// The content type of the metrics' text format.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers one request of an operator.
+pub async fn serve(shared: Arc<Shared>, request: Request) -> Response {
+    match request.path() {
+        "/healthz" => reply::text(StatusCode::OK, "ok\n"),
+        "/readyz" if shared.is_ready() => reply::text(StatusCode::OK, "ready\n"),
+        "/readyz" => reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/metrics" => metrics(&shared),
+        "/status" => status(&shared).await,
+        _ => reply::text(StatusCode::NOT_FOUND, "no such page\n"),
+    }
+}
+
+fn metrics(shared: &Shared) -> Response {
+    match shared.metrics.encode() {
+        Ok(text) => Response::build(StatusCode::OK).content_type(METRICS_TYPE).body(text),
+        Err(_) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, "the metrics cannot be written\n"),
+    }
+}
+
+async fn status(shared: &Shared) -> Response {
+    let (answer, status) = oneshot::channel();
+    shared.control.send(control::Request::Status(answer));
+    match status.await {
+        Ok(status) => Response::build(StatusCode::OK).json(&status),
+        Err(_) => reply::text(StatusCode::SERVICE_UNAVAILABLE, "the entry is ending\n"),
+    }
+}
--- /dev/null
+++ b/bergamotshift-entry/src/api/mod.rs
@@ -0,0 +1,79 @@
+//! What callers see: the OpenAI-compatible API of model services, plain services as they are, and health.
+
+pub mod body;
+pub mod error;
+pub mod header;
+pub mod openai;
+pub mod plain;
+pub mod protocol;
+pub mod reply;
+pub mod request;
+
+use std::rc::Rc;
+
+use bergamotshift_config::config::Kind;
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use ntex::http::header::CONNECTION;
+use ntex::http::header::HeaderValue;
+
+use self::error::Error;
+use self::error::Reason;
+use self::reply::Active;
+use crate::worker::Worker;
+
+/// Answers one request of a caller.
+pub async fn serve(worker: Rc<Worker>, request: Request) -> Response {
+    let draining = worker.shared.is_draining();
+    let mut response = match request.path() {
+        "/healthz" => reply::text(StatusCode::OK, "ok\n"),
+        "/readyz" if worker.shared.is_ready() => reply::text(StatusCode::OK, "ready\n"),
+        "/readyz" => reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        _ => answer(worker, request).await,
+    };
+    if draining {
+        // The caller's next request then goes through the balancer, which knows better by then.
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+        response
+            .head_mut()
+            .set_connection_type(ntex::http::ConnectionType::Close);
+    }
+    response
+}
+
+async fn answer(worker: Rc<Worker>, request: Request) -> Response {
+    let id = worker.draw();
+    let active = Active::new(&worker.shared);
+    match dispatch(&worker, request, id, active).await {
+        Ok(response) => response,
+        Err(error) => {
+            worker.shared.metrics.failed(error.code(), error.outcome);
+            error.response(id)
+        }
+    }
+}
+
+async fn dispatch(
+    worker: &Rc<Worker>,
+    request: Request,
+    id: bergamotshift_core::attempt::Id,
+    active: Active,
+) -> Result<Response, Error> {
+    let snapshot = worker.snapshot();
+    if !snapshot.ready {
+        return Err(Error::not_run(Reason::NotReady));
+    }
+    let organisation = crate::auth::organisation(&snapshot.config, request.headers())
+        .map_err(|error| Error::not_run(Reason::Unauthenticated(error)))?;
+    let host = request::host(&request);
+    let path = request.path();
+    if let Some(service) = snapshot.config.service_for(host, path)
+        && service.kind == Kind::Plain
+    {
+        return plain::serve(worker, &snapshot, service, organisation, request, id, active).await;
+    }
+    openai::serve(worker, &snapshot, organisation, request, id, active).await
+}
--- /dev/null
+++ b/bergamotshift-entry/src/api/openai.rs
@@ -0,0 +1,277 @@
+//! The OpenAI-compatible API of model services.
+
+use std::borrow::Cow;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bergamotshift_config::config::Kind;
+use bergamotshift_config::config::Organisation;
+use bergamotshift_config::config::Service;
+use bergamotshift_core::attempt;
+use bergamotshift_core::prelude::*;
+use bergamotshift_endpoint::engine::resume::CHAT;
+use bergamotshift_endpoint::engine::resume::COMPLETIONS;
+use bergamotshift_endpoint::header as hop;
+use ntex::http::Method;
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use ntex::http::header;
+use ntex::http::uri::PathAndQuery;
+use ntex::util::Bytes;
+use serde::Deserialize;
+use serde_json::json;
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::body;
+use super::error::Error;
+use super::error::Reason;
+use super::reply;
+use super::reply::Active;
+use super::request;
+use crate::exchange::Attempts;
+use crate::exchange::Call;
+use crate::exchange::Outgoing;
+use crate::exchange::Work;
+use crate::exchange::attempts::BLOCK_BYTES;
+use crate::exchange::stream::Relay;
+use crate::exchange::whole;
+use crate::snapshot::Snapshot;
+use crate::worker::Worker;
+
+const MODELS: &str = "/v1/models";
+const MODEL_PREFIX: &str = "/v1/models/";
+
+/// Tokens that an answer is taken to have when its request sets no bound.
+const ANSWER_TOKENS: u32 = 256;
+
+/// Bytes of a prompt that make up a token, on the whole.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// What an entry needs to know of a completion request; the rest goes through as it is.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Completion<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default, borrow)]
+    messages: Option<&'a RawValue>,
+    #[serde(default, borrow)]
+    prompt: Option<&'a RawValue>,
+}
+
+/// Answers a request to the models' API.
+///
+/// # Errors
+///
+/// Returns the failure that the caller is told of.
+pub async fn serve(
+    worker: &Rc<Worker>,
+    snapshot: &Arc<Snapshot>,
+    organisation: &Organisation,
+    request: Request,
+    id: attempt::Id,
+    active: Active,
+) -> Result<Response, Error> {
+    let path = request.path();
+    match (request.method(), path) {
+        (&Method::GET, MODELS) => Ok(models(snapshot, organisation)),
+        (&Method::GET, _) if path.starts_with(MODEL_PREFIX) => {
+            model(snapshot, organisation, &path[MODEL_PREFIX.len()..])
+        }
+        (&Method::POST, CHAT | COMPLETIONS) => complete(worker, snapshot, organisation, request, id, active).await,
+        (_, MODELS | CHAT | COMPLETIONS) => Err(Error::not_run(Reason::Method(path.to_owned()))),
+        _ => Err(Error::not_run(Reason::UnknownPath(path.to_owned()))),
+    }
+}
+
+fn offered<'a>(
+    snapshot: &'a Snapshot,
+    organisation: &'a Organisation,
+) -> impl Iterator<Item = (&'a name::Model, &'a Service)> {
+    let services = snapshot.config.services.values();
+    services
+        .filter(|service| service.kind == Kind::Model && organisation.may_use(&service.name))
+        .flat_map(|service| service.models.iter().map(move |model| (model, service)))
+}
+
+fn describe(model: &name::Model, service: &Service) -> serde_json::Value {
+    json!({ "id": model, "object": "model", "created": 0, "owned_by": service.name })
+}
+
+fn models(snapshot: &Snapshot, organisation: &Organisation) -> Response {
+    let data: Vec<_> = offered(snapshot, organisation)
+        .map(|(model, service)| describe(model, service))
+        .collect();
+    Response::build(StatusCode::OK).json(&json!({ "object": "list", "data": data }))
+}
+
+fn model(snapshot: &Snapshot, organisation: &Organisation, wanted: &str) -> Result<Response, Error> {
+    offered(snapshot, organisation)
+        .find(|(model, _)| model.as_str() == wanted)
+        .map(|(model, service)| Response::build(StatusCode::OK).json(&describe(model, service)))
+        .ok_or_else(|| Error::not_run(Reason::UnknownModel(wanted.to_owned())))
+}
+
+async fn complete(
+    worker: &Rc<Worker>,
+    snapshot: &Arc<Snapshot>,
+    organisation: &Organisation,
+    mut request: Request,
+    id: attempt::Id,
+    active: Active,
+) -> Result<Response, Error> {
+    let arrived = worker.shared.now();
+    let bound = largest_body(snapshot);
+    let payload = request.take_payload();
+    let body = body::read(request.headers(), payload, bound).await?;
+    let text = core::str::from_utf8(&body).map_err(|error| Error::not_run(Reason::Json(error.to_string())))?;
+    let completion: Completion<'_> =
+        serde_json::from_str(text).map_err(|error| Error::not_run(Reason::Json(error.to_string())))?;
+    let service = snapshot
+        .config
+        .service_of_model(&completion.model)
+        .ok_or_else(|| Error::not_run(Reason::UnknownModel(completion.model.to_string())))?;
+    if !organisation.may_use(&service.name) {
+        return Err(Error::not_run(Reason::Forbidden(service.name.clone())));
+    }
+    if body.len() > service.max_body {
+        return Err(Error::not_run(Reason::BodyTooLarge(service.max_body)));
+    }
+    request::check_head(&request, service.max_header)?;
+    let streams = completion.stream.unwrap_or(false);
+    let work = work(&completion);
+    let call = call(
+        &request,
+        organisation,
+        service,
+        snapshot,
+        body.clone(),
+        work,
+        arrived,
+        id,
+    )?;
+    if let Some(service) = snapshot.services.get(&service.name) {
+        service.metrics.requests.inc();
+        service.budget.deposit();
+    }
+    let attempts = Attempts::new(Rc::clone(worker), Rc::new(call));
+    if streams {
+        stream(attempts, &service.adapter, active).await
+    } else {
+        fetch(attempts).await
+    }
+}
+
+/// Returns the largest body that any model service takes: which one is asked is known only from the body.
+fn largest_body(snapshot: &Snapshot) -> usize {
+    let services = snapshot.config.services.values();
+    let models = services.filter(|service| service.kind == Kind::Model);
+    models.map(|service| service.max_body).max().unwrap_or_default()
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "each is a different part of one request, gathered once"
+)]
+fn call(
+    request: &Request,
+    organisation: &Organisation,
+    service: &Service,
+    snapshot: &Snapshot,
+    body: Bytes,
+    work: Work,
+    arrived: Instant,
+    id: attempt::Id,
+) -> Result<Call, Error> {
+    let headers = request.headers();
+    let path = request.path();
+    let handling = snapshot.config.handling(service, request.method().as_str(), path);
+    let mut passed = hop::towards_endpoint(headers);
+    // An encoded answer could not be split into events.
+    passed.remove(header::ACCEPT_ENCODING);
+    Ok(Call {
+        id,
+        organisation: organisation.name.clone(),
+        service: service.name.clone(),
+        method: request.method().clone(),
+        path: path_and_query(request),
+        headers: passed,
+        key: request::key(headers)?,
+        repeatable: handling.repeatable,
+        urgency: request::urgency(headers, &handling)?,
+        times: request::times(headers, &handling, service, arrived)?,
+        fingerprint: Fingerprint::of(service.name.as_str(), request.method().as_str(), path, &body),
+        work,
+        body,
+    })
+}
+
+/// Returns the path and query of a request.
+pub(super) fn path_and_query(request: &Request) -> PathAndQuery {
+    let path = request.uri().path_and_query().cloned();
+    path.unwrap_or_else(|| PathAndQuery::from_static("/"))
+}
+
+/// Estimates a completion's size, and hashes its prompt in blocks for the engines' prefix caches.
+fn work(completion: &Completion<'_>) -> Work {
+    let prompt = completion.messages.or(completion.prompt).map_or("", RawValue::get);
+    let mut hasher = Xxh3::new();
+    let prefix = prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            hasher.update(block);
+            hasher.digest()
+        })
+        .collect();
+    let bound = completion.max_completion_tokens.or(completion.max_tokens);
+    Work {
+        prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
+        answer_tokens: bound.unwrap_or(ANSWER_TOKENS),
+        prefix,
+    }
+}
+
+async fn fetch(mut attempts: Attempts) -> Result<Response, Error> {
+    let id = attempts.call().id;
+    match whole::fetch(&mut attempts).await {
+        Ok(whole) => Ok(reply::whole(whole, id)),
+        Err(error) => Err(Error::from_exchange(&error, attempts.outcome())),
+    }
+}
+
+async fn stream(mut attempts: Attempts, adapter: &str, active: Active) -> Result<Response, Error> {
+    let id = attempts.call().id;
+    let adapter = attempts.worker().adapter(adapter);
+    loop {
+        let held = Outgoing::Held(attempts.call().body.clone());
+        let open = match attempts.open(held).await {
+            Ok(open) => open,
+            Err(error) => return Err(Error::from_exchange(&error, attempts.outcome())),
+        };
+        if let Some(adapter) = adapter.clone().filter(|_| is_stream(&open.answer.headers)) {
+            let (status, headers) = (open.answer.status, open.answer.headers.clone());
+            let relay = Relay::new(attempts, adapter, open).into_stream();
+            return Ok(reply::streaming(status, &headers, None, id, relay, active));
+        }
+        // An engine that refuses a request answers it whole.
+        match whole::finish(&mut attempts, open.answer, open.running).await {
+            Ok(Some(whole)) => return Ok(reply::whole(whole, id)),
+            Ok(None) => {}
+            Err(error) => return Err(Error::from_exchange(&error, attempts.outcome())),
+        }
+    }
+}
+
+fn is_stream(headers: &ntex::http::HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -0,0 +1,150 @@
+//! Plain services: HTTP routed as it is.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bergamotshift_config::config::Organisation;
+use bergamotshift_config::config::Service;
+use bergamotshift_core::attempt;
+use bergamotshift_core::prelude::*;
+use bergamotshift_endpoint::header as hop;
+use ntex::http::Method;
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+
+use super::body;
+use super::error::Error;
+use super::error::Reason;
+use super::openai::path_and_query;
+use super::reply;
+use super::reply::Active;
+use super::request;
+use crate::exchange;
+use crate::exchange::Attempts;
+use crate::exchange::Call;
+use crate::exchange::Open;
+use crate::exchange::Outgoing;
+use crate::exchange::Work;
+use crate::exchange::copy::Copy;
+use crate::exchange::whole;
+use crate::snapshot::Snapshot;
+use crate::worker::Worker;
+
+/// Answers a request to a plain service.
+///
+/// # Errors
+///
+/// Returns the failure that the caller is told of.
+pub async fn serve(
+    worker: &Rc<Worker>,
+    snapshot: &Arc<Snapshot>,
+    service: &Service,
+    organisation: &Organisation,
+    mut request: Request,
+    id: attempt::Id,
+    active: Active,
+) -> Result<Response, Error> {
+    let arrived = worker.shared.now();
+    if !organisation.may_use(&service.name) {
+        return Err(Error::not_run(Reason::Forbidden(service.name.clone())));
+    }
+    request::check_head(&request, service.max_header)?;
+    let headers = request.headers();
+    let handling = snapshot
+        .config
+        .handling(service, request.method().as_str(), request.path());
+    let key = request::key(headers)?;
+    if !handling.repeatable && key.is_none() && handling.key_fields.is_empty() {
+        return Err(Error::not_run(Reason::MissingKey));
+    }
+    let mut call = Call {
+        id,
+        organisation: organisation.name.clone(),
+        service: service.name.clone(),
+        method: request.method().clone(),
+        path: path_and_query(&request),
+        headers: hop::towards_endpoint(headers),
+        body: Bytes::new(),
+        key,
+        repeatable: handling.repeatable,
+        urgency: request::urgency(headers, &handling)?,
+        times: request::times(headers, &handling, service, arrived)?,
+        fingerprint: Fingerprint::default(),
+        work: Work::default(),
+    };
+    let outgoing = outgoing(worker, service, &mut request).await?;
+    if let Outgoing::Held(held) = &outgoing {
+        call.body = held.clone();
+    }
+    call.fingerprint = Fingerprint::of(
+        service.name.as_str(),
+        call.method.as_str(),
+        call.path.as_str(),
+        &call.body,
+    );
+    if let Some(service) = snapshot.services.get(&service.name) {
+        service.metrics.requests.inc();
+        service.budget.deposit();
+    }
+    let mut attempts = Attempts::new(Rc::clone(worker), Rc::new(call));
+    match pass(&mut attempts, outgoing).await {
+        Ok(Passed::Whole(whole)) => Ok(reply::whole(whole, id)),
+        Ok(Passed::Large(open)) => Ok(large(attempts, open, id, active)),
+        Err(error) => Err(Error::from_exchange(&error, attempts.outcome())),
+    }
+}
+
+/// Holds a small body, so that it can be sent again; a large one passes through.
+async fn outgoing(worker: &Worker, service: &Service, request: &mut Request) -> Result<Outgoing, Error> {
+    let held = worker.shared.settings.bounds.held_body.min(service.max_body);
+    let payload = request.take_payload();
+    let declared = whole::length(request.headers());
+    if declared.is_some_and(|length| length > service.max_body) {
+        return Err(Error::not_run(Reason::BodyTooLarge(service.max_body)));
+    }
+    if declared.is_some_and(|length| length > held) {
+        return Ok(Outgoing::Once(body::bounded(payload, service.max_body)));
+    }
+    let body = body::read(request.headers(), payload, service.max_body).await?;
+    Ok(Outgoing::Held(body))
+}
+
+enum Passed {
+    Whole(whole::Whole),
+    Large(Open),
+}
+
+/// Gets an answer: a small one whole, of a large one the head.
+async fn pass(attempts: &mut Attempts, outgoing: Outgoing) -> Result<Passed, exchange::Error> {
+    let bound = attempts.worker().shared.settings.bounds.held_answer;
+    let mut outgoing = Some(outgoing);
+    loop {
+        let body = outgoing
+            .take()
+            .unwrap_or_else(|| Outgoing::Held(attempts.call().body.clone()));
+        let open = attempts.open(body).await?;
+        if !is_small(attempts.call(), &open, bound) {
+            return Ok(Passed::Large(open));
+        }
+        if let Some(whole) = whole::finish(attempts, open.answer, open.running).await? {
+            return Ok(Passed::Whole(whole));
+        }
+    }
+}
+
+fn is_small(call: &Call, open: &Open, bound: usize) -> bool {
+    has_no_body(call, open.answer.status) || whole::length(&open.answer.headers).is_some_and(|length| length <= bound)
+}
+
+fn has_no_body(call: &Call, status: StatusCode) -> bool {
+    call.method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
+}
+
+fn large(attempts: Attempts, open: Open, id: attempt::Id, active: Active) -> Response {
+    let Open { answer, running } = open;
+    let length = whole::length(&answer.headers).map(|length| length as u64);
+    let stream = Copy::new(attempts, answer.body, running).into_stream();
+    reply::streaming(answer.status, &answer.headers, length, id, stream, active)
+}
--- /dev/null
+++ b/bergamotshift-entry/src/api/protocol.rs
@@ -0,0 +1,40 @@
+//! Messages that are no valid HTTP, or arrive too slowly: answered in the API's error shape, never with silence.
+
+use std::io;
+use std::rc::Rc;
+
+use ntex::http::Response;
+use ntex::http::error::DecodeError;
+use ntex::http::h1::Control;
+use ntex::http::h1::ControlAck;
+use ntex::http::h1::ProtocolError;
+use ntex::http::h1::control::Reason as Disconnect;
+use ntex::io::Filter;
+
+use super::error::Error;
+use super::error::Reason;
+use crate::worker::Worker;
+
+/// Answers what happens on a caller's connection beside its requests.
+pub fn control<F: Filter>(worker: &Rc<Worker>, event: Control<F, io::Error>) -> ControlAck<F> {
+    match event {
+        Control::Disconnect(Disconnect::ProtocolError(error)) => {
+            let response = response(worker, error.err());
+            error.fail_with(response)
+        }
+        other => other.ack(),
+    }
+}
+
+fn response(worker: &Worker, error: &ProtocolError) -> Response {
+    let reason = match error {
+        ProtocolError::Decode(DecodeError::TooLarge(_) | DecodeError::MaxHeaders) => {
+            Reason::HeadTooLarge(worker.shared.settings.bounds.head)
+        }
+        ProtocolError::SlowRequestTimeout | ProtocolError::SlowPayloadTimeout => Reason::TooSlow,
+        other => Reason::Protocol(other.to_string()),
+    };
+    let error = Error::not_run(reason);
+    worker.shared.metrics.failed(error.code(), error.outcome);
+    error.response(worker.draw())
+}
--- /dev/null
+++ b/bergamotshift-entry/src/control/mod.rs
@@ -0,0 +1,137 @@
+//! The control thread: folds what is reported and publishes snapshots.
+//!
+//! Worker threads talk to it over a channel, and only when an attempt failed. Everything it knows lives in one
+//! [`State`]; tasks that wait for the network report back over the same channel.
+
+mod fleet;
+mod state;
+
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+pub use self::state::State;
+use crate::snapshot::Endpoint;
+use crate::watch;
+
+/// What the control thread found out about an endpoint whose attempt failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// Whether the endpoint's end had been announced.
+    pub announced: bool,
+    /// Whether nothing listens there any more.
+    pub dead: bool,
+}
+
+/// What a worker thread asks of the control thread.
+#[derive(Debug)]
+pub enum Request {
+    /// An attempt brought no whole answer.
+    Broken {
+        /// Where it ran.
+        endpoint: Arc<Endpoint>,
+        /// Whether it ran at all, or no connection came about.
+        connected: bool,
+        /// What ran.
+        fingerprint: Fingerprint,
+        /// Gets the verdict.
+        answer: oneshot::Sender<Verdict>,
+    },
+    /// An operator wants to know how things stand.
+    Status(oneshot::Sender<Status>),
+    /// The entry ends.
+    Stop,
+}
+
+/// Everything that reaches the control thread.
+#[derive(Debug)]
+pub enum Message {
+    /// A request of another thread.
+    Request(Request),
+    /// Something that a watching task saw.
+    Seen(watch::Event),
+}
+
+impl From<Request> for Message {
+    fn from(request: Request) -> Self {
+        Self::Request(request)
+    }
+}
+
+impl From<watch::Event> for Message {
+    fn from(event: watch::Event) -> Self {
+        Self::Seen(event)
+    }
+}
+
+/// Sends messages to the control thread.
+#[derive(Clone, Debug)]
+pub struct Sender(mpsc::UnboundedSender<Message>);
+
+impl Sender {
+    /// Makes a channel to a control thread.
+    pub fn channel() -> (Self, mpsc::UnboundedReceiver<Message>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self(sender), receiver)
+    }
+
+    /// Sends a message; when the control thread has ended it goes nowhere, and answers are never sent.
+    pub fn send(&self, message: impl Into<Message>) {
+        drop(self.0.send(message.into()));
+    }
+}
+
+/// How one endpoint stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct EndpointStatus {
+    /// The VM's name.
+    pub vm: name::Vm,
+    /// Which life of that name.
+    pub incarnation: Incarnation,
+    /// The service it runs.
+    pub service: name::Service,
+    /// The availability zone.
+    pub zone: name::Zone,
+    /// Whether it is leaving and gets no new work.
+    pub leaving: bool,
+    /// Whether it can be reached.
+    pub reachable: bool,
+    /// Requests of this entry that run there.
+    pub in_flight: u32,
+}
+
+/// How the entry stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct Status {
+    /// The entry's name.
+    pub name: name::Entry,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// The number of the snapshot in force.
+    pub snapshot: u64,
+    /// Whether callers may come.
+    pub ready: bool,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointStatus>,
+}
+
+/// Serves messages until the entry ends.
+pub async fn run(mut state: State, mut messages: mpsc::UnboundedReceiver<Message>) {
+    while let Some(message) = messages.recv().await {
+        if !state.take(message) {
+            return;
+        }
+        // Messages that wait already are folded into the same snapshot.
+        while let Ok(message) = messages.try_recv() {
+            if !state.take(message) {
+                return;
+            }
+        }
+        state.publish();
+    }
+}
--- /dev/null
+++ b/bergamotshift-entry/src/daemon/handle.rs
@@ -0,0 +1,111 @@
+//! A running entry, as its process holds it.
+
+use core::net::SocketAddr;
+use core::sync::atomic::Ordering;
+use core::time::Duration;
+use std::sync::Arc;
+use std::thread;
+use std::time::Instant;
+
+use slog::info;
+use slog::warn;
+
+use super::server::Stop;
+use crate::control;
+use crate::worker::Shared;
+
+/// The time between two looks at whether requests are still being served.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// How a drain ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drained {
+    /// Requests that were still being served when the grace was over.
+    pub cut: u64,
+}
+
+/// A running entry; dropping it ends the entry at once.
+#[derive(Debug)]
+pub struct Handle {
+    shared: Arc<Shared>,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    pub(super) control: Option<thread::JoinHandle<()>>,
+    pub(super) server: Option<thread::JoinHandle<()>>,
+    pub(super) stop: Option<Stop>,
+}
+
+impl Handle {
+    pub(super) const fn new(shared: Arc<Shared>, callers: SocketAddr, operators: SocketAddr) -> Self {
+        Self {
+            shared,
+            callers,
+            operators,
+            control: None,
+            server: None,
+            stop: None,
+        }
+    }
+
+    /// Returns where callers reach the entry.
+    pub const fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns where operators reach the entry.
+    pub const fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Ends the entry without cutting a request, for as long as the grace lasts; blocks until it has ended.
+    ///
+    /// Readiness goes first, so that the balancer sends no new callers. Those that come all the same are served for
+    /// the settling time; then nothing is accepted any more, and what is under way is served to its end.
+    pub fn drain(&self, grace: Duration) -> Drained {
+        let began = Instant::now();
+        let logger = &self.shared.settings.logger;
+        self.shared.draining.store(true, Ordering::Release);
+        info!(logger, "draining"; "active" => self.active());
+        let settle = self.shared.settings.settle.min(grace);
+        while began.elapsed() < settle {
+            thread::sleep(LOOK);
+        }
+        if let Some(stop) = &self.stop {
+            stop.close();
+        }
+        while self.active() > 0 && began.elapsed() < grace {
+            thread::sleep(LOOK);
+        }
+        let cut = self.active();
+        if cut > 0 {
+            warn!(logger, "the grace is over"; "cut" => cut);
+        }
+        self.end();
+        Drained { cut }
+    }
+
+    /// Waits until the entry has ended.
+    pub fn join(mut self) {
+        for thread in [self.server.take(), self.control.take()].into_iter().flatten() {
+            drop(thread.join());
+        }
+    }
+
+    /// Returns the number of requests being served.
+    pub fn active(&self) -> u64 {
+        u64::try_from(self.shared.metrics.active.get()).unwrap_or(0)
+    }
+
+    fn end(&self) {
+        if let Some(stop) = &self.stop {
+            stop.end();
+        }
+        self.shared.control.send(control::Request::Stop);
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- /dev/null
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -0,0 +1,158 @@
+//! Starts an entry, and ends it without cutting a request.
+
+mod handle;
+mod server;
+
+use core::net::SocketAddr;
+use core::sync::atomic::AtomicBool;
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+use bergamotshift_config::config::Config;
+use bergamotshift_config::folder;
+use bergamotshift_endpoint::client;
+use bergamotshift_route::policy;
+use ntex::rt::DefaultRuntime;
+use ntex::rt::System;
+use smol_str::SmolStr;
+use thiserror::Error as ThisError;
+
+pub use self::handle::Drained;
+pub use self::handle::Handle;
+use crate::control;
+use crate::control::Sender;
+use crate::control::State;
+use crate::observe::Metrics;
+use crate::settings::Settings;
+use crate::snapshot::Publisher;
+use crate::snapshot::Snapshot;
+use crate::watch;
+use crate::worker;
+use crate::worker::Shared;
+
+/// Why an entry does not start.
+#[derive(Debug)]
+#[derive(ThisError)]
+#[non_exhaustive]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// The operators' folder gives no configuration.
+    #[error(transparent)]
+    Folder(#[from] folder::Error),
+    /// No routing policy has this name.
+    #[error("no routing policy is called `{name}`; there are {}", known.join(", "))]
+    Policy {
+        /// The name asked for.
+        name: SmolStr,
+        /// The names there are.
+        known: Vec<&'static str>,
+    },
+    /// The client for endpoints cannot be made.
+    #[error(transparent)]
+    Client(#[from] client::Error),
+    /// A thread cannot be started.
+    #[error("cannot start a thread: {0}")]
+    Thread(#[source] io::Error),
+}
+
+/// The entry daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct Daemon;
+
+impl Daemon {
+    /// Starts an entry and returns once both of its addresses are bound and its first snapshot is published.
+    ///
+    /// Several entries may run in one process.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot start; nothing of it is left running then.
+    pub fn start(settings: Settings) -> Result<Handle, Error> {
+        let config = configuration(&settings)?;
+        let policy = policy::build(&settings.policy).ok_or_else(|| Error::Policy {
+            name: settings.policy.clone(),
+            known: policy::names(),
+        })?;
+        let callers = bind(settings.callers)?;
+        let operators = bind(settings.operators)?;
+        let (sender, receiver) = Sender::channel();
+        let shared = Arc::new(Shared {
+            publisher: Publisher::new(Snapshot::empty(&config)),
+            control: sender,
+            metrics: Metrics::new(),
+            policy,
+            draining: AtomicBool::new(false),
+            epoch: time::Instant::now(),
+            settings,
+        });
+        let mut handle = Handle::new(Arc::clone(&shared), address(&callers)?, address(&operators)?);
+        handle.control = Some(control_thread(Arc::clone(&shared), config, receiver)?);
+        let (thread, stop) = server::start(shared, callers, operators)?;
+        handle.server = Some(thread);
+        handle.stop = Some(stop);
+        Ok(handle)
+    }
+}
+
+fn configuration(settings: &Settings) -> Result<Arc<Config>, Error> {
+    if let Some(config) = &settings.config {
+        return Ok(Arc::clone(config));
+    }
+    match &settings.folder {
+        Some(folder) => Ok(Arc::new(folder::load(folder)?)),
+        None => Ok(Arc::default()),
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    const BACKLOG: i32 = 1024;
+    ntex::server::create_tcp_listener(address, BACKLOG).map_err(|source| Error::Bind { address, source })
+}
+
+fn address(listener: &TcpListener) -> Result<SocketAddr, Error> {
+    listener.local_addr().map_err(Error::Thread)
+}
+
+/// Starts the control thread and waits for its first snapshot.
+fn control_thread(
+    shared: Arc<Shared>,
+    config: Arc<Config>,
+    messages: tokio::sync::mpsc::UnboundedReceiver<control::Message>,
+) -> Result<thread::JoinHandle<()>, Error> {
+    let (started, outcome) = mpsc::channel();
+    let run = move || {
+        System::new("control", DefaultRuntime).block_on(async move {
+            let adapters = match worker::adapters(&shared.settings.endpoints) {
+                Ok(adapters) => adapters,
+                Err(error) => return drop(started.send(Err(error))),
+            };
+            let ticks = watch::tick(shared.control.clone());
+            let mut state = State::new(shared, adapters, config);
+            state.publish_now();
+            drop(started.send(Ok(())));
+            let ticks = ntex::rt::spawn(ticks);
+            control::run(state, messages).await;
+            ticks.cancel();
+        });
+    };
+    let thread = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(run)
+        .map_err(Error::Thread)?;
+    match outcome.recv() {
+        Ok(Ok(())) => Ok(thread),
+        Ok(Err(error)) => Err(error.into()),
+        Err(_) => Err(Error::Thread(io::Error::other("the control thread ended at once"))),
+    }
+}
--- /dev/null
+++ b/bergamotshift-entry/src/daemon/server.rs
@@ -0,0 +1,148 @@
+//! The threads that accept and serve connections.
+
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
+
+use ntex::SharedCfg;
+use ntex::fn_service;
+use ntex::http::HttpService;
+use ntex::http::HttpServiceConfig;
+use ntex::http::KeepAlive;
+use ntex::http::Request;
+use ntex::http::h1::Control;
+use ntex::rt::DefaultRuntime;
+use ntex::rt::System;
+use ntex::server::Server;
+use ntex::time::Seconds;
+
+use super::Error;
+use crate::admin;
+use crate::api;
+use crate::api::protocol;
+use crate::worker::Shared;
+use crate::worker::Worker;
+
+/// How long an idle connection of a caller is kept, in seconds.
+const KEEP_ALIVE: Seconds = Seconds(75);
+
+/// Bytes of a body that have to arrive within its time for the caller not to count as too slow.
+const BODY_RATE: u32 = 1024;
+
+/// The longest that a body may take to arrive, in seconds.
+const BODY_TIME: Seconds = Seconds(300);
+
+/// Ends the server threads.
+#[derive(Debug)]
+pub(super) struct Stop {
+    commands: tokio::sync::mpsc::UnboundedSender<Command>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Command {
+    Close,
+    End,
+}
+
+impl Stop {
+    /// Accepts no new connections from now on.
+    pub(super) fn close(&self) {
+        let _ = self.commands.send(Command::Close);
+    }
+
+    /// Ends all server threads.
+    pub(super) fn end(&self) {
+        let _ = self.commands.send(Command::End);
+    }
+}
+
+/// Starts the server threads.
+pub(super) fn start(
+    shared: Arc<Shared>,
+    callers: TcpListener,
+    operators: TcpListener,
+) -> Result<(thread::JoinHandle<()>, Stop), Error> {
+    let (commands, mut receiver) = tokio::sync::mpsc::unbounded_channel();
+    let (started, outcome) = mpsc::channel();
+    let run = move || {
+        System::new("entry", DefaultRuntime).block_on(async move {
+            let servers = serve_callers(Arc::clone(&shared), callers)
+                .and_then(|callers| Ok((callers, serve_operators(shared, operators)?)));
+            let (callers, operators) = match servers {
+                Ok(servers) => servers,
+                Err(error) => return drop(started.send(Err(error))),
+            };
+            drop(started.send(Ok(())));
+            while let Some(Command::Close) = receiver.recv().await {
+                callers.pause().await;
+            }
+            callers.stop(false).await;
+            operators.stop(false).await;
+        });
+    };
+    let thread = thread::Builder::new()
+        .name("entry".to_owned())
+        .spawn(run)
+        .map_err(Error::Thread)?;
+    match outcome.recv() {
+        Ok(Ok(())) => Ok((thread, Stop { commands })),
+        Ok(Err(error)) => Err(Error::Thread(error)),
+        Err(_) => Err(Error::Thread(io::Error::other("the server thread ended at once"))),
+    }
+}
+
+fn http(shared: &Shared) -> HttpServiceConfig {
+    let bounds = shared.settings.bounds;
+    let head_time = Seconds(bounds.head_time);
+    HttpServiceConfig::new()
+        .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE))
+        .set_max_buf_size(bounds.head)
+        .set_headers_read_rate(head_time, head_time, u32::MAX)
+        .set_payload_read_rate(Seconds(bounds.body_time), BODY_TIME, BODY_RATE)
+}
+
+fn serve_callers(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Server> {
+    const NAME: &str = "callers";
+    let workers = shared.settings.threads.max(1);
+    let config = http(&shared);
+    let server = ntex::server::build()
+        .workers(workers)
+        .disable_signals()
+        .listen(NAME, listener, async move |_| {
+            let worker = Worker::new(Arc::clone(&shared));
+            let worker = Rc::new(worker.expect("the control thread has made a client from the same settings"));
+            let control = Rc::clone(&worker);
+            HttpService::new(fn_service(move |request: Request| {
+                let worker = Rc::clone(&worker);
+                async move { Ok::<_, io::Error>(api::serve(worker, request).await) }
+            }))
+            .h1_control(fn_service(move |event: Control<_, io::Error>| {
+                let control = Rc::clone(&control);
+                async move { Ok::<_, io::Error>(protocol::control(&control, event)) }
+            }))
+        })?
+        .config(NAME, SharedCfg::new(NAME).add(config))
+        .run();
+    Ok(server)
+}
+
+fn serve_operators(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Server> {
+    const NAME: &str = "operators";
+    let config = http(&shared);
+    let server = ntex::server::build()
+        .workers(1)
+        .disable_signals()
+        .listen(NAME, listener, async move |_| {
+            let shared = Arc::clone(&shared);
+            HttpService::new(fn_service(move |request: Request| {
+                let shared = Arc::clone(&shared);
+                async move { Ok::<_, io::Error>(admin::serve(shared, request).await) }
+            }))
+        })?
+        .config(NAME, SharedCfg::new(NAME).add(config))
+        .run();
+    Ok(server)
+}
--- /dev/null
+++ b/bergamotshift-entry/src/settings/mod.rs
@@ -0,0 +1,131 @@
+//! What one entry is told when it starts.
+
+use core::net::IpAddr;
+use core::net::Ipv4Addr;
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use bergamotshift_config::config::Config;
+use bergamotshift_core::prelude::*;
+use bergamotshift_endpoint::client;
+use bergamotshift_limit::quarantine;
+use bergamotshift_route::policy;
+use slog::Logger;
+use slog::o;
+use smol_str::SmolStr;
+
+/// Where the platform's services listen; one that is missing is not used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Platform {
+    /// The list of VMs and notices.
+    pub vms: Option<SocketAddr>,
+    /// The transactional table.
+    pub table: Option<SocketAddr>,
+    /// The object store.
+    pub objects: Option<SocketAddr>,
+}
+
+/// How the entry watches endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Watch {
+    /// The time between two load reports of one endpoint.
+    pub reports: Duration,
+    /// The time between two readings of the VM list.
+    pub list: Duration,
+}
+
+impl Default for Watch {
+    fn default() -> Self {
+        Self {
+            reports: Duration::from_millis(500),
+            list: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Bounds on what callers may send, before any service is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// The largest head of any request, in bytes.
+    pub head: usize,
+    /// How long a caller may take over a request's head, in seconds.
+    pub head_time: u16,
+    /// How long a caller may take over each kilobyte of a body, in seconds.
+    pub body_time: u16,
+    /// Bodies up to this many bytes are held until the answer is there, so that they can be sent again.
+    pub held_body: usize,
+    /// Answers up to this many bytes are held until they are whole, so that a broken one can be fetched again.
+    pub held_answer: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            head: 64 * 1024,
+            head_time: 5,
+            body_time: 5,
+            held_body: 256 * 1024,
+            held_answer: 256 * 1024,
+        }
+    }
+}
+
+/// Everything one entry is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The entry's name.
+    pub name: name::Entry,
+    /// The availability zone it stands in.
+    pub zone: name::Zone,
+    /// Where callers reach it; port 0 takes a free one.
+    pub callers: SocketAddr,
+    /// Where operators reach it; port 0 takes a free one.
+    pub operators: SocketAddr,
+    /// Threads that serve callers.
+    pub threads: usize,
+    /// The operators' folder.
+    pub folder: Option<PathBuf>,
+    /// A configuration that is already read; it goes before the folder.
+    pub config: Option<Arc<Config>>,
+    /// Where the platform's services listen.
+    pub platform: Platform,
+    /// How endpoints are watched.
+    pub watch: Watch,
+    /// What callers may send.
+    pub bounds: Bounds,
+    /// How connections to endpoints behave.
+    pub endpoints: client::Settings,
+    /// The routing policy's name.
+    pub policy: SmolStr,
+    /// When requests are suspected of killing endpoints.
+    pub quarantine: quarantine::Settings,
+    /// How long new requests are still taken after a drain began, while the balancer learns of it.
+    pub settle: Duration,
+    /// Where log records go.
+    pub logger: Logger,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        Self {
+            name: name::Entry::new_static("entry"),
+            zone: name::Zone::new_static("zone"),
+            callers: ANY,
+            operators: ANY,
+            threads: 4,
+            folder: None,
+            config: None,
+            platform: Platform::default(),
+            watch: Watch::default(),
+            bounds: Bounds::default(),
+            endpoints: client::Settings::default(),
+            policy: SmolStr::new_static(policy::DEFAULT),
+            quarantine: quarantine::Settings::default(),
+            settle: Duration::from_millis(500),
+            logger: Logger::root(slog::Discard, o!()),
+        }
+    }
+}
--- /dev/null
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -0,0 +1,137 @@
+//! What the threads of one entry share, and what each worker thread has of its own.
+
+use core::cell::RefCell;
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::Ordering;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time;
+
+use bergamotshift_core::attempt;
+use bergamotshift_core::plugin;
+use bergamotshift_core::prelude::*;
+use bergamotshift_endpoint::adapter::Adapter;
+use bergamotshift_endpoint::adapter::Kind;
+use bergamotshift_endpoint::client;
+use bergamotshift_endpoint::client::Client;
+use bergamotshift_route::Policy;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::TryRng;
+use rand::rngs::SysRng;
+use rand_pcg::Pcg64Mcg;
+use smol_str::SmolStr;
+
+use crate::control::Sender;
+use crate::observe::Metrics;
+use crate::settings::Settings;
+use crate::snapshot::Publisher;
+use crate::snapshot::Reader;
+use crate::snapshot::Snapshot;
+
+/// What all threads of one entry share.
+#[derive(Debug)]
+pub struct Shared {
+    /// What the entry was told.
+    pub settings: Settings,
+    /// Hands out snapshots.
+    pub publisher: Publisher,
+    /// Reaches the control thread.
+    pub control: Sender,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// Chooses endpoints.
+    pub policy: Box<dyn Policy>,
+    /// Whether the entry is about to end.
+    pub draining: AtomicBool,
+    /// Kernel time counts from here.
+    pub epoch: time::Instant,
+}
+
+impl Shared {
+    /// Returns the kernel's time.
+    pub fn now(&self) -> Instant {
+        Instant::from_micros(u64::try_from(self.epoch.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns whether the balancer may send callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.publisher.current().ready
+    }
+
+    /// Returns whether the entry is about to end.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+}
+
+/// What one worker thread has of its own.
+#[derive(Debug)]
+pub struct Worker {
+    /// What it shares with the others.
+    pub shared: Arc<Shared>,
+    snapshots: Reader,
+    adapters: BTreeMap<SmolStr, Rc<dyn Adapter>>,
+    generator: RefCell<Pcg64Mcg>,
+}
+
+impl Worker {
+    /// Makes the state of the current thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the client for endpoints cannot be made.
+    pub fn new(shared: Arc<Shared>) -> Result<Self, client::Error> {
+        Ok(Self {
+            snapshots: shared.publisher.reader(),
+            adapters: adapters(&shared.settings.endpoints)?,
+            generator: RefCell::new(generator()),
+            shared,
+        })
+    }
+
+    /// Returns the current snapshot.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshots.current()
+    }
+
+    /// Finds an adapter by its plug-in name.
+    pub fn adapter(&self, name: &str) -> Option<Rc<dyn Adapter>> {
+        self.adapters.get(name).cloned()
+    }
+
+    /// Draws an identifier that no other attempt or request has.
+    pub fn draw(&self) -> attempt::Id {
+        let mut generator = self.generator.borrow_mut();
+        let high = u128::from(generator.next_u64());
+        attempt::Id::new(high << 64 | u128::from(generator.next_u64()))
+    }
+
+    /// Lends the thread's generator.
+    pub fn with_generator<T>(&self, work: impl FnOnce(&mut Pcg64Mcg) -> T) -> T {
+        work(&mut self.generator.borrow_mut())
+    }
+}
+
+/// Makes all registered adapters over the current thread's connections.
+///
+/// # Errors
+///
+/// Returns an error when the client for endpoints cannot be made.
+pub fn adapters(settings: &client::Settings) -> Result<BTreeMap<SmolStr, Rc<dyn Adapter>>, client::Error> {
+    let client = Rc::new(Client::new(settings.clone())?);
+    let kinds = plugin::inventory::iter::<Kind>.into_iter();
+    Ok(kinds
+        .map(|kind| (SmolStr::new_static(kind.name), (kind.build)(Rc::clone(&client))))
+        .collect())
+}
+
+/// Seeds a generator from the system, so that two threads or entries never draw the same identifiers.
+fn generator() -> Pcg64Mcg {
+    let mut seed = [0; 16];
+    SysRng
+        .try_fill_bytes(&mut seed)
+        .expect("the operating system gives random bytes");
+    Pcg64Mcg::from_seed(seed)
+}
--- /dev/null
+++ b/bergamotshift-entry/tests/entry/site.rs
@@ -0,0 +1,300 @@
+//! A small site for tests: stand-in endpoints, one entry, and a caller.
+
+use core::fmt::Write;
+use std::sync::Arc;
+
+use bergamotshift_config::digest::Digest;
+use bergamotshift_config::folder;
+use bergamotshift_entry::Daemon;
+use bergamotshift_entry::Handle;
+use bergamotshift_entry::Settings;
+use bergamotshift_standin::engine;
+use bergamotshift_standin::plain;
+use ntex::client::Client;
+use ntex::client::Connector;
+use ntex::http::HeaderMap;
+use ntex::http::Method;
+use ntex::http::StatusCode;
+use ntex::time::Seconds;
+use serde_json::Value;
+
+/// The bearer key of the organisation `acme`.
+pub const KEY: &str = "a long random key of acme";
+
+/// The bearer key of the organisation `other`, which may use the service `app` alone.
+pub const OTHER_KEY: &str = "a long random key of other";
+
+/// What a site holds.
+#[derive(Debug)]
+pub struct Layout {
+    pub engines: usize,
+    pub plains: usize,
+    pub engine: engine::Settings,
+    pub plain: plain::Settings,
+    /// More lines of the service `llm`.
+    pub llm: &'static str,
+    /// More lines of the service `app`.
+    pub app: &'static str,
+    /// More sections of the configuration.
+    pub more: &'static str,
+    pub settings: Settings,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            plains: 2,
+            engine: engine::Settings::default(),
+            plain: plain::Settings::default(),
+            llm: "",
+            app: "",
+            more: "",
+            settings: Settings {
+                threads: 1,
+                settle: core::time::Duration::from_millis(50),
+                ..Settings::default()
+            },
+        }
+    }
+}
+
+/// Endpoints and an entry that serves them.
+#[derive(Debug)]
+pub struct Site {
+    pub engines: Vec<engine::Server>,
+    pub plains: Vec<plain::Server>,
+    pub entry: Handle,
+    client: Client,
+}
+
+/// What came back.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Vec<u8>,
+    /// Whether the body came to its declared end.
+    pub whole: bool,
+}
+
+impl Reply {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    pub fn text(&self) -> &str {
+        core::str::from_utf8(&self.body).unwrap()
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Checks that this is a failure in the API's shape.
+    pub fn assert_failure(&self, status: u16, code: &str, outcome: &str) {
+        assert_eq!(self.status.as_u16(), status, "{}", self.text());
+        let error = &self.json()["error"];
+        assert_eq!(error["code"], code);
+        assert_eq!(error["outcome"], outcome);
+        assert!(error["message"].is_string() && error["type"].is_string());
+        assert_eq!(self.header("x-bergamotshift-outcome"), Some(outcome));
+    }
+
+    /// Returns the chat text of a stream's events and whether it ended in `[DONE]`.
+    pub fn streamed(&self) -> (String, bool) {
+        let mut text = String::new();
+        let mut done = false;
+        let mut number = 0;
+        for event in self.text().split_terminator("\n\n") {
+            let mut data = None;
+            for line in event.lines() {
+                if let Some(id) = line.strip_prefix("id: ") {
+                    number += 1;
+                    assert_eq!(id.parse::<u64>().unwrap(), number, "events are numbered through");
+                }
+                data = line.strip_prefix("data: ").or(data);
+            }
+            let data = data.expect("an event has data");
+            assert!(!done, "nothing follows the end");
+            if data == "[DONE]" {
+                done = true;
+                continue;
+            }
+            let chunk: Value = serde_json::from_str(data).unwrap();
+            text.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+        }
+        (text, done)
+    }
+}
+
+impl Site {
+    pub async fn start(layout: Layout) -> Self {
+        let engines: Vec<_> = (0..layout.engines)
+            .map(|number| {
+                engine::Server::start(engine::Settings {
+                    name: format!("engine-{number}").into(),
+                    zone: zone(number).into(),
+                    ..layout.engine.clone()
+                })
+                .unwrap()
+            })
+            .collect();
+        let plains: Vec<_> = (0..layout.plains)
+            .map(|number| {
+                plain::Server::start(plain::Settings {
+                    name: format!("plain-{number}").into(),
+                    zone: zone(number).into(),
+                    ..layout.plain.clone()
+                })
+                .unwrap()
+            })
+            .collect();
+        let config = configuration(&layout, &engines, &plains);
+        let config = folder::parse(&[("site.toml", config)]).unwrap_or_else(|error| panic!("{error}"));
+        let entry = Daemon::start(Settings {
+            config: Some(Arc::new(config)),
+            ..layout.settings
+        })
+        .unwrap();
+        Self {
+            engines,
+            plains,
+            entry,
+            client: client().await,
+        }
+    }
+
+    /// Sends a request with the key of `acme`.
+    pub async fn send(&self, method: Method, path: &str, headers: &[(&str, &str)], body: impl Into<Vec<u8>>) -> Reply {
+        let authorization = format!("Bearer {KEY}");
+        let mut all = vec![("authorization", authorization.as_str())];
+        all.extend_from_slice(headers);
+        self.send_as(method, path, &all, body).await
+    }
+
+    /// Sends a request with just these headers.
+    pub async fn send_as(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Vec<u8>>,
+    ) -> Reply {
+        let mut request = self
+            .client
+            .request(method, format!("http://{}{path}", self.entry.callers()));
+        for (name, value) in headers {
+            request = request.set_header(*name, *value);
+        }
+        let response = request.send_body(body.into()).await.unwrap();
+        let (status, headers) = (response.status(), response.headers().clone());
+        let mut payload = response.take_payload();
+        let mut body = Vec::new();
+        let mut whole = true;
+        while let Some(chunk) = payload.recv().await {
+            let Ok(chunk) = chunk else {
+                whole = false;
+                break;
+            };
+            body.extend_from_slice(&chunk);
+        }
+        Reply {
+            status,
+            headers,
+            body,
+            whole,
+        }
+    }
+
+    /// Sends a chat.
+    pub async fn chat(&self, body: &Value) -> Reply {
+        let json = [("content-type", "application/json")];
+        self.send(Method::POST, "/v1/chat/completions", &json, body.to_string())
+            .await
+    }
+
+    /// Returns how many attempts the endpoints began, over all of them.
+    pub fn runs(&self) -> usize {
+        let engines: usize = self.engines.iter().map(|engine| engine.ledger().len()).sum();
+        let plains: usize = self.plains.iter().map(|plain| plain.ledger().len()).sum();
+        engines + plains
+    }
+}
+
+/// Makes a caller's client.
+pub async fn client() -> Client {
+    Client::builder()
+        .connector::<()>(Connector::default().limit(4096).keep_alive(Seconds(1)))
+        .disable_timeout()
+        .build(ntex::SharedCfg::default())
+        .await
+        .unwrap()
+}
+
+fn zone(number: usize) -> &'static str {
+    if number.is_multiple_of(2) { "zone-a" } else { "zone-b" }
+}
+
+fn configuration(layout: &Layout, engines: &[engine::Server], plains: &[plain::Server]) -> String {
+    let (digest, other) = (Digest::of(KEY), Digest::of(OTHER_KEY));
+    let (llm, app, more) = (layout.llm, layout.app, layout.more);
+    let mut text = format!(
+        r#"
+[[zone]]
+name = "zone-a"
+region = "region"
+
+[[zone]]
+name = "zone-b"
+region = "region"
+
+[[class]]
+name = "small"
+price_reclaimable = 0.1
+price_on_demand = 0.3
+
+[[organisation]]
+name = "acme"
+keys = ["{digest}"]
+
+[[organisation]]
+name = "other"
+keys = ["{other}"]
+services = ["app"]
+
+[[service]]
+name = "llm"
+kind = "model"
+adapter = "engine"
+models = ["tiny"]
+{llm}
+
+[[service]]
+name = "app"
+kind = "plain"
+adapter = "http"
+path = "/app"
+{app}
+
+{more}
+"#
+    );
+    for (number, engine) in engines.iter().enumerate() {
+        endpoint(&mut text, &format!("engine-{number}"), "llm", number, engine.address());
+    }
+    for (number, plain) in plains.iter().enumerate() {
+        endpoint(&mut text, &format!("plain-{number}"), "app", number, plain.address());
+    }
+    text
+}
+
+fn endpoint(text: &mut String, name: &str, service: &str, number: usize, address: core::net::SocketAddr) {
+    let zone = zone(number);
+    write!(
+        text,
+        "[[endpoint]]\nname = \"{name}\"\nservice = \"{service}\"\nzone = \"{zone}\"\nclass = \"small\"\naddress = \
+         \"{address}\"\n"
+    )
+    .unwrap();
+}
