--- a/bergamotshift-config/src/lib.rs
+++ b/bergamotshift-config/src/lib.rs
@@ -15,6 +15,7 @@
 //! # Ok::<(), folder::Error>(())
 //! ```
 
+pub mod accept;
 pub mod config;
 pub mod diff;
 pub mod digest;
--- /dev/null
+++ b/bergamotshift-config/tests/support/mod.rs
@@ -0,0 +1,32 @@
+//! A table and a fleet in virtual time, for the tests of the acceptance protocol.
+
+#![allow(dead_code, reason = "each test file uses another part")]
+
+pub mod platform;
+pub mod table;
+pub mod world;
+
+use bergamotshift_config::manifest::Manifest;
+
+/// Returns a folder with these zones and one more file.
+pub fn folder(zones: &[&str], name: &str, text: &str) -> Manifest {
+    let zones: Vec<_> = zones
+        .iter()
+        .map(|zone| format!("[[zone]]\nname = \"{zone}\"\nregion = \"r\"\n"))
+        .collect();
+    let zones = zones.concat();
+    Manifest::new(&[("10-zones.toml", zones.as_str()), (name, text)]).expect("a small folder")
+}
+
+/// Returns the folder with one file set to this text.
+pub fn edit(folder: &Manifest, name: &str, text: &str) -> Manifest {
+    let mut files: Vec<(&str, &str)> = folder.files().map(|(name, text)| (name.as_str(), &**text)).collect();
+    files.retain(|file| file.0 != name);
+    files.push((name, text));
+    Manifest::new(&files).expect("a small folder")
+}
+
+/// Returns the text of a machine class, which is what the tests change.
+pub fn class(name: &str, price: u32) -> String {
+    format!("[[class]]\nname = \"{name}\"\nprice_reclaimable = {price}\nprice_on_demand = {price}\n")
+}
--- a/bergamotshift-core/src/table.rs
+++ b/bergamotshift-core/src/table.rs
@@ -28,7 +28,7 @@
 }
 
 /// A row as it was read.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Counts the row's writes; the first write makes it 1.
@@ -38,7 +38,7 @@
 }
 
 /// What must hold of a row for the whole transaction to take effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub enum Condition {
     /// The row does not exist.
@@ -50,7 +50,7 @@
 }
 
 /// What becomes of a row when the transaction takes effect.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub enum Change {
     /// The row holds this body, at the version after the one in the condition.
@@ -62,7 +62,7 @@
 }
 
 /// One row's part in a transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Write {
     /// The row.
@@ -74,7 +74,7 @@
 }
 
 /// How a transaction ended, as far as its sender can know.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub enum Ending {
     /// It took effect.
