--- a/bergamotshift-capacity/src/demand.rs
+++ b/bergamotshift-capacity/src/demand.rs
@@ -42,6 +42,8 @@
 pub struct Settings {
     /// The time over which demand is averaged.
     pub window: Duration,
+    /// How long demand has to stay above the average before capacity follows it at once.
+    pub confirm: Duration,
     /// How far ahead capacity has to be ready: the time from a purchase until the VM serves.
     pub ahead: Duration,
     /// How long demand has to stay lower before capacity follows it down.
@@ -51,7 +53,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            window: Duration::from_mins(5),
+            window: Duration::from_mins(10),
+            confirm: Duration::from_mins(2),
             ahead: Duration::from_mins(3),
             hold: Duration::from_mins(15),
         }
@@ -63,13 +66,15 @@
 /// Failure: demand is noisy and capacity follows each swing. Symptom: VMs are started and stopped in turn, each paid
 /// for while it loads weights and serves nobody. The figure is averaged, led by its trend over the time a start
 /// takes, and the largest value of the hold time counts; so a VM is given up only when it was not needed for that
-/// long.
+/// long. A step that lasts is not averaged away: what every reading of the `confirm` time reached counts at once.
 #[derive(Clone, Debug)]
 pub struct Damper {
     settings: Settings,
     fast: f64,
     slow: f64,
     at: Option<Instant>,
+    /// Rising readings by time: the front is the smallest of the confirm time.
+    lows: VecDeque<(Instant, f64)>,
     /// Falling values by time: the front is the largest of the hold time.
     peaks: VecDeque<(Instant, f64)>,
 }
@@ -85,6 +90,7 @@
             fast: 0.0,
             slow: 0.0,
             at: None,
+            lows: VecDeque::new(),
             peaks: VecDeque::new(),
         }
     }
@@ -92,19 +98,15 @@
     /// Notes a reading and returns the figure that capacity has to follow.
     pub fn observe(&mut self, now: Instant, reading: f64) -> f64 {
         self.average(now, reading);
-        let led = self.fast + self.rise();
-        while self.peaks.back().is_some_and(|(_, value)| *value <= led) {
-            self.peaks.pop_back();
+        while self.lows.back().is_some_and(|(_, low)| *low >= reading) {
+            self.lows.pop_back();
         }
-        self.peaks.push_back((now, led));
-        while self
-            .peaks
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > self.settings.hold)
-        {
-            self.peaks.pop_front();
+        let lasting = extreme(&mut self.lows, now, reading, self.settings.confirm);
+        let led = (self.fast + self.rise()).max(lasting);
+        while self.peaks.back().is_some_and(|(_, peak)| *peak <= led) {
+            self.peaks.pop_back();
         }
-        self.peaks.front().map_or(led, |(_, value)| *value)
+        extreme(&mut self.peaks, now, led, self.settings.hold)
     }
 
     fn average(&mut self, now: Instant, reading: f64) {
@@ -126,3 +128,12 @@
         (slope * ahead.as_secs_f64()).max(0.0)
     }
 }
+
+/// Adds a value to a sorted window, drops what is older than `span`, and returns the window's extreme.
+fn extreme(window: &mut VecDeque<(Instant, f64)>, now: Instant, value: f64, span: Duration) -> f64 {
+    window.push_back((now, value));
+    while window.front().is_some_and(|(at, _)| now.since(*at) > span) {
+        window.pop_front();
+    }
+    window.front().map_or(value, |(_, extreme)| *extreme)
+}
--- a/bergamotshift-capacity/src/policy/mod.rs
+++ b/bergamotshift-capacity/src/policy/mod.rs
@@ -73,9 +73,9 @@
     pub peak: f64,
     /// The part of capacity that policies without spread aim to use.
     pub utilisation: f64,
-    /// What is kept above the damped demand, as a part of it.
+    /// What is kept above the damped demand, as a part of it; what carries the loss of a zone is kept besides.
     pub headroom: f64,
-    /// What is kept beyond the need when VMs are given up, as a part of it, so that a small swing buys none back.
+    /// How far capacity has to lie beyond the need, as a part of it, before VMs are given up.
     pub band: f64,
     /// How demand is damped; its hold is also a VM's shortest life.
     pub damping: demand::Settings,
@@ -90,8 +90,8 @@
         Self {
             peak: 10.0,
             utilisation: 0.7,
-            headroom: 0.05,
-            band: 0.1,
+            headroom: 0.0,
+            band: 0.05,
             damping: demand::Settings::default(),
             pause: Duration::from_secs(30),
             pause_cap: Duration::from_mins(15),
--- a/bergamotshift-capacity/src/policy/spread.rs
+++ b/bergamotshift-capacity/src/policy/spread.rs
@@ -108,10 +108,13 @@
     fn drains(&self, now: Instant, situation: &Situation<'_>, need: Demand) -> Vec<Action> {
         let mut tally = Tally::live(situation.vms);
         let factor = 1.0 + self.settings.band;
-        let need = Demand {
+        let beyond = Demand {
             urgent: need.urgent * factor,
             deferrable: need.deferrable * factor,
         };
+        if !tally.carries(beyond) {
+            return Vec::new();
+        }
         let hold = self.settings.damping.hold;
         let old = |vm: &&Vm| matches!(vm.phase, Phase::Live(since) if now.since(since) >= hold);
         let mut vms: Vec<_> = situation.vms.iter().filter(old).collect();
--- a/bergamotshift-capacity/tests/capacity.rs
+++ b/bergamotshift-capacity/tests/capacity.rs
@@ -25,10 +25,16 @@
     1.5
 }
 
+/// Demand that rises to four times its level within a tick, for four hours.
+fn step(second: u64) -> f64 {
+    if (36_000..50_400).contains(&second) { 8.0 } else { 2.0 }
+}
+
 fn scenario(urgent: fn(u64) -> f64, losses: &[Loss]) -> Scenario {
     Scenario {
         urgent,
         noise: 0.05,
+        zones: 4,
         losses: losses.to_vec(),
         batches: Vec::new(),
         span: DAY,
@@ -62,12 +68,17 @@
     work: 6.0 * 6.0 * 3_600.0,
 };
 
-fn scenarios() -> [(&'static str, Scenario); 6] {
+fn scenarios() -> [(&'static str, Scenario); 8] {
     let rebuilds = |losses: &[Loss]| Scenario {
         batches: vec![REBUILDS],
         span: 9 * 3_600,
         ..scenario(night, losses)
     };
+    let large = Scenario {
+        urgent: |second| 40.0 * day(second),
+        zones: 5,
+        ..scenario(day, &[EVENING_LOSS])
+    };
     let early = Loss {
         at: 4 * 3_600,
         ..EVENING_LOSS
@@ -77,20 +88,25 @@
         ("day_zone_lost", scenario(day, &[EVENING_LOSS])),
         ("day_two_waves", scenario(day, &[EVENING_LOSS, SECOND_WAVE])),
         ("day_three_zones_one_lost", scenario(day, &[SOLD_OUT, EVENING_LOSS])),
+        ("day_step", scenario(step, &[])),
         ("night_calm", rebuilds(&[])),
         ("night_zone_lost", rebuilds(&[early])),
+        ("target_size_zone_lost", large),
     ]
 }
 
-fn settings() -> policy::Settings {
-    policy::Settings {
-        peak: 10.5,
-        ..policy::Settings::default()
-    }
-}
-
 fn figures(policy: &str, scenario: &Scenario) -> Figures {
-    replay(policy, settings(), scenario)
+    let highest = (0..scenario.span).step_by(60).map(scenario.urgent).fold(0.0, f64::max);
+    let settings = policy::Settings {
+        peak: highest * 1.2
+            + scenario
+                .batches
+                .iter()
+                .map(|batch| batch.work / (batch.deadline - batch.at) as f64)
+                .sum::<f64>(),
+        ..policy::Settings::default()
+    };
+    replay(policy, settings, scenario)
 }
 
 #[test]
@@ -101,14 +117,17 @@
     for (name, scenario) in scenarios() {
         println!("{name}");
         for policy in ["static-peak", "reactive", policy::DEFAULT] {
-            println!("  {policy:12} {:?}", figures(policy, &scenario));
+            println!("  {policy:12} {:.4?}", figures(policy, &scenario));
         }
         let ours = figures(policy::DEFAULT, &scenario);
         let peak = figures("static-peak", &scenario);
+        let reactive = figures("reactive", &scenario);
         check(&format!("{name}_out_of_target"), 1.0 - ours.in_target);
         check(&format!("{name}_missed"), ours.missed);
         check(&format!("{name}_cost_to_static"), ours.cost / peak.cost);
+        check(&format!("{name}_cost_to_reactive"), ours.cost / reactive.cost);
         check(&format!("{name}_cost_to_bound"), ours.cost / ours.bound);
+        check(&format!("{name}_cost_to_spare_bound"), ours.cost / ours.spare_bound);
         check(&format!("{name}_starts"), ours.starts as f64);
     }
 }
--- a/bergamotshift-capacity/tests/cloud/mod.rs
+++ b/bergamotshift-capacity/tests/cloud/mod.rs
@@ -10,23 +10,24 @@
 pub const TICK: Duration = Duration::from_secs(15);
 pub const DAY: u64 = 24 * 3_600;
 const BOOT: Duration = Duration::from_secs(150);
-const ZONES: [(&str, u64); 4] = [("a", 900), ("b", 1_000), ("c", 1_050), ("d", 1_200)];
+const ZONES: [(&str, u64); 5] = [("a", 900), ("b", 1_000), ("c", 1_050), ("d", 1_200), ("e", 1_000)];
 const ON_DEMAND: u64 = 3;
 
 pub fn slot(zone: &str, market: Market) -> Slot {
     Slot::new(name::Zone::new(zone), name::Class::new_static("gpu"), market)
 }
 
-/// Four zones whose prices differ; on demand costs three times as much. One VM does one unit of work per second.
-pub fn offers() -> Vec<Offer> {
+/// Zones whose prices differ; on demand costs three times as much. One VM does one unit of work per second.
+pub fn offers(zones: usize) -> Vec<Offer> {
     let offer = |(zone, price): (&str, u64), market, factor| Offer {
         slot: slot(zone, market),
         price: Price::from_micros(price * 1_000 * factor),
         rate: 1.0,
     };
-    let reclaimable = ZONES.map(|zone| offer(zone, Market::Reclaimable, 1));
-    let on_demand = ZONES.map(|zone| offer(zone, Market::OnDemand, ON_DEMAND));
-    reclaimable.into_iter().chain(on_demand).collect()
+    let sold = || ZONES.into_iter().take(zones);
+    let reclaimable = sold().map(|zone| offer(zone, Market::Reclaimable, 1));
+    let on_demand = sold().map(|zone| offer(zone, Market::OnDemand, ON_DEMAND));
+    reclaimable.chain(on_demand).collect()
 }
 
 /// A loss of a zone: all its VMs go at `at`, and starts are refused in `refusing` zones for `span`.
@@ -50,6 +51,7 @@
 pub struct Scenario {
     pub urgent: fn(u64) -> f64,
     pub noise: f64,
+    pub zones: usize,
     pub losses: Vec<Loss>,
     pub batches: Vec<Batch>,
     pub span: u64,
@@ -67,6 +69,8 @@
     pub stops: u64,
     /// The cheapest any policy could pay that knows all beforehand; it need not hold anything against losses.
     pub bound: f64,
+    /// The same with what carries the loss of any one zone, spread evenly, in parts of VMs and without a start's delay.
+    pub spare_bound: f64,
 }
 
 struct Machine {
@@ -142,14 +146,24 @@
     let mut policy = policy::build(policy, settings).unwrap();
     let mut cloud = Cloud {
         machines: Vec::new(),
-        offers: offers(),
+        offers: offers(scenario.zones),
         next: 0,
     };
     let mut rng = Pcg64Mcg::new(5);
     let mut figures = Figures::default();
     let (mut asked, mut served, mut drift) = (0.0, 0.0, 0.0_f64);
     let mut waiting: Vec<(Instant, f64)> = Vec::new();
-    let cheapest = 0.9;
+    let prices = || {
+        ZONES
+            .iter()
+            .take(scenario.zones)
+            .map(|(_, price)| *price as f64 / 1_000.0)
+    };
+    let (cheapest, mean) = (
+        prices().fold(f64::MAX, f64::min),
+        prices().sum::<f64>() / scenario.zones as f64,
+    );
+    let spread = scenario.zones as f64 / (scenario.zones as f64 - 1.0);
     let hours = TICK.as_secs_f64() / 3_600.0;
     // What runs before the day begins is not measured; the first quarter of an hour fills the fleet.
     let warm = 900;
@@ -184,17 +198,20 @@
             asked += urgent;
             served += urgent.min(live);
             figures.cost += cloud.price() * hours;
-            figures.bound += (urgent * hours + done / 3_600.0) * cheapest;
+            let deferred = done / 3_600.0;
+            figures.bound += (urgent * hours + deferred) * cheapest;
+            figures.spare_bound += (urgent * hours * spread).max(urgent * hours + deferred) * mean;
         }
 
         let deferrable = demand::pace(now, Duration::from_mins(5), waiting.iter().copied());
         let vms: Vec<_> = cloud.machines.iter().map(|machine| machine.vm.clone()).collect();
         let situation = Situation {
-            offers: &offers(),
+            offers: &cloud.offers,
             vms: &vms,
             demand: Demand { urgent, deferrable },
         };
-        for action in policy.plan(now, &situation) {
+        let actions = policy.plan(now, &situation);
+        for action in actions {
             match action {
                 Action::Start(slot) if Cloud::sold(&slot, second, &scenario.losses) => {
                     cloud.start(now, &slot);
