feat(cli): run an entry, a demo, a load and config check

Cause: the thin path needs its one binary; until now an entry could only be started from a test. The demo starts the folder's workers as stand-ins over its first zones and real entries before them, reads ledgers from handles that outlive a kill, and carries faults out for the load tool.

--- /dev/null
+++ b/bergamotshift/src/command/entry.rs
@@ -0,0 +1,173 @@
+//! `bergamotshift entry`: the daemon.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::path::PathBuf;
+
+use gumdrop::Options;
+use slog::info;
+use slog::warn;
+
+use crate::core::name;
+use crate::entry::Daemon;
+use crate::entry::Settings;
+use crate::entry::settings::Platform;
+use crate::environment::Field;
+use crate::environment::Fields;
+use crate::error::Error;
+use crate::log;
+use crate::setting;
+use crate::stop;
+
+/// How long requests in flight may go on after a planned stop began.
+const GRACE: Duration = Duration::from_secs(30);
+
+/// Arguments of `entry`.
+#[derive(Debug, Default)]
+#[derive(Options)]
+pub struct Arguments {
+    /// Whether the usage text is wanted.
+    #[options(help = "print this text")]
+    pub help: bool,
+    /// The entry's name.
+    #[options(no_short, meta = "NAME", help = "this entry's name, unlike any other entry's")]
+    pub name: Option<String>,
+    /// The availability zone.
+    #[options(no_short, meta = "ZONE", help = "the availability zone that this VM stands in")]
+    pub zone: Option<String>,
+    /// Where callers connect.
+    #[options(no_short, meta = "IP:PORT", help = "where callers connect")]
+    pub callers: Option<String>,
+    /// Where operators connect.
+    #[options(no_short, meta = "IP:PORT", help = "where operators connect: status, metrics")]
+    pub operators: Option<String>,
+    /// Threads that serve callers.
+    #[options(no_short, meta = "COUNT", help = "threads that serve callers (default 4)")]
+    pub threads: Option<String>,
+    /// The operators' folder.
+    #[options(
+        no_short,
+        meta = "DIR",
+        help = "the operators' folder, for sites without a table service"
+    )]
+    pub folder: Option<String>,
+    /// The platform's VM list.
+    #[options(no_short, meta = "IP:PORT", help = "the platform's VM list")]
+    pub vms: Option<String>,
+    /// The platform's table service.
+    #[options(no_short, meta = "IP:PORT", help = "the platform's table service")]
+    pub table: Option<String>,
+    /// The platform's object store.
+    #[options(no_short, meta = "IP:PORT", help = "the platform's object store")]
+    pub objects: Option<String>,
+    /// The routing policy.
+    #[options(no_short, meta = "NAME", help = "the routing policy")]
+    pub policy: Option<String>,
+    /// How long requests may go on after a stop began.
+    #[options(
+        no_short,
+        meta = "TIME",
+        help = "how long requests may go on after a stop began (default 30s)"
+    )]
+    pub grace: Option<String>,
+    /// The least severe level that is logged.
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        help = "error, warning, info, debug or trace (default info)"
+    )]
+    pub log_level: Option<String>,
+    /// The form of log records.
+    #[options(
+        no_short,
+        meta = "FORM",
+        help = "auto, text or json (default auto: text on a terminal)"
+    )]
+    pub log_format: Option<String>,
+}
+
+impl Fields for Arguments {
+    fn fields(&mut self) -> Vec<Field<'_>> {
+        vec![
+            ("name", &mut self.name),
+            ("zone", &mut self.zone),
+            ("callers", &mut self.callers),
+            ("operators", &mut self.operators),
+            ("threads", &mut self.threads),
+            ("folder", &mut self.folder),
+            ("vms", &mut self.vms),
+            ("table", &mut self.table),
+            ("objects", &mut self.objects),
+            ("policy", &mut self.policy),
+            ("grace", &mut self.grace),
+            ("log-level", &mut self.log_level),
+            ("log-format", &mut self.log_format),
+        ]
+    }
+}
+
+impl Arguments {
+    /// Checks every setting.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first setting that is wrong or missing.
+    pub fn settings(&self) -> Result<Settings, setting::Error> {
+        let defaults = Settings::default();
+        let form = setting::or("log-format", self.log_format.as_deref(), log::Form::Auto)?;
+        let threshold = setting::or(
+            "log-level",
+            self.log_level.as_deref(),
+            log::Threshold(slog::Level::Info),
+        )?;
+        let name: String = setting::required("name", self.name.as_deref(), "this entry's name")?;
+        let zone: String = setting::required("zone", self.zone.as_deref(), "this VM's availability zone")?;
+        let address = "the address it listens on, such as 10.0.0.7:8080";
+        Ok(Settings {
+            name: name::Entry::new(name),
+            zone: name::Zone::new(zone),
+            callers: setting::required("callers", self.callers.as_deref(), address)?,
+            operators: setting::required("operators", self.operators.as_deref(), address)?,
+            threads: setting::or("threads", self.threads.as_deref(), defaults.threads)?,
+            folder: setting::optional::<PathBuf>("folder", self.folder.as_deref())?,
+            platform: self.platform()?,
+            policy: setting::or("policy", self.policy.as_deref(), defaults.policy.clone())?,
+            logger: log::logger(form, threshold),
+            ..defaults
+        })
+    }
+
+    fn platform(&self) -> Result<Platform, setting::Error> {
+        Ok(Platform {
+            vms: setting::optional::<SocketAddr>("vms", self.vms.as_deref())?,
+            table: setting::optional::<SocketAddr>("table", self.table.as_deref())?,
+            objects: setting::optional::<SocketAddr>("objects", self.objects.as_deref())?,
+        })
+    }
+}
+
+/// Runs an entry until it is told to stop, then drains it.
+///
+/// # Errors
+///
+/// Returns a wrong setting, why the entry can't start, or how many requests the end of the grace cut.
+pub fn run(arguments: &Arguments) -> Result<(), Error> {
+    let grace = setting::duration("grace", arguments.grace.as_deref(), GRACE)?;
+    let settings = arguments.settings()?;
+    let logger = settings.logger.clone();
+    let stop = stop::Signal::register().map_err(|error| Error::failed(&error))?;
+    let handle = Daemon::start(settings).map_err(|error| Error::failed(&error))?;
+    info!(logger, "serving"; "callers" => %handle.callers(), "operators" => %handle.operators());
+    stop.wait();
+    let drained = handle.drain(grace);
+    handle.join();
+    if drained.cut > 0 {
+        warn!(logger, "stopped with requests cut"; "cut" => drained.cut);
+        return Err(Error::Failed(format!(
+            "the grace of {grace:?} ended with {} requests in flight",
+            drained.cut
+        )));
+    }
+    info!(logger, "stopped");
+    Ok(())
+}
--- a/bergamotshift/src/command/mod.rs
+++ b/bergamotshift/src/command/mod.rs
@@ -11,6 +11,10 @@
 use crate::environment::Fields;
 use crate::error::Error;
 
+pub mod config;
+pub mod demo;
+pub mod entry;
+pub mod load;
 pub mod version;
 
 /// The command line as a whole.
@@ -29,6 +33,18 @@
 #[derive(Debug)]
 #[derive(Options)]
 pub enum Command {
+    /// Run an entry.
+    #[options(help = "run an entry, the daemon that serves callers")]
+    Entry(entry::Arguments),
+    /// Work on the operators' folder.
+    #[options(help = "check the operators' folder")]
+    Config(config::Arguments),
+    /// Run a whole deployment on loopback.
+    #[options(help = "run a whole deployment of stand-ins and entries on loopback")]
+    Demo(demo::Arguments),
+    /// Send load.
+    #[options(help = "send open-loop load to entries on this machine and check the promises")]
+    Load(load::Arguments),
     /// Print the version.
     #[options(help = "print the version")]
     Version(version::Arguments),
@@ -37,12 +53,20 @@
 impl Command {
     fn fields(&mut self) -> Vec<crate::environment::Field<'_>> {
         match self {
+            Self::Entry(arguments) => arguments.fields(),
+            Self::Config(arguments) => arguments.fields(),
+            Self::Demo(arguments) => arguments.fields(),
+            Self::Load(arguments) => arguments.fields(),
             Self::Version(arguments) => arguments.fields(),
         }
     }
 
     fn run(&self) -> Result<(), Error> {
         match self {
+            Self::Entry(arguments) => entry::run(arguments),
+            Self::Config(arguments) => config::run(arguments),
+            Self::Demo(arguments) => demo::run(arguments),
+            Self::Load(arguments) => load::run(arguments),
             Self::Version(arguments) => version::run(arguments),
         }
     }
--- /dev/null
+++ b/bergamotshift/src/demo/mod.rs
@@ -0,0 +1,11 @@
+//! A whole deployment in one process, on loopback: stand-ins for the platform and the endpoints, and real entries.
+//!
+//! The folder says which services there are; the demo starts their workers as stand-ins, spread over the first zones
+//! of the folder, lists them on a stand-in of the platform, and starts entries that know nothing of the difference.
+
+pub mod books;
+pub mod folder;
+pub mod site;
+pub mod target;
+
+pub use site::Site;
--- /dev/null
+++ b/bergamotshift/src/demo/site.rs
@@ -0,0 +1,335 @@
+//! The processes of the demo: stand-ins, and the entries before them.
+
+use core::net::SocketAddr;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use slog::Logger;
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use crate::config::config::Config;
+use crate::config::config::Kind;
+use crate::config::config::Limits;
+use crate::config::config::Organisation;
+use crate::config::config::Service;
+use crate::config::digest::Digest;
+use crate::core::name;
+use crate::core::vm::Incarnation;
+use crate::core::vm::Listing;
+use crate::core::vm::Market;
+use crate::core::vm::Role;
+use crate::core::vm::State;
+use crate::entry;
+use crate::entry::Daemon;
+use crate::entry::Handle;
+use crate::entry::settings::Platform;
+use crate::standin::engine;
+use crate::standin::plain;
+use crate::standin::vms;
+
+/// The key of the organisation that the demo adds when it knows the token of none.
+const ADDED_KEY: &str = "demo-key";
+
+/// How a demo is laid out.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The configuration that all entries run.
+    pub config: Config,
+    /// How many of the folder's zones are used, in name order.
+    pub zones: usize,
+    /// Entries in each zone.
+    pub entries: usize,
+    /// Threads of each entry.
+    pub threads: usize,
+    /// Where the entries' records go.
+    pub logger: Logger,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            config: Config::default(),
+            zones: 2,
+            entries: 2,
+            threads: 1,
+            logger: Logger::root(slog::Discard, slog::o!()),
+        }
+    }
+}
+
+/// Why a demo doesn't start.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum Error {
+    /// The folder names no zone.
+    #[error("the folder names no availability zone")]
+    Empty,
+    /// A stand-in can't listen.
+    #[error("a stand-in can't listen on loopback: {0}")]
+    Standin(#[from] io::Error),
+    /// An entry can't start.
+    #[error("an entry can't start: {0}")]
+    Entry(#[from] entry::Error),
+}
+
+/// The stand-in of one endpoint.
+#[derive(Debug)]
+pub enum Server {
+    /// A model engine.
+    Engine(engine::Server),
+    /// A plain service.
+    Plain(plain::Server),
+}
+
+impl Server {
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            Self::Engine(server) => server.address(),
+            Self::Plain(server) => server.address(),
+        }
+    }
+
+    /// Ends it at once, with its open connections.
+    pub fn kill(&self) {
+        match self {
+            Self::Engine(server) => server.kill(),
+            Self::Plain(server) => server.kill(),
+        }
+    }
+
+    /// Lets it stand still.
+    pub fn pause(&self) {
+        match self {
+            Self::Engine(server) => server.pause(),
+            Self::Plain(server) => server.pause(),
+        }
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        match self {
+            Self::Engine(server) => server.resume(),
+            Self::Plain(server) => server.resume(),
+        }
+    }
+
+    /// Shows a fault.
+    pub fn fault(&self, fault: crate::standin::fault::Fault) {
+        match self {
+            Self::Engine(server) => server.fault(fault),
+            Self::Plain(server) => server.fault(fault),
+        }
+    }
+}
+
+/// One endpoint of the demo.
+#[derive(Debug)]
+pub struct Worker {
+    /// What the platform lists of it.
+    pub listing: Listing,
+    /// The service it belongs to.
+    pub service: name::Service,
+    /// Its stand-in.
+    pub server: Server,
+}
+
+/// One entry of the demo.
+#[derive(Debug)]
+pub struct Member {
+    /// Its name.
+    pub name: name::Entry,
+    /// Its zone.
+    pub zone: name::Zone,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// The running entry; none once it has stopped.
+    pub handle: Option<Handle>,
+}
+
+/// A whole deployment in one process.
+#[derive(Debug)]
+pub struct Site {
+    vms: vms::Server,
+    workers: Vec<Worker>,
+    members: Mutex<Vec<Member>>,
+    zones: Vec<name::Zone>,
+    key: SmolStr,
+}
+
+impl Site {
+    /// Starts the stand-ins and the entries; returns once all of them listen.
+    ///
+    /// # Errors
+    ///
+    /// Returns what couldn't start.
+    pub fn start(settings: Settings) -> Result<Self, Error> {
+        let mut config = settings.config;
+        let zones: Vec<name::Zone> = config.zones.keys().take(settings.zones.max(1)).cloned().collect();
+        if zones.is_empty() {
+            return Err(Error::Empty);
+        }
+        let key = known_key(&mut config);
+        let vms = vms::Server::start(vms::Settings::default())?;
+        let workers = start_workers(&config, &zones)?;
+        for worker in &workers {
+            vms.put(worker.listing.clone());
+        }
+        let config = Arc::new(config);
+        let platform = Platform {
+            vms: Some(vms.address()),
+            ..Platform::default()
+        };
+        let mut members = Vec::new();
+        for zone in &zones {
+            for number in 1..=settings.entries.max(1) {
+                let settings = entry::Settings {
+                    name: name::Entry::new(format!("entry-{zone}-{number}")),
+                    zone: zone.clone(),
+                    threads: settings.threads,
+                    config: Some(Arc::clone(&config)),
+                    platform,
+                    logger: settings.logger.clone(),
+                    ..entry::Settings::default()
+                };
+                members.push(start_member(settings)?);
+            }
+        }
+        Ok(Self {
+            vms,
+            workers,
+            members: Mutex::new(members),
+            zones,
+            key,
+        })
+    }
+
+    /// Returns the bearer key of an organisation that may use every service.
+    pub fn key(&self) -> &SmolStr {
+        &self.key
+    }
+
+    /// Returns the zones that the demo uses.
+    pub fn zones(&self) -> &[name::Zone] {
+        &self.zones
+    }
+
+    /// Returns the endpoints.
+    pub fn workers(&self) -> &[Worker] {
+        &self.workers
+    }
+
+    /// Returns the platform's list.
+    pub const fn vms(&self) -> &vms::Server {
+        &self.vms
+    }
+
+    /// Returns the entries.
+    pub fn members(&self) -> MutexGuard<'_, Vec<Member>> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns where callers reach the entries.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.members().iter().map(|member| member.callers).collect()
+    }
+}
+
+fn start_member(settings: entry::Settings) -> Result<Member, Error> {
+    let name = settings.name.clone();
+    let zone = settings.zone.clone();
+    let handle = Daemon::start(settings)?;
+    Ok(Member {
+        name,
+        zone,
+        callers: handle.callers(),
+        operators: handle.operators(),
+        handle: Some(handle),
+    })
+}
+
+/// Finds the key of an organisation that may use every service, or adds such an organisation.
+///
+/// The folder holds digests alone; of the examples' organisations the tokens are known by a rule.
+fn known_key(config: &mut Config) -> SmolStr {
+    let open = |organisation: &&Organisation| organisation.services.is_empty() && organisation.zones.is_empty();
+    let tokens = config
+        .organisations
+        .values()
+        .filter(open)
+        .map(|organisation| format!("demo-{}", organisation.name));
+    let known = tokens
+        .map(SmolStr::new)
+        .find(|token| config.organisation_by_token(token).is_some());
+    if let Some(token) = known {
+        return token;
+    }
+    let added = Organisation {
+        name: name::Organisation::new_static("demo"),
+        weight: 1,
+        keys: vec![Digest::of(ADDED_KEY)],
+        zones: Vec::new(),
+        services: Vec::new(),
+        limits: Limits::default(),
+    };
+    config.organisations.insert(added.name.clone(), added);
+    SmolStr::new_static(ADDED_KEY)
+}
+
+fn start_workers(config: &Config, zones: &[name::Zone]) -> Result<Vec<Worker>, Error> {
+    let mut workers = Vec::new();
+    for service in config.services.values() {
+        let allowed: Vec<&name::Zone> = zones.iter().filter(|zone| may_stand_in(service, zone)).collect();
+        // A service whose rules allow none of the demo's zones gets no workers here.
+        for (number, zone) in (1..=service.workers).zip(allowed.iter().cycle()) {
+            workers.push(start_worker(service, zone, number)?);
+        }
+    }
+    Ok(workers)
+}
+
+fn may_stand_in(service: &Service, zone: &name::Zone) -> bool {
+    service.zones.is_empty() || service.zones.contains(zone)
+}
+
+fn start_worker(service: &Service, zone: &name::Zone, number: u32) -> Result<Worker, Error> {
+    let vm = SmolStr::new(format!("{}-{number}", service.name));
+    let server = match service.kind {
+        Kind::Model => Server::Engine(engine::Server::start(engine::Settings {
+            name: vm.clone(),
+            service: SmolStr::new(&service.name),
+            zone: SmolStr::new(zone),
+            models: service.models.iter().map(SmolStr::new).collect(),
+            ..engine::Settings::default()
+        })?),
+        Kind::Plain => Server::Plain(plain::Server::start(plain::Settings {
+            name: vm.clone(),
+            service: SmolStr::new(&service.name),
+            zone: SmolStr::new(zone),
+            ..plain::Settings::default()
+        })?),
+    };
+    let classes = &service.classes;
+    let class = classes.get(number as usize % classes.len().max(1)).cloned();
+    let listing = Listing {
+        name: name::Vm::new(&vm),
+        incarnation: Incarnation::new(1),
+        address: server.address(),
+        zone: zone.clone(),
+        class: class.unwrap_or_default(),
+        market: Market::Reclaimable,
+        role: Role::Endpoint(service.name.clone()),
+        state: State::Live,
+    };
+    Ok(Worker {
+        listing,
+        service: service.name.clone(),
+        server,
+    })
+}
--- a/bergamotshift/src/lib.rs
+++ b/bergamotshift/src/lib.rs
@@ -25,7 +25,9 @@
 pub use bergamotshift_standin as standin;
 
 pub mod command;
+pub mod demo;
 pub mod environment;
 pub mod error;
 pub mod log;
 pub mod setting;
+pub mod stop;
