--- /dev/null
+++ b/bergamotshift-limit/src/bucket.rs
@@ -0,0 +1,136 @@
+//! A lock-free token bucket whose rate may change.
+
+use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering::Relaxed;
+use core::time::Duration;
+
+use bergamotshift_core::prelude::*;
+
+const PICOS_PER_SECOND: f64 = 1e12;
+const PICOS_PER_NANO: u64 = 1_000;
+const NANOS_PER_MICRO: u64 = 1_000;
+
+/// Limits units per second, with bursts, in three atomics (the generic cell rate algorithm).
+///
+/// The state is one instant: when all units taken so far are paid for. It lies in the past when the bucket is full.
+/// Any worker may take; only the control thread sets the rate.
+///
+/// ```
+/// use bergamotshift_core::prelude::*;
+/// use bergamotshift_limit::bucket::Bucket;
+///
+/// let bucket = Bucket::new(10.0, 2.0);
+/// let now = Instant::from_secs(1);
+/// assert!(bucket.try_take(now, 2).is_ok());
+/// let wait = bucket.try_take(now, 1).expect_err("the burst is used up");
+/// assert!(bucket.try_take(now + wait, 1).is_ok());
+/// ```
+#[derive(Debug)]
+pub struct Bucket {
+    paid_at: AtomicU64,
+    picos_per_unit: AtomicU64,
+    burst_nanos: AtomicU64,
+}
+
+impl Bucket {
+    /// Makes a full bucket of `rate` units per second that holds `burst` units.
+    pub fn new(rate: f64, burst: f64) -> Self {
+        let price = picos_per_unit(rate);
+        Self {
+            paid_at: AtomicU64::new(0),
+            picos_per_unit: AtomicU64::new(price),
+            burst_nanos: AtomicU64::new(burst_nanos(price, burst)),
+        }
+    }
+
+    /// Takes units if the bucket holds them.
+    ///
+    /// A cost above the burst is taken from a full bucket, which then stays in debt until it is paid.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long it takes until the bucket holds enough.
+    pub fn try_take(&self, now: Instant, units: u64) -> Result<(), Duration> {
+        let now = nanos(now);
+        let cost = self.cost(units);
+        let burst = self.burst_nanos.load(Relaxed);
+        let needed = cost.min(burst);
+        let taken = self.paid_at.try_update(Relaxed, Relaxed, |paid_at| {
+            let owed = paid_at.saturating_sub(now);
+            (owed.saturating_add(needed) <= burst).then(|| now.saturating_add(owed).saturating_add(cost))
+        });
+        taken.map(|_| ()).map_err(|paid_at| {
+            let owed = paid_at.saturating_sub(now);
+            Duration::from_nanos(owed.saturating_add(needed).saturating_sub(burst))
+        })
+    }
+
+    /// Takes units whether or not the bucket holds them.
+    pub fn charge(&self, now: Instant, units: u64) {
+        let now = nanos(now);
+        let cost = self.cost(units);
+        self.paid_at
+            .update(Relaxed, Relaxed, |paid_at| paid_at.max(now).saturating_add(cost));
+    }
+
+    /// Gives units back.
+    pub fn refund(&self, units: u64) {
+        let cost = self.cost(units);
+        self.paid_at
+            .update(Relaxed, Relaxed, |paid_at| paid_at.saturating_sub(cost));
+    }
+
+    /// Returns how long it takes, from `now`, until all units taken are paid for.
+    pub fn owed(&self, now: Instant) -> Duration {
+        Duration::from_nanos(self.paid_at.load(Relaxed).saturating_sub(nanos(now)))
+    }
+
+    /// Sets how long it takes, from `now`, until all units taken are paid for.
+    pub fn set_owed(&self, now: Instant, owed: Duration) {
+        let owed = u64::try_from(owed.as_nanos()).unwrap_or(u64::MAX);
+        self.paid_at.store(nanos(now).saturating_add(owed), Relaxed);
+    }
+
+    /// Changes the rate and the burst; what is owed stays the same number of units.
+    pub fn set_rate(&self, now: Instant, rate: f64, burst: f64) {
+        let new = picos_per_unit(rate);
+        let old = self.picos_per_unit.swap(new, Relaxed);
+        self.burst_nanos.store(burst_nanos(new, burst), Relaxed);
+        if old == new {
+            return;
+        }
+        let now = nanos(now);
+        let factor = new as f64 / old as f64;
+        self.paid_at.update(Relaxed, Relaxed, |paid_at| {
+            let owed = paid_at.saturating_sub(now) as f64 * factor;
+            if owed > 0.0 {
+                now.saturating_add(owed as u64)
+            } else {
+                paid_at
+            }
+        });
+    }
+
+    fn cost(&self, units: u64) -> u64 {
+        let picos = u128::from(self.picos_per_unit.load(Relaxed)) * u128::from(units);
+        u64::try_from(picos / u128::from(PICOS_PER_NANO)).unwrap_or(u64::MAX)
+    }
+}
+
+fn nanos(at: Instant) -> u64 {
+    at.as_micros().saturating_mul(NANOS_PER_MICRO)
+}
+
+/// Returns the price of a unit in time; a rate of nothing makes it longer than any process lives.
+fn picos_per_unit(rate: f64) -> u64 {
+    if rate > 0.0 {
+        // The conversion saturates, and a price of zero would make the bucket endless.
+        ((PICOS_PER_SECOND / rate) as u64).max(1)
+    } else {
+        u64::MAX
+    }
+}
+
+fn burst_nanos(price: u64, burst: f64) -> u64 {
+    (price as f64 * burst.max(0.0) / PICOS_PER_NANO as f64) as u64
+}
--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -11,8 +11,13 @@
 //! assert!(budget.try_withdraw(), "the reserve lets the first failure be retried");
 //! ```
 
+pub mod admission;
 pub mod backoff;
+pub mod bucket;
+pub mod demand;
 pub mod hedge;
 pub mod prelude;
 pub mod quarantine;
+pub mod quota;
 pub mod retry;
+pub mod share;
--- a/bergamotshift-limit/src/prelude.rs
+++ b/bergamotshift-limit/src/prelude.rs
@@ -1,11 +1,19 @@
 //! The types that users of the crate need most.
 
+pub use crate::admission;
+pub use crate::admission::Gate;
 pub use crate::backoff;
 pub use crate::backoff::Backoff;
+pub use crate::demand;
 pub use crate::hedge;
 pub use crate::hedge::Hedge;
 pub use crate::quarantine;
 pub use crate::quarantine::Quarantine;
 pub use crate::quarantine::Verdict;
+pub use crate::quota;
+pub use crate::quota::Account;
+pub use crate::quota::Ledger;
 pub use crate::retry;
 pub use crate::retry::Budget;
+pub use crate::share;
+pub use crate::share::Pool;
--- /dev/null
+++ b/bergamotshift-limit/tests/quota.rs
@@ -0,0 +1,270 @@
+//! Limits of an organisation held by many entries that never ask each other, in virtual time.
+
+mod common;
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_limit::bucket::Bucket;
+use bergamotshift_limit::demand::Origin;
+use bergamotshift_limit::prelude::*;
+use bergamotshift_limit::quota::Cost;
+use bergamotshift_limit::quota::Limit;
+use bergamotshift_limit::quota::Limits;
+use quickcheck::quickcheck;
+
+const ZONES: usize = 4;
+const PER_ZONE: usize = 2;
+const RATE: f64 = 100.0;
+const BURST: f64 = 20.0;
+const GOSSIP_MS: u64 = 500;
+const HOTEL: name::Organisation = name::Organisation::new_static("hotel");
+
+struct Fleet {
+    ledgers: Vec<Ledger>,
+    accounts: Vec<Arc<Account>>,
+}
+
+fn zone(number: usize) -> name::Zone {
+    name::Zone::new(format!("zone-{number}"))
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let limits = Limits {
+            requests_per_second: Some(RATE),
+            burst: BURST,
+            ..Limits::default()
+        };
+        let ledger = |index: usize| {
+            let others = (0..ZONES)
+                .filter(|other| *other != index / PER_ZONE)
+                .map(zone)
+                .collect();
+            Ledger::new(demand::View::new(demand::Settings::default(), others, PER_ZONE - 1))
+        };
+        let mut ledgers: Vec<_> = (0..ZONES * PER_ZONE).map(ledger).collect();
+        let accounts = ledgers
+            .iter_mut()
+            .map(|ledger| ledger.open(Instant::ZERO, HOTEL, limits))
+            .collect();
+        Self { ledgers, accounts }
+    }
+
+    /// Lets entries tell their zone and zones tell each other, unless `cut` keeps the two zones apart.
+    fn gossip(&mut self, now: Instant, cut: impl Fn(usize, usize) -> bool) {
+        for ledger in &mut self.ledgers {
+            ledger.tick(now);
+        }
+        let age = Duration::from_millis(GOSSIP_MS);
+        let told: Vec<_> = self
+            .ledgers
+            .iter_mut()
+            .map(|ledger| ledger.view.tell(now).clone())
+            .collect();
+        for (index, ledger) in self.ledgers.iter_mut().enumerate() {
+            let here = index / PER_ZONE;
+            for other in (0..told.len()).filter(|other| *other != index) {
+                let there = other / PER_ZONE;
+                if there == here {
+                    let origin = Origin::Entry(name::Entry::new(format!("entry-{other}")));
+                    ledger.view.observe(now, origin, age, told[other].entry.clone());
+                } else if !cut(here, there) {
+                    ledger
+                        .view
+                        .observe(now, Origin::Zone(zone(there)), age, told[other].zone.clone());
+                }
+            }
+        }
+    }
+
+    /// Runs for this span; each entry where `busy` is asked four times a millisecond. Returns requests admitted.
+    fn run(
+        &mut self,
+        span: core::ops::Range<u64>,
+        cut: impl Fn(usize, usize) -> bool,
+        busy: impl Fn(u64, usize) -> bool,
+    ) -> f64 {
+        let mut admitted = 0;
+        for millis in span {
+            let now = Instant::from_millis(millis);
+            if millis % GOSSIP_MS == 0 {
+                self.gossip(now, &cut);
+            }
+            for (_, account) in self
+                .accounts
+                .iter()
+                .enumerate()
+                .filter(|(index, _)| busy(millis, *index))
+            {
+                let admit = || account.admit(now, Cost::default()).is_ok();
+                admitted += (0..4).filter(|_| admit()).count();
+            }
+        }
+        admitted as f64
+    }
+}
+
+const fn connected(_: usize, _: usize) -> bool {
+    false
+}
+
+#[test]
+fn limit_holds_across_entries_and_is_used_up() {
+    // Requests come through all entries, or through one alone: either way the organisation gets its whole limit and
+    // no more than its bursts above it.
+    for (name, only) in [("quota_over_all_entries", None), ("quota_over_one_entry", Some(0))] {
+        let mut fleet = Fleet::new();
+        let busy = |_, index| only.is_none_or(|only| only == index);
+        fleet.run(0..20_000, connected, busy);
+        let admitted = fleet.run(20_000..80_000, connected, busy);
+        let share = admitted / (RATE * 60.0);
+        assert!(share > 0.9, "{name}: only {share} of the limit could be used");
+        common::check(name, share);
+    }
+}
+
+#[test]
+fn cut_off_zones_overshoot_within_the_bound() {
+    // The organisation is idle when all zones lose each other, then floods every one of them. Each zone believes
+    // that it alone is asked. With k groups the excess stays within (k - 1) × (fresh + horizon) / 2 seconds' worth of the limit
+    // and one burst per entry, however long the cut lasts; after the horizon the rate is the limit's.
+    let demand::Settings { fresh, horizon, .. } = demand::Settings::default();
+    let seconds = (fresh + horizon).as_secs_f64() / 2.0;
+    for (name, groups) in [("quota_cut_in_two_excess", 2), ("quota_cut_in_four_excess", 4)] {
+        let mut fleet = Fleet::new();
+        let cut = |here: usize, there: usize| here % groups != there % groups;
+        fleet.run(0..20_000, connected, |_, _| false);
+        let first = fleet.run(20_000..30_000, cut, |_, _| true);
+        let later = fleet.run(30_000..90_000, cut, |_, _| true);
+        let excess = first + later - RATE * 70.0;
+        let bound = (groups - 1) as f64 * RATE * seconds + BURST * (ZONES * PER_ZONE) as f64;
+        assert!(excess <= bound, "{name}: {excess} over {bound}");
+        assert!(excess > 0.0, "{name}: the cut shows");
+        assert!(later <= RATE * 60.0 * 1.01, "{name}: {later} after the horizon");
+        common::check(name, excess);
+    }
+}
+
+#[test]
+fn demand_that_moves_with_the_gossip_gains_nothing() {
+    // The organisation's requests jump to another entry each second, about as fast as gossip tells of it. It gains
+    // nothing above its limit; what it cannot use of it, as its portion always lags behind, is the price.
+    let mut fleet = Fleet::new();
+    let busy = |millis: u64, index| (millis / 1_000) as usize % (ZONES * PER_ZONE) == index;
+    let share = fleet.run(0..120_000, connected, busy) / (RATE * 120.0);
+    assert!(share <= 1.0, "{share} of the limit");
+    common::check("quota_moving_demand_unused", 1.0 - share);
+}
+
+#[test]
+fn each_limit_binds_and_is_named() {
+    let mut ledger = Ledger::new(demand::View::new(demand::Settings::default(), Vec::new(), 0));
+    let requests = Limits {
+        requests_per_second: Some(1.0),
+        burst: 1.0,
+        ..Limits::default()
+    };
+    let tokens = Limits {
+        tokens_per_second: Some(10.0),
+        ..Limits::default()
+    };
+    let spend = Limits {
+        spend_per_hour: Some(Price::from_micros(3_600_000)),
+        ..Limits::default()
+    };
+    let cost = Cost {
+        tokens: 100,
+        spend: Price::from_micros(10_000),
+    };
+    let table = [
+        (requests, Limit::Requests, 1_000),
+        (tokens, Limit::Tokens, 10_000),
+        (spend, Limit::Spend, 10_000),
+    ];
+    for (index, (limits, limit, millis)) in table.into_iter().enumerate() {
+        let account = ledger.open(Instant::ZERO, name::Organisation::new(format!("org-{index}")), limits);
+        assert_eq!(account.admit(Instant::ZERO, cost), Ok(()));
+        let excess = account.admit(Instant::ZERO, cost).unwrap_err();
+        assert_eq!(
+            (excess.limit, excess.retry_after),
+            (limit, Duration::from_millis(millis))
+        );
+        account.refund(cost);
+        assert_eq!(account.admit(Instant::ZERO, cost), Ok(()));
+    }
+}
+
+#[test]
+fn settled_cost_replaces_the_expected_one() {
+    let mut ledger = Ledger::new(demand::View::new(demand::Settings::default(), Vec::new(), 0));
+    let limits = Limits {
+        tokens_per_second: Some(10.0),
+        ..Limits::default()
+    };
+    let account = ledger.open(Instant::ZERO, HOTEL, limits);
+    let cost = |tokens| Cost {
+        tokens,
+        ..Cost::default()
+    };
+    assert_eq!(account.admit(Instant::ZERO, cost(100)), Ok(()));
+    account.settle(Instant::ZERO, cost(100), cost(40));
+    assert_eq!(account.admit(Instant::ZERO, cost(60)), Ok(()));
+    assert!(account.admit(Instant::ZERO, cost(1)).is_err());
+}
+
+quickcheck! {
+    fn portions_of_equal_views_add_up_to_one(rates: Vec<u16>) -> bool {
+        // Each entry of a zone hears the others' rates as they are now.
+        let now = Instant::from_secs(100);
+        let count = rates.len();
+        let told = |index: usize| demand::Rates::from([(HOTEL, f64::from(rates[index]))]);
+        let portion = |index: usize| {
+            let mut view = demand::View::new(demand::Settings::default(), Vec::new(), count - 1);
+            view.tick(Instant::ZERO, []);
+            view.tick(now, [(HOTEL, u64::from(rates[index]) * 100)]);
+            view.tell(now);
+            for other in (0..count).filter(|other| *other != index) {
+                let origin = Origin::Entry(name::Entry::new(format!("entry-{other}")));
+                view.observe(now, origin, Duration::ZERO, told(other));
+            }
+            view.portion(now, &HOTEL)
+        };
+        count == 0 || ((0..count).map(portion).sum::<f64>() - 1.0).abs() < 1e-6
+    }
+
+    fn bucket_never_gives_more_than_rate_and_burst(steps: Vec<(u8, u8)>, rate: u8, burst: u8) -> bool {
+        let (rate, burst) = (f64::from(rate) + 1.0, f64::from(burst) + 1.0);
+        let bucket = Bucket::new(rate, burst);
+        let start = Instant::from_secs(1);
+        let (mut now, mut taken, mut largest) = (start, 0_u64, 0_u64);
+        steps.into_iter().all(|(pause, units)| {
+            now = now + Duration::from_millis(u64::from(pause));
+            if bucket.try_take(now, u64::from(units)).is_ok() {
+                taken += u64::from(units);
+                largest = largest.max(u64::from(units));
+            }
+            taken as f64 <= rate * now.since(start).as_secs_f64() + burst.max(largest as f64) + 1e-3
+        })
+    }
+
+    fn changing_the_rate_keeps_the_debt_in_units(units: u8, before: u8, after: u8) -> bool {
+        let bucket = Bucket::new(f64::from(before) + 1.0, 1.0);
+        let now = Instant::from_secs(1);
+        bucket.charge(now, u64::from(units));
+        bucket.set_rate(now, f64::from(after) + 1.0, 1.0);
+        let expected = f64::from(units) / (f64::from(after) + 1.0);
+        (bucket.owed(now).as_secs_f64() - expected).abs() < 1e-6
+    }
+}
+
+#[test]
+fn quiet_organisation_is_let_in_wherever_it_comes() {
+    // Nothing was asked for a while; then ten requests arrive within a second at one entry, a tenth of the limit.
+    let mut fleet = Fleet::new();
+    fleet.run(0..20_000, connected, |_, _| false);
+    let now = Instant::from_secs(20);
+    let admitted = (0..10).filter(|_| fleet.accounts[5].admit(now, Cost::default()).is_ok());
+    assert_eq!(admitted.count(), 10);
+}
--- /dev/null
+++ b/bergamotshift-limit/tests/share.rs
@@ -0,0 +1,290 @@
+//! Fair shares under contention, in virtual time.
+
+mod common;
+
+use core::time::Duration;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_limit::admission::Decision;
+use bergamotshift_limit::admission::Reason;
+use bergamotshift_limit::prelude::*;
+use bergamotshift_limit::quota::Cost;
+use bergamotshift_limit::quota::Limits;
+use bergamotshift_limit::share::Claim;
+use bergamotshift_limit::share::fill;
+use quickcheck::quickcheck;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::sync::Arc;
+
+const CAPACITY: f64 = 10_000.0;
+const WORK: u64 = 100;
+const TARGET: Duration = Duration::from_secs(2);
+const ENTRIES: usize = 4;
+const GOSSIP_MS: u64 = 500;
+const TICK_MS: u64 = 100;
+const REPORT_MS: u64 = 250;
+const LARGE: usize = 0;
+const SMALL: usize = 1;
+const NAMES: [name::Organisation; 2] = [
+    name::Organisation::new_static("large"),
+    name::Organisation::new_static("small"),
+];
+
+struct Entry {
+    forecast: admission::Forecast,
+    gate: Arc<Gate>,
+    pool: Pool,
+    accounts: Vec<Arc<Account>>,
+    cells: Vec<Arc<share::Cell>>,
+}
+
+impl Entry {
+    fn new() -> Self {
+        let view = || demand::View::new(demand::Settings::default(), Vec::new(), ENTRIES - 1);
+        let mut ledger = Ledger::new(view());
+        let mut pool = Pool::new(share::Settings::default(), view());
+        let account = |name: &name::Organisation| ledger.open(Instant::ZERO, name.clone(), Limits::default());
+        let accounts = NAMES.iter().map(account).collect();
+        let cells = NAMES.iter().map(|name| pool.join(name.clone(), 1.0)).collect();
+        let forecast = admission::Forecast::new(admission::Settings::default(), Duration::from_secs(2));
+        let gate = forecast.gate();
+        Self {
+            forecast,
+            gate,
+            pool,
+            accounts,
+            cells,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    asked: u64,
+    refused: u64,
+    late: u64,
+    longest: Duration,
+    work: u64,
+}
+
+/// Requests per second of an organisation at an entry, by millisecond.
+type Arrivals = fn(millis: u64, organisation: usize, entry: usize) -> f64;
+
+/// Runs a minute of urgent requests against one queue and counts per organisation.
+fn run(shared: bool, arrivals: Arrivals) -> [Tally; 2] {
+    let mut rng = Pcg64Mcg::new(42);
+    let mut entries: Vec<_> = (0..ENTRIES).map(|_| Entry::new()).collect();
+    let mut tallies = [Tally::default(); 2];
+    let mut backlog = 0.0_f64;
+    let (mut reported, mut noted) = ((0, 0.0), (0, 0.0));
+    for millis in 0..60_000 {
+        let now = Instant::from_millis(millis);
+        if millis % REPORT_MS == 0 {
+            // Entries see the queue as it was one report ago.
+            (reported, noted) = (noted, (millis, backlog));
+        }
+        if millis % TICK_MS == 0 {
+            let wait = Duration::from_secs_f64(reported.1 / CAPACITY);
+            let age = Duration::from_millis(millis - reported.0);
+            let portion = 1.0 / ENTRIES as f64;
+            let reading = admission::Reading {
+                capacity: CAPACITY,
+                waits: [wait; 3],
+                age,
+                portion,
+            };
+            for entry in &mut entries {
+                entry.forecast.tick(now, reading);
+                let wait = entry.gate.wait(now, Urgency::Urgent);
+                entry.pool.tick(
+                    now,
+                    share::Supply {
+                        capacity: CAPACITY,
+                        wait,
+                        target: TARGET,
+                    },
+                );
+            }
+        }
+        if millis % GOSSIP_MS == 0 {
+            gossip(now, &mut entries);
+        }
+        for (index, entry) in entries.iter().enumerate() {
+            for (organisation, tally) in tallies.iter_mut().enumerate() {
+                if !rng.random_bool(arrivals(millis, organisation, index) / 1_000.0) {
+                    continue;
+                }
+                tally.asked += 1;
+                if admit(now, entry, organisation, shared, &mut rng) {
+                    let wait = Duration::from_secs_f64(backlog / CAPACITY);
+                    tally.longest = tally.longest.max(wait);
+                    tally.late += u64::from(wait > TARGET);
+                    tally.work += WORK;
+                    backlog += WORK as f64;
+                } else {
+                    tally.refused += 1;
+                }
+            }
+        }
+        backlog = (backlog - CAPACITY / 1_000.0).max(0.0);
+    }
+    tallies
+}
+
+fn admit(now: Instant, entry: &Entry, organisation: usize, shared: bool, rng: &mut Pcg64Mcg) -> bool {
+    let request = admission::Request {
+        urgency: Urgency::Urgent,
+        target: TARGET,
+        deadline: now + Duration::from_secs(30),
+        deferrable: false,
+        work: WORK,
+    };
+    if !shared {
+        return entry.gate.weigh(now, request, Ok(())) == Decision::Admit;
+    }
+    let (account, cell) = (&entry.accounts[organisation], &entry.cells[organisation]);
+    admission::decide(now, request, Cost::default(), account, cell, &entry.gate, rng) == Decision::Admit
+}
+
+fn gossip(now: Instant, entries: &mut [Entry]) {
+    let told: Vec<_> = entries
+        .iter_mut()
+        .map(|entry| entry.pool.view.tell(now).entry.clone())
+        .collect();
+    for (index, entry) in entries.iter_mut().enumerate() {
+        for (other, rates) in told.iter().enumerate().filter(|(other, _)| *other != index) {
+            let origin = demand::Origin::Entry(name::Entry::new(format!("entry-{other}")));
+            entry
+                .pool
+                .view
+                .observe(now, origin, Duration::from_millis(GOSSIP_MS), rates.clone());
+        }
+    }
+}
+
+fn flood(_: u64, organisation: usize, _: usize) -> f64 {
+    if organisation == LARGE { 250.0 } else { 2.5 }
+}
+
+#[test]
+fn large_organisation_cannot_push_a_small_one_past_its_target() {
+    // The large organisation asks for ten times the capacity, the small one for a tenth of it. By waits alone the
+    // small one is refused as often as the large one. With shares it is never refused and never late, and the large
+    // one still gets all that is left.
+    let [_, alone] = run(false, flood);
+    assert!(alone.refused * 2 > alone.asked, "without shares: {alone:?}");
+    let [large, small] = run(true, flood);
+    assert_eq!((small.refused, small.late), (0, 0), "{small:?}");
+    common::check("share_small_longest_wait_s", small.longest.as_secs_f64());
+    let used = (large.work + small.work) as f64 / (CAPACITY * 60.0);
+    common::check("share_capacity_idle", 1.0 - used);
+}
+
+#[test]
+fn small_organisation_that_starts_under_a_flood_is_let_in_at_once() {
+    // The large organisation fills the service through the first entry alone; after half a minute the small one
+    // starts at the last entry, at its full share's rate. Nobody knew of its demand before.
+    let arrivals = |millis, organisation, entry| match (organisation, entry) {
+        (LARGE, 0) => 900.0,
+        (SMALL, 3) if millis >= 30_000 => 45.0,
+        _ => 0.0,
+    };
+    let [large, small] = run(true, arrivals);
+    assert_eq!(small.late, 0);
+    common::check("share_newcomer_refused", small.refused as f64 / small.asked as f64);
+    let used = (large.work + small.work) as f64 / (CAPACITY * 60.0);
+    common::check("share_skewed_capacity_idle", 1.0 - used);
+}
+
+#[test]
+fn organisation_alone_uses_the_whole_service() {
+    let [large, _] = run(
+        true,
+        |_, organisation, _| if organisation == LARGE { 50.0 } else { 0.0 },
+    );
+    common::check("share_alone_capacity_idle", 1.0 - large.work as f64 / (CAPACITY * 60.0));
+}
+
+#[test]
+fn refusals_say_why_and_when_to_come_back() {
+    let gate = Gate::new(admission::Settings::default());
+    let second = Duration::from_secs(1);
+    let urgent = admission::Request {
+        urgency: Urgency::Urgent,
+        target: TARGET,
+        deadline: Instant::from_secs(30),
+        deferrable: false,
+        work: WORK,
+    };
+    let normal = admission::Request {
+        urgency: Urgency::Normal,
+        ..urgent
+    };
+    let hasty = admission::Request {
+        deadline: Instant::from_secs(1),
+        ..normal
+    };
+    let later = admission::Request {
+        urgency: Urgency::Deferrable,
+        deferrable: true,
+        ..urgent
+    };
+    let refuse = |reason, millis| Decision::Refuse {
+        reason,
+        retry_after: Duration::from_millis(millis),
+    };
+    let table = [
+        (urgent, Ok(()), 0, Decision::Admit),
+        (urgent, Err(second), 0, Decision::Admit),
+        (urgent, Err(second), 1_200, refuse(Reason::Share, 400)),
+        (urgent, Ok(()), 1_200, Decision::Admit),
+        (urgent, Ok(()), 2_500, refuse(Reason::Target, 700)),
+        (normal, Ok(()), 2_500, Decision::Admit),
+        (hasty, Ok(()), 2_500, refuse(Reason::Deadline, 2_500)),
+        (later, Ok(()), 0, Decision::Admit),
+        (later, Ok(()), 1_200, Decision::Defer),
+    ];
+    for (request, share, wait, decision) in table {
+        gate.set(Instant::ZERO, CAPACITY, [Duration::from_millis(wait); 3], 1.0);
+        assert_eq!(
+            gate.weigh(Instant::ZERO, request, share),
+            decision,
+            "{request:?} {share:?} {wait} ms"
+        );
+    }
+}
+
+#[test]
+fn urgent_work_does_not_wait_for_deferrable_work() {
+    let gate = Gate::new(admission::Settings::default());
+    gate.set(Instant::ZERO, CAPACITY, [Duration::ZERO; 3], 1.0);
+    let rebuild = admission::Request {
+        urgency: Urgency::Deferrable,
+        target: Duration::from_hours(1),
+        deadline: Instant::from_secs(7_200),
+        deferrable: true,
+        work: 1_000_000,
+    };
+    assert_eq!(gate.weigh(Instant::ZERO, rebuild, Ok(())), Decision::Admit);
+    assert_eq!(gate.wait(Instant::ZERO, Urgency::Urgent), Duration::ZERO);
+    assert_eq!(gate.wait(Instant::ZERO, Urgency::Deferrable), Duration::from_secs(100));
+}
+
+quickcheck! {
+    fn fill_wastes_nothing_and_keeps_guarantees(raw: Vec<(u8, u16)>, capacity: u16) -> bool {
+        let claims: Vec<_> = raw
+            .into_iter()
+            .map(|(weight, demand)| Claim { weight: f64::from(weight) + 1.0, demand: f64::from(demand) })
+            .collect();
+        let capacity = f64::from(capacity);
+        let shares = fill(capacity, &claims);
+        let weights: f64 = claims.iter().map(|claim| claim.weight).sum();
+        let asked: f64 = claims.iter().map(|claim| claim.demand).sum();
+        let close = (shares.iter().sum::<f64>() - asked.min(capacity)).abs() < 1e-6;
+        close && claims.iter().zip(&shares).all(|(claim, share)| {
+            let guaranteed = capacity * claim.weight / weights;
+            *share <= claim.demand && *share + 1e-6 >= claim.demand.min(guaranteed)
+        })
+    }
+}
