test(limit): drain a bucket and a budget from four threads at once

Cause: what workers touch is said to be lock-free and exact, and no test ran it from more than one thread.

--- a/bergamotshift-limit/tests/quota.rs
+++ b/bergamotshift-limit/tests/quota.rs
@@ -214,6 +214,32 @@
     assert!(account.admit(Instant::ZERO, cost(1)).is_err());
 }
 
+#[test]
+fn workers_that_take_at_once_never_take_more_than_there_is() {
+    // Four threads drain one bucket and one retry budget at the same moment of kernel time. Were a read and a write
+    // apart, two of them would take the same unit.
+    let bucket = Bucket::new(1.0, 1_000.0);
+    let budget = Budget::new(retry::Settings {
+        ratio: 0.5,
+        reserve: 0,
+        burst: 10_000,
+    });
+    let now = Instant::from_secs(1);
+    let drain = || {
+        let taken = (0..2_000).filter(|_| bucket.try_take(now, 1).is_ok()).count();
+        (0..2_000).for_each(|_| budget.deposit());
+        let retries = (0..2_000).filter(|_| budget.try_withdraw()).count();
+        (taken, retries)
+    };
+    let sums = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..4).map(|_| scope.spawn(drain)).collect();
+        let ended = workers.into_iter().map(|worker| worker.join().unwrap());
+        ended.fold((0, 0), |sum, (taken, retries)| (sum.0 + taken, sum.1 + retries))
+    });
+    assert_eq!(sums.0, 1_000);
+    assert!(sums.1 < 4_000, "{} retries for 8,000 requests", sums.1);
+}
+
 quickcheck! {
     fn portions_of_equal_views_add_up_to_one(rates: Vec<u16>) -> bool {
         // Each entry of a zone hears the others' rates as they are now.
--- a/bergamotshift-limit/tests/share.rs
+++ b/bergamotshift-limit/tests/share.rs
@@ -173,6 +173,7 @@
     // small one is refused as often as the large one. With shares it is never refused and never late, and the large
     // one still gets all that is left.
     let [_, alone] = run(false, flood);
+    println!("without shares: {alone:?}");
     assert!(alone.refused * 2 > alone.asked, "without shares: {alone:?}");
     let [large, small] = run(true, flood);
     assert_eq!((small.refused, small.late), (0, 0), "{small:?}");
