feat(claim): claim non-repeatable requests with one conditional write

Cause: a request that may not be repeated needs a record before its first byte leaves, and the table's writes bound how many such requests there can be. Two writes for each request (insert as sent, then done) do; a separate claimed state would take a third write to turn a rare unknown into not-run.

Ruled out: leases on the key, and asking other entries.

--- /dev/null
+++ b/bergamotshift-claim/src/digest.rs
@@ -0,0 +1,48 @@
+//! SHA-256 digests, by which another body under the same idempotency key is recognised.
+
+use core::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest as _;
+use sha2::Sha256;
+
+/// The SHA-256 digest of what a request asks for.
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Computes the digest of a request from its method, path with query, and body.
+    pub fn of(method: &str, path: &str, body: &[u8]) -> Self {
+        Self::of_parts([method.as_bytes(), path.as_bytes(), body])
+    }
+
+    /// Computes the digest of several parts, keeping their borders.
+    pub(crate) fn of_parts<const N: usize>(parts: [&[u8]; N]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            // Lengths keep ("ab", "c") and ("a", "bc") apart.
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+
+    /// Returns the first byte, evenly spread over all values.
+    pub(crate) const fn first(self) -> u8 {
+        self.0[0]
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({self})")
+    }
+}
--- /dev/null
+++ b/bergamotshift-claim/src/prelude.rs
@@ -0,0 +1,10 @@
+//! The types that most users of the crate need.
+
+pub use crate::answer::Answer;
+pub use crate::batch::Batch;
+pub use crate::digest::Digest;
+pub use crate::driver;
+pub use crate::record::Record;
+pub use crate::scope::Scope;
+pub use crate::wall::Wall;
+pub use crate::window::Window;
--- /dev/null
+++ b/bergamotshift-claim/tests/explore/main.rs
@@ -0,0 +1,4 @@
+//! The protocols, explored exhaustively: every state that small models of them can reach.
+
+mod claim;
+mod search;
