--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod admission;
 pub mod backoff;
 pub mod bucket;
+pub mod defer;
 pub mod demand;
 pub mod hedge;
 pub mod prelude;
--- a/bergamotshift-limit/src/prelude.rs
+++ b/bergamotshift-limit/src/prelude.rs
@@ -4,6 +4,7 @@
 pub use crate::admission::Gate;
 pub use crate::backoff;
 pub use crate::backoff::Backoff;
+pub use crate::defer;
 pub use crate::demand;
 pub use crate::hedge;
 pub use crate::hedge::Hedge;
--- a/bergamotshift-limit/tests/quota.rs
+++ b/bergamotshift-limit/tests/quota.rs
@@ -13,6 +13,8 @@
 use bergamotshift_limit::quota::Limit;
 use bergamotshift_limit::quota::Limits;
 use quickcheck::quickcheck;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
 
 const ZONES: usize = 4;
 const PER_ZONE: usize = 2;
@@ -158,6 +160,27 @@
     common::check("quota_moving_demand_unused", 1.0 - share);
 }
 
+#[test]
+fn organisation_under_its_limit_is_refused_nothing() {
+    // Requests come at random over all entries, at four fifths of the limit. Each entry sees a few each second and
+    // knows of the others' by gossip only.
+    let mut fleet = Fleet::new();
+    let mut rng = Pcg64Mcg::new(3);
+    let (mut asked, mut refused) = (0, 0);
+    for millis in 0..120_000 {
+        let now = Instant::from_millis(millis);
+        if millis % GOSSIP_MS == 0 {
+            fleet.gossip(now, connected);
+        }
+        if rng.random_bool(RATE * 0.8 / 1_000.0) {
+            let entry = rng.random_range(0..fleet.accounts.len());
+            asked += 1;
+            refused += u64::from(fleet.accounts[entry].admit(now, Cost::default()).is_err());
+        }
+    }
+    common::check("quota_refused_below_limit", refused as f64 / f64::from(asked));
+}
+
 #[test]
 fn each_limit_binds_and_is_named() {
     let mut ledger = Ledger::new(demand::View::new(demand::Settings::default(), Vec::new(), 0));
