test(cli): hold usage texts and variables together

Cause: a flag added to a command but not to its fields would silently have no variable. Conclusion: the list of a command's fields is checked against its usage text.

--- a/bergamotshift/src/command/mod.rs
+++ b/bergamotshift/src/command/mod.rs
@@ -51,7 +51,8 @@
 }
 
 impl Command {
-    fn fields(&mut self) -> Vec<crate::environment::Field<'_>> {
+    /// Returns every flag of the command that takes a value, with the place of its text.
+    pub fn fields(&mut self) -> Vec<crate::environment::Field<'_>> {
         match self {
             Self::Entry(arguments) => arguments.fields(),
             Self::Config(arguments) => arguments.fields(),
--- /dev/null
+++ b/bergamotshift/tests/usage.rs
@@ -0,0 +1,62 @@
+//! The usage texts against the flags that variables can fill.
+
+use std::collections::BTreeSet;
+
+use bergamotshift::command::Arguments;
+use bergamotshift::command::Command;
+use bergamotshift::command::usage;
+use bergamotshift::environment::Environment;
+use gumdrop::Options;
+
+/// Flags that take no value and so have no variable.
+const SWITCHES: [&str; 2] = ["help", "once"];
+
+const COMMANDS: [&[&str]; 5] = [&["entry"], &["config", "check"], &["demo"], &["load"], &["version"]];
+
+fn parsed(words: &[&str]) -> Command {
+    let arguments = Arguments::parse_args_default(words).expect("the command exists");
+    arguments.command.expect("a command was given")
+}
+
+fn flags(text: &str) -> BTreeSet<String> {
+    let words = text.split_whitespace().filter_map(|word| word.strip_prefix("--"));
+    words.map(|word| word.trim_end_matches(',').to_owned()).collect()
+}
+
+#[test]
+fn every_flag_with_a_value_has_a_variable() {
+    for words in COMMANDS {
+        let mut command = parsed(words);
+        let text = usage(&mut command);
+        let named = flags(text.split("Each flag can").next().unwrap_or_default());
+        let filled: BTreeSet<String> = command.fields().into_iter().map(|(flag, _)| flag.to_owned()).collect();
+        let expected: BTreeSet<String> = named
+            .into_iter()
+            .filter(|flag| !SWITCHES.contains(&flag.as_str()))
+            .collect();
+        assert_eq!(filled, expected, "{words:?}");
+    }
+}
+
+#[test]
+fn a_variable_fills_the_field_of_its_flag() {
+    let mut command = parsed(&["entry"]);
+    let environment = Environment::from_pairs([("BERGAMOTSHIFT_LOG_LEVEL", "debug")]);
+    environment.fill(&mut command.fields());
+    let Command::Entry(arguments) = command else {
+        panic!("entry was asked for");
+    };
+    assert_eq!(arguments.log_level.as_deref(), Some("debug"));
+}
+
+#[test]
+fn an_entry_names_the_first_setting_that_is_missing() {
+    let Command::Entry(arguments) = parsed(&["entry", "--name", "a"]) else {
+        panic!("entry was asked for");
+    };
+    let error = arguments.settings().expect_err("no zone is given");
+    assert_eq!(
+        error.to_string(),
+        "--zone (or BERGAMOTSHIFT_ZONE) is missing: this VM's availability zone"
+    );
+}
