fix(limit): share what a cut-off zone can reach, all of it

Cause: shares took the same portion as limits, which keeps a silent zone's part in reserve; a zone cut off from three others divided a quarter of its own capacity. Limits keep their reserve, as they are one for all zones.

--- a/bergamotshift-limit/src/demand.rs
+++ b/bergamotshift-limit/src/demand.rs
@@ -169,43 +169,52 @@
     }
 
     /// Returns this entry's portion of an organisation's allowance, between nought and one.
+    ///
+    /// Silent zones and entries keep theirs in reserve, so that all portions never add up to much more than one.
     pub fn portion(&self, now: Instant, organisation: &name::Organisation) -> f64 {
-        self.zone_portion(now, organisation) * self.entry_portion(now, organisation)
+        let (zone, entry) = self.splits(now, organisation);
+        zone.reserving() * entry.reserving()
     }
 
-    fn zone_portion(&self, now: Instant, organisation: &name::Organisation) -> f64 {
-        let count = (self.others.len() + 1) as f64;
-        let (mut silent, mut elsewhere) = (0.0, 0.0);
-        for zone in &self.others {
-            let heard = self.zones.get(zone);
-            silent += 1.0 - self.say(now, heard);
-            elsewhere += heard.map_or(0.0, |heard| self.heard_rate(now, heard, organisation));
-        }
-        let here = rate(&self.told.zone, organisation);
-        self.split(here, elsewhere, count, silent)
+    /// Returns this entry's portion of an organisation's share of what can be reached from here.
+    ///
+    /// Silent zones get nothing: a zone that is cut off has its own endpoints to itself. Entries of this zone that
+    /// are alive and silent share its endpoints and keep theirs.
+    pub fn reachable(&self, now: Instant, organisation: &name::Organisation) -> f64 {
+        let (zone, entry) = self.splits(now, organisation);
+        zone.among_speaking() * entry.reserving()
     }
 
-    fn entry_portion(&self, now: Instant, organisation: &name::Organisation) -> f64 {
-        let count = (self.peers + 1) as f64;
-        let say: f64 = self.entries.values().map(|heard| self.say(now, Some(heard))).sum();
-        let silent = (self.peers as f64 - say).max(0.0);
-        let heard = self
-            .entries
-            .values()
-            .map(|heard| self.heard_rate(now, heard, organisation));
-        let elsewhere: f64 = heard.sum();
-        let here = rate(&self.told.entry, organisation);
-        self.split(here, elsewhere, count, silent)
+    /// Returns how the allowance is split between zones, and this zone's between its entries.
+    fn splits(&self, now: Instant, organisation: &name::Organisation) -> (Split, Split) {
+        let others = self.others.iter().map(|zone| self.zones.get(zone));
+        let zone = self.split(now, organisation, &self.told.zone, self.others.len(), others);
+        let peers = self.entries.values().map(Some);
+        let entry = self.split(now, organisation, &self.told.entry, self.peers, peers);
+        (zone, entry)
     }
 
-    /// Splits one allowance between this member and the others; silent ones keep their equal part.
-    fn split(&self, here: f64, elsewhere: f64, count: f64, silent: f64) -> f64 {
-        let speaking = count - silent;
-        let shared = speaking / count;
-        let demand = here + elsewhere;
-        let by_demand = if demand > 0.0 { here / demand } else { 1.0 / speaking };
-        let floor = self.settings.floor;
-        shared * ((1.0 - floor) * by_demand + floor / speaking)
+    fn split<'a>(
+        &self,
+        now: Instant,
+        organisation: &name::Organisation,
+        told: &Rates,
+        others: usize,
+        heard: impl Iterator<Item = Option<&'a Heard>>,
+    ) -> Split {
+        let (mut say, mut elsewhere) = (0.0, 0.0);
+        for heard in heard {
+            say += self.say(now, heard);
+            elsewhere += heard.map_or(0.0, |heard| self.heard_rate(now, heard, organisation));
+        }
+        let count = (others + 1) as f64;
+        Split {
+            here: rate(told, organisation),
+            elsewhere,
+            count,
+            speaking: (1.0 + say).min(count),
+            floor: self.settings.floor,
+        }
     }
 
     fn heard_rate(&self, now: Instant, heard: &Heard, organisation: &name::Organisation) -> f64 {
@@ -222,6 +231,29 @@
     }
 }
 
+/// An allowance between this member and others.
+#[derive(Clone, Copy, Debug)]
+struct Split {
+    here: f64,
+    elsewhere: f64,
+    count: f64,
+    speaking: f64,
+    floor: f64,
+}
+
+impl Split {
+    fn reserving(self) -> f64 {
+        self.speaking / self.count * self.among_speaking()
+    }
+
+    fn among_speaking(self) -> f64 {
+        let demand = self.here + self.elsewhere;
+        let equal = 1.0 / self.speaking;
+        let by_demand = if demand > 0.0 { self.here / demand } else { equal };
+        (1.0 - self.floor) * by_demand + self.floor * equal
+    }
+}
+
 fn rate(rates: &Rates, organisation: &name::Organisation) -> f64 {
     rates.get(organisation).copied().unwrap_or(0.0)
 }
--- a/bergamotshift-limit/src/share/pool.rs
+++ b/bergamotshift-limit/src/share/pool.rs
@@ -25,7 +25,7 @@
     fn default() -> Self {
         Self {
             contention: 0.4,
-            burst: Duration::from_millis(250),
+            burst: Duration::from_millis(500),
         }
     }
 }
@@ -33,7 +33,7 @@
 /// What a service can do now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Supply {
-    /// Units of work per second, over all endpoints.
+    /// Units of work per second, over all endpoints that can be reached from here.
     pub capacity: f64,
     /// The wait of a request that arrives now.
     pub wait: Duration,
@@ -112,7 +112,7 @@
         for ((organisation, row), (claim, share)) in self.rows.iter().zip(claims.iter().zip(shares)) {
             let guaranteed = capacity * claim.weight / weights.max(f64::MIN_POSITIVE);
             let whole = share.max(guaranteed);
-            let portion = self.view.portion(now, organisation);
+            let portion = self.view.reachable(now, organisation);
             // Arrivals that are split over entries fluctuate by the root of their number, not by the number.
             let burst = whole * portion.sqrt() * self.settings.burst.as_secs_f64();
             row.cell.set(now, whole * portion, burst);
