feat(claim): keep deferred jobs under leases that fence their results

Cause: an accepted job must outlive every entry, and a holder that paused past its lease must leave neither a second result nor a second bill. The result is written together with the removal of the open row at the version the holder wrote last, so no clock is trusted; a holder goes on while the table is away.

--- a/bergamotshift-claim/src/digest.rs
+++ b/bergamotshift-claim/src/digest.rs
@@ -29,6 +29,12 @@
         Self(hasher.finalize().into())
     }
 
+    /// Returns the first 128 bits.
+    pub(crate) fn leading_bits(self) -> u128 {
+        let leading = self.0.first_chunk().expect("a digest has 32 bytes");
+        u128::from_be_bytes(*leading)
+    }
+
     /// Returns the first byte, evenly spread over all values.
     pub(crate) const fn first(self) -> u8 {
         self.0[0]
--- a/bergamotshift-claim/src/lib.rs
+++ b/bergamotshift-claim/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`driver`] takes one non-repeatable request from its claim to its recorded answer.
 //! - [`batch`] puts the writes of many requests into few transactions (group commit).
 //! - [`window`] joins and replays requests that carry the same idempotency key inside one process.
+//! - [`job`] keeps deferred work until some entry has finished it.
 //!
 //! ```
 //! use bergamotshift_claim::prelude::*;
@@ -31,8 +32,10 @@
 
 pub mod answer;
 pub mod batch;
+pub mod codec;
 pub mod digest;
 pub mod driver;
+pub mod job;
 pub mod prelude;
 pub mod record;
 pub mod scope;
--- a/bergamotshift-claim/src/record.rs
+++ b/bergamotshift-claim/src/record.rs
@@ -5,9 +5,9 @@
 use bergamotshift_core::table;
 use serde::Deserialize;
 use serde::Serialize;
-use thiserror::Error;
 
 use crate::answer::Answer;
+use crate::codec;
 use crate::digest::Digest;
 use crate::scope::Scope;
 
@@ -43,45 +43,19 @@
     Withdrawn,
 }
 
-/// A row's body is no claim record.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Error)]
-pub enum Error {
-    /// The layout number is one that this version does not know.
-    #[error("the claim row has layout {0}, which this version does not read")]
-    Layout(u8),
-    /// The body does not decode.
-    #[error("the claim row does not decode: {0}")]
-    Codec(#[from] postcard::Error),
-    /// The body is empty.
-    #[error("the claim row is empty")]
-    Empty,
-}
-
-/// The layout that this version writes.
-const LAYOUT: u8 = 1;
-
 impl Record {
     /// Encodes the record as a row's body.
-    ///
-    /// # Panics
-    ///
-    /// Never: every part of a record has an encoding and the buffer grows as needed.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_extend(self, vec![LAYOUT]).expect("a record encodes into a growing buffer")
+        codec::encode(self)
     }
 
     /// Decodes a row's body.
     ///
     /// # Errors
     ///
-    /// Returns [`Error`] when the body is empty, has an unknown layout or does not decode.
-    pub fn decode(body: &[u8]) -> Result<Self, Error> {
-        match body {
-            [] => Err(Error::Empty),
-            [LAYOUT, rest @ ..] => Ok(postcard::from_bytes(rest)?),
-            [layout, ..] => Err(Error::Layout(*layout)),
-        }
+    /// Returns an error when the body is empty, has an unknown layout or does not decode.
+    pub fn decode(body: &[u8]) -> Result<Self, codec::Error> {
+        codec::decode(body)
     }
 
     /// Returns the write that puts this record over the row's version `base`, where 0 means that no row exists.
--- a/bergamotshift-claim/tests/driver.rs
+++ b/bergamotshift-claim/tests/driver.rs
@@ -1,8 +1,8 @@
 //! What a driver answers when a row already stands under the key, and what it records.
 
 use bergamotshift_claim::answer;
+use bergamotshift_claim::codec;
 use bergamotshift_claim::prelude::*;
-use bergamotshift_claim::record;
 use bergamotshift_claim::record::State;
 use bergamotshift_core::attempt;
 use bergamotshift_core::clock::Instant;
@@ -206,7 +206,7 @@
     }
 
     fn any_bytes_decode_or_are_refused(bytes: Vec<u8>) -> bool {
-        !matches!(Record::decode(&bytes), Err(record::Error::Empty)) || bytes.is_empty()
+        !matches!(Record::decode(&bytes), Err(codec::Error::Empty)) || bytes.is_empty()
     }
 
     fn a_cut_record_is_refused(record: Wrapped, cut: usize) -> bool {
--- a/bergamotshift-claim/tests/explore/main.rs
+++ b/bergamotshift-claim/tests/explore/main.rs
@@ -1,4 +1,5 @@
 //! The protocols, explored exhaustively: every state that small models of them can reach.
 
 mod claim;
+mod job;
 mod search;
--- a/bergamotshift-claim/tests/explore/search.rs
+++ b/bergamotshift-claim/tests/explore/search.rs
@@ -85,7 +85,8 @@
     }
 }
 
-fn fingerprint<S: Hash>(state: &S) -> u128 {
+/// Returns 128 bits that tell states apart, the same in every run.
+pub fn fingerprint<S: Hash>(state: &S) -> u128 {
     let half = |salt: u8| {
         let mut hasher = DefaultHasher::new();
         salt.hash(&mut hasher);
--- /dev/null
+++ b/bergamotshift-claim/tests/job.rs
@@ -0,0 +1,139 @@
+//! Finding open jobs, sharing the listing out, and the rows' encodings.
+
+use core::time::Duration;
+
+use bergamotshift_claim::job;
+use bergamotshift_claim::prelude::*;
+use bergamotshift_core::attempt;
+use bergamotshift_core::clock::Instant;
+use bergamotshift_core::name;
+use bergamotshift_core::table::Row;
+use bergamotshift_core::urgency::Urgency;
+use quickcheck::quickcheck;
+
+fn open(lease: Option<u32>, urgency: Urgency) -> job::Open {
+    job::Open {
+        urgency,
+        deadline: 7,
+        fence: 1,
+        lease: lease.map(|length| job::Lease {
+            holder: "entry-2".into(),
+            run: attempt::Id::new(3),
+            length,
+        }),
+    }
+}
+
+fn row(version: u64, open: &job::Open) -> Row {
+    let body = open.encode();
+    Row { version, body }
+}
+
+fn ids(candidates: &[job::Candidate]) -> Vec<job::Id> {
+    candidates.iter().map(|candidate| candidate.id).collect()
+}
+
+// The holder of a rebuild dies. Its lease shows no sign of it but that the row is not renewed. Another entry sees
+// the same version for the lease's length on its own clock and takes the job; a renewal in between starts anew.
+#[test]
+fn a_lease_lapses_when_its_row_stands_still() {
+    let mut watch = job::Watch::default();
+    let id = job::Id::new(0);
+    let held = open(Some(60_000), Urgency::Normal);
+    let mut list = |seconds, version| watch.listed(Instant::from_secs(seconds), 0, &[(id, row(version, &held))]);
+    assert_eq!(ids(&list(0, 4)), []);
+    assert_eq!(ids(&list(59, 4)), []);
+    assert_eq!(ids(&list(61, 5)), [], "it was renewed");
+    assert_eq!(ids(&list(120, 5)), []);
+    assert_eq!(ids(&list(121, 5)), [id]);
+}
+
+#[test]
+fn free_jobs_come_at_once_and_the_pressing_first() {
+    let mut watch = job::Watch::default();
+    let late = job::Id::new(0);
+    let pressing = job::Id::new(1);
+    let rows = [
+        (late, row(1, &open(None, Urgency::Deferrable))),
+        (pressing, row(1, &open(None, Urgency::Urgent))),
+    ];
+    assert_eq!(ids(&watch.listed(Instant::ZERO, 0, &rows)), [pressing, late]);
+}
+
+#[test]
+fn a_job_that_was_closed_and_listed_again_starts_anew() {
+    let mut watch = job::Watch::default();
+    let id = job::Id::new(0);
+    let rows = [(id, row(1, &open(Some(10_000), Urgency::Normal)))];
+    watch.listed(Instant::ZERO, 0, &rows);
+    watch.listed(Instant::from_secs(5), 0, &[]);
+    assert_eq!(ids(&watch.listed(Instant::from_secs(11), 0, &rows)), []);
+}
+
+fn members(count: usize) -> Vec<name::Entry> {
+    (0..count)
+        .map(|number| name::Entry::new(format!("entry-{number}")))
+        .collect()
+}
+
+// Every shard is listed by exactly one entry, so the reads do not grow with the entries.
+#[test]
+fn shards_are_shared_out_among_the_entries() {
+    const PERIOD: Duration = Duration::from_secs(5);
+    for count in [1, 8, 390] {
+        let members = members(count);
+        let shares = members
+            .iter()
+            .map(|entry| job::shards(entry, &members))
+            .collect::<Vec<_>>();
+        let mut all = shares.iter().flatten().copied().collect::<Vec<_>>();
+        all.sort_unstable();
+        assert_eq!(all, (0..job::SHARDS).collect::<Vec<_>>());
+        let most = shares.iter().map(Vec::len).max().unwrap();
+        let reads = all.len() as f64 / PERIOD.as_secs_f64();
+        println!(
+            "{count} entries list {} shards every {PERIOD:?}: {reads:.1} reads/s in all, {most} shards at most",
+            all.len()
+        );
+    }
+}
+
+#[test]
+fn a_leaving_entry_moves_its_own_shards_alone() {
+    let members = members(8);
+    let left = &members[1..];
+    for entry in left {
+        let before = job::shards(entry, &members);
+        let after = job::shards(entry, left);
+        assert!(before.iter().all(|shard| after.contains(shard)));
+    }
+}
+
+#[test]
+fn a_key_names_its_job_and_no_other_organisations() {
+    let own = job::Id::of(&Scope::new("a", "mapa-llm", "rebuild-1"));
+    assert_eq!(own, job::Id::of(&Scope::new("a", "mapa-llm", "rebuild-1")));
+    assert_ne!(own, job::Id::of(&Scope::new("b", "mapa-llm", "rebuild-1")));
+}
+
+quickcheck! {
+    fn identifiers_survive_text(bits: u128) -> bool {
+        let id = job::Id::new(bits);
+        id.to_string().parse() == Ok(id) && id.shard() < job::SHARDS
+    }
+
+    fn open_rows_survive_their_encoding(lease: Option<u32>, fence: u64) -> bool {
+        let open = job::Open { fence, ..open(lease, Urgency::Normal) };
+        job::Open::decode(&open.encode()) == Ok(open)
+    }
+
+    fn any_bytes_decode_or_are_refused(bytes: Vec<u8>) -> bool {
+        job::Open::decode(&bytes).is_ok_and(|open| job::Open::decode(&open.encode()) == Ok(open))
+            || job::Open::decode(&bytes).is_err()
+    }
+
+    fn any_bytes_are_a_record_or_refused(bytes: Vec<u8>) -> bool {
+        job::Record::decode(&bytes).is_ok_and(|record| job::Record::decode(&record.encode()) == Ok(record))
+            || job::Record::decode(&bytes).is_err()
+    }
+}
