feat(route): reclaim plans for streams on leaving endpoints

Cause: a notice leaves seconds, and a whole zone's streams compete for links and for the endpoints that are left. Each stream finishes, moves its KV cache, resumes or starts over; moves reserve link time, urgent and dear ones first; restarts spread over the notice. Ruled out: moving only what transfers faster than it recomputes, since links are idle and engine time is what lacks after a reclaim.

--- a/bergamotshift-route/src/estimate/mod.rs
+++ b/bergamotshift-route/src/estimate/mod.rs
@@ -30,17 +30,20 @@
 
 impl Default for Speed {
     fn default() -> Self {
-        Self {
-            step_nanos: 12_000_000,
-            sequence_nanos: 250_000,
-            prompt_token_nanos: 50_000,
-            chunk_tokens: 512,
-            slots: 128,
-        }
+        Self::REFERENCE
     }
 }
 
 impl Speed {
+    /// An engine over eight accelerators, as assumed until a class says otherwise.
+    pub const REFERENCE: Self = Self {
+        step_nanos: 12_000_000,
+        sequence_nanos: 250_000,
+        prompt_token_nanos: 50_000,
+        chunk_tokens: 512,
+        slots: 128,
+    };
+
     /// Returns the time of a decode step with this many running sequences, in microseconds.
     pub fn step_micros(&self, batch: f32) -> f32 {
         (self.step_nanos as f32 + self.sequence_nanos as f32 * batch) / NANOS
--- a/bergamotshift-route/src/lib.rs
+++ b/bergamotshift-route/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod policy;
 pub mod prefix;
 pub mod prelude;
+pub mod reclaim;
 pub mod registry;
 pub mod set;
 pub mod view;
