perf(route): one score of cost and lateness; hints for every block

Cause, found in the replay's timeline: on a lagging view the margin was missed on most endpoints, and the fallback took the least loaded one whatever its cache held; long prompts recorded hints at places that the session's next turn did not probe; a flat surcharge for full endpoints outweighed a cached prompt; deferrable work counted its own prompt as a queue and waited in front of idle engines; queued deferrable prompts kept urgent work away from fresh VMs. Ruled out: more candidates (recomputes more), the price alone (moves load to cold caches), and a stricter margin (the same). The replay's capacity loop now counts computed work and queues, and caps a class's share, under every policy.

--- a/bergamotshift-replay/src/engine/mod.rs
+++ b/bergamotshift-replay/src/engine/mod.rs
@@ -126,6 +126,11 @@
         self.running.len() + self.queue.len()
     }
 
+    /// Returns the work that waits.
+    pub fn queued(&self) -> impl Iterator<Item = &Work> {
+        self.queue.values().map(|prompt| &prompt.work)
+    }
+
     /// Returns whether nothing runs or waits.
     pub fn is_empty(&self) -> bool {
         self.running.is_empty() && self.queue.is_empty()
--- a/bergamotshift-replay/src/world/dispatch.rs
+++ b/bergamotshift-replay/src/world/dispatch.rs
@@ -23,7 +23,7 @@
 /// How long after the arrivals' end, or a deadline, a request without any endpoint is kept.
 const GIVE_UP: Duration = Duration::from_mins(5);
 /// Deferred jobs that an entry sends at most with one publication.
-const PUMP: usize = 16;
+const PUMP: usize = 4;
 
 impl World {
     pub(super) fn arrive(&mut self, now: Instant) {
@@ -120,10 +120,6 @@
             self.agenda.add(now + fleet::REFUSED, Event::Send { job });
             return Ok(());
         };
-        if request.service == Service::Model {
-            let work = fleet::work(choice.estimate.prompt_tokens, ask.answer_tokens);
-            self.scaler.note(work);
-        }
         task.flight = Some(entry.view.send(&choice, &ask));
         task.vm = Some(vm);
         task.epoch += 1;
@@ -193,6 +189,12 @@
         let held = (cached / block_tokens) as usize;
         self.tally.prompt += u64::from(context);
         self.tally.cached += u64::from(cached);
+        let request = &task.request;
+        let planned_by_deadline = self.defers && request.urgency == Urgency::Deferrable;
+        if request.service == Service::Model && !planned_by_deadline {
+            let answer = request.answer_expected.saturating_sub(task.received).max(1);
+            self.scaler.note(fleet::work(context - cached, answer));
+        }
         let mut again = 0;
         for block in task.request.chain.blocks(context, block_tokens).skip(held) {
             again += u64::from(!self.computed.insert(block)) * u64::from(block_tokens);
--- a/bergamotshift-replay/src/world/fleet.rs
+++ b/bergamotshift-replay/src/world/fleet.rs
@@ -34,12 +34,14 @@
     f64::from(speed.prompt_micros(prompt as f32) + speed.token_micros() * answer as f32) / MICROS
 }
 
-/// Returns the rate of work in the first minute, which a site that has been running for long would know.
+/// Returns the rate of work after the first sessions have had their turns, which a site that has been running for long
+/// would know at the start.
 pub(super) fn expected_rate(arrivals: &[Request]) -> f64 {
-    const WINDOW: Duration = Duration::from_mins(1);
+    const FROM: Instant = Instant::from_secs(60);
+    const WINDOW: Duration = Duration::from_mins(2);
     let early = arrivals
         .iter()
-        .filter(|request| request.service == Service::Model && request.at < Instant::ZERO + WINDOW);
+        .filter(|request| request.service == Service::Model && (FROM..FROM + WINDOW).contains(&request.at));
     let sum: f64 = early
         .map(|request| work(request.prompt / 2, request.answer_expected))
         .sum();
@@ -70,7 +72,7 @@
             return;
         }
         let deferred = self.deferred_rate(now);
-        let orders = self.scaler.tick(now, deferred, &self.vms);
+        let orders = self.scaler.tick(now, deferred + self.backlog_rate(), &self.vms);
         if self.suffers(Fault::Platform, now) {
             return;
         }
@@ -94,6 +96,20 @@
             .sum()
     }
 
+    /// Returns the rate of work that clears the engines' queues soon.
+    fn backlog_rate(&self) -> f64 {
+        const CLEAR_IN: f64 = 30.0;
+        let engines = self
+            .vms
+            .iter()
+            .filter(|vm| vm.offer.service == Service::Model)
+            .filter_map(|vm| vm.engine.as_ref());
+        let queued = engines
+            .flat_map(Engine::queued)
+            .filter(|work| !(self.defers && work.urgency == Urgency::Deferrable));
+        queued.map(|queued| work(queued.context / 2, queued.left)).sum::<f64>() / CLEAR_IN
+    }
+
     fn start(&mut self, vm: usize, now: Instant) {
         let offer = self.vms[vm].offer;
         if self.closed_zones.contains(&offer.zone) || self.is_market_empty(offer.market, now) {
--- a/bergamotshift-replay/src/world/mod.rs
+++ b/bergamotshift-replay/src/world/mod.rs
@@ -71,6 +71,8 @@
     site: Site,
     workload: Workload,
     policy: Box<dyn Policy>,
+    /// Whether the policy holds deferrable work back, so that capacity for it is planned by its deadline.
+    defers: bool,
     agenda: Agenda,
     arrivals: std::vec::IntoIter<Request>,
     tasks: Vec<Task>,
@@ -111,6 +113,7 @@
         let mut world = Self {
             scenario: scenario.clone(),
             policy,
+            defers: scenario.policy == policy::DEFAULT,
             agenda: Agenda::default(),
             arrivals: arrivals.into_iter(),
             tasks: Vec::new(),
--- a/bergamotshift-replay/src/world/scale.rs
+++ b/bergamotshift-replay/src/world/scale.rs
@@ -17,6 +17,11 @@
 
 /// The most that one zone may have of the wanted capacity.
 const ZONE_SHARE: f64 = 0.4;
+/// The most that one machine class may have of the wanted capacity: the market of a class can empty as a whole, and a
+/// class with slow engines alone cannot meet the target for a long prompt.
+const CLASS_SHARE: f64 = 0.5;
+/// Capacity that is always held, in reference engines: with the share above, no zone's loss takes all.
+const LEAST: f64 = 2.0;
 /// Ticks for which capacity must have been too much before some is stopped.
 const PATIENCE: u32 = 12;
 /// How long a zone's market that refused a start is left alone.
@@ -78,7 +83,7 @@
 
     /// Returns the orders for the rate that is known.
     pub fn plan(&mut self, now: Instant, deferred: f64, vms: &[Vm]) -> Vec<Order> {
-        let wanted = (self.fast.max(self.slow) + deferred) / self.heat;
+        let wanted = ((self.fast.max(self.slow) + deferred) / self.heat).max(LEAST);
         let mut held: f64 = models(vms)
             .filter(|(_, vm)| vm.serves())
             .map(|(_, vm)| vm.offer.power())
@@ -98,21 +103,27 @@
 
     fn grow(&self, now: Instant, wanted: f64, held: &mut f64, vms: &[Vm], orders: &mut Vec<Order>) {
         let mut zones: BTreeMap<u8, f64> = BTreeMap::new();
+        let mut classes: BTreeMap<u8, f64> = BTreeMap::new();
         for (_, vm) in models(vms).filter(|(_, vm)| vm.serves()) {
             *zones.entry(vm.offer.zone).or_default() += vm.offer.power();
+            *classes.entry(vm.offer.class).or_default() += vm.offer.power();
         }
         let mut offers: Vec<(usize, &Vm)> = models(vms).filter(|(_, vm)| vm.state == State::Off).collect();
         offers.sort_by(|left, right| left.1.offer.price_of_work().total_cmp(&right.1.offer.price_of_work()));
         for (place, vm) in offers {
             let zone = zones.entry(vm.offer.zone).or_default();
+            let class = classes.entry(vm.offer.class).or_default();
+            let power = vm.offer.power();
             let backing_off = self
                 .refused
                 .get(&(vm.offer.zone, vm.offer.market))
                 .is_some_and(|&until| now < until);
-            let crowded = *zone + vm.offer.power() > (wanted * ZONE_SHARE).max(1.0);
+            let crowded =
+                *zone + power > (wanted * ZONE_SHARE).max(1.0) || *class + power > (wanted * CLASS_SHARE).max(1.0);
             if *held < wanted && !backing_off && !crowded {
-                *zone += vm.offer.power();
-                *held += vm.offer.power();
+                *zone += power;
+                *class += power;
+                *held += power;
                 orders.push(Order::Start(place));
             }
         }
--- a/bergamotshift-route/src/estimate/mod.rs
+++ b/bergamotshift-route/src/estimate/mod.rs
@@ -44,6 +44,11 @@
         slots: 128,
     };
 
+    /// Returns how many times the reference engine's time the same work takes.
+    pub fn slowness(&self) -> f32 {
+        self.prompt_token_nanos as f32 / Self::REFERENCE.prompt_token_nanos as f32
+    }
+
     /// Returns the time of a decode step with this many running sequences, in microseconds.
     pub fn step_micros(&self, batch: f32) -> f32 {
         (self.step_nanos as f32 + self.sequence_nanos as f32 * batch) / NANOS
@@ -141,10 +146,16 @@
     pub first_micros: f32,
     /// Time between tokens, in microseconds.
     pub between_micros: f32,
+    /// Engine time of the prompts that wait already, of any urgency, in microseconds.
+    pub queue_micros: f32,
     /// Prompt tokens to compute.
     pub prompt_tokens: f32,
     /// Cost of the engine time in millionths of a currency unit, with the expected cost of a reclaim.
     pub cost: f32,
+    /// The same at the mean price of the service's endpoints.
+    pub mean_cost: f32,
+    /// The mean cost with nothing cached.
+    pub full_cost: f32,
     /// The load it rests on.
     pub load: Load,
 }
@@ -162,23 +173,29 @@
         let answer = ask.answer_tokens.max(1) as f32;
 
         // A queued prompt slows every step by a chunk, so waiting time is counted in steps that carry one.
-        let steps = ((load.backlog + prompt) / chunk).max(1.0);
-        let waiting = (load.sequences + 1.0 - load.slots).max(0.0);
+        let ahead = row.counter.share_ahead(ask.urgency);
+        let queued = load.backlog * ahead + prompt;
+        let steps = (queued / chunk).max(1.0);
+        let waiting = (load.sequences * ahead + 1.0 - load.slots).max(0.0);
         let slot_micros = answer * step / load.slots;
-        let first_micros = steps * step + speed.prompt_micros(load.backlog + prompt) + waiting * slot_micros;
+        let first_micros = steps * step + speed.prompt_micros(queued) + waiting * slot_micros;
         let between_micros = step + Self::interference(row, load) * speed.chunk_micros();
 
         let engine = speed.prompt_micros(prompt) + answer * speed.token_micros();
         // Endpoints without a price would all cost nothing and tie; one unit keeps them in the order of engine time.
         let rate = endpoint.price.as_micros().max(1) as f32 / MICROS_PER_HOUR;
+        let mean_rate = view.mean_price(endpoint.service).max(1.0) / MICROS_PER_HOUR / speed.slowness();
         let span = first_micros + answer * between_micros;
         let reclaims = endpoint.reclaims_per_mille_hour as f32 / 1_000.0 * span / MICROS_PER_HOUR;
         let again = speed.prompt_micros(ask.prompt_tokens as f32 + answer / 2.0);
         Self {
             first_micros,
             between_micros,
+            queue_micros: speed.prompt_micros(load.backlog),
             prompt_tokens: prompt,
             cost: rate * (engine + reclaims * again),
+            mean_cost: mean_rate * (engine + reclaims * again),
+            full_cost: mean_rate * (speed.prompt_micros(ask.prompt_tokens as f32) + answer * speed.token_micros()),
             load,
         }
     }
@@ -201,9 +218,13 @@
 
     /// Returns how much of the tighter target is used: 1 is just met.
     pub fn pressure(&self, ask: &Ask<'_>) -> f32 {
-        let first = self.first_micros / (ask.first_token.as_micros() as f32).max(1.0);
         let between = self.between_micros / (ask.between_tokens.as_micros() as f32).max(1.0);
-        first.max(between)
+        self.first_pressure(ask).max(between)
+    }
+
+    /// Returns how much of the target for the first token is used.
+    pub fn first_pressure(&self, ask: &Ask<'_>) -> f32 {
+        self.first_micros / (ask.first_token.as_micros() as f32).max(1.0)
     }
 
     /// Returns the forecast in the units that callers use.
--- a/bergamotshift-route/src/policy/target.rs
+++ b/bergamotshift-route/src/policy/target.rs
@@ -29,12 +29,18 @@
     pub candidates_least: usize,
     /// Share of the target that a forecast may use and still count as meeting it.
     pub margin: f32,
+    /// How much an endpoint's own price counts against the mean price of its service, from 0 to 1.
+    pub price: f32,
     /// How much a full endpoint counts as dearer than an empty one.
     pub crowding: f32,
+    /// What a request that just misses its target costs, in times its whole engine time: urgent, normal, deferrable.
+    pub lateness: [f32; 3],
     /// Share of the slots that deferrable work may fill.
     pub deferrable_room: f32,
     /// Share of the target that deferrable work may use up.
     pub deferrable_margin: f32,
+    /// The longest queue of prompts, in engine time, at which deferrable work still finds room.
+    pub deferrable_queue: Duration,
     /// How long deferrable work waits before it asks again.
     pub deferrable_wait: Duration,
     /// Deferrable work stops waiting when its deadline is nearer than this many times its expected span.
@@ -44,12 +50,15 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            candidates: 12,
-            candidates_least: 3,
-            margin: 0.8,
-            crowding: 2.0,
-            deferrable_room: 0.8,
+            candidates: 5,
+            candidates_least: 2,
+            margin: 0.9,
+            price: 0.3,
+            crowding: 0.5,
+            lateness: [3.0, 1.0, 0.25],
+            deferrable_room: 0.75,
             deferrable_margin: 0.8,
+            deferrable_queue: Duration::from_secs(1),
             deferrable_wait: Duration::from_secs(2),
             deferrable_spans: 4.0,
         }
@@ -83,7 +92,7 @@
     }
 
     fn settle(&self, view: &View, ask: &Ask<'_>, best: &Best) -> Result<Choice, Refusal> {
-        let candidate = best.meeting.or(best.nearest).ok_or(Refusal::Nowhere)?;
+        let candidate = best.0.ok_or(Refusal::Nowhere)?;
         if ask.urgency == Urgency::Deferrable {
             self.yields(ask, &candidate.forecast)?;
         }
@@ -93,7 +102,8 @@
     /// Holds deferrable work back while it would crowd out urgent work and its deadline allows it.
     fn yields(&self, ask: &Ask<'_>, forecast: &Forecast) -> Result<(), Refusal> {
         let room = forecast.load.sequences < self.settings.deferrable_room * forecast.load.slots;
-        if room && forecast.pressure(ask) < self.settings.deferrable_margin {
+        let soon = forecast.queue_micros < self.settings.deferrable_queue.as_micros() as f32;
+        if room && soon && forecast.pressure(ask) < self.settings.deferrable_margin {
             return Ok(());
         }
         let span = forecast.first_micros + forecast.between_micros * ask.answer_tokens as f32;
@@ -163,36 +173,34 @@
     forecast: Forecast,
 }
 
-/// The best candidates so far: the cheapest that meets the target, and the one nearest to it.
+/// The candidate with the least score so far.
 #[derive(Clone, Copy, Debug, Default)]
-struct Best {
-    meeting: Option<Candidate>,
-    nearest: Option<Candidate>,
-}
+struct Best(Option<Candidate>);
 
 impl Best {
     fn take(&mut self, view: &View, ask: &Ask<'_>, settings: &Settings, place: u16, cached: f32) {
-        let forecast = Forecast::of(view, &view.rows[usize::from(place)], ask, cached);
-        let pressure = forecast.pressure(ask);
-        if pressure <= settings.margin {
-            let fill = forecast.load.sequences / forecast.load.slots;
-            let score = forecast.cost * (1.0 + settings.crowding * fill.max(pressure).powi(2));
-            keep(&mut self.meeting, Candidate { place, score, forecast });
+        let row = &view.rows[usize::from(place)];
+        let forecast = Forecast::of(view, row, ask, cached);
+        let score = settings.score(ask, &forecast);
+        if self.0.is_none_or(|best| score < best.score) {
+            *self = Self(Some(Candidate { place, score, forecast }));
         }
-        keep(
-            &mut self.nearest,
-            Candidate {
-                place,
-                score: pressure,
-                forecast,
-            },
-        );
     }
 }
 
-fn keep(best: &mut Option<Candidate>, new: Candidate) {
-    if best.is_none_or(|old| new.score < old.score) {
-        *best = Some(new);
+impl Settings {
+    /// Returns what running the request there costs, in money and in lateness.
+    fn score(&self, ask: &Ask<'_>, forecast: &Forecast) -> f32 {
+        let pressure = match ask.urgency {
+            // Nobody reads deferrable answers as they are generated.
+            Urgency::Deferrable => forecast.first_pressure(ask),
+            Urgency::Urgent | Urgency::Normal => forecast.pressure(ask),
+        };
+        let weight = self.lateness[ask.urgency as usize];
+        let late = (pressure - self.margin).max(0.0) / (1.0 - self.margin);
+        let fill = forecast.load.sequences / forecast.load.slots;
+        let cost = self.price * forecast.cost + (1.0 - self.price) * forecast.mean_cost;
+        cost * (1.0 + self.crowding * fill * fill) + forecast.full_cost * weight * late * late
     }
 }
 
--- a/bergamotshift-route/src/prefix/mod.rs
+++ b/bergamotshift-route/src/prefix/mod.rs
@@ -30,7 +30,7 @@
 pub const MATCHES: usize = 6;
 
 /// How many blocks of a prompt a lookup probes at most.
-const PROBES: usize = 8;
+const PROBES: usize = 16;
 
 /// An endpoint's place in its arena with a few bits of its generation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,7 +101,7 @@
 impl Index {
     /// Remembers that the endpoint computes these blocks, so that they are in its cache soon.
     pub fn record(&self, prefix: &[u64], endpoint: key::Endpoint, now: Instant) {
-        for (_, &block) in probes(prefix) {
+        for &block in prefix {
             self.insert(block, endpoint, now);
         }
     }
@@ -170,9 +170,13 @@
 }
 
 /// Returns the blocks to probe with how many blocks each covers, longest first.
+///
+/// The places of long prompts are multiples of a stride counted from the front, so that a session's next and longer
+/// prompt probes the same ones.
 fn probes(prefix: &[u64]) -> impl Iterator<Item = (u32, &u64)> {
     let stride = prefix.len().div_ceil(PROBES).max(1);
-    prefix
+    let whole = prefix.len() / stride * stride;
+    prefix[..whole]
         .iter()
         .enumerate()
         .rev()
--- a/bergamotshift-route/src/registry.rs
+++ b/bergamotshift-route/src/registry.rs
@@ -14,6 +14,7 @@
 use crate::set::Set;
 use crate::view::Class;
 use crate::view::Endpoint;
+use crate::view::Pool;
 use crate::view::Row;
 use crate::view::Service;
 use crate::view::View;
@@ -198,17 +199,20 @@
         let rows: Vec<Row> = self.endpoints.values().map(|state| state.row.clone()).collect();
         let slots = rows.iter().map(|row| prefix::Slot::of(row.key).place() + 1).max();
         let mut places = vec![u16::MAX; slots.unwrap_or(0)];
-        let mut pools = vec![Vec::new(); self.services.len()];
+        let mut pools = vec![Pool::default(); self.services.len()];
         for (place, row) in rows.iter().enumerate() {
             places[prefix::Slot::of(row.key).place()] = place as u16;
             if !row.leaving
                 && let Some(pool) = pools.get_mut(usize::from(row.endpoint.service.0))
             {
-                pool.push(place as u16);
+                pool.places.push(place as u16);
+                pool.mean_price += row.endpoint.price_of_work();
             }
         }
         for pool in &mut pools {
-            pool.sort_unstable_by_key(|&place| (rows[usize::from(place)].endpoint.price, place));
+            pool.mean_price /= pool.places.len().max(1) as f32;
+            pool.places
+                .sort_unstable_by_key(|&place| (rows[usize::from(place)].endpoint.price, place));
         }
         View {
             published: now,
--- a/bergamotshift-route/src/view/mod.rs
+++ b/bergamotshift-route/src/view/mod.rs
@@ -60,6 +60,13 @@
     pub speed: Speed,
 }
 
+impl Endpoint {
+    /// Returns the price per hour of as much work as the reference engine does, in millionths.
+    pub(crate) fn price_of_work(&self) -> f32 {
+        self.price.as_micros() as f32 * self.speed.slowness()
+    }
+}
+
 /// An endpoint in a view: what is known, and what changed since.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -100,13 +107,22 @@
     }
 }
 
+/// The live endpoints of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pool {
+    /// Places in the view's rows, cheapest first.
+    pub(crate) places: Vec<u16>,
+    /// Mean price per hour of the reference engine's work, in millionths.
+    pub(crate) mean_price: f32,
+}
+
 /// Every endpoint at one moment, with each service's endpoints in the order of their price.
 #[derive(Clone)]
 pub struct View {
     pub(crate) published: Instant,
     pub(crate) rows: Vec<Row>,
-    /// Live endpoints of each service, cheapest first, as places in `rows`.
-    pub(crate) pools: Vec<Vec<u16>>,
+    /// The pool of each service, by the service's number.
+    pub(crate) pools: Vec<Pool>,
     /// The place in `rows` of each arena slot, or `u16::MAX`.
     pub(crate) places: Vec<u16>,
     pub(crate) hints: Arc<prefix::Index>,
@@ -131,7 +147,16 @@
 
     /// Returns the places of a service's live endpoints, cheapest first.
     pub fn pool(&self, service: Service) -> &[u16] {
-        self.pools.get(usize::from(service.0)).map_or(&[], Vec::as_slice)
+        self.pools
+            .get(usize::from(service.0))
+            .map_or(&[], |pool| pool.places.as_slice())
+    }
+
+    /// Returns the mean price per hour of the reference engine's work among a service's live endpoints, in millionths.
+    pub(crate) fn mean_price(&self, service: Service) -> f32 {
+        self.pools
+            .get(usize::from(service.0))
+            .map_or(0.0, |pool| pool.mean_price)
     }
 
     /// Returns the index of prefix hints that all views of a registry share.
@@ -191,7 +216,7 @@
     pub fn send(&self, choice: &Choice, ask: &Ask<'_>) -> flight::Guard {
         let row = &self.rows[choice.index];
         self.hints.record(ask.prefix, row.key, ask.now);
-        flight::Guard::start(&row.counter, choice.estimate.prompt_tokens)
+        flight::Guard::start(&row.counter, ask.urgency, choice.estimate.prompt_tokens)
     }
 }
 
