perf(limit): add up what was heard once per tick

Cause: each organisation's portion went over all that was heard again, which grows as organisations times entries.

--- a/bergamotshift-limit/benches/admission.rs
+++ b/bergamotshift-limit/benches/admission.rs
@@ -1,4 +1,4 @@
-//! The cost of one admission, against the number of organisations.
+//! The cost of one admission, and of the control thread's tick, against the number of organisations.
 
 use core::hint::black_box;
 use core::time::Duration;
@@ -58,5 +58,49 @@
     group.finish();
 }
 
-criterion_group!(benches, admit);
+/// What an entry of the target size hears: 77 entries of its zone, each asked by 60 organisations, and 4 zones.
+fn hear(view: &mut demand::View, organisations: usize) {
+    let rates = |first: usize, count: usize| {
+        let name = |index: usize| name::Organisation::new(format!("organisation-{}", (first + index) % organisations));
+        (0..count.min(organisations)).map(|index| (name(index), 1.0)).collect()
+    };
+    for entry in 0..77 {
+        let origin = demand::Origin::Entry(name::Entry::new(format!("entry-{entry}")));
+        view.observe(Instant::ZERO, origin, Duration::ZERO, rates(entry * 7, 60));
+    }
+    for zone in 0..4 {
+        let origin = demand::Origin::Zone(name::Zone::new(format!("zone-{zone}")));
+        view.observe(Instant::ZERO, origin, Duration::ZERO, rates(0, organisations));
+    }
+}
+
+fn tick(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("tick");
+    for organisations in [5, 50, 500] {
+        let others = (0..4).map(|zone| name::Zone::new(format!("zone-{zone}"))).collect();
+        let mut pool = Pool::new(
+            share::Settings::default(),
+            demand::View::new(demand::Settings::default(), others, 77),
+        );
+        for index in 0..organisations {
+            pool.join(name::Organisation::new(format!("organisation-{index}")), 1.0);
+        }
+        hear(&mut pool.view, organisations);
+        let supply = share::Supply {
+            capacity: 1e6,
+            wait: Duration::ZERO,
+            target: Duration::from_secs(2),
+        };
+        let mut micros = 0;
+        group.bench_function(BenchmarkId::from_parameter(organisations), |bencher| {
+            bencher.iter(|| {
+                micros += 1;
+                pool.tick(Instant::from_micros(micros), black_box(supply));
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, admit, tick);
 criterion_main!(benches);
--- a/bergamotshift-limit/src/demand.rs
+++ b/bergamotshift-limit/src/demand.rs
@@ -149,7 +149,7 @@
     pub fn tell(&mut self, now: Instant) -> &Told {
         let mut zone = self.own.clone();
         for heard in self.entries.values() {
-            let say = self.say(now, Some(heard));
+            let say = self.say(now, heard);
             for (organisation, rate) in &heard.rates {
                 *zone.entry(organisation.clone()).or_insert(0.0) += rate * say;
             }
@@ -159,71 +159,46 @@
         &self.told
     }
 
-    /// Returns the whole fleet's demand of an organisation, as far as it is known.
-    pub fn total(&self, now: Instant, organisation: &name::Organisation) -> f64 {
-        let zones = self
-            .zones
-            .values()
-            .map(|heard| self.heard_rate(now, heard, organisation));
-        rate(&self.told.zone, organisation) + zones.sum::<f64>()
-    }
-
-    /// Returns this entry's portion of an organisation's allowance, between nought and one.
-    ///
-    /// Silent zones and entries keep theirs in reserve, so that all portions never add up to much more than one.
-    pub fn portion(&self, now: Instant, organisation: &name::Organisation) -> f64 {
-        let (zone, entry) = self.splits(now, organisation);
-        zone.reserving() * entry.reserving()
-    }
-
-    /// Returns this entry's portion of an organisation's share of what can be reached from here.
+    /// Adds up what the others said, by organisation.
     ///
-    /// Silent zones get nothing: a zone that is cut off has its own endpoints to itself. Entries of this zone that
-    /// are alive and silent share its endpoints and keep theirs.
-    pub fn reachable(&self, now: Instant, organisation: &name::Organisation) -> f64 {
-        let (zone, entry) = self.splits(now, organisation);
-        zone.among_speaking() * entry.reserving()
-    }
-
-    /// Returns how the allowance is split between zones, and this zone's between its entries.
-    fn splits(&self, now: Instant, organisation: &name::Organisation) -> (Split, Split) {
-        let others = self.others.iter().map(|zone| self.zones.get(zone));
-        let zone = self.split(now, organisation, &self.told.zone, self.others.len(), others);
-        let peers = self.entries.values().map(Some);
-        let entry = self.split(now, organisation, &self.told.entry, self.peers, peers);
-        (zone, entry)
+    /// All organisations' portions are then read from one pass over what was heard.
+    pub fn sums(&self, now: Instant) -> Sums<'_> {
+        let zones = self.others.iter().filter_map(|zone| self.zones.get(zone));
+        let entries = self.entries.values();
+        Sums {
+            zones: self.side(now, &self.told.zone, self.others.len(), zones),
+            entries: self.side(now, &self.told.entry, self.peers, entries),
+            floor: self.settings.floor,
+        }
     }
 
-    fn split<'a>(
+    fn side<'a>(
         &self,
         now: Instant,
-        organisation: &name::Organisation,
-        told: &Rates,
+        told: &'a Rates,
         others: usize,
-        heard: impl Iterator<Item = Option<&'a Heard>>,
-    ) -> Split {
-        let (mut say, mut elsewhere) = (0.0, 0.0);
+        heard: impl Iterator<Item = &'a Heard>,
+    ) -> Side<'a> {
+        let mut elsewhere: BTreeMap<&name::Organisation, f64> = BTreeMap::new();
+        let mut speaking = 1.0;
         for heard in heard {
-            say += self.say(now, heard);
-            elsewhere += heard.map_or(0.0, |heard| self.heard_rate(now, heard, organisation));
+            let say = self.say(now, heard);
+            speaking += say;
+            for (organisation, rate) in &heard.rates {
+                *elsewhere.entry(organisation).or_insert(0.0) += rate * say;
+            }
         }
         let count = (others + 1) as f64;
-        Split {
-            here: rate(told, organisation),
+        Side {
+            told,
             elsewhere,
             count,
-            speaking: (1.0 + say).min(count),
-            floor: self.settings.floor,
+            speaking: speaking.min(count),
         }
     }
 
-    fn heard_rate(&self, now: Instant, heard: &Heard, organisation: &name::Organisation) -> f64 {
-        rate(&heard.rates, organisation) * self.say(now, Some(heard))
-    }
-
-    /// Returns how much an origin's last word counts: all when fresh, nothing at the horizon or without any word.
-    fn say(&self, now: Instant, heard: Option<&Heard>) -> f64 {
-        let Some(heard) = heard else { return 0.0 };
+    /// Returns how much an origin's last word counts: all when fresh, nothing at the horizon.
+    fn say(&self, now: Instant, heard: &Heard) -> f64 {
         let Settings { fresh, horizon, .. } = self.settings;
         let left = horizon.saturating_sub(now.since(heard.at)).as_secs_f64();
         let falling = horizon.saturating_sub(fresh).as_secs_f64();
@@ -231,31 +206,70 @@
     }
 }
 
-/// An allowance between this member and others.
-#[derive(Clone, Copy, Debug)]
-struct Split {
-    here: f64,
-    elsewhere: f64,
-    count: f64,
-    speaking: f64,
+/// Everybody's demand at one moment, and what portions follow from it.
+#[derive(Clone, Debug)]
+pub struct Sums<'a> {
+    zones: Side<'a>,
+    entries: Side<'a>,
     floor: f64,
 }
 
-impl Split {
-    fn reserving(self) -> f64 {
-        self.speaking / self.count * self.among_speaking()
+impl Sums<'_> {
+    /// Returns the whole fleet's demand of an organisation, as far as it is known.
+    pub fn total(&self, organisation: &name::Organisation) -> f64 {
+        let (here, elsewhere) = self.zones.demand(organisation);
+        here + elsewhere
     }
 
-    fn among_speaking(self) -> f64 {
-        let demand = self.here + self.elsewhere;
-        let equal = 1.0 / self.speaking;
-        let by_demand = if demand > 0.0 { self.here / demand } else { equal };
-        (1.0 - self.floor) * by_demand + self.floor * equal
+    /// Returns this entry's portion of an organisation's allowance, between nought and one.
+    ///
+    /// Silent zones and entries keep theirs in reserve, so that all portions never add up to much more than one.
+    pub fn portion(&self, organisation: &name::Organisation) -> f64 {
+        let zone = self.zones.among_speaking(organisation, self.floor) * self.zones.heard();
+        zone * self.within_zone(organisation)
+    }
+
+    /// Returns this entry's portion of an organisation's share of what can be reached from here.
+    ///
+    /// Silent zones get nothing: a zone that is cut off has its own endpoints to itself. Entries of this zone that
+    /// are alive and silent share its endpoints and keep theirs.
+    pub fn reachable(&self, organisation: &name::Organisation) -> f64 {
+        self.zones.among_speaking(organisation, self.floor) * self.within_zone(organisation)
+    }
+
+    fn within_zone(&self, organisation: &name::Organisation) -> f64 {
+        self.entries.among_speaking(organisation, self.floor) * self.entries.heard()
     }
 }
 
-fn rate(rates: &Rates, organisation: &name::Organisation) -> f64 {
-    rates.get(organisation).copied().unwrap_or(0.0)
+/// An allowance between this member and others: this zone and other zones, or this entry and others of its zone.
+#[derive(Clone, Debug)]
+struct Side<'a> {
+    told: &'a Rates,
+    elsewhere: BTreeMap<&'a name::Organisation, f64>,
+    count: f64,
+    speaking: f64,
+}
+
+impl Side<'_> {
+    /// Returns the part of the allowance that is not kept for silent members.
+    fn heard(&self) -> f64 {
+        self.speaking / self.count
+    }
+
+    fn demand(&self, organisation: &name::Organisation) -> (f64, f64) {
+        let here = self.told.get(organisation).copied().unwrap_or(0.0);
+        let elsewhere = self.elsewhere.get(organisation).copied().unwrap_or(0.0);
+        (here, elsewhere)
+    }
+
+    fn among_speaking(&self, organisation: &name::Organisation, floor: f64) -> f64 {
+        let (here, elsewhere) = self.demand(organisation);
+        let demand = here + elsewhere;
+        let equal = 1.0 / self.speaking;
+        let by_demand = if demand > 0.0 { here / demand } else { equal };
+        (1.0 - floor) * by_demand + floor * equal
+    }
 }
 
 fn newer<K: Ord>(known: &mut BTreeMap<K, Heard>, key: K, at: Instant, rates: Rates) {
--- a/bergamotshift-limit/src/quota/ledger.rs
+++ b/bergamotshift-limit/src/quota/ledger.rs
@@ -32,7 +32,7 @@
 
     /// Opens an organisation's account, or returns it with new limits; use so far is kept if the same limits are set.
     pub fn open(&mut self, now: Instant, organisation: name::Organisation, limits: Limits) -> Arc<Account> {
-        let portion = self.view.portion(now, &organisation);
+        let portion = self.view.sums(now).portion(&organisation);
         let known = self
             .rows
             .get(&organisation)
@@ -59,8 +59,9 @@
             .iter()
             .map(|(name, row)| (name.clone(), row.account.drain_asked()));
         self.view.tick(now, asked);
+        let sums = self.view.sums(now);
         for (organisation, row) in &self.rows {
-            let portion = self.view.portion(now, organisation);
+            let portion = sums.portion(organisation);
             row.account.set(now, &row.limits, portion);
         }
     }
--- a/bergamotshift-limit/src/share/pool.rs
+++ b/bergamotshift-limit/src/share/pool.rs
@@ -106,23 +106,21 @@
             .iter()
             .map(|(name, row)| (name.clone(), row.cell.drain_asked()));
         self.view.tick(now, asked);
-        let claims: Vec<_> = self.rows.iter().map(|(name, row)| self.claim(now, name, row)).collect();
+        let sums = self.view.sums(now);
+        let claim = |(name, row): (&name::Organisation, &Row)| Claim {
+            weight: row.weight,
+            demand: sums.total(name),
+        };
+        let claims: Vec<_> = self.rows.iter().map(claim).collect();
         let weights: f64 = claims.iter().map(|claim| claim.weight).sum();
         let shares = fill(capacity, &claims);
         for ((organisation, row), (claim, share)) in self.rows.iter().zip(claims.iter().zip(shares)) {
             let guaranteed = capacity * claim.weight / weights.max(f64::MIN_POSITIVE);
             let whole = share.max(guaranteed);
-            let portion = self.view.reachable(now, organisation);
+            let portion = sums.reachable(organisation);
             // Arrivals that are split over entries fluctuate by the root of their number, not by the number.
             let burst = whole * portion.sqrt() * self.settings.burst.as_secs_f64();
             row.cell.set(now, whole * portion, burst);
         }
     }
-
-    fn claim(&self, now: Instant, organisation: &name::Organisation, row: &Row) -> Claim {
-        Claim {
-            weight: row.weight,
-            demand: self.view.total(now, organisation),
-        }
-    }
 }
--- a/bergamotshift-limit/tests/quota.rs
+++ b/bergamotshift-limit/tests/quota.rs
@@ -278,7 +278,7 @@
                 let origin = Origin::Entry(name::Entry::new(format!("entry-{other}")));
                 view.observe(now, origin, Duration::ZERO, told(other));
             }
-            view.portion(now, &HOTEL)
+            view.sums(now).portion(&HOTEL)
         };
         count == 0 || ((0..count).map(portion).sum::<f64>() - 1.0).abs() < 1e-6
     }
