feat(capacity): turn late answers, lists and reports into one picture and orders

Cause: the policies saw VMs as bought, started and drained, and nothing made that picture from a platform whose answers are lost and whose list lags. Tests bring about: answers that never come or come twice, a new holder right after a purchase, a VM that never comes up, a list that brings a leaving VM back, a drain whose VM gets work meanwhile, a stop without effect, and a holder that is cut off from all zones.

--- a/bergamotshift-capacity/src/lib.rs
+++ b/bergamotshift-capacity/src/lib.rs
@@ -1,7 +1,7 @@
 //! Capacity, placement and work-stealing policies without I/O.
 //!
-//! The holder of a service's capacity duty shows a [`policy::Policy`] the [`Situation`](policy::Situation) at each
-//! tick and carries out the actions it returns. [`placement`] decides which models and adapters lie on which VM, and
+//! The holder of a service's capacity duty feeds a [`duty::Kernel`] and carries out its orders; what they are is
+//! decided by a [`policy::Policy`], which sees the [`Situation`](policy::Situation) at each tick. [`placement`] decides which models and adapters lie on which VM, and
 //! [`steal`] in which zone deferred jobs wait.
 //!
 //! ```
@@ -17,6 +17,7 @@
 //! ```
 
 pub mod demand;
+pub mod duty;
 pub mod market;
 pub mod placement;
 pub mod policy;
--- a/bergamotshift-capacity/src/prelude.rs
+++ b/bergamotshift-capacity/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::demand;
 pub use crate::demand::Demand;
+pub use crate::duty;
 pub use crate::market::Offer;
 pub use crate::market::Phase;
 pub use crate::market::Slot;
--- /dev/null
+++ b/bergamotshift-capacity/tests/duty.rs
@@ -0,0 +1,235 @@
+//! The capacity duty against a platform whose answers and lists are late or lost.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use bergamotshift_capacity::duty::Kernel;
+use bergamotshift_capacity::duty::Order;
+use bergamotshift_capacity::duty::Settings;
+use bergamotshift_capacity::duty::Token;
+use bergamotshift_capacity::prelude::*;
+use bergamotshift_core::prelude::*;
+use bergamotshift_core::vm::Listing;
+use bergamotshift_core::vm::Role;
+use bergamotshift_core::vm::State;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const LEAVING: State = State::Leaving { notice_ms: 30_000 };
+
+fn at(second: u64) -> Instant {
+    Instant::from_secs(second)
+}
+
+fn offers() -> Vec<Offer> {
+    let offer = |zone| Offer {
+        slot: Slot::new(
+            name::Zone::new(zone),
+            name::Class::new_static("gpu"),
+            Market::Reclaimable,
+        ),
+        price: Price::from_micros(10),
+        rate: 1.0,
+    };
+    ZONES.map(offer).to_vec()
+}
+
+fn listing(zone: &str, incarnation: u64, state: State) -> Listing {
+    Listing {
+        name: name::Vm::new(format!("vm-{zone}")),
+        incarnation: Incarnation::new(incarnation),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        zone: name::Zone::new(zone),
+        class: name::Class::new_static("gpu"),
+        market: Market::Reclaimable,
+        role: Role::Endpoint(name::Service::new_static("planner-llm")),
+        state,
+    }
+}
+
+fn kernel() -> Kernel {
+    Kernel::new(
+        Settings::default(),
+        policy::build(policy::DEFAULT, policy::Settings::default()).unwrap(),
+        7,
+    )
+}
+
+fn tick(kernel: &mut Kernel, second: u64, urgent: f64) -> Vec<Order> {
+    let demand = Demand {
+        urgent,
+        deferrable: 0.0,
+    };
+    kernel.tick(at(second), &offers(), demand)
+}
+
+fn purchases(orders: &[Order]) -> Vec<(Token, String)> {
+    let purchase = |order: &Order| match order {
+        Order::Start { token, slot } => Some((*token, slot.zone.to_string())),
+        _ => None,
+    };
+    orders.iter().filter_map(purchase).collect()
+}
+
+/// Makes a kernel that holds a serving VM in each zone since the first second.
+fn settled() -> Kernel {
+    let mut kernel = kernel();
+    assert_eq!(tick(&mut kernel, 0, 2.0), []);
+    for (token, zone) in purchases(&tick(&mut kernel, 60, 2.0)) {
+        kernel.sold(at(61), token, name::Vm::new(format!("vm-{zone}")));
+    }
+    kernel.listed(at(100), &ZONES.map(|zone| listing(zone, 1, State::Live)));
+    for zone in ZONES {
+        kernel.serving(at(200), &name::Vm::new(format!("vm-{zone}")), false);
+    }
+    assert_eq!(tick(&mut kernel, 201, 2.0), []);
+    kernel
+}
+
+#[test]
+fn new_holder_does_not_buy_what_the_last_one_just_bought() {
+    // The last holder bought three VMs and lost its lease; the list shows them half a minute later. The new holder
+    // waits that long, sees them and buys nothing.
+    let mut kernel = kernel();
+    for second in [0, 10, 20] {
+        assert_eq!(tick(&mut kernel, second, 2.0), []);
+    }
+    kernel.listed(at(25), &ZONES.map(|zone| listing(zone, 1, State::Live)));
+    assert_eq!(tick(&mut kernel, 40, 2.0), []);
+}
+
+#[test]
+fn purchase_without_an_answer_is_repeated_under_its_token() {
+    // The platform's answers are lost. The same three purchases are asked for again, no others; when the answers come
+    // twice, each VM is counted once.
+    let mut kernel = kernel();
+    tick(&mut kernel, 0, 2.0);
+    let first = purchases(&tick(&mut kernel, 60, 2.0));
+    assert_eq!(first.len(), 3);
+    assert_eq!(tick(&mut kernel, 75, 2.0), []);
+    assert_eq!(purchases(&tick(&mut kernel, 90, 2.0)), first);
+    for (token, zone) in first.iter().chain(&first) {
+        kernel.sold(at(91), *token, name::Vm::new(format!("vm-{zone}")));
+    }
+    assert_eq!(tick(&mut kernel, 130, 2.0), []);
+}
+
+#[test]
+fn vm_that_never_serves_is_given_back_and_bought_elsewhere() {
+    // Three VMs are sold and two come up. After the boot time the third counts as a refused start: its zone pauses and
+    // the others are asked. It is stopped only once another VM of its zone is heard: until then the zone may be cut
+    // off and the VM may serve its callers.
+    let mut kernel = kernel();
+    tick(&mut kernel, 0, 2.0);
+    for (token, zone) in purchases(&tick(&mut kernel, 60, 2.0)) {
+        kernel.sold(at(61), token, name::Vm::new(format!("vm-{zone}")));
+    }
+    for zone in ["a", "b"] {
+        kernel.serving(at(200), &name::Vm::new(format!("vm-{zone}")), false);
+    }
+    let orders = tick(&mut kernel, 421, 2.0);
+    let stop = Order::Stop(name::Vm::new("vm-c"));
+    assert!(!orders.contains(&stop), "{orders:?}");
+    let zones: Vec<_> = purchases(&orders).into_iter().map(|(_, zone)| zone).collect();
+    assert_eq!(zones, ["a", "b"]);
+
+    let mut other = listing("c", 1, State::Live);
+    other.name = name::Vm::new("vm-other");
+    kernel.listed(at(430), &[other]);
+    kernel.serving(at(430), &name::Vm::new("vm-other"), false);
+    assert!(tick(&mut kernel, 431, 2.0).contains(&stop));
+}
+
+#[test]
+fn holder_that_is_cut_off_from_a_zone_stops_nothing_there() {
+    // A new holder sees three VMs in the list and hears of none, as it is cut off from all zones but the platform.
+    // However long that lasts it stops none of them; when it hears of them again they count.
+    let mut kernel = kernel();
+    tick(&mut kernel, 0, 2.0);
+    kernel.listed(at(10), &ZONES.map(|zone| listing(zone, 1, State::Live)));
+    for second in (20..2_000).step_by(20) {
+        let orders = tick(&mut kernel, second, 2.0);
+        assert!(
+            orders.iter().all(|order| matches!(order, Order::Start { .. })),
+            "{orders:?}"
+        );
+        for (token, _) in purchases(&orders) {
+            kernel.refused(at(second), token);
+        }
+    }
+    for zone in ZONES {
+        kernel.serving(at(2_000), &name::Vm::new(format!("vm-{zone}")), false);
+    }
+    assert_eq!(tick(&mut kernel, 2_001, 2.0), []);
+}
+
+#[test]
+fn reclaimed_vm_is_replaced_elsewhere_although_the_list_lags() {
+    // One VM gets notice. It counts no longer, its zone pauses, and a list of a moment ago that shows it as live does
+    // not bring it back; its next incarnation does count.
+    let mut kernel = settled();
+    let left = |state| {
+        [
+            listing("a", 1, State::Live),
+            listing("b", 1, State::Live),
+            listing("c", 1, state),
+        ]
+    };
+    kernel.listed(at(300), &left(LEAVING));
+    let bought = purchases(&tick(&mut kernel, 301, 2.0));
+    assert!(
+        bought.iter().all(|(_, zone)| zone != "c") && !bought.is_empty(),
+        "{bought:?}"
+    );
+    for (token, _) in bought {
+        kernel.refused(at(302), token);
+    }
+    kernel.listed(at(303), &left(State::Live));
+    assert!(
+        !purchases(&tick(&mut kernel, 400, 2.0)).is_empty(),
+        "the leaving VM counts no more"
+    );
+    let mut kernel = settled();
+    kernel.listed(at(300), &left(LEAVING));
+    kernel.listed(
+        at(310),
+        &[
+            listing("a", 1, State::Live),
+            listing("b", 1, State::Live),
+            listing("c", 2, State::Live),
+        ],
+    );
+    assert_eq!(tick(&mut kernel, 311, 2.0), []);
+}
+
+#[test]
+fn scale_in_stops_only_what_is_idle_after_its_drain() {
+    // Demand falls to nothing. A VM that was idle before its drain may have got work since, so only a report after it
+    // counts. Its stop is repeated until the list shows it no longer.
+    let mut kernel = settled();
+    let mut second = 300;
+    let drained = loop {
+        second += 60;
+        for zone in ZONES {
+            kernel.serving(at(second), &name::Vm::new(format!("vm-{zone}")), true);
+        }
+        if let [Order::Drain(vm)] = &*tick(&mut kernel, second, 0.0) {
+            break vm.clone();
+        }
+        assert!(second < 10_000, "nothing is drained");
+    };
+    let stop = Order::Stop(drained.clone());
+    assert!(!tick(&mut kernel, second + 1, 0.0).contains(&stop));
+    let again = tick(&mut kernel, second + 31, 0.0);
+    assert!(
+        again.contains(&Order::Drain(drained.clone())) && !again.contains(&stop),
+        "{again:?}"
+    );
+    kernel.serving(at(second + 32), &drained, true);
+    assert!(tick(&mut kernel, second + 33, 0.0).contains(&stop));
+    assert!(!tick(&mut kernel, second + 34, 0.0).contains(&stop));
+    assert!(tick(&mut kernel, second + 70, 0.0).contains(&stop));
+    let listings = ZONES.map(|zone| listing(zone, 1, State::Live));
+    let left: Vec<_> = listings.into_iter().filter(|listing| listing.name != drained).collect();
+    kernel.listed(at(second + 80), &left);
+    assert!(!tick(&mut kernel, second + 120, 0.0).contains(&stop));
+}
