refactor(capacity): move the models that policies are measured on out of the tests

They are a small module now, which tests hold against the same bounds and other tools may call. A test's name said that the default costs least of the policies that keep the target, which its figures never showed; the name now says what it checks.

--- /dev/null
+++ b/bergamotshift-capacity/src/bench/platform.rs
@@ -0,0 +1,104 @@
+//! The model's platform: it sells VMs, starts them, and takes zones back.
+
+use core::time::Duration;
+
+use bergamotshift_core::prelude::*;
+
+use super::market;
+use super::market::Loss;
+use crate::market::Offer;
+use crate::market::Phase;
+use crate::market::Slot;
+use crate::market::Vm;
+use crate::policy::Action;
+use crate::policy::Event;
+
+/// From a purchase until the VM serves.
+const BOOT: Duration = Duration::from_secs(150);
+
+#[derive(Debug)]
+pub(super) struct Platform {
+    pub(super) offers: Vec<Offer>,
+    pub(super) vms: Vec<Vm>,
+    pub(super) starts: u64,
+    pub(super) stops: u64,
+    ready: Vec<(Instant, name::Vm)>,
+}
+
+impl Platform {
+    pub(super) fn new(zones: usize) -> Self {
+        Self {
+            offers: market::offers(zones),
+            vms: Vec::new(),
+            starts: 0,
+            stops: 0,
+            ready: Vec::new(),
+        }
+    }
+
+    /// Takes a zone back, and returns what the policy is told.
+    pub(super) fn lose(&mut self, zone: &str) -> Vec<Event> {
+        let gone = self.vms.extract_if(.., |vm| vm.slot.zone.as_str() == zone);
+        gone.map(|vm| Event::Reclaimed(vm.slot)).collect()
+    }
+
+    /// Lets VMs come up, and drained ones end their work.
+    pub(super) fn advance(&mut self, now: Instant) {
+        let up: Vec<_> = self.ready.extract_if(.., |(at, _)| *at <= now).collect();
+        for vm in &mut self.vms {
+            match vm.phase {
+                Phase::Starting if up.iter().any(|(_, name)| *name == vm.name) => vm.phase = Phase::Live(now),
+                Phase::Draining { .. } => vm.phase = Phase::Draining { idle: true },
+                _ => {}
+            }
+        }
+    }
+
+    /// Carries an action out, and returns what the policy is told of a start.
+    pub(super) fn carry_out(&mut self, now: Instant, action: Action, losses: &[Loss]) -> Option<Event> {
+        let second = now.as_micros() / 1_000_000;
+        match action {
+            Action::Start(slot) if losses.iter().any(|loss| loss.refuses(&slot, second)) => Some(Event::Refused(slot)),
+            Action::Start(slot) => {
+                self.start(now, slot.clone());
+                Some(Event::Started(slot))
+            }
+            Action::Drain(name) => {
+                if let Some(vm) = self.vms.iter_mut().find(|vm| vm.name == name) {
+                    vm.phase = Phase::Draining { idle: false };
+                }
+                None
+            }
+            Action::Stop(name) => {
+                self.vms.retain(|vm| vm.name != name);
+                self.stops += 1;
+                None
+            }
+        }
+    }
+
+    fn start(&mut self, now: Instant, slot: Slot) {
+        self.starts += 1;
+        let name = name::Vm::new(format!("vm-{:05}", self.starts));
+        self.ready.push((now + BOOT, name.clone()));
+        self.vms.push(Vm {
+            name,
+            slot,
+            rate: 1.0,
+            phase: Phase::Starting,
+        });
+    }
+
+    /// Returns the work per second that VMs do.
+    pub(super) fn live(&self) -> f64 {
+        let live = self.vms.iter().filter(|vm| matches!(vm.phase, Phase::Live(_)));
+        live.map(|vm| vm.rate).sum()
+    }
+
+    /// Returns what all VMs cost per hour.
+    pub(super) fn price(&self) -> f64 {
+        let offer = |vm: &Vm| self.offers.iter().find(|offer| offer.slot == vm.slot);
+        let price = |vm: &Vm| offer(vm).map_or(0.0, |offer| market::units(offer.price));
+        self.vms.iter().map(price).sum()
+    }
+}
--- a/bergamotshift-capacity/src/lib.rs
+++ b/bergamotshift-capacity/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert_eq!(actions.len(), 3, "two VMs carry the demand when any one zone is lost");
 //! ```
 
+pub mod bench;
 pub mod demand;
 pub mod duty;
 pub mod market;
--- a/bergamotshift-capacity/tests/capacity.rs
+++ b/bergamotshift-capacity/tests/capacity.rs
@@ -1,15 +1,14 @@
 //! Capacity policies side by side, in virtual time.
 
-mod cloud;
 mod common;
 
+use bergamotshift_capacity::bench::capacity::Batch;
+use bergamotshift_capacity::bench::capacity::DAY;
+use bergamotshift_capacity::bench::capacity::Figures;
+use bergamotshift_capacity::bench::capacity::Scenario;
+use bergamotshift_capacity::bench::capacity::run;
+use bergamotshift_capacity::bench::market::Loss;
 use bergamotshift_capacity::prelude::*;
-use cloud::Batch;
-use cloud::DAY;
-use cloud::Figures;
-use cloud::Loss;
-use cloud::Scenario;
-use cloud::replay;
 use common::check;
 
 /// A day with office hours and an evening peak of ten, in VMs' worth of urgent work.
@@ -33,11 +32,8 @@
 fn scenario(urgent: fn(u64) -> f64, losses: &[Loss]) -> Scenario {
     Scenario {
         urgent,
-        noise: 0.05,
-        zones: 4,
         losses: losses.to_vec(),
-        batches: Vec::new(),
-        span: DAY,
+        ..Scenario::default()
     }
 }
 
@@ -97,23 +93,22 @@
 
 fn figures(policy: &str, scenario: &Scenario) -> Figures {
     let highest = (0..scenario.span).step_by(60).map(scenario.urgent).fold(0.0, f64::max);
+    let batches = scenario.batches.iter();
+    let pace: f64 = batches
+        .map(|batch| batch.work / (batch.deadline - batch.at) as f64)
+        .sum();
     let settings = policy::Settings {
-        peak: highest * 1.2
-            + scenario
-                .batches
-                .iter()
-                .map(|batch| batch.work / (batch.deadline - batch.at) as f64)
-                .sum::<f64>(),
+        peak: highest * 1.2 + pace,
         ..policy::Settings::default()
     };
-    replay(policy, settings, scenario)
+    run(policy, settings, scenario).unwrap()
 }
 
 #[test]
-fn default_policy_keeps_target_and_costs_least_of_those_that_do() {
+fn default_policy_keeps_urgent_work_in_target_at_a_fraction_of_the_peak() {
     // A zone is lost in the evening peak while two others refuse to sell; in the worst case another goes ten minutes
-    // later. Callers see their target kept only if the other zones already carry the urgent work. The reactive
-    // baseline is cheaper where it fails; the static one keeps the target at several times the price.
+    // later. Callers see their target kept only if the other zones already carry the urgent work. The static
+    // baseline does so at several times the price; the reactive one only where its spare happens to be enough.
     for (name, scenario) in scenarios() {
         println!("{name}");
         for policy in ["static-peak", "reactive", policy::DEFAULT] {
