feat(standin): cache prefixes, move KV cache, drain and take fenced orders

Cause: routing, reclaim and capacity need an engine whose prefix cache, KV transfers, load reports and orders behave as the platform's do, late and with gaps included.

Blocks are kept by least recent use and limited in tokens; events carry sequence numbers, the newest can be held back and some lost. An import fails when its owner is gone. Orders carry fencing numbers, which an engine checks or ignores by its settings. DownFor brings a stand-in back by itself, because nobody can order Up over HTTP from one that refuses connections.

Found on the way: the batch slept until its next token while requests came and went, so a freed slot stayed empty (two tests hung); a change now wakes it. The plain service copied its whole ledger at every call; it counts instead.

--- a/bergamotshift-standin/src/engine/batch.rs
+++ b/bergamotshift-standin/src/engine/batch.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
 use super::settings::Settings;
@@ -40,6 +41,7 @@
 #[derive(Debug)]
 pub(super) struct Sequence {
     pub(super) entry: Entry,
+    pub(super) attempt: SmolStr,
     pub(super) priority: i64,
     pub(super) digest: u64,
     /// The index of the next token.
@@ -49,6 +51,8 @@
     pub(super) finish: Finish,
     /// Prompt tokens to compute before the first token.
     pub(super) prefill: u32,
+    /// Prompt tokens in all.
+    pub(super) prompt: u32,
     pub(super) sender: mpsc::UnboundedSender<Token>,
 }
 
@@ -104,6 +108,14 @@
         Some(self.waiting.remove(&place)?.entry)
     }
 
+    /// Returns the request of an attempt.
+    pub(super) fn find(&self, attempt: &str) -> Option<&Sequence> {
+        let running = self.running.values().map(|running| &running.sequence);
+        running
+            .chain(self.waiting.values())
+            .find(|sequence| sequence.attempt == attempt)
+    }
+
     /// Returns the numbers of running and waiting requests.
     pub(super) fn sizes(&self) -> (u32, u32) {
         (self.running.len() as u32, self.waiting.len() as u32)
--- a/bergamotshift-standin/src/engine/completion.rs
+++ b/bergamotshift-standin/src/engine/completion.rs
@@ -44,8 +44,14 @@
         Ok(request) => request,
         Err(response) => return response,
     };
-    let models = &place.settings().models;
-    if !models.is_empty() && !models.contains(&request.model) {
+    if place.is_leaving() {
+        return host::error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "draining",
+            "the engine takes no new requests",
+        );
+    }
+    if !place.serves(&request.model) {
         let message = format!("The model `{}` does not exist.", request.model);
         return host::error(StatusCode::NOT_FOUND, "NotFoundError", &message);
     }
@@ -89,21 +95,25 @@
             Some(maximum) => (prompt.given + maximum.max(1), Finish::Length),
             None => (natural, Finish::Stop),
         };
-        let words = prompt.words.len() as u32;
-        // Tokens brought along are computed again, as part of the prompt.
-        let prefill = words + prompt.given;
         let mut run = call.run(&settings.service);
+        // Tokens brought along count as part of the prompt: what is neither cached nor imported is computed again.
+        let context = prompt.words.len() as u32 + prompt.given;
+        let cached = place.prefix(&prompt, run.attempt.as_ref()).min(context);
+        let prefill = context - cached;
         run.prefilled = prefill;
+        let attempt = run.attempt.clone().unwrap_or_default();
         let entry = place.begin(run);
         let (sender, tokens) = mpsc::unbounded_channel();
         let sequence = Sequence {
             entry,
+            attempt,
             priority: request.priority,
             digest: prompt.digest,
             next: prompt.given,
             end,
             finish,
             prefill,
+            prompt: prompt.words.len() as u32,
             sender,
         };
         let id = place.submit(&call.control, sequence);
@@ -118,8 +128,9 @@
                 call.attempt().unwrap_or("0"),
             ),
             usage: Usage {
-                prompt: prefill,
-                ..Usage::default()
+                prompt: context,
+                cached,
+                generated: 0,
             },
         })
     }
--- a/bergamotshift-standin/src/engine/mod.rs
+++ b/bergamotshift-standin/src/engine/mod.rs
@@ -1,7 +1,12 @@
 //! A model engine that speaks the OpenAI API and generates deterministic tokens by continuous batching.
 
 mod batch;
+mod cache;
 mod completion;
+pub mod event;
+pub mod kv;
+mod load;
+pub mod order;
 mod place;
 mod reply;
 mod request;
@@ -22,7 +27,9 @@
 /// A running model engine; dropping it stops it.
 ///
 /// It serves `POST /v1/chat/completions` and `/v1/completions` (streaming and not), `GET /v1/models`, `/health`,
-/// `/_load` and `/_ledger`. Token `i` of an answer is a function of the prompt and `i`, so a stream that was resumed
+/// `/_load` and `/_ledger`. `POST /_drain` makes it take no new requests. `GET /_events?since=N` tells what its prefix
+/// cache did, `POST /_kv/export` and `/_kv/import` move KV cache, `POST /_orders` takes an [`order::Order`] and
+/// `GET /_orders` shows the [`order::Duty`]. Token `i` of an answer is a function of the prompt and `i`, so a stream that was resumed
 /// elsewhere can be checked exactly: see [`text::expected`].
 #[derive(Debug)]
 pub struct Server {
@@ -46,6 +53,21 @@
         Ok(Self { host, place })
     }
 
+    /// Takes no new requests, finishes the running ones and says so in its load report, until a restart.
+    pub fn drain(&self) {
+        self.place.drain();
+    }
+
+    /// Loses the next events of the prefix cache, which leaves a gap in their numbers.
+    pub fn lose_events(&self, count: u32) {
+        self.place.lose_events(count);
+    }
+
+    /// Returns what the engine serves, and the orders it carried out.
+    pub fn duty(&self) -> order::Duty {
+        self.place.duty()
+    }
+
     /// Returns what truly ran.
     pub fn ledger(&self) -> Vec<Run> {
         self.place.ledger()
--- a/bergamotshift-standin/src/engine/place.rs
+++ b/bergamotshift-standin/src/engine/place.rs
@@ -6,17 +6,27 @@
 use std::sync::PoisonError;
 use std::time::Instant;
 
-use bergamotshift_core::load::Report;
 use ntex::http::Method;
 use ntex::http::Response;
 use ntex::http::StatusCode;
 use serde_json::json;
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 
 use super::batch;
 use super::batch::Batch;
 use super::batch::Sequence;
+use super::cache;
+use super::cache::Cache;
 use super::completion;
+use super::event;
+use super::kv;
+use super::load::Reports;
+use super::order;
+use super::order::Action;
+use super::order::Duty;
+use super::order::Order;
+use super::request::Prompt;
 use super::settings::Settings;
 use crate::fault::Plan;
 use crate::host;
@@ -24,6 +34,7 @@
 use crate::host::Call;
 use crate::host::Control;
 use crate::host::Site;
+use crate::ledger::Entry;
 use crate::ledger::Ledger;
 use crate::ledger::Run;
 use crate::ledger::State;
@@ -34,6 +45,8 @@
     settings: Settings,
     ledger: Ledger,
     state: Mutex<Inner>,
+    /// Tells the task that steps the batch that requests came or went.
+    changed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -41,15 +54,30 @@
     batch: Batch,
     /// Whether a task steps the batch.
     stepping: bool,
-    reports: u64,
+    reports: Reports,
+    cache: Cache,
+    events: event::Log,
+    imported: kv::Imported,
+    duty: Duty,
+    leaving: bool,
+}
+
+impl Inner {
+    fn new(settings: &Settings) -> Self {
+        Self {
+            duty: Duty::new(&settings.models),
+            ..Self::default()
+        }
+    }
 }
 
 impl Place {
     pub(super) fn new(settings: Settings) -> Self {
         Self {
+            state: Mutex::new(Inner::new(&settings)),
             settings,
             ledger: Ledger::new(),
-            state: Mutex::default(),
+            changed: Notify::new(),
         }
     }
 
@@ -61,16 +89,58 @@
         self.ledger.runs()
     }
 
-    pub(super) fn begin(&self, run: Run) -> crate::ledger::Entry {
+    pub(super) fn begin(&self, run: Run) -> Entry {
         self.ledger.begin(run)
     }
 
-    /// Forgets all requests: the engine died under them.
+    /// Forgets everything: the engine died, and its next incarnation starts afresh.
     pub(super) fn die(&self) {
-        self.state().batch = Batch::default();
+        let mut state = self.state();
+        // The task that steps the batch goes on and finds it empty.
+        let stepping = state.stepping;
+        *state = Inner {
+            stepping,
+            ..Inner::new(&self.settings)
+        };
+        drop(state);
         self.ledger.die();
     }
 
+    pub(super) fn drain(&self) {
+        self.state().leaving = true;
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.state().leaving
+    }
+
+    pub(super) fn lose_events(&self, count: u32) {
+        self.state().events.lose(count);
+    }
+
+    pub(super) fn duty(&self) -> Duty {
+        self.state().duty.clone()
+    }
+
+    /// Returns whether a model is served; an engine that was given no models serves any.
+    pub(super) fn serves(&self, model: &SmolStr) -> bool {
+        let state = self.state();
+        let any = self.settings.models.is_empty() && state.duty.orders.is_empty();
+        any || state.duty.models.iter().any(|(known, _)| known == model)
+    }
+
+    /// Takes a prompt into the prefix cache and returns how many of its tokens need no computing.
+    pub(super) fn prefix(&self, prompt: &Prompt, attempt: Option<&SmolStr>) -> u32 {
+        let blocks = cache::blocks(&prompt.words, self.settings.block_tokens);
+        let most = self.settings.cache_tokens / self.settings.block_tokens.max(1);
+        let mut state = self.state();
+        let hits = state.cache.hits(&blocks) as u32 * self.settings.block_tokens;
+        let imported = state.imported.spend(prompt.digest);
+        let changes = state.cache.insert(&blocks, most as usize);
+        state.events.push(&changes, attempt);
+        hits.max(imported)
+    }
+
     /// Puts a request into the batch and sees that the batch is stepped; to be called on the host's thread.
     pub(super) fn submit(self: &Arc<Self>, control: &Arc<Control>, sequence: Sequence) -> batch::Id {
         let mut state = self.state();
@@ -78,6 +148,7 @@
         if !core::mem::replace(&mut state.stepping, true) {
             ntex::rt::spawn(Arc::clone(self).step(Arc::clone(control)));
         }
+        self.changed.notify_one();
         id
     }
 
@@ -86,6 +157,7 @@
         let removed = self.state().batch.remove(id);
         if let Some(entry) = removed {
             self.ledger.end(entry, State::Cancelled);
+            self.changed.notify_one();
         }
     }
 
@@ -112,7 +184,10 @@
             match steps.next {
                 None => return,
                 Some(next) if next <= now => tokio::task::yield_now().await,
-                Some(next) => tokio::time::sleep_until(next.into()).await,
+                Some(next) => tokio::select! {
+                    () = tokio::time::sleep_until(next.into()) => {}
+                    () = self.changed.notified() => {}
+                },
             }
         }
     }
@@ -122,29 +197,79 @@
     }
 
     fn models(&self) -> Response {
-        let data: Vec<_> = self.settings.models.iter().map(model).collect();
+        let state = self.state();
+        let data: Vec<_> = state.duty.models.iter().map(|(name, _)| model(name)).collect();
         host::json(&json!({"object": "list", "data": data}))
     }
 
-    fn load(&self) -> Report {
+    fn load(&self) -> Response {
         let mut state = self.state();
-        state.reports += 1;
-        let (running, waiting) = state.batch.sizes();
-        let interval = batch::interval(&self.settings, running as usize).as_secs_f64();
-        let rate = if interval > 0.0 {
-            f64::from(running) / interval
+        let state = &mut *state;
+        let report = state
+            .reports
+            .next(&self.settings, &state.batch, state.cache.len(), state.leaving);
+        host::json(&report)
+    }
+
+    fn events(&self, call: &Call) -> Response {
+        let since = call.parameter("since").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let events = self.state().events.since(since, self.settings.event_lag);
+        host::json(&json!({"incarnation": call.control.incarnation(), "events": events}))
+    }
+
+    fn export(&self, call: &Call) -> Response {
+        let wanted: kv::Export = match call.parse() {
+            Ok(wanted) => wanted,
+            Err(response) => return response,
+        };
+        let state = self.state();
+        let Some(sequence) = state.batch.find(&wanted.attempt) else {
+            return host::error(
+                StatusCode::NOT_FOUND,
+                "NotFoundError",
+                "the attempt is not in the batch",
+            );
+        };
+        host::json(&kv::export(
+            &self.settings,
+            sequence.digest,
+            sequence.prompt + sequence.next,
+        ))
+    }
+
+    /// Imports KV cache, which its owner has to outlive.
+    async fn import(&self, call: &Call) -> Response {
+        let import: kv::Import = match call.parse() {
+            Ok(import) => import,
+            Err(response) => return response,
+        };
+        tokio::time::sleep(kv::transfer(&self.settings, &import.handle)).await;
+        if tokio::net::TcpStream::connect(import.source).await.is_err() {
+            return host::error(StatusCode::BAD_GATEWAY, "TransferError", "the owner went away");
+        }
+        if self.state().imported.take(&import.handle) {
+            Response::new(StatusCode::NO_CONTENT)
         } else {
-            0.0
+            host::error(StatusCode::BAD_REQUEST, "BadRequestError", "no such handle")
+        }
+    }
+
+    async fn order(&self, call: &Call) -> Response {
+        let order: Order = match call.parse() {
+            Ok(order) => order,
+            Err(response) => return response,
         };
-        Report {
-            sequence: state.reports,
-            running,
-            waiting,
-            slots: self.settings.slots,
-            prefill_backlog: state.batch.backlog(),
-            decode_rate: rate as u32,
-            cache_permille: 0,
-            leaving: false,
+        if matches!(order.action, Action::Load { .. }) {
+            tokio::time::sleep(self.settings.load_time).await;
+        }
+        let mut state = self.state();
+        match state.duty.take(order, self.settings.checks_fencing) {
+            Ok(()) => host::json(&state.duty),
+            Err(order::Stale) => host::error(
+                StatusCode::CONFLICT,
+                "StaleFencing",
+                "a higher fencing number came before",
+            ),
         }
     }
 }
@@ -170,8 +295,17 @@
                 }
                 (&Method::GET, "/v1/models") => self.models(),
                 (&Method::GET, "/health") => Response::new(StatusCode::OK),
-                (&Method::GET, "/_load") => host::json(&self.load()),
+                (&Method::GET, "/_load") => self.load(),
                 (&Method::GET, "/_ledger") => host::json(&self.ledger.runs()),
+                (&Method::GET, "/_events") => self.events(&call),
+                (&Method::POST, "/_drain") => {
+                    self.drain();
+                    Response::new(StatusCode::NO_CONTENT)
+                }
+                (&Method::POST, "/_kv/export") => self.export(&call),
+                (&Method::POST, "/_kv/import") => self.import(&call).await,
+                (&Method::GET, "/_orders") => host::json(&self.duty()),
+                (&Method::POST, "/_orders") => self.order(&call).await,
                 _ => host::error(StatusCode::NOT_FOUND, "NotFoundError", "no such resource"),
             }
         })
--- a/bergamotshift-standin/src/fault/board.rs
+++ b/bergamotshift-standin/src/fault/board.rs
@@ -86,7 +86,7 @@
                 self.refuse = *count;
                 self.refuse_after = *calls;
             }
-            Fault::Down | Fault::Up | Fault::Pause | Fault::Resume => {}
+            Fault::Down | Fault::DownFor { .. } | Fault::Up | Fault::Pause | Fault::Resume => {}
         }
     }
 
--- a/bergamotshift-standin/src/fault/mod.rs
+++ b/bergamotshift-standin/src/fault/mod.rs
@@ -20,6 +20,11 @@
     Clear,
     /// Refuses connections and cuts the open ones.
     Down,
+    /// Does as `Down`, then as `Up` after a time, for those who order faults over HTTP.
+    DownFor {
+        /// How long, in milliseconds.
+        ms: u64,
+    },
     /// Listens again at the same address, as the next incarnation.
     Up,
     /// Accepts connections and cuts each at its first request, before it takes effect.
--- a/bergamotshift-standin/src/host/control.rs
+++ b/bergamotshift-standin/src/host/control.rs
@@ -3,6 +3,7 @@
 use core::fmt;
 use core::net::Ipv4Addr;
 use core::net::SocketAddr;
+use core::time::Duration;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpStream;
@@ -10,6 +11,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 
 use bergamotshift_core::vm::Incarnation;
 use smol_str::SmolStr;
@@ -37,6 +39,7 @@
 
 /// What a host's handle and threads share.
 pub(crate) struct Control {
+    me: Weak<Self>,
     address: SocketAddr,
     /// The listening socket; while the host is down, a shut one that keeps the port.
     socket: Mutex<Socket>,
@@ -106,6 +109,7 @@
     pub(crate) fn fault(&self, fault: &Fault) {
         match fault {
             Fault::Down => self.down(),
+            Fault::DownFor { ms } => self.down_for(Duration::from_millis(*ms)),
             Fault::Up => self.up(),
             Fault::Pause => drop(self.paused.send_replace(true)),
             Fault::Resume => drop(self.paused.send_replace(false)),
@@ -161,6 +165,19 @@
         (self.on_death)();
     }
 
+    fn down_for(&self, time: Duration) {
+        self.down();
+        let control = Weak::clone(&self.me);
+        pool::run(move || {
+            ntex::rt::spawn(async move {
+                tokio::time::sleep(time).await;
+                if let Some(control) = control.upgrade() {
+                    control.up();
+                }
+            });
+        });
+    }
+
     fn up(&self) {
         if *self.phase.borrow() != Phase::Down {
             return;
@@ -215,7 +232,8 @@
             .local_addr()?
             .as_socket()
             .ok_or(io::ErrorKind::AddrNotAvailable)?;
-        let control = Arc::new(Control {
+        let control = Arc::new_cyclic(|me| Control {
+            me: Weak::clone(me),
             address,
             socket: Mutex::new(socket),
             phase: watch::Sender::new(Phase::Up(Incarnation::default())),
--- a/bergamotshift-standin/src/ledger/mod.rs
+++ b/bergamotshift-standin/src/ledger/mod.rs
@@ -1,5 +1,7 @@
 //! What an endpoint truly ran, kept for checks after a test.
 
+use core::sync::atomic::AtomicU32;
+use core::sync::atomic::Ordering;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Instant;
@@ -57,17 +59,26 @@
 pub(crate) struct Ledger {
     start: Instant,
     runs: Mutex<Vec<Run>>,
+    running: AtomicU32,
 }
 
 /// Finds a run in its ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Entry(usize);
 
+impl Entry {
+    /// Returns the run's number, from 1.
+    pub(crate) const fn number(self) -> usize {
+        self.0 + 1
+    }
+}
+
 impl Ledger {
     pub(crate) fn new() -> Self {
         Self {
             start: Instant::now(),
             runs: Mutex::default(),
+            running: AtomicU32::new(0),
         }
     }
 
@@ -76,9 +87,15 @@
         let at = self.start.elapsed().as_millis() as u64;
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         runs.push(Run { at, ..run });
+        self.running.fetch_add(1, Ordering::Relaxed);
         Entry(runs.len() - 1)
     }
 
+    /// Returns how many runs go on.
+    pub(crate) fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
     /// Changes a run.
     pub(crate) fn change(&self, entry: Entry, change: impl FnOnce(&mut Run)) {
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
@@ -93,6 +110,7 @@
             if run.state == State::Running {
                 run.state = state;
                 run.finished = state == State::Finished;
+                self.running.fetch_sub(1, Ordering::Relaxed);
             }
         });
     }
@@ -102,6 +120,7 @@
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         for run in runs.iter_mut().filter(|run| run.state == State::Running) {
             run.state = State::Died;
+            self.running.fetch_sub(1, Ordering::Relaxed);
         }
     }
 
--- a/bergamotshift-standin/src/plain/mod.rs
+++ b/bergamotshift-standin/src/plain/mod.rs
@@ -1,11 +1,17 @@
 //! A plain service that echoes what it was asked and remembers what it ran.
 
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering;
 use std::io;
 use std::sync::Arc;
 
+use bergamotshift_core::load::Report;
 use ntex::http::Method;
 use ntex::http::Response;
 use ntex::http::StatusCode;
+use ntex::http::header::HeaderName;
+use ntex::http::header::HeaderValue;
 use serde_json::json;
 use smol_str::SmolStr;
 
@@ -19,6 +25,9 @@
 use crate::ledger::Run;
 use crate::ledger::State;
 
+/// Tells a caller whether its request ran.
+const OUTCOME: &str = "x-bergamotshift-outcome";
+
 /// Settings of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -30,6 +39,8 @@
     pub zone: SmolStr,
     /// How long a call takes, in milliseconds.
     pub work_ms: u64,
+    /// Calls at a time that its load report gives as its room; more are taken all the same.
+    pub slots: u32,
 }
 
 impl Default for Settings {
@@ -39,6 +50,7 @@
             service: SmolStr::new_static("plain"),
             zone: SmolStr::new_static("zone-a"),
             work_ms: 0,
+            slots: 64,
         }
     }
 }
@@ -46,7 +58,7 @@
 /// A running plain service; dropping it stops it.
 ///
 /// It answers any method and path with `{service, vm, method, path, key, digest, run}`, where `run` counts the calls
-/// it began, and echoes the attempt id. `GET /health`, `/_load` and `/_ledger` are its own.
+/// it began, and echoes the attempt id. `GET /health`, `/_load`, `/_ledger` and `POST /_drain` are its own.
 #[derive(Debug)]
 pub struct Server {
     host: Host,
@@ -65,13 +77,20 @@
         let place = Arc::new(Place {
             settings,
             ledger: Ledger::new(),
+            leaving: AtomicBool::new(false),
+            reports: AtomicU64::new(0),
         });
         let dying = Arc::clone(&place);
         let site: Arc<dyn Site> = Arc::<Place>::clone(&place);
-        let host = Host::start(site, move || dying.ledger.die())?;
+        let host = Host::start(site, move || dying.die())?;
         Ok(Self { host, place })
     }
 
+    /// Takes no new calls, finishes the running ones and says so in its load report, until a restart.
+    pub fn drain(&self) {
+        self.place.leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Returns what truly ran.
     pub fn ledger(&self) -> Vec<Run> {
         self.place.ledger.runs()
@@ -82,6 +101,8 @@
 struct Place {
     settings: Settings,
     ledger: Ledger,
+    leaving: AtomicBool,
+    reports: AtomicU64,
 }
 
 impl Site for Place {
@@ -93,18 +114,51 @@
         Box::pin(async move {
             match (&call.method, call.path.as_str()) {
                 (&Method::GET, "/health") => Response::new(StatusCode::OK),
-                (&Method::GET, "/_load") => host::json(&bergamotshift_core::load::Report::default()),
+                (&Method::GET, "/_load") => host::json(&self.load()),
+                (&Method::POST, "/_drain") => {
+                    self.leaving.store(true, Ordering::Relaxed);
+                    Response::new(StatusCode::NO_CONTENT)
+                }
                 (&Method::GET, "/_ledger") => host::json(&self.ledger.runs()),
+                _ if self.leaving.load(Ordering::Relaxed) => refused(),
                 _ => self.echo(&call).await,
             }
         })
     }
 }
 
+/// Refuses a call and proves that it did not run.
+fn refused() -> Response {
+    let mut response = host::error(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "draining",
+        "the service takes no new calls",
+    );
+    response
+        .headers_mut()
+        .insert(HeaderName::from_static(OUTCOME), HeaderValue::from_static("not-run"));
+    response
+}
+
 impl Place {
+    fn die(&self) {
+        self.ledger.die();
+        self.leaving.store(false, Ordering::Relaxed);
+    }
+
+    fn load(&self) -> Report {
+        Report {
+            sequence: self.reports.fetch_add(1, Ordering::Relaxed) + 1,
+            running: self.ledger.running(),
+            slots: self.settings.slots,
+            leaving: self.leaving.load(Ordering::Relaxed),
+            ..Report::default()
+        }
+    }
+
     async fn echo(&self, call: &Call) -> Response {
         let run = call.run(&self.settings.service);
-        let number = self.ledger.runs().len() + 1;
+        let entry = self.ledger.begin(run.clone());
         let body = json!({
             "service": self.settings.service,
             "vm": self.settings.name,
@@ -113,9 +167,8 @@
             "query": call.query,
             "key": run.key,
             "digest": run.digest,
-            "run": number,
+            "run": entry.number(),
         });
-        let entry = self.ledger.begin(run);
         if self.settings.work_ms > 0 {
             tokio::time::sleep(core::time::Duration::from_millis(self.settings.work_ms)).await;
         }
