--- a/bergamotshift-standin/src/host/control.rs
+++ b/bergamotshift-standin/src/host/control.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// Returns once the host listens as this incarnation or a later one.
+    pub(crate) async fn up_as(&self, incarnation: Incarnation) {
+        let up = |phase: &Phase| matches!(phase, Phase::Up(current) if *current >= incarnation);
+        drop(self.phase.subscribe().wait_for(up).await);
+    }
+
     pub(super) fn phase(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
--- a/bergamotshift-standin/src/host/mod.rs
+++ b/bergamotshift-standin/src/host/mod.rs
@@ -31,6 +31,11 @@
                 self.host.control().incarnation()
             }
 
+            /// Returns once the stand-in listens as this incarnation or a later one.
+            pub async fn up_as(&self, incarnation: bergamotshift_core::vm::Incarnation) {
+                self.host.control().up_as(incarnation).await;
+            }
+
             /// Orders a fault, or its end.
             pub fn fault(&self, fault: crate::fault::Fault) {
                 self.host.control().fault(&fault);
--- a/bergamotshift-standin/tests/endpoints.rs
+++ b/bergamotshift-standin/tests/endpoints.rs
@@ -1,5 +1,6 @@
 //! Endpoint stand-ins over real sockets: what they answer, and what each fault looks like from outside.
 
+use bergamotshift_core::vm::Incarnation;
 use bergamotshift_standin::engine::text;
 use bergamotshift_standin::ledger::State;
 use bergamotshift_standin::prelude::*;
@@ -222,3 +223,80 @@
     assert_eq!(ledger.len(), 2);
     assert_eq!(ledger[0].digest, ledger[1].digest);
 }
+
+// The caller waits in vain while another is answered: the run came to its end, and only its answer is held back.
+#[ntex::test]
+async fn late_answer_leaves_a_finished_run() {
+    let server = plain::Server::start(plain::Settings::default()).unwrap();
+    server.fault(Fault::Late {
+        ms: 3_600_000,
+        count: 1,
+    });
+    let late = core::pin::pin!(get(server.address(), "/late"));
+    let other = core::pin::pin!(async {
+        server.called(1).await;
+        get(server.address(), "/other").await
+    });
+    let first = futures_util::future::select(late, other).await;
+    let futures_util::future::Either::Right((answer, _)) = first else {
+        panic!("the late answer came first");
+    };
+    assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    let targets: Vec<_> = server
+        .ledger()
+        .into_iter()
+        .map(|run| (run.target, run.finished))
+        .collect();
+    assert_eq!(targets, [("GET /late".into(), true), ("GET /other".into(), true)]);
+}
+
+#[ntex::test]
+async fn reset_connection_ran_nothing() {
+    let server = plain::Server::start(plain::Settings::default()).unwrap();
+    server.fault(Fault::Reset);
+    get(server.address(), "/status").await.unwrap_err();
+    server.fault(Fault::Clear);
+    get(server.address(), "/status").await.unwrap();
+    assert_eq!(server.ledger().len(), 1);
+}
+
+#[ntex::test]
+async fn refusals_begin_after_the_calls_that_go_through() {
+    let server = plain::Server::start(plain::Settings::default()).unwrap();
+    server.fault(Fault::RefuseAfter { calls: 1, count: 1 });
+    let mut refused = Vec::new();
+    for _ in 0..3 {
+        let status = get(server.address(), "/status").await.unwrap().status();
+        refused.push(status == StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(refused, [false, true, false]);
+    assert_eq!(server.ledger().len(), 2);
+}
+
+// An operator without a handle takes a stand-in down over HTTP; it comes back by itself as the next incarnation.
+#[ntex::test]
+async fn stand_in_that_is_down_for_a_time_comes_back() {
+    let server = plain::Server::start(plain::Settings::default()).unwrap();
+    server.fault(Fault::DownFor { ms: 1 });
+    server.up_as(Incarnation::new(1)).await;
+    assert_eq!(get(server.address(), "/status").await.unwrap().status(), StatusCode::OK);
+}
+
+// Many stand-ins share a few threads: each answers for itself while another of them is paused.
+#[ntex::test]
+async fn paused_stand_in_holds_up_no_other() {
+    let servers: Vec<_> = (0..16)
+        .map(|_| plain::Server::start(plain::Settings::default()).unwrap())
+        .collect();
+    servers[0].pause();
+    let address = servers[0].address();
+    let (held, ()) = futures_util::join!(get(address, "/held"), async {
+        servers[0].called(1).await;
+        for server in &servers[1..] {
+            get(server.address(), "/status").await.unwrap();
+        }
+        assert!(servers[0].ledger().is_empty());
+        servers[0].resume();
+    });
+    assert_eq!(held.unwrap().status(), StatusCode::OK);
+}
