feat(limit): put limits, shares and admission together for an entry

Cause: five parts had to be wired by whoever uses them, and a change of configuration would have lost what was counted. Ruled out: one table built anew with each load report; only a change of configuration makes a new one.

--- a/bergamotshift-limit/benches/admission.rs
+++ b/bergamotshift-limit/benches/admission.rs
@@ -5,6 +5,10 @@
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::admission::Request;
+use bergamotshift_limit::desk::Kernel;
+use bergamotshift_limit::desk::Service;
+use bergamotshift_limit::desk::Settings;
+use bergamotshift_limit::desk::Tenant;
 use bergamotshift_limit::prelude::*;
 use bergamotshift_limit::quota::Cost;
 use bergamotshift_limit::quota::Limits;
@@ -58,6 +62,54 @@
     group.finish();
 }
 
+/// The same by names, as workers ask.
+fn decide(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decide");
+    for organisations in [5, 50, 500] {
+        let service = name::Service::new_static("planner-llm");
+        let tenant = |index: usize| Tenant {
+            name: name::Organisation::new(format!("organisation-{index}")),
+            weight: 1.0,
+            limits: Limits {
+                requests_per_second: Some(1e6),
+                burst: 1e6,
+                tokens_per_second: Some(1e9),
+                spend_per_hour: Some(Price::from_micros(1_000_000_000_000)),
+            },
+            services: vec![service.clone()],
+        };
+        let tenants: Vec<_> = (0..organisations).map(tenant).collect();
+        let services = [Service {
+            name: service.clone(),
+            target: Duration::from_secs(2),
+        }];
+        let mut kernel = Kernel::new(Settings::default(), Vec::new(), 0);
+        let table = kernel.configure(Instant::ZERO, &tenants, &services);
+        let cost = Cost {
+            tokens: 500,
+            spend: Price::from_micros(50),
+        };
+        let mut rng = Pcg64Mcg::new(1);
+        let mut micros = 0;
+        group.bench_function(BenchmarkId::from_parameter(organisations), |bencher| {
+            bencher.iter(|| {
+                micros += 5;
+                let now = Instant::from_micros(micros);
+                let request = Request {
+                    urgency: Urgency::Urgent,
+                    target: Duration::from_secs(2),
+                    deadline: now + Duration::from_secs(30),
+                    deferrable: false,
+                    work: 500,
+                };
+                let organisation = &tenants[rng.random_range(0..tenants.len())].name;
+                black_box(table.decide(now, organisation, &service, request, cost, &mut rng))
+            });
+        });
+    }
+    group.finish();
+}
+
 /// What an entry of the target size hears: 77 entries of its zone, each asked by 60 organisations, and 4 zones.
 fn hear(view: &mut demand::View, organisations: usize) {
     let rates = |first: usize, count: usize| {
@@ -102,5 +154,5 @@
     group.finish();
 }
 
-criterion_group!(benches, admit, tick);
+criterion_group!(benches, admit, decide, tick);
 criterion_main!(benches);
--- a/bergamotshift-limit/src/demand.rs
+++ b/bergamotshift-limit/src/demand.rs
@@ -237,6 +237,19 @@
         self.zones.among_speaking(organisation, self.floor) * self.within_zone(organisation)
     }
 
+    /// Returns this entry's part of all demand, for predicting how fast everybody's work grows with its own.
+    pub fn part(&self) -> f64 {
+        let here: f64 = self.entries.told.values().sum();
+        let zone = here + self.entries.elsewhere.values().sum::<f64>();
+        let all = zone + self.zones.elsewhere.values().sum::<f64>();
+        let members = self.entries.speaking * self.zones.speaking;
+        if all > 0.0 {
+            here.max(all * self.floor / members) / all
+        } else {
+            1.0 / members
+        }
+    }
+
     fn within_zone(&self, organisation: &name::Organisation) -> f64 {
         self.entries.among_speaking(organisation, self.floor) * self.entries.heard()
     }
--- /dev/null
+++ b/bergamotshift-limit/src/desk/kernel.rs
@@ -0,0 +1,172 @@
+//! What the control thread keeps.
+
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+use rustc_hash::FxHashMap;
+
+use super::Reading;
+use super::Service;
+use super::Settings;
+use super::Table;
+use super::Tenant;
+use super::Word;
+use super::Words;
+use super::table::Row;
+use crate::admission;
+use crate::admission::Forecast;
+use crate::demand::Origin;
+use crate::demand::View;
+use crate::quota::Ledger;
+use crate::share::Pool;
+use crate::share::Supply;
+
+#[derive(Debug)]
+struct Desk {
+    target: Duration,
+    pool: Pool,
+    forecast: Forecast,
+}
+
+/// Follows configuration, load and gossip for one entry.
+#[derive(Debug)]
+pub struct Kernel {
+    settings: Settings,
+    zones: Vec<name::Zone>,
+    peers: usize,
+    ledger: Ledger,
+    desks: BTreeMap<name::Service, Desk>,
+}
+
+impl Kernel {
+    /// Makes the kernel of an entry, given the other zones and how many other entries of its zone are alive.
+    pub fn new(settings: Settings, zones: Vec<name::Zone>, peers: usize) -> Self {
+        let ledger = Ledger::new(View::new(settings.demand, zones.clone(), peers));
+        Self {
+            settings,
+            zones,
+            peers,
+            ledger,
+            desks: BTreeMap::new(),
+        }
+    }
+
+    /// Follows a configuration, and returns the table for workers; what was used so far stays counted.
+    pub fn configure(&mut self, now: Instant, tenants: &[Tenant], services: &[Service]) -> Table {
+        self.desks
+            .retain(|name, _| services.iter().any(|service| service.name == *name));
+        for service in services {
+            self.open(service);
+        }
+        let named = |name: &name::Organisation| tenants.iter().find(|tenant| tenant.name == *name);
+        self.ledger.retain(|name| named(name).is_some());
+        for (service, desk) in &mut self.desks {
+            let uses = |tenant: &Tenant| tenant.services.contains(service);
+            desk.pool.retain(|name| named(name).is_some_and(uses));
+        }
+        let rows = tenants
+            .iter()
+            .map(|tenant| (tenant.name.clone(), self.row(now, tenant)));
+        let rows = rows.collect();
+        let gates = self
+            .desks
+            .iter()
+            .map(|(name, desk)| (name.clone(), desk.forecast.gate()));
+        Table {
+            rows: Arc::new(rows),
+            gates: Arc::new(gates.collect()),
+        }
+    }
+
+    fn open(&mut self, service: &Service) {
+        let settings = self.settings;
+        let new = || Desk {
+            target: service.target,
+            pool: Pool::new(
+                settings.share,
+                View::new(settings.demand, self.zones.clone(), self.peers),
+            ),
+            forecast: Forecast::new(settings.gate, settings.memory),
+        };
+        let desk = self.desks.entry(service.name.clone()).or_insert_with(new);
+        desk.target = service.target;
+    }
+
+    fn row(&mut self, now: Instant, tenant: &Tenant) -> Row {
+        let account = self.ledger.open(now, tenant.name.clone(), tenant.limits);
+        let mut cells = FxHashMap::default();
+        for service in &tenant.services {
+            if let Some(desk) = self.desks.get_mut(service) {
+                cells.insert(service.clone(), desk.pool.join(tenant.name.clone(), tenant.weight));
+            }
+        }
+        Row { account, cells }
+    }
+
+    /// Sets limits, shares and waits anew; called some times a second.
+    ///
+    /// A service without a reading predicts no wait, so nothing is refused for want of knowledge.
+    pub fn tick(&mut self, now: Instant, readings: &BTreeMap<name::Service, Reading>) {
+        self.ledger.tick(now);
+        for (service, desk) in &mut self.desks {
+            let Some(reading) = readings.get(service) else {
+                continue;
+            };
+            let portion = desk.pool.view.sums(now).part();
+            let late = admission::Reading {
+                capacity: reading.capacity,
+                waits: reading.waits,
+                age: reading.age,
+                portion,
+            };
+            desk.forecast.tick(now, late);
+            let supply = Supply {
+                capacity: reading.capacity,
+                wait: desk.forecast.gate().wait(now, Urgency::Urgent),
+                target: desk.target,
+            };
+            desk.pool.tick(now, supply);
+        }
+    }
+
+    /// Returns what the others should hear now.
+    pub fn tell(&mut self, now: Instant) -> Words {
+        let told = self.ledger.view.tell(now);
+        let mut words = Words::default();
+        words.entry.requests.clone_from(&told.entry);
+        words.zone.requests.clone_from(&told.zone);
+        for (service, desk) in &mut self.desks {
+            let told = desk.pool.view.tell(now);
+            words.entry.work.insert(service.clone(), told.entry.clone());
+            words.zone.work.insert(service.clone(), told.zone.clone());
+        }
+        words
+    }
+
+    /// Notes what another entry of this zone, or another zone, told; `age` is how long ago.
+    pub fn hear(&mut self, now: Instant, origin: &Origin, age: Duration, mut word: Word) {
+        self.ledger.view.observe(now, origin.clone(), age, word.requests);
+        for (service, desk) in &mut self.desks {
+            let rates = word.work.remove(service).unwrap_or_default();
+            desk.pool.view.observe(now, origin.clone(), age, rates);
+        }
+    }
+
+    /// Sets how many other entries of this zone are alive.
+    pub fn set_peers(&mut self, peers: usize) {
+        self.peers = peers;
+        self.views().for_each(|view| view.set_peers(peers));
+    }
+
+    /// Forgets an entry of this zone that left or died.
+    pub fn remove(&mut self, entry: &name::Entry) {
+        self.views().for_each(|view| view.remove(entry));
+    }
+
+    fn views(&mut self) -> impl Iterator<Item = &mut View> {
+        let shares = self.desks.values_mut().map(|desk| &mut desk.pool.view);
+        core::iter::once(&mut self.ledger.view).chain(shares)
+    }
+}
--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here decides and nothing here acts: events, readings and `now` go in, decisions come out. What a worker
 //! thread touches on a request's path is atomic and takes `&self`; what the control thread folds takes `&mut self`.
+//! [`desk`] puts limits, shares and admission together for one entry.
 //!
 //! ```
 //! use bergamotshift_limit::prelude::*;
@@ -16,6 +17,7 @@
 pub mod bucket;
 pub mod defer;
 pub mod demand;
+pub mod desk;
 pub mod hedge;
 pub mod prelude;
 pub mod quarantine;
--- /dev/null
+++ b/bergamotshift-limit/tests/desk.rs
@@ -0,0 +1,146 @@
+//! Limits, shares and admission of entries, put together.
+
+use core::time::Duration;
+use std::collections::BTreeMap;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_limit::admission::Decision;
+use bergamotshift_limit::admission::Reason;
+use bergamotshift_limit::admission::Request;
+use bergamotshift_limit::demand::Origin;
+use bergamotshift_limit::desk::Kernel;
+use bergamotshift_limit::desk::Reading;
+use bergamotshift_limit::desk::Service;
+use bergamotshift_limit::desk::Settings;
+use bergamotshift_limit::desk::Table;
+use bergamotshift_limit::desk::Tenant;
+use bergamotshift_limit::quota::Cost;
+use bergamotshift_limit::quota::Limits;
+use rand_pcg::Pcg64Mcg;
+
+const PLANNER: name::Service = name::Service::new_static("planner-llm");
+const STAFF: name::Service = name::Service::new_static("staff-app");
+const TARGET: Duration = Duration::from_secs(2);
+
+fn tenant(name: &str, limits: Limits, services: &[name::Service]) -> Tenant {
+    let name = name::Organisation::new(name);
+    let services = services.to_vec();
+    Tenant {
+        name,
+        weight: 1.0,
+        limits,
+        services,
+    }
+}
+
+fn services() -> [Service; 2] {
+    [PLANNER, STAFF].map(|name| Service { name, target: TARGET })
+}
+
+fn ask(table: &Table, now: Instant, organisation: &str, service: &name::Service) -> Option<Decision> {
+    let request = Request {
+        urgency: Urgency::Urgent,
+        target: TARGET,
+        deadline: now + Duration::from_secs(30),
+        deferrable: false,
+        work: 100,
+    };
+    let mut rng = Pcg64Mcg::new(1);
+    let organisation = name::Organisation::new(organisation);
+    table.decide(now, &organisation, service, request, Cost::default(), &mut rng)
+}
+
+fn reason(decision: Option<Decision>) -> Option<Reason> {
+    match decision {
+        Some(Decision::Refuse { reason, .. }) => Some(reason),
+        _ => None,
+    }
+}
+
+fn reading(wait: Duration) -> BTreeMap<name::Service, Reading> {
+    let reading = Reading {
+        capacity: 1_000.0,
+        waits: [wait; 3],
+        ..Reading::default()
+    };
+    BTreeMap::from([(PLANNER, reading)])
+}
+
+#[test]
+fn organisation_reaches_only_its_services() {
+    let mut kernel = Kernel::new(Settings::default(), Vec::new(), 0);
+    let tenants = [tenant("hotel", Limits::default(), &[PLANNER])];
+    let table = kernel.configure(Instant::ZERO, &tenants, &services());
+    assert_eq!(ask(&table, Instant::ZERO, "hotel", &PLANNER), Some(Decision::Admit));
+    assert_eq!(ask(&table, Instant::ZERO, "hotel", &STAFF), None);
+    assert_eq!(ask(&table, Instant::ZERO, "congress", &PLANNER), None);
+}
+
+#[test]
+fn long_wait_of_one_service_refuses_there_alone() {
+    let mut kernel = Kernel::new(Settings::default(), Vec::new(), 0);
+    let tenants = [tenant("hotel", Limits::default(), &[PLANNER, STAFF])];
+    let table = kernel.configure(Instant::ZERO, &tenants, &services());
+    let now = Instant::from_secs(1);
+    kernel.tick(now, &reading(Duration::from_secs(3)));
+    assert_eq!(reason(ask(&table, now, "hotel", &PLANNER)), Some(Reason::Target));
+    assert_eq!(ask(&table, now, "hotel", &STAFF), Some(Decision::Admit));
+}
+
+#[test]
+fn use_stays_counted_over_a_change_of_configuration() {
+    // An organisation uses its limit up, and an operator changes the folder: another organisation comes, the limit
+    // stays. A table built anew from nothing would give the first one its burst again with each change.
+    let limits = Limits {
+        requests_per_second: Some(1.0),
+        burst: 1.0,
+        ..Limits::default()
+    };
+    let mut kernel = Kernel::new(Settings::default(), Vec::new(), 0);
+    let mut tenants = vec![tenant("hotel", limits, &[PLANNER])];
+    let now = Instant::from_secs(1);
+    let before = kernel.configure(now, &tenants, &services());
+    assert_eq!(ask(&before, now, "hotel", &PLANNER), Some(Decision::Admit));
+    tenants.push(tenant("congress", limits, &[PLANNER]));
+    let after = kernel.configure(now, &tenants, &services());
+    assert!(matches!(
+        reason(ask(&after, now, "hotel", &PLANNER)),
+        Some(Reason::Limit(_))
+    ));
+    assert_eq!(ask(&after, now, "congress", &PLANNER), Some(Decision::Admit));
+    let without = kernel.configure(now, &tenants[1..], &services());
+    assert_eq!(ask(&without, now, "hotel", &PLANNER), None);
+}
+
+#[test]
+fn two_entries_hold_one_limit_by_what_they_tell() {
+    // Two entries of a zone are asked ten times the limit each for a minute and talk each half second. Together they
+    // give the limit and one burst each.
+    let limits = Limits {
+        requests_per_second: Some(10.0),
+        burst: 10.0,
+        ..Limits::default()
+    };
+    let mut kernels = [(); 2].map(|()| Kernel::new(Settings::default(), Vec::new(), 1));
+    let tenants = [tenant("hotel", limits, &[PLANNER])];
+    let tables = kernels
+        .each_mut()
+        .map(|kernel| kernel.configure(Instant::ZERO, &tenants, &services()));
+    let mut admitted = 0;
+    for millis in (0..60_000).step_by(10) {
+        let now = Instant::from_millis(millis);
+        if millis % 500 == 0 {
+            for kernel in &mut kernels {
+                kernel.tick(now, &reading(Duration::ZERO));
+            }
+            let words = kernels.each_mut().map(|kernel| kernel.tell(now).entry);
+            for (index, word) in words.into_iter().enumerate() {
+                let origin = Origin::Entry(name::Entry::new(format!("entry-{index}")));
+                kernels[1 - index].hear(now, &origin, Duration::ZERO, word);
+            }
+        }
+        let asked = tables.iter().map(|table| ask(table, now, "hotel", &PLANNER));
+        admitted += asked.filter(|decision| *decision == Some(Decision::Admit)).count();
+    }
+    assert!((600..=622).contains(&admitted), "{admitted} for 600 and two bursts");
+}
