feat(claim): lease control duties under fencing numbers

Cause: a control duty needs one holder, and some endpoints follow orders of an old one.

Ruled out: comparing clocks of different VMs, and all entries watching all duties.

--- a/bergamotshift-claim/src/lib.rs
+++ b/bergamotshift-claim/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`batch`] puts the writes of many requests into few transactions (group commit).
 //! - [`window`] joins and replays requests that carry the same idempotency key inside one process.
 //! - [`job`] keeps deferred work until some entry has finished it.
+//! - [`lease`] gives a control duty to one entry at a time, under a fencing number.
 //!
 //! ```
 //! use bergamotshift_claim::prelude::*;
@@ -36,6 +37,7 @@
 pub mod digest;
 pub mod driver;
 pub mod job;
+pub mod lease;
 pub mod prelude;
 pub mod record;
 pub mod scope;
--- a/bergamotshift-claim/tests/explore/main.rs
+++ b/bergamotshift-claim/tests/explore/main.rs
@@ -2,4 +2,5 @@
 
 mod claim;
 mod job;
+mod lease;
 mod search;
