feat(demo): start the platform's table and object store too

Cause: claims, jobs and accepted versions need both; the demo only had the VM list. Conclusion: a platform fault of the load tool now strikes all three stand-ins at once.

--- a/bergamotshift/src/demo/site.rs
+++ b/bergamotshift/src/demo/site.rs
@@ -29,7 +29,10 @@
 use crate::entry::Handle;
 use crate::entry::settings::Platform;
 use crate::standin::engine;
+use crate::standin::fault::Fault;
+use crate::standin::objects;
 use crate::standin::plain;
+use crate::standin::table;
 use crate::standin::vms;
 
 /// The key of the organisation that the demo adds when it knows the token of none.
@@ -120,7 +123,7 @@
     }
 
     /// Shows a fault.
-    pub fn fault(&self, fault: crate::standin::fault::Fault) {
+    pub fn fault(&self, fault: Fault) {
         match self {
             Self::Engine(server) => server.fault(fault),
             Self::Plain(server) => server.fault(fault),
@@ -154,10 +157,46 @@
     pub handle: Option<Handle>,
 }
 
+/// The platform's stand-ins.
+#[derive(Debug)]
+pub struct Services {
+    /// The VM list.
+    pub vms: vms::Server,
+    /// The table service.
+    pub table: table::Server,
+    /// The object store.
+    pub objects: objects::Server,
+}
+
+impl Services {
+    fn start() -> io::Result<Self> {
+        Ok(Self {
+            vms: vms::Server::start(vms::Settings::default())?,
+            table: table::Server::start(table::Settings::default())?,
+            objects: objects::Server::start(objects::Settings::default())?,
+        })
+    }
+
+    fn addresses(&self) -> Platform {
+        Platform {
+            vms: Some(self.vms.address()),
+            table: Some(self.table.address()),
+            objects: Some(self.objects.address()),
+        }
+    }
+
+    /// Lets all of them show a fault.
+    pub fn fault(&self, fault: &Fault) {
+        self.vms.fault(fault.clone());
+        self.table.fault(fault.clone());
+        self.objects.fault(fault.clone());
+    }
+}
+
 /// A whole deployment in one process.
 #[derive(Debug)]
 pub struct Site {
-    vms: vms::Server,
+    platform: Services,
     workers: Vec<Worker>,
     members: Mutex<Vec<Member>>,
     zones: Vec<name::Zone>,
@@ -177,17 +216,14 @@
             return Err(Error::Empty);
         }
         let key = known_key(&mut config);
-        let vms = vms::Server::start(vms::Settings::default())?;
+        let platform = Services::start()?;
         let workers = start_workers(&config, &zones)?;
         for worker in &workers {
-            vms.put(worker.listing.clone());
+            platform.vms.put(worker.listing.clone());
         }
         config.endpoints.extend(workers.iter().map(fixed));
         let config = Arc::new(config);
-        let platform = Platform {
-            vms: Some(vms.address()),
-            ..Platform::default()
-        };
+        let addresses = platform.addresses();
         let mut members = Vec::new();
         for zone in &zones {
             for number in 1..=settings.entries.max(1) {
@@ -196,7 +232,7 @@
                     zone: zone.clone(),
                     threads: settings.threads,
                     config: Some(Arc::clone(&config)),
-                    platform,
+                    platform: addresses,
                     logger: settings.logger.clone(),
                     ..entry::Settings::default()
                 };
@@ -204,7 +240,7 @@
             }
         }
         Ok(Self {
-            vms,
+            platform,
             workers,
             members: Mutex::new(members),
             zones,
@@ -227,9 +263,9 @@
         &self.workers
     }
 
-    /// Returns the platform's list.
-    pub const fn vms(&self) -> &vms::Server {
-        &self.vms
+    /// Returns the platform's stand-ins.
+    pub const fn platform(&self) -> &Services {
+        &self.platform
     }
 
     /// Returns the entries.
--- a/bergamotshift/src/demo/target.rs
+++ b/bergamotshift/src/demo/target.rs
@@ -37,7 +37,7 @@
     fn announce(&self, place: &Place, notice: Duration) -> Vec<name::Vm> {
         let notice_ms = u64::try_from(notice.as_millis()).unwrap_or(u64::MAX);
         let leaving = |worker: &Worker| {
-            self.vms().notice(Listing {
+            self.platform().vms.notice(Listing {
                 state: State::Leaving { notice_ms },
                 ..worker.listing.clone()
             });
@@ -49,7 +49,7 @@
     fn kill(&self, place: &Place) {
         for worker in self.struck_workers(place) {
             worker.server.kill();
-            self.vms().remove(&worker.listing.name);
+            self.platform().vms.remove(&worker.listing.name);
         }
         self.stop_members(place, AT_ONCE);
     }
@@ -99,7 +99,7 @@
                 Ok(Vec::new())
             }
             Action::Platform { trouble, amount, .. } => {
-                self.vms().fault(match trouble {
+                self.platform().fault(&match trouble {
                     Trouble::Down => Fault::Down,
                     Trouble::Slow => Fault::Slow { ms: u64::from(*amount) },
                     Trouble::LosingAnswers => Fault::LoseAnswerAfterWrite { count: *amount },
@@ -127,8 +127,8 @@
             }
             Action::Platform {
                 trouble: Trouble::Down, ..
-            } => self.vms().fault(Fault::Up),
-            Action::Platform { .. } => self.vms().fault(Fault::Clear),
+            } => self.platform().fault(&Fault::Up),
+            Action::Platform { .. } => self.platform().fault(&Fault::Clear),
             Action::Kill { .. } | Action::Cut { .. } | Action::Poison { .. } => {}
         }
         Ok(())
