fix(standin): begin nothing at an incarnation that is dead

Cause: a killed endpoint's thread went on with requests it had read before the kill. A call now begins its work under the lock that the kill takes, and only at the incarnation it came to; orders and KV imports likewise. Dropped streams of a dead engine can no longer cancel requests of the next one, whose identifiers began again at 1.

--- a/bergamotshift-standin/src/engine/batch.rs
+++ b/bergamotshift-standin/src/engine/batch.rs
@@ -91,6 +91,17 @@
 }
 
 impl Batch {
+    /// Returns an empty batch that uses none of this one's identifiers again.
+    ///
+    /// Requests of a dead engine are cancelled by identifier when their streams are dropped, which may be after the
+    /// restart, and must not hit requests of the next incarnation.
+    pub(super) fn successor(&self) -> Self {
+        Self {
+            last: self.last,
+            ..Self::default()
+        }
+    }
+
     /// Adds a request, which waits for a slot.
     pub(super) fn push(&mut self, sequence: Sequence) -> Id {
         self.last += 1;
--- a/bergamotshift-standin/src/engine/completion.rs
+++ b/bergamotshift-standin/src/engine/completion.rs
@@ -26,6 +26,7 @@
 use super::reply;
 use super::reply::Shape;
 use super::reply::Usage;
+use super::request::Prompt;
 use super::request::Request;
 use crate::fault::Ending;
 use crate::fault::Plan;
@@ -55,13 +56,16 @@
         let message = format!("The model `{}` does not exist.", request.model);
         return host::error(StatusCode::NOT_FOUND, "NotFoundError", &message);
     }
-    let Some(task) = Task::begin(place, &call, &request) else {
+    let Some(prompt) = request.prompt() else {
         return host::error(
             StatusCode::BAD_REQUEST,
             "BadRequestError",
             "a prompt or messages are needed",
         );
     };
+    let Some(task) = call.while_alive(|| Task::begin(place, &call, &request, &prompt)) else {
+        return host::dead();
+    };
     let mut response = if request.stream {
         let usage = request.stream_options.unwrap_or_default().include_usage;
         let events = Events::new(task, plan.ending, usage, call.io.clone());
@@ -87,8 +91,7 @@
 }
 
 impl Task {
-    fn begin(place: &Arc<Place>, call: &Call, request: &Request) -> Option<Self> {
-        let prompt = request.prompt()?;
+    fn begin(place: &Arc<Place>, call: &Call, request: &Request, prompt: &Prompt) -> Self {
         let settings = place.settings();
         let natural = settings.answer_tokens.max(prompt.given + 1);
         let (end, finish) = match request.maximum() {
@@ -98,7 +101,7 @@
         let mut run = call.run(&settings.service);
         // Tokens brought along count as part of the prompt: what is neither cached nor imported is computed again.
         let context = prompt.words.len() as u32 + prompt.given;
-        let cached = place.prefix(&prompt, run.attempt.as_ref()).min(context);
+        let cached = place.prefix(prompt, run.attempt.as_ref()).min(context);
         let prefill = context - cached;
         run.prefilled = prefill;
         let attempt = run.attempt.clone().unwrap_or_default();
@@ -117,7 +120,7 @@
             sender,
         };
         let id = place.submit(&call.control, sequence);
-        Some(Self {
+        Self {
             place: Arc::clone(place),
             id,
             tokens,
@@ -132,7 +135,7 @@
                 cached,
                 generated: 0,
             },
-        })
+        }
     }
 
     /// Returns the next token; `None` when the caller or the engine is gone.
--- a/bergamotshift-standin/src/engine/place.rs
+++ b/bergamotshift-standin/src/engine/place.rs
@@ -98,7 +98,9 @@
         let mut state = self.state();
         // The task that steps the batch goes on and finds it empty.
         let stepping = state.stepping;
+        let batch = state.batch.successor();
         *state = Inner {
+            batch,
             stepping,
             ..Inner::new(&self.settings)
         };
@@ -247,10 +249,10 @@
         if tokio::net::TcpStream::connect(import.source).await.is_err() {
             return host::error(StatusCode::BAD_GATEWAY, "TransferError", "the owner went away");
         }
-        if self.state().imported.take(&import.handle) {
-            Response::new(StatusCode::NO_CONTENT)
-        } else {
-            host::error(StatusCode::BAD_REQUEST, "BadRequestError", "no such handle")
+        match call.while_alive(|| self.state().imported.take(&import.handle)) {
+            Some(true) => Response::new(StatusCode::NO_CONTENT),
+            Some(false) => host::error(StatusCode::BAD_REQUEST, "BadRequestError", "no such handle"),
+            None => host::dead(),
         }
     }
 
@@ -262,14 +264,14 @@
         if matches!(order.action, Action::Load { .. }) {
             tokio::time::sleep(self.settings.load_time).await;
         }
-        let mut state = self.state();
-        match state.duty.take(order, self.settings.checks_fencing) {
-            Ok(()) => host::json(&state.duty),
-            Err(order::Stale) => host::error(
+        match call.while_alive(|| self.state().duty.take(order, self.settings.checks_fencing)) {
+            Some(Ok(())) => host::json(&self.duty()),
+            Some(Err(order::Stale)) => host::error(
                 StatusCode::CONFLICT,
                 "StaleFencing",
                 "a higher fencing number came before",
             ),
+            None => host::dead(),
         }
     }
 }
--- a/bergamotshift-standin/src/host/call.rs
+++ b/bergamotshift-standin/src/host/call.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bergamotshift_core::vm::Incarnation;
 use ntex::http::HeaderMap;
 use ntex::http::Method;
 use ntex::http::Response;
@@ -35,6 +36,8 @@
     pub(crate) io: Option<IoRef>,
     /// The host it came to.
     pub(crate) control: Arc<Control>,
+    /// The incarnation of the host it came to.
+    pub(crate) incarnation: Incarnation,
 }
 
 impl Call {
@@ -43,6 +46,11 @@
         self.headers.get(name).and_then(|value| value.to_str().ok())
     }
 
+    /// Begins the call's work, unless the incarnation that it came to is dead.
+    pub(crate) fn while_alive<T>(&self, begin: impl FnOnce() -> T) -> Option<T> {
+        self.control.while_alive(self.incarnation, begin)
+    }
+
     /// Returns the attempt id.
     pub(crate) fn attempt(&self) -> Option<&str> {
         self.header(ATTEMPT)
@@ -90,6 +98,15 @@
     }
 }
 
+/// Answers a call whose incarnation died; its connection is cut, so nobody reads it.
+pub(crate) fn dead() -> Response {
+    error(
+        StatusCode::INTERNAL_SERVER_ERROR,
+        "dead",
+        "the incarnation that this call came to is dead",
+    )
+}
+
 /// Answers 200 with JSON.
 pub(crate) fn json(value: &impl Serialize) -> Response {
     Response::build(StatusCode::OK).json(value)
--- a/bergamotshift-standin/src/host/control.rs
+++ b/bergamotshift-standin/src/host/control.rs
@@ -44,6 +44,8 @@
     /// The listening socket; while the host is down, a shut one that keeps the port.
     socket: Mutex<Socket>,
     phase: watch::Sender<Phase>,
+    /// Held while the phase changes and while a call begins its work.
+    life: Mutex<()>,
     paused: watch::Sender<bool>,
     calls: watch::Sender<u64>,
     state: Mutex<State>,
@@ -136,13 +138,20 @@
         Ok(self.socket().try_clone()?.into())
     }
 
-    /// Remembers a connection, so that it can be cut.
-    pub(super) fn opened(&self, stream: TcpStream) -> u64 {
+    /// Remembers a connection, so that it can be cut; `None` when it came too late and was cut already.
+    ///
+    /// Without the check a connection accepted just before the host went down, and remembered just after, would go on
+    /// being served by a host that is down.
+    pub(super) fn opened(&self, stream: TcpStream) -> Option<u64> {
         let mut state = self.state();
+        if !matches!(*self.phase.borrow(), Phase::Up(_)) {
+            connection::cut(&stream);
+            return None;
+        }
         state.next_connection += 1;
         let id = state.next_connection;
         state.connections.insert(id, stream);
-        id
+        Some(id)
     }
 
     pub(super) fn closed(&self, id: u64) {
@@ -155,10 +164,9 @@
     }
 
     fn down(&self) {
-        if !matches!(*self.phase.borrow(), Phase::Up(_)) {
+        if !self.leave_life() {
             return;
         }
-        self.phase.send_replace(Phase::Down);
         // A shut listening socket refuses connections at once and keeps its port, so nothing else can take it.
         drop(self.socket().shutdown(std::net::Shutdown::Both));
         // Before the cut, so that whoever sees a cut connection finds its run dead in the ledger already.
@@ -171,6 +179,25 @@
         (self.on_death)();
     }
 
+    /// Begins a call's work, unless the incarnation that it came to is dead.
+    ///
+    /// A call that was read before its endpoint died would otherwise begin afterwards, and show up in the ledger as a
+    /// run of an endpoint that its caller knows to be dead, or of the next incarnation.
+    pub(super) fn while_alive<T>(&self, incarnation: Incarnation, begin: impl FnOnce() -> T) -> Option<T> {
+        let _life = self.life();
+        (*self.phase.borrow() == Phase::Up(incarnation)).then(begin)
+    }
+
+    /// Changes the phase from up to down; returns false when it was not up.
+    fn leave_life(&self) -> bool {
+        let _life = self.life();
+        let up = matches!(*self.phase.borrow(), Phase::Up(_));
+        if up {
+            self.phase.send_replace(Phase::Down);
+        }
+        up
+    }
+
     fn down_for(&self, time: Duration) {
         self.down();
         let control = Weak::clone(&self.me);
@@ -198,6 +225,10 @@
         self.phase.send_replace(Phase::Up(incarnation));
     }
 
+    fn life(&self) -> MutexGuard<'_, ()> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn socket(&self) -> MutexGuard<'_, Socket> {
         self.socket.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -243,6 +274,7 @@
             address,
             socket: Mutex::new(socket),
             phase: watch::Sender::new(Phase::Up(Incarnation::default())),
+            life: Mutex::default(),
             paused: watch::Sender::new(false),
             calls: watch::Sender::new(0),
             state: Mutex::default(),
--- a/bergamotshift-standin/src/host/exchange.rs
+++ b/bergamotshift-standin/src/host/exchange.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bergamotshift_core::vm::Incarnation;
 use futures_util::Stream;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
@@ -76,7 +77,7 @@
         }
     }
 
-    pub(super) async fn answer(self: Rc<Self>, mut request: Request) -> Response {
+    pub(super) async fn answer(self: Rc<Self>, mut request: Request, incarnation: Incarnation) -> Response {
         let Some(body) = collect(&mut request).await else {
             return error(StatusCode::BAD_REQUEST, "invalid_request_error", "the body ended early");
         };
@@ -88,6 +89,7 @@
             body,
             io: request.io().cloned(),
             control: Arc::clone(&self.control),
+            incarnation,
         };
         match (&call.method, call.path.as_str()) {
             (&Method::POST, "/_fault") => self.order(&call),
--- a/bergamotshift-standin/src/host/mod.rs
+++ b/bergamotshift-standin/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod pool;
 
 pub(crate) use call::Call;
+pub(crate) use call::dead;
 pub(crate) use call::decode;
 pub(crate) use call::echo_attempt;
 pub(crate) use call::error;
--- a/bergamotshift-standin/src/plain/mod.rs
+++ b/bergamotshift-standin/src/plain/mod.rs
@@ -158,7 +158,9 @@
 
     async fn echo(&self, call: &Call) -> Response {
         let run = call.run(&self.settings.service);
-        let entry = self.ledger.begin(run.clone());
+        let Some(entry) = call.while_alive(|| self.ledger.begin(run.clone())) else {
+            return host::dead();
+        };
         let body = json!({
             "service": self.settings.service,
             "vm": self.settings.name,
--- a/bergamotshift-standin/tests/endpoints.rs
+++ b/bergamotshift-standin/tests/endpoints.rs
@@ -300,3 +300,20 @@
     });
     assert_eq!(held.unwrap().status(), StatusCode::OK);
 }
+
+// Connections keep coming while the endpoint is killed. None of them is served afterwards: once the kill returned, no
+// further run begins, also on a connection that was accepted at that very moment.
+#[ntex::test]
+async fn killed_endpoint_begins_no_run() {
+    for _ in 0..20 {
+        let server = plain::Server::start(plain::Settings::default()).unwrap();
+        let address = server.address();
+        let calls = futures_util::future::join_all((0..8).map(|_| get(address, "/status")));
+        let (_, runs) = futures_util::join!(calls, async {
+            server.called(1).await;
+            server.kill();
+            server.ledger().len()
+        });
+        assert_eq!(server.ledger().len(), runs);
+    }
+}
