feat(demo): let entries learn of endpoints from the VM list

Cause: entries read the platform's list since; the demo still named its endpoints in the configuration, so a reclaim was told by no list. Conclusion: the list carries the reclaim; direct calls go to endpoints that stay.

--- a/bergamotshift/src/command/demo.rs
+++ b/bergamotshift/src/command/demo.rs
@@ -216,14 +216,15 @@
     site.workers().iter().map(endpoint).collect()
 }
 
+/// Returns the plain endpoints that stay, which are also called directly for comparison.
 fn plain_addresses(site: &Site) -> Vec<core::net::SocketAddr> {
-    let plain = site
-        .workers()
-        .iter()
-        .filter(|worker| matches!(worker.server, demo::site::Server::Plain(_)));
-    plain.map(|worker| worker.server.address()).collect()
+    let stays = |worker: &&demo::site::Worker| Some(&worker.listing.zone) != site.zones().last();
+    let plain = |worker: &&demo::site::Worker| matches!(worker.server, demo::site::Server::Plain(_));
+    let chosen = site.workers().iter().filter(stays).filter(plain);
+    chosen.map(|worker| worker.server.address()).collect()
 }
 
+/// Announces the loss of the last zone, with its entries, while the load runs.
 fn reclaim_in_the_middle(site: &Site) -> fault::Schedule {
     let Some(zone) = site.zones().last() else {
         return fault::Schedule::default();
--- a/bergamotshift/src/demo/site.rs
+++ b/bergamotshift/src/demo/site.rs
@@ -12,7 +12,6 @@
 use thiserror::Error;
 
 use crate::config::config::Config;
-use crate::config::config::Endpoint;
 use crate::config::config::Kind;
 use crate::config::config::Limits;
 use crate::config::config::Organisation;
@@ -221,7 +220,6 @@
         for worker in &workers {
             platform.vms.put(worker.listing.clone());
         }
-        config.endpoints.extend(workers.iter().map(fixed));
         let config = Arc::new(config);
         let addresses = platform.addresses();
         let mut members = Vec::new();
@@ -332,18 +330,6 @@
     Ok(workers)
 }
 
-/// Lists a worker in the configuration, for entries that read no VM list.
-fn fixed(worker: &Worker) -> Endpoint {
-    Endpoint {
-        name: worker.listing.name.clone(),
-        service: worker.service.clone(),
-        zone: worker.listing.zone.clone(),
-        class: worker.listing.class.clone(),
-        market: worker.listing.market,
-        address: worker.listing.address,
-    }
-}
-
 fn may_stand_in(service: &Service, zone: &name::Zone) -> bool {
     service.zones.is_empty() || service.zones.contains(zone)
 }
