feat(entry): trace each hop and send the spans over OTLP/HTTP

Cause: nothing showed operators where a request spent its time. Sampling follows the parent, else a ratio. The exporter blocks while it waits and its client must be Send, which the entry's HTTP client is not: a thread of its own stands between them. An enabled span is boxed, since it would make every attempt 300 bytes larger.

--- a/bergamotshift-entry/src/api/mod.rs
+++ b/bergamotshift-entry/src/api/mod.rs
@@ -46,12 +46,15 @@
 
 async fn answer(worker: Rc<Worker>, mut request: Request) -> Response {
     let id = worker.draw();
-    let active = Active::new(&worker.shared, &request);
+    let active = Active::new(&worker.shared, &request, id);
+    let trace = active.trace().clone();
     match dispatch(&worker, &mut request, id, active).await {
         Ok(response) => response,
         Err(error) => {
             body::discard(request.take_payload()).await;
             worker.shared.metrics.failed(error.code(), error.outcome);
+            trace.admitted();
+            trace.failed(&error.code());
             error.response(id)
         }
     }
--- a/bergamotshift-entry/src/api/openai.rs
+++ b/bergamotshift-entry/src/api/openai.rs
@@ -161,7 +161,7 @@
         service.metrics.requests.inc();
         service.budget.deposit();
     }
-    let attempts = Attempts::new(Rc::clone(worker), Rc::new(call));
+    let attempts = Attempts::new(Rc::clone(worker), Rc::new(call)).traced(active.trace());
     if streams {
         stream(attempts, &service.adapter, active).await
     } else {
--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -88,7 +88,7 @@
         service.metrics.requests.inc();
         service.budget.deposit();
     }
-    let mut attempts = Attempts::new(Rc::clone(worker), Rc::new(call));
+    let mut attempts = Attempts::new(Rc::clone(worker), Rc::new(call)).traced(active.trace());
     match pass(&mut attempts, outgoing).await {
         Ok(Passed::Whole(whole)) => Ok(reply::whole(whole, id)),
         Ok(Passed::Large(open)) => Ok(large(attempts, open, id, active)),
--- a/bergamotshift-entry/src/api/reply.rs
+++ b/bergamotshift-entry/src/api/reply.rs
@@ -1,6 +1,7 @@
 //! Answers to callers.
 
 use core::error;
+use core::mem;
 use core::pin::Pin;
 use core::task::Context;
 use core::task::Poll;
@@ -29,6 +30,7 @@
 
 use super::header::REQUEST_ID;
 use crate::exchange::whole::Whole;
+use crate::observe::Trace;
 use crate::worker::Shared;
 
 /// Counts one request as being served until it is dropped.
@@ -36,21 +38,34 @@
 pub struct Active {
     shared: Arc<Shared>,
     connection: Option<IoRef>,
+    trace: Trace,
 }
 
 impl Active {
     /// Counts a request that came on a connection.
-    pub fn new(shared: &Arc<Shared>, request: &Request) -> Self {
+    pub fn new(shared: &Arc<Shared>, request: &Request, id: attempt::Id) -> Self {
         shared.metrics.active.inc();
+        let trace = match &shared.traces {
+            Some(traces) => traces.begin(request.headers(), id),
+            None => Trace::default(),
+        };
         Self {
             shared: Arc::clone(shared),
             connection: request.io().cloned(),
+            trace,
         }
     }
+
+    /// Returns the request's trace.
+    pub const fn trace(&self) -> &Trace {
+        &self.trace
+    }
 }
 
 impl Drop for Active {
     fn drop(&mut self) {
+        // A drain that sees no request any more sends the last spans, so this one ends before it is uncounted.
+        drop(mem::take(&mut self.trace));
         self.shared.metrics.active.dec();
     }
 }
--- a/bergamotshift-entry/src/daemon/handle.rs
+++ b/bergamotshift-entry/src/daemon/handle.rs
@@ -101,6 +101,9 @@
             stop.end();
         }
         self.shared.control.send(control::Request::Stop);
+        if let Some(traces) = &self.shared.traces {
+            traces.end();
+        }
     }
 }
 
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -31,6 +31,8 @@
 use crate::control::Sender;
 use crate::control::State;
 use crate::observe::Metrics;
+use crate::observe::Traces;
+use crate::observe::trace;
 use crate::settings::Settings;
 use crate::snapshot::Publisher;
 use crate::snapshot::Snapshot;
@@ -68,6 +70,9 @@
     /// The clients for the platform cannot be made.
     #[error("cannot make the clients for the platform: {0}")]
     Platform(#[from] bergamotshift_platform::Error),
+    /// Traces cannot be sent.
+    #[error(transparent)]
+    Traces(#[from] trace::Error),
     /// A thread cannot be started.
     #[error("cannot start a thread: {0}")]
     Thread(#[source] io::Error),
@@ -93,11 +98,13 @@
         })?;
         let callers = bind(settings.callers)?;
         let operators = bind(settings.operators)?;
+        let traces = settings.otlp.map(|otlp| Traces::start(&otlp, &settings)).transpose()?;
         let (sender, receiver) = Sender::channel();
         let shared = Arc::new(Shared {
             publisher: Publisher::new(Snapshot::empty(&config)),
             control: sender,
             metrics: Metrics::new(),
+            traces,
             policy,
             draining: AtomicBool::new(false),
             epoch: time::Instant::now(),
--- a/bergamotshift-entry/src/exchange/attempts.rs
+++ b/bergamotshift-entry/src/exchange/attempts.rs
@@ -24,6 +24,9 @@
 use super::Outgoing;
 use crate::control;
 use crate::control::Verdict;
+use crate::observe::Hop;
+use crate::observe::Span;
+use crate::observe::Trace;
 use crate::snapshot::Endpoint;
 use crate::snapshot::Service;
 use crate::snapshot::Snapshot;
@@ -56,6 +59,7 @@
 pub struct Running {
     endpoint: Arc<Endpoint>,
     key: key::Endpoint,
+    span: Span,
     _guard: flight::Guard,
 }
 
@@ -68,6 +72,7 @@
     made: u32,
     outcome: Outcome,
     lost: u32,
+    trace: Trace,
 }
 
 impl Attempts {
@@ -80,9 +85,25 @@
             made: 0,
             outcome: Outcome::NotRun,
             lost: 0,
+            trace: Trace::default(),
         }
     }
 
+    /// Makes them within a trace, and notes in it that the request is let in.
+    #[must_use]
+    pub fn traced(mut self, trace: &Trace) -> Self {
+        trace.admitted();
+        trace.note("service", &self.call.service);
+        trace.note("organisation", &self.call.organisation);
+        self.trace = trace.clone();
+        self
+    }
+
+    /// Returns the request's trace.
+    pub const fn trace(&self) -> &Trace {
+        &self.trace
+    }
+
     /// Returns the request.
     pub const fn call(&self) -> &Rc<Call> {
         &self.call
@@ -109,11 +130,13 @@
     ///
     /// Returns why no attempt brought one; [`Attempts::outcome`] then tells whether the request ran.
     pub async fn open(&mut self, mut body: Outgoing) -> Result<Open, Error> {
+        let mut queue = None;
         loop {
             let snapshot = self.worker.snapshot();
             let service = snapshot.services.get(&self.call.service).ok_or(Error::NoService)?;
             self.admit(&snapshot)?;
-            let Some(running) = self.choose(&snapshot, service).await? else {
+            queue.get_or_insert_with(|| self.trace.span(Hop::Queue));
+            let Some(mut running) = self.choose(&snapshot, service).await? else {
                 continue;
             };
             let outgoing = match &mut body {
@@ -122,16 +145,20 @@
                 Outgoing::Once(payload) => call::Body::Stream(payload.take()),
             };
             self.made += 1;
+            queue = None;
+            running.span = self.span(&running);
             service.metrics.attempts.inc();
             match self.send(service, &running, outgoing).await {
                 Ok(answer) if self.refuses(service, &answer) && matches!(body, Outgoing::Held(_)) => {
                     drop(answer);
+                    running.span.failed(&"refused");
                     self.after(&snapshot, &running, retry::Failure::Refused, |reason| Error::Refused {
                         reason,
                     })
                     .await?;
                 }
                 Ok(answer) => {
+                    running.span.note("status", &answer.status.as_u16());
                     self.outcome = Outcome::Unknown;
                     return Ok(Open { answer, running });
                 }
@@ -150,10 +177,11 @@
     /// # Errors
     ///
     /// Returns why none may follow.
-    pub async fn failed(&mut self, running: Running, failure: Failure) -> Result<(), Error> {
+    pub async fn failed(&mut self, mut running: Running, failure: Failure) -> Result<(), Error> {
         if failure.outcome() != Outcome::NotRun && self.outcome == Outcome::NotRun {
             self.outcome = Outcome::Unknown;
         }
+        running.span.failed(&failure);
         match failure {
             Failure::Caller(text) => return Err(Error::Body(text)),
             Failure::Encode(text) => return Err(Error::Encode(text)),
@@ -228,6 +256,7 @@
             Ok((choice, guard)) => Ok(snapshot.endpoints.get(choice.key).map(|endpoint| Running {
                 endpoint: Arc::clone(endpoint),
                 key: choice.key,
+                span: Span::default(),
                 _guard: guard,
             })),
             Err(Refusal::Later { until }) => {
@@ -283,6 +312,14 @@
         Ok((choice, guard))
     }
 
+    fn span(&self, running: &Running) -> Span {
+        let mut span = self.trace.span(Hop::Attempt);
+        span.note("endpoint", &running.endpoint.vm);
+        span.note("zone", &running.endpoint.zone);
+        span.note("attempt", &self.made);
+        span
+    }
+
     async fn send(&self, service: &Service, running: &Running, body: call::Body) -> Result<Answer, Failure> {
         let call = &self.call;
         let Some(adapter) = self.worker.adapter(&service.adapter) else {
@@ -294,6 +331,7 @@
             HeaderName::from_static(ORGANISATION),
             HeaderValue::from_str(call.organisation.as_str()).unwrap_or(HeaderValue::from_static("")),
         );
+        running.span.pass_on(&mut headers);
         let attempt = call::Call {
             target: running.endpoint.target.clone(),
             attempt: self.worker.draw(),
--- a/bergamotshift-entry/src/exchange/copy.rs
+++ b/bergamotshift-entry/src/exchange/copy.rs
@@ -17,6 +17,7 @@
 use super::Outgoing;
 use super::attempts::Running;
 use super::whole;
+use crate::observe::Hop;
 
 /// Passes an answer on and, when it breaks off, goes on with a second one that begins with the same bytes.
 ///
@@ -82,6 +83,7 @@
     /// Opens another answer and skips what the caller has.
     async fn again(&mut self, mut failure: Failure) -> Result<(), Error> {
         self.attempts.ran();
+        let _handover = self.attempts.trace().span(Hop::Handover);
         loop {
             drop(mem::take(&mut self.body));
             let Some(running) = self.running.take() else {
--- a/bergamotshift-entry/src/exchange/stream.rs
+++ b/bergamotshift-entry/src/exchange/stream.rs
@@ -24,6 +24,7 @@
 use super::attempts::Running;
 use super::whole;
 use crate::api;
+use crate::observe::Hop;
 
 /// The event that ends a stream.
 const DONE: &[u8] = b"data: [DONE]";
@@ -150,6 +151,7 @@
     async fn resume(&mut self, mut failure: Failure) -> Result<Option<Bytes>, Error> {
         self.body = Payload::None;
         self.splitter = Splitter::default();
+        let _handover = self.attempts.trace().span(Hop::Handover);
         loop {
             let Some(running) = self.running.take() else {
                 return Err(Error::NoEndpoint);
--- a/bergamotshift-entry/src/observe/mod.rs
+++ b/bergamotshift-entry/src/observe/mod.rs
@@ -1,6 +1,11 @@
-//! What operators can see of an entry: metrics, and soon traces.
+//! What operators can see of an entry: metrics and traces.
 
 mod metrics;
+pub mod trace;
 
 pub use self::metrics::Metrics;
 pub use self::metrics::ServiceMetrics;
+pub use self::trace::Hop;
+pub use self::trace::Span;
+pub use self::trace::Trace;
+pub use self::trace::Traces;
--- a/bergamotshift-entry/src/settings/mod.rs
+++ b/bergamotshift-entry/src/settings/mod.rs
@@ -1,5 +1,7 @@
 //! What one entry is told when it starts.
 
+pub mod traces;
+
 use core::net::IpAddr;
 use core::net::Ipv4Addr;
 use core::net::SocketAddr;
@@ -120,6 +122,8 @@
     pub quarantine: quarantine::Settings,
     /// How long new requests are still taken after a drain began, while the balancer learns of it.
     pub settle: Duration,
+    /// Where traces go; without it none are made.
+    pub otlp: Option<traces::Settings>,
     /// Where log records go.
     pub logger: Logger,
 }
@@ -142,6 +146,7 @@
             policy: SmolStr::new_static(policy::DEFAULT),
             quarantine: quarantine::Settings::default(),
             settle: Duration::from_millis(500),
+            otlp: None,
             logger: Logger::root(slog::Discard, o!()),
         }
     }
--- a/bergamotshift-entry/src/worker/mod.rs
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::control::Sender;
 use crate::observe::Metrics;
+use crate::observe::Traces;
 use crate::settings::Settings;
 use crate::snapshot::Publisher;
 use crate::snapshot::Reader;
@@ -42,6 +43,8 @@
     pub control: Sender,
     /// The metrics.
     pub metrics: Metrics,
+    /// The traces, when they are wanted.
+    pub traces: Option<Traces>,
     /// Chooses endpoints.
     pub policy: Box<dyn Policy>,
     /// Whether the entry is about to end.
--- /dev/null
+++ b/bergamotshift-entry/tests/observe/main.rs
@@ -0,0 +1,12 @@
+//! Tests of what operators see of an entry: traces, metrics and their page.
+
+#[path = "../entry/site.rs"]
+#[expect(
+    dead_code,
+    reason = "the site is made for the tests of the request path, which use all of it"
+)]
+mod site;
+
+mod collector;
+mod endpoint;
+mod trace;
--- a/bergamotshift/src/command/entry.rs
+++ b/bergamotshift/src/command/entry.rs
@@ -12,6 +12,7 @@
 use crate::entry::Daemon;
 use crate::entry::Settings;
 use crate::entry::settings::Platform;
+use crate::entry::settings::traces;
 use crate::environment::Field;
 use crate::environment::Fields;
 use crate::error::Error;
@@ -63,6 +64,16 @@
     /// The routing policy.
     #[options(no_short, meta = "NAME", help = "the routing policy")]
     pub policy: Option<String>,
+    /// The collector of traces.
+    #[options(no_short, meta = "IP:PORT", help = "the collector of traces (OTLP over HTTP)")]
+    pub otlp: Option<String>,
+    /// The share of traces kept.
+    #[options(
+        no_short,
+        meta = "NUMBER",
+        help = "the share of new traces that are kept, from 0 to 1 (default 1)"
+    )]
+    pub otlp_ratio: Option<String>,
     /// How long requests may go on after a stop began.
     #[options(
         no_short,
@@ -99,6 +110,8 @@
             ("table", &mut self.table),
             ("objects", &mut self.objects),
             ("policy", &mut self.policy),
+            ("otlp", &mut self.otlp),
+            ("otlp-ratio", &mut self.otlp_ratio),
             ("grace", &mut self.grace),
             ("log-level", &mut self.log_level),
             ("log-format", &mut self.log_format),
@@ -132,11 +145,31 @@
             folder: setting::optional::<PathBuf>("folder", self.folder.as_deref())?,
             platform: self.platform()?,
             policy: setting::or("policy", self.policy.as_deref(), defaults.policy.clone())?,
+            otlp: self.otlp()?,
             logger: log::logger(form, threshold),
             ..defaults
         })
     }
 
+    fn otlp(&self) -> Result<Option<traces::Settings>, setting::Error> {
+        const RATIO: &str = "otlp-ratio";
+        let defaults = traces::Settings::default();
+        let ratio = setting::or(RATIO, self.otlp_ratio.as_deref(), defaults.ratio)?;
+        if !(0.0..=1.0).contains(&ratio) {
+            return Err(setting::wrong(
+                RATIO,
+                &ratio.to_string(),
+                &"it must lie between 0 and 1",
+            ));
+        }
+        let address = setting::optional::<SocketAddr>("otlp", self.otlp.as_deref())?;
+        Ok(address.map(|address| traces::Settings {
+            address,
+            ratio,
+            ..defaults
+        }))
+    }
+
     fn platform(&self) -> Result<Platform, setting::Error> {
         Ok(Platform {
             vms: setting::optional::<SocketAddr>("vms", self.vms.as_deref())?,
--- a/bergamotshift/tests/usage.rs
+++ b/bergamotshift/tests/usage.rs
@@ -49,6 +49,36 @@
     assert_eq!(arguments.log_level.as_deref(), Some("debug"));
 }
 
+#[test]
+fn an_entry_sends_traces_only_where_it_is_told_to() {
+    let base = [
+        "entry",
+        "--name",
+        "a",
+        "--zone",
+        "b",
+        "--callers",
+        "127.0.0.1:0",
+        "--operators",
+        "127.0.0.1:0",
+    ];
+    let settings = |more: &[&str]| {
+        let words: Vec<&str> = base.iter().chain(more).copied().collect();
+        let Command::Entry(arguments) = parsed(&words) else {
+            panic!("entry was asked for");
+        };
+        arguments.settings().map(|settings| settings.otlp)
+    };
+    assert_eq!(settings(&[]), Ok(None));
+    let otlp = settings(&["--otlp", "127.0.0.1:4318", "--otlp-ratio", "0.25"]);
+    let otlp = otlp.expect("both are right").expect("an address is given");
+    assert_eq!((otlp.address.port(), otlp.ratio), (4318, 0.25));
+    for ratio in ["1.5", "-1", "NaN"] {
+        let error = settings(&["--otlp-ratio", ratio]).expect_err("it is no share");
+        assert!(error.to_string().starts_with("--otlp-ratio"), "{error}");
+    }
+}
+
 #[test]
 fn an_entry_names_the_first_setting_that_is_missing() {
     let Command::Entry(arguments) = parsed(&["entry", "--name", "a"]) else {
