feat(replay): ladders, a clairvoyant bound and tables

Cause: cost alone says nothing without the latency it bought. A ladder runs each policy over ever tighter fleets and takes the cheapest rung with 95 in 100 urgent model requests in target; the bound relaxes all but the work itself.

--- a/bergamotshift-replay/src/lib.rs
+++ b/bergamotshift-replay/src/lib.rs
@@ -15,19 +15,26 @@
 //! # Ok::<(), bergamotshift_replay::Error>(())
 //! ```
 
+pub mod bound;
 pub mod engine;
 pub mod error;
+pub mod ladder;
 pub mod scenario;
 pub mod site;
+pub mod table;
 pub mod tally;
 pub mod workload;
 
 mod world;
 
+pub use bound::Bound;
 pub use error::Error;
+pub use ladder::Ladder;
+pub use ladder::Plan;
 pub use scenario::Fault;
 pub use scenario::Load;
 pub use scenario::Scenario;
+pub use table::Table;
 pub use tally::Report;
 
 /// Replays a scenario.
