fix(replay): run suspects apart, and hold enough where few zones are open

Cause: after the poisonous request's first kill all its companions are suspects; nine that met it again on a second endpoint were refused with it. A rung now meets the target only with at most 1 in 1,000 deadlines missed, for every policy. Deferred work is planned into half its time, not 0.7 of it.

--- a/bergamotshift-replay/src/ladder.rs
+++ b/bergamotshift-replay/src/ladder.rs
@@ -17,6 +17,9 @@
 /// The share of urgent model requests that must be in target.
 pub const TARGET: f64 = 0.95;
 
+/// The share of all requests that may miss their deadline on a rung that meets the target.
+pub const MISSES: f64 = 0.001;
+
 /// One policy's rungs, in the order of their heat.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ladder {
@@ -27,9 +30,14 @@
 }
 
 impl Ladder {
-    /// Returns the cheapest rung with at least this share of urgent model requests in target.
+    /// Returns the cheapest rung with at least this share of urgent model requests in target and hardly a deadline
+    /// missed.
     pub fn at_target(&self, share: f64) -> Option<&Report> {
-        let met = self.rungs.iter().filter(|rung| rung.urgent_model_in_target >= share);
+        let in_time = |rung: &Report| rung.deadline_misses as f64 <= MISSES * rung.requests as f64;
+        let met = self
+            .rungs
+            .iter()
+            .filter(|rung| rung.urgent_model_in_target >= share && in_time(rung));
         met.min_by(|left, right| left.cost_per_million.total_cmp(&right.cost_per_million))
     }
 }
--- a/bergamotshift-replay/src/world/dispatch.rs
+++ b/bergamotshift-replay/src/world/dispatch.rs
@@ -47,6 +47,7 @@
             exclude: Vec::new(),
             epoch: 0,
             imported: false,
+            suspect: false,
             ended: false,
         });
         (self.tasks.len() - 1) as Job
@@ -58,11 +59,13 @@
         if task.ended || task.vm.is_some() {
             return;
         }
-        if self.is_refused(job, now) || now.since(task.request.deadline) > GIVE_UP {
+        let verdict = self.quarantine_table.verdict(now, self.fingerprint(job));
+        let refused = matches!(verdict, Verdict::Refused { .. });
+        if refused || now.since(task.request.deadline) > GIVE_UP {
             self.fail(job);
             return;
         }
-        match self.choose(job, now) {
+        match self.choose(job, verdict == Verdict::Alone, now) {
             Ok(()) => {}
             Err(Refusal::Later { .. }) => {
                 let task = &self.tasks[job as usize];
@@ -75,24 +78,21 @@
         }
     }
 
-    fn is_refused(&self, job: Job, now: Instant) -> bool {
-        let fingerprint = self.fingerprint(job);
-        matches!(
-            self.quarantine.table().verdict(now, fingerprint),
-            Verdict::Refused { .. }
-        )
-    }
-
     /// Returns the content fingerprint: the poisonous request's sends share one.
     pub(super) fn fingerprint(&self, job: Job) -> Fingerprint {
         let poison = self.tasks[job as usize].request.poison;
         Fingerprint::new(if poison { u128::MAX } else { u128::from(job) })
     }
 
-    fn choose(&mut self, job: Job, now: Instant) -> Result<(), Refusal> {
+    fn choose(&mut self, job: Job, alone: bool, now: Instant) -> Result<(), Refusal> {
         let task = &mut self.tasks[job as usize];
         let entry = &mut self.entries[task.entry];
         let request = &task.request;
+        let mut exclude = task.exclude.clone();
+        if alone {
+            // Two suspects on one endpoint would be accused together when one of them kills it.
+            exclude.extend(self.suspects.iter().filter_map(|&vm| self.vms[vm].keys.get(task.entry)));
+        }
         let context = request.prompt + task.received;
         let block_tokens = self.workload.block_tokens;
         self.prefix.clear();
@@ -109,7 +109,7 @@
             answer_tokens: request.answer_expected.saturating_sub(task.received).max(1),
             prefix: &self.prefix,
             block_tokens,
-            exclude: &task.exclude,
+            exclude: &exclude,
             ..Ask::default()
         };
         let choice = self.policy.choose(&entry.view, &ask, &mut entry.rng)?;
@@ -123,6 +123,10 @@
         task.flight = Some(entry.view.send(&choice, &ask));
         task.vm = Some(vm);
         task.epoch += 1;
+        if alone {
+            self.suspects.insert(vm);
+            task.suspect = true;
+        }
         engine.add(Work {
             job,
             urgency: request.urgency,
@@ -221,7 +225,10 @@
         }
         task.ended = true;
         task.flight = None;
-        task.vm = None;
+        let vm = task.vm.take();
+        if let Some(vm) = vm.filter(|_| task.suspect) {
+            self.suspects.remove(&vm);
+        }
         let first = task.first.unwrap_or(now);
         self.tally.done(&task.request, first, now);
         // What an answer's blocks cost is not recomputation when a later turn finds them evicted, but from then on they
--- a/bergamotshift-replay/src/world/fleet.rs
+++ b/bergamotshift-replay/src/world/fleet.rs
@@ -23,7 +23,7 @@
 /// How long the reclaimable market stays empty after two waves.
 const MARKET_EMPTY: Duration = Duration::from_mins(3);
 /// The share of its time to the deadline that deferred work plans to use.
-const DEFERRED_SHARE: f64 = 0.7;
+const DEFERRED_SHARE: f64 = 0.5;
 /// Deferred work is never planned into less than this, in seconds.
 const DEFERRED_LEAST: f64 = 60.0;
 
--- a/bergamotshift-replay/src/world/mod.rs
+++ b/bergamotshift-replay/src/world/mod.rs
@@ -9,8 +9,10 @@
 mod vm;
 
 use core::time::Duration;
+use std::collections::BTreeSet;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_limit::quarantine;
 use bergamotshift_limit::quarantine::Quarantine;
 use bergamotshift_route::Policy;
 use bergamotshift_route::flight;
@@ -62,6 +64,8 @@
     epoch: u32,
     /// Whether its KV cache travels with it.
     imported: bool,
+    /// Whether it runs under suspicion.
+    suspect: bool,
     ended: bool,
 }
 
@@ -81,6 +85,9 @@
     vms: Vec<Vm>,
     scaler: Scaler,
     quarantine: Quarantine,
+    quarantine_table: quarantine::Table,
+    /// VMs that run a suspect.
+    suspects: BTreeSet<usize>,
     computed: FxHashSet<u64>,
     rng: Pcg64Mcg,
     tally: Tally,
@@ -121,7 +128,9 @@
             entries,
             vms,
             scaler: Scaler::new(scenario.heat, rate),
-            quarantine: Quarantine::new(bergamotshift_limit::quarantine::Settings::default()),
+            quarantine: Quarantine::new(quarantine::Settings::default()),
+            quarantine_table: quarantine::Table::default(),
+            suspects: BTreeSet::new(),
             computed: FxHashSet::default(),
             rng: Pcg64Mcg::new(u128::from(scenario.seed) << 1 | 1),
             tally: Tally::default(),
--- a/bergamotshift-replay/src/world/reclaim.rs
+++ b/bergamotshift-replay/src/world/reclaim.rs
@@ -130,7 +130,9 @@
         let task = &mut self.tasks[work.job as usize];
         // The last token ends an answer, so an answer that is not ended lacks at least one.
         task.received = received(&task.request, work, generated).min(task.request.answer - 1);
-        task.vm = None;
+        if let Some(vm) = task.vm.take().filter(|_| task.suspect) {
+            self.suspects.remove(&vm);
+        }
         task.flight = None;
     }
 
@@ -152,6 +154,7 @@
                 running,
             },
         );
+        self.quarantine_table = self.quarantine.table();
         for (work, generated) in jobs {
             self.take_back(&work, generated);
             let job = work.job;
--- a/bergamotshift-replay/src/world/scale.rs
+++ b/bergamotshift-replay/src/world/scale.rs
@@ -5,6 +5,7 @@
 
 use core::time::Duration;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bergamotshift_core::prelude::*;
 
@@ -15,8 +16,10 @@
 /// How often the loop runs.
 pub const TICK: Duration = Duration::from_secs(5);
 
-/// The most that one zone may have of the wanted capacity.
+/// The most that one zone may have of the wanted capacity while enough zones are open.
 const ZONE_SHARE: f64 = 0.4;
+/// With few zones open, how much more than an even share one may have.
+const OVER_EVEN: f64 = 1.25;
 /// The most that one machine class may have of the wanted capacity: the market of a class can empty as a whole, and a
 /// class with slow engines alone cannot meet the target for a long prompt.
 const CLASS_SHARE: f64 = 0.5;
@@ -110,16 +113,15 @@
         }
         let mut offers: Vec<(usize, &Vm)> = models(vms).filter(|(_, vm)| vm.state == State::Off).collect();
         offers.sort_by(|left, right| left.1.offer.price_of_work().total_cmp(&right.1.offer.price_of_work()));
+        // Two open zones at the usual share could never hold all that is wanted.
+        let zone_share = ZONE_SHARE.max(OVER_EVEN / self.open_zones(now, vms) as f64);
         for (place, vm) in offers {
             let zone = zones.entry(vm.offer.zone).or_default();
             let class = classes.entry(vm.offer.class).or_default();
             let power = vm.offer.power();
-            let backing_off = self
-                .refused
-                .get(&(vm.offer.zone, vm.offer.market))
-                .is_some_and(|&until| now < until);
+            let backing_off = self.backs_off(now, vm);
             let crowded =
-                *zone + power > (wanted * ZONE_SHARE).max(1.0) || *class + power > (wanted * CLASS_SHARE).max(1.0);
+                *zone + power > (wanted * zone_share).max(1.0) || *class + power > (wanted * CLASS_SHARE).max(1.0);
             if *held < wanted && !backing_off && !crowded {
                 *zone += power;
                 *class += power;
@@ -130,6 +132,20 @@
     }
 }
 
+impl Scaler {
+    fn backs_off(&self, now: Instant, vm: &Vm) -> bool {
+        let place = (vm.offer.zone, vm.offer.market);
+        self.refused.get(&place).is_some_and(|&until| now < until)
+    }
+
+    fn open_zones(&self, now: Instant, vms: &[Vm]) -> usize {
+        let open = models(vms)
+            .filter(|(_, vm)| !self.backs_off(now, vm))
+            .map(|(_, vm)| vm.offer.zone);
+        open.collect::<BTreeSet<u8>>().len().max(1)
+    }
+}
+
 fn models(vms: &[Vm]) -> impl Iterator<Item = (usize, &Vm)> {
     vms.iter()
         .enumerate()
