--- a/bergamotshift-replay/src/lib.rs
+++ b/bergamotshift-replay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod engine;
 pub mod error;
 pub mod ladder;
+pub mod regression;
 pub mod scenario;
 pub mod site;
 pub mod table;
--- a/bergamotshift-replay/src/site/mod.rs
+++ b/bergamotshift-replay/src/site/mod.rs
@@ -58,6 +58,8 @@
     pub offers: Vec<Offer>,
     /// How many entries the replay runs.
     pub entries: u32,
+    /// Deferred jobs that an entry sends at most with one publication of its view.
+    pub deferred_sends: usize,
     /// How VMs are held.
     pub holding: Holding,
     /// How long a VM takes from its order to its first request.
@@ -136,6 +138,7 @@
         zones: 4,
         offers: in_zones(4, &offers),
         entries: 8,
+        deferred_sends: 4,
         holding: Holding::Elastic,
         start: Duration::from_secs(90),
         notice: Duration::from_secs(20),
@@ -155,6 +158,8 @@
     Site {
         zones: 5,
         offers: in_zones(5, &[reclaimable, on_demand]),
+        // Each of the eight stands for 49 of the 390 entries.
+        deferred_sends: 4 * 49,
         holding: Holding::Fixed,
         ..today()
     }
--- a/bergamotshift-replay/src/world/dispatch.rs
+++ b/bergamotshift-replay/src/world/dispatch.rs
@@ -22,8 +22,6 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// How long after the arrivals' end, or a deadline, a request without any endpoint is kept.
 const GIVE_UP: Duration = Duration::from_mins(5);
-/// Deferred jobs that an entry sends at most with one publication.
-const PUMP: usize = 4;
 
 impl World {
     pub(super) fn arrive(&mut self, now: Instant) {
@@ -144,7 +142,7 @@
     pub(super) fn publish(&mut self, entry: usize, now: Instant) {
         self.entries[entry].publish(now);
         self.agenda.add(now + super::PUBLISH_EVERY, Event::Publish { entry });
-        for _ in 0..PUMP {
+        for _ in 0..self.site.deferred_sends {
             let Some((_, job)) = self.entries[entry].pending.pop_first() else {
                 return;
             };
--- a/bergamotshift-replay/src/world/mod.rs
+++ b/bergamotshift-replay/src/world/mod.rs
@@ -153,6 +153,10 @@
                 break;
             }
         }
+        if !self.is_elastic() {
+            // A fixed fleet is held whatever it does; it is paid for while requests arrive.
+            end = Instant::ZERO + self.workload.span;
+        }
         let cost = self.vms.iter_mut().map(|vm| vm.settle(end)).sum();
         let hours = self.vms.iter().map(Vm::hours).sum();
         self.tally.report(self.scenario, cost, hours)
--- a/bergamotshift-route/src/policy/target.rs
+++ b/bergamotshift-route/src/policy/target.rs
@@ -27,6 +27,9 @@
     pub candidates: usize,
     /// Endpoints drawn at random, however old the view is.
     pub candidates_least: usize,
+    /// Share of a prompt that its home is taken to hold when no hint says who does: all entries send there what they know
+    /// no better place for, and none of them hears of every endpoint's cache.
+    pub home: f32,
     /// Share of the target that a forecast may use and still count as meeting it.
     pub margin: f32,
     /// How much an endpoint's own price counts against the mean price of its service, from 0 to 1.
@@ -52,6 +55,7 @@
         Self {
             candidates: 5,
             candidates_least: 2,
+            home: 0.6,
             margin: 0.9,
             price: 0.3,
             crowding: 0.5,
@@ -135,7 +139,13 @@
             }
         }
         if let Some(home) = view.home(ask) {
-            best.take(view, ask, &self.settings, home, 0.0);
+            let unknown = matches.is_empty();
+            let cached = if unknown {
+                ask.prompt_tokens as f32 * self.settings.home
+            } else {
+                0.0
+            };
+            best.take(view, ask, &self.settings, home, cached);
         }
         let draws = self.draws(view, pool, ask);
         if draws >= pool.len() {
--- a/bergamotshift-route/src/prefix/mod.rs
+++ b/bergamotshift-route/src/prefix/mod.rs
@@ -19,7 +19,7 @@
 const TAG_BITS: u32 = 64 - SLOT_BITS - LIFE_BITS - STAMP_BITS;
 /// Hints per bucket: how many endpoints one prefix is remembered at.
 const WAYS: usize = 4;
-const BUCKETS: usize = 1 << 15;
+const BUCKETS: usize = 1 << 17;
 /// One unit of a hint's time stamp.
 const STAMP_MICROS: u64 = 250_000;
 
@@ -72,6 +72,11 @@
         self.found[..self.len].iter().flatten().copied()
     }
 
+    /// Returns whether no endpoint is known to hold any of the prompt.
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
     fn push(&mut self, new: Match) {
         let known = self.iter().any(|known| known.slot == new.slot);
         if !known && self.len < MATCHES {
