feat(fleet): membership, leaving marks and load gossip within 4 KB/s

Cause: at 390 entries neither a full mesh nor hearing every load report fits in 4 KB/s. The sum: a datagram costs 58 bytes of headers, a lone acknowledgement 63. One probe and its answer with 400 bytes of news on each come to under 1 KB; two per second (one asked, one answered) leave half of the budget for speakers between zones.

--- /dev/null
+++ b/bergamotshift-fleet/src/kernel/action.rs
@@ -0,0 +1,51 @@
+//! What comes out of the kernel.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+
+use crate::endpoint;
+use crate::mark;
+use crate::member;
+use crate::suspicion;
+
+/// How a frame travels.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// As one unreliable datagram.
+    Datagram,
+    /// On a reliable stream of its own.
+    Stream,
+}
+
+/// Something that the shell has to do or may want to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Sends a frame.
+    Send {
+        /// The receiver's link.
+        to: SocketAddr,
+        /// How it travels.
+        way: Way,
+        /// The frame.
+        bytes: Vec<u8>,
+    },
+    /// This entry was paused: it drops its leases and its duties as a keeper before it does anything else.
+    Paused {
+        /// How long it was away.
+        gap: Duration,
+    },
+    /// A later life of this entry's own name exists: this process stops.
+    Superseded,
+    /// Starts to read an endpoint's load.
+    Watch(endpoint::Id),
+    /// Stops reading an endpoint's load.
+    Unwatch(endpoint::Id),
+    /// An endpoint takes no new work from now on.
+    Marked(mark::Mark),
+    /// A member came, went or changed.
+    Member(member::Record),
+    /// Some entry has this configuration version in force, which is higher than any seen here.
+    Configuration(u64),
+    /// An endpoint died under a request at another entry.
+    Died(suspicion::Death),
+}
--- /dev/null
+++ b/bergamotshift-fleet/src/kernel/event.rs
@@ -0,0 +1,61 @@
+//! What goes into the kernel.
+
+use core::net::SocketAddr;
+
+use bergamotshift_core::fingerprint::Fingerprint;
+use bergamotshift_core::load::Report;
+use bergamotshift_core::name;
+use bergamotshift_core::vm;
+
+use crate::endpoint;
+use crate::mark;
+
+/// Something that happened at this entry.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The time that [`Kernel::due`](super::Kernel::due) gave has come.
+    Tick,
+    /// A frame arrived from an authenticated entry.
+    Received {
+        /// Where its link listens.
+        from: SocketAddr,
+        /// The frame.
+        bytes: Vec<u8>,
+    },
+    /// The platform's VM list was read.
+    Listed(Vec<vm::Listing>),
+    /// An endpoint is known to leave.
+    Leaving {
+        /// The endpoint.
+        endpoint: endpoint::Id,
+        /// How this entry knows.
+        source: mark::Source,
+        /// What is left of the notice, in milliseconds, where known.
+        notice_ms: Option<u32>,
+    },
+    /// A watched endpoint reported its load.
+    Loaded {
+        /// The endpoint.
+        endpoint: endpoint::Id,
+        /// The report.
+        report: Report,
+    },
+    /// This configuration version is in force here.
+    Configured(u64),
+    /// This entry serves an organisation at this rate.
+    Used {
+        /// The organisation.
+        organisation: name::Organisation,
+        /// The rate, in the unit that the limits count in.
+        rate: u32,
+    },
+    /// An endpoint died while it ran a request.
+    Died {
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+        /// The endpoint.
+        endpoint: endpoint::Id,
+    },
+    /// This entry leaves.
+    Leave,
+}
--- /dev/null
+++ b/bergamotshift-fleet/src/kernel/receive.rs
@@ -0,0 +1,197 @@
+//! Frames from other entries.
+
+use core::net::SocketAddr;
+
+use bergamotshift_core::clock::Instant;
+use bergamotshift_core::key;
+
+use super::Action;
+use super::Heard;
+use super::Kernel;
+use super::Way;
+use super::news::Origin;
+use crate::load;
+use crate::tag;
+use crate::wire;
+use crate::wire::Item;
+use crate::zone;
+
+impl Kernel {
+    pub(super) fn receive(&mut self, now: Instant, from: SocketAddr, bytes: &[u8], out: &mut Vec<Action>) {
+        let Ok(frame) = wire::Frame::decode(bytes) else {
+            // Another version's frame, or damage: neither may stop this entry.
+            self.unreadable += 1;
+            return;
+        };
+        let origin = self.origin(&frame);
+        let mut digest = None;
+        for item in frame.items {
+            match item {
+                Item::Digest(theirs) => digest = Some(theirs),
+                item => self.learn(now, item, origin, out),
+            }
+        }
+        let sender = self.members.tagged(frame.from);
+        let reply_to = sender
+            .and_then(|key| self.members.get(key))
+            .map_or(from, |record| record.address);
+        let is_answer_due = digest.is_some();
+        if let (Some(theirs), Some(sender)) = (&digest, sender) {
+            self.reconcile(now, sender, theirs, out);
+        }
+        match frame.body {
+            wire::Body::Ping { sequence, target } => {
+                self.pinged(now, reply_to, sender, sequence, target, is_answer_due, out);
+            }
+            wire::Body::Ack { sequence, of } => self.answered(now, sequence, of, out),
+            wire::Body::Relay { sequence, target } => self.relay(now, reply_to, sequence, target, out),
+            wire::Body::Stranger => self.introduce(from, out),
+            wire::Body::Push => {}
+        }
+        if sender.is_none() && frame.body != wire::Body::Stranger {
+            let bytes = wire::Writer::new(self.tag, wire::Body::Stranger, wire::MAX_DATAGRAM).finish();
+            out.push(Action::Send {
+                to: from,
+                way: Way::Datagram,
+                bytes,
+            });
+        }
+    }
+
+    /// Returns where a frame's news comes from; a newcomer's own record in it may tell.
+    fn origin(&self, frame: &wire::Frame) -> Origin {
+        let known = self
+            .members
+            .tagged(frame.from)
+            .and_then(|key| self.members.get(key))
+            .map(|record| &record.zone);
+        let introduced = frame.items.iter().find_map(|item| match item {
+            Item::Member(record) if record.tag() == frame.from => Some(&record.zone),
+            _ => None,
+        });
+        match known.or(introduced) {
+            Some(zone) if *zone == self.me.zone => Origin::Near,
+            // A newcomer of another zone tells one entry: it is this entry's to spread to all zones.
+            None => Origin::Own,
+            Some(_) if known.is_none() => Origin::Own,
+            Some(_) => Origin::Far,
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one frame and its sender")]
+    fn pinged(
+        &mut self,
+        now: Instant,
+        to: SocketAddr,
+        sender: Option<key::Entry>,
+        sequence: u32,
+        target: tag::Long,
+        with_digest: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let body = wire::Body::Ack { sequence, of: self.tag };
+        let bytes = self.frame(now, body, sender, with_digest);
+        out.push(Action::Send {
+            to,
+            way: Way::Datagram,
+            bytes,
+        });
+        if target == tag::Long::UNKNOWN {
+            self.welcome(now, to, out);
+        } else if target != self.tag {
+            self.introduce(to, out);
+        }
+    }
+
+    /// Sends this entry's own record.
+    fn introduce(&self, to: SocketAddr, out: &mut Vec<Action>) {
+        let items = [Item::Member(self.me.clone())];
+        for bytes in self.pack(&items, wire::MAX_DATAGRAM) {
+            out.push(Action::Send {
+                to,
+                way: Way::Datagram,
+                bytes,
+            });
+        }
+    }
+
+    /// Takes one piece of news in and passes it on when it is new.
+    pub(super) fn learn(&mut self, now: Instant, item: Item, origin: Origin, out: &mut Vec<Action>) {
+        match item {
+            Item::Member(record) => self.learn_member(now, record, origin, out),
+            Item::Mark(mark) => self.learn_mark(now, mark, origin, out),
+            Item::Config(version) => {
+                if version > self.config {
+                    self.config = version;
+                    out.push(Action::Configuration(version));
+                    self.hurry(now, Item::Config(version), origin);
+                }
+            }
+            Item::Death(death) => {
+                if self.deaths.insert(now, death) {
+                    out.push(Action::Died(death));
+                    self.hurry(now, Item::Death(death), origin);
+                }
+            }
+            Item::Term(term) => self.learn_term(now, term, origin),
+            passing => {
+                if self.learn_passing(now, &passing, origin) {
+                    self.queue.push(now, passing, self.settings.sends_passing);
+                }
+            }
+        }
+    }
+
+    /// Takes a passing figure in and returns whether it is news.
+    fn learn_passing(&mut self, now: Instant, item: &Item, origin: Origin) -> bool {
+        match item {
+            Item::Load(load) => origin != Origin::Far && self.learn_load(now, load),
+            Item::Use(usage) => origin != Origin::Far && self.usage.merge_entry(*usage),
+            Item::ZoneUse(usage) => self.usage.merge_zone(*usage),
+            Item::Beat(beat) => self.learn_beat(now, beat),
+            Item::Summary(summary) => self.learn_summary(now, *summary),
+            _ => false,
+        }
+    }
+
+    fn learn_load(&mut self, now: Instant, news: &load::Load) -> bool {
+        let known = self.loads.get(&news.endpoint);
+        if known.is_some_and(|known| !load::is_newer(news.sequence, known.sequence)) {
+            return false;
+        }
+        let age = core::time::Duration::from_millis(u64::from(news.age_ds) * 100);
+        let heard = Heard {
+            sequence: news.sequence,
+            level: news.level,
+            at: now - age,
+        };
+        self.loads.insert(news.endpoint, heard);
+        true
+    }
+
+    fn learn_beat(&mut self, now: Instant, beat: &zone::Beat) -> bool {
+        let view = self
+            .zones
+            .iter_mut()
+            .find(|(zone, _)| tag::Short::of(zone) == beat.zone)
+            .map(|(_, view)| view);
+        view.is_some_and(|view| view.merge(now, beat))
+    }
+
+    fn learn_summary(&mut self, now: Instant, summary: zone::Summary) -> bool {
+        let key = (summary.zone, summary.service);
+        let known = self.summaries.get(&key);
+        if known.is_some_and(|known| !load::is_newer(summary.sequence, known.sequence)) {
+            return false;
+        }
+        self.summaries.insert(key, summary);
+        let view = self
+            .zones
+            .iter_mut()
+            .find(|(zone, _)| tag::Short::of(zone) == summary.zone);
+        if let Some((_, view)) = view {
+            view.news = now;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/bergamotshift-fleet/src/kernel/status.rs
@@ -0,0 +1,74 @@
+//! What an entry shows of its view to operators.
+
+use bergamotshift_core::clock::Instant;
+use bergamotshift_core::name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Kernel;
+use crate::member;
+use crate::zone::Reach;
+
+/// One zone as an entry sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Zone {
+    /// The zone.
+    pub name: name::Zone,
+    /// How it is reached.
+    pub reach: Reach,
+    /// Its speakers.
+    pub speakers: Vec<name::Entry>,
+}
+
+/// An entry's view of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Status {
+    /// The entry whose view it is.
+    pub entry: name::Entry,
+    /// All members, in the order of their names.
+    pub members: Vec<member::Record>,
+    /// All zones.
+    pub zones: Vec<Zone>,
+    /// Endpoints by the VM list.
+    pub endpoints: usize,
+    /// Endpoints that leave.
+    pub leaving: usize,
+    /// The highest configuration version seen.
+    pub config: u64,
+    /// Pauses noticed in this entry's own clock.
+    pub pauses: u64,
+    /// Frames that could not be read.
+    pub unreadable: u64,
+}
+
+impl Kernel {
+    /// Returns this entry's view.
+    pub fn status(&self, now: Instant) -> Status {
+        let zones = self.zones.keys().map(|zone| Zone {
+            name: zone.clone(),
+            reach: self.reach(now, zone),
+            speakers: self.speaker_names(zone),
+        });
+        Status {
+            entry: self.me.name.clone(),
+            members: self.members.iter().map(|(_, record)| record.clone()).collect(),
+            zones: zones.collect(),
+            endpoints: self.directory.len(),
+            leaving: self.marks.len(),
+            config: self.config,
+            pauses: self.pauses,
+            unreadable: self.unreadable,
+        }
+    }
+
+    /// Returns the names of a zone's speakers.
+    pub fn speaker_names(&self, zone: &name::Zone) -> Vec<name::Entry> {
+        self.speakers_of(zone)
+            .iter()
+            .filter_map(|key| self.members.get(*key))
+            .map(|record| record.name.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/bergamotshift-fleet/src/kernel/sync.rs
@@ -0,0 +1,219 @@
+//! Joining, and the full exchange that settles what news alone left different.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+
+use bergamotshift_core::clock::Instant;
+use bergamotshift_core::key;
+use bergamotshift_core::name;
+use bergamotshift_core::vm;
+use rand::RngExt;
+
+use super::Action;
+use super::Kernel;
+use super::Way;
+use crate::endpoint;
+use crate::mark;
+use crate::member;
+use crate::tag;
+use crate::wire;
+use crate::wire::Item;
+use crate::zone;
+
+impl Kernel {
+    /// The dead and the departed are remembered this long, against late news that they live.
+    const RETENTION: Duration = Duration::from_hours(1);
+    /// The least time between two full exchanges with one member.
+    const SYNC: Duration = Duration::from_secs(2);
+
+    /// Takes the platform's VM list in. It lags: it adds and marks, and never takes a mark back.
+    pub(super) fn listed(&mut self, now: Instant, list: &[vm::Listing], out: &mut Vec<Action>) {
+        self.directory.update(list);
+        self.listed = list
+            .iter()
+            .filter(|listing| listing.role == vm::Role::Entry)
+            .map(|listing| listing.address)
+            .collect();
+        for listing in list {
+            let vm::State::Leaving { notice_ms } = listing.state else {
+                continue;
+            };
+            if listing.role == vm::Role::Entry {
+                continue;
+            }
+            let endpoint = endpoint::Id {
+                vm: listing.name.clone(),
+                incarnation: listing.incarnation,
+            };
+            let notice = u32::try_from(notice_ms).ok();
+            self.mark(now, endpoint, mark::Source::List, notice, out);
+        }
+    }
+
+    /// Asks seeds and listed entries that are no members yet; all of them while alone, else one now and then.
+    pub(super) fn join(&mut self, _now: Instant, out: &mut Vec<Action>) {
+        /// One in this many seconds: halves of a fleet that were started apart have to find each other.
+        const RARELY: u32 = 10;
+        /// Seeds asked at once while alone.
+        const AT_ONCE: usize = 3;
+        if self.me.state == member::State::Left {
+            return;
+        }
+        let live: std::collections::BTreeSet<SocketAddr> = self
+            .members
+            .iter()
+            .filter(|(_, record)| record.is_live())
+            .map(|(_, record)| record.address)
+            .collect();
+        let is_alone = live.len() <= 1;
+        if !is_alone && self.random.random_range(0..RARELY) != 0 {
+            return;
+        }
+        let mut unknown: Vec<SocketAddr> = self
+            .settings
+            .seeds
+            .iter()
+            .chain(&self.listed)
+            .copied()
+            .filter(|address| !live.contains(address))
+            .collect();
+        for _ in 0..if is_alone { AT_ONCE } else { 1 } {
+            if unknown.is_empty() {
+                return;
+            }
+            let to = unknown.swap_remove(self.random.random_range(0..unknown.len()));
+            self.send_join(to, out);
+        }
+    }
+
+    fn send_join(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
+        self.sequence = self.sequence.wrapping_add(1);
+        let body = wire::Body::Ping {
+            sequence: self.sequence,
+            target: tag::Long::UNKNOWN,
+        };
+        let mut writer = wire::Writer::new(self.tag, body, wire::MAX_DATAGRAM);
+        writer.push(&Item::Member(self.me.clone()));
+        out.push(Action::Send {
+            to,
+            way: Way::Datagram,
+            bytes: writer.finish(),
+        });
+    }
+
+    /// Sends a newcomer all that it needs.
+    pub(super) fn welcome(&mut self, now: Instant, to: SocketAddr, out: &mut Vec<Action>) {
+        let mut items: Vec<Item> = self
+            .members
+            .iter()
+            .map(|(_, record)| Item::Member(record.clone()))
+            .collect();
+        items.extend(self.marks.iter(now).map(Item::Mark));
+        items.extend(self.terms());
+        items.push(Item::Config(self.config));
+        self.send_all(to, &items, out);
+    }
+
+    fn terms(&self) -> impl Iterator<Item = Item> {
+        self.zones.iter().map(|(zone, view)| {
+            Item::Term(zone::Term {
+                zone: tag::Short::of(zone),
+                number: view.term,
+            })
+        })
+    }
+
+    fn send_all(&self, to: SocketAddr, items: &[Item], out: &mut Vec<Action>) {
+        for bytes in self.pack(items, wire::MAX_STREAM) {
+            out.push(Action::Send {
+                to,
+                way: Way::Stream,
+                bytes,
+            });
+        }
+    }
+
+    /// Returns the hashes over what this entry holds.
+    pub(super) fn digest(&self) -> wire::Digest {
+        let members = self.members.zones().map(|zone| {
+            let digest = self.members.digest(zone);
+            (tag::Short::of(zone), digest.to_le_bytes())
+        });
+        wire::Digest {
+            members: members.collect(),
+            marks: self.marks.digest().to_le_bytes(),
+        }
+    }
+
+    /// Sends a member what its digest shows to differ; it does the same with this entry's answer.
+    pub(super) fn reconcile(&mut self, now: Instant, sender: key::Entry, theirs: &wire::Digest, out: &mut Vec<Action>) {
+        let ours = self.digest();
+        if ours == *theirs {
+            return;
+        }
+        let Some(record) = self.members.get(sender) else { return };
+        let (to, tag) = (record.address, record.tag());
+        self.synced.retain(|_, at| now.since(*at) < Self::SYNC);
+        if self.synced.contains_key(&tag) {
+            return;
+        }
+        self.synced.insert(tag, now);
+        let differing: Vec<name::Zone> = self
+            .members
+            .zones()
+            .filter(|zone| {
+                let tag = tag::Short::of(zone);
+                let own = self.members.digest(zone).to_le_bytes();
+                !theirs.members.contains(&(tag, own))
+            })
+            .cloned()
+            .collect();
+        let mut items: Vec<Item> = Vec::new();
+        for zone in &differing {
+            let records = self.members.in_zone(zone);
+            items.extend(records.map(|(_, record)| Item::Member(record.clone())));
+        }
+        if ours.marks != theirs.marks {
+            items.extend(self.marks.iter(now).map(Item::Mark));
+        }
+        items.extend(self.terms());
+        items.push(Item::Config(self.config));
+        self.send_all(to, &items, out);
+    }
+
+    /// Forgets what is old.
+    pub(super) fn forget(&mut self, now: Instant) {
+        let old: Vec<key::Entry> = self
+            .gone
+            .iter()
+            .filter(|(_, since)| now.since(**since) >= Self::RETENTION)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in old {
+            self.gone.remove(&key);
+            self.members.remove(key);
+        }
+        self.gone.retain(|key, _| self.members.get(*key).is_some());
+        self.suspects.retain(|key, _| self.members.get(*key).is_some());
+        let directory = &self.directory;
+        self.marks.expire(now, |endpoint| {
+            directory.get(&endpoint.vm).is_some_and(|known| known.id == *endpoint)
+        });
+        self.deaths.expire(now);
+        let near = self.near_tags();
+        self.usage.retain_entries(|entry| near.contains(&entry));
+        let silence = self.settings.silence;
+        let lost: Vec<tag::Short> = self
+            .zones
+            .iter()
+            .filter(|(zone, view)| **zone != self.me.zone && now.since(view.news) >= silence)
+            .map(|(zone, _)| tag::Short::of(zone))
+            .collect();
+        self.usage.retain_zones(|zone| !lost.contains(&zone));
+        self.summaries.retain(|(zone, _), _| !lost.contains(zone));
+        self.loads.retain(|tag, _| directory.tagged(*tag).is_some());
+        for view in self.zones.values_mut() {
+            view.expire(now, silence);
+        }
+    }
+}
--- /dev/null
+++ b/bergamotshift-fleet/src/kernel/watch.rs
@@ -0,0 +1,124 @@
+//! Which endpoints this entry watches for the others.
+
+use core::time::Duration;
+use std::collections::BTreeMap;
+
+use bergamotshift_core::clock::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Action;
+use super::Kernel;
+use crate::endpoint;
+use crate::load;
+use crate::rendezvous;
+
+/// Watchers per endpoint: the second one steps in when the first falls silent.
+const WATCHERS: usize = 2;
+
+/// The endpoints that this entry watches.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Watches {
+    by_endpoint: BTreeMap<endpoint::Id, Watch>,
+    /// The generations of the members and of the directory for which they were computed.
+    stamp: Option<(u64, u64)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    is_first: bool,
+    published: Option<(Instant, load::Level)>,
+}
+
+impl Watches {
+    pub(super) fn endpoints(&self) -> impl Iterator<Item = &endpoint::Id> {
+        self.by_endpoint.keys()
+    }
+
+    pub(super) fn state_bytes(&self) -> usize {
+        self.by_endpoint.len() * (size_of::<endpoint::Id>() + size_of::<Watch>())
+    }
+
+    /// Returns whether this entry is to publish a load.
+    ///
+    /// The second watcher is silent while the first is heard: both at once would double the traffic for nothing.
+    pub(super) fn is_due(
+        &self,
+        now: Instant,
+        endpoint: &endpoint::Id,
+        level: load::Level,
+        heard: Option<Instant>,
+        interval: Duration,
+        repeat: u32,
+    ) -> bool {
+        let Some(watch) = self.by_endpoint.get(endpoint) else {
+            return false;
+        };
+        if !watch.is_first && heard.is_some_and(|at| now.since(at) < interval * (repeat + 2)) {
+            return false;
+        }
+        let Some((at, told)) = watch.published else { return true };
+        let since = now.since(at);
+        (told != level && since >= interval) || since >= interval * repeat
+    }
+
+    pub(super) fn set_published(&mut self, now: Instant, endpoint: &endpoint::Id, level: load::Level) {
+        if let Some(watch) = self.by_endpoint.get_mut(endpoint) {
+            watch.published = Some((now, level));
+        }
+    }
+}
+
+impl Kernel {
+    /// Computes this entry's watches anew when members or endpoints changed.
+    pub(super) fn refresh_watches(&mut self, _now: Instant, out: &mut Vec<Action>) {
+        let stamp = Some((self.members.generation(), self.directory.generation()));
+        if self.watches.stamp == stamp {
+            return;
+        }
+        self.watches.stamp = stamp;
+        let mut wanted = BTreeMap::new();
+        for known in self.directory.iter() {
+            if let Some(is_first) = self.watches_it(known) {
+                wanted.insert(known.id.clone(), is_first);
+            }
+        }
+        let watches = &mut self.watches.by_endpoint;
+        watches.retain(|endpoint, _| {
+            let keep = wanted.contains_key(endpoint);
+            if !keep {
+                out.push(Action::Unwatch(endpoint.clone()));
+            }
+            keep
+        });
+        for (endpoint, is_first) in wanted {
+            let watch = watches.entry(endpoint).or_insert_with_key(|endpoint| {
+                out.push(Action::Watch(endpoint.clone()));
+                Watch {
+                    is_first,
+                    published: None,
+                }
+            });
+            watch.is_first = is_first;
+        }
+    }
+
+    /// Returns whether this entry is the first watcher of an endpoint, if it is one at all.
+    fn watches_it(&self, known: &endpoint::Known) -> Option<bool> {
+        let is_own = known.zone == self.me.zone;
+        // A zone without entries is watched from the others.
+        if !is_own && self.members.live_in(&known.zone).next().is_some() {
+            return None;
+        }
+        let key = xxh3_64_with_seed(known.id.vm.as_str().as_bytes(), known.id.incarnation.get());
+        let watchers = if is_own {
+            let live = self.members.live_in(&known.zone);
+            rendezvous::top(key, WATCHERS, live.map(|(key, record)| (record.tag().get(), key)))
+        } else {
+            let live = self.members.iter().filter(|(_, record)| record.is_live());
+            rendezvous::top(key, WATCHERS, live.map(|(key, record)| (record.tag().get(), key)))
+        };
+        let me = self.members.find(&self.me.name)?;
+        let rank = watchers.iter().position(|watcher| *watcher == me)?;
+        Some(rank == 0)
+    }
+}
--- /dev/null
+++ b/bergamotshift-fleet/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The types that most users of the crate need.
+
+pub use crate::endpoint;
+pub use crate::kernel::Action;
+pub use crate::kernel::Event;
+pub use crate::kernel::Kernel;
+pub use crate::kernel::Way;
+pub use crate::mark;
+pub use crate::member;
+pub use crate::settings::Settings;
+pub use crate::zone::Reach;
--- /dev/null
+++ b/bergamotshift-fleet/src/rendezvous/mod.rs
@@ -0,0 +1,31 @@
+//! Rendezvous hashing: who of the live members has a duty, agreed without a message.
+//!
+//! Every entry that has the same view computes the same ranking, and the loss of one member moves only its own duties.
+//!
+//! ```
+//! use bergamotshift_fleet::rendezvous;
+//!
+//! let all = [1_u64, 2, 3, 4];
+//! let chosen = rendezvous::top(7, 2, all.iter().map(|member| (*member, *member)));
+//! let without_last = rendezvous::top(7, 2, all.iter().filter(|member| **member != chosen[1]).map(|m| (*m, *m)));
+//! assert_eq!(chosen[0], without_last[0]);
+//! ```
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the weight of a member for a key.
+pub fn weight(key: u64, member: u64) -> u64 {
+    xxh3_64_with_seed(&member.to_le_bytes(), key)
+}
+
+/// Returns the `count` candidates of highest weight for a key, the highest first.
+///
+/// A candidate is the hash it is ranked by and the value to return.
+pub fn top<T>(key: u64, count: usize, candidates: impl Iterator<Item = (u64, T)>) -> Vec<T> {
+    let mut ranked: Vec<(u64, u64, T)> = candidates
+        .map(|(member, value)| (weight(key, member), member, value))
+        .collect();
+    ranked.sort_unstable_by_key(|&(weight, member, _)| core::cmp::Reverse((weight, member)));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, _, value)| value).collect()
+}
