--- a/bergamotshift-fleet/examples/fleet_table.rs
+++ b/bergamotshift-fleet/examples/fleet_table.rs
@@ -14,12 +14,12 @@
 
 use support::Fleet;
 use support::Shape;
-use support::percentile;
+use support::trial::percentile;
 
 const WARM_UP: Duration = Duration::from_mins(2);
 const WINDOW: Duration = Duration::from_mins(2);
 
-fn shapes() -> [Shape; 4] {
+fn shapes() -> [Shape; 5] {
     let middle = Shape {
         zones: 5,
         regions: 1,
@@ -40,15 +40,26 @@
             ..middle
         },
         Shape::TARGET,
+        Shape {
+            entries: 39,
+            endpoints: 60,
+            zones: 1,
+            regions: 1,
+            ..middle
+        },
     ]
 }
 
+/// With an argument, only the size of that number is run.
 fn main() {
     println!(
         "entries/endpoints/zones | B/s p50 max | packets/s p50 max | leaving ms p50 p99 max missed | config ms | dead ms | us/entry/s | state B"
     );
-    for shape in shapes() {
-        row(shape);
+    let chosen: Option<usize> = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    for (index, shape) in shapes().into_iter().enumerate() {
+        if chosen.is_none_or(|chosen| chosen == index) {
+            row(shape);
+        }
     }
 }
 
@@ -65,13 +76,15 @@
         .map(|count| count / WINDOW.as_secs())
         .collect();
     let state = fleet.nodes.iter().map(|node| node.kernel.state_bytes()).max();
+    let ages = fleet.load_ages();
+    let queue = fleet.longest_queue();
     let converged = fleet.has_converged();
     let trials = shape.endpoints.min(20);
     let leaving = fleet.leaving_spread(trials, Duration::from_secs(10));
-    let config = fleet.config_spread(20, Duration::from_secs(10));
+    let config = fleet.note_spread(20, Duration::from_secs(10));
     let dead = fleet.death_spread(3, Duration::from_secs(30));
     println!(
-        "{}/{}/{} | {:?} {:?} | {:?} {:?} | {:?} {} | {:?} {} | {:?} {} | {processor:.0} | {state:?} | converged {converged}, handshakes {}",
+        "{}/{}/{} | {:?} {:?} | {:?} {:?} | {:?} {} | {:?} {} | {:?} {} | {processor:.0} | {state:?} | load age ms {:?} {} queue {queue} | converged {converged}, handshakes {}",
         shape.entries,
         shape.endpoints,
         shape.zones,
@@ -85,6 +98,8 @@
         config.missed,
         dead.summary(),
         dead.missed,
+        ages.summary(),
+        ages.missed,
         fleet.traffic.handshakes,
     );
 }
--- a/bergamotshift-fleet/src/gossip/mod.rs
+++ b/bergamotshift-fleet/src/gossip/mod.rs
@@ -9,6 +9,9 @@
 use crate::wire::Key;
 use crate::wire::Writer;
 
+/// What a peer just told.
+pub type Told = BTreeMap<Key, Item>;
+
 /// News that still has to be told, each piece a bounded number of times.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
@@ -33,42 +36,65 @@
         self.pending.insert(pending.item.key(), pending);
     }
 
+    /// Notes that a peer told known news again: most have it by now, so it is told once less.
+    pub fn heard_again(&mut self, item: &Item) {
+        let key = item.key();
+        if self
+            .pending
+            .get(&key)
+            .is_some_and(|pending| pending.item.is_same_news(item))
+        {
+            self.count_down(&key);
+        }
+    }
+
     /// Fills a frame: lasting news first, and of each kind what was told least.
     ///
-    /// With `is_far` set, news that concerns one zone only is left out.
-    pub fn fill(&mut self, now: Instant, writer: &mut Writer, is_far: bool) {
+    /// With `is_far` set, news that concerns one zone only is left out; so is what the receiver itself just told,
+    /// unless this entry knows better by now.
+    pub fn fill(&mut self, now: Instant, writer: &mut Writer, is_far: bool, told_by_it: &Told) {
         /// Below this, not even the smallest item fits.
         const LEAST_ROOM: usize = 8;
-        let mut order: Vec<(bool, u8, Instant, Key)> = self
+        /// After this many items that did not fit, the rest will hardly do better.
+        const MOST_MISSES: usize = 3;
+        let mut order: Vec<(&Key, &Pending)> = self
             .pending
             .iter()
-            .filter(|(_, pending)| !(is_far && pending.item.is_local()))
-            .map(|(key, pending)| {
-                let passing = pending.item.is_passing();
-                (passing, u8::MAX - pending.left, pending.queued, key.clone())
+            .filter(|(_, pending)| !is_far || !pending.item.is_local())
+            .filter(|(key, pending)| {
+                let told = told_by_it.get(*key);
+                told.is_none_or(|told| !told.is_same_news(&pending.item))
             })
             .collect();
-        order.sort_unstable();
-        for (.., key) in order {
-            if writer.room() < LEAST_ROOM {
-                return;
+        order.sort_unstable_by_key(|(_, pending)| {
+            let told = u8::MAX - pending.left;
+            (pending.item.precedence(), told, pending.queued)
+        });
+        let mut told = Vec::new();
+        let mut misses = 0;
+        for (key, pending) in order {
+            if writer.room() < LEAST_ROOM || misses >= MOST_MISSES {
+                break;
             }
-            let Some(pending) = self.pending.get_mut(&key) else {
-                continue;
-            };
-            if !writer.push(&pending.aged(now)) {
-                continue;
-            }
-            pending.left -= 1;
-            if pending.left == 0 {
-                self.pending.remove(&key);
+            if writer.push(&pending.aged(now)) {
+                told.push(key.clone());
+            } else {
+                misses += 1;
             }
         }
+        for key in told {
+            self.count_down(&key);
+        }
     }
 
-    /// Returns the news under a key with its age brought up to date.
-    pub fn get(&self, now: Instant, key: &Key) -> Option<Item> {
-        self.pending.get(key).map(|pending| pending.aged(now))
+    fn count_down(&mut self, key: &Key) {
+        let Some(pending) = self.pending.get_mut(key) else {
+            return;
+        };
+        pending.left -= 1;
+        if pending.left == 0 {
+            self.pending.remove(key);
+        }
     }
 
     /// Returns the number of pieces of news that wait.
@@ -90,7 +116,7 @@
         match &mut item {
             Item::Load(load) => load.age_ds = load.age_ds.saturating_add(load::tenths(waited)),
             Item::Mark(mark) => mark.age_s = mark.age_s.saturating_add(seconds),
-            Item::Death(death) => death.age_s = death.age_s.saturating_add(seconds),
+            Item::Note(note) => note.age_s = note.age_s.saturating_add(seconds),
             _ => {}
         }
         item
--- a/bergamotshift-fleet/src/kernel/action.rs
+++ b/bergamotshift-fleet/src/kernel/action.rs
@@ -3,10 +3,12 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 
+use bergamotshift_core::name;
+
 use crate::endpoint;
 use crate::mark;
 use crate::member;
-use crate::suspicion;
+use crate::note;
 
 /// How a frame travels.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,8 +46,11 @@
     Marked(mark::Mark),
     /// A member came, went or changed.
     Member(member::Record),
-    /// Some entry has this configuration version in force, which is higher than any seen here.
-    Configuration(u64),
-    /// An endpoint died under a request at another entry.
-    Died(suspicion::Death),
+    /// Another entry told news for a part of this one.
+    Noted {
+        /// The news.
+        note: note::Note,
+        /// Who told it first, when that entry is known here.
+        origin: Option<name::Entry>,
+    },
 }
--- a/bergamotshift-fleet/src/kernel/event.rs
+++ b/bergamotshift-fleet/src/kernel/event.rs
@@ -2,13 +2,13 @@
 
 use core::net::SocketAddr;
 
-use bergamotshift_core::fingerprint::Fingerprint;
 use bergamotshift_core::load::Report;
 use bergamotshift_core::name;
 use bergamotshift_core::vm;
 
 use crate::endpoint;
 use crate::mark;
+use crate::note;
 
 /// Something that happened at this entry.
 #[derive(Clone, Debug)]
@@ -40,8 +40,17 @@
         /// The report.
         report: Report,
     },
-    /// This configuration version is in force here.
-    Configured(u64),
+    /// Another part of the entry has news for all entries.
+    Announced {
+        /// What it is about.
+        topic: note::Topic,
+        /// What it is about within the topic.
+        key: u128,
+        /// The highest wins.
+        version: u64,
+        /// The content, at most [`note::Note::MOST`] bytes.
+        body: Vec<u8>,
+    },
     /// This entry serves an organisation at this rate.
     Used {
         /// The organisation.
@@ -49,13 +58,6 @@
         /// The rate, in the unit that the limits count in.
         rate: u32,
     },
-    /// An endpoint died while it ran a request.
-    Died {
-        /// The request's fingerprint.
-        fingerprint: Fingerprint,
-        /// The endpoint.
-        endpoint: endpoint::Id,
-    },
     /// This entry leaves.
     Leave,
 }
--- a/bergamotshift-fleet/src/kernel/mod.rs
+++ b/bergamotshift-fleet/src/kernel/mod.rs
@@ -30,8 +30,8 @@
 use crate::load;
 use crate::mark;
 use crate::member;
+use crate::note;
 use crate::settings::Settings;
-use crate::suspicion;
 use crate::tag;
 use crate::usage;
 use crate::wire;
@@ -76,8 +76,7 @@
     watches: watch::Watches,
     usage: usage::Book,
     published: publish::Published,
-    deaths: suspicion::Table,
-    config: u64,
+    notes: note::Table,
     unreadable: u64,
     pauses: u64,
 }
@@ -120,8 +119,7 @@
             watches: watch::Watches::default(),
             usage: usage::Book::default(),
             published: publish::Published::default(),
-            deaths: suspicion::Table::default(),
-            config: 0,
+            notes: note::Table::default(),
             unreadable: 0,
             pauses: 0,
             settings,
@@ -147,9 +145,13 @@
                 notice_ms,
             } => self.mark(now, endpoint, source, notice_ms, out),
             Event::Loaded { endpoint, report } => self.loaded(now, &endpoint, &report, out),
-            Event::Configured(version) => self.configured(now, version),
+            Event::Announced {
+                topic,
+                key,
+                version,
+                body,
+            } => self.announce(now, topic, key, version, body),
             Event::Used { organisation, rate } => self.usage.set_own(organisation, rate),
-            Event::Died { fingerprint, endpoint } => self.died(now, fingerprint, &endpoint),
             Event::Leave => self.leave(now, out),
         }
         self.run_due(now, out);
@@ -208,14 +210,9 @@
         &self.usage
     }
 
-    /// Returns the deaths under requests.
-    pub const fn deaths(&self) -> &suspicion::Table {
-        &self.deaths
-    }
-
-    /// Returns the highest configuration version seen in force anywhere.
-    pub const fn config(&self) -> u64 {
-        self.config
+    /// Returns the notes.
+    pub const fn notes(&self) -> &note::Table {
+        &self.notes
     }
 
     /// Returns whether an endpoint takes no new work.
@@ -239,6 +236,11 @@
         self.watches.endpoints()
     }
 
+    /// Returns how many pieces of news wait to be told.
+    pub fn pending_news(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Returns how a zone is reached from this entry's zone.
     pub fn reach(&self, now: Instant, zone: &name::Zone) -> zone::Reach {
         if *zone == self.me.zone {
@@ -267,7 +269,7 @@
             + rows::<tag::Short, Heard>(self.loads.len())
             + rows::<(tag::Short, tag::Short), (u16, u8)>(self.usage.len())
             + rows::<(tag::Short, tag::Short), zone::Summary>(self.summaries.len())
-            + rows::<u128, Instant>(self.deaths.len())
+            + rows::<u128, (note::Note, Instant)>(self.notes.len())
             + rows::<wire::Key, wire::Item>(self.queue.len())
             + self.watches.state_bytes()
     }
--- a/bergamotshift-fleet/src/kernel/news.rs
+++ b/bergamotshift-fleet/src/kernel/news.rs
@@ -1,7 +1,6 @@
 //! Urgent news: passed on at once instead of with the next probe.
 
 use bergamotshift_core::clock::Instant;
-use bergamotshift_core::fingerprint::Fingerprint;
 use bergamotshift_core::key;
 use rand::seq::SliceRandom;
 
@@ -9,9 +8,10 @@
 use super::Kernel;
 use super::Way;
 use crate::endpoint;
+use crate::gossip;
 use crate::mark;
 use crate::member;
-use crate::suspicion;
+use crate::note;
 use crate::tag;
 use crate::wire;
 use crate::wire::Item;
@@ -61,24 +61,31 @@
         self.hurry(now, Item::Mark(mark), origin);
     }
 
-    /// Announces a configuration version that came into force here.
-    pub(super) fn configured(&mut self, now: Instant, version: u64) {
-        if version > self.config {
-            self.config = version;
-            self.hurry(now, Item::Config(version), Origin::Own);
+    /// Spreads news of another part of this entry.
+    pub(super) fn announce(&mut self, now: Instant, topic: note::Topic, key: u128, version: u64, body: Vec<u8>) {
+        let note = note::Note {
+            topic,
+            key,
+            version,
+            age_s: 0,
+            origin: self.tag,
+            body,
+        };
+        if self.notes.insert(now, &note) {
+            self.hurry(now, Item::Note(note), Origin::Own);
         }
     }
 
-    /// Announces a death under a request.
-    pub(super) fn died(&mut self, now: Instant, fingerprint: Fingerprint, endpoint: &endpoint::Id) {
-        let death = suspicion::Death {
-            fingerprint,
-            endpoint: endpoint.tag(),
-            age_s: 0,
-        };
-        if self.deaths.insert(now, death) {
-            self.hurry(now, Item::Death(death), Origin::Own);
+    pub(super) fn learn_note(&mut self, now: Instant, note: note::Note, origin: Origin, out: &mut Vec<Action>) {
+        if !self.notes.insert(now, &note) {
+            return;
         }
+        let teller = self.members.tagged(note.origin).and_then(|key| self.members.get(key));
+        out.push(Action::Noted {
+            origin: teller.map(|record| record.name.clone()),
+            note: note.clone(),
+        });
+        self.hurry(now, Item::Note(note), origin);
     }
 
     /// Says goodbye.
@@ -86,7 +93,7 @@
         self.me.state = member::State::Left;
         self.members.merge(self.me.clone());
         self.hurry(now, Item::Member(self.me.clone()), Origin::Own);
-        self.flush(now, out);
+        self.flush(out);
     }
 
     /// Records and announces what this entry thinks of another.
@@ -154,7 +161,7 @@
     }
 
     /// Passes urgent news on: to random members of the zone, and between zones through the speakers.
-    pub(super) fn flush(&mut self, _now: Instant, out: &mut Vec<Action>) {
+    pub(super) fn flush(&mut self, out: &mut Vec<Action>) {
         self.schedule.flush = None;
         self.refresh_speakers();
         let urgent = core::mem::take(&mut self.urgent);
@@ -226,20 +233,26 @@
         body: wire::Body,
         to: Option<key::Entry>,
         with_digest: bool,
+        told_by_it: &gossip::Told,
     ) -> Vec<u8> {
-        let mut writer = wire::Writer::new(self.tag, body, self.settings.budget);
         let receiver = to.and_then(|key| self.members.get(key));
+        let is_far = receiver.is_none_or(|record| record.zone != self.me.zone);
+        let budget = if is_far {
+            self.settings.budget_far
+        } else {
+            self.settings.budget
+        };
+        let mut writer = wire::Writer::new(self.tag, body, budget);
         // Whoever is thought to be gone is told so first, and can refute it.
         if let Some(record) = receiver
             && record.state != member::State::Alive
         {
             writer.push(&Item::Member(record.clone()));
         }
-        let is_far = receiver.is_none_or(|record| record.zone != self.me.zone);
         if with_digest {
             writer.push(&Item::Digest(self.digest()));
         }
-        self.queue.fill(now, &mut writer, is_far);
+        self.queue.fill(now, &mut writer, is_far, told_by_it);
         writer.finish()
     }
 
--- a/bergamotshift-fleet/src/kernel/probe.rs
+++ b/bergamotshift-fleet/src/kernel/probe.rs
@@ -12,6 +12,7 @@
 use super::Action;
 use super::Kernel;
 use super::Way;
+use crate::gossip;
 use crate::member;
 use crate::tag;
 use crate::wire;
@@ -93,7 +94,7 @@
         self.sequence = self.sequence.wrapping_add(1);
         let sequence = self.sequence;
         let body = wire::Body::Ping { sequence, target: tag };
-        let bytes = self.frame(now, body, Some(target), with_digest);
+        let bytes = self.frame(now, body, Some(target), with_digest, &gossip::Told::new());
         out.push(Action::Send {
             to,
             way: Way::Datagram,
@@ -187,7 +188,7 @@
         };
         self.originate_member(now, record, out);
         let body = wire::Body::Push;
-        let bytes = self.frame(now, body, Some(target), false);
+        let bytes = self.frame(now, body, Some(target), false, &gossip::Told::new());
         if let Some(record) = self.members.get(target) {
             out.push(Action::Send {
                 to: record.address,
--- a/bergamotshift-fleet/src/kernel/publish.rs
+++ b/bergamotshift-fleet/src/kernel/publish.rs
@@ -21,13 +21,20 @@
 /// When this entry last published what.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Published {
-    uses: BTreeMap<name::Organisation, (Instant, u8)>,
-    zone_uses: BTreeMap<tag::Short, (Instant, u8)>,
+    uses: Told,
+    zone_uses: Told,
     summaries: BTreeMap<name::Service, Instant>,
     beat: Instant,
     sequence: u16,
 }
 
+/// The rates last published, and when.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    at: Instant,
+    rates: Vec<usage::Rate>,
+}
+
 /// Sums over a service's endpoints in this zone.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sum {
@@ -97,52 +104,54 @@
     }
 
     fn publish_uses(&mut self, now: Instant) {
-        let figures = self.usage.in_zone().len() * self.members.live_in(&self.me.zone).count();
-        let interval = Self::pace(figures, self.settings.uses_per_second, Self::LEAST);
-        let own: Vec<(name::Organisation, u8)> = self
+        let rates: Vec<usage::Rate> = self
             .usage
             .own()
-            .map(|(organisation, rate)| (organisation.clone(), load::quantise(rate)))
+            .map(|(organisation, rate)| usage::Rate {
+                organisation: tag::Short::of(organisation),
+                level: load::quantise(rate),
+            })
             .collect();
-        for (organisation, rate) in own {
-            let last = self.published.uses.get(&organisation).copied();
-            if !is_due(now, last, rate, interval, Self::REPEAT) {
-                continue;
-            }
-            let usage = usage::Entry {
-                organisation: tag::Short::of(&organisation),
-                entry: self.tag.short(),
-                sequence: self.next_sequence(),
-                rate,
-            };
-            self.published.uses.insert(organisation, (now, rate));
-            self.queue.push(now, Item::Use(usage), self.settings.sends_passing);
+        let publishers = self.members.live_in(&self.me.zone).count() * parts(&rates);
+        let interval = Self::pace(publishers, self.settings.uses_per_second, Self::LEAST);
+        if self.published.uses.is_due(now, &rates, interval) {
+            let sequence = self.next_sequence();
+            self.queue_uses(now, usage::Place::Entry(self.tag.short()), sequence, &rates);
+            self.published.uses.set(now, rates);
         }
     }
 
     fn publish_zone_uses(&mut self, now: Instant) {
-        let rates = self.usage.in_zone();
-        let interval = Self::pace(
-            rates.len() * self.zones.len(),
-            self.settings.uses_per_second.div_ceil(2),
-            Self::LEAST_FAR,
-        );
-        let zone = tag::Short::of(&self.me.zone);
-        for (organisation, rate) in rates {
-            let rate = load::quantise(rate);
-            let last = self.published.zone_uses.get(&organisation).copied();
-            if !is_due(now, last, rate, interval, Self::REPEAT) {
-                continue;
-            }
-            self.published.zone_uses.insert(organisation, (now, rate));
-            let usage = usage::Zone {
+        let sums = self.usage.in_zone();
+        let rates: Vec<usage::Rate> = sums
+            .into_iter()
+            .map(|(organisation, rate)| usage::Rate {
                 organisation,
-                zone,
-                sequence: self.usage.zone_sequence(organisation, zone).wrapping_add(1),
-                rate,
+                level: load::quantise(rate),
+            })
+            .collect();
+        let per_second = self.settings.uses_per_second.div_ceil(3);
+        let interval = Self::pace(self.zones.len() * parts(&rates), per_second, Self::LEAST_FAR);
+        if self.published.zone_uses.is_due(now, &rates, interval) {
+            let zone = tag::Short::of(&self.me.zone);
+            let sequence = self.usage.zone_sequence(zone).wrapping_add(1);
+            self.queue_uses(now, usage::Place::Zone(zone), sequence, &rates);
+            self.published.zone_uses.set(now, rates);
+        }
+    }
+
+    fn queue_uses(&mut self, now: Instant, place: usage::Place, sequence: u16, rates: &[usage::Rate]) {
+        for (part, rates) in rates.chunks(usage::Use::MOST).enumerate() {
+            let usage = usage::Use {
+                place,
+                part: part as u8,
+                sequence,
+                rates: rates.to_vec(),
             };
-            self.usage.merge_zone(usage);
-            self.queue.push(now, Item::ZoneUse(usage), self.settings.sends_passing);
+            if matches!(place, usage::Place::Zone(_)) {
+                self.usage.merge(&usage);
+            }
+            self.queue.push(now, Item::Use(usage), self.settings.sends_passing);
         }
     }
 
@@ -228,9 +237,20 @@
     }
 }
 
-/// Returns whether a figure is to be published: it changed and an interval passed, or several passed.
-fn is_due(now: Instant, last: Option<(Instant, u8)>, rate: u8, interval: Duration, repeat: u32) -> bool {
-    let Some((at, told)) = last else { return true };
-    let since = now.since(at);
-    (told != rate && since >= interval) || since >= interval * repeat
+impl Told {
+    /// Returns whether rates are to be published: they changed and an interval passed, or several passed.
+    fn is_due(&self, now: Instant, rates: &[usage::Rate], interval: Duration) -> bool {
+        let since = now.since(self.at);
+        (self.rates != rates && since >= interval) || since >= interval * Kernel::REPEAT
+    }
+
+    fn set(&mut self, now: Instant, rates: Vec<usage::Rate>) {
+        self.at = now;
+        self.rates = rates;
+    }
+}
+
+/// Returns how many publications these rates take.
+const fn parts(rates: &[usage::Rate]) -> usize {
+    rates.len().div_ceil(usage::Use::MOST)
 }
--- a/bergamotshift-fleet/src/kernel/receive.rs
+++ b/bergamotshift-fleet/src/kernel/receive.rs
@@ -10,12 +10,22 @@
 use super::Kernel;
 use super::Way;
 use super::news::Origin;
+use crate::gossip;
 use crate::load;
 use crate::tag;
 use crate::wire;
 use crate::wire::Item;
 use crate::zone;
 
+/// What a probe asks for.
+struct Ping {
+    sequence: u32,
+    target: tag::Long,
+    with_digest: bool,
+    /// News that the asker just told and need not hear.
+    told: gossip::Told,
+}
+
 impl Kernel {
     pub(super) fn receive(&mut self, now: Instant, from: SocketAddr, bytes: &[u8], out: &mut Vec<Action>) {
         let Ok(frame) = wire::Frame::decode(bytes) else {
@@ -25,6 +35,7 @@
         };
         let origin = self.origin(&frame);
         let mut digest = None;
+        let told: gossip::Told = frame.items.iter().map(|item| (item.key(), item.clone())).collect();
         for item in frame.items {
             match item {
                 Item::Digest(theirs) => digest = Some(theirs),
@@ -41,7 +52,13 @@
         }
         match frame.body {
             wire::Body::Ping { sequence, target } => {
-                self.pinged(now, reply_to, sender, sequence, target, is_answer_due, out);
+                let ping = Ping {
+                    sequence,
+                    target,
+                    with_digest: is_answer_due,
+                    told,
+                };
+                self.pinged(now, reply_to, sender, &ping, out);
             }
             wire::Body::Ack { sequence, of } => self.answered(now, sequence, of, out),
             wire::Body::Relay { sequence, target } => self.relay(now, reply_to, sequence, target, out),
@@ -78,27 +95,20 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of one frame and its sender")]
-    fn pinged(
-        &mut self,
-        now: Instant,
-        to: SocketAddr,
-        sender: Option<key::Entry>,
-        sequence: u32,
-        target: tag::Long,
-        with_digest: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let body = wire::Body::Ack { sequence, of: self.tag };
-        let bytes = self.frame(now, body, sender, with_digest);
+    fn pinged(&mut self, now: Instant, to: SocketAddr, sender: Option<key::Entry>, ping: &Ping, out: &mut Vec<Action>) {
+        let body = wire::Body::Ack {
+            sequence: ping.sequence,
+            of: self.tag,
+        };
+        let bytes = self.frame(now, body, sender, ping.with_digest, &ping.told);
         out.push(Action::Send {
             to,
             way: Way::Datagram,
             bytes,
         });
-        if target == tag::Long::UNKNOWN {
+        if ping.target == tag::Long::UNKNOWN {
             self.welcome(now, to, out);
-        } else if target != self.tag {
+        } else if ping.target != self.tag {
             self.introduce(to, out);
         }
     }
@@ -120,23 +130,13 @@
         match item {
             Item::Member(record) => self.learn_member(now, record, origin, out),
             Item::Mark(mark) => self.learn_mark(now, mark, origin, out),
-            Item::Config(version) => {
-                if version > self.config {
-                    self.config = version;
-                    out.push(Action::Configuration(version));
-                    self.hurry(now, Item::Config(version), origin);
-                }
-            }
-            Item::Death(death) => {
-                if self.deaths.insert(now, death) {
-                    out.push(Action::Died(death));
-                    self.hurry(now, Item::Death(death), origin);
-                }
-            }
+            Item::Note(note) => self.learn_note(now, note, origin, out),
             Item::Term(term) => self.learn_term(now, term, origin),
             passing => {
                 if self.learn_passing(now, &passing, origin) {
                     self.queue.push(now, passing, self.settings.sends_passing);
+                } else {
+                    self.queue.heard_again(&passing);
                 }
             }
         }
@@ -146,8 +146,7 @@
     fn learn_passing(&mut self, now: Instant, item: &Item, origin: Origin) -> bool {
         match item {
             Item::Load(load) => origin != Origin::Far && self.learn_load(now, load),
-            Item::Use(usage) => origin != Origin::Far && self.usage.merge_entry(*usage),
-            Item::ZoneUse(usage) => self.usage.merge_zone(*usage),
+            Item::Use(usage) => !(origin == Origin::Far && item.is_local()) && self.usage.merge(usage),
             Item::Beat(beat) => self.learn_beat(now, beat),
             Item::Summary(summary) => self.learn_summary(now, *summary),
             _ => false,
--- a/bergamotshift-fleet/src/kernel/schedule.rs
+++ b/bergamotshift-fleet/src/kernel/schedule.rs
@@ -83,14 +83,14 @@
             self.reconnect(now, out);
         }
         if self.schedule.flush.is_some_and(|at| now >= at) {
-            self.flush(now, out);
+            self.flush(out);
         }
     }
 
     fn keep_house(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.refresh_speakers();
-        self.refresh_watches(now, out);
-        self.join(now, out);
+        self.refresh_watches(out);
+        self.join(out);
         self.publish(now);
         self.forget(now);
     }
--- a/bergamotshift-fleet/src/kernel/speak.rs
+++ b/bergamotshift-fleet/src/kernel/speak.rs
@@ -86,7 +86,7 @@
     /// Returns the speakers that this entry passes urgent news to, when it is a speaker itself.
     ///
     /// Each other zone falls to two of this zone's speakers, so that one of them may fail unnoticed.
-    pub(super) fn far_partners(&mut self) -> Vec<key::Entry> {
+    pub(super) fn far_partners(&self) -> Vec<key::Entry> {
         let Some((rank, count)) = self.rank() else {
             return Vec::new();
         };
@@ -97,9 +97,8 @@
             if index % count != rank && (index + 1) % count != rank {
                 continue;
             }
-            let mut speakers = speakers.clone();
-            speakers.shuffle(&mut self.random);
-            partners.extend(speakers.into_iter().take(Self::PARTNERS));
+            let wanted = Self::PARTNERS.min(speakers.len());
+            partners.extend((0..wanted).map(|step| speakers[(rank + step) % speakers.len()]));
         }
         partners
     }
@@ -107,21 +106,21 @@
     /// Probes the next zone, when this entry is a speaker.
     pub(super) fn probe_zone(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.refresh_speakers();
-        if self.rank().is_none() || self.me.state == member::State::Left {
+        let Some((rank, _)) = self.rank() else { return };
+        if self.me.state == member::State::Left {
             return;
         }
         let Some(zone) = self.next_zone() else { return };
         let failures = self.zones.get(&zone).map_or(0, |view| view.failures);
-        // After a failure any member will do: the speakers themselves may be what failed.
-        let mut targets: Vec<key::Entry> = if failures == 0 {
-            self.speakers.by_zone.get(&zone).cloned().unwrap_or_default()
+        let speakers = self.speakers_of(&zone);
+        // The same partner each time keeps connections few: a handshake costs as much as ten probes. After a failure
+        // any member will do, since the speakers themselves may be what failed.
+        let target = if failures == 0 && !speakers.is_empty() {
+            speakers[rank % speakers.len()]
         } else {
-            self.members.live_in(&zone).map(|(key, _)| key).collect()
+            let members: Vec<key::Entry> = self.members.live_in(&zone).map(|(key, _)| key).collect();
+            members[self.random.random_range(0..members.len())]
         };
-        if targets.is_empty() {
-            return;
-        }
-        let target = targets.swap_remove(self.random.random_range(0..targets.len()));
         self.speakers.last_probed = Some(zone.clone());
         self.start_probe(now, target, Purpose::Zone(zone), true, out);
     }
--- a/bergamotshift-fleet/src/kernel/status.rs
+++ b/bergamotshift-fleet/src/kernel/status.rs
@@ -35,8 +35,6 @@
     pub endpoints: usize,
     /// Endpoints that leave.
     pub leaving: usize,
-    /// The highest configuration version seen.
-    pub config: u64,
     /// Pauses noticed in this entry's own clock.
     pub pauses: u64,
     /// Frames that could not be read.
@@ -57,7 +55,6 @@
             zones: zones.collect(),
             endpoints: self.directory.len(),
             leaving: self.marks.len(),
-            config: self.config,
             pauses: self.pauses,
             unreadable: self.unreadable,
         }
--- a/bergamotshift-fleet/src/kernel/sync.rs
+++ b/bergamotshift-fleet/src/kernel/sync.rs
@@ -51,7 +51,7 @@
     }
 
     /// Asks seeds and listed entries that are no members yet; all of them while alone, else one now and then.
-    pub(super) fn join(&mut self, _now: Instant, out: &mut Vec<Action>) {
+    pub(super) fn join(&mut self, out: &mut Vec<Action>) {
         /// One in this many seconds: halves of a fleet that were started apart have to find each other.
         const RARELY: u32 = 10;
         /// Seeds asked at once while alone.
@@ -110,7 +110,7 @@
             .collect();
         items.extend(self.marks.iter(now).map(Item::Mark));
         items.extend(self.terms());
-        items.push(Item::Config(self.config));
+        items.extend(self.notes.iter(now).map(Item::Note));
         self.send_all(to, &items, out);
     }
 
@@ -142,6 +142,7 @@
         wire::Digest {
             members: members.collect(),
             marks: self.marks.digest().to_le_bytes(),
+            notes: self.notes.digest().to_le_bytes(),
         }
     }
 
@@ -177,7 +178,9 @@
             items.extend(self.marks.iter(now).map(Item::Mark));
         }
         items.extend(self.terms());
-        items.push(Item::Config(self.config));
+        if ours.notes != theirs.notes {
+            items.extend(self.notes.iter(now).map(Item::Note));
+        }
         self.send_all(to, &items, out);
     }
 
@@ -199,7 +202,7 @@
         self.marks.expire(now, |endpoint| {
             directory.get(&endpoint.vm).is_some_and(|known| known.id == *endpoint)
         });
-        self.deaths.expire(now);
+        self.notes.expire(now);
         let near = self.near_tags();
         self.usage.retain_entries(|entry| near.contains(&entry));
         let silence = self.settings.silence;
--- a/bergamotshift-fleet/src/kernel/watch.rs
+++ b/bergamotshift-fleet/src/kernel/watch.rs
@@ -70,7 +70,7 @@
 
 impl Kernel {
     /// Computes this entry's watches anew when members or endpoints changed.
-    pub(super) fn refresh_watches(&mut self, _now: Instant, out: &mut Vec<Action>) {
+    pub(super) fn refresh_watches(&mut self, out: &mut Vec<Action>) {
         let stamp = Some((self.members.generation(), self.directory.generation()));
         if self.watches.stamp == stamp {
             return;
--- a/bergamotshift-fleet/src/member/table.rs
+++ b/bergamotshift-fleet/src/member/table.rs
@@ -1,6 +1,5 @@
 //! The arena of members with its indexes.
 
-use core::net::SocketAddr;
 use std::collections::BTreeMap;
 
 use bergamotshift_core::key;
@@ -111,13 +110,6 @@
         self.by_zone.keys()
     }
 
-    /// Returns whether a live member other than `except` listens at this address.
-    pub fn is_live_at(&self, address: SocketAddr, except: key::Entry) -> bool {
-        self.arena
-            .iter()
-            .any(|(key, record)| key != except && record.is_live() && record.address == address)
-    }
-
     /// Returns the number of members.
     pub fn len(&self) -> usize {
         self.arena.len()
--- a/bergamotshift-fleet/src/prelude.rs
+++ b/bergamotshift-fleet/src/prelude.rs
@@ -7,5 +7,6 @@
 pub use crate::kernel::Way;
 pub use crate::mark;
 pub use crate::member;
+pub use crate::note;
 pub use crate::settings::Settings;
 pub use crate::zone::Reach;
--- a/bergamotshift-fleet/src/settings/mod.rs
+++ b/bergamotshift-fleet/src/settings/mod.rs
@@ -39,13 +39,15 @@
     pub sends_passing: u8,
     /// Most bytes of news that go along with one probe or answer.
     pub budget: usize,
+    /// The same between zones, where the few speakers bear the traffic.
+    pub budget_far: usize,
     /// In-zone probes per digest.
     pub digest_every: u32,
     /// Time after which a speaker passes its duty on.
     pub rotation: Duration,
     /// Load reports per second that one zone may publish in all.
     pub loads_per_second: u32,
-    /// Use figures per second that one zone may publish in all.
+    /// Use publications per second that one zone may make in all, and a third as many for whole zones.
     pub uses_per_second: u32,
     /// Beats and summaries per second that the fleet may publish in all.
     pub summaries_per_second: u32,
@@ -65,17 +67,18 @@
             suspicion: Duration::from_secs(3),
             cross_period: Duration::from_secs(2),
             cross_failures: 3,
-            silence: Duration::from_secs(30),
+            silence: Duration::from_secs(45),
             coalesce: Duration::from_millis(20),
             fanout: 5,
             sends_lasting: 6,
             sends_passing: 3,
-            budget: 400,
+            budget: 560,
+            budget_far: 320,
             digest_every: 8,
             rotation: Duration::from_mins(10),
-            loads_per_second: 12,
-            uses_per_second: 8,
-            summaries_per_second: 12,
+            loads_per_second: 30,
+            uses_per_second: 3,
+            summaries_per_second: 9,
             pause: Duration::from_secs(2),
         }
     }
--- a/bergamotshift-fleet/src/usage/mod.rs
+++ b/bergamotshift-fleet/src/usage/mod.rs
@@ -9,32 +9,43 @@
 use crate::load;
 use crate::tag;
 
-/// What one entry serves for one organisation.
+/// The rate at which an organisation is served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct Entry {
+pub struct Rate {
     /// The organisation.
     pub organisation: tag::Short,
-    /// The entry.
-    pub entry: tag::Short,
-    /// Counts the entry's publications, modulo 2^16.
-    pub sequence: u16,
     /// The rate on the scale of [`load::quantise`].
-    pub rate: u8,
+    pub level: u8,
 }
 
-/// What a whole zone serves for one organisation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Where organisations are served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
-pub struct Zone {
-    /// The organisation.
-    pub organisation: tag::Short,
-    /// The zone.
-    pub zone: tag::Short,
-    /// Counts the zone's publications, modulo 2^16.
+pub enum Place {
+    /// At one entry of the zone.
+    Entry(tag::Short),
+    /// In a whole zone.
+    Zone(tag::Short),
+}
+
+/// What one place serves for some organisations.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Use {
+    /// The place.
+    pub place: Place,
+    /// Tells the parts of a place's use apart, when it has many organisations.
+    pub part: u8,
+    /// Counts the place's publications, modulo 2^16.
     pub sequence: u16,
-    /// The rate on the scale of [`load::quantise`].
-    pub rate: u8,
+    /// The rates, at most [`Use::MOST`].
+    pub rates: Vec<Rate>,
+}
+
+impl Use {
+    /// Most rates in one publication, so that it fits in the room beside a probe.
+    pub const MOST: usize = 16;
 }
 
 /// The rates that an entry knows: its own exactly, its zone's per entry, the other zones' in sum.
@@ -56,31 +67,31 @@
         self.own.iter().map(|(organisation, rate)| (organisation, *rate))
     }
 
-    /// Takes in another entry's rate and returns whether it is news.
-    pub fn merge_entry(&mut self, news: Entry) -> bool {
-        merge(
-            &mut self.entries,
-            (news.organisation, news.entry),
-            news.sequence,
-            news.rate,
-        )
-    }
-
-    /// Takes in another zone's rate and returns whether it is news.
-    pub fn merge_zone(&mut self, news: Zone) -> bool {
-        merge(
-            &mut self.zones,
-            (news.organisation, news.zone),
-            news.sequence,
-            news.rate,
-        )
+    /// Takes a publication in and returns whether it is news.
+    pub fn merge(&mut self, news: &Use) -> bool {
+        let (table, place) = match news.place {
+            Place::Entry(entry) => (&mut self.entries, entry),
+            Place::Zone(zone) => (&mut self.zones, zone),
+        };
+        let mut is_news = false;
+        for rate in &news.rates {
+            let key = (rate.organisation, place);
+            let known = table.get(&key);
+            if known.is_none_or(|(known, _)| load::is_newer(news.sequence, *known)) {
+                table.insert(key, (news.sequence, rate.level));
+                is_news = true;
+            }
+        }
+        is_news
     }
 
-    /// Returns the last sequence that a zone published for an organisation.
-    pub fn zone_sequence(&self, organisation: tag::Short, zone: tag::Short) -> u16 {
-        self.zones
-            .get(&(organisation, zone))
-            .map_or(0, |(sequence, _)| *sequence)
+    /// Returns the highest sequence that a zone published.
+    pub fn zone_sequence(&self, zone: tag::Short) -> u16 {
+        let sequences = self.zones.iter().filter(|((_, other), _)| *other == zone);
+        sequences
+            .map(|(_, (sequence, _))| *sequence)
+            .reduce(|left, right| if load::is_newer(right, left) { right } else { left })
+            .unwrap_or(0)
     }
 
     /// Forgets the rates of entries for which `keep` is false: a dead entry serves nothing.
@@ -130,15 +141,3 @@
         self.len() == 0
     }
 }
-
-type Figures = BTreeMap<(tag::Short, tag::Short), (u16, u8)>;
-
-fn merge(table: &mut Figures, key: (tag::Short, tag::Short), sequence: u16, rate: u8) -> bool {
-    let is_news = table
-        .get(&key)
-        .is_none_or(|(known, _)| load::is_newer(sequence, *known));
-    if is_news {
-        table.insert(key, (sequence, rate));
-    }
-    is_news
-}
--- a/bergamotshift-fleet/src/wire/item.rs
+++ b/bergamotshift-fleet/src/wire/item.rs
@@ -9,7 +9,7 @@
 use crate::load;
 use crate::mark;
 use crate::member;
-use crate::suspicion;
+use crate::note;
 use crate::tag;
 use crate::usage;
 use crate::zone;
@@ -22,6 +22,8 @@
     pub members: Vec<(tag::Short, [u8; 4])>,
     /// The hash over the leaving marks.
     pub marks: [u8; 4],
+    /// The hash over the notes that are kept for good.
+    pub notes: [u8; 4],
 }
 
 /// One piece of news.
@@ -31,20 +33,16 @@
     Member(member::Record),
     /// An endpoint leaves.
     Mark(mark::Mark),
-    /// The highest configuration version in force at the sender.
-    Config(u64),
+    /// News of another part of the entry.
+    Note(note::Note),
     /// An endpoint's load.
     Load(load::Load),
     /// A speaker's sign of life.
     Beat(zone::Beat),
     /// A service's load in a zone.
     Summary(zone::Summary),
-    /// An entry's use by an organisation.
-    Use(usage::Entry),
-    /// A zone's use by an organisation.
-    ZoneUse(usage::Zone),
-    /// An endpoint died under a request.
-    Death(suspicion::Death),
+    /// What a place serves for organisations.
+    Use(usage::Use),
     /// A zone's speakers change.
     Term(zone::Term),
     /// Hashes over what the sender holds.
@@ -58,20 +56,16 @@
     Member(tag::Long),
     /// An endpoint's leaving.
     Mark(endpoint::Id),
-    /// The configuration.
-    Config,
+    /// A note.
+    Note(note::Topic, u128),
     /// An endpoint's load.
     Load(tag::Short),
     /// A speaker's sign of life.
     Beat(tag::Short),
     /// A service in a zone.
     Summary(tag::Short, tag::Short),
-    /// An organisation at an entry.
-    Use(tag::Short, tag::Short),
-    /// An organisation in a zone.
-    ZoneUse(tag::Short, tag::Short),
-    /// A request and the endpoint that died under it.
-    Death(bergamotshift_core::fingerprint::Fingerprint, tag::Short),
+    /// A part of a place's use.
+    Use(usage::Place, u8),
     /// A zone's term.
     Term(tag::Short),
     /// The digest.
@@ -84,29 +78,49 @@
         match self {
             Self::Member(record) => Key::Member(record.tag()),
             Self::Mark(mark) => Key::Mark(mark.endpoint.clone()),
-            Self::Config(_) => Key::Config,
+            Self::Note(note) => Key::Note(note.topic, note.key),
             Self::Load(load) => Key::Load(load.endpoint),
             Self::Beat(beat) => Key::Beat(beat.speaker),
             Self::Summary(summary) => Key::Summary(summary.zone, summary.service),
-            Self::Use(usage) => Key::Use(usage.organisation, usage.entry),
-            Self::ZoneUse(usage) => Key::ZoneUse(usage.organisation, usage.zone),
-            Self::Death(death) => Key::Death(death.fingerprint, death.endpoint),
+            Self::Use(usage) => Key::Use(usage.place, usage.part),
             Self::Term(term) => Key::Term(term.zone),
             Self::Digest(_) => Key::Digest,
         }
     }
 
+    /// Returns whether both say the same, whatever their ages.
+    pub fn is_same_news(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Load(left), Self::Load(right)) => (left.endpoint, left.sequence) == (right.endpoint, right.sequence),
+            (Self::Mark(left), Self::Mark(right)) => left.endpoint == right.endpoint,
+            (Self::Note(left), Self::Note(right)) => {
+                (left.topic, left.key, left.version) == (right.topic, right.key, right.version)
+            }
+            (left, right) => left == right,
+        }
+    }
+
     /// Returns whether the item concerns its own zone only.
     pub const fn is_local(&self) -> bool {
-        matches!(self, Self::Load(_) | Self::Use(_))
+        match self {
+            Self::Load(_) => true,
+            Self::Use(usage) => matches!(usage.place, usage::Place::Entry(_)),
+            _ => false,
+        }
     }
 
     /// Returns whether the next publication makes up for this one when it gets lost.
     pub const fn is_passing(&self) -> bool {
-        matches!(
-            self,
-            Self::Load(_) | Self::Use(_) | Self::ZoneUse(_) | Self::Beat(_) | Self::Summary(_)
-        )
+        matches!(self, Self::Load(_) | Self::Use(_) | Self::Beat(_) | Self::Summary(_))
+    }
+
+    /// Returns the order in which news goes along: what lasts, then loads, then what is slower to change.
+    pub(crate) const fn precedence(&self) -> u8 {
+        match self {
+            Self::Load(_) => 1,
+            Self::Use(_) | Self::Beat(_) | Self::Summary(_) => 2,
+            _ => 0,
+        }
     }
 
     /// Returns the number that stands for the kind on the wire.
@@ -114,15 +128,13 @@
         match self {
             Self::Member(_) => 1,
             Self::Mark(_) => 2,
-            Self::Config(_) => 3,
+            Self::Note(_) => 3,
             Self::Load(_) => 4,
             Self::Beat(_) => 5,
             Self::Summary(_) => 6,
             Self::Use(_) => 7,
-            Self::ZoneUse(_) => 8,
-            Self::Death(_) => 9,
-            Self::Term(_) => 10,
-            Self::Digest(_) => 11,
+            Self::Term(_) => 8,
+            Self::Digest(_) => 9,
         }
     }
 
@@ -131,13 +143,11 @@
         match self {
             Self::Member(value) => append(value, out),
             Self::Mark(value) => append(value, out),
-            Self::Config(value) => append(value, out),
+            Self::Note(value) => append(value, out),
             Self::Load(value) => append(value, out),
             Self::Beat(value) => append(value, out),
             Self::Summary(value) => append(value, out),
             Self::Use(value) => append(value, out),
-            Self::ZoneUse(value) => append(value, out),
-            Self::Death(value) => append(value, out),
             Self::Term(value) => append(value, out),
             Self::Digest(value) => append(value, out),
         }
@@ -148,15 +158,13 @@
         match kind {
             1 => read(bytes, Self::Member, out),
             2 => read(bytes, Self::Mark, out),
-            3 => read(bytes, Self::Config, out),
+            3 => read(bytes, Self::Note, out),
             4 => read(bytes, Self::Load, out),
             5 => read(bytes, Self::Beat, out),
             6 => read(bytes, Self::Summary, out),
             7 => read(bytes, Self::Use, out),
-            8 => read(bytes, Self::ZoneUse, out),
-            9 => read(bytes, Self::Death, out),
-            10 => read(bytes, Self::Term, out),
-            11 => read(bytes, Self::Digest, out),
+            8 => read(bytes, Self::Term, out),
+            9 => read(bytes, Self::Digest, out),
             _ => {}
         }
     }
--- a/bergamotshift-fleet/tests/support/build.rs
+++ b/bergamotshift-fleet/tests/support/build.rs
@@ -132,7 +132,7 @@
             is_up: true,
             paused_until: Instant::ZERO,
             marked: BTreeMap::new(),
-            configured: BTreeMap::new(),
+            noted: BTreeMap::new(),
             opinions: Vec::new(),
             pauses: Vec::new(),
             wake: Instant::ZERO,
--- a/bergamotshift-fleet/tests/support/mod.rs
+++ b/bergamotshift-fleet/tests/support/mod.rs
@@ -5,9 +5,9 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the harness")]
 
-mod build;
-mod traffic;
-mod trial;
+pub mod build;
+pub mod traffic;
+pub mod trial;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -24,7 +24,6 @@
 
 pub use build::Shape;
 pub use traffic::Traffic;
-pub use trial::percentile;
 
 /// What goes wrong on the way, for every frame alike.
 #[derive(Clone, Copy, Debug, Default)]
@@ -42,7 +41,7 @@
     pub is_up: bool,
     pub paused_until: Instant,
     pub marked: BTreeMap<endpoint::Id, Instant>,
-    pub configured: BTreeMap<u64, Instant>,
+    pub noted: BTreeMap<u64, Instant>,
     pub opinions: Vec<(Instant, member::Record)>,
     pub pauses: Vec<Duration>,
     wake: Instant,
@@ -217,8 +216,8 @@
             Action::Marked(mark) => {
                 self.nodes[node].marked.insert(mark.endpoint, now);
             }
-            Action::Configuration(version) => {
-                self.nodes[node].configured.insert(version, now);
+            Action::Noted { note, .. } => {
+                self.nodes[node].noted.insert(note.version, now);
             }
             Action::Member(record) => self.nodes[node].opinions.push((now, record)),
             Action::Paused { gap } => self.nodes[node].pauses.push(gap),
--- a/bergamotshift-fleet/tests/support/trial.rs
+++ b/bergamotshift-fleet/tests/support/trial.rs
@@ -60,16 +60,22 @@
         spread
     }
 
-    /// Lets one entry after the other bring a new configuration into force, and times the others.
-    pub fn config_spread(&mut self, trials: usize, wait: Duration) -> Spread {
+    /// Lets one entry after the other announce a new configuration, and times the others.
+    pub fn note_spread(&mut self, trials: usize, wait: Duration) -> Spread {
         let mut spread = Spread::default();
         for version in 1..=trials as u64 {
             let first = self.random.random_range(0..self.nodes.len());
             let start = self.now;
-            self.event(first, Event::Configured(version));
+            let event = Event::Announced {
+                topic: note::Topic::CONFIG,
+                key: 0,
+                version,
+                body: vec![7; 150],
+            };
+            self.event(first, event);
             self.run(wait);
             for (_, node) in self.running().filter(|(index, _)| *index != first) {
-                spread.take(start, node.configured.get(&version).copied());
+                spread.take(start, node.noted.get(&version).copied());
             }
         }
         spread
@@ -106,4 +112,28 @@
         rates.sort_unstable();
         rates
     }
+
+    /// Returns how old the loads are that the entries hold of their own zone's endpoints, and how many are missing.
+    pub fn load_ages(&self) -> Spread {
+        let mut spread = Spread::default();
+        for (_, node) in self.running() {
+            let zone = &node.kernel.me().zone;
+            for known in node.kernel.directory().iter().filter(|known| known.zone == *zone) {
+                let heard = node.kernel.load(&known.id);
+                match heard {
+                    Some((_, at)) => spread.times.push(self.now.since(at)),
+                    None => spread.missed += 1,
+                }
+            }
+        }
+        spread
+    }
+
+    /// Returns the most news that waits at any entry.
+    pub fn longest_queue(&self) -> usize {
+        self.running()
+            .map(|(_, node)| node.kernel.pending_news())
+            .max()
+            .unwrap_or(0)
+    }
 }
