feat(link): carry frames and questions over QUIC with mutual TLS

Cause: entries need datagrams for probes, streams for bulk, and nobody without a certificate of the private authority may join or learn anything. One socket serves both directions, so a peer is known by one address; connections open on demand and have no keep-alives and no packet-size probes, which the control budget has no room for.

--- /dev/null
+++ b/bergamotshift-link/src/node/mod.rs
@@ -0,0 +1,195 @@
+//! One entry's end of the link.
+
+mod peers;
+mod receive;
+mod transport;
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::sync::Arc;
+
+use bergamotshift_fleet::kernel::Way;
+use slog::Logger;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::identity;
+use crate::identity::Identity;
+use peers::Peers;
+
+/// Most bytes of a question or an answer.
+pub const MAX_MESSAGE: usize = 16 * 1_024 * 1_024;
+
+/// Why something did not go over the link.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum Error {
+    /// The identity cannot be used.
+    #[error(transparent)]
+    Identity(#[from] identity::Error),
+    /// The socket cannot be opened.
+    #[error("the link cannot listen: {0}")]
+    Listen(#[from] std::io::Error),
+    /// The address cannot be connected to.
+    #[error("no connection: {0}")]
+    Connect(#[from] quinn::ConnectError),
+    /// The connection failed, as it does when either side does not trust the other.
+    #[error("the connection failed: {0}")]
+    Connection(#[from] quinn::ConnectionError),
+    /// The question could not be sent.
+    #[error("the question could not be sent: {0}")]
+    Write(#[from] quinn::WriteError),
+    /// No whole answer came.
+    #[error("no whole answer came: {0}")]
+    Read(#[from] quinn::ReadToEndError),
+    /// The answer took too long.
+    #[error("no answer came in time")]
+    Timeout,
+    /// The message is larger than [`MAX_MESSAGE`].
+    #[error("a message of {0} bytes is too large")]
+    Size(usize),
+}
+
+/// How a node listens and what it allows.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The UDP address; port 0 takes any free one.
+    pub listen: SocketAddr,
+    /// A connection without traffic is closed after this.
+    pub idle: Duration,
+    /// A connection has to be there after this.
+    pub connect: Duration,
+    /// Frames that wait for the kernel; more are dropped, as on a lossy network.
+    pub backlog: usize,
+    /// Frames that wait for a connection to one peer; more are dropped.
+    pub queue: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: ([0, 0, 0, 0], 7_100).into(),
+            idle: Duration::from_mins(10),
+            connect: Duration::from_secs(3),
+            backlog: 1_024,
+            queue: 64,
+        }
+    }
+}
+
+/// What arrives from authenticated entries.
+#[derive(Debug)]
+pub enum Incoming {
+    /// A frame for the fleet kernel.
+    Frame {
+        /// Where the sender's link listens.
+        from: SocketAddr,
+        /// The frame.
+        bytes: Vec<u8>,
+    },
+    /// A question that wants an answer.
+    Question {
+        /// Where the asker's link listens.
+        from: SocketAddr,
+        /// The question.
+        bytes: Vec<u8>,
+        /// Takes the answer; dropped, it resets the stream.
+        answer: oneshot::Sender<Vec<u8>>,
+    },
+}
+
+/// Bytes over the open connections, UDP payload without IP and UDP headers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Open connections.
+    pub connections: usize,
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+    /// Datagrams sent and received.
+    pub datagrams: u64,
+}
+
+/// One entry's end of the link; clones share it.
+#[derive(Clone, Debug)]
+pub struct Node {
+    peers: Arc<Peers>,
+}
+
+impl Node {
+    /// Opens the socket and starts to listen on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the identity does not fit together or the address is taken.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime.
+    pub fn bind(
+        settings: &Settings,
+        identity: &Identity,
+        log: Logger,
+    ) -> Result<(Self, mpsc::Receiver<Incoming>), Error> {
+        let (endpoint, client) = transport::bind(settings, identity)?;
+        let (sender, receiver) = mpsc::channel(settings.backlog);
+        let peers = Peers::new(endpoint.clone(), client, settings.clone(), sender, log);
+        tokio::spawn(receive::accept(Arc::clone(&peers), endpoint));
+        Ok((Self { peers }, receiver))
+    }
+
+    /// Returns the address that the socket got.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system does not know it.
+    pub fn address(&self) -> Result<SocketAddr, Error> {
+        Ok(self.peers.endpoint.local_addr()?)
+    }
+
+    /// Sends a frame, and opens a connection when there is none; nobody hears whether it arrived.
+    ///
+    /// A datagram may get lost; so does a frame for a peer that cannot be reached.
+    pub fn send(&self, to: SocketAddr, way: Way, bytes: Vec<u8>) {
+        self.peers.send(to, way, bytes);
+    }
+
+    /// Asks a peer and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer cannot be reached, does not trust this entry or is not trusted, or does not
+    /// answer in time. The question may have been acted on all the same.
+    pub async fn ask(&self, to: SocketAddr, question: &[u8], within: Duration) -> Result<Vec<u8>, Error> {
+        if question.len() > MAX_MESSAGE {
+            return Err(Error::Size(question.len()));
+        }
+        let asking = self.peers.ask(to, question);
+        tokio::time::timeout(within, asking).await.or(Err(Error::Timeout))?
+    }
+
+    /// Takes a renewed certificate for connections from now on; open ones stay.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and keeps the old identity, when the new one does not fit together.
+    pub fn renew(&self, identity: &Identity) -> Result<(), Error> {
+        let (server, client) = transport::configs(&self.peers.settings, identity)?;
+        self.peers.endpoint.set_server_config(Some(server));
+        self.peers.renew(client);
+        Ok(())
+    }
+
+    /// Returns what went over the open connections.
+    pub fn traffic(&self) -> Traffic {
+        self.peers.traffic()
+    }
+
+    /// Closes all connections and waits until the peers were told.
+    pub async fn close(&self) {
+        self.peers.endpoint.close(transport::CLOSED, b"leaving");
+        self.peers.endpoint.wait_idle().await;
+    }
+}
--- /dev/null
+++ b/bergamotshift-link/src/node/peers.rs
@@ -0,0 +1,183 @@
+//! Connections to other entries, opened when they are needed.
+
+use core::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use bergamotshift_fleet::kernel::Way;
+use quinn::ClientConfig;
+use quinn::Connection;
+use quinn::Endpoint;
+use slog::Logger;
+use slog::debug;
+use tokio::sync::mpsc;
+
+use super::Error;
+use super::Incoming;
+use super::MAX_MESSAGE;
+use super::Settings;
+use super::Traffic;
+use super::receive;
+use crate::identity::SERVER_NAME;
+
+/// A frame on its way out.
+type Outgoing = (Way, Vec<u8>);
+
+/// All peers of a node.
+#[derive(Debug)]
+pub(super) struct Peers {
+    pub(super) endpoint: Endpoint,
+    pub(super) settings: Settings,
+    pub(super) incoming: mpsc::Sender<Incoming>,
+    pub(super) log: Logger,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    client: ClientConfig,
+    connections: BTreeMap<SocketAddr, Connection>,
+    queues: BTreeMap<SocketAddr, mpsc::Sender<Outgoing>>,
+}
+
+impl Peers {
+    pub(super) fn new(
+        endpoint: Endpoint,
+        client: ClientConfig,
+        settings: Settings,
+        incoming: mpsc::Sender<Incoming>,
+        log: Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            endpoint,
+            settings,
+            incoming,
+            log,
+            state: Mutex::new(State {
+                client,
+                connections: BTreeMap::new(),
+                queues: BTreeMap::new(),
+            }),
+        })
+    }
+
+    /// Queues a frame for a peer; a full queue drops it.
+    pub(super) fn send(self: &Arc<Self>, to: SocketAddr, way: Way, bytes: Vec<u8>) {
+        let mut state = self.lock();
+        let mut outgoing = (way, bytes);
+        if let Some(queue) = state.queues.get(&to) {
+            match queue.try_send(outgoing) {
+                Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => return,
+                Err(mpsc::error::TrySendError::Closed(back)) => outgoing = back,
+            }
+        }
+        let (sender, receiver) = mpsc::channel(self.settings.queue);
+        // A fresh queue takes at least one frame.
+        drop(sender.try_send(outgoing));
+        state.queues.insert(to, sender);
+        drop(state);
+        tokio::spawn(Arc::clone(self).carry(to, receiver));
+    }
+
+    /// Carries frames to one peer until nothing was sent for as long as a connection may be idle.
+    async fn carry(self: Arc<Self>, to: SocketAddr, mut queue: mpsc::Receiver<Outgoing>) {
+        while let Ok(Some((way, bytes))) = tokio::time::timeout(self.settings.idle, queue.recv()).await {
+            match self.connection(to).await {
+                Ok(connection) => self.put(&connection, way, bytes),
+                Err(error) => {
+                    debug!(self.log, "a peer cannot be reached"; "peer" => %to, "error" => %error);
+                    // What waited for this connection is as late as what was lost.
+                    while queue.try_recv().is_ok() {}
+                }
+            }
+        }
+    }
+
+    fn put(&self, connection: &Connection, way: Way, bytes: Vec<u8>) {
+        let fits = connection.max_datagram_size().is_some_and(|most| bytes.len() <= most);
+        if way == Way::Datagram && fits {
+            if let Err(error) = connection.send_datagram(bytes.into()) {
+                debug!(self.log, "a frame was not sent"; "error" => %error);
+            }
+            return;
+        }
+        let connection = connection.clone();
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            if let Err(error) = put_stream(&connection, &bytes).await {
+                debug!(log, "a frame was not sent"; "error" => %error);
+            }
+        });
+    }
+
+    pub(super) async fn ask(self: &Arc<Self>, to: SocketAddr, question: &[u8]) -> Result<Vec<u8>, Error> {
+        let connection = self.connection(to).await?;
+        let (mut out, mut back) = connection.open_bi().await?;
+        out.write_all(question).await?;
+        // The other side may have reset the stream; then no answer comes, and reading says so.
+        drop(out.finish());
+        Ok(back.read_to_end(MAX_MESSAGE).await?)
+    }
+
+    /// Returns an open connection, or opens one.
+    async fn connection(self: &Arc<Self>, to: SocketAddr) -> Result<Connection, Error> {
+        let open = self.lock().connections.get(&to).cloned();
+        if let Some(open) = open.filter(|open| open.close_reason().is_none()) {
+            return Ok(open);
+        }
+        let client = self.lock().client.clone();
+        let connecting = self.endpoint.connect_with(client, to, SERVER_NAME)?;
+        let connection = tokio::time::timeout(self.settings.connect, connecting)
+            .await
+            .or(Err(Error::Timeout))??;
+        self.adopt(connection.clone());
+        Ok(connection)
+    }
+
+    /// Keeps a connection and starts to read from it.
+    pub(super) fn adopt(self: &Arc<Self>, connection: Connection) {
+        let mut state = self.lock();
+        state.connections.retain(|_, other| other.close_reason().is_none());
+        state
+            .connections
+            .insert(connection.remote_address(), connection.clone());
+        drop(state);
+        tokio::spawn(receive::read(Arc::clone(self), connection));
+    }
+
+    /// Calls peers with a renewed identity from now on.
+    pub(super) fn renew(&self, client: ClientConfig) {
+        self.lock().client = client;
+    }
+
+    pub(super) fn traffic(&self) -> Traffic {
+        let state = self.lock();
+        let open = state
+            .connections
+            .values()
+            .filter(|other| other.close_reason().is_none());
+        open.fold(Traffic::default(), |sum, connection| {
+            let counts = connection.stats();
+            Traffic {
+                connections: sum.connections + 1,
+                sent: sum.sent + counts.udp_tx.bytes,
+                received: sum.received + counts.udp_rx.bytes,
+                datagrams: sum.datagrams + counts.udp_tx.datagrams + counts.udp_rx.datagrams,
+            }
+        })
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        // The maps are whole after every step, so a panic elsewhere leaves nothing half done.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn put_stream(connection: &Connection, bytes: &[u8]) -> Result<(), Error> {
+    let mut stream = connection.open_uni().await?;
+    stream.write_all(bytes).await?;
+    drop(stream.finish());
+    Ok(())
+}
