--- a/bergamotshift-config/src/accept/member/mod.rs
+++ b/bergamotshift-config/src/accept/member/mod.rs
@@ -182,8 +182,7 @@
         } else {
             now
         };
-        self.fetch.due = due;
-        self.fetch.failures = 0;
+        self.fetch.restart(due);
         let marks = [
             self.in_force,
             view.head.accepted,
@@ -225,7 +224,7 @@
     fn take_content(&mut self, now: Instant, manifest: Manifest, rng: &mut Pcg64Mcg) {
         let digest = manifest.digest();
         if self.wanted() == Some(digest) {
-            self.fetch.succeed(now, Duration::ZERO, rng);
+            self.fetch = Call::new(Instant::ZERO);
             self.held.insert(digest, manifest);
         } else {
             self.miss_content(now, rng);
@@ -283,26 +282,24 @@
 
     fn stage(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let Some(proposal) = self.duty(now) else { return };
-        if self.stage.has_ended(&proposal) {
+        if self.stage.is_writing() || self.stage.has_ended(&proposal) {
             return;
         }
-        let progress = match self
-            .held
-            .get(&proposal.mark.digest)
-            .map(|manifest| self.judge(manifest))
-        {
+        let manifest = self.held.get(&proposal.mark.digest);
+        if manifest.is_none() && self.is_tired(now) {
+            return;
+        }
+        if !self.stage.is_known() {
+            self.read.hasten(now);
+            return;
+        }
+        let progress = match manifest.map(|manifest| self.judge(manifest)) {
             None => Progress::Seen,
             Some(Ok(_)) => Progress::Staged,
             Some(Err(reason)) => Progress::Refused(shorten(&reason)),
         };
-        let timing = self.settings.timing;
         let stage = Stage { proposal, progress };
-        if stage.progress == Progress::Seen && self.is_tired(now) {
-            return;
-        }
-        if !self.stage.is_known() {
-            self.read.hasten(now);
-        } else if self.stage.begin(now, timing.beat, stage.clone()) {
+        if self.stage.begin(now, self.settings.timing.beat, stage.clone()) {
             actions.push(Action::Write(vec![Write {
                 key: record::stage_key(&self.settings.zone),
                 condition: self.stage.condition(),
@@ -334,9 +331,8 @@
         };
         // Turns between the two, so that neither a dead peer nor the platform's outage is in the way for long.
         let platform_first = self.is_poller();
-        let first = self.fetch.failures.is_multiple_of(2);
         let from = match &self.holder {
-            Some(holder) if platform_first != first => Source::Peer(holder.clone()),
+            Some(holder) if platform_first == self.fetch.is_second_choice() => Source::Peer(holder.clone()),
             _ => Source::Platform,
         };
         self.fetch.begin();
--- a/bergamotshift-config/src/accept/member/stage.rs
+++ b/bergamotshift-config/src/accept/member/stage.rs
@@ -30,6 +30,11 @@
         self.version.is_some()
     }
 
+    /// Returns whether a write of it is under way.
+    pub(super) const fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
     /// Returns the condition that the row is still as known.
     pub(super) fn condition(&self) -> Condition {
         record::condition(self.version.unwrap_or(0))
@@ -49,18 +54,21 @@
 
     /// Returns when the row is to be written again, if a time is set.
     pub(super) fn wake(&self, proposal: &Proposal) -> Option<Instant> {
-        let waits = self.is_known() && !self.has_ended(proposal) && self.writing.is_none();
+        let waits = self.is_known() && !self.has_ended(proposal) && !self.is_writing();
         waits.then_some(self.beat_at)
     }
 
     /// Decides whether to write a stage now, and notes that it is under way.
     pub(super) fn begin(&mut self, now: Instant, beat: Duration, stage: Stage) -> bool {
-        let repeats = self.stage.as_ref() == Some(&stage) && now < self.beat_at;
-        if self.writing.is_some() || repeats {
+        if self.stage.as_ref() == Some(&stage) && now < self.beat_at {
             return false;
         }
+        self.beat_at = if stage.progress == Progress::Seen {
+            now + beat
+        } else {
+            Instant::ZERO
+        };
         self.writing = Some(stage);
-        self.beat_at = now + beat;
         true
     }
 
--- a/bergamotshift-config/src/manifest.rs
+++ b/bergamotshift-config/src/manifest.rs
@@ -1,6 +1,8 @@
 //! A folder's content as one value: file names, digests and texts.
 
 use core::fmt;
+use core::hash::Hash;
+use core::hash::Hasher;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -51,7 +53,7 @@
 
     /// Returns the digests of the files that `held` lacks.
     pub fn missing(&self, held: &Manifest) -> BTreeSet<Digest> {
-        let known: BTreeSet<_> = held.listing.files.values().collect();
+        let known: BTreeSet<_> = held.inner.listing.files.values().collect();
         self.files
             .values()
             .filter(|digest| !known.contains(digest))
@@ -60,9 +62,14 @@
     }
 }
 
-/// A folder's content. Cloning it is cheap: texts are shared.
-#[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+/// A folder's content. Cloning it is cheap: the content is shared.
+#[derive(Clone, Default)]
 pub struct Manifest {
+    inner: Arc<Inner>,
+}
+
+#[derive(Clone, Default)]
+struct Inner {
     listing: Listing,
     texts: BTreeMap<Digest, Arc<str>>,
 }
@@ -125,26 +132,27 @@
     }
 
     /// Returns names and digests.
-    pub const fn listing(&self) -> &Listing {
-        &self.listing
+    pub fn listing(&self) -> &Listing {
+        &self.inner.listing
     }
 
     /// Computes the digest that stands for the whole content.
     pub fn digest(&self) -> Digest {
-        self.listing.digest()
+        self.inner.listing.digest()
     }
 
     /// Returns the text with this digest.
     pub fn text(&self, digest: &Digest) -> Option<&Arc<str>> {
-        self.texts.get(digest)
+        self.inner.texts.get(digest)
     }
 
     /// Returns names and texts, in the order of the names.
     pub fn files(&self) -> impl Iterator<Item = (&SmolStr, &Arc<str>)> {
-        self.listing
+        self.inner
+            .listing
             .files
             .iter()
-            .map(|(name, digest)| (name, &self.texts[digest]))
+            .map(|(name, digest)| (name, &self.inner.texts[digest]))
     }
 
     /// Parses and checks the content.
@@ -175,11 +183,11 @@
     /// Fails when both changed the same file in different ways, and names every such file.
     pub fn merge(base: &Self, ours: &Self, theirs: &Self) -> Result<Self, Error> {
         let sides = [base, ours, theirs];
-        let names: BTreeSet<_> = sides.iter().flat_map(|side| side.listing.files.keys()).collect();
+        let names: BTreeSet<_> = sides.iter().flat_map(|side| side.inner.listing.files.keys()).collect();
         let mut merged = Self::default();
         let mut conflicts = Vec::new();
         for name in names {
-            let [was, our, their] = sides.map(|side| side.listing.files.get(name));
+            let [was, our, their] = sides.map(|side| side.inner.listing.files.get(name));
             let (side, kept) = match (our == was, their == was) {
                 (true, _) => (theirs, their),
                 (_, true) => (ours, our),
@@ -190,7 +198,7 @@
                 }
             };
             if let Some(digest) = kept {
-                merged.insert(name.clone(), *digest, Arc::clone(&side.texts[digest]));
+                merged.insert(name.clone(), *digest, Arc::clone(&side.inner.texts[digest]));
             }
         }
         if conflicts.is_empty() {
@@ -201,15 +209,32 @@
     }
 
     fn insert(&mut self, name: SmolStr, digest: Digest, text: Arc<str>) {
-        self.listing.files.insert(name, digest);
-        self.texts.insert(digest, text);
+        let inner = Arc::make_mut(&mut self.inner);
+        inner.listing.files.insert(name, digest);
+        inner.texts.insert(digest, text);
+    }
+}
+
+// The listing's digests stand for the texts, so comparing the listings is enough.
+
+impl PartialEq for Manifest {
+    fn eq(&self, other: &Self) -> bool {
+        self.inner.listing == other.inner.listing
+    }
+}
+
+impl Eq for Manifest {}
+
+impl Hash for Manifest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.inner.listing.hash(state);
     }
 }
 
 impl fmt::Debug for Manifest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Manifest")
-            .field("listing", &self.listing)
+            .field("listing", &self.inner.listing)
             .finish_non_exhaustive()
     }
 }
--- a/bergamotshift-config/tests/support/mod.rs
+++ b/bergamotshift-config/tests/support/mod.rs
@@ -1,7 +1,8 @@
 //! A table and a fleet in virtual time, for the tests of the acceptance protocol.
 
-#![allow(dead_code, reason = "each test file uses another part")]
+#![expect(dead_code, reason = "each test file uses another part")]
 
+pub mod model;
 pub mod platform;
 pub mod table;
 pub mod world;
--- a/bergamotshift-config/tests/support/table.rs
+++ b/bergamotshift-config/tests/support/table.rs
@@ -1,6 +1,7 @@
 //! The platform's table, in memory.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use bergamotshift_core::table::Change;
 use bergamotshift_core::table::Condition;
@@ -12,7 +13,7 @@
 /// Rows, and transactions over them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Table {
-    rows: BTreeMap<Key, Row>,
+    rows: Arc<BTreeMap<Key, Row>>,
 }
 
 impl Table {
@@ -28,15 +29,16 @@
         if !conflicts.is_empty() {
             return Ending::Conflict(conflicts);
         }
+        let rows = Arc::make_mut(&mut self.rows);
         for write in writes {
             match &write.change {
                 Change::Put(body) => {
-                    let row = self.rows.entry(write.key.clone()).or_default();
+                    let row = rows.entry(write.key.clone()).or_default();
                     row.version += 1;
                     row.body.clone_from(body);
                 }
                 Change::Delete => {
-                    self.rows.remove(&write.key);
+                    rows.remove(&write.key);
                 }
                 Change::Check => {}
             }
