feat(entry): count requests, times, endpoints, control and platform

Cause: the metrics told neither how requests ended nor how long they took, nor anything of endpoints, the control thread and the platform. Requests are now counted where they are dropped, so that a caller who goes away is counted too. Ruled out: the metrics library's histogram, which takes a lock for each observation; worker threads share none. Each metric is described when it is registered, because families without a value are not written; a test holds docs/METRICS.md against the descriptions both ways, another the written labels against the page.

--- a/bergamotshift-entry/src/admin/mod.rs
+++ b/bergamotshift-entry/src/admin/mod.rs
@@ -27,6 +27,7 @@
 }
 
 fn metrics(shared: &Shared) -> Response {
+    shared.metrics.ready.set(i64::from(shared.is_ready()));
     match shared.metrics.encode() {
         Ok(text) => Response::build(StatusCode::OK).content_type(METRICS_TYPE).body(text),
         Err(_) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, "the metrics cannot be written\n"),
--- a/bergamotshift-entry/src/api/openai.rs
+++ b/bergamotshift-entry/src/api/openai.rs
@@ -243,7 +243,7 @@
     let id = attempts.call().id;
     match whole::fetch(&mut attempts).await {
         Ok(whole) => Ok(reply::whole(whole, id)),
-        Err(error) => Err(Error::from_exchange(&error, attempts.outcome())),
+        Err(error) => Err(attempts.fail(&error)),
     }
 }
 
@@ -254,7 +254,7 @@
         let held = Outgoing::Held(attempts.call().body.clone());
         let open = match attempts.open(held).await {
             Ok(open) => open,
-            Err(error) => return Err(Error::from_exchange(&error, attempts.outcome())),
+            Err(error) => return Err(attempts.fail(&error)),
         };
         if let Some(adapter) = adapter.clone().filter(|_| is_stream(&open.answer.headers)) {
             let (status, headers) = (open.answer.status, open.answer.headers.clone());
@@ -265,7 +265,7 @@
         match whole::finish(&mut attempts, open.answer, open.running).await {
             Ok(Some(whole)) => return Ok(reply::whole(whole, id)),
             Ok(None) => {}
-            Err(error) => return Err(Error::from_exchange(&error, attempts.outcome())),
+            Err(error) => return Err(attempts.fail(&error)),
         }
     }
 }
--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -92,7 +92,7 @@
     match pass(&mut attempts, outgoing).await {
         Ok(Passed::Whole(whole)) => Ok(reply::whole(whole, id)),
         Ok(Passed::Large(open)) => Ok(large(attempts, open, id, active)),
-        Err(error) => Err(Error::from_exchange(&error, attempts.outcome())),
+        Err(error) => Err(attempts.fail(&error)),
     }
 }
 
--- a/bergamotshift-entry/src/control/fleet.rs
+++ b/bergamotshift-entry/src/control/fleet.rs
@@ -12,6 +12,8 @@
 use slotmap::SecondaryMap;
 
 use super::faults::Faults;
+use crate::observe::metrics;
+use crate::observe::metrics::Census;
 use crate::snapshot::Endpoint;
 
 /// One life of an endpoint.
@@ -149,6 +151,22 @@
             .collect()
     }
 
+    /// Counts the endpoints by service, zone and state.
+    pub(super) fn census(&self) -> Census {
+        let mut census = Census::new();
+        for known in self.known.values() {
+            let state = match known {
+                Known { leaving: true, .. } => metrics::State::Leaving,
+                Known { key: None, .. } => metrics::State::Unreachable,
+                Known { .. } => metrics::State::Live,
+            };
+            let endpoint = &known.endpoint;
+            let place = (endpoint.service.clone(), endpoint.zone.clone(), state);
+            *census.entry(place).or_default() += 1;
+        }
+        census
+    }
+
     fn forget(&mut self, vm: &name::Vm) {
         if let Some(key) = self.known.remove(vm).and_then(|known| known.key) {
             self.registry.remove(key);
--- a/bergamotshift-entry/src/control/mod.rs
+++ b/bergamotshift-entry/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod state;
 
 use std::sync::Arc;
+use std::time;
 
 use bergamotshift_core::prelude::*;
 use serde::Serialize;
@@ -56,6 +57,21 @@
     Seen(watch::Event),
 }
 
+impl Message {
+    /// Returns what kind of message it is, for the metrics.
+    pub(crate) const fn kind(&self) -> &'static str {
+        match self {
+            Self::Request(Request::Broken { .. }) => "broken",
+            Self::Request(Request::Status(_)) => "status",
+            Self::Request(Request::Stop) => "stop",
+            Self::Seen(watch::Event::Tick) => "tick",
+            Self::Seen(watch::Event::Listed(_)) => "listed",
+            Self::Seen(watch::Event::Noticed(_)) => "noticed",
+            Self::Seen(watch::Event::Probed { .. }) => "probed",
+        }
+    }
+}
+
 impl From<Request> for Message {
     fn from(request: Request) -> Self {
         Self::Request(request)
@@ -124,6 +140,7 @@
 /// Serves messages until the entry ends.
 pub async fn run(mut state: State, mut messages: mpsc::UnboundedReceiver<Message>) {
     while let Some(message) = messages.recv().await {
+        let started = time::Instant::now();
         if !state.take(message) {
             return;
         }
@@ -134,5 +151,6 @@
             }
         }
         state.publish();
+        state.turned(started.elapsed());
     }
 }
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -1,6 +1,7 @@
 //! What the control thread knows and how it folds messages.
 
 use core::sync::atomic::Ordering;
+use core::time::Duration;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 use super::Status;
 use super::Verdict;
 use super::fleet::Fleet;
+use crate::observe::metrics::Census;
 use crate::snapshot;
 use crate::snapshot::Endpoint;
 use crate::snapshot::Snapshot;
@@ -58,6 +60,7 @@
     fleet: Fleet,
     quarantine: Quarantine,
     budgets: BTreeMap<name::Service, (Retry, Arc<retry::Budget>)>,
+    census: Census,
     number: u64,
     due: Due,
 }
@@ -77,6 +80,7 @@
             fleet,
             quarantine,
             budgets: BTreeMap::new(),
+            census: Census::new(),
             number: 0,
             due: Due::Now,
         }
@@ -84,6 +88,7 @@
 
     /// Folds one message; returns whether the entry goes on.
     pub(super) fn take(&mut self, message: Message) -> bool {
+        self.shared.metrics.message(message.kind());
         match message {
             Message::Request(Request::Broken {
                 endpoint,
@@ -130,6 +135,22 @@
         };
         self.shared.publisher.publish(snapshot);
         self.shared.metrics.snapshots.inc();
+        self.count();
+    }
+
+    /// Counts the time that the messages of one turn took.
+    pub(super) fn turned(&self, time: Duration) {
+        self.shared.metrics.turn.observe(time);
+    }
+
+    /// Brings the metrics in line with what was published.
+    fn count(&mut self) {
+        let metrics = &self.shared.metrics;
+        let quarantined = self.shared.publisher.current().quarantine.len();
+        metrics.quarantined.set(quarantined as i64);
+        let census = self.fleet.census();
+        metrics.count_endpoints(&self.census, &census);
+        self.census = census;
     }
 
     /// Takes what the platform says of one VM.
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -30,6 +30,7 @@
 use crate::control;
 use crate::control::Sender;
 use crate::control::State;
+use crate::observe;
 use crate::observe::Metrics;
 use crate::observe::Traces;
 use crate::observe::trace;
@@ -152,7 +153,7 @@
                 Err(error) => return drop(started.send(Err(Error::from(error)))),
             };
             let platform = match connect(&shared.settings).await {
-                Ok(platform) => platform,
+                Ok(platform) => observe::platform::counted(platform, &shared),
                 Err(error) => return drop(started.send(Err(error.into()))),
             };
             let mut state = State::new(Arc::clone(&shared), adapters, config);
--- a/bergamotshift-entry/src/exchange/attempts.rs
+++ b/bergamotshift-entry/src/exchange/attempts.rs
@@ -22,9 +22,11 @@
 use super::Call;
 use super::Error;
 use super::Outgoing;
+use crate::api;
 use crate::control;
 use crate::control::Verdict;
 use crate::observe::Hop;
+use crate::observe::Record;
 use crate::observe::Span;
 use crate::observe::Trace;
 use crate::snapshot::Endpoint;
@@ -73,11 +75,15 @@
     outcome: Outcome,
     lost: u32,
     trace: Trace,
+    record: Record,
 }
 
 impl Attempts {
     /// Makes none yet.
     pub fn new(worker: Rc<Worker>, call: Rc<Call>) -> Self {
+        let snapshot = worker.snapshot();
+        let metrics = snapshot.services.get(&call.service);
+        let metrics = metrics.map(|service| Arc::clone(&service.metrics));
         Self {
             worker,
             call,
@@ -86,9 +92,22 @@
             outcome: Outcome::NotRun,
             lost: 0,
             trace: Trace::default(),
+            record: Record::new(metrics),
         }
     }
 
+    /// Ends the request with what its caller is told of a failure.
+    pub fn fail(&mut self, error: &Error) -> api::error::Error {
+        self.record.failed();
+        self.trace.failed(error);
+        api::error::Error::from_exchange(error, self.outcome)
+    }
+
+    /// Returns what is counted of the request.
+    pub const fn record(&mut self) -> &mut Record {
+        &mut self.record
+    }
+
     /// Makes them within a trace, and notes in it that the request is let in.
     #[must_use]
     pub fn traced(mut self, trace: &Trace) -> Self {
@@ -152,6 +171,7 @@
                 Ok(answer) if self.refuses(service, &answer) && matches!(body, Outgoing::Held(_)) => {
                     drop(answer);
                     running.span.failed(&"refused");
+                    service.metrics.refused.inc();
                     self.after(&snapshot, &running, retry::Failure::Refused, |reason| Error::Refused {
                         reason,
                     })
@@ -224,6 +244,7 @@
             .with_generator(|generator| service.retry.decide(now, request, kind, &service.budget, generator));
         match decision {
             Decision::Again(delay) => {
+                service.metrics.retried(kind);
                 if !delay.is_zero() {
                     tokio::time::sleep(delay).await;
                 }
--- a/bergamotshift-entry/src/exchange/copy.rs
+++ b/bergamotshift-entry/src/exchange/copy.rs
@@ -70,12 +70,19 @@
         loop {
             match whole::next(&self.attempts, &mut self.body).await {
                 Ok(Some(chunk)) => {
+                    self.attempts.record().first();
                     self.hash.0.update(&chunk);
                     self.delivered += chunk.len() as u64;
                     return Ok(Some(chunk));
                 }
-                Ok(None) => return Ok(None),
-                Err(failure) => self.again(failure).await?,
+                Ok(None) => {
+                    self.attempts.record().answered();
+                    return Ok(None);
+                }
+                Err(failure) => {
+                    let again = self.again(failure).await;
+                    again.inspect_err(|_| self.attempts.record().failed())?;
+                }
             }
         }
     }
--- a/bergamotshift-entry/src/exchange/stream.rs
+++ b/bergamotshift-entry/src/exchange/stream.rs
@@ -23,7 +23,6 @@
 use super::Outgoing;
 use super::attempts::Running;
 use super::whole;
-use crate::api;
 use crate::observe::Hop;
 
 /// The event that ends a stream.
@@ -131,7 +130,11 @@
                 self.write(&event, &mut bytes);
             }
         }
-        (!bytes.is_empty()).then(|| bytes.freeze())
+        if bytes.is_empty() {
+            return None;
+        }
+        self.attempts.record().first();
+        Some(bytes.freeze())
     }
 
     fn write(&mut self, event: &Event, bytes: &mut BytesMut) {
@@ -143,6 +146,7 @@
         number(self.progress.events() + 1, DONE, bytes);
         self.state = State::Done;
         self.attempts.ran();
+        self.attempts.record().answered();
         self.running = None;
         self.body = Payload::None;
     }
@@ -203,8 +207,8 @@
         if self.progress.events() > 0 {
             self.attempts.ran();
         }
+        let told = self.attempts.fail(&error);
         let call = self.attempts.call();
-        let told = api::error::Error::from_exchange(&error, self.attempts.outcome());
         self.attempts.worker().shared.metrics.failed(told.code(), told.outcome);
         let event = format!("data: {}\n\n", told.body(call.id));
         self.state = State::Failed(error);
--- a/bergamotshift-entry/src/exchange/whole.rs
+++ b/bergamotshift-entry/src/exchange/whole.rs
@@ -70,6 +70,7 @@
                     attempts.failed(running, failure).await?;
                     return Ok(None);
                 }
+                attempts.record().answered();
                 return Ok(Some(whole(status, headers, chunk)));
             }
             Ok(Some(chunk)) if collected.len() + chunk.len() > LARGEST => {
@@ -77,7 +78,10 @@
                 return Err(Error::TooLarge);
             }
             Ok(Some(chunk)) => collected.extend_from_slice(&chunk),
-            Ok(None) => return Ok(Some(whole(status, headers, collected.freeze()))),
+            Ok(None) => {
+                attempts.record().answered();
+                return Ok(Some(whole(status, headers, collected.freeze())));
+            }
             Err(failure) => {
                 drop(body);
                 attempts.failed(running, failure).await?;
--- a/bergamotshift-entry/src/observe/mod.rs
+++ b/bergamotshift-entry/src/observe/mod.rs
@@ -1,9 +1,11 @@
 //! What operators can see of an entry: metrics and traces.
 
-mod metrics;
+pub mod metrics;
+pub mod platform;
 pub mod trace;
 
 pub use self::metrics::Metrics;
+pub use self::metrics::Record;
 pub use self::metrics::ServiceMetrics;
 pub use self::trace::Hop;
 pub use self::trace::Span;
--- a/bergamotshift-entry/src/snapshot/mod.rs
+++ b/bergamotshift-entry/src/snapshot/mod.rs
@@ -50,7 +50,7 @@
     /// The budget that bounds its retries; it outlives snapshots.
     pub budget: Arc<retry::Budget>,
     /// Its counters.
-    pub metrics: ServiceMetrics,
+    pub metrics: Arc<ServiceMetrics>,
     /// When a failed attempt is followed by another.
     pub retry: retry::Policy,
 }
--- a/bergamotshift-entry/tests/observe/main.rs
+++ b/bergamotshift-entry/tests/observe/main.rs
@@ -9,4 +9,6 @@
 
 mod collector;
 mod endpoint;
+mod metrics;
+mod reading;
 mod trace;
