feat(entry): follow the accepted configuration through the platform

Cause: an entry only knew a folder on its own disk, which VMs don't have, and a change needed a restart. Ways weighed: a watcher of the folder (needs a disk, no agreement) against the acceptance kernel run by a task of the control thread; the kernel was there and explored, so the shell only carries rows and content. Measured over loopback: five tests pass (in force in two zones, a lost answer to the accepting write, two operators at once, the table down, a fresh entry not ready). Shown to fail: with readiness always true the fresh entry's check answers 200 instead of 503. Left: peers carry no announcements yet (configuration::Peers is the seam), so each entry polls the platform.

--- /dev/null
+++ b/bergamotshift-entry/src/configuration/follow.rs
@@ -0,0 +1,125 @@
+//! Runs one entry's member.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use bergamotshift_config::accept::Member;
+use bergamotshift_config::accept::member::Action;
+use bergamotshift_config::accept::member::Event;
+use bergamotshift_config::accept::member::Source;
+use bergamotshift_config::digest::Digest;
+use bergamotshift_config::manifest::Manifest;
+use bergamotshift_core::prelude::*;
+use bergamotshift_platform::table::Table;
+use rand_pcg::Pcg64Mcg;
+use slog::Logger;
+use slog::error;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+
+use super::Peers;
+use super::Store;
+use crate::control;
+use crate::watch;
+
+/// How long the member sleeps at least, so that a wake-up that is already due does not spin.
+const LEAST_SLEEP: Duration = Duration::from_millis(1);
+
+/// What the member needs from outside.
+#[derive(Debug)]
+pub struct Outside {
+    /// The platform's table.
+    pub table: Rc<dyn Table>,
+    /// The content.
+    pub store: Store,
+    /// The other entries.
+    pub peers: Rc<dyn Peers>,
+    /// The control thread, which puts versions in force.
+    pub control: control::Sender,
+    /// Where records go.
+    pub logger: Logger,
+}
+
+/// Sends events to the member.
+pub type Sender = mpsc::UnboundedSender<Event>;
+
+/// Runs the member until its task is cancelled.
+///
+/// Each call to the outside runs in a task of its own and reports back as one event, so that a slow platform never
+/// keeps the member from hearing its peers.
+pub async fn run(
+    mut member: Member,
+    outside: Rc<Outside>,
+    clock: impl Fn() -> Instant,
+    mut generator: Pcg64Mcg,
+    sender: Sender,
+    mut events: mpsc::UnboundedReceiver<Event>,
+) {
+    loop {
+        let now = clock();
+        let sleep = member.wake(now).since(now).max(LEAST_SLEEP);
+        let event = tokio::select! {
+            event = events.recv() => event.unwrap_or(Event::Tick),
+            () = tokio::time::sleep(sleep) => Event::Tick,
+        };
+        for action in member.handle(clock(), event, &mut generator) {
+            perform(&member, &outside, action, &sender);
+        }
+    }
+}
+
+fn perform(member: &Member, outside: &Rc<Outside>, action: Action, sender: &Sender) {
+    match action {
+        Action::Announce(announcement) => outside.peers.announce(announcement),
+        Action::Tell { to, announcement } => outside.peers.tell(&to, announcement),
+        Action::Switch { mark, config } => {
+            info!(outside.logger, "configuration in force"; "version" => mark.version.get());
+            outside.control.send(watch::Event::Configured { mark, config });
+        }
+        Action::Reject { mark, reason } => {
+            error!(outside.logger, "this release cannot use the accepted configuration, the last one stays in force";
+                "version" => mark.version.get(), "reason" => reason);
+        }
+        call @ (Action::Read(_) | Action::Write(_) | Action::Fetch { .. }) => {
+            let held = member.in_force().and_then(|mark| member.content(&mark.digest).cloned());
+            let (outside, sender) = (Rc::clone(outside), sender.clone());
+            let task = async move {
+                let event = answer(&outside, call, held.unwrap_or_default()).await;
+                // The member's task may have been cancelled meanwhile.
+                drop(sender.send(event));
+            };
+            ntex::rt::spawn(task).detach();
+        }
+    }
+}
+
+/// Carries a call out and returns the event that answers it.
+async fn answer(outside: &Outside, call: Action, held: Manifest) -> Event {
+    match call {
+        Action::Read(keys) => match outside.table.get(keys).await {
+            Ok(rows) => Event::Rows(rows),
+            Err(error) => {
+                warn!(outside.logger, "cannot read the configuration's rows"; "error" => %error);
+                Event::ReadFailed
+            }
+        },
+        Action::Write(writes) => Event::Ended(outside.table.transact(writes).await),
+        Action::Fetch { digest, from } => fetch(outside, digest, from, held).await,
+        _ => Event::Tick,
+    }
+}
+
+async fn fetch(outside: &Outside, digest: Digest, from: Source, held: Manifest) -> Event {
+    let found = match from {
+        Source::Peer(peer) => outside.peers.fetch(&peer, digest).await,
+        Source::Platform => match outside.store.get(&digest, &held).await {
+            Ok(manifest) => Some(manifest),
+            Err(error) => {
+                warn!(outside.logger, "cannot fetch a configuration"; "error" => %error);
+                None
+            }
+        },
+    };
+    found.map_or(Event::FetchFailed, Event::Fetched)
+}
--- /dev/null
+++ b/bergamotshift-entry/src/configuration/peers.rs
@@ -0,0 +1,35 @@
+//! What the member needs of the other entries.
+
+use core::fmt::Debug;
+
+use bergamotshift_config::accept::member::Announcement;
+use bergamotshift_config::digest::Digest;
+use bergamotshift_config::manifest::Manifest;
+use bergamotshift_core::prelude::*;
+use futures_util::future::LocalBoxFuture;
+
+/// Reaches the other entries.
+pub trait Peers: Debug {
+    /// Sends an announcement to the entry's neighbours.
+    fn announce(&self, announcement: Announcement);
+
+    /// Sends an announcement to one entry that knows less.
+    fn tell(&self, to: &name::Entry, announcement: Announcement);
+
+    /// Asks an entry for content; nothing when it does not have it or cannot be reached.
+    fn fetch(&self, from: &name::Entry, digest: Digest) -> LocalBoxFuture<'static, Option<Manifest>>;
+}
+
+/// No other entry: what is known comes from the platform.
+#[derive(Clone, Copy, Debug)]
+pub struct Alone;
+
+impl Peers for Alone {
+    fn announce(&self, _announcement: Announcement) {}
+
+    fn tell(&self, _to: &name::Entry, _announcement: Announcement) {}
+
+    fn fetch(&self, _from: &name::Entry, _digest: Digest) -> LocalBoxFuture<'static, Option<Manifest>> {
+        Box::pin(async { None })
+    }
+}
--- a/bergamotshift-entry/src/control/mod.rs
+++ b/bergamotshift-entry/src/control/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time;
 
+use bergamotshift_config::accept::record::Version;
 use bergamotshift_core::prelude::*;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -65,6 +66,7 @@
             Self::Request(Request::Status(_)) => "status",
             Self::Request(Request::Stop) => "stop",
             Self::Seen(watch::Event::Tick) => "tick",
+            Self::Seen(watch::Event::Configured { .. }) => "configured",
             Self::Seen(watch::Event::Listed(_)) => "listed",
             Self::Seen(watch::Event::Noticed(_)) => "noticed",
             Self::Seen(watch::Event::Probed { .. }) => "probed",
@@ -129,6 +131,8 @@
     pub name: name::Entry,
     /// Its availability zone.
     pub zone: name::Zone,
+    /// The accepted version in force; none when the configuration was given to the process.
+    pub config: Option<Version>,
     /// The number of the snapshot in force.
     pub snapshot: u64,
     /// Whether callers may come.
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bergamotshift_config::accept::record::Mark;
+use bergamotshift_config::accept::record::Version;
 use bergamotshift_config::config::Config;
 use bergamotshift_config::config::Retry;
 use bergamotshift_core::load;
@@ -57,6 +59,8 @@
     sender: Sender,
     adapters: BTreeMap<SmolStr, Rc<dyn Adapter>>,
     config: Arc<Config>,
+    /// The accepted version in force; none when the configuration was given to the process.
+    version: Option<Version>,
     fleet: Fleet,
     quarantine: Quarantine,
     budgets: BTreeMap<name::Service, (Retry, Arc<retry::Budget>)>,
@@ -77,6 +81,7 @@
             sender,
             adapters,
             config,
+            version: None,
             fleet,
             quarantine,
             budgets: BTreeMap::new(),
@@ -99,6 +104,7 @@
             Message::Request(Request::Status(answer)) => drop(answer.send(self.status())),
             Message::Request(Request::Stop) => return false,
             Message::Seen(Event::Tick) => self.tick(),
+            Message::Seen(Event::Configured { mark, config }) => self.configure(mark, config),
             Message::Seen(Event::Listed(listings)) => listings.iter().for_each(|vm| self.listed(vm)),
             Message::Seen(Event::Noticed(notices)) => notices.iter().for_each(|notice| self.listed(&notice.vm)),
             Message::Seen(Event::Probed {
@@ -131,7 +137,7 @@
             services,
             zones,
             quarantine: self.quarantine.table(),
-            ready: true,
+            ready: self.is_configured(),
         };
         self.shared.publisher.publish(snapshot);
         self.shared.metrics.snapshots.inc();
@@ -153,6 +159,14 @@
         self.census = census;
     }
 
+    /// Puts a configuration version in force; requests under way keep the one they began with.
+    fn configure(&mut self, mark: Mark, config: Arc<Config>) {
+        self.config = config;
+        self.version = Some(mark.version);
+        self.fleet.configure(&self.config);
+        self.due(Due::Now);
+    }
+
     /// Takes what the platform says of one VM.
     fn listed(&mut self, vm: &Listing) {
         match &vm.role {
@@ -195,6 +209,14 @@
         }
     }
 
+    /// Returns whether there is a configuration to serve by.
+    ///
+    /// Failure: a fresh entry is sent callers before it knows any organisation. Symptom: 401 for everybody. It is not
+    /// ready until it was given a configuration or has learnt the accepted one.
+    fn is_configured(&self) -> bool {
+        self.version.is_some() || !self.shared.settings.follows()
+    }
+
     fn due(&mut self, due: Due) {
         self.due = self.due.max(due);
     }
@@ -434,6 +456,7 @@
         Status {
             name: self.shared.settings.name.clone(),
             zone: self.shared.settings.zone.clone(),
+            config: self.version,
             snapshot: snapshot.number,
             ready: self.shared.is_ready(),
             endpoints: endpoints.collect(),
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -13,6 +13,8 @@
 use std::thread;
 use std::time;
 
+use bergamotshift_config::accept::Member;
+use bergamotshift_config::accept::member;
 use bergamotshift_config::config::Config;
 use bergamotshift_config::folder;
 use bergamotshift_core::plugin;
@@ -27,6 +29,7 @@
 
 pub use self::handle::Drained;
 pub use self::handle::Handle;
+use crate::configuration;
 use crate::control;
 use crate::control::Sender;
 use crate::control::State;
@@ -184,10 +187,42 @@
     (kind.connect)(settings.platform.over_http()).await
 }
 
+/// Starts the task that follows the accepted configuration, when nothing else gives one.
+fn follow(shared: &Arc<Shared>, platform: &Platform) -> Option<JoinHandle<()>> {
+    if !shared.settings.follows() {
+        return None;
+    }
+    let (Some(table), Some(objects)) = (&platform.table, &platform.objects) else {
+        return None;
+    };
+    let outside = configuration::follow::Outside {
+        table: Rc::clone(table),
+        store: configuration::Store::new(Rc::clone(objects)),
+        peers: Rc::new(configuration::peers::Alone),
+        control: shared.control.clone(),
+        logger: shared.settings.logger.clone(),
+    };
+    let settings = member::Settings {
+        zone: shared.settings.zone.clone(),
+        adapters: Some(plugin::names::<bergamotshift_endpoint::adapter::Kind>()),
+        ..member::Settings::default()
+    };
+    let member = Member::new(settings, shared.now());
+    let (sender, events) = tokio::sync::mpsc::unbounded_channel();
+    let generator = worker::generator();
+    let clock = {
+        let shared = Arc::clone(shared);
+        move || shared.now()
+    };
+    let run = configuration::follow::run(member, Rc::new(outside), clock, generator, sender, events);
+    Some(ntex::rt::spawn(run))
+}
+
 /// Starts the tasks that look at the outside.
-fn watch(shared: &Shared, platform: &Platform) -> Vec<JoinHandle<()>> {
+fn watch(shared: &Arc<Shared>, platform: &Platform) -> Vec<JoinHandle<()>> {
     let sender = &shared.control;
     let mut tasks = vec![ntex::rt::spawn(watch::tick(sender.clone()))];
+    tasks.extend(follow(shared, platform));
     if let Some(vms) = &platform.vms {
         let Settings { watch, logger, .. } = &shared.settings;
         let list = watch::list(Rc::clone(vms), watch.list, sender.clone(), logger.clone());
--- a/bergamotshift-entry/src/settings/mod.rs
+++ b/bergamotshift-entry/src/settings/mod.rs
@@ -151,3 +151,11 @@
         }
     }
 }
+
+impl Settings {
+    /// Returns whether the configuration comes from the platform and from peers.
+    pub const fn follows(&self) -> bool {
+        let given = self.config.is_some() || self.folder.is_some();
+        !given && self.platform.table.is_some() && self.platform.objects.is_some()
+    }
+}
--- a/bergamotshift-entry/src/watch/mod.rs
+++ b/bergamotshift-entry/src/watch/mod.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bergamotshift_config::accept::record::Mark;
+use bergamotshift_config::config::Config;
 use bergamotshift_core::load;
 use bergamotshift_core::prelude::*;
 use bergamotshift_core::vm::Listing;
@@ -37,6 +39,13 @@
 pub enum Event {
     /// Time passed.
     Tick,
+    /// A configuration version is to be in force from now on.
+    Configured {
+        /// The version, higher than any before.
+        mark: Mark,
+        /// What it says.
+        config: Arc<Config>,
+    },
     /// The platform listed its VMs.
     Listed(Vec<Listing>),
     /// The platform gave notices.
--- a/bergamotshift-entry/src/worker/mod.rs
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -157,7 +157,7 @@
 }
 
 /// Seeds a generator from the system, so that two threads or entries never draw the same identifiers.
-fn generator() -> Pcg64Mcg {
+pub(crate) fn generator() -> Pcg64Mcg {
     let mut seed = [0; 16];
     SysRng
         .try_fill_bytes(&mut seed)
--- /dev/null
+++ b/bergamotshift-entry/tests/configuration/main.rs
@@ -0,0 +1,96 @@
+//! Configuration from an operator's change to being in force, over the platform's stand-ins on loopback.
+
+mod site;
+
+use std::time::Duration;
+
+use bergamotshift_config::accept::proposer::Outcome;
+use bergamotshift_standin::fault::Fault;
+
+use site::Site;
+use site::folder;
+
+#[ntex::test]
+async fn an_accepted_change_is_in_force_in_every_zone() {
+    let site = Site::start(&["zone-a", "zone-b"]).await;
+    let accepted = site.apply(&folder::empty(), &folder::with_key("first")).await;
+    assert!(
+        matches!(accepted, Outcome::Accepted { mark, .. } if mark.version.get() == 1),
+        "{accepted:?}"
+    );
+    site.in_force(1).await;
+    site.assert_keys("first", "second").await;
+    let changed = site
+        .apply(&folder::with_key("first"), &folder::with_key("second"))
+        .await;
+    assert!(
+        matches!(changed, Outcome::Accepted { mark, .. } if mark.version.get() == 2),
+        "{changed:?}"
+    );
+    site.in_force(2).await;
+    site.assert_keys("second", "first").await;
+}
+
+#[ntex::test]
+async fn a_lost_answer_to_the_accepting_write_accepts_once() {
+    // The operator's change is accepted, but the answers to writes are lost after they took effect. The operator is
+    // told of one acceptance, by reading the rows back; a proposer that believed the loss would propose once more.
+    let site = Site::start(&["zone-a"]).await;
+    site.table.fault(Fault::LoseAnswerAfterWrite { count: 3 });
+    let accepted = site.apply(&folder::empty(), &folder::with_key("first")).await;
+    assert!(
+        matches!(accepted, Outcome::Accepted { mark, .. } if mark.version.get() == 1),
+        "{accepted:?}"
+    );
+    site.in_force(1).await;
+    assert_eq!(site.versions(), 1);
+}
+
+#[ntex::test]
+async fn two_operators_at_once_lose_no_change() {
+    // Two operators start from one version. One changes the organisation, the other adds a file: both changes are in
+    // force afterwards, as two versions. A third who changed the organisation's file too is told its name.
+    let site = Site::start(&["zone-a"]).await;
+    let base = folder::with_key("first");
+    site.apply(&folder::empty(), &base).await;
+    let (ours, theirs) = (folder::with_key("second"), folder::with_class("first"));
+    let both = [site.apply(&base, &ours).await, site.apply(&base, &theirs).await];
+    assert!(
+        both.iter().all(|outcome| matches!(outcome, Outcome::Accepted { .. })),
+        "{both:?}"
+    );
+    site.in_force(3).await;
+    site.assert_keys("second", "first").await;
+    let third = site.apply(&base, &folder::with_key("third")).await;
+    assert_eq!(third, Outcome::Conflict(vec!["20-organisations.toml".into()]));
+}
+
+#[ntex::test]
+async fn a_table_that_is_down_refuses_the_change_and_serving_goes_on() {
+    // The platform's table refuses connections. The operator learns that nothing was proposed; callers are served by
+    // the version in force, which is still there when the table comes back.
+    let site = Site::start(&["zone-a"]).await;
+    site.apply(&folder::empty(), &folder::with_key("first")).await;
+    site.in_force(1).await;
+    site.table.fault(Fault::Down);
+    let refused = site
+        .apply_within(&folder::with_key("first"), &folder::with_key("second"), Duration::ZERO)
+        .await;
+    assert_eq!(refused, Outcome::Unreachable);
+    site.assert_keys("first", "second").await;
+    site.table.fault(Fault::Up);
+    site.apply(&folder::with_key("first"), &folder::with_key("second"))
+        .await;
+    site.in_force(2).await;
+}
+
+#[ntex::test]
+async fn a_fresh_entry_is_not_ready_before_it_has_a_configuration() {
+    // An entry that starts before the first version exists answers 503 on its readiness check, so the balancer sends
+    // it nobody; it is ready once the version is in force.
+    let site = Site::start(&["zone-a"]).await;
+    assert_eq!(site.ready().await, [503]);
+    site.apply(&folder::empty(), &folder::with_key("first")).await;
+    site.in_force(1).await;
+    assert_eq!(site.ready().await, [200]);
+}
