feat(entry): share services among organisations and refuse early

The kernel of limits, shares and admission was never asked: a large organisation's flood made everybody wait, and configured limits bound nobody. The control thread now owns it, follows the configuration, reads the load that endpoints report and publishes the table; a request is decided before its first byte leaves, with atomics alone, and refused with 429 (own limit or share) or 503 (target or deadline out of reach), not-run and Retry-After. Tokens count as answers arrive.

Three faults showed in the tests on the way, each by a failing run. A batch that runs side by side was taken for a queue, so callers were refused before idle slots: a gate now has room. Requests that ended since the last report still counted: what changed since is known exactly. Between two ticks freed slots counted as taken: an end is noted at once.

Shown to fail without admission (3 of 4 tests), without settling, with settling to nothing, without room, without noting ends, and with reports taken as they are (unit test). The marks that routing keeps are those of the report before the last, which counts growth twice here, so sharing keeps its own.

--- a/bergamotshift-entry/src/api/error.rs
+++ b/bergamotshift-entry/src/api/error.rs
@@ -15,6 +15,7 @@
 use super::header::REQUEST_ID;
 use crate::auth;
 use crate::exchange;
+use crate::sharing;
 
 /// What went wrong.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +63,9 @@
     /// The entry does not know any endpoints yet.
     #[error("this entry is starting")]
     NotReady,
+    /// The organisation or the service has no room for it now.
+    #[error("{0}")]
+    Refused(#[from] sharing::Refusal),
     /// The way to an endpoint and back failed.
     #[error("{0}")]
     Exchange(#[from] exchange::Error),
@@ -136,6 +140,7 @@
     const fn retry_after(&self) -> Option<Duration> {
         match &self.reason {
             Reason::NotReady => Some(Duration::from_secs(1)),
+            Reason::Refused(refusal) => Some(refusal.retry_after),
             Reason::Exchange(error) => error.retry_after(),
             _ => None,
         }
@@ -167,6 +172,8 @@
             Reason::TooSlow => (StatusCode::REQUEST_TIMEOUT, "too_slow"),
             Reason::MissingKey => (StatusCode::BAD_REQUEST, "idempotency_key_missing"),
             Reason::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "starting"),
+            Reason::Refused(refusal) if refusal.is_organisations() => (StatusCode::TOO_MANY_REQUESTS, refusal.code()),
+            Reason::Refused(refusal) => (StatusCode::SERVICE_UNAVAILABLE, refusal.code()),
             Reason::Exchange(error) => exchange_row(error),
         }
     }
--- a/bergamotshift-entry/src/api/openai.rs
+++ b/bergamotshift-entry/src/api/openai.rs
@@ -37,6 +37,7 @@
 use crate::exchange::attempts::BLOCK_BYTES;
 use crate::exchange::stream::Relay;
 use crate::exchange::whole;
+use crate::sharing;
 use crate::snapshot::Snapshot;
 use crate::worker::Worker;
 
@@ -157,11 +158,13 @@
         arrived,
         id,
     )?;
+    let call = Rc::new(call);
+    let ticket = sharing::admit(worker, snapshot, &call).map_err(|refusal| Error::not_run(refusal.into()))?;
     if let Some(service) = snapshot.services.get(&service.name) {
         service.metrics.requests.inc();
         service.budget.deposit();
     }
-    let attempts = Attempts::new(Rc::clone(worker), Rc::new(call)).traced(active.trace());
+    let attempts = Attempts::new(Rc::clone(worker), call, ticket).traced(active.trace());
     if streams {
         stream(attempts, &service.adapter, active).await
     } else {
@@ -242,7 +245,10 @@
 async fn fetch(mut attempts: Attempts) -> Result<Response, Error> {
     let id = attempts.call().id;
     match whole::fetch(&mut attempts).await {
-        Ok(whole) => Ok(reply::whole(whole, id)),
+        Ok(whole) => {
+            attempts.count_whole(&whole.body);
+            Ok(reply::whole(whole, id))
+        }
         Err(error) => Err(attempts.fail(&error)),
     }
 }
@@ -263,7 +269,10 @@
         }
         // An engine that refuses a request answers it whole.
         match whole::finish(&mut attempts, open.answer, open.running).await {
-            Ok(Some(whole)) => return Ok(reply::whole(whole, id)),
+            Ok(Some(whole)) => {
+                attempts.count_whole(&whole.body);
+                return Ok(reply::whole(whole, id));
+            }
             Ok(None) => {}
             Err(error) => return Err(attempts.fail(&error)),
         }
--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -29,6 +29,7 @@
 use crate::exchange::Work;
 use crate::exchange::copy::Copy;
 use crate::exchange::whole;
+use crate::sharing;
 use crate::snapshot::Snapshot;
 use crate::worker::Worker;
 
@@ -84,11 +85,13 @@
         call.path.as_str(),
         &call.body,
     );
+    let call = Rc::new(call);
+    let ticket = sharing::admit(worker, snapshot, &call).map_err(|refusal| Error::not_run(refusal.into()))?;
     if let Some(service) = snapshot.services.get(&service.name) {
         service.metrics.requests.inc();
         service.budget.deposit();
     }
-    let mut attempts = Attempts::new(Rc::clone(worker), Rc::new(call)).traced(active.trace());
+    let mut attempts = Attempts::new(Rc::clone(worker), call, ticket).traced(active.trace());
     match pass(&mut attempts, outgoing).await {
         Ok(Passed::Whole(whole)) => Ok(reply::whole(whole, id)),
         Ok(Passed::Large(open)) => Ok(large(attempts, open, id, active)),
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -33,6 +33,7 @@
 use super::Verdict;
 use super::fleet::Fleet;
 use crate::observe::metrics::Census;
+use crate::sharing;
 use crate::snapshot;
 use crate::snapshot::Endpoint;
 use crate::snapshot::Snapshot;
@@ -63,6 +64,7 @@
     version: Option<Version>,
     fleet: Fleet,
     quarantine: Quarantine,
+    sharing: sharing::Control,
     budgets: BTreeMap<name::Service, (Retry, Arc<retry::Budget>)>,
     census: Census,
     number: u64,
@@ -84,6 +86,7 @@
             version: None,
             fleet,
             quarantine,
+            sharing: sharing::Control::new(Vec::new()),
             budgets: BTreeMap::new(),
             census: Census::new(),
             number: 0,
@@ -137,6 +140,7 @@
             services,
             zones,
             quarantine: self.quarantine.table(),
+            sharing: self.sharing.follow(self.shared.now(), &self.config),
             ready: self.is_configured(),
         };
         self.shared.publisher.publish(snapshot);
@@ -238,6 +242,7 @@
         if self.due == Due::Tick {
             self.publish_now();
         }
+        self.sharing.tick(now, &self.shared.publisher.current());
     }
 
     /// Asks an endpoint for its load.
--- a/bergamotshift-entry/src/exchange/attempts.rs
+++ b/bergamotshift-entry/src/exchange/attempts.rs
@@ -29,6 +29,7 @@
 use crate::observe::Record;
 use crate::observe::Span;
 use crate::observe::Trace;
+use crate::sharing::Ticket;
 use crate::snapshot::Endpoint;
 use crate::snapshot::Service;
 use crate::snapshot::Snapshot;
@@ -76,11 +77,20 @@
     lost: u32,
     trace: Trace,
     record: Record,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for Attempts {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            ticket.settle(self.worker.shared.now(), self.outcome);
+        }
+    }
 }
 
 impl Attempts {
-    /// Makes none yet.
-    pub fn new(worker: Rc<Worker>, call: Rc<Call>) -> Self {
+    /// Makes none yet, of a request that was let in.
+    pub fn new(worker: Rc<Worker>, call: Rc<Call>, ticket: Ticket) -> Self {
         let snapshot = worker.snapshot();
         let metrics = snapshot.services.get(&call.service);
         let metrics = metrics.map(|service| Arc::clone(&service.metrics));
@@ -93,6 +103,7 @@
             lost: 0,
             trace: Trace::default(),
             record: Record::new(metrics),
+            ticket: Some(ticket),
         }
     }
 
@@ -143,6 +154,22 @@
         self.outcome = Outcome::Ran;
     }
 
+    /// Counts tokens of the answer as they arrive.
+    pub fn count(&mut self, tokens: u64) {
+        let now = self.worker.shared.now();
+        if let Some(ticket) = &mut self.ticket {
+            ticket.count(now, tokens);
+        }
+    }
+
+    /// Counts the tokens of a model's answer that came whole.
+    pub fn count_whole(&mut self, body: &[u8]) {
+        let now = self.worker.shared.now();
+        if let Some(ticket) = &mut self.ticket {
+            ticket.count_whole(now, body);
+        }
+    }
+
     /// Makes attempts until the head of an answer is there.
     ///
     /// # Errors
--- a/bergamotshift-entry/src/exchange/stream.rs
+++ b/bergamotshift-entry/src/exchange/stream.rs
@@ -139,6 +139,8 @@
 
     fn write(&mut self, event: &Event, bytes: &mut BytesMut) {
         self.progress.note(event);
+        // Engines send a token per event, but for the first and the last.
+        self.attempts.count(1);
         number(self.progress.events(), event.lines(), bytes);
     }
 
--- a/bergamotshift-entry/src/lib.rs
+++ b/bergamotshift-entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod exchange;
 pub mod observe;
 pub mod settings;
+pub mod sharing;
 pub mod snapshot;
 pub mod watch;
 pub mod worker;
--- /dev/null
+++ b/bergamotshift-entry/src/sharing/load/tests.rs
@@ -0,0 +1,118 @@
+//! Loads from reports that are late.
+
+use bergamotshift_config::config::Kind;
+use bergamotshift_core::load::Report;
+use bergamotshift_core::prelude::*;
+use bergamotshift_route::Ask;
+use bergamotshift_route::View;
+use bergamotshift_route::flight::Guard;
+use bergamotshift_route::policy;
+use bergamotshift_route::registry::Registry;
+use bergamotshift_route::set::Set;
+use bergamotshift_route::view;
+use rand_pcg::Pcg64Mcg;
+use slotmap::SecondaryMap;
+
+use super::Flow;
+use super::Load;
+
+const REPORTED: Instant = Instant::from_secs(1);
+const NOW: Instant = Instant::from_millis(1_400);
+
+struct Engine {
+    registry: Registry,
+    service: view::Service,
+    key: key::Endpoint,
+    flows: SecondaryMap<key::Endpoint, Flow>,
+}
+
+impl Engine {
+    fn new(entries: u32) -> Self {
+        let mut registry = Registry::default();
+        registry.set_entries(entries);
+        let service = registry.service(&name::Service::from("planner-llm")).unwrap();
+        let endpoint = view::Endpoint {
+            service,
+            ..view::Endpoint::default()
+        };
+        let key = registry.insert(endpoint).unwrap();
+        let flows = SecondaryMap::new();
+        Self {
+            registry,
+            service,
+            key,
+            flows,
+        }
+    }
+
+    fn report(&mut self, running: u32, waiting: u32) {
+        let report = Report {
+            sequence: 1,
+            running,
+            waiting,
+            slots: 4,
+            decode_rate: 1_000,
+            ..Report::default()
+        };
+        self.registry.report(self.key, report, REPORTED).unwrap();
+    }
+
+    fn view(&mut self) -> View {
+        self.registry.publish(NOW)
+    }
+
+    fn send(&mut self, count: usize) -> Vec<Guard> {
+        let view = self.view();
+        let ask = Ask {
+            service: self.service,
+            zones: Set::ALL,
+            classes: Set::ALL,
+            ..Ask::default()
+        };
+        let policy = policy::build("least")
+            .or_else(|| policy::build(policy::DEFAULT))
+            .unwrap();
+        let mut generator = Pcg64Mcg::new(1);
+        let mut choose = || policy.choose(&view, &ask, &mut generator).unwrap();
+        (0..count).map(|_| view.send(&choose(), &ask)).collect()
+    }
+
+    fn ahead(&mut self) -> f64 {
+        let view = self.view();
+        let load = Load::of(NOW, Kind::Model, &view, self.service, &mut self.flows);
+        load.ahead[Urgency::Deferrable as usize]
+    }
+}
+
+#[test]
+fn what_ended_since_the_report_counts_no_longer() {
+    // Four requests run when the report is made, end, and four others take their place before the next report. Were
+    // the report taken as it is, eight would be seen, and whoever comes next be refused.
+    let mut engine = Engine::new(1);
+    let first = engine.send(4);
+    engine.report(4, 0);
+    assert!((engine.ahead() - 4.0).abs() < 1e-9);
+    drop(first);
+    assert!(engine.ahead().abs() < 1e-9);
+    let _second = engine.send(4);
+    assert!((engine.ahead() - 4.0).abs() < 1e-9);
+}
+
+#[test]
+fn other_entries_are_taken_to_do_alike() {
+    // Two entries have two requests each at an engine. This one sends two more, so the other one has too.
+    let mut engine = Engine::new(2);
+    let _first = engine.send(2);
+    engine.report(4, 0);
+    assert!((engine.ahead() - 4.0).abs() < 1e-9);
+    let _second = engine.send(2);
+    assert!((engine.ahead() - 8.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_service_that_reports_nothing_has_no_reading() {
+    let mut engine = Engine::new(1);
+    let view = engine.view();
+    let load = Load::of(NOW, Kind::Model, &view, engine.service, &mut engine.flows);
+    assert!(load.reading(1.0).is_none());
+}
--- a/bergamotshift-entry/src/snapshot/mod.rs
+++ b/bergamotshift-entry/src/snapshot/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use crate::observe::ServiceMetrics;
+use crate::sharing;
 use bergamotshift_config::config::Config;
 use bergamotshift_core::prelude::*;
 use bergamotshift_endpoint::call::Target;
@@ -72,6 +73,8 @@
     pub zones: BTreeMap<name::Organisation, Set>,
     /// The requests suspected of killing endpoints.
     pub quarantine: quarantine::Table,
+    /// What organisations may use, and how busy the services are.
+    pub sharing: sharing::Table,
     /// Whether endpoints have been looked up at least once, so that callers may come.
     pub ready: bool,
 }
@@ -87,6 +90,7 @@
             services: BTreeMap::new(),
             zones: BTreeMap::new(),
             quarantine: quarantine::Table::default(),
+            sharing: sharing::Table::default(),
             ready: false,
         }
     }
--- /dev/null
+++ b/bergamotshift-entry/tests/sharing/main.rs
@@ -0,0 +1,7 @@
+//! Tests of sharing and early refusals against stand-in endpoints over loopback.
+
+mod flood;
+mod limits;
+#[expect(dead_code, reason = "the site serves the tests of the request path too")]
+#[path = "../entry/site.rs"]
+mod site;
--- a/bergamotshift-limit/src/admission/forecast.rs
+++ b/bergamotshift-limit/src/admission/forecast.rs
@@ -17,6 +17,8 @@
     pub capacity: f64,
     /// The waits then, by [`Urgency`], each including more urgent work.
     pub waits: [Duration; CLASSES],
+    /// What of the waits runs at once and makes nobody wait; see [`Gate::set_room`].
+    pub room: Duration,
     /// How long ago that was.
     pub age: Duration,
     /// This entry's part of the service's demand.
@@ -61,6 +63,7 @@
     /// admitted until now.
     pub fn tick(&mut self, now: Instant, reading: Reading) {
         let admitted = self.gate.admitted();
+        self.samples.push_back(Sample { at: now, admitted });
         let then = self.admitted_at(now - reading.age);
         let rate = reading.capacity * reading.portion.clamp(f64::MIN_POSITIVE, 1.0);
         let wait = |class: usize| {
@@ -69,8 +72,8 @@
             reading.waits[class].saturating_add(grown).saturating_sub(reading.age)
         };
         let waits = core::array::from_fn(wait);
+        self.gate.set_room(reading.room);
         self.gate.set(now, reading.capacity, waits, reading.portion);
-        self.samples.push_back(Sample { at: now, admitted });
         while self
             .samples
             .get(1)
--- a/bergamotshift-limit/src/admission/gate.rs
+++ b/bergamotshift-limit/src/admission/gate.rs
@@ -44,6 +44,7 @@
 pub struct Gate {
     settings: Settings,
     clocks: [Bucket; CLASSES],
+    room_nanos: AtomicU64,
     admitted: [AtomicU64; CLASSES],
 }
 
@@ -55,6 +56,7 @@
         Self {
             settings,
             clocks,
+            room_nanos: AtomicU64::new(0),
             admitted,
         }
     }
@@ -62,7 +64,7 @@
     /// Sets the service's capacity and its present waits; see [`super::Forecast`] for waits that are not present.
     ///
     /// `capacity` is the whole service's, in units of work per second. `waits` are by [`Urgency`], each including more
-    /// urgent work. `portion` is this entry's part of the demand: what the others admit meanwhile is taken to grow
+    /// urgent work, and what [`Gate::set_room`] takes off. `portion` is this entry's part of the demand: what the others admit meanwhile is taken to grow
     /// in step with what this one admits.
     pub fn set(&self, now: Instant, capacity: f64, waits: [Duration; CLASSES], portion: f64) {
         let seen = capacity * portion.clamp(f64::MIN_POSITIVE, 1.0);
@@ -72,9 +74,19 @@
         }
     }
 
+    /// Sets how much of the admitted work runs at once, as the time that it takes at the whole capacity.
+    ///
+    /// Failure: an engine runs a full batch side by side, and its work is taken for a queue. Symptom: requests are
+    /// refused while slots are free. Only what goes beyond the slots waits.
+    pub fn set_room(&self, room: Duration) {
+        let nanos = u64::try_from(room.as_nanos()).unwrap_or(u64::MAX);
+        self.room_nanos.store(nanos, Relaxed);
+    }
+
     /// Returns the predicted wait of a request that arrives now.
     pub fn wait(&self, now: Instant, urgency: Urgency) -> Duration {
-        self.clocks[class(urgency)].owed(now)
+        let room = Duration::from_nanos(self.room_nanos.load(Relaxed));
+        self.clocks[class(urgency)].owed(now).saturating_sub(room)
     }
 
     /// Decides on a request, given whether its organisation's share held its work, and notes it when admitted.
@@ -111,6 +123,17 @@
         Decision::Admit
     }
 
+    /// Notes that an admitted request ended, of whatever was expected of it.
+    ///
+    /// Failure: a full batch ends and as many callers come at once. Symptom: until the next reading the freed slots
+    /// count as taken, and callers are refused before idle engines. Time takes off what the capacity does as well, so
+    /// between two readings the wait may be believed shorter by the time between them, and no more.
+    pub fn ended(&self, urgency: Urgency, work: u64) {
+        for clock in &self.clocks[class(urgency)..] {
+            clock.refund(work);
+        }
+    }
+
     /// Returns the work admitted so far, by urgency, each including more urgent work.
     pub(super) fn admitted(&self) -> [u64; CLASSES] {
         core::array::from_fn(|class| self.admitted[class].load(Relaxed))
--- a/bergamotshift-limit/src/desk/kernel.rs
+++ b/bergamotshift-limit/src/desk/kernel.rs
@@ -118,6 +118,7 @@
             let late = admission::Reading {
                 capacity: reading.capacity,
                 waits: reading.waits,
+                room: reading.room,
                 age: reading.age,
                 portion,
             };
--- a/bergamotshift-limit/src/desk/mod.rs
+++ b/bergamotshift-limit/src/desk/mod.rs
@@ -102,6 +102,8 @@
     pub capacity: f64,
     /// The waits then, by [`Urgency`], each including more urgent work.
     pub waits: [Duration; 3],
+    /// What of the waits runs at once in free slots and makes nobody wait.
+    pub room: Duration,
     /// How long ago that was.
     pub age: Duration,
 }
--- a/bergamotshift-limit/src/desk/table.rs
+++ b/bergamotshift-limit/src/desk/table.rs
@@ -51,6 +51,13 @@
         }
     }
 
+    /// Notes that an admitted request ended, so that its place is free at once.
+    pub fn ended(&self, service: &name::Service, urgency: Urgency, work: u64) {
+        if let Some(gate) = self.gates.get(service) {
+            gate.ended(urgency, work);
+        }
+    }
+
     /// Returns a service's gate, for releasing deferred jobs and for metrics.
     pub fn gate(&self, service: &name::Service) -> Option<&Gate> {
         self.gates.get(service).map(AsRef::as_ref)
--- a/bergamotshift-limit/tests/share.rs
+++ b/bergamotshift-limit/tests/share.rs
@@ -92,6 +92,7 @@
             let reading = admission::Reading {
                 capacity: CAPACITY,
                 waits: [wait; 3],
+                room: Duration::ZERO,
                 age,
                 portion,
             };
@@ -285,6 +286,32 @@
     assert_eq!(gate.wait(Instant::ZERO, Urgency::Deferrable), Duration::from_secs(100));
 }
 
+#[test]
+fn work_that_fits_in_free_slots_waits_for_nobody() {
+    // An engine has slots for as much work as it does in four seconds, twice the target. Callers who fill the slots at
+    // once all start at once; only those who come after them wait, and are refused when that is too long.
+    let gate = Gate::new(admission::Settings::default());
+    gate.set(Instant::ZERO, CAPACITY, [Duration::ZERO; 3], 1.0);
+    gate.set_room(Duration::from_secs(4));
+    let work = (CAPACITY / 10.0) as u64;
+    let request = admission::Request {
+        urgency: Urgency::Urgent,
+        target: Duration::from_secs(2),
+        deadline: Instant::from_secs(30),
+        deferrable: false,
+        work,
+    };
+    let admitted = (0..100).filter(|_| gate.weigh(Instant::ZERO, request, Ok(())) == Decision::Admit);
+    // Forty tenths of a second fill the slots, and eighteen more wait for nine tenths of the target.
+    assert_eq!(admitted.count(), 59);
+    assert_eq!(gate.wait(Instant::ZERO, Urgency::Urgent), Duration::from_millis(1_900));
+    // Callers who got their answers make room for as many others.
+    (0..2).for_each(|_| gate.ended(Urgency::Urgent, work));
+    let admitted = (0..100).filter(|_| gate.weigh(Instant::ZERO, request, Ok(())) == Decision::Admit);
+    assert_eq!(admitted.count(), 2);
+    assert_eq!(gate.wait(Instant::ZERO, Urgency::Urgent), Duration::from_millis(1_900));
+}
+
 quickcheck! {
     fn fill_wastes_nothing_and_keeps_guarantees(raw: Vec<(u8, u16)>, capacity: u16) -> bool {
         let claims: Vec<_> = raw
