--- a/bergamotshift-replay/src/scenario.rs
+++ b/bergamotshift-replay/src/scenario.rs
@@ -114,6 +114,8 @@
     pub heat: f64,
     /// Seeds arrivals, draws and losses.
     pub seed: u64,
+    /// Whether streams of leaving endpoints are planned, where the policy is the default one; else they are cut.
+    pub plan_reclaims: bool,
     /// Shortens the span in which requests arrive; the load's shape is shortened with it.
     pub span: Option<Duration>,
 }
@@ -126,6 +128,7 @@
             policy: bergamotshift_route::policy::DEFAULT.to_owned(),
             heat: 0.7,
             seed: 1,
+            plan_reclaims: true,
             span: None,
         }
     }
--- a/bergamotshift-route/src/reclaim/mod.rs
+++ b/bergamotshift-route/src/reclaim/mod.rs
@@ -185,11 +185,14 @@
     }
 }
 
-/// Spreads restarts over the window.
+/// Restarts take the last one of this many parts of the window.
+const RESTARTS: u32 = 3;
+
+/// Spreads restarts over the end of the window.
 ///
 /// All of them at the cut would queue their prompts at the endpoints that are left and push first tokens of new
-/// requests past their target. Those with most tokens left go first: waiting would not let them finish in place. The
-/// leaving endpoint goes on generating for the others until their turn.
+/// requests past their target. Earlier than needed, they would give away what the leaving endpoint still generates.
+/// Those with most tokens left go first: waiting would not let them finish in place.
 fn spread(steps: &mut Vec<Step>, again: &[&Stream], window: Duration) {
     let mut order = again.to_vec();
     order.sort_by_key(|stream| (Reverse(stream.finishes_in()), stream.id));
@@ -203,7 +206,7 @@
         // A restart throws away what the leaving endpoint would still compute, so it goes at once.
         let after = match action {
             Action::StartOver => Duration::ZERO,
-            _ => window * turn as u32 / turns,
+            _ => window - window / RESTARTS + window / RESTARTS * turn as u32 / turns,
         };
         steps.push(Step {
             after,
@@ -255,7 +258,8 @@
         Some(Step {
             id: stream.id,
             action: Action::Move,
-            after: start,
+            // Reservations count back from the end: until its turn a stream goes on in place, where engine time is free.
+            after: self.window.saturating_sub(start + takes + self.notice.import),
             takes: takes + self.notice.import,
         })
     }
