--- a/bergamotshift-route/src/reclaim/mod.rs
+++ b/bergamotshift-route/src/reclaim/mod.rs
@@ -206,7 +206,7 @@
         // A restart throws away what the leaving endpoint would still compute, so it goes at once.
         let after = match action {
             Action::StartOver => Duration::ZERO,
-            _ => window - window / RESTARTS + window / RESTARTS * turn as u32 / turns,
+            _ => window * (RESTARTS - 1) / RESTARTS + window / RESTARTS * turn as u32 / turns,
         };
         steps.push(Step {
             after,
