test(endpoint): streams split, broken and taken up again at any place

Properties over generated pieces and texts: the events of a stream do not depend on how it is cut, no bytes make the splitter or the progress panic, and what the next engine is given is exactly what the caller has.

--- /dev/null
+++ b/bergamotshift-endpoint/tests/header.rs
@@ -0,0 +1,63 @@
+//! Headers that pass a hop, and headers that end at it.
+
+use bergamotshift_core::attempt;
+use bergamotshift_endpoint::header;
+use ntex::http::HeaderMap;
+use ntex::http::header::HeaderName;
+use ntex::http::header::HeaderValue;
+
+fn map(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
+    }
+    headers
+}
+
+fn names(headers: &HeaderMap) -> Vec<&str> {
+    let mut names: Vec<_> = headers.keys().map(HeaderName::as_str).collect();
+    names.sort_unstable();
+    names
+}
+
+#[test]
+fn what_holds_for_one_connection_ends_there() {
+    let headers = map(&[
+        ("connection", "close, X-Secret"),
+        ("keep-alive", "timeout=5"),
+        ("transfer-encoding", "chunked"),
+        ("upgrade", "websocket"),
+        ("te", "trailers"),
+        ("x-secret", "1"),
+        ("x-kept", "1"),
+        ("accept", "a"),
+        ("accept", "b"),
+    ]);
+    let passed = header::towards_endpoint(&headers);
+    assert_eq!(names(&passed), ["accept", "x-kept"]);
+    assert_eq!(passed.get_all("accept").count(), 2);
+}
+
+#[test]
+fn callers_cannot_speak_for_the_system() {
+    let headers = map(&[
+        ("authorization", "Bearer secret"),
+        ("x-bergamotshift-attempt", "00000000000000000000000000000001"),
+        ("x-bergamotshift-organisation", "somebody-else"),
+        ("idempotency-key", "k"),
+        ("traceparent", "t"),
+    ]);
+    assert_eq!(
+        names(&header::towards_endpoint(&headers)),
+        ["idempotency-key", "traceparent"]
+    );
+}
+
+#[test]
+fn attempts_are_carried_exactly() {
+    let id = attempt::Id::new(0x0123_4567_89ab_cdef);
+    let mut headers = HeaderMap::new();
+    header::set_attempt(&mut headers, id);
+    assert_eq!(header::attempt(&headers), Some(id));
+    assert_eq!(header::attempt(&map(&[("x-bergamotshift-attempt", "1")])), None);
+}
--- /dev/null
+++ b/bergamotshift-endpoint/tests/stream.rs
@@ -0,0 +1,163 @@
+//! Event streams: split anywhere, broken anywhere, and taken up again.
+
+use bergamotshift_endpoint::engine::event::Event;
+use bergamotshift_endpoint::engine::event::Splitter;
+use bergamotshift_endpoint::engine::progress::Progress;
+use bergamotshift_endpoint::engine::resume;
+use bergamotshift_endpoint::engine::resume::CHAT;
+use bergamotshift_endpoint::engine::resume::COMPLETIONS;
+use bergamotshift_endpoint::engine::resume::Resumption;
+use ntex::util::Bytes;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+use quickcheck::quickcheck;
+use serde_json::Value;
+use serde_json::json;
+
+fn chunk(text: &str) -> Event {
+    let chunk = json!({ "id": "one", "choices": [{ "index": 0, "delta": { "content": text } }] });
+    Event::new(Bytes::from(format!("data: {chunk}")))
+}
+
+/// Splits a stream that arrives in pieces of these lengths.
+fn split(stream: &[u8], pieces: &[u8]) -> Vec<Event> {
+    let mut splitter = Splitter::default();
+    let mut events = Vec::new();
+    let mut rest = stream;
+    for piece in pieces {
+        let (now, later) = rest.split_at(usize::from(*piece).min(rest.len()));
+        splitter.push(now).unwrap();
+        events.extend(splitter.by_ref());
+        rest = later;
+    }
+    splitter.push(rest).unwrap();
+    events.extend(splitter.by_ref());
+    events
+}
+
+quickcheck! {
+    /// However a stream is cut into pieces, its events are the same.
+    fn pieces_do_not_matter(texts: Vec<String>, pieces: Vec<u8>) -> bool {
+        let events: Vec<_> = texts.iter().map(|text| chunk(text)).collect();
+        let stream: Vec<u8> = events
+            .iter()
+            .flat_map(|event| [event.lines(), &b"\n\n"[..]].concat())
+            .collect();
+        split(&stream, &pieces) == events
+    }
+
+    /// No bytes make the splitter panic or lose track of what it holds.
+    fn any_bytes_are_taken(bytes: Vec<u8>, pieces: Vec<u8>) -> bool {
+        let events = split(&bytes, &pieces);
+        let taken: usize = events.iter().map(|event| event.lines().len()).sum();
+        taken <= bytes.len()
+    }
+
+    /// Progress over any bytes either knows the text or says that it does not.
+    fn any_events_are_noted(bytes: Vec<u8>) -> bool {
+        let mut progress = Progress::default();
+        progress.note(&Event::new(Bytes::from(bytes)));
+        progress.fold();
+        progress.is_opaque() || progress.events() == 1
+    }
+}
+
+#[test]
+fn what_was_delivered_is_the_beginning_of_what_follows() {
+    // Wherever a stream breaks, the text that the next engine is given is exactly what the caller has, and the bound
+    // on the length is less by exactly the tokens that the caller has.
+    fn property(texts: Vec<String>, limit: u16) -> TestResult {
+        let texts: Vec<_> = texts.into_iter().filter(|text| !text.is_empty()).collect();
+        let limit = u64::from(limit) + texts.len() as u64 + 1;
+        let mut progress = Progress::default();
+        for text in &texts {
+            progress.note(&chunk(text));
+        }
+        progress.fold();
+        let body = json!({"model": "m", "messages": [{"role": "user", "content": "x"}], "max_tokens": limit});
+        let Resumption::Body(next) = resume::plan(CHAT, &Bytes::from(body.to_string()), &progress) else {
+            return TestResult::failed();
+        };
+        let next: Value = serde_json::from_slice(&next).unwrap();
+        let last = &next["messages"][1];
+        let same = last["content"] == texts.concat() && last["role"] == "assistant";
+        TestResult::from_bool(same && next["max_tokens"] == limit - texts.len() as u64)
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<String>, u16) -> TestResult);
+}
+
+#[test]
+fn only_what_an_engine_can_continue_is_continued() {
+    let mut progress = Progress::default();
+    progress.note(&chunk("a"));
+    progress.fold();
+    let plan = |path, body: Value| resume::plan(path, &Bytes::from(body.to_string()), &progress);
+    let impossible = [
+        json!({"messages": [], "n": 2}),
+        json!({"messages": [], "tools": [{"type": "function"}]}),
+        json!({"messages": [], "logprobs": true}),
+        json!({"messages": "none"}),
+        json!([]),
+    ];
+    for body in impossible {
+        assert_eq!(plan(CHAT, body.clone()), Resumption::Impossible, "{body}");
+    }
+    assert_eq!(plan(COMPLETIONS, json!({"prompt": ["a", "b"]})), Resumption::Impossible);
+    assert!(matches!(
+        plan(CHAT, json!({"messages": [], "tools": []})),
+        Resumption::Body(_)
+    ));
+}
+
+#[test]
+fn an_answer_that_the_caller_began_is_extended() {
+    let mut progress = Progress::default();
+    progress.note(&chunk(" b"));
+    progress.fold();
+    let body = json!({
+        "messages": [{"role": "assistant", "content": "a"}],
+        "continue_final_message": true,
+    });
+    let Resumption::Body(next) = resume::plan(CHAT, &Bytes::from(body.to_string()), &progress) else {
+        panic!("it can be continued");
+    };
+    let next: Value = serde_json::from_slice(&next).unwrap();
+    assert_eq!(next["messages"], json!([{"role": "assistant", "content": "a b"}]));
+}
+
+#[test]
+fn a_stream_that_lacks_only_its_end_is_whole() {
+    let mut progress = Progress::default();
+    progress.note(&chunk("a"));
+    progress.fold();
+    let body = Bytes::from(json!({"messages": [], "max_tokens": 1}).to_string());
+    let Resumption::Whole(events) = resume::plan(CHAT, &body, &progress) else {
+        panic!("the bound is reached");
+    };
+    let last: Value = serde_json::from_slice(events[0].data().unwrap()).unwrap();
+    assert_eq!(last["choices"][0]["finish_reason"], "length");
+
+    let finish = json!({"id": "one", "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]});
+    progress.note(&Event::new(Bytes::from(format!("data: {finish}"))));
+    progress.fold();
+    assert_eq!(resume::plan(CHAT, &body, &progress), Resumption::Whole(Vec::new()));
+}
+
+#[test]
+fn a_continuation_keeps_the_first_identifier_and_drops_its_opening() {
+    let opening = json!({"id": "two", "choices": [{"delta": {"role": "assistant", "content": ""}}]});
+    let opening = Event::new(Bytes::from(format!("data: {opening}")));
+    assert_eq!(resume::rewrite(opening, "one"), None);
+    let next = json!({"id": "two", "choices": [{"delta": {"content": "x"}}]});
+    let next = resume::rewrite(Event::new(Bytes::from(format!("data: {next}"))), "one").unwrap();
+    let next: Value = serde_json::from_slice(next.data().unwrap()).unwrap();
+    assert_eq!(next["id"], "one");
+}
+
+#[test]
+fn comments_are_no_events_and_line_ends_may_differ() {
+    let events = split(b": still there\n\ndata: one\r\n\r\ndata: [DONE]\n\n", &[]);
+    assert_eq!(events.len(), 2);
+    assert_eq!(events[0].data(), Some(&b"one"[..]));
+    assert!(events[1].is_done());
+}
