--- a/bergamotshift-entry/src/exchange/whole.rs
+++ b/bergamotshift-entry/src/exchange/whole.rs
@@ -1,10 +1,15 @@
 //! Answers that are held until they are complete.
 
+use core::pin::pin;
+use core::task::Poll;
+
 use bergamotshift_endpoint::answer::Answer;
 use bergamotshift_endpoint::answer::Failure;
+use futures_util::poll;
 use ntex::http::HeaderMap;
 use ntex::http::Payload;
 use ntex::http::StatusCode;
+use ntex::http::error::PayloadError;
 use ntex::http::header;
 use ntex::time::Millis;
 use ntex::util::Bytes;
@@ -97,18 +102,25 @@
 ///
 /// Returns the failure when the answer broke off, stood still, or its caller has no use for it any more.
 pub async fn next(attempts: &Attempts, body: &mut Payload) -> Result<Option<Bytes>, Failure> {
+    // What is there already needs no timer; that is the common case of a small answer.
+    let ready = poll!(pin!(body.recv()));
+    if let Poll::Ready(item) = ready {
+        return read(item);
+    }
     let times = attempts.call().times;
     let left = times.deadline.since(attempts.worker().shared.now());
     let bound = times.stall.min(left);
     let millis = Millis(u32::try_from(bound.as_millis()).unwrap_or(u32::MAX).max(1));
     match ntex::time::timeout(millis, body.recv()).await {
-        Ok(None) => Ok(None),
-        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
-        Ok(Some(Err(error))) => Err(Failure::Broken(error.to_string())),
+        Ok(item) => read(item),
         Err(()) => Err(Failure::Timeout),
     }
 }
 
+fn read(item: Option<Result<Bytes, PayloadError>>) -> Result<Option<Bytes>, Failure> {
+    item.transpose().map_err(|error| Failure::Broken(error.to_string()))
+}
+
 /// Returns the length that an answer declares.
 pub fn length(headers: &HeaderMap) -> Option<usize> {
     headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
