--- a/bergamotshift/tests/usage.rs
+++ b/bergamotshift/tests/usage.rs
@@ -11,7 +11,17 @@
 /// Flags that take no value and so have no variable.
 const SWITCHES: [&str; 2] = ["help", "once"];
 
-const COMMANDS: [&[&str]; 5] = [&["entry"], &["config", "check"], &["demo"], &["load"], &["version"]];
+const COMMANDS: [&[&str]; 9] = [
+    &["entry"],
+    &["config", "check"],
+    &["config", "diff"],
+    &["config", "apply"],
+    &["config", "show"],
+    &["config", "history"],
+    &["demo"],
+    &["load"],
+    &["version"],
+];
 
 fn parsed(words: &[&str]) -> Command {
     let arguments = Arguments::parse_args_default(words).expect("the command exists");
