refactor(demo): part the site from its workers and the platform

Cause: demo/site.rs had grown to 371 lines with four concepts. Conclusion: one file each for the site, its workers and the platform's stand-ins; behaviour is unchanged.

--- a/bergamotshift/src/command/demo.rs
+++ b/bergamotshift/src/command/demo.rs
@@ -207,7 +207,7 @@
 }
 
 fn endpoints(site: &Site) -> Vec<load::plan::Endpoint> {
-    let endpoint = |worker: &demo::site::Worker| load::plan::Endpoint {
+    let endpoint = |worker: &demo::worker::Worker| load::plan::Endpoint {
         name: worker.listing.name.clone(),
         service: worker.service.clone(),
         zone: worker.listing.zone.clone(),
@@ -218,8 +218,8 @@
 
 /// Returns the plain endpoints that stay, which are also called directly for comparison.
 fn plain_addresses(site: &Site) -> Vec<core::net::SocketAddr> {
-    let stays = |worker: &&demo::site::Worker| Some(&worker.listing.zone) != site.zones().last();
-    let plain = |worker: &&demo::site::Worker| matches!(worker.server, demo::site::Server::Plain(_));
+    let stays = |worker: &&demo::worker::Worker| Some(&worker.listing.zone) != site.zones().last();
+    let plain = |worker: &&demo::worker::Worker| matches!(worker.server, demo::worker::Server::Plain(_));
     let chosen = site.workers().iter().filter(stays).filter(plain);
     chosen.map(|worker| worker.server.address()).collect()
 }
--- a/bergamotshift/src/demo/books.rs
+++ b/bergamotshift/src/demo/books.rs
@@ -1,7 +1,7 @@
 //! What the demo's endpoints truly ran, read from their handles, which outlive a kill.
 
 use crate::demo::Site;
-use crate::demo::site::Server;
+use crate::demo::worker::Server;
 use crate::load::ledger::Book;
 use crate::load::ledger::Error;
 use crate::load::ledger::Run;
@@ -20,7 +20,7 @@
 
 impl Source for Site {
     fn books(&self) -> Result<Vec<Book>, Error> {
-        let book = |worker: &crate::demo::site::Worker| Book {
+        let book = |worker: &crate::demo::worker::Worker| Book {
             endpoint: worker.listing.name.clone(),
             runs: worker.server.ledger().into_iter().map(run).collect(),
             complete: true,
--- a/bergamotshift/src/demo/mod.rs
+++ b/bergamotshift/src/demo/mod.rs
@@ -5,7 +5,9 @@
 
 pub mod books;
 pub mod folder;
+pub mod services;
 pub mod site;
 pub mod target;
+pub mod worker;
 
 pub use site::Site;
--- a/bergamotshift/src/demo/site.rs
+++ b/bergamotshift/src/demo/site.rs
@@ -12,27 +12,16 @@
 use thiserror::Error;
 
 use crate::config::config::Config;
-use crate::config::config::Kind;
 use crate::config::config::Limits;
 use crate::config::config::Organisation;
-use crate::config::config::Service;
 use crate::config::digest::Digest;
 use crate::core::name;
-use crate::core::vm::Incarnation;
-use crate::core::vm::Listing;
-use crate::core::vm::Market;
-use crate::core::vm::Role;
-use crate::core::vm::State;
+use crate::demo::services::Services;
+use crate::demo::worker;
+use crate::demo::worker::Worker;
 use crate::entry;
 use crate::entry::Daemon;
 use crate::entry::Handle;
-use crate::entry::settings::Platform;
-use crate::standin::engine;
-use crate::standin::fault::Fault;
-use crate::standin::objects;
-use crate::standin::plain;
-use crate::standin::table;
-use crate::standin::vms;
 
 /// The key of the organisation that the demo adds when it knows the token of none.
 const ADDED_KEY: &str = "demo-key";
@@ -79,68 +68,6 @@
     Entry(#[from] entry::Error),
 }
 
-/// The stand-in of one endpoint.
-#[derive(Debug)]
-pub enum Server {
-    /// A model engine.
-    Engine(engine::Server),
-    /// A plain service.
-    Plain(plain::Server),
-}
-
-impl Server {
-    /// Returns where it listens.
-    pub fn address(&self) -> SocketAddr {
-        match self {
-            Self::Engine(server) => server.address(),
-            Self::Plain(server) => server.address(),
-        }
-    }
-
-    /// Ends it at once, with its open connections.
-    pub fn kill(&self) {
-        match self {
-            Self::Engine(server) => server.kill(),
-            Self::Plain(server) => server.kill(),
-        }
-    }
-
-    /// Lets it stand still.
-    pub fn pause(&self) {
-        match self {
-            Self::Engine(server) => server.pause(),
-            Self::Plain(server) => server.pause(),
-        }
-    }
-
-    /// Lets it go on.
-    pub fn resume(&self) {
-        match self {
-            Self::Engine(server) => server.resume(),
-            Self::Plain(server) => server.resume(),
-        }
-    }
-
-    /// Shows a fault.
-    pub fn fault(&self, fault: Fault) {
-        match self {
-            Self::Engine(server) => server.fault(fault),
-            Self::Plain(server) => server.fault(fault),
-        }
-    }
-}
-
-/// One endpoint of the demo.
-#[derive(Debug)]
-pub struct Worker {
-    /// What the platform lists of it.
-    pub listing: Listing,
-    /// The service it belongs to.
-    pub service: name::Service,
-    /// Its stand-in.
-    pub server: Server,
-}
-
 /// One entry of the demo.
 #[derive(Debug)]
 pub struct Member {
@@ -156,42 +83,6 @@
     pub handle: Option<Handle>,
 }
 
-/// The platform's stand-ins.
-#[derive(Debug)]
-pub struct Services {
-    /// The VM list.
-    pub vms: vms::Server,
-    /// The table service.
-    pub table: table::Server,
-    /// The object store.
-    pub objects: objects::Server,
-}
-
-impl Services {
-    fn start() -> io::Result<Self> {
-        Ok(Self {
-            vms: vms::Server::start(vms::Settings::default())?,
-            table: table::Server::start(table::Settings::default())?,
-            objects: objects::Server::start(objects::Settings::default())?,
-        })
-    }
-
-    fn addresses(&self) -> Platform {
-        Platform {
-            vms: Some(self.vms.address()),
-            table: Some(self.table.address()),
-            objects: Some(self.objects.address()),
-        }
-    }
-
-    /// Lets all of them show a fault.
-    pub fn fault(&self, fault: &Fault) {
-        self.vms.fault(fault.clone());
-        self.table.fault(fault.clone());
-        self.objects.fault(fault.clone());
-    }
-}
-
 /// A whole deployment in one process.
 #[derive(Debug)]
 pub struct Site {
@@ -216,7 +107,7 @@
         }
         let key = known_key(&mut config);
         let platform = Services::start()?;
-        let workers = start_workers(&config, &zones)?;
+        let workers = worker::start_all(&config, &zones)?;
         for worker in &workers {
             platform.vms.put(worker.listing.clone());
         }
@@ -317,55 +208,3 @@
     config.organisations.insert(added.name.clone(), added);
     SmolStr::new_static(ADDED_KEY)
 }
-
-fn start_workers(config: &Config, zones: &[name::Zone]) -> Result<Vec<Worker>, Error> {
-    let mut workers = Vec::new();
-    for service in config.services.values() {
-        let allowed: Vec<&name::Zone> = zones.iter().filter(|zone| may_stand_in(service, zone)).collect();
-        // A service whose rules allow none of the demo's zones gets no workers here.
-        for (number, zone) in (1..=service.workers).zip(allowed.iter().cycle()) {
-            workers.push(start_worker(service, zone, number)?);
-        }
-    }
-    Ok(workers)
-}
-
-fn may_stand_in(service: &Service, zone: &name::Zone) -> bool {
-    service.zones.is_empty() || service.zones.contains(zone)
-}
-
-fn start_worker(service: &Service, zone: &name::Zone, number: u32) -> Result<Worker, Error> {
-    let vm = SmolStr::new(format!("{}-{number}", service.name));
-    let server = match service.kind {
-        Kind::Model => Server::Engine(engine::Server::start(engine::Settings {
-            name: vm.clone(),
-            service: SmolStr::new(&service.name),
-            zone: SmolStr::new(zone),
-            models: service.models.iter().map(SmolStr::new).collect(),
-            ..engine::Settings::default()
-        })?),
-        Kind::Plain => Server::Plain(plain::Server::start(plain::Settings {
-            name: vm.clone(),
-            service: SmolStr::new(&service.name),
-            zone: SmolStr::new(zone),
-            ..plain::Settings::default()
-        })?),
-    };
-    let classes = &service.classes;
-    let class = classes.get(number as usize % classes.len().max(1)).cloned();
-    let listing = Listing {
-        name: name::Vm::new(&vm),
-        incarnation: Incarnation::new(1),
-        address: server.address(),
-        zone: zone.clone(),
-        class: class.unwrap_or_default(),
-        market: Market::Reclaimable,
-        role: Role::Endpoint(service.name.clone()),
-        state: State::Live,
-    };
-    Ok(Worker {
-        listing,
-        service: service.name.clone(),
-        server,
-    })
-}
--- a/bergamotshift/src/demo/target.rs
+++ b/bergamotshift/src/demo/target.rs
@@ -7,7 +7,7 @@
 use crate::core::vm::State;
 use crate::demo::Site;
 use crate::demo::site::Member;
-use crate::demo::site::Worker;
+use crate::demo::worker::Worker;
 use crate::load::fault::Action;
 use crate::load::fault::Error;
 use crate::load::fault::Place;
