fix(limit): refuse a poisonous request although innocent ones report first

Cause: a death was explained by its first report alone. Where other requests ran too and one of them reported first, two deaths of one poisonous request looked like a wave, were forgiven for good, and it went on to a third endpoint. Now any report may explain a death, deaths in a wave are spared for the time being and forgiven for good after twice the window, and what is not settled is not told to other entries.

No other test was changed.

--- a/bergamotshift-entry/src/control/fleet.rs
+++ b/bergamotshift-entry/src/control/fleet.rs
@@ -14,6 +14,7 @@
 use super::faults::Faults;
 use crate::observe::metrics;
 use crate::observe::metrics::Census;
+use crate::sharing;
 use crate::snapshot::Endpoint;
 
 /// One life of an endpoint.
@@ -61,6 +62,7 @@
                 zone: listed.zone.clone(),
                 service: listed.service.clone(),
                 target: Target::new(listed.address, false),
+                seat: sharing::Seat::default(),
             };
             self.insert(config, endpoint, listed.class.clone(), listed.market);
         }
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -181,6 +181,7 @@
                     zone: vm.zone.clone(),
                     service: service.clone(),
                     target: Target::new(vm.address, false),
+                    seat: sharing::Seat::default(),
                 };
                 self.listed_endpoint(vm, &endpoint);
             }
--- a/bergamotshift-entry/src/exchange/attempts.rs
+++ b/bergamotshift-entry/src/exchange/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempts of one request: choose, send, and on failure decide.
 
 use core::time::Duration;
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -29,6 +30,7 @@
 use crate::observe::Record;
 use crate::observe::Span;
 use crate::observe::Trace;
+use crate::sharing::Taken;
 use crate::sharing::Ticket;
 use crate::snapshot::Endpoint;
 use crate::snapshot::Service;
@@ -45,6 +47,11 @@
 /// How long a request that was accepted waits for an endpoint to turn up when all are gone.
 const ENDPOINT_WAIT: Duration = Duration::from_secs(5);
 
+/// How long a suspected request waits for an endpoint that runs no other suspect.
+///
+/// A guilty one kills its endpoint soon and is refused then, so what goes on together after this time is innocent.
+const APART_WAIT: Duration = Duration::from_secs(2);
+
 /// The time between two looks for an endpoint while none is there.
 const ENDPOINT_LOOK: Duration = Duration::from_millis(20);
 
@@ -64,6 +71,7 @@
     key: key::Endpoint,
     span: Span,
     _guard: flight::Guard,
+    _seat: Option<Taken>,
 }
 
 /// Makes the attempts of one request.
@@ -75,6 +83,7 @@
     made: u32,
     outcome: Outcome,
     lost: u32,
+    crowded: u32,
     trace: Trace,
     record: Record,
     ticket: Option<Ticket>,
@@ -101,6 +110,7 @@
             made: 0,
             outcome: Outcome::NotRun,
             lost: 0,
+            crowded: 0,
             trace: Trace::default(),
             record: Record::new(metrics),
             ticket: Some(ticket),
@@ -299,14 +309,36 @@
     /// Chooses an endpoint and counts the attempt there, or waits a little when there is none.
     async fn choose(&mut self, snapshot: &Snapshot, service: &Service) -> Result<Option<Running>, Error> {
         let now = self.worker.shared.now();
-        let chosen = self.try_choose(snapshot, service, now);
-        match chosen {
-            Ok((choice, guard)) => Ok(snapshot.endpoints.get(choice.key).map(|endpoint| Running {
-                endpoint: Arc::clone(endpoint),
-                key: choice.key,
-                span: Span::default(),
-                _guard: guard,
-            })),
+        let apart = self.is_apart(snapshot, now);
+        let mut exclude = Cow::Borrowed(self.tried.as_slice());
+        if apart {
+            let taken = snapshot
+                .endpoints
+                .iter()
+                .filter(|(_, endpoint)| endpoint.seat.is_taken());
+            exclude.to_mut().extend(taken.map(|(key, _)| key));
+        }
+        let crowded = exclude.len() > self.tried.len();
+        match self.try_choose(snapshot, service, now, &exclude) {
+            Ok((choice, guard)) => {
+                let Some(endpoint) = snapshot.endpoints.get(choice.key) else {
+                    return Ok(None);
+                };
+                let seat = if apart { endpoint.seat.take() } else { None };
+                // Another suspect may have been quicker; the next look sees it there.
+                Ok((seat.is_some() || !apart).then(|| Running {
+                    endpoint: Arc::clone(endpoint),
+                    key: choice.key,
+                    span: Span::default(),
+                    _guard: guard,
+                    _seat: seat,
+                }))
+            }
+            Err(Refusal::Nowhere) if crowded => {
+                self.crowded += 1;
+                tokio::time::sleep(ENDPOINT_LOOK).await;
+                Ok(None)
+            }
             Err(Refusal::Later { until }) => {
                 let until = until.min(self.call.times.deadline);
                 tokio::time::sleep(until.since(now).max(ENDPOINT_LOOK)).await;
@@ -329,11 +361,19 @@
         }
     }
 
+    /// Returns whether the request is suspected, and has not yet waited too long for an endpoint without a suspect.
+    fn is_apart(&self, snapshot: &Snapshot, now: Instant) -> bool {
+        !snapshot.quarantine.is_empty()
+            && snapshot.quarantine.verdict(now, self.call.fingerprint) == quarantine::Verdict::Alone
+            && ENDPOINT_LOOK.saturating_mul(self.crowded) < APART_WAIT
+    }
+
     fn try_choose(
         &self,
         snapshot: &Snapshot,
         service: &Service,
         now: Instant,
+        exclude: &[key::Endpoint],
     ) -> Result<(Choice, flight::Guard), Refusal> {
         let call = &self.call;
         let ask = Ask {
@@ -349,7 +389,7 @@
             answer_tokens: call.work.answer_tokens,
             prefix: &call.work.prefix,
             block_tokens: BLOCK_TOKENS,
-            exclude: &self.tried,
+            exclude,
             ..Ask::default()
         };
         let policy = &self.worker.shared.policy;
--- a/bergamotshift-entry/src/sharing/mod.rs
+++ b/bergamotshift-entry/src/sharing/mod.rs
@@ -11,6 +11,7 @@
 mod control;
 mod flow;
 mod load;
+mod seat;
 mod size;
 mod table;
 mod ticket;
@@ -22,6 +23,8 @@
 use thiserror::Error as ThisError;
 
 pub use self::control::Control;
+pub use self::seat::Seat;
+pub use self::seat::Taken;
 pub use self::table::Table;
 pub use self::ticket::Admission;
 pub use self::ticket::Ticket;
--- a/bergamotshift-entry/src/snapshot/mod.rs
+++ b/bergamotshift-entry/src/snapshot/mod.rs
@@ -35,6 +35,8 @@
     pub service: name::Service,
     /// Where it listens.
     pub target: Target,
+    /// Its place for suspected work.
+    pub seat: sharing::Seat,
 }
 
 /// What the request path needs of a service beside its configuration.
--- a/bergamotshift-entry/tests/sharing/main.rs
+++ b/bergamotshift-entry/tests/sharing/main.rs
@@ -1,5 +1,6 @@
 //! Tests of sharing and early refusals against stand-in endpoints over loopback.
 
+mod apart;
 mod flood;
 mod limits;
 #[expect(dead_code, reason = "the site serves the tests of the request path too")]
--- a/bergamotshift-limit/src/quarantine/mod.rs
+++ b/bergamotshift-limit/src/quarantine/mod.rs
@@ -33,6 +33,7 @@
 use serde::Serialize;
 
 use self::record::Record;
+use self::record::Spared;
 pub use self::record::Standing;
 pub use self::record::Suspicion;
 pub use self::table::Table;
@@ -151,7 +152,6 @@
         }
         let running = death.running.into_iter().collect();
         self.note(now, &death.victim, running);
-        self.pardon_wave(now);
         self.evict();
     }
 
@@ -181,30 +181,35 @@
 
     /// Returns what other entries should know.
     pub fn suspicions(&self, now: Instant) -> Vec<Suspicion> {
-        let export = |(fingerprint, record): (&Fingerprint, &Record)| record.export(*fingerprint, now);
+        let spared = self.spared();
+        let export = |(fingerprint, record): (&Fingerprint, &Record)| record.export(*fingerprint, now, &spared);
         self.records.iter().map(export).collect()
     }
 
     /// Returns the table that workers ask.
     pub fn table(&self) -> Table {
-        Table::new(&self.settings, &self.records)
+        Table::new(&self.settings, &self.records, &self.spared())
     }
 
     /// Forgets what no verdict depends on any longer.
     pub fn expire(&mut self, now: Instant) {
-        let window = self.settings.window;
         let lifetime = self.settings.lifetime();
         self.records.retain(|_, record| record.expire(now, lifetime));
-        self.recent.retain(|recent| now.since(recent.at) <= window);
+        self.settle(now);
         self.announced.retain(|_, at| now.since(*at) <= lifetime);
     }
 
     fn note(&mut self, now: Instant, victim: &Victim, running: BTreeSet<Fingerprint>) {
-        // Several entries may report one death, each with its own work.
+        let explains = |fingerprint| {
+            let record = self.records.get(fingerprint);
+            record.is_some_and(|record| record.counts_beside(victim))
+        };
+        let explained = running.iter().any(explains);
+        // One death is reported once for each request that ran there, by several threads and entries.
         if let Some(known) = self.recent.iter_mut().find(|recent| recent.victim == *victim) {
             known.running.extend(running.iter().copied());
+            known.explained |= explained;
         } else {
-            let explained = running.iter().any(|fingerprint| self.suspected(*fingerprint));
             let running = running.clone();
             self.recent.push(Recent {
                 at: now,
@@ -218,31 +223,49 @@
         }
     }
 
-    /// Returns whether the work has a death that counts.
-    fn suspected(&self, fingerprint: Fingerprint) -> bool {
-        self.records
-            .get(&fingerprint)
-            .is_some_and(|record| record.latest_counted().is_some())
-    }
-
-    /// Takes back all deaths of the window when they have a common cause.
+    /// Returns the recent deaths that have a common cause, as far as is known by now.
     ///
     /// Failure: a zone is lost without notice and each request there is next to a death, or to two when it was moved
     /// within the zone. Symptom: innocent requests refused. Deaths of endpoints that ran nothing suspected cannot be
     /// one request's doing, so two of them in a window show another cause. Two poisonous requests that start in the
     /// same window look alike; the number of pardons bounds what they cost.
-    fn pardon_wave(&mut self, now: Instant) {
-        let Settings { window, wave, .. } = self.settings;
-        let within = |recent: &&Recent| now.since(recent.at) <= window;
-        let unexplained = self.recent.iter().filter(within).filter(|recent| !recent.explained);
-        if unexplained.count() < wave {
+    ///
+    /// Failure: an innocent request reports its endpoint's death before the guilty one that ran there too. Symptom: the
+    /// death looks unexplained, two of them look like a wave, and the guilty one goes on to kill a third endpoint. So
+    /// deaths are spared for the time being, and forgiven for good when their reports must be in.
+    fn spared(&self) -> Spared {
+        let Settings {
+            window, wave, pardons, ..
+        } = self.settings;
+        let mut victims = BTreeSet::new();
+        let (mut first, mut marked, mut unexplained) = (0, 0, 0);
+        for (index, last) in self.recent.iter().enumerate() {
+            unexplained += usize::from(!last.explained);
+            while last.at.since(self.recent[first].at) > window {
+                unexplained -= usize::from(!self.recent[first].explained);
+                first += 1;
+            }
+            if unexplained >= wave {
+                let within = &self.recent[first.max(marked)..=index];
+                victims.extend(within.iter().map(|recent| recent.victim.clone()));
+                marked = index + 1;
+            }
+        }
+        Spared { victims, pardons }
+    }
+
+    /// Forgives for good what still lies in a wave when nothing more is to be heard of it.
+    fn settle(&mut self, now: Instant) {
+        let settled = self.settings.window * 2;
+        if self.recent.iter().all(|recent| now.since(recent.at) <= settled) {
             return;
         }
-        let pardons = self.settings.pardons;
-        for recent in &self.recent {
+        let spared = self.spared();
+        let old = self.recent.extract_if(.., |recent| now.since(recent.at) > settled);
+        for recent in old.filter(|recent| spared.victims.contains(&recent.victim)) {
             for fingerprint in &recent.running {
                 if let Some(record) = self.records.get_mut(fingerprint) {
-                    record.forgive(&recent.victim, pardons);
+                    record.forgive(&recent.victim, self.settings.pardons);
                 }
             }
         }
--- a/bergamotshift-limit/src/quarantine/record.rs
+++ b/bergamotshift-limit/src/quarantine/record.rs
@@ -2,6 +2,7 @@
 
 use core::time::Duration;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bergamotshift_core::prelude::*;
 use serde::Deserialize;
@@ -35,6 +36,13 @@
     pub deaths: Vec<(Victim, Duration, Standing)>,
 }
 
+/// Deaths that lie in a wave, as far as is known by now.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Spared {
+    pub(super) victims: BTreeSet<Victim>,
+    pub(super) pardons: usize,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Record {
     deaths: BTreeMap<Victim, (Instant, Standing)>,
@@ -46,15 +54,32 @@
     }
 
     /// Returns how many deaths count that lie within `memory` of the latest.
-    pub(super) fn counted(&self, memory: Duration) -> usize {
-        let latest = self.latest_counted().unwrap_or_default();
+    pub(super) fn counted(&self, memory: Duration, spared: &Spared) -> usize {
+        let latest = self.latest_counted(spared).unwrap_or_default();
         let recent = |at: &Instant| latest.since(*at) <= memory;
-        self.with(Standing::Counted).filter(recent).count()
+        self.counting(spared).filter(recent).count()
     }
 
     /// Returns the instant of the latest death that counts.
-    pub(super) fn latest_counted(&self) -> Option<Instant> {
-        self.with(Standing::Counted).max()
+    pub(super) fn latest_counted(&self, spared: &Spared) -> Option<Instant> {
+        self.counting(spared).max()
+    }
+
+    /// Returns whether a death of somebody else counts.
+    pub(super) fn counts_beside(&self, victim: &Victim) -> bool {
+        let counts =
+            |(other, (_, standing)): (&Victim, &(Instant, Standing))| other != victim && *standing == Standing::Counted;
+        self.deaths.iter().any(counts)
+    }
+
+    fn counting(&self, spared: &Spared) -> impl Iterator<Item = Instant> {
+        // What may yet be forgiven to one request is bounded as what is.
+        let sparing = self.with(Standing::Forgiven).count() < spared.pardons;
+        let deaths = self.deaths.iter();
+        let counting = deaths.filter(move |(victim, (_, standing))| {
+            *standing == Standing::Counted && !(sparing && spared.victims.contains(victim))
+        });
+        counting.map(|(_, (at, _))| *at)
     }
 
     pub(super) fn latest(&self) -> Option<Instant> {
@@ -85,10 +110,12 @@
         }
     }
 
-    pub(super) fn export(&self, fingerprint: Fingerprint, now: Instant) -> Suspicion {
+    pub(super) fn export(&self, fingerprint: Fingerprint, now: Instant, spared: &Spared) -> Suspicion {
+        // Whether these count is settled in some seconds; what was once told as forgiven could not be taken back.
+        let settled = |(victim, _): &(&Victim, &(Instant, Standing))| !spared.victims.contains(victim);
         let death =
             |(victim, (at, standing)): (&Victim, &(Instant, Standing))| (victim.clone(), now.since(*at), *standing);
-        let deaths = self.deaths.iter().map(death).collect();
+        let deaths = self.deaths.iter().filter(settled).map(death).collect();
         Suspicion { fingerprint, deaths }
     }
 
--- a/bergamotshift-limit/src/quarantine/table.rs
+++ b/bergamotshift-limit/src/quarantine/table.rs
@@ -7,6 +7,7 @@
 
 use super::Settings;
 use super::record::Record;
+use super::record::Spared;
 
 /// How a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,10 +36,10 @@
 }
 
 impl Table {
-    pub(super) fn new(settings: &Settings, records: &BTreeMap<Fingerprint, Record>) -> Self {
+    pub(super) fn new(settings: &Settings, records: &BTreeMap<Fingerprint, Record>, spared: &Spared) -> Self {
         let row = |(fingerprint, record): (&Fingerprint, &Record)| {
-            let latest = record.latest_counted()?;
-            let condemned = record.counted(settings.memory) >= settings.deaths;
+            let latest = record.latest_counted(spared)?;
+            let condemned = record.counted(settings.memory, spared) >= settings.deaths;
             let refused = condemned.then(|| latest + settings.hold);
             let alone = latest + settings.memory;
             Some((*fingerprint, Row { refused, alone }))
--- a/bergamotshift-limit/tests/quarantine.rs
+++ b/bergamotshift-limit/tests/quarantine.rs
@@ -59,6 +59,26 @@
     assert_eq!(verdict(&quarantine, at(1_201_500), POISON), Verdict::Clear);
 }
 
+#[test]
+fn poison_is_refused_although_innocent_requests_report_first() {
+    // Both of its endpoints ran other requests, and each of those tells of the death before the poisonous one does.
+    // For that moment the two deaths look like a wave and nobody is refused. As soon as it reports itself the second
+    // death is explained, so it is refused before it kills a third; the others are not, then or later.
+    const OTHER: Fingerprint = Fingerprint::new(3);
+    let mut quarantine = Quarantine::new(Settings::default());
+    quarantine.died(at(1_000), death(1, &[INNOCENT]));
+    quarantine.died(at(1_001), death(1, &[POISON]));
+    quarantine.died(at(1_100), death(2, &[OTHER]));
+    assert!(!refused(&quarantine, at(1_100), POISON));
+    quarantine.died(at(1_101), death(2, &[POISON]));
+    for now in [1_101, 9_000] {
+        quarantine.expire(at(now));
+        assert!(refused(&quarantine, at(now), POISON));
+        assert!(!refused(&quarantine, at(now), INNOCENT));
+        assert!(!refused(&quarantine, at(now), OTHER));
+    }
+}
+
 #[test]
 fn refusal_lasts_although_first_death_grows_old() {
     // The second death comes just before the first would be forgotten; the refusal still lasts its stated time.
