feat(entry): read whole completions as streams, so that a death costs no token twice

Cause: a whole answer's head comes only when all of it is generated, so an engine that died or stood still under it cost everything it had generated, and a long answer outlasted the bound on the head and was started over. An entry now asks the engine for a stream and adds its pieces up; what dies goes on elsewhere, and the usage counts carried tokens as generated. Requests whose pieces would not add up (tools, several choices, log probabilities) are fetched whole as before, with a bound that follows their length. Before the first token a stream may now wait as long as the head of an answer may: a request in an engine's queue was taken for a standstill.

The events of a completion are now read in one place, for streams and for whole answers.

--- a/bergamotshift-endpoint/src/engine/resume.rs
+++ b/bergamotshift-endpoint/src/engine/resume.rs
@@ -128,8 +128,9 @@
 /// Returns an event of a continuation as the caller has to see it, or nothing when the caller already has it.
 ///
 /// The caller holds one completion, so its identifier stays that of the first stream; and a continuation opens with a
-/// chunk that only names the role, which the caller has seen before.
-pub fn rewrite(event: Event, id: &str) -> Option<Event> {
+/// chunk that only names the role, which the caller has seen before. Tokens that were carried over stand in the
+/// continuation's prompt, and count as generated towards the caller.
+pub fn rewrite(event: Event, id: &str, carried: u32) -> Option<Event> {
     let Some(data) = event.data() else { return Some(event) };
     let Ok(mut chunk) = serde_json::from_slice::<Value>(data) else {
         return Some(event);
@@ -143,9 +144,22 @@
     if !id.is_empty() && fields.contains_key("id") {
         fields.insert("id".to_owned(), json!(id));
     }
+    if let Some(usage) = fields.get_mut("usage").and_then(Value::as_object_mut) {
+        move_tokens(usage, u64::from(carried));
+    }
     Some(Event::new(Bytes::from(format!("data: {chunk}"))))
 }
 
+/// Counts tokens of the prompt as tokens of the answer.
+fn move_tokens(usage: &mut Map<String, Value>, carried: u64) {
+    if let Some(prompt) = usage.get("prompt_tokens").and_then(Value::as_u64) {
+        usage.insert("prompt_tokens".to_owned(), json!(prompt.saturating_sub(carried)));
+    }
+    if let Some(generated) = usage.get("completion_tokens").and_then(Value::as_u64) {
+        usage.insert("completion_tokens".to_owned(), json!(generated + carried));
+    }
+}
+
 fn opens(chunk: &Value) -> bool {
     let choice = &chunk["choices"][0];
     let delta = &choice["delta"];
--- a/bergamotshift-entry/src/api/openai.rs
+++ b/bergamotshift-entry/src/api/openai.rs
@@ -9,14 +9,17 @@
 use bergamotshift_config::config::Service;
 use bergamotshift_core::attempt;
 use bergamotshift_core::prelude::*;
+use bergamotshift_endpoint::adapter::Adapter;
 use bergamotshift_endpoint::engine::resume::CHAT;
 use bergamotshift_endpoint::engine::resume::COMPLETIONS;
 use bergamotshift_endpoint::header as hop;
+use ntex::http::HeaderMap;
 use ntex::http::Method;
 use ntex::http::Request;
 use ntex::http::Response;
 use ntex::http::StatusCode;
 use ntex::http::header;
+use ntex::http::header::HeaderValue;
 use ntex::http::uri::PathAndQuery;
 use ntex::util::Bytes;
 use serde::Deserialize;
@@ -32,14 +35,17 @@
 use super::request;
 use crate::claims;
 use crate::claims::Joined;
-use crate::claims::Started;
+use crate::exchange;
 use crate::exchange::Attempts;
 use crate::exchange::Call;
 use crate::exchange::Outgoing;
 use crate::exchange::Work;
+use crate::exchange::assemble;
 use crate::exchange::attempts::BLOCK_BYTES;
+use crate::exchange::events::Events;
 use crate::exchange::stream::Relay;
 use crate::exchange::whole;
+use crate::exchange::whole::Whole;
 use crate::sharing;
 use crate::snapshot::Snapshot;
 use crate::worker::Worker;
@@ -50,6 +56,9 @@
 /// Tokens that an answer is taken to have when its request sets no bound.
 const ANSWER_TOKENS: u32 = 256;
 
+/// A whole answer may take this many times its target before another attempt is made.
+const SLOWDOWN: u32 = 4;
+
 /// Bytes of a prompt that make up a token, on the whole.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -151,7 +160,7 @@
     request::check_head(request, service.max_header)?;
     let streams = completion.stream.unwrap_or(false);
     let work = work(&completion);
-    let call = call(
+    let mut call = call(
         request,
         organisation,
         service,
@@ -170,6 +179,12 @@
         Joined::Run(started) => started,
         Joined::Answered(response) => return Ok(response),
     };
+    let streamed = if streams { None } else { assemble::streaming(&call.body) };
+    if !streams && streamed.is_none() {
+        // The head of such an answer comes only when all of it is generated.
+        let generated = call.times.between.saturating_mul(call.work.answer_tokens);
+        call.times.head += generated.saturating_mul(SLOWDOWN);
+    }
     let call = Rc::new(call);
     let ticket = sharing::admit(worker, snapshot, &call).map_err(|refusal| Error::not_run(refusal.into()))?;
     if let Some(service) = snapshot.services.get(&service.name) {
@@ -184,7 +199,9 @@
     if streams {
         stream(attempts, &service.adapter, active).await
     } else {
-        fetch(attempts, started).await
+        let whole = fetch(attempts, &service.adapter, streamed).await?;
+        claims::leave(started, &whole);
+        Ok(reply::whole(whole, id))
     }
 }
 
@@ -258,37 +275,94 @@
     }
 }
 
-async fn fetch(mut attempts: Attempts, started: Option<Started>) -> Result<Response, Error> {
-    let id = attempts.call().id;
+/// Fetches a whole answer: as a stream whose pieces are added up when a body for that is given.
+async fn fetch(mut attempts: Attempts, adapter: &str, streamed: Option<Bytes>) -> Result<Whole, Error> {
+    if let (Some(body), Some(adapter)) = (streamed, attempts.worker().adapter(adapter)) {
+        return match open(attempts, adapter, body).await? {
+            Opened::Whole(whole) => Ok(whole),
+            Opened::Stream(head, events) => collect(head, *events).await,
+        };
+    }
     match whole::fetch(&mut attempts).await {
         Ok(whole) => {
             attempts.count_whole(&whole.body);
-            claims::leave(started, &whole);
-            Ok(reply::whole(whole, id))
+            Ok(whole)
         }
         Err(error) => Err(attempts.fail(&error)),
     }
 }
 
-async fn stream(mut attempts: Attempts, adapter: &str, active: Active) -> Result<Response, Error> {
-    let id = attempts.call().id;
-    let adapter = attempts.worker().adapter(adapter);
+/// Reads a stream to its end.
+async fn collect(head: Head, mut events: Events) -> Result<Whole, Error> {
+    match assemble::read(&mut events).await {
+        Ok(body) => {
+            let Head { status, mut headers } = head;
+            headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            Ok(Whole { status, headers, body })
+        }
+        Err(error) => {
+            let begun = events.is_begun();
+            let attempts = events.attempts();
+            if begun {
+                attempts.ran();
+            }
+            Err(attempts.fail(&error))
+        }
+    }
+}
+
+async fn stream(attempts: Attempts, adapter: &str, active: Active) -> Result<Response, Error> {
+    let call = Rc::clone(attempts.call());
+    let Some(adapter) = attempts.worker().adapter(adapter) else {
+        return Err(Error::not_run(Reason::Exchange(exchange::Error::NoService)));
+    };
+    match open(attempts, adapter, call.body.clone()).await? {
+        Opened::Whole(whole) => Ok(reply::whole(whole, call.id)),
+        Opened::Stream(head, events) => {
+            let relay = Relay::new(*events).into_stream();
+            Ok(reply::streaming(
+                head.status,
+                &head.headers,
+                None,
+                call.id,
+                relay,
+                active,
+            ))
+        }
+    }
+}
+
+/// The head of an engine's answer.
+struct Head {
+    status: StatusCode,
+    headers: HeaderMap,
+}
+
+enum Opened {
+    /// The engine streams.
+    Stream(Head, Box<Events>),
+    /// The engine refused the request, or answered it whole.
+    Whole(Whole),
+}
+
+/// Sends a body that asks for a stream, until the head of one is there.
+async fn open(mut attempts: Attempts, adapter: Rc<dyn Adapter>, body: Bytes) -> Result<Opened, Error> {
     loop {
-        let held = Outgoing::Held(attempts.call().body.clone());
+        let held = Outgoing::Held(body.clone());
         let open = match attempts.open(held).await {
             Ok(open) => open,
             Err(error) => return Err(attempts.fail(&error)),
         };
-        if let Some(adapter) = adapter.clone().filter(|_| is_stream(&open.answer.headers)) {
+        if is_stream(&open.answer.headers) {
             let (status, headers) = (open.answer.status, open.answer.headers.clone());
-            let relay = Relay::new(attempts, adapter, open).into_stream();
-            return Ok(reply::streaming(status, &headers, None, id, relay, active));
+            let events = Events::new(attempts, adapter, body, open);
+            return Ok(Opened::Stream(Head { status, headers }, Box::new(events)));
         }
         // An engine that refuses a request answers it whole.
         match whole::finish(&mut attempts, open.answer, open.running).await {
             Ok(Some(whole)) => {
                 attempts.count_whole(&whole.body);
-                return Ok(reply::whole(whole, id));
+                return Ok(Opened::Whole(whole));
             }
             Ok(None) => {}
             Err(error) => return Err(attempts.fail(&error)),
@@ -296,7 +370,7 @@
     }
 }
 
-fn is_stream(headers: &ntex::http::HeaderMap) -> bool {
+fn is_stream(headers: &HeaderMap) -> bool {
     let kind = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
     kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
--- a/bergamotshift-entry/src/exchange/copy.rs
+++ b/bergamotshift-entry/src/exchange/copy.rs
@@ -67,8 +67,9 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        let patience = self.attempts.call().times.stall;
         loop {
-            match whole::next(&self.attempts, &mut self.body).await {
+            match whole::next(&self.attempts, &mut self.body, patience).await {
                 Ok(Some(chunk)) => {
                     self.attempts.record().first();
                     self.hash.0.update(&chunk);
@@ -115,8 +116,9 @@
     async fn skip(&mut self) -> Result<Result<(), Error>, Failure> {
         let mut skipped = 0;
         let mut hash = Xxh3::new();
+        let patience = self.attempts.call().times.stall;
         while skipped < self.delivered {
-            let Some(chunk) = whole::next(&self.attempts, &mut self.body).await? else {
+            let Some(chunk) = whole::next(&self.attempts, &mut self.body, patience).await? else {
                 return Ok(Err(Error::Diverged));
             };
             let wanted = self.delivered - skipped;
--- a/bergamotshift-entry/src/exchange/mod.rs
+++ b/bergamotshift-entry/src/exchange/mod.rs
@@ -5,8 +5,10 @@
 //! held until they are complete, [`stream`] passes a model's event stream on, and [`copy`] passes a large plain
 //! answer on.
 
+pub mod assemble;
 pub mod attempts;
 pub mod copy;
+pub mod events;
 pub mod stream;
 pub mod whole;
 
--- a/bergamotshift-entry/src/exchange/whole.rs
+++ b/bergamotshift-entry/src/exchange/whole.rs
@@ -2,6 +2,7 @@
 
 use core::pin::pin;
 use core::task::Poll;
+use core::time::Duration;
 
 use bergamotshift_endpoint::answer::Answer;
 use bergamotshift_endpoint::answer::Failure;
@@ -61,13 +62,14 @@
         headers,
         mut body,
     } = answer;
+    let patience = attempts.call().times.stall;
     let size = length(&headers).unwrap_or_default().min(LARGEST);
     let mut collected = BytesMut::with_capacity(size);
     loop {
-        match next(attempts, &mut body).await {
+        match next(attempts, &mut body, patience).await {
             Ok(Some(chunk)) if collected.is_empty() && chunk.len() == size => {
                 // The common small answer comes in one piece and need not be copied.
-                if let Some(more) = next(attempts, &mut body).await.transpose() {
+                if let Some(more) = next(attempts, &mut body, patience).await.transpose() {
                     drop(body);
                     let failure = more
                         .err()
@@ -101,7 +103,7 @@
 /// # Errors
 ///
 /// Returns the failure when the answer broke off, stood still, or its caller has no use for it any more.
-pub async fn next(attempts: &Attempts, body: &mut Payload) -> Result<Option<Bytes>, Failure> {
+pub async fn next(attempts: &Attempts, body: &mut Payload, patience: Duration) -> Result<Option<Bytes>, Failure> {
     // What is there already needs no timer; that is the common case of a small answer.
     let ready = poll!(pin!(body.recv()));
     if let Poll::Ready(item) = ready {
@@ -109,7 +111,7 @@
     }
     let times = attempts.call().times;
     let left = times.deadline.since(attempts.worker().shared.now());
-    let bound = times.stall.min(left);
+    let bound = patience.min(left);
     let millis = Millis(u32::try_from(bound.as_millis()).unwrap_or(u32::MAX).max(1));
     match ntex::time::timeout(millis, body.recv()).await {
         Ok(item) => read(item),
--- a/bergamotshift-entry/tests/entry/stream.rs
+++ b/bergamotshift-entry/tests/entry/stream.rs
@@ -143,6 +143,53 @@
     assert_eq!(reply.json()["choices"][0]["message"]["content"], expected);
 }
 
+#[ntex::test]
+async fn a_whole_answer_costs_no_token_twice_when_its_endpoint_dies() {
+    // The caller asked for one answer, with its usage, and sees one completion. The engine that worked on it is
+    // killed after ten tokens; the next one generates only what the entry had not received.
+    let site = Site::start(slow()).await;
+    let mut body = chat("long drafts");
+    body["stream"] = json!(false);
+    let expected = text::expected(&body, TOKENS).unwrap();
+    let kill = async {
+        let far = |engine: &&engine::Server| engine.ledger().iter().any(|run| run.tokens >= 10);
+        loop {
+            if let Some(engine) = site.engines.iter().find(far) {
+                return engine.kill();
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    let (reply, ()) = futures_util::join!(site.chat(&body), kill);
+    let answer = reply.json();
+    assert_eq!(reply.header("content-type"), Some("application/json"));
+    assert_eq!(answer["object"], "chat.completion");
+    assert_eq!(
+        answer["choices"][0]["message"],
+        json!({"role": "assistant", "content": expected})
+    );
+    assert_eq!(answer["choices"][0]["finish_reason"], "length");
+    assert_eq!(answer["usage"]["completion_tokens"], TOKENS);
+    let runs: Vec<_> = site.engines.iter().flat_map(engine::Server::ledger).collect();
+    assert_eq!(runs.len(), 2);
+    assert!(
+        runs.iter().all(|run| run.tokens < TOKENS),
+        "no engine generated all of it: {runs:?}"
+    );
+}
+
+#[ntex::test]
+async fn an_answer_that_no_pieces_add_up_to_is_fetched_whole() {
+    let site = Site::start(slow()).await;
+    let mut body = chat("with tools");
+    body["stream"] = json!(false);
+    body["tools"] = json!([{"type": "function", "function": {"name": "assign"}}]);
+    let expected = text::expected(&body, TOKENS).unwrap();
+    let reply = site.chat(&body).await;
+    assert_eq!(reply.json()["choices"][0]["message"]["content"], expected);
+    assert_eq!(site.runs(), 1);
+}
+
 #[ntex::test]
 async fn a_caller_that_goes_away_frees_its_endpoint() {
     // The caller closes its connection in the middle of a stream. The engine stops computing for it.
