feat(entry): show operators a page, and their status on the command line

Cause: the status had endpoints alone and nobody but a program could read it. It now has zones, members, leases, the configuration's version, the platform's parts and what is cut off; its types are read by the command too. Other parts of the entry hand in what they know through admin::status::Reports; members stay out until the fleet does so. The page is one file, sets names as text alone, and its policy lets it ask no other address.

--- a/bergamotshift-entry/src/admin/mod.rs
+++ b/bergamotshift-entry/src/admin/mod.rs
@@ -1,4 +1,6 @@
-//! The operators' address: metrics and status.
+//! The operators' address: a page, its status as JSON, and metrics.
+
+pub mod status;
 
 use std::sync::Arc;
 
@@ -14,9 +16,17 @@
 /// The content type of the metrics' text format.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// The page, which holds all that it needs.
+const PAGE: &str = include_str!("page.html");
+
+/// What the page may do: run and style itself, and ask its own address.
+const PAGE_POLICY: &str = "default-src 'none'; script-src 'unsafe-inline'; style-src 'unsafe-inline'; connect-src \
+                           'self'; base-uri 'none'; form-action 'none'; frame-ancestors 'none'";
+
 /// Answers one request of an operator.
 pub async fn serve(shared: Arc<Shared>, request: Request) -> Response {
     match request.path() {
+        "/" => page(),
         "/healthz" => reply::text(StatusCode::OK, "ok\n"),
         "/readyz" if shared.is_ready() => reply::text(StatusCode::OK, "ready\n"),
         "/readyz" => reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
@@ -26,6 +36,14 @@
     }
 }
 
+fn page() -> Response {
+    Response::build(StatusCode::OK)
+        .content_type("text/html; charset=utf-8")
+        .header("content-security-policy", PAGE_POLICY)
+        .header("x-content-type-options", "nosniff")
+        .body(PAGE)
+}
+
 fn metrics(shared: &Shared) -> Response {
     shared.metrics.ready.set(i64::from(shared.is_ready()));
     match shared.metrics.encode() {
--- a/bergamotshift-entry/src/control/mod.rs
+++ b/bergamotshift-entry/src/control/mod.rs
@@ -10,13 +10,12 @@
 use std::sync::Arc;
 use std::time;
 
-use bergamotshift_config::accept::record::Version;
 use bergamotshift_core::prelude::*;
-use serde::Serialize;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 pub use self::state::State;
+use crate::admin::status::Status;
 use crate::snapshot::Endpoint;
 use crate::watch;
 
@@ -103,44 +102,6 @@
     }
 }
 
-/// How one endpoint stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize)]
-pub struct EndpointStatus {
-    /// The VM's name.
-    pub vm: name::Vm,
-    /// Which life of that name.
-    pub incarnation: Incarnation,
-    /// The service it runs.
-    pub service: name::Service,
-    /// The availability zone.
-    pub zone: name::Zone,
-    /// Whether it is leaving and gets no new work.
-    pub leaving: bool,
-    /// Whether it can be reached.
-    pub reachable: bool,
-    /// Requests of this entry that run there.
-    pub in_flight: u32,
-}
-
-/// How the entry stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize)]
-pub struct Status {
-    /// The entry's name.
-    pub name: name::Entry,
-    /// Its availability zone.
-    pub zone: name::Zone,
-    /// The accepted version in force; none when the configuration was given to the process.
-    pub config: Option<Version>,
-    /// The number of the snapshot in force.
-    pub snapshot: u64,
-    /// Whether callers may come.
-    pub ready: bool,
-    /// The endpoints.
-    pub endpoints: Vec<EndpointStatus>,
-}
-
 /// Serves messages until the entry ends.
 pub async fn run(mut state: State, mut messages: mpsc::UnboundedReceiver<Message>) {
     while let Some(message) = messages.recv().await {
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -25,13 +25,13 @@
 use slog::info;
 use smol_str::SmolStr;
 
-use super::EndpointStatus;
 use super::Message;
 use super::Request;
 use super::Sender;
-use super::Status;
 use super::Verdict;
 use super::fleet::Fleet;
+use crate::admin::status;
+use crate::admin::status::Status;
 use crate::observe::metrics::Census;
 use crate::sharing;
 use crate::snapshot;
@@ -158,6 +158,7 @@
         let metrics = &self.shared.metrics;
         let quarantined = self.shared.publisher.current().quarantine.len();
         metrics.quarantined.set(quarantined as i64);
+        metrics.config.set(self.version.map_or(0, Version::get) as i64);
         let census = self.fleet.census();
         metrics.count_endpoints(&self.census, &census);
         self.census = census;
@@ -450,7 +451,7 @@
             key.and_then(|key| snapshot.view.find(key))
                 .map_or(0, |row| row.counter().in_flight())
         };
-        let endpoints = self.fleet.known.values().map(|known| EndpointStatus {
+        let endpoints = self.fleet.known.values().map(|known| status::Endpoint {
             vm: known.endpoint.vm.clone(),
             incarnation: known.endpoint.incarnation,
             service: known.endpoint.service.clone(),
@@ -459,13 +460,6 @@
             reachable: known.key.is_some(),
             in_flight: in_flight(known.key),
         });
-        Status {
-            name: self.shared.settings.name.clone(),
-            zone: self.shared.settings.zone.clone(),
-            config: self.version,
-            snapshot: snapshot.number,
-            ready: self.shared.is_ready(),
-            endpoints: endpoints.collect(),
-        }
+        Status::of(&self.shared, self.version, endpoints.collect())
     }
 }
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -30,6 +30,7 @@
 
 pub use self::handle::Drained;
 pub use self::handle::Handle;
+use crate::admin::status::Reports;
 use crate::claims::Committer;
 use crate::claims::Inbox;
 use crate::claims::Store;
@@ -117,6 +118,7 @@
             publisher: Publisher::new(Snapshot::empty(&config)),
             control: sender,
             metrics: Metrics::new(),
+            reports: Reports::default(),
             traces,
             policy,
             draining: AtomicBool::new(false),
--- a/bergamotshift-entry/src/observe/platform.rs
+++ b/bergamotshift-entry/src/observe/platform.rs
@@ -53,6 +53,10 @@
     Rc::new(Counted { inner, part, shared })
 }
 
+/// The results of calls that brought no answer, or one that gives no reason.
+const REFUSED: &str = "refused";
+const UNKNOWN: &str = "unknown";
+
 /// A part of the platform whose calls are counted.
 #[derive(Debug)]
 struct Counted<P: ?Sized> {
@@ -74,6 +78,8 @@
             let result = result(&outcome);
             let metrics = &self.shared.metrics;
             metrics.platform_call(self.part, call, result, started.elapsed());
+            let answers = !matches!(result, REFUSED | UNKNOWN);
+            self.shared.reports.set_platform(self.part, answers);
             outcome
         })
     }
@@ -82,11 +88,11 @@
 const fn result<T>(outcome: &Result<T, Error>) -> &'static str {
     match outcome {
         Ok(_) => "ok",
-        Err(Error::Refused(_)) => "refused",
+        Err(Error::Refused(_)) => REFUSED,
         Err(Error::Throttled { .. }) => "throttled",
         Err(Error::NoCapacity) => "no-capacity",
         Err(Error::Conflict) => "conflict",
-        Err(Error::Unknown(_)) => "unknown",
+        Err(Error::Unknown(_)) => UNKNOWN,
     }
 }
 
@@ -94,8 +100,8 @@
     match ending {
         Ending::Applied => "ok",
         Ending::Conflict(_) => "conflict",
-        Ending::Refused => "refused",
-        Ending::Unknown => "unknown",
+        Ending::Refused => REFUSED,
+        Ending::Unknown => UNKNOWN,
     }
 }
 
--- a/bergamotshift-entry/src/worker/mod.rs
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -25,6 +25,7 @@
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
 
+use crate::admin::status::Reports;
 use crate::claims::Store;
 use crate::claims::Windows;
 use crate::control::Sender;
@@ -52,6 +53,8 @@
     pub recordings: AtomicU64,
     /// The metrics.
     pub metrics: Metrics,
+    /// What parts of the entry report for its status.
+    pub reports: Reports,
     /// The traces, when they are wanted.
     pub traces: Option<Traces>,
     /// Chooses endpoints.
--- /dev/null
+++ b/bergamotshift-entry/tests/admin/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the operators' address.
+
+#[path = "../entry/site.rs"]
+#[expect(
+    dead_code,
+    reason = "the site is made for the tests of the request path, which use all of it"
+)]
+mod site;
+
+mod page;
+mod status;
--- a/bergamotshift/src/command/mod.rs
+++ b/bergamotshift/src/command/mod.rs
@@ -15,6 +15,7 @@
 pub mod demo;
 pub mod entry;
 pub mod load;
+pub mod status;
 pub mod version;
 
 /// The command line as a whole.
@@ -39,6 +40,9 @@
     /// Work on the operators' folder.
     #[options(help = "check the operators' folder")]
     Config(config::Arguments),
+    /// Show how entries stand.
+    #[options(help = "show how entries stand: members, endpoints, zones, what is cut off")]
+    Status(status::Arguments),
     /// Run a whole deployment on loopback.
     #[options(help = "run a whole deployment of stand-ins and entries on loopback")]
     Demo(demo::Arguments),
@@ -57,6 +61,7 @@
             Self::Entry(arguments) => arguments.fields(),
             Self::Config(arguments) => arguments.fields(),
             Self::Demo(arguments) => arguments.fields(),
+            Self::Status(arguments) => arguments.fields(),
             Self::Load(arguments) => arguments.fields(),
             Self::Version(arguments) => arguments.fields(),
         }
@@ -67,6 +72,7 @@
             Self::Entry(arguments) => entry::run(arguments),
             Self::Config(arguments) => config::run(arguments),
             Self::Demo(arguments) => demo::run(arguments),
+            Self::Status(arguments) => status::run(arguments),
             Self::Load(arguments) => load::run(arguments),
             Self::Version(arguments) => version::run(arguments),
         }
--- a/bergamotshift/src/lib.rs
+++ b/bergamotshift/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod error;
 pub mod log;
 pub mod setting;
+pub mod status;
 pub mod stop;
--- a/bergamotshift/tests/usage.rs
+++ b/bergamotshift/tests/usage.rs
@@ -8,19 +8,18 @@
 use bergamotshift::environment::Environment;
 use gumdrop::Options;
 
-/// Flags that take no value and so have no variable.
-const SWITCHES: [&str; 2] = ["help", "once"];
-
-const COMMANDS: [&[&str]; 9] = [
-    &["entry"],
-    &["config", "check"],
-    &["config", "diff"],
-    &["config", "apply"],
-    &["config", "show"],
-    &["config", "history"],
-    &["demo"],
-    &["load"],
-    &["version"],
+/// The commands, each with its flags that take no value and so have no variable.
+const COMMANDS: [(&[&str], &[&str]); 10] = [
+    (&["entry"], &["help"]),
+    (&["config", "check"], &["help"]),
+    (&["config", "diff"], &["help"]),
+    (&["config", "apply"], &["help"]),
+    (&["config", "show"], &["help"]),
+    (&["config", "history"], &["help"]),
+    (&["status"], &["help", "json", "watch"]),
+    (&["demo"], &["help", "once"]),
+    (&["load"], &["help"]),
+    (&["version"], &["help"]),
 ];
 
 fn parsed(words: &[&str]) -> Command {
@@ -35,14 +34,14 @@
 
 #[test]
 fn every_flag_with_a_value_has_a_variable() {
-    for words in COMMANDS {
+    for (words, switches) in COMMANDS {
         let mut command = parsed(words);
         let text = usage(&mut command);
         let named = flags(text.split("Each flag can").next().unwrap_or_default());
         let filled: BTreeSet<String> = command.fields().into_iter().map(|(flag, _)| flag.to_owned()).collect();
         let expected: BTreeSet<String> = named
             .into_iter()
-            .filter(|flag| !SWITCHES.contains(&flag.as_str()))
+            .filter(|flag| !switches.contains(&flag.as_str()))
             .collect();
         assert_eq!(filled, expected, "{words:?}");
     }
