feat(entry): say of an endpoint's own failure whether it ran

Cause: failures that an endpoint answers itself passed without an outcome. They now say ran, or not-run when the endpoint proved it; an answer without an attempt comes from something in front of the endpoint and says unknown. The answer to a HEAD no longer declares an empty body.

--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -17,7 +17,6 @@
 use super::body;
 use super::error::Error;
 use super::error::Reason;
-use super::openai::path_and_query;
 use super::reply;
 use super::reply::Active;
 use super::request;
@@ -67,7 +66,7 @@
         organisation: organisation.name.clone(),
         service: service.name.clone(),
         method: request.method().clone(),
-        path: path_and_query(request),
+        path: request::path_and_query(request),
         headers: hop::towards_endpoint(headers),
         body: Bytes::new(),
         key,
--- a/bergamotshift-entry/src/api/reply.rs
+++ b/bergamotshift-entry/src/api/reply.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use bergamotshift_core::attempt;
+use bergamotshift_core::outcome::Outcome;
 use bergamotshift_endpoint::header as hop;
 use futures_util::FutureExt;
 use futures_util::Stream;
@@ -28,8 +29,10 @@
 use ntex::time::Millis;
 use ntex::util::Bytes;
 
+use super::header::OUTCOME;
 use super::header::REQUEST_ID;
 use crate::exchange::whole::Whole;
+use crate::exchange::whole::length;
 use crate::observe::Trace;
 use crate::worker::Shared;
 
@@ -128,7 +131,9 @@
     let Whole { status, headers, body } = whole;
     let mut response = head(status, &headers, id);
     response.headers_mut().remove(header::CONTENT_LENGTH);
-    response.set_body(Body::Bytes(body))
+    // The answer to a HEAD declares the length of a body that does not follow; it is not an empty one.
+    let follows = !body.is_empty() || length(&headers) == Some(0);
+    response.set_body(if follows { Body::Bytes(body) } else { Body::None })
 }
 
 /// Returns an answer that streams through, with its length when that is known.
@@ -158,9 +163,15 @@
 }
 
 /// Returns the head of an answer of an endpoint, with the request's identifier.
+///
+/// An answer that tells a failure also tells whether the request ran.
 pub fn head(status: StatusCode, headers: &HeaderMap, id: attempt::Id) -> Response {
     let mut response = Response::new(status);
     *response.headers_mut() = hop::towards_caller(headers);
+    if status.is_client_error() || status.is_server_error() {
+        let outcome = HeaderValue::from_static(outcome(headers).as_str());
+        response.headers_mut().insert(HeaderName::from_static(OUTCOME), outcome);
+    }
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
         response
             .headers_mut()
@@ -168,3 +179,16 @@
     }
     response
 }
+
+/// Returns what an endpoint's failure says of whether the request ran.
+///
+/// An answer that carries no attempt comes from something in front of the endpoint, which cannot know.
+fn outcome(headers: &HeaderMap) -> Outcome {
+    if hop::says_not_run(headers) {
+        Outcome::NotRun
+    } else if hop::attempt(headers).is_some() {
+        Outcome::Ran
+    } else {
+        Outcome::Unknown
+    }
+}
--- a/bergamotshift-entry/src/api/request.rs
+++ b/bergamotshift-entry/src/api/request.rs
@@ -8,6 +8,7 @@
 use ntex::http::HeaderMap;
 use ntex::http::Request;
 use ntex::http::header;
+use ntex::http::uri::PathAndQuery;
 use smol_str::SmolStr;
 
 use super::error::Error;
@@ -125,3 +126,9 @@
         deadline: now + allowed,
     })
 }
+
+/// Returns the path and query of a request.
+pub fn path_and_query(request: &Request) -> PathAndQuery {
+    let path = request.uri().path_and_query().cloned();
+    path.unwrap_or_else(|| PathAndQuery::from_static("/"))
+}
--- a/bergamotshift-entry/tests/entry/path.rs
+++ b/bergamotshift-entry/tests/entry/path.rs
@@ -73,6 +73,7 @@
     let head = site.send(Method::HEAD, "/app/shifts/7", &[], "").await;
     assert_eq!(head.status.as_u16(), 200);
     assert!(head.body.is_empty());
+    assert_ne!(head.header("content-length"), Some("0"), "a body would follow a GET");
 }
 
 #[ntex::test]
--- a/bergamotshift-entry/tests/entry/plain.rs
+++ b/bergamotshift-entry/tests/entry/plain.rs
@@ -172,3 +172,31 @@
     assert_ne!(run.attempt.as_deref(), Some("00000000000000000000000000000001"));
     assert_eq!(run.organisation.as_deref(), Some("acme"));
 }
+
+#[ntex::test]
+async fn a_failure_of_the_endpoints_own_says_whether_it_ran() {
+    // An endpoint's own failure passes as it is. It ran, unless the endpoint says that it refused; what stands in
+    // front of the endpoint and knows nothing of attempts proves nothing.
+    let cases = [
+        ("x-bergamotshift-attempt: ATTEMPT\r\n", "ran"),
+        (
+            "x-bergamotshift-attempt: ATTEMPT\r\nx-bergamotshift-outcome: not-run\r\n",
+            "not-run",
+        ),
+        ("", "unknown"),
+    ];
+    for (headers, outcome) in cases {
+        let failing = Endpoint::start(move |attempt, _| {
+            let headers = headers.replace("ATTEMPT", attempt);
+            format!("HTTP/1.1 409 Conflict\r\n{headers}content-length: 4\r\n\r\nsorry")
+        });
+        let site = Site::start(Layout {
+            raw: Some(failing.address()),
+            ..plain(0)
+        })
+        .await;
+        let reply = site.send(Method::GET, "/app/x", &[], "").await;
+        assert_eq!((reply.status.as_u16(), reply.text()), (409, "sorr"));
+        assert_eq!(reply.header("x-bergamotshift-outcome"), Some(outcome));
+    }
+}
