--- a/bergamotshift-load/src/hop/mod.rs
+++ b/bergamotshift-load/src/hop/mod.rs
@@ -19,12 +19,17 @@
 use ntex::http::body::SizedStream;
 use ntex::http::error::PayloadError;
 use ntex::http::header;
+use ntex::server::create_tcp_listener;
 use ntex::web;
 use ntex::web::HttpRequest;
 use ntex::web::HttpResponse;
 
 use crate::client;
 
+/// Connections that may wait to be accepted. The standard library's 128 drops the rest of a thousand callers that come
+/// at once, and each of them tries again only after a second.
+const BACKLOG: i32 = 4_096;
+
 /// A running hop; dropping it stops it.
 #[derive(Debug)]
 pub struct Server {
@@ -40,7 +45,7 @@
     ///
     /// Returns the error of the socket calls.
     pub fn start(upstream: SocketAddr, workers: usize) -> io::Result<Self> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = create_tcp_listener((Ipv4Addr::LOCALHOST, 0).into(), BACKLOG)?;
         let address = listener.local_addr()?;
         let (sender, started) = mpsc::channel();
         let thread = thread::Builder::new().name("hop".to_owned()).spawn(move || {
