feat(entry): speak TLS to callers and endpoints

Cause: bearer keys and contracts crossed the network in clear text, and a certificate could not change without a restart.

Ruled out: HTTP/2 over TLS (cutting a broken answer would cut others), signals for a reload, file times as the sign of a change. Left: endpoints with IPv6 numbers over TLS (the client library cuts the host at a colon), expiry metric.

--- a/bergamotshift-entry/src/control/fleet.rs
+++ b/bergamotshift-entry/src/control/fleet.rs
@@ -49,8 +49,8 @@
 }
 
 impl Fleet {
-    /// Takes the endpoints that the configuration lists itself.
-    pub(super) fn configure(&mut self, config: &Config) {
+    /// Takes the endpoints that the configuration lists itself, spoken to over TLS or in clear text.
+    pub(super) fn configure(&mut self, config: &Config, tls: bool) {
         for listed in &config.endpoints {
             // What the platform lists goes before what the configuration says of the same VM.
             if self.known.contains_key(&listed.name) {
@@ -61,7 +61,7 @@
                 incarnation: Incarnation::default(),
                 zone: listed.zone.clone(),
                 service: listed.service.clone(),
-                target: Target::new(listed.address, false),
+                target: Target::new(listed.address, tls),
                 seat: sharing::Seat::default(),
             };
             self.insert(config, endpoint, listed.class.clone(), listed.market);
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -75,7 +75,7 @@
     /// Makes the state of an entry that has published `first`, and knows no endpoints yet.
     pub fn new(shared: Arc<Shared>, adapters: BTreeMap<SmolStr, Rc<dyn Adapter>>, config: Arc<Config>) -> Self {
         let mut fleet = Fleet::default();
-        fleet.configure(&config);
+        fleet.configure(&config, shared.settings.endpoints.tls.is_some());
         let quarantine = Quarantine::new(shared.settings.quarantine);
         let sender = shared.control.clone();
         Self {
@@ -168,7 +168,8 @@
     fn configure(&mut self, mark: Mark, config: Arc<Config>) {
         self.config = config;
         self.version = Some(mark.version);
-        self.fleet.configure(&self.config);
+        let tls = self.shared.settings.endpoints.tls.is_some();
+        self.fleet.configure(&self.config, tls);
         self.due(Due::Now);
     }
 
@@ -181,7 +182,7 @@
                     incarnation: vm.incarnation,
                     zone: vm.zone.clone(),
                     service: service.clone(),
-                    target: Target::new(vm.address, false),
+                    target: Target::new(vm.address, self.shared.settings.endpoints.tls.is_some()),
                     seat: sharing::Seat::default(),
                 };
                 self.listed_endpoint(vm, &endpoint);
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -46,6 +46,7 @@
 use crate::settings::Settings;
 use crate::snapshot::Publisher;
 use crate::snapshot::Snapshot;
+use crate::tls;
 use crate::watch;
 use crate::worker;
 use crate::worker::Shared;
@@ -74,6 +75,9 @@
         /// The names there are.
         known: Vec<&'static str>,
     },
+    /// The certificate or its key cannot be used.
+    #[error(transparent)]
+    Tls(#[from] tls::Error),
     /// The client for endpoints cannot be made.
     #[error(transparent)]
     Client(#[from] client::Error),
@@ -106,6 +110,7 @@
             name: settings.policy.clone(),
             known: policy::names(),
         })?;
+        let certificate = settings.tls.clone().map(tls::Certificate::load).transpose()?;
         let callers = bind(settings.callers)?;
         let operators = bind(settings.operators)?;
         let traces = settings.otlp.map(|otlp| Traces::start(&otlp, &settings)).transpose()?;
@@ -120,6 +125,7 @@
             metrics: Metrics::new(),
             reports: Reports::default(),
             traces,
+            certificate,
             policy,
             draining: AtomicBool::new(false),
             epoch: time::Instant::now(),
@@ -237,6 +243,12 @@
     let sender = &shared.control;
     let mut tasks = vec![ntex::rt::spawn(watch::tick(sender.clone()))];
     tasks.extend(follow(shared, platform));
+    if let Some(certificate) = &shared.certificate {
+        tasks.push(ntex::rt::spawn(tls::follow(
+            Arc::clone(certificate),
+            Arc::clone(shared),
+        )));
+    }
     if let Some(vms) = &platform.vms {
         let Settings { watch, logger, .. } = &shared.settings;
         let list = watch::list(Rc::clone(vms), watch.list, sender.clone(), logger.clone());
--- a/bergamotshift-entry/src/daemon/server.rs
+++ b/bergamotshift-entry/src/daemon/server.rs
@@ -18,11 +18,13 @@
 use ntex::rt::System;
 use ntex::server::Server;
 use ntex::time::Seconds;
+use rustls::ServerConfig;
 
 use super::Error;
 use crate::admin;
 use crate::api;
 use crate::api::protocol;
+use crate::tls::Certificate;
 use crate::worker::Shared;
 use crate::worker::Worker;
 
@@ -61,10 +63,14 @@
 ) -> Result<(thread::JoinHandle<()>, Stop), Error> {
     let (commands, mut receiver) = tokio::sync::mpsc::unbounded_channel();
     let (started, outcome) = mpsc::channel();
+    let tls = shared.certificate.as_ref().map(Certificate::server).transpose()?;
     let run = move || {
         System::new("entry", DefaultRuntime).block_on(async move {
-            let servers = serve_callers(Arc::clone(&shared), callers)
-                .and_then(|callers| Ok((callers, serve_operators(shared, operators)?)));
+            let serving = match tls {
+                Some(tls) => serve_callers_over_tls(Arc::clone(&shared), tls, callers),
+                None => serve_callers(Arc::clone(&shared), callers),
+            };
+            let servers = serving.and_then(|callers| Ok((callers, serve_operators(shared, operators)?)));
             let (callers, operators) = match servers {
                 Ok(servers) => servers,
                 Err(error) => return drop(started.send(Err(error))),
@@ -105,9 +111,7 @@
         .workers(workers)
         .disable_signals()
         .listen(NAME, listener, async move |_| {
-            let worker = Worker::new(Arc::clone(&shared));
-            let worker = Rc::new(worker.expect("the control thread has made a client from the same settings"));
-            let control = Rc::clone(&worker);
+            let (worker, control) = worker(&shared);
             HttpService::new(fn_service(move |request: Request| {
                 let worker = Rc::clone(&worker);
                 async move { Ok::<_, io::Error>(api::serve(worker, request).await) }
@@ -122,6 +126,38 @@
     Ok(server)
 }
 
+/// Serves callers over TLS, with the same protocol and answers as in clear text.
+fn serve_callers_over_tls(shared: Arc<Shared>, tls: ServerConfig, listener: TcpListener) -> io::Result<Server> {
+    const NAME: &str = "callers";
+    let workers = shared.settings.threads.max(1);
+    let config = http(&shared);
+    let server = ntex::server::build()
+        .workers(workers)
+        .disable_signals()
+        .listen(NAME, listener, async move |_| {
+            let (worker, control) = worker(&shared);
+            HttpService::h1(fn_service(move |request: Request| {
+                let worker = Rc::clone(&worker);
+                async move { Ok::<_, io::Error>(api::serve(worker, request).await) }
+            }))
+            .control(fn_service(move |event: Control<_, io::Error>| {
+                let control = Rc::clone(&control);
+                async move { Ok::<_, io::Error>(protocol::control(&control, event)) }
+            }))
+            .rustls(tls.clone())
+        })?
+        .config(NAME, SharedCfg::new(NAME).add(config))
+        .run();
+    Ok(server)
+}
+
+/// Makes the state of a worker thread, for its requests and for what happens beside them.
+fn worker(shared: &Arc<Shared>) -> (Rc<Worker>, Rc<Worker>) {
+    let worker = Worker::new(Arc::clone(shared));
+    let worker = Rc::new(worker.expect("the control thread has made a client from the same settings"));
+    (Rc::clone(&worker), worker)
+}
+
 fn serve_operators(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Server> {
     const NAME: &str = "operators";
     let config = http(&shared);
--- a/bergamotshift-entry/src/lib.rs
+++ b/bergamotshift-entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod settings;
 pub mod sharing;
 pub mod snapshot;
+pub mod tls;
 pub mod watch;
 pub mod worker;
 
--- a/bergamotshift-entry/src/observe/metrics/mod.rs
+++ b/bergamotshift-entry/src/observe/metrics/mod.rs
@@ -70,6 +70,10 @@
     pub config: Gauge,
     /// Whether callers may come.
     pub ready: Gauge,
+    /// Certificates that replaced the one in use.
+    pub certificates: Counter,
+    /// Whether the certificate that is there now cannot be used.
+    pub certificate_refused: Gauge,
     /// Time that the control thread spends on the messages of one turn.
     pub turn: Histogram,
     /// Time that calls of the platform take.
@@ -90,6 +94,8 @@
         let quarantined = Gauge::default();
         let config = Gauge::default();
         let ready = Gauge::default();
+        let certificates = Counter::default();
+        let certificate_refused = Gauge::default();
         let turn = Histogram::default();
         let platform_time = Histogram::default();
         services.register(&mut register);
@@ -101,6 +107,10 @@
         let help = "Version of the configuration in force; 0 for one that came from a folder";
         register.metric("config_version", help, &config);
         register.metric("ready", "Whether callers may come", &ready);
+        let help = "Certificates that replaced the one in use";
+        register.metric("certificates", help, &certificates);
+        let help = "Whether the certificate that is there now cannot be used, so that the one before stays";
+        register.metric("certificate_refused", help, &certificate_refused);
         register.metric("snapshots", "Snapshots published to worker threads", &snapshots);
         register.family("control_messages", "Messages to the control thread", &control);
         let help = "Time that the control thread spends on the messages of one turn";
@@ -121,6 +131,8 @@
             quarantined,
             config,
             ready,
+            certificates,
+            certificate_refused,
             turn,
             platform_time,
         }
--- a/bergamotshift-entry/src/settings/mod.rs
+++ b/bergamotshift-entry/src/settings/mod.rs
@@ -18,6 +18,8 @@
 use slog::o;
 use smol_str::SmolStr;
 
+use crate::tls;
+
 /// Where the platform's services listen; one that is missing is not used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Platform {
@@ -102,6 +104,8 @@
     pub callers: SocketAddr,
     /// Where operators reach it; port 0 takes a free one.
     pub operators: SocketAddr,
+    /// What it proves itself with towards callers; without it they speak clear text.
+    pub tls: Option<tls::Settings>,
     /// Threads that serve callers.
     pub threads: usize,
     /// The operators' folder.
@@ -136,6 +140,7 @@
             zone: name::Zone::new_static("zone"),
             callers: ANY,
             operators: ANY,
+            tls: None,
             threads: 4,
             folder: None,
             config: None,
--- a/bergamotshift-entry/src/worker/mod.rs
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -35,6 +35,7 @@
 use crate::snapshot::Publisher;
 use crate::snapshot::Reader;
 use crate::snapshot::Snapshot;
+use crate::tls::Certificate;
 
 /// What all threads of one entry share.
 #[derive(Debug)]
@@ -57,6 +58,8 @@
     pub reports: Reports,
     /// The traces, when they are wanted.
     pub traces: Option<Traces>,
+    /// What callers meet over TLS, when they do.
+    pub certificate: Option<Arc<Certificate>>,
     /// Chooses endpoints.
     pub policy: Box<dyn Policy>,
     /// Whether the entry is about to end.
--- a/bergamotshift/src/command/entry.rs
+++ b/bergamotshift/src/command/entry.rs
@@ -1,5 +1,6 @@
 //! `bergamotshift entry`: the daemon.
 
+use core::fmt::Display;
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::path::PathBuf;
@@ -9,10 +10,12 @@
 use slog::warn;
 
 use crate::core::name;
+use crate::endpoint::client;
 use crate::entry::Daemon;
 use crate::entry::Settings;
 use crate::entry::settings::Platform;
 use crate::entry::settings::traces;
+use crate::entry::tls;
 use crate::environment::Field;
 use crate::environment::Fields;
 use crate::error::Error;
@@ -42,6 +45,27 @@
     /// Where operators connect.
     #[options(no_short, meta = "IP:PORT", help = "where operators connect: status, metrics")]
     pub operators: Option<String>,
+    /// The certificate that callers meet.
+    #[options(
+        no_short,
+        meta = "PEM",
+        help = "callers' TLS: a file with the certificate and those up to its authority, or the PEM text itself"
+    )]
+    pub tls_certificate: Option<String>,
+    /// The certificate's private key.
+    #[options(
+        no_short,
+        meta = "PEM",
+        help = "callers' TLS: a file with the private key, or the PEM text itself (in the variable alone)"
+    )]
+    pub tls_key: Option<String>,
+    /// The authorities of endpoints' certificates.
+    #[options(
+        no_short,
+        meta = "PEM",
+        help = "speak TLS to endpoints and trust these authorities alone: a file, or the PEM text itself"
+    )]
+    pub endpoint_roots: Option<String>,
     /// Threads that serve callers.
     #[options(no_short, meta = "COUNT", help = "threads that serve callers (default 4)")]
     pub threads: Option<String>,
@@ -104,6 +128,9 @@
             ("zone", &mut self.zone),
             ("callers", &mut self.callers),
             ("operators", &mut self.operators),
+            ("tls-certificate", &mut self.tls_certificate),
+            ("tls-key", &mut self.tls_key),
+            ("endpoint-roots", &mut self.endpoint_roots),
             ("threads", &mut self.threads),
             ("folder", &mut self.folder),
             ("vms", &mut self.vms),
@@ -141,6 +168,8 @@
             zone: name::Zone::new(zone),
             callers: setting::required("callers", self.callers.as_deref(), address)?,
             operators: setting::required("operators", self.operators.as_deref(), address)?,
+            tls: self.tls()?,
+            endpoints: self.endpoints()?,
             threads: setting::or("threads", self.threads.as_deref(), defaults.threads)?,
             folder: setting::optional::<PathBuf>("folder", self.folder.as_deref())?,
             platform: self.platform()?,
@@ -151,6 +180,28 @@
         })
     }
 
+    fn tls(&self) -> Result<Option<tls::Settings>, setting::Error> {
+        if self.tls_certificate.is_none() && self.tls_key.is_none() {
+            return Ok(None);
+        }
+        let purpose = "the certificate and its key go together";
+        Ok(Some(tls::Settings {
+            certificate: setting::required("tls-certificate", self.tls_certificate.as_deref(), purpose)?,
+            key: setting::required("tls-key", self.tls_key.as_deref(), purpose)?,
+            ..tls::Settings::default()
+        }))
+    }
+
+    fn endpoints(&self) -> Result<client::Settings, setting::Error> {
+        const ROOTS: &str = "endpoint-roots";
+        let roots = setting::optional::<tls::Source>(ROOTS, self.endpoint_roots.as_deref())?;
+        let made = roots.map(|roots| tls::client(&roots).map_err(|cause| wrong_source(ROOTS, &roots, &cause)));
+        Ok(client::Settings {
+            tls: made.transpose()?,
+            ..client::Settings::default()
+        })
+    }
+
     fn otlp(&self) -> Result<Option<traces::Settings>, setting::Error> {
         const RATIO: &str = "otlp-ratio";
         let defaults = traces::Settings::default();
@@ -179,6 +230,15 @@
     }
 }
 
+/// Makes the error for PEM that cannot be used; a text may be a key put in the wrong place, so it is not shown.
+fn wrong_source(flag: &'static str, source: &tls::Source, cause: &dyn Display) -> setting::Error {
+    let shown = match source {
+        tls::Source::File(path) => path.display().to_string(),
+        tls::Source::Text(_) => "PEM text".to_owned(),
+    };
+    setting::wrong(flag, &shown, cause)
+}
+
 /// Runs an entry until it is told to stop, then drains it.
 ///
 /// # Errors
