docs: name the test behind each failure, and check that it exists

Cause: nobody could tell which promise has a proof. A page that names tests grows stale unless it is checked.

--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod error;
 pub mod lines;
 pub mod links;
+pub mod names;
 pub mod steps;
 pub mod walk;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,6 +5,7 @@
 use gumdrop::Options;
 use xtask::lines;
 use xtask::links;
+use xtask::names;
 use xtask::steps;
 
 /// The command line.
@@ -24,6 +25,8 @@
     Links(Plain),
     #[options(help = "list source files that have grown long")]
     Lines(Plain),
+    #[options(help = "check that every test that the pages name exists")]
+    Names(Plain),
     #[options(help = "run what CI runs, step by step")]
     Ci(Plain),
 }
@@ -42,6 +45,7 @@
     let result = match arguments.chore {
         Some(Chore::Links(_)) => links::check(&root),
         Some(Chore::Lines(_)) => lines::check(&root),
+        Some(Chore::Names(_)) => names::check(&root),
         Some(Chore::Ci(_)) => steps::ci(&root),
         None => {
             println!("{}", Arguments::usage());
