feat(entry): accept, run, fetch and cancel deferred jobs

Cause: work that may wait had to be waited for on one connection to one entry. With Prefer: respond-async a deferrable service's request becomes a job: 202 and Location once its rows are in the table, run by whichever entry takes its lease, fetched and cancelled through any. What must not be repeated runs under a claim of the caller's own key, so the same key without deferral cannot run it a second time.

Shown to fail first: without the claim, without the check of the organisation, with a refused write taken for an accepted job, without taking over lapsed leases, and with a result that is written whatever the versions are, the test of each failed. Left: entries do not share the listing out yet, each lists all 64 partitions every 5 s (102 reads/s for 8 entries); streams are not deferred.

--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -39,6 +39,7 @@
 use crate::control;
 use crate::control::Sender;
 use crate::control::State;
+use crate::jobs;
 use crate::observe;
 use crate::observe::Metrics;
 use crate::observe::Traces;
@@ -50,6 +51,7 @@
 use crate::watch;
 use crate::worker;
 use crate::worker::Shared;
+use crate::worker::Worker;
 
 /// Why an entry does not start.
 #[derive(Debug)]
@@ -183,6 +185,11 @@
             let mut watching = watch(&shared, &platform);
             let committer = Committer::new(Arc::clone(&shared), &platform);
             watching.push(ntex::rt::spawn(committer.run(inbox)));
+            if platform.table.is_some()
+                && let Ok(worker) = Worker::new(Arc::clone(&shared))
+            {
+                watching.push(ntex::rt::spawn(jobs::scan(Rc::new(worker))));
+            }
             control::run(state, messages).await;
             for task in watching {
                 task.cancel();
--- a/bergamotshift-entry/src/lib.rs
+++ b/bergamotshift-entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod control;
 pub mod daemon;
 pub mod exchange;
+pub mod jobs;
 pub mod observe;
 pub mod settings;
 pub mod sharing;
--- a/bergamotshift-entry/src/settings/mod.rs
+++ b/bergamotshift-entry/src/settings/mod.rs
@@ -18,6 +18,7 @@
 use slog::o;
 use smol_str::SmolStr;
 
+use crate::jobs;
 use crate::tls;
 
 /// Where the platform's services listen; one that is missing is not used.
@@ -128,6 +129,8 @@
     pub settle: Duration,
     /// Where traces go; without it none are made.
     pub otlp: Option<traces::Settings>,
+    /// How deferred jobs are found and run.
+    pub jobs: jobs::Settings,
     /// Where log records go.
     pub logger: Logger,
 }
@@ -152,6 +155,7 @@
             quarantine: quarantine::Settings::default(),
             settle: Duration::from_millis(500),
             otlp: None,
+            jobs: jobs::Settings::default(),
             logger: Logger::root(slog::Discard, o!()),
         }
     }
