fix(entry): keep forged headers, event numbers and paths from crossing

Cause, each found by a new test of the folder tests/security: a caller's X_Bergamotshift_Organisation reached endpoints, where many servers take it for the entry's own header; an engine's id: and retry: lines reached callers and overrode the entry's event numbers; a data line behind a comment was lost with it; a line that is no data passed as an event; a caller could reach an endpoint's own pages, and leave its service's path by dot segments; a rule for a path could be evaded by another spelling of it.

--- a/bergamotshift-endpoint/src/engine/event.rs
+++ b/bergamotshift-endpoint/src/engine/event.rs
@@ -114,10 +114,26 @@
             let mut lines = self.buffer.split_to(after);
             lines.truncate(end);
             self.searched = 0;
-            // Engines send comments to keep a connection open; they are no events.
-            if !lines.is_empty() && !lines.starts_with(b":") {
-                return Some(Event(lines));
+            if let Some(event) = data_lines(lines) {
+                return Some(event);
             }
         }
     }
 }
+
+/// Returns an event's data lines; nothing when there are none, as in comments that keep a connection open.
+///
+/// Failure: an engine numbers its events itself, or sets the client's wait. Symptom: a caller takes its stream up again
+/// at the engine's number, and tokens are missing or come twice. Only data passes; the numbers are the entry's own.
+fn data_lines(lines: Bytes) -> Option<Event> {
+    const DATA: &[u8] = b"data:";
+    if lines.starts_with(DATA) && memchr::memchr2(b'\n', b'\r', &lines).is_none() {
+        return Some(Event(lines));
+    }
+    // Clients end a line at a lone carriage return too.
+    let data: Vec<_> = lines
+        .split(|byte| matches!(byte, b'\n' | b'\r'))
+        .filter(|line| line.starts_with(DATA))
+        .collect();
+    (!data.is_empty()).then(|| Event(Bytes::from(data.join(&b'\n'))))
+}
--- a/bergamotshift-endpoint/src/header.rs
+++ b/bergamotshift-endpoint/src/header.rs
@@ -73,7 +73,7 @@
         let text = name.as_str();
         let dropped = HOP_BY_HOP.contains(name)
             || HOP_BY_HOP_NAMES.contains(&text)
-            || text.starts_with(OWN_PREFIX)
+            || is_own(text)
             || named.iter().any(|option| option.eq_ignore_ascii_case(text));
         if !dropped {
             kept.append(name.clone(), value.clone());
@@ -82,6 +82,19 @@
     kept
 }
 
+/// Returns whether only the system itself may set a header.
+///
+/// Failure: servers behind an endpoint turn `-` into `_` when they hand headers to a program. Symptom: a caller's
+/// `X_Bergamotshift_Organisation` becomes the same as the entry's own header, and may win. Both spellings count.
+fn is_own(name: &str) -> bool {
+    let own = OWN_PREFIX.as_bytes();
+    name.len() >= own.len()
+        && name
+            .bytes()
+            .zip(own)
+            .all(|(byte, expected)| byte == *expected || (byte == b'_' && *expected == b'-'))
+}
+
 /// Returns the header names that a `Connection` header declares to be hop-by-hop.
 fn connection_options(headers: &HeaderMap) -> Vec<&str> {
     headers
--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -55,9 +55,9 @@
     }
     request::check_head(request, service.max_header)?;
     let headers = request.headers();
-    let handling = snapshot
-        .config
-        .handling(service, request.method().as_str(), request.path());
+    // An endpoint decodes paths, so a rule must not be evaded by another spelling of the same one.
+    let path = request::decoded_path(request.path())?;
+    let handling = snapshot.config.handling(service, request.method().as_str(), &path);
     let key = request::key(headers)?;
     if !handling.repeatable && key.is_none() && handling.key_fields.is_empty() {
         return Err(Error::not_run(Reason::MissingKey));
--- a/bergamotshift-entry/src/api/request.rs
+++ b/bergamotshift-entry/src/api/request.rs
@@ -1,6 +1,7 @@
 //! What a request's head says beside its HTTP meaning.
 
 use core::time::Duration;
+use std::borrow::Cow;
 
 use bergamotshift_config::config::Handling;
 use bergamotshift_config::config::Service;
@@ -42,6 +43,31 @@
     named.or_else(|| request.uri().host()).unwrap_or_default()
 }
 
+/// Places at which the system itself asks and orders endpoints; callers have no business there.
+const RESERVED: [&str; 5] = ["_drain", "_events", "_kv", "_load", "_orders"];
+
+/// Checks that a path means the same to the entry and to an endpoint, and returns it decoded.
+///
+/// Failure: an endpoint decodes a path and follows its dot segments. Symptom: a caller reaches another service than the
+/// one that its organisation was checked for, or tells an endpoint to drain. Such paths are refused in every spelling.
+///
+/// # Errors
+///
+/// Returns an error when the path has dot segments or control characters, or leads to a reserved place.
+pub fn decoded_path(path: &str) -> Result<Cow<'_, str>, Error> {
+    let decoded = percent_encoding::percent_decode_str(path).decode_utf8_lossy();
+    let mut segments = decoded.split(['/', '\\']).filter(|segment| !segment.is_empty());
+    let first = segments.clone().next().unwrap_or_default();
+    if RESERVED.contains(&first) {
+        return Err(Error::not_run(Reason::UnknownPath(path.to_owned())));
+    }
+    if segments.any(|segment| matches!(segment, "." | "..")) || decoded.contains(char::is_control) {
+        let text = "the path has dot segments or control characters";
+        return Err(Error::not_run(Reason::Protocol(text.to_owned())));
+    }
+    Ok(decoded)
+}
+
 /// Checks the size of a request's head against its service's bound.
 ///
 /// # Errors
--- a/bergamotshift-entry/tests/security/journal.rs
+++ b/bergamotshift-entry/tests/security/journal.rs
@@ -47,6 +47,12 @@
             }
         }
     }
+
+    /// Returns everything logged so far.
+    pub fn text(&mut self) -> String {
+        self.seen.extend(self.lines.try_iter());
+        self.seen.join("\n")
+    }
 }
 
 struct Lines(Arc<Mutex<mpsc::Sender<String>>>);
--- a/bergamotshift-entry/tests/security/main.rs
+++ b/bergamotshift-entry/tests/security/main.rs
@@ -10,6 +10,13 @@
 mod site;
 
 mod authority;
+mod callers;
+mod endpoints;
+mod headers;
+mod hostile;
 mod journal;
+mod operators;
+mod organisations;
+mod streams;
 mod tls;
 mod wire;
