--- a/bergamotshift-replay/src/ladder.rs
+++ b/bergamotshift-replay/src/ladder.rs
@@ -12,7 +12,7 @@
 use crate::tally::Report;
 
 /// The shares of the engines' time that the rungs plan to use.
-pub const HEATS: [f64; 7] = [0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0];
+pub const HEATS: [f64; 8] = [0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0];
 
 /// The share of urgent model requests that must be in target.
 pub const TARGET: f64 = 0.95;
--- a/bergamotshift-replay/src/world/dispatch.rs
+++ b/bergamotshift-replay/src/world/dispatch.rs
@@ -46,6 +46,7 @@
             epoch: 0,
             imported: false,
             suspect: false,
+            accused: Instant::ZERO,
             ended: false,
         });
         (self.tasks.len() - 1) as Job
@@ -63,7 +64,9 @@
             self.fail(job);
             return;
         }
-        match self.choose(job, verdict == Verdict::Alone, now) {
+        let cleared = task.accused > Instant::ZERO && task.accused <= self.explained;
+        let alone = verdict == Verdict::Alone && !cleared;
+        match self.choose(job, alone, now) {
             Ok(()) => {}
             Err(Refusal::Later { .. }) => {
                 let task = &self.tasks[job as usize];
--- a/bergamotshift-replay/src/world/mod.rs
+++ b/bergamotshift-replay/src/world/mod.rs
@@ -66,6 +66,8 @@
     imported: bool,
     /// Whether it runs under suspicion.
     suspect: bool,
+    /// When it last ran on an endpoint that crashed; zero for never.
+    accused: Instant,
     ended: bool,
 }
 
@@ -88,6 +90,8 @@
     quarantine_table: quarantine::Table,
     /// VMs that run a suspect.
     suspects: BTreeSet<usize>,
+    /// Crashes up to this moment are explained by a request that is refused by now.
+    explained: Instant,
     computed: FxHashSet<u64>,
     rng: Pcg64Mcg,
     tally: Tally,
@@ -131,6 +135,7 @@
             quarantine: Quarantine::new(quarantine::Settings::default()),
             quarantine_table: quarantine::Table::default(),
             suspects: BTreeSet::new(),
+            explained: Instant::ZERO,
             computed: FxHashSet::default(),
             rng: Pcg64Mcg::new(u128::from(scenario.seed) << 1 | 1),
             tally: Tally::default(),
--- a/bergamotshift-replay/src/world/reclaim.rs
+++ b/bergamotshift-replay/src/world/reclaim.rs
@@ -4,6 +4,7 @@
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::quarantine::Death;
+use bergamotshift_limit::quarantine::Verdict;
 use bergamotshift_limit::quarantine::Victim;
 use bergamotshift_route::policy;
 use bergamotshift_route::reclaim;
@@ -133,6 +134,7 @@
         if let Some(vm) = task.vm.take().filter(|_| task.suspect) {
             self.suspects.remove(&vm);
         }
+        task.suspect = false;
         task.flight = None;
     }
 
@@ -155,6 +157,9 @@
             },
         );
         self.quarantine_table = self.quarantine.table();
+        if !announced {
+            self.judge(&jobs, now);
+        }
         for (work, generated) in jobs {
             self.take_back(&work, generated);
             let job = work.job;
@@ -162,6 +167,20 @@
         }
     }
 
+    /// Notes who ran where an endpoint crashed, and whether one of them is refused from now on.
+    ///
+    /// That one explains its crashes. Its companions would otherwise run one by one until they are forgotten, which
+    /// takes minutes where an endpoint ran a hundred of them, and their callers' deadlines pass.
+    fn judge(&mut self, jobs: &[(Work, u32)], now: Instant) {
+        for (work, _) in jobs {
+            self.tasks[work.job as usize].accused = now;
+            let verdict = self.quarantine_table.verdict(now, self.fingerprint(work.job));
+            if matches!(verdict, Verdict::Refused { .. }) {
+                self.explained = now;
+            }
+        }
+    }
+
     pub(super) fn crash(&mut self, vm: usize, now: Instant) {
         self.tally.crashes += 1;
         let life = self.vms[vm].life;
