--- a/bergamotshift-replay/examples/compare.rs
+++ b/bergamotshift-replay/examples/compare.rs
@@ -1,4 +1,4 @@
-//! Prints the policies side by side: `compare [--json] [--seed N] [LOAD [FAULT…]]`.
+//! Prints the policies side by side: `compare [--json] [--seed N] [--target SHARE] [LOAD [FAULT…]]`.
 //!
 //! Without a load it takes both of today's sites, without a fault all of them.
 
@@ -8,6 +8,7 @@
 use bergamotshift_replay::Load;
 use bergamotshift_replay::Plan;
 use bergamotshift_replay::Table;
+use bergamotshift_replay::ladder::TARGET;
 use bergamotshift_route::policy;
 use serde::de::DeserializeOwned;
 
@@ -15,6 +16,7 @@
     let mut arguments: Vec<String> = std::env::args().skip(1).collect();
     let json = take(&mut arguments, "--json", 1).is_some();
     let seed = take(&mut arguments, "--seed", 2).map_or(Ok(1), |taken| taken[1].parse())?;
+    let share = take(&mut arguments, "--target", 2).map_or(Ok(TARGET), |taken| taken[1].parse())?;
     let loads = match arguments.first() {
         Some(name) => vec![parse::<Load>(name)?],
         None => Load::TODAY.to_vec(),
@@ -32,7 +34,7 @@
                 seed,
                 ..Plan::of(load, fault)
             };
-            let table = Table::new(&plan, &plan.run(&policy::names())?);
+            let table = Table::at(share, &plan, &plan.run(&policy::names())?);
             if json {
                 println!("{}", table.to_json());
             } else {
--- a/bergamotshift-replay/src/table.rs
+++ b/bergamotshift-replay/src/table.rs
@@ -38,8 +38,13 @@
 }
 
 impl Table {
-    /// Makes the table of a plan's ladders.
+    /// Makes the table of a plan's ladders at the latency target.
     pub fn new(plan: &Plan, ladders: &[Ladder]) -> Self {
+        Self::at(TARGET, plan, ladders)
+    }
+
+    /// Makes the table of a plan's ladders where this share of urgent model requests must be in target.
+    pub fn at(share: f64, plan: &Plan, ladders: &[Ladder]) -> Self {
         let scenario = Scenario {
             load: plan.load,
             fault: plan.fault,
@@ -50,7 +55,7 @@
             load: plan.load.name().to_owned(),
             fault: plan.fault.name().to_owned(),
             bound_per_million: Bound::of(&scenario).cost_per_million(),
-            lines: ladders.iter().filter_map(line).collect(),
+            lines: ladders.iter().filter_map(|ladder| line(ladder, share)).collect(),
         }
     }
 
@@ -64,8 +69,8 @@
     }
 }
 
-fn line(ladder: &Ladder) -> Option<Line> {
-    let met = ladder.at_target(TARGET);
+fn line(ladder: &Ladder, target: f64) -> Option<Line> {
+    let met = ladder.at_target(target);
     let share = |report: &&Report| report.urgent_model_in_target;
     let best = || {
         ladder
