test(route): four threads on one view lose no count

Cause: the claim that a view serves several threads had no test. Every policy sends 2,000 requests from four threads; the counts add up in flight and return to zero.

--- a/bergamotshift-replay/src/bound.rs
+++ b/bergamotshift-replay/src/bound.rs
@@ -1,8 +1,7 @@
 //! What no policy can beat: a clairvoyant bound on cost.
 //!
-//! The bound knows all requests beforehand and relaxes everything else. Each distinct block of all prompts and answers
-//! is computed once in the whole fleet, as if one endless cache served every engine, and at no time beside that of its
-//! own prompt tokens. Each generated token takes its share of a step with a full batch, which is the least that any
+//! The bound knows all requests beforehand and relaxes everything else. Each distinct block of a prompt is computed once
+//! in the whole fleet, as if one endless cache served every engine, and costs the time of its tokens alone. Each generated token takes its share of a step with a full batch, which is the least that any
 //! batch allows. Prompts and tokens each go to the cheapest VMs of the site's offer, as if the other did not exist; a VM
 //! works from the first arrival until the last deadline and is paid for just the time that it works. Starts, notices,
 //! lag, zones' shares and targets cost nothing. Each of these only takes cost away, so every real schedule that answers
--- a/bergamotshift-route/tests/policy.rs
+++ b/bergamotshift-route/tests/policy.rs
@@ -185,3 +185,33 @@
         keys[0]
     );
 }
+
+#[test]
+fn threads_share_a_view_and_lose_no_count() {
+    // Four threads decide on one view at once, as an entry's workers do. A lost count would make an endpoint look empty
+    // or full for good, since nothing corrects the totals later.
+    const THREADS: usize = 4;
+    const SENDS: usize = 500;
+    let (registry, keys) = site(&[1_000_000; 12]);
+    let view = registry.publish(Instant::ZERO);
+    for name in policy::names() {
+        let policy = policy::build(name).unwrap();
+        let in_flight: Vec<_> = std::thread::scope(|scope| {
+            let send = |seed: usize| {
+                let mut rng = Pcg64Mcg::new(seed as u128 | 1);
+                let one = |_| view.send(&policy.choose(&view, &ask(), &mut rng).unwrap(), &ask());
+                (0..SENDS).map(one).collect::<Vec<_>>()
+            };
+            let workers: Vec<_> = (0..THREADS).map(|thread| scope.spawn(move || send(thread))).collect();
+            workers.into_iter().flat_map(|worker| worker.join().unwrap()).collect()
+        });
+        let counted = || {
+            keys.iter()
+                .map(|&key| view.find(key).unwrap().counter().in_flight())
+                .sum::<u32>()
+        };
+        assert_eq!(counted() as usize, THREADS * SENDS, "{name}");
+        drop(in_flight);
+        assert_eq!(counted(), 0, "{name}");
+    }
+}
