feat(endpoint): give orders with a fencing number

Control duties had no way to an endpoint. Adapters now carry an order to load, unload, take a role or drain, each with the number of the lease it is given under, and tell a refusal for an old number from other failures.

--- a/bergamotshift-endpoint/src/adapter.rs
+++ b/bergamotshift-endpoint/src/adapter.rs
@@ -16,6 +16,8 @@
 use crate::client::Client;
 use crate::engine::progress::Progress;
 use crate::engine::resume::Resumption;
+use crate::order;
+use crate::order::Order;
 
 /// Carries requests to one kind of endpoint, from one thread.
 pub trait Adapter: Debug {
@@ -38,6 +40,13 @@
     /// Returns what went wrong on the way.
     fn load<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<load::Report, Failure>>;
 
+    /// Gives the endpoint an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it had no effect; after a [`order::Error::Failed`] it may have had one.
+    fn order<'a>(&'a self, target: &'a Target, order: Order) -> LocalBoxFuture<'a, Result<(), order::Error>>;
+
     /// Returns how a broken stream goes on where it stopped.
     ///
     /// `path` and `body` are those of the request as its caller sent it.
--- a/bergamotshift-endpoint/src/client.rs
+++ b/bergamotshift-endpoint/src/client.rs
@@ -25,6 +25,9 @@
 use crate::call::Call;
 use crate::call::Target;
 use crate::header;
+use crate::order;
+use crate::order::Action;
+use crate::order::Order;
 
 /// Statuses from here on are errors.
 const FIRST_ERROR: u16 = 400;
@@ -147,6 +150,34 @@
         serde_json::from_slice(&body).map_err(|error| Failure::Malformed(error.to_string()))
     }
 
+    /// Gives an endpoint an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it had no effect; after a [`order::Error::Failed`] it may have had one.
+    pub async fn order(&self, target: &Target, order: Order, timeout: Duration) -> Result<(), order::Error> {
+        let path = match order.action {
+            Action::Drain => "/_drain",
+            _ => "/_orders",
+        };
+        let uri = Uri::builder()
+            .scheme(target.scheme())
+            .authority(target.authority().clone())
+            .path_and_query(path)
+            .build()
+            .map_err(|error| Failure::Encode(error.to_string()))?;
+        let request = self.inner.borrow().request(Method::POST, uri);
+        let request = request
+            .timeout(millis(timeout))
+            .header(order::FENCING, order.fencing.to_string());
+        let response = request.send_json(&order).await.map_err(|error| failure(&error))?;
+        match response.status() {
+            status if status.is_success() => Ok(()),
+            StatusCode::CONFLICT => Err(order::Error::Stale),
+            status => Err(order::Error::Refused(status.as_u16())),
+        }
+    }
+
     /// Leaves every pooled connection behind; exchanges under way keep theirs.
     fn renew(&self) {
         if let Ok(fresh) = build(&self.settings) {
--- a/bergamotshift-endpoint/src/engine/mod.rs
+++ b/bergamotshift-endpoint/src/engine/mod.rs
@@ -26,6 +26,8 @@
 use crate::client::Client;
 use crate::engine::progress::Progress;
 use crate::engine::resume::Resumption;
+use crate::order;
+use crate::order::Order;
 
 /// Where an engine reports its load.
 const LOAD_PATH: &str = "/_load";
@@ -33,6 +35,9 @@
 /// How long a load report may take.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long an order may take; a longer way would outlive the pause that a duty's successor waits out.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Carries requests to model engines.
 #[derive(Debug)]
 pub struct Engine {
@@ -63,6 +68,10 @@
         self.client.load(target, LOAD_PATH, LOAD_TIMEOUT).boxed_local()
     }
 
+    fn order<'a>(&'a self, target: &'a Target, order: Order) -> LocalBoxFuture<'a, Result<(), order::Error>> {
+        self.client.order(target, order, ORDER_TIMEOUT).boxed_local()
+    }
+
     fn resume(&self, path: &str, body: &Bytes, progress: &Progress) -> Resumption {
         resume::plan(path, body, progress)
     }
--- a/bergamotshift-endpoint/src/lib.rs
+++ b/bergamotshift-endpoint/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod client;
 pub mod engine;
 pub mod header;
+pub mod order;
 pub mod plain;
 pub mod prelude;
--- a/bergamotshift-endpoint/src/plain/mod.rs
+++ b/bergamotshift-endpoint/src/plain/mod.rs
@@ -19,6 +19,8 @@
 use crate::engine::progress::Progress;
 use crate::engine::resume::Resumption;
 use crate::header;
+use crate::order;
+use crate::order::Order;
 
 /// Where a plain service reports its load.
 const LOAD_PATH: &str = "/_load";
@@ -26,6 +28,9 @@
 /// How long a load report may take.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long an order may take; a longer way would outlive the pause that a duty's successor waits out.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Carries requests to plain services.
 #[derive(Debug)]
 pub struct Plain {
@@ -52,6 +57,10 @@
         self.client.load(target, LOAD_PATH, LOAD_TIMEOUT).boxed_local()
     }
 
+    fn order<'a>(&'a self, target: &'a Target, order: Order) -> LocalBoxFuture<'a, Result<(), order::Error>> {
+        self.client.order(target, order, ORDER_TIMEOUT).boxed_local()
+    }
+
     fn resume(&self, _path: &str, _body: &Bytes, _progress: &Progress) -> Resumption {
         Resumption::Impossible
     }
