--- a/bergamotshift-limit/src/desk/kernel.rs
+++ b/bergamotshift-limit/src/desk/kernel.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns the work that a service is asked for per second, here and elsewhere.
+    pub fn demand(&self, now: Instant, service: &name::Service) -> f64 {
+        self.desks.get(service).map_or(0.0, |desk| desk.pool.demand(now))
+    }
+
     /// Returns what the others should hear now.
     pub fn tell(&mut self, now: Instant) -> Words {
         let told = self.ledger.view.tell(now);
--- a/bergamotshift-limit/src/share/pool.rs
+++ b/bergamotshift-limit/src/share/pool.rs
@@ -95,6 +95,12 @@
         self.rows.retain(|organisation, _| keep(organisation));
     }
 
+    /// Returns the work that all organisations ask for per second, here and elsewhere.
+    pub fn demand(&self, now: Instant) -> f64 {
+        let sums = self.view.sums(now);
+        self.rows.keys().map(|name| sums.total(name)).sum()
+    }
+
     /// Folds what was asked for since the last call and divides the supply.
     ///
     /// Whoever asks for little or nothing keeps the share of its weight open: it costs nothing while unused, and its
