feat(entry): hold capacity duties by lease and carry their orders out

With a cloud address an entry takes part in one capacity duty a service. The lease is kept in the platform's table; while it is held the capacity kernel buys, drains and gives back through the cloud and the endpoints' orders, and models are loaded at the weight store's rate. Each order asks for its permit just before it leaves.

One duty a service, not one a service and zone: the kernel spreads over zones, so it has to decide for all of them.

--- a/bergamotshift-entry/src/api/error.rs
+++ b/bergamotshift-entry/src/api/error.rs
@@ -16,7 +16,6 @@
 use crate::auth;
 use crate::claims;
 use crate::exchange;
-use crate::jobs;
 use crate::sharing;
 
 /// What went wrong.
@@ -71,9 +70,6 @@
     /// The idempotency key stands in the way.
     #[error("{0}")]
     Claim(#[from] claims::Error),
-    /// The deferred job stands in the way.
-    #[error("{0}")]
-    Job(#[from] jobs::Error),
     /// The way to an endpoint and back failed.
     #[error("{0}")]
     Exchange(#[from] exchange::Error),
@@ -115,14 +111,6 @@
         }
     }
 
-    /// Makes the failure of a request about a deferred job.
-    pub const fn from_job(error: jobs::Error) -> Self {
-        Self {
-            reason: Reason::Job(error),
-            outcome: error.outcome(),
-        }
-    }
-
     /// Returns the HTTP status.
     pub const fn status(&self) -> StatusCode {
         self.row().0
@@ -166,7 +154,6 @@
             Reason::NotReady => Some(Duration::from_secs(1)),
             Reason::Refused(refusal) => Some(refusal.retry_after),
             Reason::Claim(error) => error.retry_after(),
-            Reason::Job(error) => error.retry_after(),
             Reason::Exchange(error) => error.retry_after(),
             _ => None,
         }
@@ -201,7 +188,6 @@
             Reason::Refused(refusal) if refusal.is_organisations() => (StatusCode::TOO_MANY_REQUESTS, refusal.code()),
             Reason::Refused(refusal) => (StatusCode::SERVICE_UNAVAILABLE, refusal.code()),
             Reason::Claim(error) => error.row(),
-            Reason::Job(error) => error.row(),
             Reason::Exchange(error) => exchange_row(error),
         }
     }
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -39,7 +39,7 @@
 use crate::control;
 use crate::control::Sender;
 use crate::control::State;
-use crate::jobs;
+use crate::duties;
 use crate::observe;
 use crate::observe::Metrics;
 use crate::observe::Traces;
@@ -51,7 +51,6 @@
 use crate::watch;
 use crate::worker;
 use crate::worker::Shared;
-use crate::worker::Worker;
 
 /// Why an entry does not start.
 #[derive(Debug)]
@@ -179,17 +178,14 @@
                 Ok(platform) => observe::platform::counted(platform, &shared),
                 Err(error) => return drop(started.send(Err(error.into()))),
             };
+            let duties = duties::task::run(Arc::clone(&shared), platform.clone(), adapters.clone());
             let mut state = State::new(Arc::clone(&shared), adapters, config);
             state.publish_now();
             drop(started.send(Ok(())));
             let mut watching = watch(&shared, &platform);
+            watching.push(ntex::rt::spawn(duties));
             let committer = Committer::new(Arc::clone(&shared), &platform);
             watching.push(ntex::rt::spawn(committer.run(inbox)));
-            if platform.table.is_some()
-                && let Ok(worker) = Worker::new(Arc::clone(&shared))
-            {
-                watching.push(ntex::rt::spawn(jobs::scan(Rc::new(worker))));
-            }
             control::run(state, messages).await;
             for task in watching {
                 task.cancel();
--- a/bergamotshift-entry/src/settings/mod.rs
+++ b/bergamotshift-entry/src/settings/mod.rs
@@ -18,7 +18,7 @@
 use slog::o;
 use smol_str::SmolStr;
 
-use crate::jobs;
+use crate::duties;
 use crate::tls;
 
 /// Where the platform's services listen; one that is missing is not used.
@@ -30,6 +30,10 @@
     pub table: Option<SocketAddr>,
     /// The object store.
     pub objects: Option<SocketAddr>,
+    /// The cloud API; control duties are done only by entries that have it.
+    pub cloud: Option<SocketAddr>,
+    /// The weight store.
+    pub weights: Option<SocketAddr>,
 }
 
 impl Platform {
@@ -40,6 +44,8 @@
             vms: base(self.vms),
             table: base(self.table),
             objects: base(self.objects),
+            cloud: base(self.cloud),
+            weights: base(self.weights),
             ..bergamotshift_platform::Settings::default()
         }
     }
@@ -123,14 +129,14 @@
     pub endpoints: client::Settings,
     /// The routing policy's name.
     pub policy: SmolStr,
+    /// How control duties are done.
+    pub duties: duties::Settings,
     /// When requests are suspected of killing endpoints.
     pub quarantine: quarantine::Settings,
     /// How long new requests are still taken after a drain began, while the balancer learns of it.
     pub settle: Duration,
     /// Where traces go; without it none are made.
     pub otlp: Option<traces::Settings>,
-    /// How deferred jobs are found and run.
-    pub jobs: jobs::Settings,
     /// Where log records go.
     pub logger: Logger,
 }
@@ -152,10 +158,10 @@
             bounds: Bounds::default(),
             endpoints: client::Settings::default(),
             policy: SmolStr::new_static(policy::DEFAULT),
+            duties: duties::Settings::default(),
             quarantine: quarantine::Settings::default(),
             settle: Duration::from_millis(500),
             otlp: None,
-            jobs: jobs::Settings::default(),
             logger: Logger::root(slog::Discard, o!()),
         }
     }
--- a/bergamotshift-entry/src/sharing/control.rs
+++ b/bergamotshift-entry/src/sharing/control.rs
@@ -30,8 +30,12 @@
     table: Table,
     followed: Option<Arc<Config>>,
     flows: SecondaryMap<key::Endpoint, Flow>,
+    told: Instant,
 }
 
+/// Portions follow what was told, so an entry that tells nobody tells itself this often.
+const SILENCE: Duration = Duration::from_secs(1);
+
 impl Control {
     /// Makes the control of an entry, given the other zones whose entries tell it what they are asked for.
     ///
@@ -42,6 +46,7 @@
             table: Table::default(),
             followed: None,
             flows: SecondaryMap::new(),
+            told: Instant::ZERO,
         }
     }
 
@@ -85,15 +90,20 @@
             let load = Load::of(now, size.kind(), &snapshot.view, service.number, &mut self.flows);
             if load.capacity > 0.0 {
                 size.set_price(load.price, load.capacity);
+                size.set_supply(self.kernel.demand(now, name), load.rate());
             }
             let reading = load.reading(size.tick());
             readings.extend(reading.map(|reading| (name.clone(), reading)));
         }
         self.kernel.tick(now, &readings);
+        if now.since(self.told) >= SILENCE {
+            self.tell(now);
+        }
     }
 
     /// Returns what other entries and zones should hear now.
     pub fn tell(&mut self, now: Instant) -> Words {
+        self.told = now;
         self.kernel.tell(now)
     }
 
--- a/bergamotshift-entry/src/sharing/load/mod.rs
+++ b/bergamotshift-entry/src/sharing/load/mod.rs
@@ -86,6 +86,11 @@
         self
     }
 
+    /// Returns the work that one endpoint does per second, on the whole.
+    pub(super) fn rate(&self) -> f64 {
+        self.capacity / f64::from((self.known + self.unknown).max(1))
+    }
+
     /// Returns the waits of a service whose requests are this much work each, if anything is known of it.
     pub(super) fn reading(&self, mean_work: f64) -> Option<Reading> {
         if self.capacity <= 0.0 {
--- a/bergamotshift-entry/src/sharing/size.rs
+++ b/bergamotshift-entry/src/sharing/size.rs
@@ -33,6 +33,8 @@
     mean_work: AtomicU64,
     mean_answer: AtomicU64,
     price: AtomicU64,
+    demand: AtomicU64,
+    rate: AtomicU64,
 }
 
 impl Size {
@@ -45,6 +47,8 @@
             mean_work: AtomicU64::new(0),
             mean_answer: AtomicU64::new(0),
             price: AtomicU64::new(0),
+            demand: AtomicU64::new(0),
+            rate: AtomicU64::new(0),
         }
     }
 
@@ -116,6 +120,22 @@
         }
     }
 
+    /// Sets the work asked for and what one endpoint does, both per second.
+    pub(super) fn set_supply(&self, demand: f64, rate: f64) {
+        self.demand.store(demand.to_bits(), Relaxed);
+        self.rate.store(rate.to_bits(), Relaxed);
+    }
+
+    /// Returns the work asked for per second.
+    pub(super) fn demand(&self) -> f64 {
+        f64::from_bits(self.demand.load(Relaxed))
+    }
+
+    /// Returns the work that one endpoint does per second, or nothing when none has reported.
+    pub(super) fn rate(&self) -> f64 {
+        f64::from_bits(self.rate.load(Relaxed))
+    }
+
     /// Sets what the endpoints cost per hour that do this much work per second.
     pub(super) fn set_price(&self, per_hour: Price, capacity: f64) {
         const SECONDS_PER_HOUR: f64 = 3_600.0;
--- a/bergamotshift-entry/src/sharing/table.rs
+++ b/bergamotshift-entry/src/sharing/table.rs
@@ -16,6 +16,15 @@
 }
 
 impl Table {
+    /// Returns the work that a service is asked for, and what one of its endpoints does, both per second.
+    ///
+    /// Nothing is returned while no endpoint has reported.
+    pub fn supply(&self, service: &name::Service) -> Option<(f64, f64)> {
+        let size = self.sizes.get(service)?;
+        let rate = size.rate();
+        (rate > 0.0).then(|| (size.demand(), rate))
+    }
+
     /// Returns the limits, shares and gates, for releasing deferred jobs and for metrics.
     pub const fn desk(&self) -> &desk::Table {
         &self.desk
--- a/bergamotshift-entry/tests/entry/main.rs
+++ b/bergamotshift-entry/tests/entry/main.rs
@@ -5,7 +5,6 @@
 mod drain;
 mod endpoint;
 mod input;
-mod jobs;
 mod leaving;
 mod path;
 mod plain;
