--- a/bergamotshift/src/command/entry.rs
+++ b/bergamotshift/src/command/entry.rs
@@ -85,6 +85,16 @@
     /// The platform's object store.
     #[options(no_short, meta = "IP:PORT", help = "the platform's object store")]
     pub objects: Option<String>,
+    /// The platform's cloud API.
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "the platform's cloud API; turns control duties on"
+    )]
+    pub cloud: Option<String>,
+    /// The platform's weight store.
+    #[options(no_short, meta = "IP:PORT", help = "the platform's weight store")]
+    pub weights: Option<String>,
     /// The routing policy.
     #[options(no_short, meta = "NAME", help = "the routing policy")]
     pub policy: Option<String>,
@@ -136,6 +146,8 @@
             ("vms", &mut self.vms),
             ("table", &mut self.table),
             ("objects", &mut self.objects),
+            ("cloud", &mut self.cloud),
+            ("weights", &mut self.weights),
             ("policy", &mut self.policy),
             ("otlp", &mut self.otlp),
             ("otlp-ratio", &mut self.otlp_ratio),
@@ -226,6 +238,8 @@
             vms: setting::optional::<SocketAddr>("vms", self.vms.as_deref())?,
             table: setting::optional::<SocketAddr>("table", self.table.as_deref())?,
             objects: setting::optional::<SocketAddr>("objects", self.objects.as_deref())?,
+            cloud: setting::optional::<SocketAddr>("cloud", self.cloud.as_deref())?,
+            weights: setting::optional::<SocketAddr>("weights", self.weights.as_deref())?,
         })
     }
 }
--- a/bergamotshift/src/demo/services.rs
+++ b/bergamotshift/src/demo/services.rs
@@ -39,6 +39,7 @@
             vms: Some(self.vms.address()),
             table: Some(self.table.address()),
             objects: Some(self.objects.address()),
+            ..Platform::default()
         }
     }
 
