fix(endpoint): refuse an answer that doesn't announce where it ends

Cause: the client library reads an HTTP/1.1 answer with neither length nor chunks as an empty body, so a plain service that ends its body by closing the connection was passed on as whole and empty (found by reading, then by the test). Before: the caller got 200 and no body. Ruled out: reading to the end of the connection; such an end can't be told from a death, and the library can't do it.

--- a/bergamotshift-endpoint/src/client.rs
+++ b/bergamotshift-endpoint/src/client.rs
@@ -11,9 +11,12 @@
 use ntex::client::Connector;
 use ntex::client::error::ClientError;
 use ntex::client::error::ConnectError;
+use ntex::http::HeaderMap;
 use ntex::http::Method;
 use ntex::http::StatusCode;
 use ntex::http::Uri;
+use ntex::http::header::CONTENT_LENGTH;
+use ntex::http::header::TRANSFER_ENCODING;
 use ntex::io::cfg::IoConfig;
 use ntex::time::Millis;
 use ntex::time::Seconds;
@@ -103,6 +106,7 @@
             .path_and_query(path)
             .build()
             .map_err(|error| Failure::Encode(error.to_string()))?;
+        let bodiless = method == Method::HEAD;
         let mut request = self.inner.borrow().request(method, uri).timeout(millis(timeout));
         *request.headers_mut() = headers;
         let sent = match body {
@@ -121,6 +125,11 @@
             self.renew();
             return Err(Failure::Mismatch);
         }
+        if !bodiless && !announces_end(response.status(), response.headers()) {
+            return Err(Failure::Malformed(
+                "the answer announces neither length nor chunks".to_owned(),
+            ));
+        }
         Ok(Answer {
             status: response.status(),
             headers: response.headers().clone(),
@@ -186,6 +195,16 @@
     }
 }
 
+/// Returns whether an answer says where its body ends.
+///
+/// Failure: an endpoint ends its body by closing the connection, which looks like its death. Symptom: the client
+/// library reads such a body as empty, and the caller gets an empty answer as whole. Refusing it is enough: an answer
+/// whose end was announced is checked against the announcement.
+fn announces_end(status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn build(settings: &Settings) -> Result<client::Client, Error> {
     let mut connector = Connector::default()
         .keep_alive(Seconds(
--- a/bergamotshift-entry/tests/entry/plain.rs
+++ b/bergamotshift-entry/tests/entry/plain.rs
@@ -33,6 +33,24 @@
     assert_eq!(short.served(), 2);
 }
 
+#[ntex::test]
+async fn an_answer_without_an_announced_end_is_not_whole() {
+    // An endpoint answers as HTTP/1.0 did: no length, no chunks, and the end of the connection ends the body. Nobody
+    // can tell such an end from a death, and the client library reads the body as empty: the caller must not get an
+    // empty answer as whole. It gets a failure that says that the request may have run.
+    let bare =
+        Endpoint::start(|attempt, _| format!("HTTP/1.1 200 OK\r\nx-bergamotshift-attempt: {attempt}\r\n\r\nhello"));
+    let site = Site::start(Layout {
+        raw: Some(bare.address()),
+        ..plain(0)
+    })
+    .await;
+    let key = [("idempotency-key", "confirm-8")];
+    let reply = site.send(Method::POST, "/app/confirm", &key, "{}").await;
+    reply.assert_failure(502, "endpoint_failed", "unknown");
+    assert_eq!(bare.served(), 1);
+}
+
 #[ntex::test]
 async fn a_large_answer_goes_on_where_it_broke() {
     // An answer too large to be held breaks in the middle, with a part already passed on. The second answer begins
