feat(entry): log each change once, with the place of its endpoint

Cause: records of endpoints named the VM alone, losses were at the level of news, nothing told of suspected or quarantined requests, and a platform that is down filled the log with a record for each reading. Records now carry VM, incarnation, service and zone; an outage makes two records for each kind of call. Ruled out: telling the platform's parts as wholes; two calls that overlap the start of an outage then looked like its end (the first form of the test failed so, with two records where one was due).

--- a/bergamotshift-entry/src/admin/status/reports.rs
+++ b/bergamotshift-entry/src/admin/status/reports.rs
@@ -18,7 +18,16 @@
 pub struct Reports {
     members: ArcSwapOption<Vec<Member>>,
     leases: ArcSwap<Vec<Lease>>,
-    platform: Mutex<BTreeMap<&'static str, bool>>,
+    platform: Mutex<Platform>,
+}
+
+/// Whether calls of the platform were answered.
+#[derive(Debug, Default)]
+struct Platform {
+    /// The last call of each part.
+    parts: BTreeMap<&'static str, bool>,
+    /// The last call of each kind.
+    calls: BTreeMap<(&'static str, &'static str), bool>,
 }
 
 impl Reports {
@@ -32,10 +41,14 @@
         self.leases.store(Arc::new(leases));
     }
 
-    /// Takes whether a part of the platform answered its last call.
-    pub fn set_platform(&self, part: &'static str, answers: bool) {
+    /// Takes whether a part of the platform answered a call; returns whether that is news for this kind of call.
+    ///
+    /// The first answer is no news: it is what everybody takes for granted. News are told by kind, because calls of
+    /// two kinds overlap: one that began before an outage and ended in it would look like the outage's end.
+    pub fn set_platform(&self, part: &'static str, call: &'static str, answers: bool) -> bool {
         let mut platform = self.platform.lock().unwrap_or_else(PoisonError::into_inner);
-        platform.insert(part, answers);
+        platform.parts.insert(part, answers);
+        platform.calls.insert((part, call), answers).unwrap_or(true) != answers
     }
 
     /// Returns the entries of the fleet, when there is one.
@@ -51,7 +64,7 @@
     /// Returns how the parts of the platform answered last.
     pub fn platform(&self) -> Vec<Part> {
         let platform = self.platform.lock().unwrap_or_else(PoisonError::into_inner);
-        let parts = platform.iter().map(|(name, answers)| Part {
+        let parts = platform.parts.iter().map(|(name, answers)| Part {
             name: SmolStr::new_static(name),
             answers: *answers,
         });
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -18,11 +18,13 @@
 use bergamotshift_endpoint::adapter::Adapter;
 use bergamotshift_endpoint::answer::Failure;
 use bergamotshift_endpoint::call::Target;
+use bergamotshift_limit::quarantine;
 use bergamotshift_limit::quarantine::Death;
 use bergamotshift_limit::quarantine::Quarantine;
 use bergamotshift_limit::retry;
 use bergamotshift_route::set::Set;
 use slog::info;
+use slog::warn;
 use smol_str::SmolStr;
 
 use super::Message;
@@ -202,7 +204,7 @@
             self.due(Due::Now);
         }
         if vm.state != vm::State::Live && self.fleet.leave(endpoint) {
-            info!(self.shared.settings.logger, "endpoint is leaving"; "vm" => vm.name.as_str());
+            info!(self.shared.settings.logger, "endpoint is leaving"; endpoint);
             self.announced(endpoint);
             self.due(Due::Now);
         }
@@ -272,7 +274,7 @@
         if connected {
             let finished = self.finished(&endpoint);
             if self.fleet.fault(&endpoint, finished, self.shared.now()) {
-                info!(self.shared.settings.logger, "endpoint is suspended"; "vm" => endpoint.vm.as_str());
+                warn!(self.shared.settings.logger, "endpoint is suspended"; &*endpoint);
                 self.due(Due::Now);
             }
             self.ask(endpoint, Some(waiting));
@@ -301,7 +303,7 @@
             // It takes connections and answers nothing: it is not dead, and of no use until it answers again.
             Err(_) => {
                 if self.fleet.lose(endpoint) {
-                    info!(self.shared.settings.logger, "endpoint does not answer"; "vm" => endpoint.vm.as_str());
+                    warn!(self.shared.settings.logger, "endpoint does not answer"; &**endpoint);
                     self.due(Due::Now);
                 }
             }
@@ -315,7 +317,7 @@
 
     fn reported(&mut self, endpoint: &Endpoint, report: load::Report) {
         if report.leaving && self.fleet.leave(endpoint) {
-            info!(self.shared.settings.logger, "endpoint says that it leaves"; "vm" => endpoint.vm.as_str());
+            info!(self.shared.settings.logger, "endpoint says that it leaves"; endpoint);
             self.announced(endpoint);
             self.due(Due::Now);
         }
@@ -329,7 +331,7 @@
 
     fn regain(&mut self, endpoint: &Endpoint) {
         if self.fleet.regain(&self.config, endpoint, self.shared.now()) {
-            info!(self.shared.settings.logger, "endpoint is reached again"; "vm" => endpoint.vm.as_str());
+            info!(self.shared.settings.logger, "endpoint is reached again"; endpoint);
             self.due(Due::Now);
         }
     }
@@ -365,11 +367,12 @@
             return;
         }
         self.quarantine.died(self.shared.now(), death);
+        self.tell_suspicion(endpoint, fingerprint);
         self.due(Due::Now);
         if !news {
             return;
         }
-        info!(self.shared.settings.logger, "endpoint cannot be reached"; "vm" => endpoint.vm.as_str());
+        warn!(self.shared.settings.logger, "endpoint cannot be reached"; endpoint);
         let now = self.shared.now();
         for neighbour in self.fleet.known.values_mut() {
             if neighbour.endpoint.zone == endpoint.zone && neighbour.key.is_some() {
@@ -378,6 +381,23 @@
         }
     }
 
+    /// Logs what follows from a death for the work that ran there.
+    fn tell_suspicion(&self, endpoint: &Endpoint, fingerprint: Option<Fingerprint>) {
+        let Some(fingerprint) = fingerprint else { return };
+        let logger = &self.shared.settings.logger;
+        let work = format!("{:032x}", fingerprint.get());
+        match self.quarantine.table().verdict(self.shared.now(), fingerprint) {
+            quarantine::Verdict::Clear => {}
+            quarantine::Verdict::Alone => {
+                warn!(logger, "request is suspected of killing its endpoint"; "fingerprint" => work, endpoint);
+            }
+            quarantine::Verdict::Refused { retry_after } => {
+                let seconds = retry_after.as_secs();
+                warn!(logger, "request is quarantined"; "fingerprint" => work, "for_s" => seconds, endpoint);
+            }
+        }
+    }
+
     fn services(&mut self) -> BTreeMap<name::Service, snapshot::Service> {
         let config = Arc::clone(&self.config);
         let zones: Vec<_> = config.zones.keys().collect();
--- a/bergamotshift-entry/src/daemon/handle.rs
+++ b/bergamotshift-entry/src/daemon/handle.rs
@@ -81,6 +81,7 @@
             warn!(logger, "the grace is over"; "cut" => cut);
         }
         self.end();
+        info!(logger, "drained"; "cut" => cut);
         Drained { cut }
     }
 
--- a/bergamotshift-entry/src/observe/mod.rs
+++ b/bergamotshift-entry/src/observe/mod.rs
@@ -1,5 +1,6 @@
-//! What operators can see of an entry: metrics and traces.
+//! What operators can see of an entry: metrics, traces and what log records say.
 
+mod event;
 pub mod metrics;
 pub mod platform;
 pub mod trace;
--- a/bergamotshift-entry/src/observe/platform.rs
+++ b/bergamotshift-entry/src/observe/platform.rs
@@ -25,6 +25,8 @@
 use bergamotshift_platform::weights;
 use bergamotshift_platform::weights::Weights;
 use bytes::Bytes;
+use slog::info;
+use slog::warn;
 use smol_str::SmolStr;
 
 use crate::worker::Shared;
@@ -66,6 +68,16 @@
 }
 
 impl<P: ?Sized> Counted<P> {
+    /// Logs that the part is lost or back; an outage of an hour makes two records for each kind of call.
+    fn tell(&self, call: &'static str, answers: bool, result: &'static str) {
+        let logger = &self.shared.settings.logger;
+        if answers {
+            info!(logger, "the platform answers again"; "part" => self.part, "call" => call);
+        } else {
+            warn!(logger, "the platform does not answer"; "part" => self.part, "call" => call, "result" => result);
+        }
+    }
+
     fn call<'a, T: 'a>(
         &'a self,
         call: &'static str,
@@ -79,7 +91,9 @@
             let metrics = &self.shared.metrics;
             metrics.platform_call(self.part, call, result, started.elapsed());
             let answers = !matches!(result, REFUSED | UNKNOWN);
-            self.shared.reports.set_platform(self.part, answers);
+            if self.shared.reports.set_platform(self.part, call, answers) {
+                self.tell(call, answers, result);
+            }
             outcome
         })
     }
--- a/bergamotshift-entry/src/watch/platform.rs
+++ b/bergamotshift-entry/src/watch/platform.rs
@@ -5,7 +5,7 @@
 
 use bergamotshift_platform::vms::Vms;
 use slog::Logger;
-use slog::warn;
+use slog::debug;
 
 use super::Event;
 use crate::control::Sender;
@@ -17,7 +17,7 @@
     loop {
         match vms.list().await {
             Ok(listings) => sender.send(Event::Listed(listings)),
-            Err(error) => warn!(logger, "cannot read the VM list"; "error" => %error),
+            Err(error) => debug!(logger, "cannot read the VM list"; "error" => %error),
         }
         tokio::time::sleep(interval).await;
     }
@@ -33,7 +33,7 @@
                 since = notices.iter().map(|notice| notice.sequence).max().unwrap_or(since);
                 sender.send(Event::Noticed(notices));
             }
-            Err(error) => warn!(logger, "cannot read the notices"; "error" => %error),
+            Err(error) => debug!(logger, "cannot read the notices"; "error" => %error),
         }
         tokio::time::sleep(interval).await;
     }
--- a/bergamotshift-entry/tests/observe/main.rs
+++ b/bergamotshift-entry/tests/observe/main.rs
@@ -9,6 +9,7 @@
 
 mod collector;
 mod endpoint;
+mod log;
 mod metrics;
 mod reading;
 mod trace;
--- a/bergamotshift-entry/tests/observe/trace.rs
+++ b/bergamotshift-entry/tests/observe/trace.rs
@@ -7,6 +7,8 @@
 use bergamotshift_entry::Settings;
 use bergamotshift_entry::settings::traces;
 use bergamotshift_standin::engine;
+use bergamotshift_standin::objects;
+use bergamotshift_standin::table;
 use ntex::http::Method;
 use opentelemetry_proto::tonic::trace::v1::Span;
 use opentelemetry_proto::tonic::trace::v1::status::StatusCode;
@@ -216,3 +218,34 @@
     assert_eq!(reply.status.as_u16(), 200);
     assert_eq!(site.entry.drain(GRACE).cut, 0);
 }
+
+#[ntex::test]
+async fn a_request_that_must_not_run_twice_has_a_span_for_its_claim() {
+    let collector = Collector::start().await;
+    let (table, objects) = (
+        table::Server::start(table::Settings::default()).unwrap(),
+        objects::Server::start(objects::Settings::default()).unwrap(),
+    );
+    let mut layout = Layout {
+        engines: 0,
+        more: "[[route]]\nservice = \"app\"\nmethod = \"POST\"\npath = \"/app/confirm\"\nrepeatable = false\n",
+        ..layout(Some(towards(collector.address(), 1.0)))
+    };
+    layout.settings.platform.table = Some(table.address());
+    layout.settings.platform.objects = Some(objects.address());
+    let site = Site::start(layout).await;
+    let key = [("idempotency-key", "shift-7")];
+    let reply = site.send(Method::POST, "/app/confirm", &key, "yes").await;
+    assert_eq!(reply.status.as_u16(), 200, "{}", reply.text());
+    site.entry.drain(GRACE);
+
+    let spans = collector.spans();
+    let request = only(&spans, "request");
+    let (claim, attempt) = (only(&spans, "claim"), only(&spans, "attempt"));
+    assert_eq!(claim.parent_span_id, request.span_id);
+    assert_eq!(attempt.parent_span_id, request.span_id);
+    assert!(
+        claim.end_time_unix_nano <= attempt.start_time_unix_nano,
+        "the claim stands before anything is sent"
+    );
+}
