--- a/bergamotshift-entry/src/sharing/control.rs
+++ b/bergamotshift-entry/src/sharing/control.rs
@@ -31,8 +31,12 @@
     followed: Option<Arc<Config>>,
     flows: SecondaryMap<key::Endpoint, Flow>,
     told: Instant,
+    divided: Instant,
 }
 
+/// The time between two divisions of the shares.
+const DIVISION: Duration = Duration::from_millis(200);
+
 /// Portions follow what was told, so an entry that tells nobody tells itself this often.
 const SILENCE: Duration = Duration::from_secs(1);
 
@@ -47,6 +51,7 @@
             followed: None,
             flows: SecondaryMap::new(),
             told: Instant::ZERO,
+            divided: Instant::ZERO,
         }
     }
 
@@ -95,6 +100,12 @@
             let reading = load.reading(size.tick());
             readings.extend(reading.map(|reading| (name.clone(), reading)));
         }
+        // Reports are looked at each time, so that what changed since each is known closely. Dividing the shares takes a
+        // millisecond at the largest size, so that is done more rarely; the gates follow each request in between.
+        if now.since(self.divided) < DIVISION {
+            return;
+        }
+        self.divided = now;
         self.kernel.tick(now, &readings);
         if now.since(self.told) >= SILENCE {
             self.tell(now);
