test(entry): ask for load reports often where a test waits for their news

Cause: three tests of the operators' address wait until the entry sees an endpoint's death by its load reports, and leaned on the site's interval for them. A site that asks once an hour made them wait without an end. They now set the interval themselves.

--- a/bergamotshift-entry/tests/admin/status.rs
+++ b/bergamotshift-entry/tests/admin/status.rs
@@ -1,5 +1,7 @@
 //! The status, as other programs read it.
 
+use core::time::Duration;
+
 use bergamotshift_core::name;
 use bergamotshift_entry::Settings;
 use bergamotshift_entry::admin::status::Status;
@@ -8,6 +10,9 @@
 use crate::site::Layout;
 use crate::site::Site;
 
+/// Soon enough that a test sees an endpoint's death by its load reports alone.
+const REPORTS: Duration = Duration::from_millis(20);
+
 async fn until(site: &Site, holds: impl Fn(&Status) -> bool) -> Status {
     loop {
         let status: Status = serde_json::from_value(site.status().await).unwrap();
@@ -41,7 +46,9 @@
 async fn a_zone_that_is_lost_shows_as_cut_off() {
     // All endpoints of one zone die unannounced. Load reports fail one by one; when the last of them is gone the zone
     // shows as cut off, and the other one does not.
-    let site = Site::start(Layout::default()).await;
+    let mut layout = Layout::default();
+    layout.settings.watch.reports = REPORTS;
+    let site = Site::start(layout).await;
     site.engines[0].kill();
     site.plains[0].kill();
     let status = until(&site, |status| status.cut_off().count() > 0).await;
--- a/bergamotshift-entry/tests/observe/log.rs
+++ b/bergamotshift-entry/tests/observe/log.rs
@@ -2,6 +2,7 @@
 
 use core::fmt;
 use core::fmt::Write;
+use core::time::Duration;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -96,7 +97,7 @@
         site.send_as(Method::GET, "/app/shifts", &[], "").await;
     }
     assert_eq!(journal.records(), []);
-    site.entry.drain(core::time::Duration::from_secs(10));
+    site.entry.drain(Duration::from_secs(10));
     assert_eq!(journal.count(Level::Info, "draining active=0"), 1);
     assert_eq!(journal.count(Level::Info, "drained cut=0"), 1);
 }
@@ -106,9 +107,11 @@
     // One endpoint dies and another says that it leaves. Each load report after that says the same again; the log has
     // one record of each, and one more when the dead one is back.
     let journal = Journal::default();
+    let mut settings = journal.settings();
+    settings.watch.reports = Duration::from_millis(20);
     let site = Site::start(Layout {
         engines: 0,
-        settings: journal.settings(),
+        settings,
         ..Layout::default()
     })
     .await;
@@ -168,8 +171,8 @@
     let vms = vms::Server::start(vms::Settings::default()).unwrap();
     let mut settings = journal.settings();
     settings.platform.vms = Some(vms.address());
-    settings.watch.list = core::time::Duration::from_millis(5);
-    settings.watch.notices = core::time::Duration::from_millis(5);
+    settings.watch.list = Duration::from_millis(5);
+    settings.watch.notices = Duration::from_millis(5);
     let site = Site::start(Layout {
         settings,
         ..Layout::default()
--- a/bergamotshift-entry/tests/observe/metrics.rs
+++ b/bergamotshift-entry/tests/observe/metrics.rs
@@ -5,7 +5,6 @@
 
 use bergamotshift_entry::observe::Metrics;
 use bergamotshift_standin::engine;
-use bergamotshift_standin::plain;
 use core::time::Duration;
 use ntex::http::Method;
 use serde_json::json;
@@ -140,12 +139,12 @@
 async fn endpoints_are_counted_by_state() {
     // One of two endpoints of the service dies and the other says that it leaves. Both were live before; the next
     // answered or refused load report of each moves it, and no endpoint is counted in two states.
-    let site = Site::start(Layout {
+    let mut layout = Layout {
         engines: 0,
-        plain: plain::Settings::default(),
         ..Layout::default()
-    })
-    .await;
+    };
+    layout.settings.watch.reports = Duration::from_millis(20);
+    let site = Site::start(layout).await;
     let state = |zone: &str, state: &str| format!("endpoints{{service=\"app\",zone=\"{zone}\",state=\"{state}\"}}");
     site.until(&state("zone-a", "live"), 1).await;
     site.plains[0].kill();
