fix(fleet): let a zone that leaves or dies whole be missed everywhere

Cause: a goodbye went to the own zone and its speakers. A leaving entry is no speaker any more, and where it is its zone's only entry, or the whole zone goes at once, nobody outside ever heard: three entries over sockets held the fourth for alive for good. And only a zone's own members call a member dead, so a zone that died whole stayed in every view. Now goodbyes go to speakers of every other zone directly, and members of a lost zone that three VM lists in a row do not show are dead. Tests in virtual time: 32 entries in 4 and 8 zones with 5 % loss; a dead zone with and without the list. Ruled out: cross-zone verdicts by silence alone, since a cut zone would be called dead. Loads heard are handed to the shell now, with the endpoint's own count of reports.

--- a/bergamotshift-fleet/src/kernel/action.rs
+++ b/bergamotshift-fleet/src/kernel/action.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 
+use bergamotshift_core::load::Report;
 use bergamotshift_core::name;
 
 use crate::endpoint;
@@ -42,6 +43,15 @@
     Watch(endpoint::Id),
     /// Stops reading an endpoint's load.
     Unwatch(endpoint::Id),
+    /// Another entry heard an endpoint's load.
+    Loaded {
+        /// The endpoint.
+        endpoint: endpoint::Id,
+        /// The report, as exact as the wire's levels are.
+        report: Report,
+        /// How old it is.
+        age: Duration,
+    },
     /// An endpoint takes no new work from now on.
     Marked(mark::Mark),
     /// A member came, went or changed.
--- a/bergamotshift-fleet/src/kernel/mod.rs
+++ b/bergamotshift-fleet/src/kernel/mod.rs
@@ -55,6 +55,8 @@
     gone: BTreeMap<key::Entry, Instant>,
     suspects: BTreeMap<key::Entry, Instant>,
     listed: Vec<core::net::SocketAddr>,
+    /// Live members that the last VM lists did not show, and how many lists in a row.
+    unlisted: BTreeMap<key::Entry, u8>,
 
     probes: BTreeMap<u32, probe::Probe>,
     relayed: BTreeMap<u32, probe::Relayed>,
@@ -84,7 +86,7 @@
 /// The last load heard of an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
-    sequence: u16,
+    sequence: u64,
     level: load::Level,
     at: Instant,
 }
@@ -102,6 +104,7 @@
             gone: BTreeMap::new(),
             suspects: BTreeMap::new(),
             listed: Vec::new(),
+            unlisted: BTreeMap::new(),
             probes: BTreeMap::new(),
             relayed: BTreeMap::new(),
             sequence: 0,
@@ -223,7 +226,7 @@
     /// Returns the last load heard of an endpoint and when it was true.
     pub fn load(&self, endpoint: &endpoint::Id) -> Option<(Report, Instant)> {
         let heard = self.loads.get(&endpoint.tag())?;
-        Some((heard.level.report(u64::from(heard.sequence)), heard.at))
+        Some((heard.level.report(heard.sequence), heard.at))
     }
 
     /// Returns the last summary heard of a service in a zone.
--- a/bergamotshift-fleet/src/kernel/news.rs
+++ b/bergamotshift-fleet/src/kernel/news.rs
@@ -88,12 +88,21 @@
         self.hurry(now, Item::Note(note), origin);
     }
 
-    /// Says goodbye.
+    /// Says goodbye to some of the zone and to speakers of every other zone.
+    ///
+    /// Failure: a whole zone leaves at once. Symptom: each entry tells neighbours that are about to go as well, and the
+    /// other zones never hear. So a goodbye does not rely on the own zone's speakers.
     pub(super) fn leave(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.flush(out);
+        let mut receivers = self.near_peers();
+        receivers.shuffle(&mut self.random);
+        receivers.truncate(self.settings.fanout);
+        receivers.extend(self.some_speakers_of_each_zone());
         self.me.state = member::State::Left;
         self.members.merge(self.me.clone());
-        self.hurry(now, Item::Member(self.me.clone()), Origin::Own);
-        self.flush(out);
+        let goodbye = Item::Member(self.me.clone());
+        self.queue.push(now, goodbye.clone(), self.settings.sends_lasting);
+        self.tell(&receivers, &[goodbye], out);
     }
 
     /// Records and announces what this entry thinks of another.
--- a/bergamotshift-fleet/src/kernel/publish.rs
+++ b/bergamotshift-fleet/src/kernel/publish.rs
@@ -73,7 +73,7 @@
         let interval = self.load_interval();
         let tag = endpoint.tag();
         let level = load::Level::of(report);
-        let sequence = report.sequence as u16;
+        let sequence = report.sequence;
         let heard_at = self.loads.get(&tag).map(|heard| heard.at);
         let is_due = self
             .watches
--- a/bergamotshift-fleet/src/kernel/receive.rs
+++ b/bergamotshift-fleet/src/kernel/receive.rs
@@ -1,6 +1,7 @@
 //! Frames from other entries.
 
 use core::net::SocketAddr;
+use core::time::Duration;
 
 use bergamotshift_core::clock::Instant;
 use bergamotshift_core::key;
@@ -133,7 +134,7 @@
             Item::Note(note) => self.learn_note(now, note, origin, out),
             Item::Term(term) => self.learn_term(now, term, origin),
             passing => {
-                if self.learn_passing(now, &passing, origin) {
+                if self.learn_passing(now, &passing, origin, out) {
                     self.queue.push(now, passing, self.settings.sends_passing);
                 } else {
                     self.queue.heard_again(&passing);
@@ -143,9 +144,9 @@
     }
 
     /// Takes a passing figure in and returns whether it is news.
-    fn learn_passing(&mut self, now: Instant, item: &Item, origin: Origin) -> bool {
+    fn learn_passing(&mut self, now: Instant, item: &Item, origin: Origin, out: &mut Vec<Action>) -> bool {
         match item {
-            Item::Load(load) => origin != Origin::Far && self.learn_load(now, load),
+            Item::Load(load) => origin != Origin::Far && self.learn_load(now, load, out),
             Item::Use(usage) => !(origin == Origin::Far && item.is_local()) && self.usage.merge(usage),
             Item::Beat(beat) => self.learn_beat(now, beat),
             Item::Summary(summary) => self.learn_summary(now, *summary),
@@ -153,18 +154,28 @@
         }
     }
 
-    fn learn_load(&mut self, now: Instant, news: &load::Load) -> bool {
+    fn learn_load(&mut self, now: Instant, news: &load::Load, out: &mut Vec<Action>) -> bool {
+        /// A lower sequence after this much silence is a count that began anew, not an old report.
+        const RESTART: Duration = Duration::from_secs(30);
         let known = self.loads.get(&news.endpoint);
-        if known.is_some_and(|known| !load::is_newer(news.sequence, known.sequence)) {
+        let is_old = |known: &Heard| news.sequence <= known.sequence && now.since(known.at) < RESTART;
+        if known.is_some_and(is_old) {
             return false;
         }
-        let age = core::time::Duration::from_millis(u64::from(news.age_ds) * 100);
+        let age = Duration::from_millis(u64::from(news.age_ds) * 100);
         let heard = Heard {
             sequence: news.sequence,
             level: news.level,
             at: now - age,
         };
         self.loads.insert(news.endpoint, heard);
+        if let Some(known) = self.directory.tagged(news.endpoint) {
+            out.push(Action::Loaded {
+                endpoint: known.id.clone(),
+                report: news.level.report(news.sequence),
+                age,
+            });
+        }
         true
     }
 
--- a/bergamotshift-fleet/src/kernel/speak.rs
+++ b/bergamotshift-fleet/src/kernel/speak.rs
@@ -103,6 +103,19 @@
         partners
     }
 
+    /// Returns some speakers of each other zone, by this entry's own tag so that the load of many is spread.
+    pub(super) fn some_speakers_of_each_zone(&self) -> Vec<key::Entry> {
+        let own = &self.me.zone;
+        let others = self.speakers.by_zone.iter().filter(|(zone, _)| *zone != own);
+        others
+            .flat_map(|(_, speakers)| {
+                let first = self.tag.get() as usize;
+                let wanted = Self::PARTNERS.min(speakers.len());
+                (0..wanted).map(move |step| speakers[(first.wrapping_add(step)) % speakers.len()])
+            })
+            .collect()
+    }
+
     /// Probes the next zone, when this entry is a speaker.
     pub(super) fn probe_zone(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.refresh_speakers();
--- a/bergamotshift-fleet/src/kernel/sync.rs
+++ b/bergamotshift-fleet/src/kernel/sync.rs
@@ -34,6 +34,7 @@
             .filter(|listing| listing.role == vm::Role::Entry)
             .map(|listing| listing.address)
             .collect();
+        self.bury_unlisted(now, list, out);
         for listing in list {
             let vm::State::Leaving { notice_ms } = listing.state else {
                 continue;
@@ -50,6 +51,39 @@
         }
     }
 
+    /// Declares members of a lost zone dead that the VM list no longer shows.
+    ///
+    /// Only a zone's own members notice each other's deaths. When all of them are gone at once nobody is left to say
+    /// so. The list alone is no proof, since it lags and may show no entries at all; silence alone is none either,
+    /// since the zone may only be cut off. Both together, three lists in a row, are.
+    fn bury_unlisted(&mut self, now: Instant, list: &[vm::Listing], out: &mut Vec<Action>) {
+        const LISTS: u8 = 3;
+        let shown: std::collections::BTreeSet<&str> = list
+            .iter()
+            .filter(|listing| listing.role == vm::Role::Entry)
+            .map(|listing| listing.name.as_str())
+            .collect();
+        if shown.is_empty() {
+            self.unlisted.clear();
+            return;
+        }
+        let missing: Vec<key::Entry> = self
+            .members
+            .iter()
+            .filter(|(_, record)| record.is_live() && !shown.contains(record.name.as_str()))
+            .filter(|(_, record)| self.reach(now, &record.zone) == zone::Reach::Lost)
+            .map(|(key, _)| key)
+            .collect();
+        self.unlisted.retain(|key, _| missing.contains(key));
+        for key in missing {
+            let lists = self.unlisted.entry(key).or_default();
+            *lists += 1;
+            if *lists >= LISTS {
+                self.declare_dead(now, key, out);
+            }
+        }
+    }
+
     /// Asks seeds and listed entries that are no members yet; all of them while alone, else one now and then.
     pub(super) fn join(&mut self, out: &mut Vec<Action>) {
         /// One in this many seconds: halves of a fleet that were started apart have to find each other.
--- a/bergamotshift-fleet/src/load/mod.rs
+++ b/bergamotshift-fleet/src/load/mod.rs
@@ -78,8 +78,8 @@
 pub struct Load {
     /// The endpoint.
     pub endpoint: tag::Short,
-    /// Counts the endpoint's reports, modulo 2^16.
-    pub sequence: u16,
+    /// Counts the endpoint's reports.
+    pub sequence: u64,
     /// What it reports.
     pub level: Level,
     /// Age of the report in tenths of a second, at most 25.5 s.
--- a/bergamotshift-fleet/tests/partition.rs
+++ b/bergamotshift-fleet/tests/partition.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bergamotshift_core::clock::Instant;
+use bergamotshift_core::vm;
 use bergamotshift_fleet::member::State;
 use bergamotshift_fleet::prelude::*;
 use support::Faults;
@@ -142,6 +143,49 @@
     assert!(fleet.has_converged());
 }
 
+#[test]
+fn a_zone_that_died_whole_is_buried_by_the_vm_list() {
+    // All entries of a zone die at once and without a word, so nobody of the zone is left to notice. Cut off they would
+    // look the same: as long as the VM list shows them, they stay members. Once it does not, they are dead.
+    let mut fleet = warm(MIDDLE, 7);
+    let victims: Vec<usize> = (0..MIDDLE.entries).filter(|index| index % 4 == 3).collect();
+    for &victim in &victims {
+        fleet.kill(victim);
+    }
+    let entries: Vec<vm::Listing> = (0..MIDDLE.entries).map(|index| entry_listing(&fleet, index)).collect();
+    let alive: Vec<vm::Listing> = entries
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| index % 4 != 3)
+        .map(|(_, listing)| listing.clone())
+        .collect();
+    let mut read = |list: &[vm::Listing]| {
+        for _ in 0..4 {
+            for node in 0..MIDDLE.entries {
+                fleet.event(node, Event::Listed(list.to_vec()));
+            }
+            fleet.run(Duration::from_secs(20));
+        }
+        fleet.has_converged()
+    };
+    assert!(!read(&entries));
+    assert!(read(&alive));
+}
+
+fn entry_listing(fleet: &Fleet, index: usize) -> vm::Listing {
+    let me = fleet.nodes[index].kernel.me();
+    vm::Listing {
+        name: me.name.as_str().into(),
+        incarnation: me.incarnation,
+        address: me.address,
+        zone: me.zone.clone(),
+        class: "small".into(),
+        market: vm::Market::Reclaimable,
+        role: vm::Role::Entry,
+        state: vm::State::Live,
+    }
+}
+
 #[test]
 fn two_halves_of_one_zone_find_each_other_again() {
     // A switch inside a zone fails: each half calls the other dead, rightly from where it stands. Nobody probes the
--- a/bergamotshift-fleet/tests/pause.rs
+++ b/bergamotshift-fleet/tests/pause.rs
@@ -136,6 +136,31 @@
     assert_eq!(fleet.false_deaths(), 0);
 }
 
+#[test]
+fn a_zone_that_leaves_at_once_is_missed_nowhere() {
+    // A whole zone is reclaimed and all of its entries say goodbye in the same instant, then end. Nobody of the zone is
+    // left to pass it on, so each goodbye has to cross into the other zones by itself, under loss too.
+    for (seed, zones) in [(52, 4), (53, 8)] {
+        let shape = Shape {
+            entries: 32,
+            zones,
+            ..Shape::TODAY
+        };
+        let mut fleet = warm(shape, seed);
+        fleet.faults.loss = 0.05;
+        let leaving: Vec<usize> = (0..shape.entries).filter(|index| index % zones == 1).collect();
+        for &node in &leaving {
+            fleet.event(node, Event::Leave);
+        }
+        fleet.run(Duration::from_millis(20));
+        for &node in &leaving {
+            fleet.kill(node);
+        }
+        let took = fleet.run_while_not(Duration::from_secs(10), Fleet::has_converged);
+        assert!(took.is_some(), "some entry still counts on the zone that left");
+    }
+}
+
 #[test]
 fn a_goodbye_is_final_and_quick() {
     // An entry that leaves on purpose says so; nobody waits for a probe to fail. Late news that it lives changes
