feat(link): deliver a frame and wait until the peer has it

Cause: a process that ends right after queueing its goodbye loses it. A stream's acknowledgement shows that it arrived. Ruled out: waiting a fixed time before the end.

--- a/bergamotshift-link/src/node/mod.rs
+++ b/bergamotshift-link/src/node/mod.rs
@@ -43,6 +43,9 @@
     /// No whole answer came.
     #[error("no whole answer came: {0}")]
     Read(#[from] quinn::ReadToEndError),
+    /// The peer ended the stream before it had everything.
+    #[error("the peer went away: {0}")]
+    Stopped(#[from] quinn::StoppedError),
     /// The answer took too long.
     #[error("no answer came in time")]
     Timeout,
@@ -156,6 +159,16 @@
         self.peers.send(to, way, bytes);
     }
 
+    /// Sends a frame and waits until the peer has it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer does not acknowledge it in time.
+    pub async fn deliver(&self, to: SocketAddr, bytes: &[u8], within: Duration) -> Result<(), Error> {
+        let delivering = self.peers.deliver(to, bytes);
+        tokio::time::timeout(within, delivering).await.or(Err(Error::Timeout))?
+    }
+
     /// Asks a peer and waits for its answer.
     ///
     /// # Errors
--- a/bergamotshift-link/src/node/peers.rs
+++ b/bergamotshift-link/src/node/peers.rs
@@ -112,6 +112,15 @@
         });
     }
 
+    pub(super) async fn deliver(self: &Arc<Self>, to: SocketAddr, bytes: &[u8]) -> Result<(), Error> {
+        let connection = self.connection(to).await?;
+        let mut stream = connection.open_uni().await?;
+        stream.write_all(bytes).await?;
+        drop(stream.finish());
+        stream.stopped().await?;
+        Ok(())
+    }
+
     pub(super) async fn ask(self: &Arc<Self>, to: SocketAddr, question: &[u8]) -> Result<Vec<u8>, Error> {
         let connection = self.connection(to).await?;
         let (mut out, mut back) = connection.open_bi().await?;
