feat(entry): take part in the fleet

Cause: each entry knew only what its own VM list and probes showed. Tests over loopback with real daemons: a stranger stays outside; a notice that one entry reads stops work at another whose list lags; a sent call is found once from an entry that never heard of it; keepers that leave hand on. Left: the exchange does not yet make parcels of its open requests, nor ask for one when a caller comes back.

--- a/bergamotshift-entry/src/admin/mod.rs
+++ b/bergamotshift-entry/src/admin/mod.rs
@@ -32,6 +32,7 @@
         "/readyz" => reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/metrics" => metrics(&shared),
         "/status" => status(&shared).await,
+        "/peers" => peers(&shared).await,
         _ => reply::text(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
@@ -52,6 +53,19 @@
     }
 }
 
+/// Shows the fleet as this entry sees it.
+async fn peers(shared: &Shared) -> Response {
+    let Some(peers) = shared.peers.get() else {
+        return reply::text(StatusCode::NOT_FOUND, "this entry stands alone\n");
+    };
+    let (answer, status) = oneshot::channel();
+    peers.send(crate::peers::Request::Status(answer));
+    match status.await {
+        Ok(status) => Response::build(StatusCode::OK).json(&status),
+        Err(_) => reply::text(StatusCode::SERVICE_UNAVAILABLE, "the entry is ending\n"),
+    }
+}
+
 async fn status(shared: &Shared) -> Response {
     let (answer, status) = oneshot::channel();
     shared.control.send(control::Request::Status(answer));
--- a/bergamotshift-entry/src/control/mod.rs
+++ b/bergamotshift-entry/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod faults;
 mod fleet;
+mod peers;
 mod state;
 
 use std::sync::Arc;
@@ -55,6 +56,14 @@
     Request(Request),
     /// Something that a watching task saw.
     Seen(watch::Event),
+    /// Something that another entry said.
+    Told(crate::peers::Event),
+}
+
+impl From<crate::peers::Event> for Message {
+    fn from(event: crate::peers::Event) -> Self {
+        Self::Told(event)
+    }
 }
 
 impl Message {
@@ -69,6 +78,7 @@
             Self::Seen(watch::Event::Listed(_)) => "listed",
             Self::Seen(watch::Event::Noticed(_)) => "noticed",
             Self::Seen(watch::Event::Probed { .. }) => "probed",
+            Self::Told(_) => "told",
         }
     }
 }
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -3,6 +3,7 @@
 use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -18,6 +19,7 @@
 use bergamotshift_endpoint::adapter::Adapter;
 use bergamotshift_endpoint::answer::Failure;
 use bergamotshift_endpoint::call::Target;
+use bergamotshift_fleet::mark;
 use bergamotshift_limit::quarantine;
 use bergamotshift_limit::quarantine::Death;
 use bergamotshift_limit::quarantine::Quarantine;
@@ -46,7 +48,7 @@
 
 /// How soon the next snapshot is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
+pub(super) enum Due {
     /// Nothing changed.
     Never,
     /// Readings changed; the next tick will do.
@@ -58,14 +60,16 @@
 /// Everything the control thread knows.
 #[derive(Debug)]
 pub struct State {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
     sender: Sender,
     adapters: BTreeMap<SmolStr, Rc<dyn Adapter>>,
     config: Arc<Config>,
     /// The accepted version in force; none when the configuration was given to the process.
     version: Option<Version>,
-    fleet: Fleet,
-    quarantine: Quarantine,
+    pub(super) fleet: Fleet,
+    pub(super) quarantine: Quarantine,
+    /// The endpoints that this entry watches for the others.
+    pub(super) watched: BTreeSet<bergamotshift_fleet::endpoint::Id>,
     sharing: sharing::Control,
     budgets: BTreeMap<name::Service, (Retry, Arc<retry::Budget>)>,
     census: Census,
@@ -89,6 +93,7 @@
             fleet,
             quarantine,
             sharing: sharing::Control::new(Vec::new()),
+            watched: BTreeSet::new(),
             budgets: BTreeMap::new(),
             census: Census::new(),
             number: 0,
@@ -110,8 +115,19 @@
             Message::Request(Request::Stop) => return false,
             Message::Seen(Event::Tick) => self.tick(),
             Message::Seen(Event::Configured { mark, config }) => self.configure(mark, config),
-            Message::Seen(Event::Listed(listings)) => listings.iter().for_each(|vm| self.listed(vm)),
-            Message::Seen(Event::Noticed(notices)) => notices.iter().for_each(|notice| self.listed(&notice.vm)),
+            Message::Seen(Event::Listed(listings)) => {
+                self.tell_list(&listings);
+                for vm in &listings {
+                    self.listed(vm);
+                }
+            }
+            Message::Seen(Event::Noticed(notices)) => {
+                for notice in &notices {
+                    self.tell_notice(&notice.vm);
+                    self.listed(&notice.vm);
+                }
+            }
+            Message::Told(event) => self.told(event),
             Message::Seen(Event::Probed {
                 endpoint,
                 report,
@@ -226,7 +242,7 @@
         self.version.is_some() || !self.shared.settings.follows()
     }
 
-    fn due(&mut self, due: Due) {
+    pub(super) fn due(&mut self, due: Due) {
         self.due = self.due.max(due);
     }
 
@@ -234,8 +250,9 @@
         let now = self.shared.now();
         let interval = self.shared.settings.watch.reports;
         let mut asked = Vec::new();
+        let others = self.left_to_others();
         for known in self.fleet.known.values_mut() {
-            if !known.asked && known.due <= now {
+            if !known.asked && known.due <= now && !others.contains(&known.endpoint.vm) {
                 known.asked = true;
                 known.due = now + interval;
                 asked.push(Arc::clone(&known.endpoint));
@@ -319,8 +336,10 @@
         if report.leaving && self.fleet.leave(endpoint) {
             info!(self.shared.settings.logger, "endpoint says that it leaves"; endpoint);
             self.announced(endpoint);
+            self.tell_leaving(endpoint, mark::Source::Endpoint, None);
             self.due(Due::Now);
         }
+        self.tell_load(endpoint, report);
         self.regain(endpoint);
         let key = self.fleet.find(endpoint).and_then(|known| known.key);
         if let Some(key) = key {
@@ -344,7 +363,7 @@
         row.map_or(0, |row| row.counter().mark().finished)
     }
 
-    fn announced(&mut self, endpoint: &Endpoint) {
+    pub(super) fn announced(&mut self, endpoint: &Endpoint) {
         let victim = self.fleet.find(endpoint).map(|known| known.victim());
         if let Some(victim) = victim {
             self.quarantine.announce(self.shared.now(), victim);
@@ -368,6 +387,7 @@
         }
         self.quarantine.died(self.shared.now(), death);
         self.tell_suspicion(endpoint, fingerprint);
+        self.share_suspicions();
         self.due(Due::Now);
         if !news {
             return;
--- a/bergamotshift-entry/src/daemon/handle.rs
+++ b/bergamotshift-entry/src/daemon/handle.rs
@@ -4,6 +4,7 @@
 use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::sync::Arc;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Instant;
 
@@ -11,12 +12,17 @@
 use slog::warn;
 
 use super::server::Stop;
+use crate::admin::status::Status;
 use crate::control;
+use crate::peers;
 use crate::worker::Shared;
 
 /// The time between two looks at whether requests are still being served.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// How long the goodbye to the other entries may take.
+const GOODBYE: Duration = Duration::from_secs(2);
+
 /// How a drain ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Drained {
@@ -57,6 +63,18 @@
         self.operators
     }
 
+    /// Returns how the entry stands, or nothing when it is ending.
+    pub async fn status(&self) -> Option<Status> {
+        let (answer, status) = tokio::sync::oneshot::channel();
+        self.shared.control.send(control::Request::Status(answer));
+        status.await.ok()
+    }
+
+    /// Returns what reaches the other entries, when this one takes part in a fleet.
+    pub fn peers(&self) -> Option<&peers::Sender> {
+        self.shared.peers.get()
+    }
+
     /// Ends the entry without cutting a request, for as long as the grace lasts; blocks until it has ended.
     ///
     /// Readiness goes first, so that the balancer sends no new callers. Those that come all the same are served for
@@ -80,11 +98,21 @@
         if cut > 0 {
             warn!(logger, "the grace is over"; "cut" => cut);
         }
+        self.say_goodbye();
         self.end();
         info!(logger, "drained"; "cut" => cut);
         Drained { cut }
     }
 
+    /// Tells the other entries that this one leaves, and hands on what it keeps for others.
+    fn say_goodbye(&self) {
+        let Some(peers) = self.peers() else { return };
+        let (done, told) = mpsc::channel();
+        peers.send(peers::Request::Leave(done));
+        // A part that has ended drops the channel; the bound is for one that hangs, since the VM goes anyway.
+        let _ = told.recv_timeout(GOODBYE);
+    }
+
     /// Waits until the entry has ended.
     pub fn join(mut self) {
         for thread in [self.server.take(), self.control.take()].into_iter().flatten() {
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::mpsc;
 use std::thread;
 use std::time;
@@ -44,6 +45,7 @@
 use crate::observe::Metrics;
 use crate::observe::Traces;
 use crate::observe::trace;
+use crate::peers;
 use crate::settings::Settings;
 use crate::snapshot::Publisher;
 use crate::snapshot::Snapshot;
@@ -88,6 +90,9 @@
     /// Traces cannot be sent.
     #[error(transparent)]
     Traces(#[from] trace::Error),
+    /// The link to the other entries cannot be opened.
+    #[error("cannot take part in the fleet: {0}")]
+    Peers(#[from] bergamotshift_link::node::Error),
     /// A thread cannot be started.
     #[error("cannot start a thread: {0}")]
     Thread(#[source] io::Error),
@@ -125,6 +130,7 @@
             control: sender,
             metrics: Metrics::new(),
             reports: Reports::default(),
+            peers: OnceLock::new(),
             traces,
             certificate,
             policy,
@@ -179,6 +185,11 @@
                 Err(error) => return drop(started.send(Err(error.into()))),
             };
             let duties = duties::task::run(Arc::clone(&shared), platform.clone(), adapters.clone());
+            match peers::start(&shared) {
+                Ok(Some(sender)) => drop(shared.peers.set(sender)),
+                Ok(None) => {}
+                Err(error) => return drop(started.send(Err(error.into()))),
+            }
             let mut state = State::new(Arc::clone(&shared), adapters, config);
             state.publish_now();
             drop(started.send(Ok(())));
--- a/bergamotshift-entry/src/lib.rs
+++ b/bergamotshift-entry/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod duties;
 pub mod exchange;
 pub mod observe;
+pub mod peers;
 pub mod settings;
 pub mod sharing;
 pub mod snapshot;
--- /dev/null
+++ b/bergamotshift-entry/src/peers/driver.rs
@@ -0,0 +1,224 @@
+//! Carries the fleet kernel's actions out.
+
+use core::net::SocketAddr;
+use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_fleet::handover::Answer;
+use bergamotshift_fleet::handover::Keeper;
+use bergamotshift_fleet::handover::Question;
+use bergamotshift_fleet::kernel::Action;
+use bergamotshift_fleet::kernel::Event as Input;
+use bergamotshift_fleet::kernel::Kernel;
+use bergamotshift_fleet::member;
+use bergamotshift_link::identity::Identity;
+use bergamotshift_link::node::Error;
+use bergamotshift_link::node::Incoming;
+use bergamotshift_link::node::Node;
+use futures_util::future::join_all;
+use rand::SeedableRng;
+use rand::rngs::SysRng;
+use rand_pcg::Pcg64Mcg;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+
+use super::Event;
+use super::Request;
+use super::Settings;
+use super::handover;
+use crate::worker::Shared;
+
+/// Drives one kernel over one link.
+#[derive(Debug)]
+pub(super) struct Driver {
+    pub(super) shared: Arc<Shared>,
+    pub(super) kernel: Kernel,
+    pub(super) node: Node,
+    pub(super) keeper: Keeper,
+    incoming: mpsc::Receiver<Incoming>,
+    requests: mpsc::UnboundedReceiver<Request>,
+}
+
+impl Driver {
+    pub(super) fn new(
+        shared: &Arc<Shared>,
+        settings: &Settings,
+        requests: mpsc::UnboundedReceiver<Request>,
+    ) -> Result<Self, Error> {
+        let credentials = &settings.credentials;
+        let identity = Identity::from_pem(&credentials.chain, &credentials.key, &credentials.authority)?;
+        let link = bergamotshift_link::node::Settings {
+            listen: settings.listen,
+            ..Default::default()
+        };
+        let (node, incoming) = Node::bind(&link, &identity, shared.settings.logger.clone())?;
+        let me = member::Record {
+            name: shared.settings.name.clone(),
+            incarnation: settings.incarnation.unwrap_or_else(started),
+            version: 0,
+            state: member::State::Alive,
+            address: node.address()?,
+            zone: shared.settings.zone.clone(),
+        };
+        let fleet = bergamotshift_fleet::settings::Settings {
+            seeds: settings.seeds.clone(),
+            ..settings.fleet.clone()
+        };
+        let random = Pcg64Mcg::try_from_rng(&mut SysRng).map_err(std::io::Error::other)?;
+        Ok(Self {
+            kernel: Kernel::new(shared.now(), me, fleet, random),
+            shared: Arc::clone(shared),
+            node,
+            keeper: Keeper::default(),
+            incoming,
+            requests,
+        })
+    }
+
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.kernel.me().address
+    }
+
+    /// Runs until the entry ends. Nothing in it waits for another entry, so that no probe goes unanswered meanwhile.
+    pub(super) async fn run(mut self) {
+        loop {
+            let wait = self.kernel.due().since(self.shared.now());
+            tokio::select! {
+                request = self.requests.recv() => match request {
+                    Some(request) => self.take(request),
+                    None => break,
+                },
+                incoming = self.incoming.recv() => match incoming {
+                    Some(incoming) => self.arrived(incoming),
+                    None => break,
+                },
+                () = tokio::time::sleep(wait) => self.feed(Input::Tick),
+            }
+        }
+        self.node.close().await;
+    }
+
+    /// Gives the kernel an event and carries out what follows.
+    fn feed(&mut self, event: Input) {
+        let mut actions = Vec::new();
+        self.kernel.handle(self.shared.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let event = match action {
+            Action::Send { to, way, bytes } => return self.node.send(to, way, bytes),
+            Action::Member(record) => {
+                let logger = &self.shared.settings.logger;
+                return info!(logger, "member"; "entry" => record.name.as_str(), "state" => ?record.state);
+            }
+            Action::Paused { gap } => {
+                warn!(self.shared.settings.logger, "this entry was paused"; "gap_ms" => gap.as_millis());
+                self.keeper.clear();
+                Event::Paused(gap)
+            }
+            Action::Superseded => Event::Superseded,
+            Action::Watch(endpoint) => Event::Watching(endpoint, true),
+            Action::Unwatch(endpoint) => Event::Watching(endpoint, false),
+            Action::Marked(mark) => Event::Marked(mark),
+            Action::Noted { note, origin } => Event::Noted { note, origin },
+            Action::Loaded { endpoint, report, age } => Event::Loaded { endpoint, report, age },
+        };
+        self.shared.control.send(event);
+    }
+
+    fn take(&mut self, request: Request) {
+        match request {
+            Request::Listed(list) => self.feed(Input::Listed(list)),
+            Request::Leaving {
+                endpoint,
+                source,
+                notice_ms,
+            } => self.feed(Input::Leaving {
+                endpoint,
+                source,
+                notice_ms,
+            }),
+            Request::Loaded { endpoint, report } => self.feed(Input::Loaded { endpoint, report }),
+            Request::Used { organisation, rate } => self.feed(Input::Used { organisation, rate }),
+            Request::Announce {
+                topic,
+                key,
+                version,
+                body,
+            } => self.feed(Input::Announced {
+                topic,
+                key,
+                version,
+                body,
+            }),
+            Request::Status(answer) => drop(answer.send(self.kernel.status(self.shared.now()))),
+            Request::Keep { parcel, answer } => self.keep(&parcel, answer),
+            Request::Find { key, answer } => self.find(key, answer),
+            Request::Finish(key) => self.finish(&key),
+            Request::Leave(done) => self.leave(done),
+        }
+    }
+
+    /// Says goodbye and hands on what is kept here; all of it has arrived when `done` hears of it.
+    ///
+    /// Failure: the process ends while its goodbye still waits in a queue. Symptom: the others go on to ask it, and
+    /// where it was its zone's only entry nobody else can tell that it died. So the goodbye waits for acknowledgements.
+    fn leave(&mut self, done: std::sync::mpsc::Sender<()>) {
+        let parcels = self.keeper.drain(self.shared.now());
+        let asking: Vec<handover::Asking> = parcels.iter().flat_map(|parcel| self.put(parcel)).collect();
+        let mut actions = Vec::new();
+        self.kernel.handle(self.shared.now(), Input::Leave, &mut actions);
+        let mut goodbyes = Vec::new();
+        for action in actions {
+            if let Action::Send { to, bytes, .. } = action {
+                goodbyes.push(handover::deliver(self.node.clone(), to, bytes));
+            } else {
+                self.act(action);
+            }
+        }
+        ntex::rt::spawn(async move {
+            futures_util::future::join(join_all(asking), join_all(goodbyes)).await;
+            let _ = done.send(());
+        })
+        .detach();
+    }
+
+    fn arrived(&mut self, incoming: Incoming) {
+        match incoming {
+            Incoming::Frame { from, bytes } => self.feed(Input::Received { from, bytes }),
+            Incoming::Question { bytes, answer, .. } => {
+                let said = self.answer(&bytes);
+                drop(answer.send(said.encode()));
+            }
+        }
+    }
+
+    /// Answers another entry's question.
+    fn answer(&mut self, question: &[u8]) -> Answer {
+        // The pause is noticed first: a keeper that was away must not give away what it held.
+        self.feed(Input::Tick);
+        let now = self.shared.now();
+        match Question::decode(question) {
+            Ok(Question::Put(parcel)) => self.keeper.put(now, *parcel).into(),
+            Ok(Question::Take { key, by }) => self.keeper.take(now, &key, &by).into(),
+            Ok(Question::Finish(key)) => {
+                self.keeper.finish(&key);
+                Answer::Done
+            }
+            Ok(Question::Fetch { .. }) => Answer::Missing,
+            Err(_) => Answer::Unknown,
+        }
+    }
+}
+
+/// Returns this life's number: the time of its start, which grows from one life to the next.
+fn started() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation::new(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- a/bergamotshift-entry/src/settings/mod.rs
+++ b/bergamotshift-entry/src/settings/mod.rs
@@ -19,6 +19,7 @@
 use smol_str::SmolStr;
 
 use crate::duties;
+use crate::peers;
 use crate::tls;
 
 /// Where the platform's services listen; one that is missing is not used.
@@ -135,6 +136,8 @@
     pub quarantine: quarantine::Settings,
     /// How long new requests are still taken after a drain began, while the balancer learns of it.
     pub settle: Duration,
+    /// How the entry takes part in the fleet; without it, it stands alone.
+    pub peers: Option<peers::Settings>,
     /// Where traces go; without it none are made.
     pub otlp: Option<traces::Settings>,
     /// Where log records go.
@@ -161,6 +164,7 @@
             duties: duties::Settings::default(),
             quarantine: quarantine::Settings::default(),
             settle: Duration::from_millis(500),
+            peers: None,
             otlp: None,
             logger: Logger::root(slog::Discard, o!()),
         }
--- a/bergamotshift-entry/src/worker/mod.rs
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time;
 
 use bergamotshift_core::attempt;
@@ -31,6 +32,7 @@
 use crate::control::Sender;
 use crate::observe::Metrics;
 use crate::observe::Traces;
+use crate::peers;
 use crate::settings::Settings;
 use crate::snapshot::Publisher;
 use crate::snapshot::Reader;
@@ -56,6 +58,8 @@
     pub metrics: Metrics,
     /// What parts of the entry report for its status.
     pub reports: Reports,
+    /// Reaches the other entries, when this one takes part in a fleet.
+    pub peers: OnceLock<peers::Sender>,
     /// The traces, when they are wanted.
     pub traces: Option<Traces>,
     /// What callers meet over TLS, when they do.
--- /dev/null
+++ b/bergamotshift-entry/tests/peers.rs
@@ -0,0 +1,303 @@
+//! Entries that form a fleet over real sockets.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use bergamotshift_config::folder;
+use bergamotshift_core::attempt;
+use bergamotshift_core::prelude::*;
+use bergamotshift_core::vm;
+use bergamotshift_core::vm::Listing;
+use bergamotshift_entry::Daemon;
+use bergamotshift_entry::Handle;
+use bergamotshift_entry::Settings;
+use bergamotshift_entry::admin::status;
+use bergamotshift_entry::peers;
+use bergamotshift_entry::peers::Credentials;
+use bergamotshift_entry::peers::Found;
+use bergamotshift_entry::peers::Request;
+use bergamotshift_entry::settings::Platform;
+use bergamotshift_entry::settings::Watch;
+use bergamotshift_fleet::handover::Key;
+use bergamotshift_fleet::handover::Parcel;
+use bergamotshift_fleet::handover::Progress;
+use bergamotshift_fleet::kernel::Status;
+use bergamotshift_fleet::member::State;
+use bergamotshift_link::identity::SERVER_NAME;
+use bergamotshift_standin::vms;
+use rcgen::BasicConstraints;
+use rcgen::CertificateParams;
+use rcgen::CertifiedIssuer;
+use rcgen::IsCa;
+use rcgen::KeyPair;
+use tokio::sync::oneshot;
+
+const CONFIG: &str = r#"
+[[zone]]
+name = "zone-a"
+region = "region"
+[[zone]]
+name = "zone-b"
+region = "region"
+[[zone]]
+name = "zone-c"
+region = "region"
+[[class]]
+name = "small"
+price_reclaimable = 1
+price_on_demand = 3
+[[service]]
+name = "app"
+kind = "plain"
+adapter = "http"
+path = "/app"
+workers = 1
+classes = ["small"]
+"#;
+
+/// A private authority.
+struct Authority(CertifiedIssuer<'static, KeyPair>);
+
+impl Authority {
+    fn new() -> Self {
+        let mut params = CertificateParams::default();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        Self(CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap())
+    }
+
+    fn issue(&self) -> Credentials {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new([SERVER_NAME.to_owned()]).unwrap();
+        let certificate = params.signed_by(&key, &self.0).unwrap();
+        Credentials {
+            chain: certificate.pem().into_bytes().into(),
+            key: key.serialize_pem().into_bytes().into(),
+            authority: self.0.pem().into_bytes().into(),
+        }
+    }
+}
+
+/// Starts an entry of the fleet in its own zone.
+fn start(letter: &str, credentials: Credentials, seed: Option<&Handle>, platform: Option<&vms::Server>) -> Handle {
+    let seeds = seed.and_then(Handle::peers).map(peers::Sender::address);
+    let fleet = bergamotshift_fleet::settings::Settings {
+        period: Duration::from_millis(200),
+        retry_after: Duration::from_millis(80),
+        cross_period: Duration::from_millis(200),
+        ..Default::default()
+    };
+    let settings = Settings {
+        name: name::Entry::new(format!("entry-{letter}")),
+        zone: name::Zone::new(format!("zone-{letter}")),
+        threads: 1,
+        config: Some(Arc::new(folder::parse(&[("site.toml", CONFIG)]).unwrap())),
+        platform: Platform {
+            vms: platform.map(vms::Server::address),
+            ..Platform::default()
+        },
+        watch: Watch {
+            list: Duration::from_millis(50),
+            notices: Duration::from_millis(10),
+            ..Watch::default()
+        },
+        peers: Some(peers::Settings {
+            seeds: seeds.into_iter().collect(),
+            credentials,
+            fleet,
+            ..peers::Settings::default()
+        }),
+        settle: Duration::ZERO,
+        ..Settings::default()
+    };
+    Daemon::start(settings).unwrap()
+}
+
+async fn fleet(entry: &Handle) -> Status {
+    let (answer, status) = oneshot::channel();
+    entry.peers().unwrap().send(Request::Status(answer));
+    status.await.unwrap()
+}
+
+/// Looks until the entry holds so many members for alive.
+async fn until_alive(entry: &Handle, count: usize) {
+    loop {
+        let members = fleet(entry).await.members;
+        if members.iter().filter(|member| member.state == State::Alive).count() == count {
+            return;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn until_formed(entries: &[&Handle]) {
+    for entry in entries {
+        until_alive(entry, entries.len()).await;
+    }
+}
+
+async fn endpoint(entry: &Handle, vm: &str) -> Option<status::Endpoint> {
+    let status = entry.status().await?;
+    status.endpoints.into_iter().find(|endpoint| endpoint.vm.as_str() == vm)
+}
+
+async fn find(entry: &Handle, key: &Key) -> Found {
+    let (answer, found) = oneshot::channel();
+    let key = key.clone();
+    entry.peers().unwrap().send(Request::Find { key, answer });
+    found.await.unwrap()
+}
+
+fn parcel() -> Parcel {
+    Parcel {
+        key: Key {
+            organisation: "acme".into(),
+            service: "app".into(),
+            text: "shift-7".into(),
+        },
+        attempt: attempt::Id::new(7),
+        hops: 0,
+        repeatable: false,
+        urgency: Urgency::Urgent,
+        left_ms: 60_000,
+        method: "POST".into(),
+        path: "/app/shifts".into(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        progress: Progress::Sent,
+    }
+}
+
+#[ntex::test]
+async fn entries_find_each_other_and_a_stranger_stays_outside() {
+    // The stranger knows a seed's address and has a certificate, but of another authority. The fleet of three must
+    // form while it tries, and neither side may ever list the other.
+    let authority = Authority::new();
+    let first = start("a", authority.issue(), None, None);
+    let stranger = start("x", Authority::new().issue(), Some(&first), None);
+    let second = start("b", authority.issue(), Some(&first), None);
+    let third = start("c", authority.issue(), Some(&first), None);
+    until_formed(&[&first, &second, &third]).await;
+    assert_eq!(fleet(&stranger).await.members.len(), 1);
+    for entry in [&first, &second, &third] {
+        let members = fleet(entry).await.members;
+        assert!(members.iter().all(|member| member.name.as_str() != "entry-x"));
+    }
+}
+
+#[ntex::test]
+async fn a_notice_that_one_entry_reads_reaches_entries_whose_list_lags() {
+    // Two entries read two copies of the VM list. Only the first copy ever gets the notice; the second shows the
+    // endpoint as live for good. The second entry must stop giving it work all the same, and never start again.
+    let listing = Listing {
+        name: "vm-1".into(),
+        incarnation: Incarnation::new(5),
+        address: ([127, 0, 0, 1], 9).into(),
+        zone: "zone-c".into(),
+        class: "small".into(),
+        market: Market::Reclaimable,
+        role: vm::Role::Endpoint("app".into()),
+        state: vm::State::Live,
+    };
+    let authority = Authority::new();
+    let fresh = vms::Server::start(vms::Settings::default()).unwrap();
+    let lagging = vms::Server::start(vms::Settings::default()).unwrap();
+    fresh.put(listing.clone());
+    lagging.put(listing.clone());
+    let first = start("a", authority.issue(), None, Some(&fresh));
+    let second = start("b", authority.issue(), Some(&first), Some(&lagging));
+    until_formed(&[&first, &second]).await;
+    while endpoint(&second, "vm-1").await.is_none() {}
+    assert!(
+        endpoint(&second, "vm-1")
+            .await
+            .is_some_and(|endpoint| !endpoint.leaving)
+    );
+
+    fresh.notice(Listing {
+        state: vm::State::Leaving { notice_ms: 5_000 },
+        ..listing
+    });
+    while endpoint(&second, "vm-1")
+        .await
+        .is_some_and(|endpoint| !endpoint.leaving)
+    {}
+    assert!(endpoint(&second, "vm-1").await.is_some_and(|endpoint| endpoint.leaving));
+}
+
+#[ntex::test]
+async fn a_request_that_was_handed_over_is_found_from_every_entry_once() {
+    // Entry a leaves and hands a sent, non-repeatable call over. Its caller comes back to d, which never heard of it,
+    // and then to b as well. It gets the one parcel, still marked as sent, and the second asker is told who has it.
+    let authority = Authority::new();
+    let leaving = start("a", authority.issue(), None, None);
+    let others: Vec<Handle> = ["b", "c", "d"]
+        .iter()
+        .map(|letter| start(letter, authority.issue(), Some(&leaving), None))
+        .collect();
+    until_formed(&[&leaving, &others[0], &others[1], &others[2]]).await;
+
+    let (answer, kept) = oneshot::channel();
+    leaving.peers().unwrap().send(Request::Keep {
+        parcel: Box::new(parcel()),
+        answer,
+    });
+    assert_eq!(kept.await, Ok(2));
+    let (leaving, drained) = drain(leaving).await;
+    assert_eq!(drained.cut, 0);
+    drop(leaving);
+    for entry in &others {
+        until_alive(entry, 3).await;
+    }
+
+    let key = parcel().key;
+    let Found::Parcel(found) = find(&others[2], &key).await else {
+        panic!("the request is lost");
+    };
+    assert_eq!(found.progress, Progress::Sent);
+    assert!(!found.may_send());
+    let again = find(&others[2], &key).await;
+    assert!(matches!(again, Found::Parcel(_)), "{again:?}");
+    let missing = Key {
+        organisation: "other".into(),
+        ..key
+    };
+    assert_eq!(find(&others[0], &missing).await, Found::Nowhere);
+}
+
+#[ntex::test]
+async fn a_keeper_that_leaves_hands_on_what_it_keeps() {
+    // The request's own entry is gone. Then its keepers leave one after the other, each handing on what it keeps, until
+    // one entry is left, and the caller comes back there.
+    let authority = Authority::new();
+    let first = start("a", authority.issue(), None, None);
+    let mut entries: Vec<Handle> = ["b", "c", "d"]
+        .iter()
+        .map(|letter| start(letter, authority.issue(), Some(&first), None))
+        .collect();
+    until_formed(&[&first, &entries[0], &entries[1], &entries[2]]).await;
+    let (answer, kept) = oneshot::channel();
+    first.peers().unwrap().send(Request::Keep {
+        parcel: Box::new(parcel()),
+        answer,
+    });
+    assert_eq!(kept.await, Ok(2));
+    drop(drain(first).await);
+    while entries.len() > 1 {
+        for entry in &entries {
+            until_alive(entry, entries.len()).await;
+        }
+        drop(drain(entries.remove(0)).await);
+    }
+    let found = find(&entries[0], &parcel().key).await;
+    assert!(matches!(found, Found::Parcel(_)), "{found:?}");
+}
+
+/// Drains an entry on a thread of its own, since draining blocks.
+async fn drain(entry: Handle) -> (Handle, bergamotshift_entry::daemon::Drained) {
+    let (done, drained) = oneshot::channel();
+    std::thread::spawn(move || {
+        let outcome = entry.drain(Duration::from_secs(5));
+        drop(done.send((entry, outcome)));
+    });
+    drained.await.unwrap()
+}
