fix(fleet): let no old load report travel for ever, and the second watcher step in

So copies of old reports passed for news again and again and took the room of new ones. Now a new count needs a report made 10 s later, and an age off the scale is refused. Found while reading: the second watcher took its own readings for the first one's and never stepped in. Ruled out: the new action for loads heard, which sends nothing.

--- a/bergamotshift-fleet/src/kernel/publish.rs
+++ b/bergamotshift-fleet/src/kernel/publish.rs
@@ -74,10 +74,7 @@
         let tag = endpoint.tag();
         let level = load::Level::of(report);
         let sequence = report.sequence;
-        let heard_at = self.loads.get(&tag).map(|heard| heard.at);
-        let is_due = self
-            .watches
-            .is_due(now, endpoint, level, heard_at, interval, Self::REPEAT);
+        let is_due = self.watches.is_due(now, endpoint, level, interval, Self::REPEAT);
         let heard = Heard {
             sequence,
             level,
@@ -87,7 +84,7 @@
         if !is_due {
             return;
         }
-        self.watches.set_published(now, endpoint, level);
+        self.watches.set_published(now, endpoint, level, sequence);
         let load = load::Load {
             endpoint: tag,
             sequence,
--- a/bergamotshift-fleet/src/kernel/receive.rs
+++ b/bergamotshift-fleet/src/kernel/receive.rs
@@ -155,18 +155,24 @@
     }
 
     fn learn_load(&mut self, now: Instant, news: &load::Load, out: &mut Vec<Action>) -> bool {
-        /// A lower sequence after this much silence is a count that began anew, not an old report.
-        const RESTART: Duration = Duration::from_secs(30);
+        /// A lower sequence in a report made this much later is a count that began anew.
+        const RESTART: Duration = Duration::from_secs(10);
+        // Ages end at this, so such a report could pass for a younger one from then on and travel for ever.
+        if news.age_ds == u8::MAX {
+            return false;
+        }
+        self.watches.set_heard(now, news.endpoint, news.sequence);
+        let age = Duration::from_millis(u64::from(news.age_ds) * 100);
+        let at = now - age;
         let known = self.loads.get(&news.endpoint);
-        let is_old = |known: &Heard| news.sequence <= known.sequence && now.since(known.at) < RESTART;
+        let is_old = |known: &Heard| news.sequence <= known.sequence && at < known.at + RESTART;
         if known.is_some_and(is_old) {
             return false;
         }
-        let age = Duration::from_millis(u64::from(news.age_ds) * 100);
         let heard = Heard {
             sequence: news.sequence,
             level: news.level,
-            at: now - age,
+            at,
         };
         self.loads.insert(news.endpoint, heard);
         if let Some(known) = self.directory.tagged(news.endpoint) {
--- a/bergamotshift-fleet/src/kernel/watch.rs
+++ b/bergamotshift-fleet/src/kernel/watch.rs
@@ -11,6 +11,7 @@
 use crate::endpoint;
 use crate::load;
 use crate::rendezvous;
+use crate::tag;
 
 /// Watchers per endpoint: the second one steps in when the first falls silent.
 const WATCHERS: usize = 2;
@@ -26,7 +27,16 @@
 #[derive(Clone, Copy, Debug)]
 struct Watch {
     is_first: bool,
-    published: Option<(Instant, load::Level)>,
+    published: Option<Published>,
+    /// When a report of the other watcher last arrived.
+    heard: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Published {
+    at: Instant,
+    level: load::Level,
+    sequence: u64,
 }
 
 impl Watches {
@@ -46,24 +56,36 @@
         now: Instant,
         endpoint: &endpoint::Id,
         level: load::Level,
-        heard: Option<Instant>,
         interval: Duration,
         repeat: u32,
     ) -> bool {
         let Some(watch) = self.by_endpoint.get(endpoint) else {
             return false;
         };
-        if !watch.is_first && heard.is_some_and(|at| now.since(at) < interval * (repeat + 2)) {
+        if !watch.is_first && watch.heard.is_some_and(|at| now.since(at) < interval * (repeat + 2)) {
             return false;
         }
-        let Some((at, told)) = watch.published else { return true };
-        let since = now.since(at);
-        (told != level && since >= interval) || since >= interval * repeat
+        let Some(published) = watch.published else { return true };
+        let since = now.since(published.at);
+        (published.level != level && since >= interval) || since >= interval * repeat
     }
 
-    pub(super) fn set_published(&mut self, now: Instant, endpoint: &endpoint::Id, level: load::Level) {
+    /// Notes that a report of an endpoint arrived; this entry's own ones come back too and say nothing.
+    pub(super) fn set_heard(&mut self, now: Instant, endpoint: tag::Short, sequence: u64) {
+        let watch = self.by_endpoint.iter_mut().find(|(id, _)| id.tag() == endpoint);
+        let Some((_, watch)) = watch else { return };
+        if watch.published.is_none_or(|published| published.sequence < sequence) {
+            watch.heard = Some(now);
+        }
+    }
+
+    pub(super) fn set_published(&mut self, now: Instant, endpoint: &endpoint::Id, level: load::Level, sequence: u64) {
         if let Some(watch) = self.by_endpoint.get_mut(endpoint) {
-            watch.published = Some((now, level));
+            watch.published = Some(Published {
+                at: now,
+                level,
+                sequence,
+            });
         }
     }
 }
@@ -96,6 +118,7 @@
                 Watch {
                     is_first,
                     published: None,
+                    heard: None,
                 }
             });
             watch.is_first = is_first;
--- a/bergamotshift-fleet/tests/support/build.rs
+++ b/bergamotshift-fleet/tests/support/build.rs
@@ -69,6 +69,7 @@
                 .map(|index| endpoint_listing(shape, index))
                 .collect(),
             organisations: shape.organisations,
+            deaf: BTreeSet::new(),
             zone_cuts: BTreeSet::new(),
             node_cuts: BTreeSet::new(),
             regions: (0..shape.zones)
--- a/bergamotshift-fleet/tests/support/mod.rs
+++ b/bergamotshift-fleet/tests/support/mod.rs
@@ -77,6 +77,8 @@
     pub traffic: Traffic,
     pub list: Vec<vm::Listing>,
     pub organisations: usize,
+    /// Entries that get no load reports.
+    pub deaf: BTreeSet<usize>,
     /// Cut directions, as (from zone, to zone).
     pub zone_cuts: BTreeSet<(usize, usize)>,
     /// Cut directions, as (from node, to node).
@@ -171,7 +173,9 @@
         if !self.is_running(node) {
             return;
         }
-        let watched: Vec<endpoint::Id> = self.nodes[node].kernel.watched().cloned().collect();
+        let is_deaf = self.deaf.contains(&node);
+        let watched = self.nodes[node].kernel.watched();
+        let watched: Vec<endpoint::Id> = watched.filter(|_| !is_deaf).cloned().collect();
         for endpoint in watched {
             let report = bergamotshift_core::load::Report {
                 sequence: self.now.as_micros() / 1_000_000,
