feat(entry): learn the configuration from peers, and show members to operators

Cause: a fresh entry with the platform down knew no organisation and turned all callers away. Test: the table and the store go down after a version is in force; an entry that starts then gets it from the one it joins and is ready. It first hung: news that went along with the first answer named an entry that the newcomer did not know yet, so it knew nobody to ask. A newcomer is told all in one frame, members first. Ruled out: the member's turns between platform and peers, and the fetch itself.

--- a/bergamotshift-entry/src/configuration/follow.rs
+++ b/bergamotshift-entry/src/configuration/follow.rs
@@ -63,7 +63,9 @@
             event = events.recv() => event.unwrap_or(Event::Tick),
             () = tokio::time::sleep(sleep) => Event::Tick,
         };
-        for action in member.handle(clock(), event, &mut generator) {
+        let actions = member.handle(clock(), event, &mut generator);
+        outside.peers.hold(&member);
+        for action in actions {
             perform(&member, &outside, action, &sender);
         }
     }
--- a/bergamotshift-entry/src/configuration/peers.rs
+++ b/bergamotshift-entry/src/configuration/peers.rs
@@ -2,6 +2,7 @@
 
 use core::fmt::Debug;
 
+use bergamotshift_config::accept::Member;
 use bergamotshift_config::accept::member::Announcement;
 use bergamotshift_config::digest::Digest;
 use bergamotshift_config::manifest::Manifest;
@@ -16,6 +17,9 @@
     /// Sends an announcement to one entry that knows less.
     fn tell(&self, to: &name::Entry, announcement: Announcement);
 
+    /// Keeps what the member holds ready for others; called after each of its steps.
+    fn hold(&self, _member: &Member) {}
+
     /// Asks an entry for content; nothing when it does not have it or cannot be reached.
     fn fetch(&self, from: &name::Entry, digest: Digest) -> LocalBoxFuture<'static, Option<Manifest>>;
 }
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -185,15 +185,18 @@
                 Err(error) => return drop(started.send(Err(error.into()))),
             };
             let duties = duties::task::run(Arc::clone(&shared), platform.clone(), adapters.clone());
-            match peers::start(&shared) {
-                Ok(Some(sender)) => drop(shared.peers.set(sender)),
-                Ok(None) => {}
+            let content = match peers::start(&shared) {
+                Ok(Some((sender, content))) => {
+                    drop(shared.peers.set(sender));
+                    content
+                }
+                Ok(None) => Rc::default(),
                 Err(error) => return drop(started.send(Err(error.into()))),
-            }
+            };
             let mut state = State::new(Arc::clone(&shared), adapters, config);
             state.publish_now();
             drop(started.send(Ok(())));
-            let mut watching = watch(&shared, &platform);
+            let mut watching = watch(&shared, &platform, &content);
             watching.push(ntex::rt::spawn(duties));
             let committer = Committer::new(Arc::clone(&shared), &platform);
             watching.push(ntex::rt::spawn(committer.run(inbox)));
@@ -222,7 +225,7 @@
 }
 
 /// Starts the task that follows the accepted configuration, when nothing else gives one.
-fn follow(shared: &Arc<Shared>, platform: &Platform) -> Option<JoinHandle<()>> {
+fn follow(shared: &Arc<Shared>, platform: &Platform, content: &Rc<peers::Content>) -> Option<JoinHandle<()>> {
     if !shared.settings.follows() {
         return None;
     }
@@ -232,7 +235,10 @@
     let outside = configuration::follow::Outside {
         table: Rc::clone(table),
         store: configuration::Store::new(Rc::clone(objects)),
-        peers: Rc::new(configuration::peers::Alone),
+        peers: shared.peers.get().map_or_else(
+            || Rc::new(configuration::peers::Alone) as Rc<dyn configuration::Peers>,
+            |sender| Rc::new(peers::Others::new(sender.clone(), Rc::clone(content))),
+        ),
         control: shared.control.clone(),
         logger: shared.settings.logger.clone(),
     };
@@ -243,6 +249,7 @@
     };
     let member = Member::new(settings, shared.now());
     let (sender, events) = tokio::sync::mpsc::unbounded_channel();
+    content.listen(sender.clone());
     let generator = worker::generator();
     let clock = {
         let shared = Arc::clone(shared);
@@ -253,10 +260,10 @@
 }
 
 /// Starts the tasks that look at the outside.
-fn watch(shared: &Arc<Shared>, platform: &Platform) -> Vec<JoinHandle<()>> {
+fn watch(shared: &Arc<Shared>, platform: &Platform, content: &Rc<peers::Content>) -> Vec<JoinHandle<()>> {
     let sender = &shared.control;
     let mut tasks = vec![ntex::rt::spawn(watch::tick(sender.clone()))];
-    tasks.extend(follow(shared, platform));
+    tasks.extend(follow(shared, platform, content));
     if let Some(certificate) = &shared.certificate {
         tasks.push(ntex::rt::spawn(tls::follow(
             Arc::clone(certificate),
--- a/bergamotshift-entry/src/peers/driver.rs
+++ b/bergamotshift-entry/src/peers/driver.rs
@@ -1,6 +1,7 @@
 //! Carries the fleet kernel's actions out.
 
 use core::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -13,6 +14,7 @@
 use bergamotshift_fleet::kernel::Event as Input;
 use bergamotshift_fleet::kernel::Kernel;
 use bergamotshift_fleet::member;
+use bergamotshift_fleet::note;
 use bergamotshift_link::identity::Identity;
 use bergamotshift_link::node::Error;
 use bergamotshift_link::node::Incoming;
@@ -24,13 +26,20 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
+use super::Content;
 use super::Event;
 use super::Request;
 use super::Settings;
+use super::content;
 use super::handover;
+use crate::admin::status;
 use crate::worker::Shared;
 
+/// The topic of configuration content in questions.
+const CONFIG: u8 = 1;
+
 /// Drives one kernel over one link.
 #[derive(Debug)]
 pub(super) struct Driver {
@@ -38,6 +47,7 @@
     pub(super) kernel: Kernel,
     pub(super) node: Node,
     pub(super) keeper: Keeper,
+    content: Rc<Content>,
     incoming: mpsc::Receiver<Incoming>,
     requests: mpsc::UnboundedReceiver<Request>,
 }
@@ -47,6 +57,7 @@
         shared: &Arc<Shared>,
         settings: &Settings,
         requests: mpsc::UnboundedReceiver<Request>,
+        content: Rc<Content>,
     ) -> Result<Self, Error> {
         let credentials = &settings.credentials;
         let identity = Identity::from_pem(&credentials.chain, &credentials.key, &credentials.authority)?;
@@ -73,6 +84,7 @@
             shared: Arc::clone(shared),
             node,
             keeper: Keeper::default(),
+            content,
             incoming,
             requests,
         })
@@ -115,7 +127,8 @@
             Action::Send { to, way, bytes } => return self.node.send(to, way, bytes),
             Action::Member(record) => {
                 let logger = &self.shared.settings.logger;
-                return info!(logger, "member"; "entry" => record.name.as_str(), "state" => ?record.state);
+                info!(logger, "member"; "entry" => record.name.as_str(), "state" => ?record.state);
+                return self.show_members();
             }
             Action::Paused { gap } => {
                 warn!(self.shared.settings.logger, "this entry was paused"; "gap_ms" => gap.as_millis());
@@ -126,6 +139,10 @@
             Action::Watch(endpoint) => Event::Watching(endpoint, true),
             Action::Unwatch(endpoint) => Event::Watching(endpoint, false),
             Action::Marked(mark) => Event::Marked(mark),
+            Action::Noted { note, origin } if note.topic == note::Topic::CONFIG => {
+                // Who is not known yet cannot be asked for content; it is named again with its next announcement.
+                return self.content.heard(&note, origin.unwrap_or_default());
+            }
             Action::Noted { note, origin } => Event::Noted { note, origin },
             Action::Loaded { endpoint, report, age } => Event::Loaded { endpoint, report, age },
         };
@@ -161,10 +178,52 @@
             Request::Keep { parcel, answer } => self.keep(&parcel, answer),
             Request::Find { key, answer } => self.find(key, answer),
             Request::Finish(key) => self.finish(&key),
+            Request::Fetch { from, key, answer } => self.fetch(&from, key, answer),
             Request::Leave(done) => self.leave(done),
         }
     }
 
+    /// Shows the members to operators, and the configuration its entry's rank among its zone's live ones.
+    fn show_members(&self) {
+        let me = self.kernel.me();
+        let members = self.kernel.members();
+        let live = members
+            .iter()
+            .filter(|(_, record)| record.is_live() && record.zone == me.zone);
+        let rank = live.filter(|(_, record)| record.name < me.name).count();
+        self.content.ranked(u16::try_from(rank).unwrap_or(u16::MAX));
+        let shown = members.iter().map(|(_, record)| status::Member {
+            name: record.name.clone(),
+            zone: record.zone.clone(),
+            address: record.address,
+            health: match record.state {
+                member::State::Alive => status::Health::Alive,
+                member::State::Suspect => status::Health::Suspect,
+                member::State::Dead => status::Health::Dead,
+                member::State::Left => status::Health::Left,
+            },
+        });
+        self.shared.reports.set_members(shown.collect());
+    }
+
+    /// Asks an entry for configuration content.
+    fn fetch(&self, from: &name::Entry, key: Vec<u8>, answer: oneshot::Sender<Option<Vec<u8>>>) {
+        let members = self.kernel.members();
+        let Some(record) = members.find(from).and_then(|key| members.get(key)) else {
+            return drop(answer.send(None));
+        };
+        let question = Question::Fetch { topic: CONFIG, key };
+        let asking = handover::ask_within(&self.node, record.address, question, content::PATIENCE);
+        ntex::rt::spawn(async move {
+            let content = match asking.await {
+                Some(Answer::Content(content)) => Some(content),
+                _ => None,
+            };
+            drop(answer.send(content));
+        })
+        .detach();
+    }
+
     /// Says goodbye and hands on what is kept here; all of it has arrived when `done` hears of it.
     ///
     /// Failure: the process ends while its goodbye still waits in a queue. Symptom: the others go on to ask it, and
@@ -211,6 +270,9 @@
                 self.keeper.finish(&key);
                 Answer::Done
             }
+            Ok(Question::Fetch { topic, key }) if topic == CONFIG => {
+                self.content.get(&key).map_or(Answer::Missing, Answer::Content)
+            }
             Ok(Question::Fetch { .. }) => Answer::Missing,
             Err(_) => Answer::Unknown,
         }
--- a/bergamotshift-entry/src/peers/handover.rs
+++ b/bergamotshift-entry/src/peers/handover.rs
@@ -101,9 +101,14 @@
 }
 
 fn ask(node: &Node, to: SocketAddr, question: Question) -> Asking {
+    ask_within(node, to, question, PATIENCE)
+}
+
+/// Asks an entry and waits for so long.
+pub(super) fn ask_within(node: &Node, to: SocketAddr, question: Question, patience: Duration) -> Asking {
     let node = node.clone();
     Box::pin(async move {
-        let bytes = node.ask(to, &question.encode(), PATIENCE).await.ok()?;
+        let bytes = node.ask(to, &question.encode(), patience).await.ok()?;
         Answer::decode(&bytes).ok()
     })
 }
--- a/bergamotshift-entry/src/peers/mod.rs
+++ b/bergamotshift-entry/src/peers/mod.rs
@@ -3,12 +3,14 @@
 //! One task on the control thread drives the fleet kernel over the link. The control thread tells it what it sees and
 //! hears back what others saw.
 
+mod content;
 mod driver;
 mod handover;
 mod settings;
 
 use core::net::SocketAddr;
 use core::time::Duration;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bergamotshift_core::load;
@@ -23,6 +25,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+pub use self::content::Content;
+pub use self::content::Others;
 pub use self::handover::Found;
 pub use self::settings::Credentials;
 pub use self::settings::Settings;
@@ -85,6 +89,15 @@
     },
     /// A request that was found is finished: its keepers forget it.
     Finish(Key),
+    /// Asks an entry for configuration content.
+    Fetch {
+        /// The entry.
+        from: name::Entry,
+        /// The content's digest.
+        key: Vec<u8>,
+        /// Gets the content.
+        answer: oneshot::Sender<Option<Vec<u8>>>,
+    },
     /// This entry leaves: it says goodbye and hands on what it keeps.
     Leave(std::sync::mpsc::Sender<()>),
 }
@@ -142,13 +155,14 @@
 /// # Errors
 ///
 /// Returns an error when the credentials do not fit together or the address is taken.
-pub fn start(shared: &Arc<Shared>) -> Result<Option<Sender>, bergamotshift_link::node::Error> {
+pub fn start(shared: &Arc<Shared>) -> Result<Option<(Sender, Rc<Content>)>, bergamotshift_link::node::Error> {
     let Some(settings) = &shared.settings.peers else {
         return Ok(None);
     };
     let (requests, receiver) = mpsc::unbounded_channel();
-    let driver = driver::Driver::new(shared, settings, receiver)?;
+    let content = Rc::new(Content::default());
+    let driver = driver::Driver::new(shared, settings, receiver, Rc::clone(&content))?;
     let address = driver.address();
     ntex::rt::spawn(driver.run()).detach();
-    Ok(Some(Sender { requests, address }))
+    Ok(Some((Sender { requests, address }, content)))
 }
--- a/bergamotshift-entry/tests/peers.rs
+++ b/bergamotshift-entry/tests/peers.rs
@@ -3,7 +3,12 @@
 use core::time::Duration;
 use std::sync::Arc;
 
+use bergamotshift_config::accept::Timing;
+use bergamotshift_config::accept::proposer;
+use bergamotshift_config::accept::record::Id;
+use bergamotshift_config::accept::record::Version;
 use bergamotshift_config::folder;
+use bergamotshift_config::manifest::Manifest;
 use bergamotshift_core::attempt;
 use bergamotshift_core::prelude::*;
 use bergamotshift_core::vm;
@@ -12,6 +17,7 @@
 use bergamotshift_entry::Handle;
 use bergamotshift_entry::Settings;
 use bergamotshift_entry::admin::status;
+use bergamotshift_entry::configuration;
 use bergamotshift_entry::peers;
 use bergamotshift_entry::peers::Credentials;
 use bergamotshift_entry::peers::Found;
@@ -24,6 +30,9 @@
 use bergamotshift_fleet::kernel::Status;
 use bergamotshift_fleet::member::State;
 use bergamotshift_link::identity::SERVER_NAME;
+use bergamotshift_standin::fault::Fault;
+use bergamotshift_standin::objects;
+use bergamotshift_standin::table;
 use bergamotshift_standin::vms;
 use rcgen::BasicConstraints;
 use rcgen::CertificateParams;
@@ -79,6 +88,15 @@
 
 /// Starts an entry of the fleet in its own zone.
 fn start(letter: &str, credentials: Credentials, seed: Option<&Handle>, platform: Option<&vms::Server>) -> Handle {
+    let settings = settings(letter, credentials, seed);
+    let platform = Platform {
+        vms: platform.map(vms::Server::address),
+        ..Platform::default()
+    };
+    Daemon::start(Settings { platform, ..settings }).unwrap()
+}
+
+fn settings(letter: &str, credentials: Credentials, seed: Option<&Handle>) -> Settings {
     let seeds = seed.and_then(Handle::peers).map(peers::Sender::address);
     let fleet = bergamotshift_fleet::settings::Settings {
         period: Duration::from_millis(200),
@@ -86,15 +104,11 @@
         cross_period: Duration::from_millis(200),
         ..Default::default()
     };
-    let settings = Settings {
+    Settings {
         name: name::Entry::new(format!("entry-{letter}")),
         zone: name::Zone::new(format!("zone-{letter}")),
         threads: 1,
         config: Some(Arc::new(folder::parse(&[("site.toml", CONFIG)]).unwrap())),
-        platform: Platform {
-            vms: platform.map(vms::Server::address),
-            ..Platform::default()
-        },
         watch: Watch {
             list: Duration::from_millis(50),
             notices: Duration::from_millis(10),
@@ -108,8 +122,7 @@
         }),
         settle: Duration::ZERO,
         ..Settings::default()
-    };
-    Daemon::start(settings).unwrap()
+    }
 }
 
 async fn fleet(entry: &Handle) -> Status {
@@ -292,6 +305,57 @@
     assert!(matches!(found, Found::Parcel(_)), "{found:?}");
 }
 
+/// Starts an entry that learns its configuration, in zone a.
+fn follow(letter: &str, credentials: Credentials, seed: Option<&Handle>, platform: Platform) -> Handle {
+    let settings = Settings {
+        zone: "zone-a".into(),
+        config: None,
+        platform,
+        ..settings(letter, credentials, seed)
+    };
+    Daemon::start(settings).unwrap()
+}
+
+async fn until_config(entry: &Handle, version: u64) {
+    while entry.status().await.and_then(|status| status.config).map(Version::get) != Some(version) {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[ntex::test]
+async fn a_fresh_entry_learns_the_configuration_from_its_peers_while_the_platform_is_down() {
+    // A version is accepted and in force; then the platform's table and store go down. An entry that starts now can
+    // read nothing there. It has to get head and content from the entry that it joins, else it turns callers away.
+    let table = table::Server::start(table::Settings::default()).unwrap();
+    let objects = objects::Server::start(objects::Settings::default()).unwrap();
+    let platform = Platform {
+        table: Some(table.address()),
+        objects: Some(objects.address()),
+        ..Platform::default()
+    };
+    let authority = Authority::new();
+    let first = follow("a", authority.issue(), None, platform);
+    let kind = bergamotshift_core::plugin::find::<bergamotshift_platform::Kind>("http").unwrap();
+    let clients = (kind.connect)(platform.over_http()).await.unwrap();
+    let change = proposer::Request {
+        id: Id::new(1),
+        author: "test".into(),
+        at: 0,
+        base: Manifest::default(),
+        ours: Manifest::new(&[("site.toml", "[[zone]]\nname = \"zone-a\"\nregion = \"r\"\n")]).unwrap(),
+    };
+    let store = configuration::Store::new(clients.objects.unwrap());
+    let outcome = configuration::propose::run(&clients.table.unwrap(), &store, change, Timing::default()).await;
+    assert!(matches!(outcome, proposer::Outcome::Accepted { .. }), "{outcome:?}");
+    until_config(&first, 1).await;
+
+    table.fault(Fault::Down);
+    objects.fault(Fault::Down);
+    let fresh = follow("b", authority.issue(), Some(&first), platform);
+    until_config(&fresh, 1).await;
+    assert!(fresh.status().await.is_some_and(|status| status.ready));
+}
+
 /// Drains an entry on a thread of its own, since draining blocks.
 async fn drain(entry: Handle) -> (Handle, bergamotshift_entry::daemon::Drained) {
     let (done, drained) = oneshot::channel();
--- a/bergamotshift-fleet/src/kernel/receive.rs
+++ b/bergamotshift-fleet/src/kernel/receive.rs
@@ -101,7 +101,12 @@
             sequence: ping.sequence,
             of: self.tag,
         };
-        let bytes = self.frame(now, body, sender, ping.with_digest, &ping.told);
+        // A newcomer is told all in one frame, members first: news that came before would name entries unknown to it.
+        let bytes = if ping.target == tag::Long::UNKNOWN {
+            wire::Writer::new(self.tag, body, wire::MAX_DATAGRAM).finish()
+        } else {
+            self.frame(now, body, sender, ping.with_digest, &ping.told)
+        };
         out.push(Action::Send {
             to,
             way: Way::Datagram,
