--- a/bergamotshift-entry/src/control/peers.rs
+++ b/bergamotshift-entry/src/control/peers.rs
@@ -12,6 +12,7 @@
 use bergamotshift_fleet::note;
 use bergamotshift_limit::quarantine::Standing;
 use bergamotshift_limit::quarantine::Suspicion;
+use bergamotshift_platform::vms::Notice;
 use slog::info;
 use slog::warn;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -123,8 +124,24 @@
         });
     }
 
+    /// Takes the platform's list in and tells the others.
+    pub(super) fn all_listed(&mut self, listings: &[Listing]) {
+        self.tell_list(listings);
+        for vm in listings {
+            self.listed(vm);
+        }
+    }
+
+    /// Takes the platform's notices in and tells the others.
+    pub(super) fn all_noticed(&mut self, notices: &[Notice]) {
+        for notice in notices {
+            self.tell_notice(&notice.vm);
+            self.listed(&notice.vm);
+        }
+    }
+
     /// Tells the others of an endpoint whose notice this entry read.
-    pub(super) fn tell_notice(&self, listing: &Listing) {
+    fn tell_notice(&self, listing: &Listing) {
         let Some(peers) = self.shared.peers.get() else { return };
         let (vm::State::Leaving { notice_ms }, Role::Endpoint(_)) = (listing.state, &listing.role) else {
             return;
@@ -139,8 +156,8 @@
         });
     }
 
-    /// Tells the others what the VM list shows and what a watched endpoint reports.
-    pub(super) fn tell_list(&self, listings: &[Listing]) {
+    /// Tells the others what the VM list shows.
+    fn tell_list(&self, listings: &[Listing]) {
         if let Some(peers) = self.shared.peers.get() {
             peers.send(Request::Listed(listings.to_vec()));
         }
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -115,18 +115,8 @@
             Message::Request(Request::Stop) => return false,
             Message::Seen(Event::Tick) => self.tick(),
             Message::Seen(Event::Configured { mark, config }) => self.configure(mark, config),
-            Message::Seen(Event::Listed(listings)) => {
-                self.tell_list(&listings);
-                for vm in &listings {
-                    self.listed(vm);
-                }
-            }
-            Message::Seen(Event::Noticed(notices)) => {
-                for notice in &notices {
-                    self.tell_notice(&notice.vm);
-                    self.listed(&notice.vm);
-                }
-            }
+            Message::Seen(Event::Listed(listings)) => self.all_listed(&listings),
+            Message::Seen(Event::Noticed(notices)) => self.all_noticed(&notices),
             Message::Told(event) => self.told(event),
             Message::Seen(Event::Probed {
                 endpoint,
@@ -192,7 +182,7 @@
     }
 
     /// Takes what the platform says of one VM.
-    fn listed(&mut self, vm: &Listing) {
+    pub(super) fn listed(&mut self, vm: &Listing) {
         match &vm.role {
             Role::Endpoint(service) => {
                 let endpoint = Endpoint {
