test(entry): hold the ports at which nothing is to listen

Cause: tests took a free port, freed it and counted on nobody listening there; another test's server could get it. The port is now held by a socket that is bound and never listens, so a connection is always refused.

--- a/bergamotshift-entry/tests/admin/main.rs
+++ b/bergamotshift-entry/tests/admin/main.rs
@@ -7,5 +7,8 @@
 )]
 mod site;
 
+#[path = "../observe/closed.rs"]
+mod closed;
+
 mod page;
 mod status;
--- a/bergamotshift-entry/tests/admin/status.rs
+++ b/bergamotshift-entry/tests/admin/status.rs
@@ -7,6 +7,7 @@
 use bergamotshift_entry::admin::status::Status;
 use bergamotshift_entry::settings::Platform;
 
+use crate::closed::Port;
 use crate::site::Layout;
 use crate::site::Site;
 
@@ -60,15 +61,12 @@
 
 #[ntex::test]
 async fn a_platform_that_is_down_shows() {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    let closed = Port::hold();
     let defaults = Layout::default();
     let site = Site::start(Layout {
         settings: Settings {
             platform: Platform {
-                vms: Some(closed),
+                vms: Some(closed.address()),
                 ..Platform::default()
             },
             ..defaults.settings
--- a/bergamotshift-entry/tests/observe/main.rs
+++ b/bergamotshift-entry/tests/observe/main.rs
@@ -7,6 +7,7 @@
 )]
 mod site;
 
+mod closed;
 mod collector;
 mod endpoint;
 mod log;
--- a/bergamotshift-entry/tests/observe/metrics.rs
+++ b/bergamotshift-entry/tests/observe/metrics.rs
@@ -9,6 +9,7 @@
 use ntex::http::Method;
 use serde_json::json;
 
+use crate::closed::Port;
 use crate::site::Layout;
 use crate::site::Site;
 
@@ -195,12 +196,9 @@
 
 #[ntex::test]
 async fn calls_of_a_platform_that_is_down_are_counted() {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    let closed = Port::hold();
     let mut layout = Layout::default();
-    layout.settings.platform.vms = Some(closed);
+    layout.settings.platform.vms = Some(closed.address());
     let site = Site::start(layout).await;
     site.until("platform_calls_total{part=\"vms\",call=\"list\",result=\"refused\"}", 1)
         .await;
--- a/bergamotshift-entry/tests/observe/trace.rs
+++ b/bergamotshift-entry/tests/observe/trace.rs
@@ -14,6 +14,7 @@
 use opentelemetry_proto::tonic::trace::v1::status::StatusCode;
 use serde_json::json;
 
+use crate::closed::Port;
 use crate::collector::Collector;
 use crate::endpoint::Endpoint;
 use crate::site::Layout;
@@ -209,11 +210,8 @@
 async fn a_collector_that_is_gone_costs_no_request() {
     // The caller sees nothing of it. Nothing listens at the collector's address, so each batch is lost; requests are
     // served, and the entry ends within its bounded wait for the last batch.
-    let closed = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
-    let site = Site::start(layout(Some(towards(closed, 1.0)))).await;
+    let closed = Port::hold();
+    let site = Site::start(layout(Some(towards(closed.address(), 1.0)))).await;
     let reply = site.send(Method::GET, "/app/shifts", &[], "").await;
     assert_eq!(reply.status.as_u16(), 200);
     assert_eq!(site.entry.drain(GRACE).cut, 0);
--- a/bergamotshift/tests/status.rs
+++ b/bergamotshift/tests/status.rs
@@ -17,6 +17,7 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 use serde_json::Value;
+use tokio::net::TcpSocket;
 
 const FOLDER: &str = r#"
 [[zone]]
@@ -67,15 +68,21 @@
         .expect("the binary was built for this test")
 }
 
-fn closed() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("it is bound")
+/// Holds a port without listening, so that no other test's server can get it.
+fn closed() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("sockets can be made");
+    socket
+        .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .expect("loopback has free ports");
+    let address = socket.local_addr().expect("it is bound");
+    (socket, address)
 }
 
 #[test]
 fn the_table_has_a_row_for_each_entry_also_one_that_does_not_answer() {
     let (one, two) = (entry("entry-1"), entry("entry-2"));
-    let output = status(&[one.operators(), closed(), two.operators()], &[]);
+    let (_port, closed) = closed();
+    let output = status(&[one.operators(), closed, two.operators()], &[]);
     assert!(output.status.success());
     let text = String::from_utf8(output.stdout).expect("a table is text");
     let rows: Vec<_> = text.lines().take(4).collect();
@@ -89,7 +96,8 @@
 #[test]
 fn json_has_what_each_entry_says() {
     let one = entry("entry-1");
-    let output = status(&[one.operators(), closed()], &["--json"]);
+    let (_port, closed) = closed();
+    let output = status(&[one.operators(), closed], &["--json"]);
     let reports: Value = serde_json::from_slice(&output.stdout).expect("one line of JSON");
     assert_eq!(reports[0]["status"]["name"], "entry-1");
     assert_eq!(reports[0]["status"]["endpoints"][0]["vm"], "app-1");
@@ -98,7 +106,8 @@
 
 #[test]
 fn no_answer_at_all_fails_and_no_address_is_a_usage_error() {
-    let silent = status(&[closed()], &[]);
+    let (_port, closed) = closed();
+    let silent = status(&[closed], &[]);
     assert_eq!(silent.status.code(), Some(1));
     let missing = status(&[], &[]);
     assert_eq!(missing.status.code(), Some(2));
