feat(cli): replay the policies in virtual time

Cause: the policy bench could only be run as an example of its crate. Measured: an unknown load gives one line with the loads there are, and code 2 (test).

--- a/bergamotshift/src/command/load.rs
+++ b/bergamotshift/src/command/load.rs
@@ -7,6 +7,7 @@
 use gumdrop::Options;
 use smol_str::SmolStr;
 
+use super::replay;
 use crate::core::name;
 use crate::environment::Field;
 use crate::environment::Fields;
@@ -96,6 +97,16 @@
         help = "a plan of faults (TOML), ordered from the stand-ins in --endpoints"
     )]
     pub faults: Option<String>,
+    /// The load that is replayed.
+    #[options(
+        no_short,
+        meta = "LOAD",
+        help = "replay this load in virtual time with every policy; sends nothing"
+    )]
+    pub replay: Option<String>,
+    /// The fault of a replay.
+    #[options(no_short, meta = "FAULT", help = "the fault that a replay meets (default calm)")]
+    pub fault: Option<String>,
     /// Where the JSON report goes.
     #[options(no_short, meta = "FILE", help = "write the report as JSON")]
     pub json: Option<String>,
@@ -123,6 +134,8 @@
             ("direct", &mut self.direct),
             ("endpoints", &mut self.endpoints),
             ("faults", &mut self.faults),
+            ("replay", &mut self.replay),
+            ("fault", &mut self.fault),
             ("json", &mut self.json),
             ("html", &mut self.html),
         ]
@@ -212,6 +225,10 @@
 ///
 /// Returns a wrong setting, or that a promise was broken.
 pub fn run(arguments: &Arguments) -> Result<(), Error> {
+    if let Some(load) = &arguments.replay {
+        let seed = setting::or("seed", arguments.seed.as_deref(), 1)?;
+        return replay::run(load, arguments.fault.as_deref(), seed);
+    }
     let json: Option<PathBuf> = setting::optional("json", arguments.json.as_deref())?;
     let html: Option<PathBuf> = setting::optional("html", arguments.html.as_deref())?;
     let report = load::run(arguments.plan()?).map_err(|error| Error::failed(&error))?;
--- a/bergamotshift/src/command/mod.rs
+++ b/bergamotshift/src/command/mod.rs
@@ -15,6 +15,7 @@
 pub mod demo;
 pub mod entry;
 pub mod load;
+mod replay;
 pub mod status;
 pub mod version;
 
--- a/bergamotshift/tests/process.rs
+++ b/bergamotshift/tests/process.rs
@@ -177,3 +177,14 @@
         "bergamotshift: --callers (or BERGAMOTSHIFT_CALLERS) is \"nowhere\": invalid socket address syntax\n"
     );
 }
+
+#[test]
+fn an_unknown_replay_names_the_loads_there_are() {
+    let output = Command::new(env!("CARGO_BIN_EXE_bergamotshift"))
+        .args(["load", "--replay", "nowhere"])
+        .output()
+        .expect("the binary was built for this test");
+    let line = String::from_utf8(output.stderr).expect("it is text");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(line.contains("--replay (or BERGAMOTSHIFT_REPLAY)") && line.contains("oranjehal-day"), "{line}");
+}
