--- a/bergamotshift/src/command/demo.rs
+++ b/bergamotshift/src/command/demo.rs
@@ -30,6 +30,12 @@
 /// How long `--once` starts requests.
 const SPAN: Duration = Duration::from_secs(12);
 
+/// Tokens of most answers.
+const SHORT_ANSWER: u32 = 50;
+
+/// Tokens of answers that outlast the notice, so that their streams have to move.
+const LONG_ANSWER: u32 = 400;
+
 /// The notice that the platform gives before it takes a zone back.
 const NOTICE: Duration = Duration::from_secs(5);
 
@@ -115,6 +121,10 @@
         println!("callers: http://{address}");
     }
     println!("key: {}", site.key());
+    let platform = site.platform();
+    println!("vms: {}", platform.vms.address());
+    println!("table: {}", platform.table.address());
+    println!("objects: {}", platform.objects.address());
     if arguments.once {
         return once(&site, &config, rate, seed);
     }
@@ -168,10 +178,15 @@
         kind,
         weight,
         model: model.clone(),
-        max_tokens: 200,
+        max_tokens: SHORT_ANSWER,
         ..Share::default()
     };
+    let long = Share {
+        max_tokens: LONG_ANSWER,
+        ..share(work::Kind::ChatStream, 1)
+    };
     let mut shares = vec![
+        long,
         share(work::Kind::ChatStream, 4),
         share(work::Kind::CompletionStream, 2),
         share(work::Kind::Chat, 2),
--- a/bergamotshift/src/demo/worker.rs
+++ b/bergamotshift/src/demo/worker.rs
@@ -1,6 +1,7 @@
 //! The endpoints of the demo: stand-ins for the workers that the folder asks for.
 
 use core::net::SocketAddr;
+use core::time::Duration;
 use std::io;
 
 use smol_str::SmolStr;
@@ -18,6 +19,12 @@
 use crate::standin::fault::Fault;
 use crate::standin::plain;
 
+/// Requests in a full batch of a demo engine.
+const SLOTS: u32 = 64;
+
+/// Time between two tokens of a demo engine.
+const TOKEN_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The stand-in of one endpoint.
 #[derive(Debug)]
 pub enum Server {
@@ -109,6 +116,8 @@
             service: SmolStr::new(&service.name),
             zone: SmolStr::new(zone),
             models: service.models.iter().map(SmolStr::new).collect(),
+            slots: SLOTS,
+            token_interval: TOKEN_INTERVAL,
             ..engine::Settings::default()
         })?),
         Kind::Plain => Server::Plain(plain::Server::start(plain::Settings {
--- a/bergamotshift/tests/process.rs
+++ b/bergamotshift/tests/process.rs
@@ -186,5 +186,8 @@
         .expect("the binary was built for this test");
     let line = String::from_utf8(output.stderr).expect("it is text");
     assert_eq!(output.status.code(), Some(2));
-    assert!(line.contains("--replay (or BERGAMOTSHIFT_REPLAY)") && line.contains("oranjehal-day"), "{line}");
+    assert!(
+        line.contains("--replay (or BERGAMOTSHIFT_REPLAY)") && line.contains("oranjehal-day"),
+        "{line}"
+    );
 }
