fix(entry): refuse at once who comes while an entry drains

Cause: a drain stopped accepting but its listener stayed open, so the kernel went on taking connections into the backlog: callers hung until the entry ended. Ruled out: closing the listener (the library can't without ending its connections), and serving everybody to the end (the drain would never become idle). Now an entry goes on accepting, and answers what comes after its settling time with 503, not-run and Retry-After. Shown to fail: the new test hangs behind the backlog with the old code's pause.

--- a/bergamotshift-entry/src/api/error.rs
+++ b/bergamotshift-entry/src/api/error.rs
@@ -64,6 +64,9 @@
     /// The entry does not know any endpoints yet.
     #[error("this entry is starting")]
     NotReady,
+    /// The entry ends once the requests under way are served.
+    #[error("this entry is stopping; another one serves the request")]
+    Stopping,
     /// The organisation or the service has no room for it now.
     #[error("{0}")]
     Refused(#[from] sharing::Refusal),
@@ -151,7 +154,7 @@
 
     const fn retry_after(&self) -> Option<Duration> {
         match &self.reason {
-            Reason::NotReady => Some(Duration::from_secs(1)),
+            Reason::NotReady | Reason::Stopping => Some(Duration::from_secs(1)),
             Reason::Refused(refusal) => Some(refusal.retry_after),
             Reason::Claim(error) => error.retry_after(),
             Reason::Exchange(error) => error.retry_after(),
@@ -185,6 +188,7 @@
             Reason::TooSlow => (StatusCode::REQUEST_TIMEOUT, "too_slow"),
             Reason::MissingKey => (StatusCode::BAD_REQUEST, "idempotency_key_missing"),
             Reason::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "starting"),
+            Reason::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
             Reason::Refused(refusal) if refusal.is_organisations() => (StatusCode::TOO_MANY_REQUESTS, refusal.code()),
             Reason::Refused(refusal) => (StatusCode::SERVICE_UNAVAILABLE, refusal.code()),
             Reason::Claim(error) => error.row(),
--- a/bergamotshift-entry/src/api/mod.rs
+++ b/bergamotshift-entry/src/api/mod.rs
@@ -9,6 +9,7 @@
 pub mod reply;
 pub mod request;
 
+use core::sync::atomic::Ordering;
 use std::rc::Rc;
 
 use bergamotshift_config::config::Kind;
@@ -66,6 +67,9 @@
     id: bergamotshift_core::attempt::Id,
     active: Active,
 ) -> Result<Response, Error> {
+    if worker.shared.closed.load(Ordering::Acquire) {
+        return Err(Error::not_run(Reason::Stopping));
+    }
     let snapshot = worker.snapshot();
     if !snapshot.ready {
         return Err(Error::not_run(Reason::NotReady));
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -135,6 +135,7 @@
             certificate,
             policy,
             draining: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             epoch: time::Instant::now(),
             settings,
         });
--- a/bergamotshift-entry/src/daemon/server.rs
+++ b/bergamotshift-entry/src/daemon/server.rs
@@ -1,5 +1,6 @@
 //! The threads that accept and serve connections.
 
+use core::sync::atomic::Ordering;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -34,24 +35,22 @@
 /// Ends the server threads.
 #[derive(Debug)]
 pub(super) struct Stop {
-    commands: tokio::sync::mpsc::UnboundedSender<Command>,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Command {
-    Close,
-    End,
+    shared: Arc<Shared>,
+    end: tokio::sync::mpsc::UnboundedSender<()>,
 }
 
 impl Stop {
-    /// Accepts no new connections from now on.
+    /// Takes no new requests from now on.
+    ///
+    /// Failure: a listener that is no longer accepted from keeps taking connections into its backlog. Symptom: callers
+    /// hang for the rest of the grace. So connections are still accepted, and what comes is refused at once.
     pub(super) fn close(&self) {
-        let _ = self.commands.send(Command::Close);
+        self.shared.closed.store(true, Ordering::Release);
     }
 
     /// Ends all server threads.
     pub(super) fn end(&self) {
-        let _ = self.commands.send(Command::End);
+        let _ = self.end.send(());
     }
 }
 
@@ -61,9 +60,10 @@
     callers: TcpListener,
     operators: TcpListener,
 ) -> Result<(thread::JoinHandle<()>, Stop), Error> {
-    let (commands, mut receiver) = tokio::sync::mpsc::unbounded_channel();
+    let (end, mut ended) = tokio::sync::mpsc::unbounded_channel();
     let (started, outcome) = mpsc::channel();
     let tls = shared.certificate.as_ref().map(Certificate::server).transpose()?;
+    let stopped = Arc::clone(&shared);
     let run = move || {
         System::new("entry", DefaultRuntime).block_on(async move {
             let serving = match tls {
@@ -76,9 +76,7 @@
                 Err(error) => return drop(started.send(Err(error))),
             };
             drop(started.send(Ok(())));
-            while let Some(Command::Close) = receiver.recv().await {
-                callers.pause().await;
-            }
+            ended.recv().await;
             callers.stop(false).await;
             operators.stop(false).await;
         });
@@ -88,7 +86,7 @@
         .spawn(run)
         .map_err(Error::Thread)?;
     match outcome.recv() {
-        Ok(Ok(())) => Ok((thread, Stop { commands })),
+        Ok(Ok(())) => Ok((thread, Stop { shared: stopped, end })),
         Ok(Err(error)) => Err(Error::Thread(error)),
         Err(_) => Err(Error::Thread(io::Error::other("the server thread ended at once"))),
     }
--- a/bergamotshift-entry/src/worker/mod.rs
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -68,6 +68,8 @@
     pub policy: Box<dyn Policy>,
     /// Whether the entry is about to end.
     pub draining: AtomicBool,
+    /// Whether new requests are refused, because the entry ends once those under way are served.
+    pub closed: AtomicBool,
     /// Kernel time counts from here.
     pub epoch: time::Instant,
 }
--- a/bergamotshift-entry/tests/entry/drain.rs
+++ b/bergamotshift-entry/tests/entry/drain.rs
@@ -58,6 +58,32 @@
     assert!(refused.is_err(), "nobody listens any more");
 }
 
+#[ntex::test]
+async fn who_comes_during_a_drain_is_refused_at_once() {
+    // A stream is under way when the entry is told to end, and a caller that knows nothing of it comes. It is told at
+    // once that its request did not run and when to come back; the stream goes on to its end. A listener that is
+    // merely not accepted from would leave that caller waiting until the stream has ended.
+    let site = Site::start(Layout::default()).await;
+    let body = json!({"model": "tiny", "prompt": "", "messages": [], "max_tokens": 1_500, "stream": true});
+    let mut stream = site.open_chat(&body).await;
+    stream.events(2).await;
+    let entry = Arc::clone(&site.entry);
+    let drain = thread::spawn(move || entry.drain(Duration::from_secs(20)));
+    let refused = loop {
+        let reply = site.send(Method::GET, "/app/late", &[], "").await;
+        if !reply.status.is_success() {
+            break reply;
+        }
+    };
+    refused.assert_failure(503, "stopping", "not-run");
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(
+        stream.rest().await.streamed(),
+        (text::expected(&body, 1_500).unwrap(), true)
+    );
+    assert_eq!(drain.join().unwrap(), Drained { cut: 0 });
+}
+
 #[ntex::test]
 async fn a_drain_says_what_its_grace_cut() {
     // One stream takes longer than the grace. It is cut, and the count says so.
