fix(entry): bring deferred jobs back

Symptom: a caller that asks for a deferred answer got a plain one; nothing failed, as the tests were gone too.

--- a/bergamotshift-claim/src/job/record.rs
+++ b/bergamotshift-claim/src/job/record.rs
@@ -34,6 +34,8 @@
     pub digest: Digest,
     /// The request.
     pub request: Request,
+    /// The caller's idempotency key.
+    pub key: Option<SmolStr>,
     /// Whether running it twice does no harm.
     pub repeatable: bool,
     /// When it was accepted, in milliseconds since the Unix epoch.
--- a/bergamotshift-claim/tests/explore/job/mod.rs
+++ b/bergamotshift-claim/tests/explore/job/mod.rs
@@ -190,6 +190,7 @@
             service: "s".into(),
             digest: Digest::default(),
             request: job::Request::default(),
+            key: None,
             repeatable: true,
             accepted: 0,
             state: job::State::Open,
--- a/bergamotshift-entry/src/api/error.rs
+++ b/bergamotshift-entry/src/api/error.rs
@@ -16,6 +16,7 @@
 use crate::auth;
 use crate::claims;
 use crate::exchange;
+use crate::jobs;
 use crate::sharing;
 
 /// What went wrong.
@@ -73,6 +74,9 @@
     /// The idempotency key stands in the way.
     #[error("{0}")]
     Claim(#[from] claims::Error),
+    /// The deferred job stands in the way.
+    #[error("{0}")]
+    Job(#[from] jobs::Error),
     /// The way to an endpoint and back failed.
     #[error("{0}")]
     Exchange(#[from] exchange::Error),
@@ -114,6 +118,14 @@
         }
     }
 
+    /// Makes the failure of a request about a deferred job.
+    pub const fn from_job(error: jobs::Error) -> Self {
+        Self {
+            reason: Reason::Job(error),
+            outcome: error.outcome(),
+        }
+    }
+
     /// Returns the HTTP status.
     pub const fn status(&self) -> StatusCode {
         self.row().0
@@ -157,6 +169,7 @@
             Reason::NotReady | Reason::Stopping => Some(Duration::from_secs(1)),
             Reason::Refused(refusal) => Some(refusal.retry_after),
             Reason::Claim(error) => error.retry_after(),
+            Reason::Job(error) => error.retry_after(),
             Reason::Exchange(error) => error.retry_after(),
             _ => None,
         }
@@ -192,6 +205,7 @@
             Reason::Refused(refusal) if refusal.is_organisations() => (StatusCode::TOO_MANY_REQUESTS, refusal.code()),
             Reason::Refused(refusal) => (StatusCode::SERVICE_UNAVAILABLE, refusal.code()),
             Reason::Claim(error) => error.row(),
+            Reason::Job(error) => error.row(),
             Reason::Exchange(error) => exchange_row(error),
         }
     }
--- a/bergamotshift-entry/src/api/mod.rs
+++ b/bergamotshift-entry/src/api/mod.rs
@@ -22,6 +22,7 @@
 use self::error::Error;
 use self::error::Reason;
 use self::reply::Active;
+use crate::jobs;
 use crate::worker::Worker;
 
 /// Answers one request of a caller.
@@ -78,6 +79,9 @@
         .map_err(|error| Error::not_run(Reason::Unauthenticated(error)))?;
     let host = request::host(request);
     let path = request.path();
+    if let Some(job) = path.strip_prefix(jobs::PATH) {
+        return jobs::serve(worker, &organisation.name, request.method(), job, id).await;
+    }
     if let Some(service) = snapshot.config.service_for(host, path)
         && service.kind == Kind::Plain
     {
--- a/bergamotshift-entry/src/api/openai/complete.rs
+++ b/bergamotshift-entry/src/api/openai/complete.rs
@@ -32,6 +32,7 @@
 use crate::exchange::Work;
 use crate::exchange::assemble;
 use crate::exchange::attempts::BLOCK_BYTES;
+use crate::jobs;
 use crate::sharing;
 use crate::snapshot::Snapshot;
 use crate::worker::Worker;
@@ -101,6 +102,12 @@
         arrived,
         id,
     )?;
+    if !call.repeatable && call.key.is_none() {
+        return Err(Error::not_run(Reason::MissingKey));
+    }
+    if service.deferrable && !streams && jobs::is_wanted(request.headers()) {
+        return jobs::accept(worker, &call).await;
+    }
     let joined = if call.repeatable && !streams {
         Joined::look(worker, &call).await?
     } else {
@@ -122,8 +129,7 @@
         service.metrics.requests.inc();
         service.budget.deposit();
     }
-    if !call.repeatable {
-        let key = call.key.clone().ok_or_else(|| Error::not_run(Reason::MissingKey))?;
+    if let (false, Some(key)) = (call.repeatable, call.key.clone()) {
         return claims::once(worker, call, ticket, key, active.trace()).await;
     }
     let attempts = Attempts::new(Rc::clone(worker), call, ticket).traced(active.trace());
--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -30,6 +30,7 @@
 use crate::exchange::Work;
 use crate::exchange::copy::Copy;
 use crate::exchange::whole;
+use crate::jobs;
 use crate::sharing;
 use crate::snapshot::Snapshot;
 use crate::worker::Worker;
@@ -91,7 +92,15 @@
         call.path.as_str(),
         &call.body,
     );
+    if !call.repeatable {
+        let key = call.key.take();
+        let key = key.or_else(|| claims::from_fields(&handling.key_fields, &call.body));
+        call.key = Some(key.ok_or_else(|| Error::not_run(Reason::MissingKey))?);
+    }
     let held = matches!(outgoing, Outgoing::Held(_));
+    if held && service.deferrable && jobs::is_wanted(request.headers()) {
+        return jobs::accept(worker, &call).await;
+    }
     // A body that streams through has no digest to compare, so it neither joins nor replays.
     let joined = if held && call.repeatable {
         Joined::look(worker, &call).await?
@@ -108,10 +117,7 @@
         service.metrics.requests.inc();
         service.budget.deposit();
     }
-    if !call.repeatable {
-        let key = call.key.clone();
-        let key = key.or_else(|| claims::from_fields(&handling.key_fields, &call.body));
-        let key = key.ok_or_else(|| Error::not_run(Reason::MissingKey))?;
+    if let (false, Some(key)) = (call.repeatable, call.key.clone()) {
         return claims::once(worker, call, ticket, key, active.trace()).await;
     }
     let mut attempts = Attempts::new(Rc::clone(worker), call, ticket).traced(active.trace());
--- a/bergamotshift-entry/src/claims/committer.rs
+++ b/bergamotshift-entry/src/claims/committer.rs
@@ -9,6 +9,7 @@
 use bergamotshift_claim::driver::Unreachable;
 use bergamotshift_core::table::Ending;
 use bergamotshift_core::table::Key;
+use bergamotshift_core::table::Row;
 use bergamotshift_core::table::Write;
 use bergamotshift_platform::Platform;
 use bergamotshift_platform::objects::Objects;
@@ -23,6 +24,9 @@
 use super::store::Message;
 use crate::worker::Shared;
 
+/// Rows of one read while a partition is listed.
+const PAGE: u32 = 100;
+
 /// A transaction that has ended.
 type Ended = (batch::Id, Ending);
 
@@ -74,6 +78,14 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Write(write, answer) => self.write(write, answer),
+            Message::Transact(writes, answer) => {
+                let table = self.table.clone();
+                ntex::rt::spawn(async move { answer.send(transact(table, writes).await) }).detach();
+            }
+            Message::List(partition, answer) => {
+                let table = self.table.clone();
+                ntex::rt::spawn(async move { answer.send(list(table, partition).await) }).detach();
+            }
             Message::Read(key, answer) => {
                 let table = self.table.clone();
                 ntex::rt::spawn(async move { answer.send(read(table, key).await) }).detach();
@@ -118,6 +130,27 @@
     }
 }
 
+async fn transact(table: Option<Rc<dyn Table>>, writes: Vec<Write>) -> Ending {
+    match table {
+        Some(table) => table.transact(writes).await,
+        None => Ending::Refused,
+    }
+}
+
+async fn list(table: Option<Rc<dyn Table>>, partition: SmolStr) -> Option<Vec<(SmolStr, Row)>> {
+    let table = table?;
+    let mut rows = Vec::new();
+    let mut after = None;
+    loop {
+        let page = table.query(partition.clone(), after, PAGE).await.ok()?;
+        rows.extend(page.rows);
+        if page.next.is_none() {
+            return Some(rows);
+        }
+        after = page.next;
+    }
+}
+
 async fn read(table: Option<Rc<dyn Table>>, key: Key) -> Reading {
     let table = table.ok_or(Unreachable)?;
     let rows = table.get(vec![key]).await;
--- a/bergamotshift-entry/src/claims/convert.rs
+++ b/bergamotshift-entry/src/claims/convert.rs
@@ -15,13 +15,9 @@
 
 /// Returns an answer as it is kept.
 pub fn from_whole(whole: &Whole) -> Answer {
-    let header = |(name, value): (&HeaderName, &HeaderValue)| answer::Header {
-        name: name.as_str().into(),
-        value: value.as_bytes().to_vec(),
-    };
     Answer {
         status: whole.status.as_u16(),
-        headers: whole.headers.iter().map(header).collect(),
+        headers: from_headers(&whole.headers),
         body: Body::Inline(whole.body.to_vec()),
     }
 }
@@ -37,17 +33,31 @@
         Body::Object { key, .. } => store.fetch(key).await.ok_or(Error::AnswerAway)?,
         Body::Dropped => return Err(Error::AnswerAway),
     };
+    Ok(Whole {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        headers: to_headers(&answer.headers),
+        body,
+    })
+}
+
+/// Returns headers as they are kept.
+pub fn from_headers(headers: &HeaderMap) -> Vec<answer::Header> {
+    let header = |(name, value): (&HeaderName, &HeaderValue)| answer::Header {
+        name: name.as_str().into(),
+        value: value.as_bytes().to_vec(),
+    };
+    headers.iter().map(header).collect()
+}
+
+/// Returns kept headers as they go out.
+pub fn to_headers(kept: &[answer::Header]) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    for header in answer.headers {
+    for header in kept {
         let name = HeaderName::from_bytes(header.name.as_bytes());
         let value = HeaderValue::from_bytes(&header.value);
         if let (Ok(name), Ok(value)) = (name, value) {
             headers.append(name, value);
         }
     }
-    Ok(Whole {
-        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
-        headers,
-        body,
-    })
+    headers
 }
--- a/bergamotshift-entry/src/claims/drive.rs
+++ b/bergamotshift-entry/src/claims/drive.rs
@@ -36,13 +36,33 @@
 
 /// What the caller is told, and what the endpoints said when they brought no answer.
 #[derive(Debug)]
-struct Told {
-    reply: Reply,
-    failure: Option<api::error::Error>,
+pub struct Told {
+    /// What the claim came to.
+    pub reply: Reply,
+    /// What the endpoints said.
+    pub failure: Option<api::error::Error>,
 }
 
 /// Sends a request at most once, whatever its caller, the table or the endpoints do.
 ///
+/// The claim goes on when the future is dropped: what was sent has to be recorded for the next who asks.
+pub async fn claim(worker: &Rc<Worker>, call: Rc<Call>, ticket: Ticket, key: SmolStr, trace: &Trace) -> Told {
+    let scope = Scope {
+        organisation: call.organisation.clone(),
+        service: call.service.clone(),
+        key,
+    };
+    let (told, telling) = oneshot::channel();
+    let claim = Claim::new(Rc::clone(worker), call, scope, trace.clone(), ticket, told);
+    ntex::rt::spawn(claim.run()).detach();
+    telling.await.unwrap_or(Told {
+        reply: Reply::Unknown,
+        failure: None,
+    })
+}
+
+/// Sends a caller's request at most once.
+///
 /// # Errors
 ///
 /// Returns the failure that the caller is told of.
@@ -54,17 +74,7 @@
     trace: &Trace,
 ) -> Result<Response, api::error::Error> {
     let id = call.id;
-    let scope = Scope {
-        organisation: call.organisation.clone(),
-        service: call.service.clone(),
-        key,
-    };
-    let (told, telling) = oneshot::channel();
-    let claim = Claim::new(Rc::clone(worker), call, scope, trace.clone(), ticket, told);
-    // The claim goes on when its caller goes away: what was sent has to be recorded for the caller's next request.
-    ntex::rt::spawn(claim.run()).detach();
-    let lost = |_| api::error::Error::from_claim(Error::Lost);
-    let Told { reply, failure } = telling.await.map_err(lost)?;
+    let Told { reply, failure } = claim(worker, call, ticket, key, trace).await;
     if let Some(failure) = failure {
         return Err(failure);
     }
--- a/bergamotshift-entry/src/claims/mod.rs
+++ b/bergamotshift-entry/src/claims/mod.rs
@@ -14,8 +14,12 @@
 mod windows;
 
 pub use self::committer::Committer;
+pub use self::convert::from_headers;
 pub use self::convert::from_whole;
+pub use self::convert::to_headers;
 pub use self::convert::to_whole;
+pub use self::drive::Told;
+pub use self::drive::claim;
 pub use self::drive::once;
 pub use self::error::Error;
 pub use self::join::Joined;
--- a/bergamotshift-entry/src/claims/store.rs
+++ b/bergamotshift-entry/src/claims/store.rs
@@ -4,6 +4,7 @@
 use bergamotshift_claim::driver::Unreachable;
 use bergamotshift_core::table::Ending;
 use bergamotshift_core::table::Key;
+use bergamotshift_core::table::Row;
 use bergamotshift_core::table::Write;
 use ntex::util::Bytes;
 use smol_str::SmolStr;
@@ -15,8 +16,12 @@
 pub(super) enum Message {
     /// Carry out a write.
     Write(Write, oneshot::Sender<Ending>),
+    /// Carry out a transaction as it is.
+    Transact(Vec<Write>, oneshot::Sender<Ending>),
     /// Read a row.
     Read(Key, oneshot::Sender<Reading>),
+    /// List a partition.
+    List(SmolStr, oneshot::Sender<Option<Vec<(SmolStr, Row)>>>),
     /// Keep an object.
     Keep(SmolStr, Vec<u8>, oneshot::Sender<bool>),
     /// Fetch an object.
@@ -48,6 +53,22 @@
         ending.await.unwrap_or(Ending::Unknown)
     }
 
+    /// Carries out a transaction that must not be split or joined with others.
+    pub async fn transact(&self, writes: Vec<Write>) -> Ending {
+        let (answer, ending) = oneshot::channel();
+        if self.0.send(Message::Transact(writes, answer)).is_err() {
+            return Ending::Refused;
+        }
+        ending.await.unwrap_or(Ending::Unknown)
+    }
+
+    /// Lists all rows of a partition, if that can be had.
+    pub async fn list(&self, partition: SmolStr) -> Option<Vec<(SmolStr, Row)>> {
+        let (answer, rows) = oneshot::channel();
+        drop(self.0.send(Message::List(partition, answer)));
+        rows.await.unwrap_or(None)
+    }
+
     /// Reads a row consistently.
     ///
     /// # Errors
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -41,6 +41,7 @@
 use crate::control::Sender;
 use crate::control::State;
 use crate::duties;
+use crate::jobs;
 use crate::observe;
 use crate::observe::Metrics;
 use crate::observe::Traces;
@@ -53,6 +54,7 @@
 use crate::watch;
 use crate::worker;
 use crate::worker::Shared;
+use crate::worker::Worker;
 
 /// Why an entry does not start.
 #[derive(Debug)]
@@ -201,6 +203,11 @@
             watching.push(ntex::rt::spawn(duties));
             let committer = Committer::new(Arc::clone(&shared), &platform);
             watching.push(ntex::rt::spawn(committer.run(inbox)));
+            if platform.table.is_some()
+                && let Ok(worker) = Worker::new(Arc::clone(&shared))
+            {
+                watching.push(ntex::rt::spawn(jobs::scan(Rc::new(worker))));
+            }
             control::run(state, messages).await;
             for task in watching {
                 task.cancel();
--- a/bergamotshift-entry/src/lib.rs
+++ b/bergamotshift-entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod daemon;
 pub mod duties;
 pub mod exchange;
+pub mod jobs;
 pub mod observe;
 pub mod peers;
 pub mod settings;
--- a/bergamotshift-entry/src/settings/mod.rs
+++ b/bergamotshift-entry/src/settings/mod.rs
@@ -19,6 +19,7 @@
 use smol_str::SmolStr;
 
 use crate::duties;
+use crate::jobs;
 use crate::peers;
 use crate::tls;
 
@@ -140,6 +141,8 @@
     pub peers: Option<peers::Settings>,
     /// Where traces go; without it none are made.
     pub otlp: Option<traces::Settings>,
+    /// How deferred jobs are found and run.
+    pub jobs: jobs::Settings,
     /// Where log records go.
     pub logger: Logger,
 }
@@ -166,6 +169,7 @@
             settle: Duration::from_millis(500),
             peers: None,
             otlp: None,
+            jobs: jobs::Settings::default(),
             logger: Logger::root(slog::Discard, o!()),
         }
     }
--- a/bergamotshift-entry/tests/entry/claims.rs
+++ b/bergamotshift-entry/tests/entry/claims.rs
@@ -29,7 +29,7 @@
 
 impl Pair {
     async fn start(work_ms: u64) -> Self {
-        let first = Site::start(Layout {
+        let layout = Layout {
             engines: 0,
             plains: 1,
             plain: plain::Settings {
@@ -37,8 +37,8 @@
                 ..plain::Settings::default()
             },
             ..Layout::default()
-        })
-        .await;
+        };
+        let first = Site::start(layout).await;
         let mut layout = Layout {
             engines: 0,
             plains: 0,
--- a/bergamotshift-entry/tests/entry/main.rs
+++ b/bergamotshift-entry/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod endpoint;
 mod input;
+mod jobs;
 mod leaving;
 mod path;
 mod plain;
--- a/bergamotshift-entry/tests/entry/site.rs
+++ b/bergamotshift-entry/tests/entry/site.rs
@@ -10,6 +10,7 @@
 use bergamotshift_entry::Daemon;
 use bergamotshift_entry::Handle;
 use bergamotshift_entry::Settings;
+use bergamotshift_entry::jobs;
 use bergamotshift_standin::engine;
 use bergamotshift_standin::ledger::State;
 use bergamotshift_standin::objects;
@@ -62,6 +63,11 @@
             settings: Settings {
                 threads: 1,
                 settle: core::time::Duration::from_millis(50),
+                // Tests that order faults of the table mean them for their own requests, not for a look for jobs.
+                jobs: jobs::Settings {
+                    slots: 0,
+                    ..jobs::Settings::default()
+                },
                 ..Settings::default()
             },
         }
