fix(standin): never answer for a dead host

Cause: the death of a host ends its runs, which wakes their calls, before it cuts the connections. A woken call could answer 500 "the engine died" in between, which no dead engine can write; the entry then passed a 500 on and a_whole_answer_is_fetched_again_when_its_endpoint_dies failed at times. A call of a host that is no longer up now waits for its cut and answers nothing.

The order ledger first, cut second stays, as callers rely on it.

--- a/bergamotshift-standin/src/host/control.rs
+++ b/bergamotshift-standin/src/host/control.rs
@@ -185,7 +185,12 @@
     /// run of an endpoint that its caller knows to be dead, or of the next incarnation.
     pub(super) fn while_alive<T>(&self, incarnation: Incarnation, begin: impl FnOnce() -> T) -> Option<T> {
         let _life = self.life();
-        (*self.phase.borrow() == Phase::Up(incarnation)).then(begin)
+        self.is_alive(incarnation).then(begin)
+    }
+
+    /// Returns whether the host is up as this incarnation.
+    pub(super) fn is_alive(&self, incarnation: Incarnation) -> bool {
+        *self.phase.borrow() == Phase::Up(incarnation)
     }
 
     /// Changes the phase from up to down; returns false when it was not up.
--- a/bergamotshift-standin/src/host/exchange.rs
+++ b/bergamotshift-standin/src/host/exchange.rs
@@ -30,6 +30,7 @@
 use tokio::sync::oneshot;
 
 use super::call::Call;
+use super::call::dead;
 use super::call::error;
 use super::call::json;
 use super::control::Control;
@@ -91,7 +92,9 @@
             control: Arc::clone(&self.control),
             incarnation,
         };
-        match (&call.method, call.path.as_str()) {
+        let control = Arc::clone(&self.control);
+        let io = call.io.clone();
+        let response = match (&call.method, call.path.as_str()) {
             (&Method::POST, "/_fault") => self.order(&call),
             (&Method::GET, "/_count") => json(&self.control.counts()),
             // A task of its own: what the platform or an endpoint began goes on when its caller goes away.
@@ -99,7 +102,17 @@
                 Ok(response) => response,
                 Err(_) => error(StatusCode::INTERNAL_SERVER_ERROR, "internal_error", "the call panicked"),
             },
+        };
+        // Failure: the death of a host ends its runs before it cuts its connections. Symptom: a call that its ended run
+        // wakes in between answers for a dead host, with an error that no dead host could write. It waits for the cut,
+        // which comes to every connection of a host that is no longer up.
+        if !control.is_alive(incarnation) {
+            if let Some(io) = io {
+                io.on_disconnect().await;
+            }
+            return dead();
         }
+        response
     }
 
     fn order(&self, call: &Call) -> Response {
--- a/bergamotshift-standin/tests/endpoints.rs
+++ b/bergamotshift-standin/tests/endpoints.rs
@@ -4,6 +4,8 @@
 use bergamotshift_standin::engine::text;
 use bergamotshift_standin::ledger::State;
 use bergamotshift_standin::prelude::*;
+use futures_util::future::join;
+use futures_util::future::join_all;
 use ntex::client::Client;
 use ntex::client::ClientResponse;
 use ntex::client::error::ClientError;
@@ -317,3 +319,31 @@
         assert_eq!(server.ledger().len(), runs);
     }
 }
+
+// Callers wait for whole answers and see their connections cut, each time. The kill first ends the runs, which wakes
+// the calls, and then cuts the connections; a call that is woken before its own cut must not answer for the dead engine.
+#[ntex::test]
+async fn killed_engine_answers_nobody() {
+    const CALLERS: usize = 64;
+    const ROUNDS: usize = 8;
+    let server = engine::Server::start(engine::Settings {
+        slots: CALLERS as u32,
+        ..Default::default()
+    })
+    .unwrap();
+    let body = chat(false, 1_000_000);
+    for round in 1..=ROUNDS {
+        let calls = join_all((0..CALLERS).map(|_| post(&server, "/v1/chat/completions", "a1", &body)));
+        let kill = async {
+            while server.ledger().len() < round * CALLERS {
+                tokio::task::yield_now().await;
+            }
+            server.kill();
+        };
+        let (answers, ()) = join(calls, kill).await;
+        let answered: Vec<_> = answers.into_iter().flatten().map(|answer| answer.status()).collect();
+        assert!(answered.is_empty(), "round {round}: {answered:?}");
+        assert!(server.ledger().iter().all(|run| run.state == State::Died));
+        server.restart();
+    }
+}
