fix(entry): count no request twice that ended while a report came

Cause: what ended of an entry's own requests between the making of a load report and its first sight stayed in the count of present requests until the next report. Those that took their place came on top, so an engine that had just got free looked twice as full and callers got 429 share_used before idle slots. requests_that_fill_free_slots_are_not_refused failed by it at times. What this entry ended since the report before is now taken off, down to what it has there itself; others may count for less by as much until the next.

Two new unit tests fail without the change and pass with it. The test of the whole entry is unchanged. Several entries at once were not measured.

--- a/bergamotshift-entry/src/sharing/flow.rs
+++ b/bergamotshift-entry/src/sharing/flow.rs
@@ -26,8 +26,17 @@
     spent: f64,
     /// Tokens per second of a full batch.
     tokens: Option<f64>,
-    /// The last report's number, and this entry's counts when it was first seen.
-    reported: Option<(u64, Mark)>,
+    reported: Option<Reported>,
+}
+
+/// The last report, and this entry's counts around it.
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    sequence: u64,
+    /// The counts when the report before it was first seen, so before this one was made.
+    before: Mark,
+    /// The counts when it was first seen.
+    seen: Mark,
 }
 
 impl Flow {
@@ -81,15 +90,27 @@
     /// Failure: requests that ended since the report still count, and those that took their place count as well.
     /// Symptom: an engine that is just full looks as if as many again were waiting, and callers are refused. What this
     /// entry sent and what ended of it is known exactly; the other entries are taken to do alike.
+    ///
+    /// When the report was made is not known, only that it was after the one before it was seen. What this entry ended
+    /// in between may be in it, so that is taken off, down to what this entry itself has there. The others' part may
+    /// be taken for smaller by as much, until the next report.
     pub(super) fn present(&mut self, row: &Row, report: &Report, entries: u32) -> f64 {
         let now = row.counter().mark();
-        let known = self.reported.filter(|(sequence, _)| *sequence == report.sequence);
-        let (sequence, then) = known.unwrap_or((report.sequence, now));
-        self.reported = Some((sequence, then));
-        let sent = now.sent.wrapping_sub(then.sent);
-        let ended = now.finished.wrapping_sub(then.finished);
+        let reported = match self.reported {
+            Some(known) if known.sequence == report.sequence => known,
+            known => Reported {
+                sequence: report.sequence,
+                before: known.map_or(now, |known| known.seen),
+                seen: now,
+            },
+        };
+        self.reported = Some(reported);
+        let Reported { before, seen, .. } = reported;
+        let sent = now.sent.wrapping_sub(seen.sent);
+        let ended = now.finished.wrapping_sub(seen.finished);
+        let unsure = seen.finished.wrapping_sub(before.finished);
         let change = (f64::from(sent) - f64::from(ended)) * f64::from(entries.max(1));
-        let reported = f64::from(report.running) + f64::from(report.waiting);
-        (reported + change).max(f64::from(now.in_flight()))
+        let counted = f64::from(report.running) + f64::from(report.waiting);
+        (counted - f64::from(unsure) + change).max(f64::from(now.in_flight()))
     }
 }
--- a/bergamotshift-entry/src/sharing/load/tests.rs
+++ b/bergamotshift-entry/src/sharing/load/tests.rs
@@ -23,6 +23,7 @@
     registry: Registry,
     service: view::Service,
     key: key::Endpoint,
+    reports: u64,
     flows: SecondaryMap<key::Endpoint, Flow>,
 }
 
@@ -41,13 +42,15 @@
             registry,
             service,
             key,
+            reports: 0,
             flows,
         }
     }
 
     fn report(&mut self, running: u32, waiting: u32) {
+        self.reports += 1;
         let report = Report {
-            sequence: 1,
+            sequence: self.reports,
             running,
             waiting,
             slots: 4,
@@ -98,6 +101,33 @@
     assert!((engine.ahead() - 4.0).abs() < 1e-9);
 }
 
+#[test]
+fn what_ended_while_the_report_came_counts_no_longer() {
+    // Four requests run when the report is made and end while it is on its way, so it is first seen after their end.
+    // Were it taken for the state at that time, the next four would make eight, and be refused before idle engines.
+    let mut engine = Engine::new(1);
+    let first = engine.send(4);
+    engine.report(4, 0);
+    assert!((engine.ahead() - 4.0).abs() < 1e-9);
+    drop(first);
+    engine.report(4, 0);
+    assert!(engine.ahead().abs() < 1e-9);
+    let _second = engine.send(4);
+    assert!((engine.ahead() - 4.0).abs() < 1e-9);
+}
+
+#[test]
+fn what_others_have_there_stays_counted() {
+    // Another entry's four requests run and two wait. This entry's own two ended while the report came.
+    let mut engine = Engine::new(2);
+    let own = engine.send(2);
+    engine.report(4, 2);
+    assert!((engine.ahead() - 6.0).abs() < 1e-9);
+    drop(own);
+    engine.report(4, 2);
+    assert!((engine.ahead() - 4.0).abs() < 1e-9);
+}
+
 #[test]
 fn other_entries_are_taken_to_do_alike() {
     // Two entries have two requests each at an engine. This one sends two more, so the other one has too.
