feat(demo): let the demo's entries form a fleet

The demo's entries stood alone, so that its run showed nothing of membership or handover between entries. A private authority now issues their certificates in memory at the start, with rcgen, and the first entry is the seed. The demo also prints where operators reach each entry, for bergamotshift status.

--- a/bergamotshift/src/command/demo.rs
+++ b/bergamotshift/src/command/demo.rs
@@ -120,6 +120,9 @@
     for address in site.callers() {
         println!("callers: http://{address}");
     }
+    for address in site.operators() {
+        println!("operators: http://{address}");
+    }
     println!("key: {}", site.key());
     let platform = site.platform();
     println!("vms: {}", platform.vms.address());
--- a/bergamotshift/src/demo/site.rs
+++ b/bergamotshift/src/demo/site.rs
@@ -16,12 +16,14 @@
 use crate::config::config::Organisation;
 use crate::config::digest::Digest;
 use crate::core::name;
+use crate::demo::authority::Authority;
 use crate::demo::services::Services;
 use crate::demo::worker;
 use crate::demo::worker::Worker;
 use crate::entry;
 use crate::entry::Daemon;
 use crate::entry::Handle;
+use crate::entry::peers;
 
 /// The key of the organisation that the demo adds when it knows the token of none.
 const ADDED_KEY: &str = "demo-key";
@@ -63,6 +65,9 @@
     /// A stand-in can't listen.
     #[error("a stand-in can't listen on loopback: {0}")]
     Standin(#[from] io::Error),
+    /// The certificates between the entries can't be issued.
+    #[error("a certificate can't be issued: {0}")]
+    Certificate(#[from] rcgen::Error),
     /// An entry can't start.
     #[error("an entry can't start: {0}")]
     Entry(#[from] entry::Error),
@@ -83,6 +88,14 @@
     pub handle: Option<Handle>,
 }
 
+impl Member {
+    /// Returns where other entries reach it.
+    fn peers(&self) -> Option<SocketAddr> {
+        let peers = self.handle.as_ref().and_then(Handle::peers);
+        peers.map(peers::Sender::address)
+    }
+}
+
 /// A whole deployment in one process.
 #[derive(Debug)]
 pub struct Site {
@@ -113,7 +126,8 @@
         }
         let config = Arc::new(config);
         let addresses = platform.addresses();
-        let mut members = Vec::new();
+        let authority = Authority::new()?;
+        let mut members: Vec<Member> = Vec::new();
         for zone in &zones {
             for number in 1..=settings.entries.max(1) {
                 let settings = entry::Settings {
@@ -122,6 +136,11 @@
                     threads: settings.threads,
                     config: Some(Arc::clone(&config)),
                     platform: addresses,
+                    peers: Some(peers::Settings {
+                        seeds: members.first().and_then(Member::peers).into_iter().collect(),
+                        credentials: authority.issue()?,
+                        ..peers::Settings::default()
+                    }),
                     logger: settings.logger.clone(),
                     ..entry::Settings::default()
                 };
@@ -166,6 +185,11 @@
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.members().iter().map(|member| member.callers).collect()
     }
+
+    /// Returns where operators reach the entries.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.members().iter().map(|member| member.operators).collect()
+    }
 }
 
 fn start_member(settings: entry::Settings) -> Result<Member, Error> {
