feat(cli): let an entry join its fleet by flags

PEM is tried before the start, since the library's errors quote it and a key must not reach a log. An unspecified address is refused: it is what other entries are told, and nobody reaches an entry there.

--- a/bergamotshift/src/command/entry.rs
+++ b/bergamotshift/src/command/entry.rs
@@ -4,6 +4,7 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use gumdrop::Options;
 use slog::info;
@@ -13,12 +14,15 @@
 use crate::endpoint::client;
 use crate::entry::Daemon;
 use crate::entry::Settings;
+use crate::entry::peers;
 use crate::entry::settings::Platform;
 use crate::entry::settings::traces;
 use crate::entry::tls;
 use crate::environment::Field;
 use crate::environment::Fields;
 use crate::error::Error;
+use crate::link::identity;
+use crate::link::identity::Identity;
 use crate::log;
 use crate::setting;
 use crate::stop;
@@ -26,6 +30,21 @@
 /// How long requests in flight may go on after a planned stop began.
 const GRACE: Duration = Duration::from_secs(30);
 
+/// Where other entries connect.
+const PEERS: &str = "peers";
+
+/// The entries that are asked first.
+const SEEDS: &str = "seeds";
+
+/// The certificate that other entries meet.
+const PEER_CERTIFICATE: &str = "peer-certificate";
+
+/// That certificate's private key.
+const PEER_KEY: &str = "peer-key";
+
+/// The private authority of all entries' certificates.
+const PEER_AUTHORITY: &str = "peer-authority";
+
 /// Arguments of `entry`.
 #[derive(Debug, Default)]
 #[derive(Options)]
@@ -66,6 +85,41 @@
         help = "speak TLS to endpoints and trust these authorities alone: a file, or the PEM text itself"
     )]
     pub endpoint_roots: Option<String>,
+    /// Where other entries connect.
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "where other entries connect; without it the entry stands alone"
+    )]
+    pub peers: Option<String>,
+    /// The entries that are asked first.
+    #[options(
+        no_short,
+        meta = "IP:PORT,…",
+        help = "entries that are asked first; the same list fits all"
+    )]
+    pub seeds: Option<String>,
+    /// The certificate that other entries meet.
+    #[options(
+        no_short,
+        meta = "PEM",
+        help = "between entries: a file with the certificate and those up to its authority, or the PEM text itself"
+    )]
+    pub peer_certificate: Option<String>,
+    /// That certificate's private key.
+    #[options(
+        no_short,
+        meta = "PEM",
+        help = "between entries: a file with the private key, or the PEM text itself (in the variable alone)"
+    )]
+    pub peer_key: Option<String>,
+    /// The private authority of all entries' certificates.
+    #[options(
+        no_short,
+        meta = "PEM",
+        help = "between entries: trust the certificates of this authority alone: a file, or the PEM text itself"
+    )]
+    pub peer_authority: Option<String>,
     /// Threads that serve callers.
     #[options(no_short, meta = "COUNT", help = "threads that serve callers (default 4)")]
     pub threads: Option<String>,
@@ -141,6 +195,11 @@
             ("tls-certificate", &mut self.tls_certificate),
             ("tls-key", &mut self.tls_key),
             ("endpoint-roots", &mut self.endpoint_roots),
+            (PEERS, &mut self.peers),
+            (SEEDS, &mut self.seeds),
+            (PEER_CERTIFICATE, &mut self.peer_certificate),
+            (PEER_KEY, &mut self.peer_key),
+            (PEER_AUTHORITY, &mut self.peer_authority),
             ("threads", &mut self.threads),
             ("folder", &mut self.folder),
             ("vms", &mut self.vms),
@@ -182,6 +241,7 @@
             operators: setting::required("operators", self.operators.as_deref(), address)?,
             tls: self.tls()?,
             endpoints: self.endpoints()?,
+            peers: self.peers()?,
             threads: setting::or("threads", self.threads.as_deref(), defaults.threads)?,
             folder: setting::optional::<PathBuf>("folder", self.folder.as_deref())?,
             platform: self.platform()?,
@@ -214,6 +274,63 @@
         })
     }
 
+    fn peers(&self) -> Result<Option<peers::Settings>, setting::Error> {
+        let Some(listen) = setting::optional::<SocketAddr>(PEERS, self.peers.as_deref())? else {
+            return Ok(None);
+        };
+        // Failure: an entry listens on every address and tells the others that one. Symptom: nobody reaches it, and
+        // it is taken for dead. Asking for a definite address is enough, since what is listened on is what is told.
+        if listen.ip().is_unspecified() {
+            let cause = "other entries are told this address, so it must be a definite one";
+            return Err(setting::wrong(PEERS, &listen.to_string(), &cause));
+        }
+        let seeds: Vec<SocketAddr> = setting::list(SEEDS, self.seeds.as_deref())?;
+        if seeds.is_empty() {
+            let purpose = "entries that are asked first, such as 10.0.0.7:7100; the first entry may name itself";
+            return Err(setting::Error::Missing { flag: SEEDS, purpose });
+        }
+        Ok(Some(peers::Settings {
+            listen,
+            seeds,
+            credentials: self.credentials()?,
+            ..peers::Settings::default()
+        }))
+    }
+
+    /// Reads who this entry is to the others.
+    ///
+    /// Failure: a wrong file or text is met only when the entry starts. Symptom: the library's error quotes the text,
+    /// and a private key reaches the log. Each part is tried here, and only the flag and the file are named.
+    fn credentials(&self) -> Result<peers::Credentials, setting::Error> {
+        let purpose = "--peers needs a certificate, its key and the authority";
+        let source = |flag, text: &Option<String>| setting::required::<tls::Source>(flag, text.as_deref(), purpose);
+        let read = |flag, source: &tls::Source| -> Result<Arc<[u8]>, setting::Error> {
+            let text = source.read().map_err(|cause| wrong_source(flag, source, &cause))?;
+            Ok(Arc::from(text.as_ref()))
+        };
+        let chain_source = source(PEER_CERTIFICATE, &self.peer_certificate)?;
+        let key_source = source(PEER_KEY, &self.peer_key)?;
+        let authority_source = source(PEER_AUTHORITY, &self.peer_authority)?;
+        let chain = read(PEER_CERTIFICATE, &chain_source)?;
+        let key = read(PEER_KEY, &key_source)?;
+        let authority = read(PEER_AUTHORITY, &authority_source)?;
+        let none = "it holds no certificate in PEM";
+        match Identity::from_pem(&chain, &key, &chain) {
+            Err(identity::Error::Pem {
+                what: "private key", ..
+            }) => {
+                let cause = "it holds no private key in PEM";
+                return Err(wrong_source(PEER_KEY, &key_source, &cause));
+            }
+            Err(_quoting) => return Err(wrong_source(PEER_CERTIFICATE, &chain_source, &none)),
+            Ok(_) => {}
+        }
+        if Identity::from_pem(&authority, &key, &authority).is_err() {
+            return Err(wrong_source(PEER_AUTHORITY, &authority_source, &none));
+        }
+        Ok(peers::Credentials { chain, key, authority })
+    }
+
     fn otlp(&self) -> Result<Option<traces::Settings>, setting::Error> {
         const RATIO: &str = "otlp-ratio";
         let defaults = traces::Settings::default();
@@ -264,7 +381,8 @@
     let logger = settings.logger.clone();
     let stop = stop::Signal::register().map_err(|error| Error::failed(&error))?;
     let handle = Daemon::start(settings).map_err(|error| Error::failed(&error))?;
-    info!(logger, "serving"; "callers" => %handle.callers(), "operators" => %handle.operators());
+    info!(logger, "serving"; "callers" => %handle.callers(), "operators" => %handle.operators(),
+        "peers" => handle.peers().map(|peers| peers.address().to_string()));
     stop.wait();
     let drained = handle.drain(grace);
     handle.join();
