--- a/bergamotshift-entry/tests/security/organisations.rs
+++ b/bergamotshift-entry/tests/security/organisations.rs
@@ -65,3 +65,43 @@
     let named: Vec<_> = named.iter().map(|name| name.as_deref().unwrap()).collect();
     assert_eq!(named, ["acme", "other", "acme", "other"]);
 }
+
+#[ntex::test]
+async fn a_job_of_others_is_not_there() {
+    // One organisation hands a job in. Another one that learns its location can neither fetch nor cancel it, and is
+    // told the same as of a job that never was; the job is there for its own organisation afterwards.
+    let site = Site::start(Layout {
+        plains: 1,
+        engines: 0,
+        app: "deferrable = true",
+        ..Layout::default()
+    })
+    .await;
+    let headers = [("prefer", "respond-async"), ("idempotency-key", "k")];
+    let accepted = site.send(Method::PUT, "/app/rebuild", &headers, "{}").await;
+    assert_eq!(accepted.status.as_u16(), 202, "{}", accepted.text());
+    let location = accepted.header("location").unwrap();
+    let last = if location.ends_with('0') { "1" } else { "0" };
+    let never = format!("{}{last}", &location[..location.len() - 1]);
+    let key = other();
+    let headers = [("authorization", key.as_str())];
+    for method in [Method::GET, Method::DELETE] {
+        let theirs = site.send_as(method.clone(), location, &headers, "").await;
+        let none = site.send_as(method.clone(), &never, &headers, "").await;
+        assert_eq!((theirs.status.as_u16(), none.status.as_u16()), (404, 404), "{method}");
+        assert_eq!(theirs.json()["error"]["message"], none.json()["error"]["message"]);
+        let bare = site.send_as(method, location, &[], "").await;
+        bare.assert_failure(401, "invalid_api_key", "not-run");
+    }
+    let own = site.send(Method::GET, location, &[], "").await;
+    assert!([200, 202].contains(&own.status.as_u16()), "{}", own.text());
+    // The other's own job under the same key is another one.
+    let headers = [
+        ("authorization", key.as_str()),
+        ("prefer", "respond-async"),
+        ("idempotency-key", "k"),
+    ];
+    let others = site.send_as(Method::PUT, "/app/rebuild", &headers, "{}").await;
+    assert_eq!(others.status.as_u16(), 202, "{}", others.text());
+    assert_ne!(others.header("location"), Some(location));
+}
