fix(entry): tell uploads that stream through from one another

Cause: a body that streams through was not part of the request's fingerprint, so all uploads to one path counted as one request. Two that killed an endpoint each had the third, an innocent one, refused as poisonous. Such an upload now has a fingerprint of its own; it is never sent again by an entry, so nothing is lost by not recognising it.

Before: the new test fails. After: it passes.

--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -86,12 +86,11 @@
     if let Outgoing::Held(held) = &outgoing {
         call.body = held.clone();
     }
-    call.fingerprint = Fingerprint::of(
-        service.name.as_str(),
-        call.method.as_str(),
-        call.path.as_str(),
-        &call.body,
-    );
+    call.fingerprint = match &outgoing {
+        Outgoing::Held(body) => Fingerprint::of(service.name.as_str(), call.method.as_str(), call.path.as_str(), body),
+        // What streams through cannot be recognised again, and must not be taken for another upload to the path.
+        Outgoing::Once(_) => Fingerprint::new(id.get()),
+    };
     if !call.repeatable {
         let key = call.key.take();
         let key = key.or_else(|| claims::from_fields(&handling.key_fields, &call.body));
--- a/bergamotshift-entry/tests/entry/poison.rs
+++ b/bergamotshift-entry/tests/entry/poison.rs
@@ -6,6 +6,7 @@
 use bergamotshift_standin::engine::text;
 use bergamotshift_standin::fault::Fault;
 use futures_util::future::join_all;
+use ntex::http::Method;
 use serde_json::json;
 
 use crate::site::Incoming;
@@ -73,3 +74,32 @@
         assert_eq!(reply.streamed(), (text::expected(body, 40).unwrap(), true));
     }
 }
+
+#[ntex::test]
+async fn uploads_that_stream_through_are_not_taken_for_one_another() {
+    // Two uploads too large to be held kill an endpoint each. A third, to the same path and with another body, is
+    // innocent: it is served by the endpoint that is left.
+    let site = Site::start(Layout {
+        engines: 0,
+        plains: 3,
+        ..Layout::default()
+    })
+    .await;
+    for plain in &site.plains {
+        plain.fault(Fault::CrashOn {
+            marker: "poison".to_owned(),
+        });
+    }
+    let upload = |head: &str| format!("{head}{}", "x".repeat(300_000));
+    for head in ["poison one", "poison two"] {
+        let reply = site.send(Method::PUT, "/app/plan", &[], upload(head)).await;
+        assert_eq!(
+            reply.header("x-bergamotshift-outcome"),
+            Some("unknown"),
+            "{}",
+            reply.text()
+        );
+    }
+    let reply = site.send(Method::PUT, "/app/plan", &[], upload("harmless")).await;
+    assert_eq!(reply.status.as_u16(), 200, "{}", reply.text());
+}
