test(entry): a stream goes on elsewhere when its endpoint freezes

The engine stands still with its connection open; the stream moves after the time it may stand still, and what the engine sends when it wakes up reaches nobody. Passes on the code as it stands.

--- a/bergamotshift-entry/tests/entry/stream.rs
+++ b/bergamotshift-entry/tests/entry/stream.rs
@@ -52,6 +52,25 @@
     assert_eq!(site.runs(), 2);
 }
 
+#[ntex::test]
+async fn a_stream_goes_on_elsewhere_when_its_endpoint_freezes() {
+    // The engine stands still in the middle of a stream, with its connection open. After the time that a stream may
+    // stand still the entry asks another engine. The first one wakes up later, and what it still sends reaches nobody.
+    let site = Site::start(slow()).await;
+    let body = chat("tables of the gala");
+    let expected = text::expected(&body, TOKENS).unwrap();
+    let mut incoming = site.open_chat(&body).await;
+    incoming.events(6).await;
+    let frozen = site.busy_engine();
+    frozen.pause();
+    let reply = incoming.rest().await;
+    frozen.resume();
+    assert_eq!(reply.streamed(), (expected, true));
+    assert!(reply.whole);
+    let again = site.chat(&body).await;
+    assert_eq!(again.streamed().0, reply.streamed().0);
+}
+
 #[ntex::test]
 async fn a_stream_survives_endpoint_after_endpoint() {
     // The caller sees one whole stream though its first engine dies under it and its second breaks the connection in
