test(cli): compare members only after the stranger was refused again

The lists were compared as soon as the fleet of two stood, before a stranger could have come in. A trial that gave the stranger the fleet's own authority, without the wait for its refusal, passed. The test now waits for a further refusal once the fleet stands; with the fleet's own authority it fails.

--- a/bergamotshift/tests/peers.rs
+++ b/bergamotshift/tests/peers.rs
@@ -130,6 +130,9 @@
     for entry in [&first, &second] {
         assert!(entry.lists(&["entry-1", "entry-2"]), "{:?}", entry.members());
     }
+    // The stranger is refused once more now that there is a fleet, and only then are the lists compared.
+    first.records.try_iter().for_each(drop);
+    find(&first.records, "a connection was refused");
     let known = stranger.members();
     assert!(
         known.iter().all(|member| member.name.as_str() == "entry-x"),
