--- a/bergamotshift-forward/src/capacity/mod.rs
+++ b/bergamotshift-forward/src/capacity/mod.rs
@@ -8,33 +8,40 @@
 use std::collections::BTreeMap;
 
 use bergamotshift_core::prelude::*;
+use serde::Deserialize;
 
 use crate::document::Scale;
 use crate::outside::Order;
 
+/// How long a peak of demand is remembered; callers' waves take tens of seconds.
+const PEAK: Duration = Duration::from_secs(15);
+
 /// How counts are chosen.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize)]
+#[serde(default)]
 pub struct Settings {
-    /// Reclaimable endpoints wanted in each zone.
+    /// Prompt tokens a second that one endpoint reads beside the tokens that it generates, with room for bursts.
+    pub reads: f64,
+    /// The fewest endpoints of both markets, over all zones.
+    pub least: u32,
+    /// The fewest reclaimable endpoints in each zone.
     pub reclaimable: u32,
-    /// On-demand endpoints kept in each zone once reclaimable ones serve.
-    pub on_demand: u32,
-    /// The part of the reclaimable endpoints that must serve before on-demand ones are given back.
-    pub enough: f64,
-    /// How long an order that has not shown its effect waits, beyond the time a new endpoint takes to boot.
-    pub patience: Duration,
-    /// How long a zone without room is left alone; the platform says that none are to be had for many seconds.
-    pub dry: Duration,
+    /// How many milliseconds an order that has not shown its effect waits, beyond the time a new endpoint takes to boot.
+    pub patience_ms: u64,
+    /// For how many milliseconds a zone without room is left alone; the platform says that none are to be had for many
+    /// seconds.
+    pub dry_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            reads: 25_000.0,
+            least: 4,
             reclaimable: 3,
-            on_demand: 0,
-            enough: 0.6,
-            patience: Duration::from_secs(3),
-            dry: Duration::from_secs(3),
+            patience_ms: 3_000,
+            dry_ms: 2_500,
         }
     }
 }
@@ -61,6 +68,8 @@
 struct Placed {
     count: u32,
     at: Instant,
+    /// Whether the endpoints were seen in that number since.
+    shown: bool,
 }
 
 /// Plans one service's endpoints.
@@ -69,6 +78,8 @@
     settings: Settings,
     placed: BTreeMap<(name::Zone, Market), Placed>,
     dry: BTreeMap<name::Zone, Instant>,
+    /// The most endpoints needed lately, and when.
+    peak: (u32, Instant),
 }
 
 impl Planner {
@@ -78,13 +89,23 @@
             settings,
             placed: BTreeMap::new(),
             dry: BTreeMap::new(),
+            peak: (0, Instant::ZERO),
         }
     }
 
     /// Notes that a zone has no room for reclaimable endpoints at the moment.
-    pub fn refused(&mut self, now: Instant, zone: &name::Zone) {
-        self.dry.insert(zone.clone(), now);
-        self.placed.remove(&(zone.clone(), Market::Reclaimable));
+    pub fn refused(&mut self, now: Instant, order: &Order) {
+        self.failed(order);
+        if order.market == Market::Reclaimable {
+            self.dry.insert(order.zone.clone(), now);
+        }
+    }
+
+    /// Notes that an order was taken.
+    pub fn accepted(&mut self, order: &Order) {
+        if order.market == Market::Reclaimable {
+            self.dry.remove(&order.zone);
+        }
     }
 
     /// Notes an order that may not have reached the platform.
@@ -92,97 +113,140 @@
         self.placed.remove(&(order.zone.clone(), order.market));
     }
 
-    /// Returns the orders that are due, and notes them as placed.
+    /// Returns the orders that are due, and notes them as placed; `reading` is the prompt tokens a second that callers
+    /// ask to have read.
     pub fn plan(
         &mut self,
         now: Instant,
         service: &name::Service,
         scale: &Scale,
         present: &BTreeMap<name::Zone, Present>,
+        reading: f64,
     ) -> Vec<Order> {
-        let mut orders = Vec::new();
         if scale.reclaimable_price.is_none() {
-            return orders;
+            return Vec::new();
         }
-        let zones: Vec<&name::Zone> = scale.zone_prices.keys().collect();
-        let open = zones.iter().filter(|zone| !self.is_dry(now, zone)).count();
-        let wanted = self.settings.reclaimable * zones.len() as u32;
-        let each = wanted.div_ceil(open.max(1) as u32).min(scale.max);
+        let needed = self.needed(now, reading);
+        let wanted = self.wanted(scale, present, needed);
+        let mut orders = Vec::new();
+        for (zone, counts) in wanted {
+            let here = present.get(&zone).copied().unwrap_or_default();
+            for market in [Market::Reclaimable, Market::OnDemand] {
+                let asks = market == Market::OnDemand || !self.is_left_alone(now, &zone);
+                if asks && self.is_due(now, scale, &zone, market, here.of(market), counts.of(market)) {
+                    orders.push(Order {
+                        service: service.clone(),
+                        zone: zone.clone(),
+                        market,
+                        count: counts.of(market),
+                    });
+                }
+            }
+        }
+        orders
+    }
+
+    /// Returns how many endpoints are needed: the most of the last while, since demand comes in waves and an endpoint
+    /// that is given back loses its cache.
+    fn needed(&mut self, now: Instant, reading: f64) -> u32 {
+        let needed = ((reading / self.settings.reads).ceil() as u32).max(self.settings.least);
+        if needed >= self.peak.0 || now.since(self.peak.1) >= PEAK {
+            self.peak = (needed, now);
+        }
+        self.peak.0
+    }
+
+    /// Returns the counts that are wanted in each zone.
+    fn wanted(
+        &self,
+        scale: &Scale,
+        present: &BTreeMap<name::Zone, Present>,
+        needed: u32,
+    ) -> BTreeMap<name::Zone, Present> {
+        let zones = scale.zone_prices.len() as u32;
+        // The loss of one zone leaves as many as are needed.
+        let spread = needed.div_ceil(zones.saturating_sub(1).max(1));
+        let each = spread.max(self.settings.reclaimable).min(scale.max);
+        let here = |zone: &name::Zone| present.get(zone).copied().unwrap_or_default();
         let serving: u32 = present.values().map(|present| present.reclaimable).sum();
-        let enough = f64::from(serving) >= f64::from(wanted) * self.settings.enough;
-        for zone in zones {
-            let here = present.get(zone).copied().unwrap_or_default();
-            let on_demand = if enough {
-                self.settings.on_demand.min(here.on_demand)
+        let enough = serving >= needed && self.dry.is_empty();
+        // What a zone without room has left is all that can be counted on there.
+        let counted = scale.zone_prices.keys().map(|zone| {
+            let expected = if self.dry.contains_key(zone) {
+                here(zone).reclaimable.min(each)
             } else {
-                here.on_demand
+                each
             };
-            if !self.is_dry(now, zone) {
-                let reclaimable = each
-                    .min(scale.max.saturating_sub(here.on_demand))
-                    .max(scale.min.min(each));
-                self.place(
-                    now,
-                    scale,
-                    service,
-                    zone,
-                    Market::Reclaimable,
-                    here,
-                    reclaimable,
-                    &mut orders,
-                );
-            }
-            if on_demand < here.on_demand {
-                self.place(
-                    now,
-                    scale,
-                    service,
-                    zone,
-                    Market::OnDemand,
-                    here,
-                    on_demand,
-                    &mut orders,
-                );
-            }
+            (zone, expected)
+        });
+        let counted: BTreeMap<&name::Zone, u32> = counted.collect();
+        let mut expected: u32 = counted.values().sum();
+        if !self.dry.is_empty() {
+            // While there are none to be had, the next zone that is reclaimed is not made up for either: on-demand ones
+            // take seconds to boot, so they are ordered before that.
+            expected -= counted.values().copied().max().unwrap_or_default();
         }
-        orders
+        let mut missing = needed.saturating_sub(expected);
+        let mut by_price: Vec<_> = scale.zone_prices.iter().collect();
+        by_price.sort_by(|a, b| a.1.total_cmp(b.1));
+        let mut wanted = BTreeMap::new();
+        for (zone, _) in by_price {
+            let room = scale.max.saturating_sub(counted[zone]);
+            // Spread over two zones at the least: one can be cut off with all that serves there.
+            let share = missing.min(room).min(needed.div_ceil(2));
+            missing -= share;
+            let kept = if enough { 0 } else { here(zone).on_demand };
+            let on_demand = share.max(kept).min(scale.max);
+            let room = scale.max.saturating_sub(here(zone).on_demand.max(on_demand));
+            let reclaimable = each.min(room).max(scale.min.saturating_sub(on_demand));
+            wanted.insert(zone.clone(), Present { on_demand, reclaimable });
+        }
+        wanted
     }
 
-    fn is_dry(&self, now: Instant, zone: &name::Zone) -> bool {
+    /// Returns whether a zone refused lately, so that asking again is of no use yet.
+    fn is_left_alone(&self, now: Instant, zone: &name::Zone) -> bool {
         self.dry
             .get(zone)
-            .is_some_and(|since| now.since(*since) < self.settings.dry)
+            .is_some_and(|since| now.since(*since) < Duration::from_millis(self.settings.dry_ms))
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one order is one flat set of facts")]
-    fn place(
+    /// Returns whether an order is due, and notes it as placed.
+    ///
+    /// An order whose effect was seen and is gone again is due at once: a zone was reclaimed, or an endpoint ended. One
+    /// whose effect was never seen is given the time to boot.
+    fn is_due(
         &mut self,
         now: Instant,
         scale: &Scale,
-        service: &name::Service,
         zone: &name::Zone,
         market: Market,
-        here: Present,
+        here: u32,
         count: u32,
-        orders: &mut Vec<Order>,
-    ) {
+    ) -> bool {
         let key = (zone.clone(), market);
-        let shown = here.of(market) == count;
-        let patience = scale.boot + self.settings.patience;
-        let due = match self.placed.get(&key) {
-            Some(placed) if placed.count == count => !shown && now.since(placed.at) >= patience,
-            Some(_) => true,
-            None => !shown,
-        };
-        if !due {
-            return;
+        let patience = scale.boot + Duration::from_millis(self.settings.patience_ms);
+        let shown = here == count;
+        if let Some(placed) = self.placed.get_mut(&key)
+            && placed.count == count
+        {
+            if shown {
+                placed.shown = true;
+                return false;
+            }
+            if !placed.shown && now.since(placed.at) < patience {
+                return false;
+            }
+        } else if shown {
+            self.placed.remove(&key);
+            return false;
         }
-        self.placed.insert(key, Placed { count, at: now });
-        orders.push(Order {
-            service: service.clone(),
-            zone: zone.clone(),
-            market,
+        let placed = Placed {
             count,
-        });
+            at: now,
+            shown: false,
+        };
+        self.placed.insert(key, placed);
+        true
     }
 }
--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -5,13 +5,16 @@
 
 mod recall;
 
+use core::net::SocketAddr;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use self::recall::Reading;
 pub use self::recall::Recall;
 use crate::dialect::Ask;
+use crate::document::Engine;
 use crate::endpoint::Endpoint;
 
 /// What choices are weighed with.
@@ -28,6 +31,12 @@
     pub trouble: f64,
     /// What another availability zone counts as slower, in milliseconds: about one way there and back.
     pub distance: f64,
+    /// What sets the endpoint apart on which all entries agree for a part that nobody has read, in milliseconds.
+    pub agreement: f64,
+    /// The time to set a transfer of cached parts up, in milliseconds.
+    pub transfer: f64,
+    /// The least tokens that are worth a transfer.
+    pub transferred: u64,
 }
 
 impl Default for Settings {
@@ -38,6 +47,9 @@
             work: 30.0,
             trouble: 1_500.0,
             distance: 1.0,
+            agreement: 30.0,
+            transfer: 3.0,
+            transferred: 256,
         }
     }
 }
@@ -49,6 +61,8 @@
     pub endpoint: Arc<Endpoint>,
     /// Prompt tokens that it is expected to read.
     pub unread: u64,
+    /// Another endpoint, from which it gets parts of the prompt that it does not hold.
+    pub source: Option<SocketAddr>,
     /// The expected time to its answer, in milliseconds.
     pub cost: f64,
 }
@@ -58,8 +72,8 @@
 pub struct Request<'a> {
     /// What the caller asks for.
     pub ask: &'a Ask,
-    /// Whether the service is a model engine.
-    pub engine: bool,
+    /// What the service's model engines are like; `None` for a plain service.
+    pub engine: Option<Engine>,
     /// The entry's own availability zone.
     pub zone: &'a name::Zone,
     /// Endpoints that had the request already.
@@ -80,8 +94,10 @@
         let taking = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
         taking.filter(|endpoint| !request.tried.contains(&endpoint.hash))
     };
-    let home = home(request.ask, open().map(|endpoint| endpoint.hash));
-    let cost = |endpoint: &Arc<Endpoint>| weigh(settings, endpoint, request, recall, home);
+    let prompt = request
+        .engine
+        .map(|engine| Prompt::new(now, engine, endpoints, request, recall));
+    let cost = |endpoint: &Arc<Endpoint>| weigh(settings, endpoint, request, prompt.as_ref());
     let best = |candidates: &mut dyn Iterator<Item = &Arc<Endpoint>>| {
         candidates.map(cost).min_by(|a, b| a.cost.total_cmp(&b.cost))
     };
@@ -89,19 +105,51 @@
     reachable.or_else(|| best(&mut open()))
 }
 
+/// What is known of where a prompt's parts are.
+struct Prompt<'a> {
+    engine: Engine,
+    ask: &'a Ask,
+    recall: &'a Recall,
+    /// The endpoint on which all entries agree for a part that nobody has read.
+    home: Option<u64>,
+    /// The endpoint that holds most of the prompt's beginning, leaving ones included, and how many tokens.
+    holder: Option<(&'a Arc<Endpoint>, u64)>,
+}
+
+impl<'a> Prompt<'a> {
+    fn new(
+        now: Instant,
+        engine: Engine,
+        endpoints: &'a [Arc<Endpoint>],
+        request: &Request<'a>,
+        recall: &'a Recall,
+    ) -> Self {
+        let ask = request.ask;
+        let reachable = endpoints.iter().filter(|endpoint| !endpoint.health.is_paused(now));
+        let holders = reachable.map(|endpoint| (endpoint, recall.held(&ask.parts, endpoint.hash)));
+        let known = ask.shared().is_some_and(|part| recall.is_known(part.id));
+        let open = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
+        Self {
+            engine,
+            ask,
+            recall,
+            home: if known {
+                None
+            } else {
+                home(ask, open.map(|endpoint| endpoint.hash))
+            },
+            holder: holders.max_by_key(|(_, held)| *held).filter(|(_, held)| *held > 0),
+        }
+    }
+}
+
 /// Returns the endpoint on which all entries agree for a prompt's shared part, by rendezvous hash.
 fn home(ask: &Ask, endpoints: impl Iterator<Item = u64>) -> Option<u64> {
     let part = ask.shared()?;
     endpoints.max_by_key(|hash| xxh3_64_with_seed(&part.id.to_le_bytes(), *hash))
 }
 
-fn weigh(
-    settings: &Settings,
-    endpoint: &Arc<Endpoint>,
-    request: &Request<'_>,
-    recall: &Recall,
-    home: Option<u64>,
-) -> Choice {
+fn weigh(settings: &Settings, endpoint: &Arc<Endpoint>, request: &Request<'_>, prompt: Option<&Prompt<'_>>) -> Choice {
     let running = f64::from(endpoint.running());
     let slots = f64::from(endpoint.registration.slots.max(1));
     let away = if endpoint.registration.zone == *request.zone {
@@ -110,37 +158,51 @@
         settings.distance
     };
     let trouble = settings.trouble * endpoint.health.trouble();
-    let mut unread = 0;
-    let work = if request.engine {
-        unread = unread_tokens(request.ask, endpoint.hash, recall, home);
-        let ahead = endpoint.unread() + unread;
-        let queue = (running - slots).max(0.0) * settings.work;
-        ahead as f64 / settings.read_rate + running * settings.company + queue
-    } else {
-        running / slots * settings.work + (running - slots).max(0.0) * settings.work
-    };
-    Choice {
+    let beyond = (running - slots).max(0.0) * settings.work;
+    let mut choice = Choice {
         endpoint: Arc::clone(endpoint),
-        unread,
-        cost: work + trouble + away,
+        unread: 0,
+        source: None,
+        cost: trouble + away + beyond,
+    };
+    match prompt {
+        Some(prompt) => {
+            choice.cost += prompt.weigh(settings, &mut choice.unread, &mut choice.source, endpoint);
+            choice.cost += running * settings.company;
+        }
+        None => choice.cost += running / slots * settings.work,
     }
+    choice
 }
 
-/// Returns how many tokens of a prompt an endpoint is expected to read.
-fn unread_tokens(ask: &Ask, endpoint: u64, recall: &Recall, home: Option<u64>) -> u64 {
-    let prompt = u64::from(ask.size.unwrap_or_default().prompt);
-    let shared = ask.parts.len().saturating_sub(1);
-    let mut cached = 0;
-    for (place, part) in ask.parts.iter().enumerate() {
-        let held = match recall.holds(part.id, endpoint) {
-            Some(held) => held,
-            // Nobody is known to have it: where all entries send it is the best guess.
-            None => place < shared && home == Some(endpoint),
-        };
-        if !held {
-            break;
+impl Prompt<'_> {
+    /// Returns the expected time until an endpoint has read the prompt, with what it reads and what it gets from where.
+    fn weigh(
+        &self,
+        settings: &Settings,
+        unread: &mut u64,
+        source: &mut Option<SocketAddr>,
+        endpoint: &Endpoint,
+    ) -> f64 {
+        let held = self.recall.held(&self.ask.parts, endpoint.hash);
+        let total = u64::from(self.ask.size.unwrap_or_default().prompt);
+        let elsewhere = self.holder.filter(|(holder, _)| holder.hash != endpoint.hash);
+        let more = elsewhere.map_or(0, |(_, tokens)| tokens.saturating_sub(held));
+        let mut time = 0.0;
+        let mut gets = 0;
+        if let (Some((holder, _)), Some(per_token)) = (elsewhere, self.engine.transfer)
+            && more >= settings.transferred
+        {
+            gets = more;
+            time += settings.transfer + more as f64 * per_token;
+            *source = Some(holder.registration.address);
         }
-        cached += u64::from(part.tokens);
+        *unread = total.saturating_sub(held + gets);
+        let agreed = if self.home.is_some_and(|home| home != endpoint.hash) {
+            settings.agreement
+        } else {
+            0.0
+        };
+        time + agreed + (endpoint.unread() + *unread) as f64 / settings.read_rate
     }
-    prompt.saturating_sub(cached)
 }
--- a/bergamotshift-forward/src/choice/recall.rs
+++ b/bergamotshift-forward/src/choice/recall.rs
@@ -2,59 +2,104 @@
 
 use core::time::Duration;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use bergamotshift_core::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::dialect::Part;
 
 /// How long a part is taken to stay in an endpoint's cache after its last use. An engine drops what it used longest
 /// ago; a part that nobody asked for in this time is likely gone.
-const MEMORY: Duration = Duration::from_secs(30);
+const MEMORY: Duration = Duration::from_mins(1);
 
 /// The most parts remembered; about a hundred bytes each.
-const CAPACITY: usize = 8_192;
+const CAPACITY: usize = 16_384;
 
 /// The most endpoints remembered for a part.
 const HOLDERS: usize = 6;
 
+/// How long a reading is told to the other entries: several rounds of telling.
+const TOLD: Duration = Duration::from_secs(2);
+
+/// The most readings told at once; a kilobyte.
+const MOST_TOLD: usize = 64;
+
+/// One part read by one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Reading {
+    /// The endpoint, by its hash.
+    pub endpoint: u64,
+    /// The part.
+    pub part: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     endpoint: u64,
     at: Instant,
 }
 
-/// Which endpoints this entry made read which parts.
+/// Which endpoints read which parts, for this entry and for those that tell it.
 #[derive(Debug, Default)]
 pub struct Recall {
     parts: HashMap<u64, Vec<Holder>>,
+    told: VecDeque<(Instant, Reading)>,
 }
 
 impl Recall {
-    /// Notes that an endpoint reads these parts.
+    /// Notes that an endpoint reads these parts for this entry; the last one is the request's own and told to nobody.
     pub fn note(&mut self, now: Instant, endpoint: u64, parts: &[Part]) {
+        for (place, part) in parts.iter().enumerate() {
+            let reading = Reading {
+                endpoint,
+                part: part.id,
+            };
+            self.hear(now, reading);
+            if place + 1 < parts.len() {
+                self.told.push_back((now, reading));
+            }
+        }
+        while self.told.len() > MOST_TOLD {
+            self.told.pop_front();
+        }
+    }
+
+    /// Notes that an endpoint reads a part.
+    pub fn hear(&mut self, now: Instant, reading: Reading) {
         if self.parts.len() >= CAPACITY {
             self.expire(now);
         }
-        for part in parts {
-            let holders = self.parts.entry(part.id).or_default();
-            holders.retain(|holder| holder.endpoint != endpoint);
-            holders.insert(0, Holder { endpoint, at: now });
-            holders.truncate(HOLDERS);
-        }
+        let holders = self.parts.entry(reading.part).or_default();
+        holders.retain(|holder| holder.endpoint != reading.endpoint);
+        let holder = Holder {
+            endpoint: reading.endpoint,
+            at: now,
+        };
+        holders.insert(0, holder);
+        holders.truncate(HOLDERS);
     }
 
-    /// Returns whether an endpoint holds a part; `None` when no endpoint is known to.
-    pub fn holds(&self, part: u64, endpoint: u64) -> Option<bool> {
-        let holders = self.parts.get(&part)?;
-        Some(holders.iter().any(|holder| holder.endpoint == endpoint))
+    /// Returns what this entry had read lately, for the other entries.
+    pub fn told(&mut self, now: Instant) -> Vec<Reading> {
+        self.told.retain(|(at, _)| now.since(*at) < TOLD);
+        self.told.iter().map(|(_, reading)| *reading).collect()
     }
 
-    /// Forgets an endpoint that is gone, with what its cache held.
-    pub fn forget(&mut self, endpoint: u64) {
-        self.parts.retain(|_, holders| {
-            holders.retain(|holder| holder.endpoint != endpoint);
-            !holders.is_empty()
-        });
+    /// Returns how many tokens at the beginning of a prompt an endpoint holds.
+    pub fn held(&self, parts: &[Part], endpoint: u64) -> u64 {
+        let holds = |part: &&Part| {
+            let holders = self.parts.get(&part.id);
+            holders.is_some_and(|holders| holders.iter().any(|holder| holder.endpoint == endpoint))
+        };
+        parts.iter().take_while(holds).map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// Returns whether any endpoint is known to hold a part.
+    pub fn is_known(&self, part: u64) -> bool {
+        self.parts.contains_key(&part)
     }
 
     /// Forgets what has not been used for long; when that is not enough, everything.
--- /dev/null
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -0,0 +1,250 @@
+//! The state behind the control, and what the passing of time does to it.
+
+use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering::Relaxed;
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_limit::quarantine;
+use bergamotshift_limit::quarantine::Quarantine;
+use bergamotshift_limit::retry;
+use bergamotshift_limit::retry::Budget;
+use rand::Rng;
+use slog::info;
+
+use crate::document::Document;
+use crate::duty::Windows;
+use crate::endpoint::Directory;
+use crate::endpoint::Endpoint;
+use crate::endpoint::Event;
+use crate::follow::Knowledge;
+use crate::limits::Account;
+use crate::limits::Demand;
+use crate::limits::Share;
+use crate::limits::Timing;
+use crate::observe::Topic;
+use crate::peers::Members;
+use crate::random;
+use crate::view::Shared;
+
+/// How long what another entry said of its work under way counts; older figures say nothing of now.
+pub(super) const FRESH: Duration = Duration::from_millis(1_500);
+
+/// How many windows of usage are kept of other entries.
+const WINDOWS: u64 = 6;
+
+/// The part of the units beyond a limit that entries deal out; the rest covers requests that overdraw their share.
+const SLACK_USED: f64 = 0.4;
+
+#[derive(Debug, Default)]
+pub(super) struct Organisation {
+    pub(super) account: Arc<Account>,
+    pub(super) share: Share,
+    pub(super) demand: Demand,
+    /// This entry's share of the limit, between 0 and 1.
+    pub(super) fraction: f64,
+}
+
+/// What outlives pictures of one service.
+#[derive(Debug)]
+pub(super) struct Lasting {
+    pub(super) budget: Arc<Budget>,
+    /// Prompt tokens that callers asked to have read since the last tick.
+    pub(super) asked: Arc<AtomicU64>,
+    /// The same by the second.
+    pub(super) reading: Demand,
+}
+
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) document: Arc<Document>,
+    pub(super) document_known: Knowledge,
+    pub(super) directory: Directory,
+    pub(super) registrations_known: Knowledge,
+    pub(super) organisations: BTreeMap<name::Organisation, Organisation>,
+    pub(super) services: BTreeMap<name::Service, Lasting>,
+    pub(super) members: Members,
+    pub(super) quarantine: Quarantine,
+    /// What each life of each other entry counted.
+    pub(super) counted: BTreeMap<(name::Entry, u64), Windows>,
+    /// Whether this entry holds the duties.
+    pub(super) holds: bool,
+    /// The calls that failed when they were last made.
+    pub(super) lost_calls: BTreeSet<&'static str>,
+    pub(super) life: u64,
+    ticked: Instant,
+}
+
+impl Inner {
+    pub(super) fn new(shared: &Shared) -> Self {
+        Self {
+            document: Arc::default(),
+            document_known: Knowledge::default(),
+            directory: Directory::default(),
+            registrations_known: Knowledge::default(),
+            organisations: BTreeMap::new(),
+            services: BTreeMap::new(),
+            members: Members::new(shared.settings.name.clone()),
+            quarantine: Quarantine::new(quarantine::Settings::default()),
+            counted: BTreeMap::new(),
+            holds: false,
+            lost_calls: BTreeSet::new(),
+            life: random::generator().next_u64(),
+            ticked: shared.clock.now(),
+        }
+    }
+
+    /// Returns how many entries come before this one for what need be done once; one that does not reach the store
+    /// comes last.
+    pub(super) fn rank(&self, now: Instant) -> usize {
+        if self.lost_calls.is_empty() {
+            self.members.rank(now)
+        } else {
+            self.members.count()
+        }
+    }
+
+    /// Puts a document in force if it is newer than the one that is.
+    pub(super) fn put_document(&mut self, now: Instant, shared: &Shared, document: Document, from: &str) {
+        if document.version <= self.document.version {
+            return;
+        }
+        info!(shared.log.always(), "document in force"; "version" => document.version,
+            "before" => self.document.version, "from" => from, "routes" => document.routes.len(),
+            "organisations" => document.organisations.len());
+        let version = i64::try_from(document.version).unwrap_or(i64::MAX);
+        shared.metrics.document.set(version);
+        self.document = Arc::new(document);
+        self.deal(now, shared);
+        self.publish(shared);
+    }
+
+    /// Takes in what somebody tells of the registrations.
+    pub(super) fn on_endpoints(&mut self, now: Instant, shared: &Shared, event: Event, from: &str) {
+        let before = self.directory.endpoints().count();
+        let leaving = self.directory.on(now, event);
+        for endpoint in &leaving {
+            self.quarantine.announce(now, victim(endpoint));
+            if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
+                info!(logger, "endpoint leaves"; "endpoint" => endpoint.registration.id.as_str(),
+                    "service" => endpoint.registration.service.as_str(),
+                    "zone" => endpoint.registration.zone.as_str(), "from" => from,
+                    "cursor" => self.registrations_known.cursor().0, "left_out" => left_out);
+            }
+        }
+        let after = self.directory.endpoints().count();
+        if before == after && leaving.is_empty() && shared.view.load().knows_endpoints {
+            return;
+        }
+        if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
+            info!(logger, "endpoints changed"; "before" => before, "after" => after, "from" => from,
+                "cursor" => self.registrations_known.cursor().0, "left_out" => left_out);
+        }
+        self.publish(shared);
+    }
+
+    /// Works out shares and figures anew.
+    pub(super) fn tick(&mut self, now: Instant, shared: &Shared) {
+        let span = now.since(self.ticked);
+        self.ticked = now;
+        let timing = Timing::default();
+        for organisation in self.organisations.values_mut() {
+            organisation
+                .demand
+                .note(&timing, organisation.account.take_asked(), span);
+        }
+        for service in self.services.values_mut() {
+            service.reading.note(&timing, service.asked.swap(0, Relaxed), span);
+        }
+        for entry in self.members.expire(now) {
+            info!(shared.log.always(), "entry forgotten"; "entry" => entry.as_str());
+            for organisation in self.organisations.values_mut() {
+                organisation.share.forget(&entry);
+            }
+        }
+        self.deal(now, shared);
+        self.sum_flown(now);
+        let oldest = shared.tally.current().saturating_sub(WINDOWS);
+        self.counted.retain(|_, windows| {
+            windows.retain(|window, _| *window >= oldest);
+            !windows.is_empty()
+        });
+        shared.metrics.peers.set(self.members.heard(now, FRESH).count() as i64);
+        self.quarantine.expire(now);
+    }
+
+    /// Works out this entry's part of each limit.
+    pub(super) fn deal(&mut self, now: Instant, shared: &Shared) {
+        let timing = Timing::default();
+        let members = self.members.count();
+        let document = Arc::clone(&self.document);
+        for declared in &document.organisations {
+            let organisation = self.organisations.entry(declared.name.clone()).or_default();
+            let demand = organisation.demand;
+            let fraction = organisation.share.next(now, &timing, demand, members);
+            organisation.fraction = fraction;
+            let slack = shared.settings.limit.slack * SLACK_USED;
+            let part = declared.limit.filter(|limit| limit.rate > 0.0).map(|limit| {
+                let burst = (limit.burst + slack) * fraction;
+                (limit.rate * fraction, burst)
+            });
+            organisation.account.set(now, part);
+        }
+    }
+
+    /// Sums up what the other entries have under way at each endpoint.
+    fn sum_flown(&self, now: Instant) {
+        let mut sums: HashMap<u64, (u32, u64)> = HashMap::new();
+        for (_, state) in self.members.heard(now, FRESH) {
+            for flown in &state.flown {
+                let sum = sums.entry(flown.endpoint).or_default();
+                sum.0 += flown.running;
+                sum.1 += flown.unread;
+            }
+        }
+        for endpoint in self.directory.endpoints() {
+            let (running, unread) = sums.get(&endpoint.hash).copied().unwrap_or_default();
+            endpoint.others.set(running, unread);
+        }
+    }
+
+    /// Returns the prompt tokens a second that callers of a service ask all entries to have read.
+    pub(super) fn reading(&self, now: Instant, service: &name::Service) -> f64 {
+        let own = self.services.get(service).map_or(0.0, |lasting| lasting.reading.get());
+        let others = self.members.heard(now, FRESH);
+        let told = others.flat_map(|(_, state)| state.reading.iter().filter(|(name, _)| name == service));
+        own + told.map(|(_, rate)| rate).sum::<f64>()
+    }
+
+    /// Returns whether another entry said lately that the store answers it.
+    pub(super) fn others_reach_store(&self, now: Instant) -> bool {
+        self.members.heard(now, FRESH).any(|(_, state)| state.reaches_store)
+    }
+
+    pub(super) fn is_held_elsewhere(&self, now: Instant) -> bool {
+        self.members.heard(now, FRESH).any(|(_, state)| state.holds)
+    }
+}
+
+/// Returns this entry's part of what repeated sends may add to a service.
+///
+/// The slack is shared evenly by the largest number of entries that a small site has; the ratio holds by itself, as
+/// each entry counts its own requests.
+pub(super) fn budget(shared: &Shared) -> Budget {
+    const ENTRIES: f64 = 12.0;
+    const RATIO_USED: f64 = 0.75;
+    let slack = (shared.settings.retry.slack / ENTRIES).max(1.0) as u32;
+    Budget::new(retry::Settings {
+        ratio: shared.settings.retry.ratio * RATIO_USED,
+        reserve: slack,
+        burst: slack,
+    })
+}
+
+pub(super) fn victim(endpoint: &Endpoint) -> quarantine::Victim {
+    quarantine::Victim::new(name::Vm::new(&endpoint.registration.id), Incarnation::default())
+}
--- /dev/null
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -0,0 +1,274 @@
+//! What the control thread knows, and the pictures that it publishes from that.
+
+mod inner;
+mod publish;
+mod talk;
+
+use core::cell::RefCell;
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_limit::quarantine;
+use slog::info;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use self::inner::Inner;
+use self::inner::victim;
+use crate::document::Document;
+use crate::endpoint::Endpoint;
+use crate::endpoint::Event;
+use crate::outside::Cursor;
+use crate::peers::Reply;
+use crate::peers::State;
+use crate::view::Shared;
+
+/// A question of another entry, with the way back of its answer.
+#[derive(Debug)]
+pub struct Question {
+    /// What the other entry says of itself.
+    pub state: State,
+    /// Gets the answer.
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// What the control thread knows; clones share it.
+#[derive(Clone, Debug)]
+pub struct Control {
+    shared: Arc<Shared>,
+    inner: Rc<RefCell<Inner>>,
+    questions: mpsc::UnboundedSender<Question>,
+    inbox: Rc<RefCell<Option<mpsc::UnboundedReceiver<Question>>>>,
+}
+
+impl Control {
+    /// Makes a control that knows nothing yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        let (questions, inbox) = mpsc::unbounded_channel();
+        let inner = Inner::new(&shared);
+        Self {
+            shared,
+            inner: Rc::new(RefCell::new(inner)),
+            questions,
+            inbox: Rc::new(RefCell::new(Some(inbox))),
+        }
+    }
+
+    /// Returns what the threads share.
+    pub const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Returns where questions of other entries go.
+    pub fn exchange(&self) -> mpsc::UnboundedSender<Question> {
+        self.questions.clone()
+    }
+
+    /// Returns the questions of other entries; `None` from the second call on.
+    pub fn take_inbox(&self) -> Option<mpsc::UnboundedReceiver<Question>> {
+        self.inbox.borrow_mut().take()
+    }
+
+    /// Returns how many of the entries heard lately come before this one; the first does what need be done once.
+    pub fn rank(&self) -> usize {
+        let now = self.now();
+        self.inner.borrow().rank(now)
+    }
+
+    /// Counts a call of the store, and logs when it stops or begins to answer.
+    pub fn called(&self, call: &'static str, error: Option<&bergamotshift_platform::Error>) {
+        self.shared.metrics.called(call, error.is_none());
+        let mut inner = self.inner.borrow_mut();
+        let lost = inner.lost_calls.contains(call);
+        match error {
+            Some(error) if !lost => {
+                inner.lost_calls.insert(call);
+                info!(self.shared.log.always(), "dependency lost"; "call" => call, "cause" => %error);
+            }
+            None if lost => {
+                inner.lost_calls.remove(call);
+                info!(self.shared.log.always(), "dependency regained"; "call" => call);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the document in force.
+    pub fn document(&self) -> Arc<Document> {
+        Arc::clone(&self.inner.borrow().document)
+    }
+
+    /// Returns up to which change the document is known; `None` before it was read.
+    pub fn document_cursor(&self) -> Option<Cursor> {
+        let inner = self.inner.borrow();
+        inner
+            .document_known
+            .age(self.now())
+            .map(|_| inner.document_known.cursor())
+    }
+
+    /// Returns how long until the document has to be looked at.
+    pub fn document_due(&self, look: Duration) -> Duration {
+        let now = self.now();
+        let inner = self.inner.borrow();
+        inner.document_known.due(now, look, inner.rank(now))
+    }
+
+    /// Takes in what the store tells of the document.
+    pub fn read_document(&self, document: Option<Document>, cursor: Cursor) {
+        let now = self.now();
+        let mut inner = self.inner.borrow_mut();
+        inner.document_known.learn(now, cursor, Duration::ZERO);
+        if let Some(document) = document {
+            inner.put_document(now, &self.shared, document, "store");
+        }
+    }
+
+    /// Returns up to which change the registrations are known; `None` before they were read.
+    pub fn registrations_cursor(&self) -> Option<Cursor> {
+        let inner = self.inner.borrow();
+        inner
+            .registrations_known
+            .age(self.now())
+            .map(|_| inner.registrations_known.cursor())
+    }
+
+    /// Returns how long until the registrations have to be looked at.
+    pub fn registrations_due(&self, look: Duration) -> Duration {
+        let now = self.now();
+        let inner = self.inner.borrow();
+        inner.registrations_known.due(now, look, inner.rank(now))
+    }
+
+    /// Takes in what the store tells of the registrations.
+    pub fn read_registrations(&self, event: Event, cursor: Cursor) {
+        let now = self.now();
+        let mut inner = self.inner.borrow_mut();
+        // Another entry may have told of newer changes while this answer was on its way.
+        let is_older = cursor < inner.registrations_known.cursor();
+        if is_older && matches!(event, Event::Listed(_)) {
+            return;
+        }
+        inner.registrations_known.learn(now, cursor, Duration::ZERO);
+        inner.on_endpoints(now, &self.shared, event, "store");
+    }
+
+    /// Takes in that the store did not tell of the registrations.
+    pub fn registrations_lost(&self) {
+        let now = self.now();
+        let mut inner = self.inner.borrow_mut();
+        // A store that answers other entries is not away: what is missing there has left.
+        if !inner.others_reach_store(now) {
+            inner.on_endpoints(now, &self.shared, Event::Lost, "store");
+        }
+    }
+
+    /// Takes in that an endpoint ended while it had a request.
+    pub fn on_death(&self, endpoint: u64, fingerprint: Fingerprint) {
+        let now = self.now();
+        let mut inner = self.inner.borrow_mut();
+        let Some(victim) = inner.directory.by_hash(endpoint).map(|endpoint| victim(endpoint)) else {
+            return;
+        };
+        info!(self.shared.log.always(), "endpoint ended with a request"; "endpoint" => victim.vm.as_str(),
+            "fingerprint" => format!("{:032x}", fingerprint.get()));
+        let death = quarantine::Death {
+            victim,
+            announced: false,
+            running: vec![fingerprint],
+        };
+        inner.quarantine.died(now, death);
+        inner.publish(&self.shared);
+    }
+
+    /// Notes that somebody names another entry.
+    pub fn named(&self, entry: &name::Entry, address: SocketAddr) {
+        let now = self.now();
+        self.inner.borrow_mut().members.named(now, entry, address);
+    }
+
+    /// Returns whom to ask now.
+    pub fn due(&self, most: usize) -> Vec<(name::Entry, SocketAddr)> {
+        let now = self.now();
+        self.inner.borrow_mut().members.due(now, most)
+    }
+
+    /// Returns whether no other entry is known.
+    pub fn is_alone(&self) -> bool {
+        self.inner.borrow().members.count() == 1
+    }
+
+    /// Notes that another entry did not answer.
+    pub fn peer_failed(&self, entry: &name::Entry) {
+        let now = self.now();
+        self.inner.borrow_mut().members.failed(now, entry);
+    }
+
+    /// Returns what this entry says of itself.
+    pub fn state(&self) -> State {
+        let now = self.now();
+        self.inner.borrow().state(now, &self.shared)
+    }
+
+    /// Takes in what another entry says of itself, and returns what it is told.
+    pub fn asked(&self, state: State) -> Reply {
+        let now = self.now();
+        self.inner.borrow_mut().asked(now, &self.shared, state)
+    }
+
+    /// Takes in another entry's answer.
+    pub fn answered(&self, reply: Reply) {
+        let now = self.now();
+        self.inner.borrow_mut().answered(now, &self.shared, reply);
+    }
+
+    /// Works out shares and figures anew; called several times a second.
+    pub fn tick(&self) {
+        let now = self.now();
+        self.inner.borrow_mut().tick(now, &self.shared);
+    }
+
+    /// Notes whether this entry holds the duties.
+    pub fn hold(&self, held: bool) {
+        self.inner.borrow_mut().holds = held;
+        self.shared.metrics.holder.set(i64::from(held));
+    }
+
+    /// Returns whether another entry said lately that it holds the duties.
+    pub fn is_held_elsewhere(&self) -> bool {
+        let now = self.now();
+        self.inner.borrow().is_held_elsewhere(now)
+    }
+
+    /// Returns the requests of a window, over all entries.
+    pub fn usage(&self, window: u64) -> BTreeMap<name::Organisation, u64> {
+        let inner = self.inner.borrow();
+        let mut sum = self.shared.tally.windows().remove(&window).unwrap_or_default();
+        let others = inner.counted.values().filter_map(|windows| windows.get(&window));
+        for (organisation, count) in others.flatten() {
+            *sum.entry(organisation.clone()).or_default() += count;
+        }
+        sum
+    }
+
+    /// Returns the prompt tokens a second that callers of a service ask all entries to have read.
+    pub fn reading(&self, service: &name::Service) -> f64 {
+        let now = self.now();
+        self.inner.borrow().reading(now, service)
+    }
+
+    /// Returns the endpoints that take work.
+    pub fn endpoints(&self) -> Vec<Arc<Endpoint>> {
+        let inner = self.inner.borrow();
+        let taking = inner.directory.endpoints().filter(|endpoint| !endpoint.is_leaving());
+        taking.cloned().collect()
+    }
+
+    fn now(&self) -> Instant {
+        self.shared.clock.now()
+    }
+}
--- /dev/null
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -0,0 +1,57 @@
+//! Makes the picture that requests are served from.
+
+use core::sync::atomic::AtomicU64;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+
+use super::inner::Inner;
+use super::inner::Lasting;
+use super::inner::budget;
+use crate::endpoint::Endpoint;
+use crate::limits::Demand;
+use crate::routes::Table;
+use crate::view::Service;
+use crate::view::Shared;
+use crate::view::View;
+
+impl Inner {
+    /// Publishes what requests are served from next.
+    pub(super) fn publish(&mut self, shared: &Shared) {
+        let mut endpoints: HashMap<name::Service, Vec<Arc<Endpoint>>> = HashMap::new();
+        for endpoint in self.directory.endpoints() {
+            let service = endpoint.registration.service.clone();
+            endpoints.entry(service).or_default().push(Arc::clone(endpoint));
+        }
+        let open = endpoints.values().flatten().filter(|endpoint| !endpoint.is_leaving());
+        shared.metrics.endpoints.set(open.count() as i64);
+        let document = Arc::clone(&self.document);
+        let mut services = HashMap::new();
+        for service in &document.services {
+            let lasting = self.services.entry(service.name.clone()).or_insert_with(|| Lasting {
+                budget: Arc::new(budget(shared)),
+                asked: Arc::new(AtomicU64::new(0)),
+                reading: Demand::default(),
+            });
+            let picture = Service {
+                endpoints: endpoints.remove(&service.name).unwrap_or_default().into(),
+                engine: service.engine,
+                budget: Arc::clone(&lasting.budget),
+                asked: Arc::clone(&lasting.asked),
+            };
+            services.insert(service.name.clone(), picture);
+        }
+        let accounts = self.organisations.iter();
+        let view = View {
+            table: (document.version > 0).then(|| Table::new(Arc::clone(&document))),
+            services,
+            accounts: accounts
+                .map(|(name, one)| (name.clone(), Arc::clone(&one.account)))
+                .collect(),
+            suspects: self.quarantine.table(),
+            knows_endpoints: self.directory.endpoints().next().is_some(),
+        };
+        shared.view.store(Arc::new(view));
+    }
+}
--- /dev/null
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -0,0 +1,150 @@
+//! What this entry tells the others, and what it takes from them.
+
+use core::sync::atomic::Ordering::Relaxed;
+use core::time::Duration;
+
+use bergamotshift_core::prelude::*;
+use slog::info;
+
+use super::inner::Inner;
+use crate::document::Document;
+use crate::endpoint::Event;
+use crate::follow::Knowledge;
+use crate::outside::Cursor;
+use crate::peers::Flown;
+use crate::peers::Known;
+use crate::peers::Reply;
+use crate::peers::State;
+use crate::peers::Use;
+use crate::view::Shared;
+
+/// Returns how fresh something is known, in the form in which it is told.
+fn told(knowledge: &Knowledge, now: Instant) -> Option<Known> {
+    knowledge.age(now).map(|age| Known {
+        cursor: knowledge.cursor().0,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    })
+}
+
+/// Takes in how fresh another entry knows something that it has in the same state.
+fn learn(knowledge: &mut Knowledge, now: Instant, known: Option<Known>) {
+    if let Some(Known { cursor, age_ms }) = known {
+        knowledge.learn(now, Cursor(cursor), Duration::from_millis(age_ms.into()));
+    }
+}
+
+impl Inner {
+    pub(super) fn state(&self, now: Instant, shared: &Shared) -> State {
+        let uses = self.organisations.iter().map(|(name, organisation)| Use {
+            organisation: name.clone(),
+            demand: organisation.demand.get(),
+            share: organisation.fraction,
+        });
+        let flown = self.directory.endpoints().map(|endpoint| Flown {
+            endpoint: endpoint.hash,
+            running: endpoint.own.running.load(Relaxed),
+            unread: endpoint.own.unread.load(Relaxed),
+        });
+        let reading = self
+            .services
+            .iter()
+            .map(|(name, lasting)| (name.clone(), lasting.reading.get()));
+        State {
+            entry: shared.settings.name.clone(),
+            life: self.life,
+            address: shared.settings.listen.peers,
+            holds: self.holds,
+            reaches_store: self.lost_calls.is_empty(),
+            document: self.document.version,
+            document_known: told(&self.document_known, now),
+            endpoints: self.directory.digest(),
+            // Failure: this entry keeps endpoints whose registrations are missing, since the store was away for it, and
+            // another one takes them over as the newest state. Symptom: endpoints that left get work for good. What is
+            // not settled is not told as knowledge.
+            endpoints_known: told(&self.registrations_known, now).filter(|_| self.directory.is_settled()),
+            uses: uses.collect(),
+            flown: flown.filter(|flown| flown.running > 0).collect(),
+            reading: reading.filter(|(_, rate)| *rate > 0.0).collect(),
+            readings: shared.recall().told(now),
+            windows: shared.tally.windows(),
+            suspicions: self.quarantine.suspicions(now),
+            members: self.members.addresses(),
+        }
+    }
+
+    /// Takes in what another entry says of itself, and returns what it is told: also what it has in an older state.
+    pub(super) fn asked(&mut self, now: Instant, shared: &Shared, state: State) -> Reply {
+        let theirs = (state.document, state.endpoints, state.endpoints_known);
+        self.heard(now, shared, state);
+        let newer = self.document.version > theirs.0;
+        let cursor = theirs.2.map_or(0, |known| known.cursor);
+        let fresher = self.registrations_known.cursor().0 > cursor
+            && self.directory.is_settled()
+            && self.directory.digest() != theirs.1;
+        Reply {
+            state: self.state(now, shared),
+            document: newer.then(|| Document::clone(&self.document)),
+            endpoints: fresher.then(|| self.directory.registrations()),
+        }
+    }
+
+    /// Takes in another entry's answer.
+    pub(super) fn answered(&mut self, now: Instant, shared: &Shared, reply: Reply) {
+        let Reply {
+            state,
+            document,
+            endpoints,
+        } = reply;
+        let from = state.entry.clone();
+        if let Some(endpoints) = endpoints
+            && state
+                .endpoints_known
+                .is_some_and(|known| known.cursor > self.registrations_known.cursor().0)
+        {
+            learn(&mut self.registrations_known, now, state.endpoints_known);
+            self.on_endpoints(now, shared, Event::Relayed(endpoints), from.as_str());
+        }
+        if let Some(document) = document {
+            self.put_document(now, shared, document, from.as_str());
+        }
+        self.heard(now, shared, state);
+    }
+
+    fn heard(&mut self, now: Instant, shared: &Shared, state: State) {
+        if state.entry == shared.settings.name {
+            return;
+        }
+        for (entry, address) in &state.members {
+            self.members.named(now, entry, *address);
+        }
+        for used in &state.uses {
+            if let Some(organisation) = self.organisations.get_mut(&used.organisation) {
+                organisation.share.heard(now, &state.entry, used.demand, used.share);
+            }
+        }
+        // Who has the same, and knows it to be newer, makes this entry's knowledge as fresh as its own.
+        if state.document == self.document.version {
+            learn(&mut self.document_known, now, state.document_known);
+        }
+        if state.endpoints == self.directory.digest() {
+            learn(&mut self.registrations_known, now, state.endpoints_known);
+        }
+        if !state.suspicions.is_empty() {
+            self.quarantine.merge(now, &state.suspicions);
+            self.publish(shared);
+        }
+        let mut recall = shared.recall();
+        for reading in &state.readings {
+            recall.hear(now, *reading);
+        }
+        drop(recall);
+        let counted = self.counted.entry((state.entry.clone(), state.life)).or_default();
+        for (window, counts) in &state.windows {
+            counted.insert(*window, counts.clone());
+        }
+        let entry = state.entry.clone();
+        if self.members.heard_of(now, state) {
+            info!(shared.log.always(), "entry heard"; "entry" => entry.as_str(), "members" => self.members.count());
+        }
+    }
+}
--- a/bergamotshift-forward/src/daemon/mod.rs
+++ b/bergamotshift-forward/src/daemon/mod.rs
@@ -1,6 +1,5 @@
 //! Starts a forwarding daemon, and ends it without cutting a request.
 
-mod control;
 mod server;
 
 use core::net::SocketAddr;
@@ -10,6 +9,7 @@
 use core::time::Duration;
 use std::io;
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use arc_swap::ArcSwap;
 use bergamotshift_core::plugin;
@@ -17,10 +17,10 @@
 use slog::info;
 use smol_str::SmolStr;
 use thiserror::Error as ThisError;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
-pub use self::control::Control;
-pub use self::control::Question;
+use crate::control::Control;
 use crate::duty::Tally;
 use crate::follow;
 use crate::observe::Clock;
@@ -40,6 +40,10 @@
 /// sent before it learnt of the stop is read within this time.
 const QUIET: Duration = Duration::from_millis(1_500);
 
+/// How long requests are still taken after the request to stop. Callers learn of it within two seconds, and what they
+/// send until then has time to end within the grace.
+const TAKING: Duration = Duration::from_millis(2_700);
+
 /// Why a daemon does not start.
 #[derive(Debug)]
 #[derive(ThisError)]
@@ -106,8 +110,11 @@
         log: Log::new(logger),
         metrics: Metrics::new(),
         tally: Tally::new(clock, Duration::from_secs_f64(settings.duty.usage_window_s.max(0.0))),
+        recall: Mutex::default(),
         notes,
         stopping: AtomicBool::new(false),
+        stop: Notify::new(),
+        closed: AtomicBool::new(false),
         active: AtomicUsize::new(0),
         settings,
     });
@@ -169,6 +176,7 @@
 /// Serves on until no request is under way, at most as long as the grace allows; returns how many are cut then.
 async fn drain(shared: &Shared) -> usize {
     shared.stopping.store(true, Ordering::Release);
+    shared.stop.notify_waiters();
     let patience = shared.settings.stop.patience();
     info!(shared.log.always(), "stopping"; "active" => shared.active.load(Ordering::Acquire),
         "patience_ms" => patience.as_millis() as u64);
@@ -177,6 +185,9 @@
     loop {
         tokio::time::sleep(LOOK).await;
         let now = shared.clock.now();
+        if now.since(began) >= TAKING {
+            shared.closed.store(true, Ordering::Release);
+        }
         let active = shared.active.load(Ordering::Acquire);
         if active > 0 {
             quiet_since = now;
--- a/bergamotshift-forward/src/daemon/server.rs
+++ b/bergamotshift-forward/src/daemon/server.rs
@@ -19,8 +19,8 @@
 use ntex::time::Millis;
 use ntex::time::Seconds;
 
-use super::Control;
 use super::Error;
+use crate::control::Control;
 use crate::peers;
 use crate::serve::Forwarder;
 use crate::view::Shared;
@@ -40,6 +40,9 @@
 /// How often idle connections to endpoints are looked through.
 const SWEEP: Millis = Millis(1_000);
 
+/// How often a stopping entry looks for connections that became idle.
+const CLOSE: Millis = Millis(50);
+
 /// Starts the server.
 pub(super) fn start(shared: &Arc<Shared>, control: &Control) -> Result<Server, Error> {
     let listen = shared.settings.listen;
@@ -55,6 +58,7 @@
         .listen("callers", bind(listen.callers)?, async move |_| {
             let forwarder = Rc::new(Forwarder::new(Arc::clone(&callers)));
             ntex::rt::spawn(sweep(Rc::clone(&forwarder)));
+            ntex::rt::spawn(close(Rc::clone(&forwarder)));
             HttpService::new(fn_service(move |request: Request| {
                 let forwarder = Rc::clone(&forwarder);
                 async move { Ok::<_, io::Error>(forwarder.serve(request).await) }
@@ -105,6 +109,15 @@
     }
 }
 
+/// Closes callers' idle connections from the request to stop on, so that they come to another entry.
+async fn close(forwarder: Rc<Forwarder>) {
+    forwarder.stopped().await;
+    loop {
+        forwarder.close_idle();
+        ntex::time::sleep(CLOSE).await;
+    }
+}
+
 fn ready(shared: &Shared, request: &Request) -> Response {
     if *request.method() != Method::GET {
         return Response::new(StatusCode::METHOD_NOT_ALLOWED);
--- a/bergamotshift-forward/src/dialect/mod.rs
+++ b/bergamotshift-forward/src/dialect/mod.rs
@@ -5,6 +5,8 @@
 
 mod ask;
 
+use core::net::SocketAddr;
+
 use bergamotshift_core::name;
 use ntex::http::HeaderMap;
 use ntex::http::header;
@@ -42,6 +44,8 @@
     pub prompt: HeaderName,
     /// How urgent a request is towards endpoints, 0 first and 9 last.
     pub urgency: HeaderName,
+    /// The address of another endpoint that holds parts of the prompt in its cache.
+    pub source: HeaderName,
     /// Headers that only the system may set towards endpoints.
     pub reserved: Vec<HeaderName>,
 }
@@ -64,6 +68,7 @@
             size: own("x-bergamotshift-size"),
             prompt: own("x-bergamotshift-prompt"),
             urgency: own("x-bergamotshift-priority"),
+            source: own("x-bergamotshift-source"),
             reserved: Vec::new(),
         }
     }
@@ -91,6 +96,8 @@
     pub time_left: u64,
     /// How urgent it is, 0 first and 9 last; `None` leaves the endpoint's default.
     pub urgency: Option<u8>,
+    /// Another endpoint, from which the endpoint gets cached parts of the prompt.
+    pub source: Option<SocketAddr>,
     /// The last event that the caller has, when that is later than what the caller's own header says.
     pub last_event: Option<u64>,
 }
@@ -115,7 +122,13 @@
     pub fn towards_endpoint(&self, headers: &HeaderMap, envelope: &Envelope<'_>) -> HeaderMap {
         let mut kept = bergamotshift_endpoint::header::towards_endpoint(headers);
         // The library keeps the framing of its own; this one is written anew for each connection.
-        let own = [&self.expected, &self.organisation, &self.time_left, &self.urgency];
+        let own = [
+            &self.expected,
+            &self.organisation,
+            &self.time_left,
+            &self.urgency,
+            &self.source,
+        ];
         for name in own.into_iter().chain(&self.reserved) {
             kept.remove(name);
         }
@@ -127,6 +140,9 @@
         if let Some(urgency) = envelope.urgency {
             set(&mut kept, &self.urgency, &urgency.to_string());
         }
+        if let Some(source) = envelope.source {
+            set(&mut kept, &self.source, &source.to_string());
+        }
         if let Some(last) = envelope.last_event {
             set(&mut kept, &LAST_EVENT, &last.to_string());
         }
--- a/bergamotshift-forward/src/document/service.rs
+++ b/bergamotshift-forward/src/document/service.rs
@@ -29,6 +29,8 @@
     pub slots: u32,
     /// Tokens that one engine's memory holds.
     pub memory: u64,
+    /// How long a cached token takes from one engine to another, in milliseconds; `None` when it cannot go.
+    pub transfer: Option<f64>,
 }
 
 /// How many endpoints of a service may be ordered.
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -24,8 +24,7 @@
 use super::lease::Lease;
 use crate::capacity::Planner;
 use crate::capacity::Present;
-use crate::capacity::Settings as Planning;
-use crate::daemon::Control;
+use crate::control::Control;
 use crate::outside::Duties;
 use crate::outside::Holder;
 use crate::outside::Order;
@@ -48,6 +47,9 @@
 /// The oldest window that is still reported, counted back from the current one.
 const OLDEST: u64 = 3;
 
+/// How many entries look at a lease that nobody is heard to hold.
+const WATCHERS: usize = 3;
+
 /// Does the duties for as long as the process lives.
 pub async fn run(control: Control, outside: Outside) {
     let Some(duties) = outside.duties else {
@@ -106,6 +108,11 @@
         let shared = std::sync::Arc::clone(self.control.shared());
         // An entry that stops lets its lease lapse: given back, it might come round to it again within a lease.
         if shared.is_stopping() {
+            self.control.hold(false);
+            return;
+        }
+        // Who holds the duties says so to all; only when nobody does, the first ones look at the lease.
+        if self.number.is_none() && (self.control.is_held_elsewhere() || self.control.rank() >= WATCHERS) {
             return;
         }
         for change in self.lease.step().await {
@@ -114,7 +121,7 @@
                 Change::Ended => None,
             };
             self.planners.clear();
-            shared.metrics.holder.set(i64::from(self.number.is_some()));
+            self.control.hold(self.number.is_some());
             info!(shared.log.always(), "duties"; "held" => self.number.is_some(), "number" => self.number);
         }
         if self.holder().is_none() {
@@ -207,8 +214,9 @@
             }
             let now = shared.clock.now();
             let planner = self.planners.entry(service.name.clone());
-            let planner = planner.or_insert_with(|| Planner::new(Planning::default()));
-            let orders = planner.plan(now, &service.name, scale, &present);
+            let planner = planner.or_insert_with(|| Planner::new(shared.settings.capacity));
+            let reading = self.control.reading(&service.name);
+            let orders = planner.plan(now, &service.name, scale, &present, reading);
             for order in orders {
                 self.place(order).await;
             }
@@ -232,8 +240,8 @@
             return;
         };
         match placed {
-            Ok(()) => {}
-            Err(Error::NoCapacity) => planner.refused(shared.clock.now(), &order.zone),
+            Ok(()) => planner.accepted(&order),
+            Err(Error::NoCapacity) => planner.refused(shared.clock.now(), &order),
             Err(_) => planner.failed(&order),
         }
     }
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -35,7 +35,7 @@
     Listed(Vec<Registration>),
     /// What changed since the last event.
     Changed(Vec<Change>),
-    /// Registrations that another entry knows; what is missing among them proves nothing.
+    /// All registrations that another entry knows from a newer moment.
     Relayed(Vec<Registration>),
     /// A call of the store failed.
     Lost,
@@ -64,12 +64,7 @@
         let mut leaving = Vec::new();
         match event {
             Event::Lost => self.lost = Some(now),
-            Event::Relayed(registrations) => {
-                for registration in registrations {
-                    self.written(registration, &mut leaving);
-                }
-            }
-            Event::Listed(registrations) => {
+            Event::Listed(registrations) | Event::Relayed(registrations) => {
                 let listed: BTreeSet<SmolStr> = registrations.iter().map(|one| one.id.clone()).collect();
                 for registration in registrations {
                     self.written(registration, &mut leaving);
@@ -98,10 +93,27 @@
         present.map(|known| &known.endpoint)
     }
 
-    /// Returns the registrations of all endpoints that take work, for an entry that cannot read them itself.
+    /// Returns the registrations of all endpoints that are not gone, for an entry that cannot read them itself.
     pub fn registrations(&self) -> Vec<Registration> {
-        let taking = self.endpoints().filter(|endpoint| !endpoint.is_leaving());
-        taking.map(|endpoint| endpoint.registration.clone()).collect()
+        let told = |endpoint: &Arc<Endpoint>| Registration {
+            leaving: endpoint.is_leaving(),
+            ..endpoint.registration.clone()
+        };
+        self.endpoints().map(told).collect()
+    }
+
+    /// Returns whether every missing registration is proof by now; until then nothing that is known here may count as
+    /// newer than what others know.
+    pub fn is_settled(&self) -> bool {
+        self.known.values().all(|known| known.lapsed.is_none())
+    }
+
+    /// Returns a digest of the endpoints that are not gone and of those among them that leave.
+    pub fn digest(&self) -> u64 {
+        let marks = self
+            .endpoints()
+            .map(|endpoint| endpoint.hash.rotate_left(u32::from(endpoint.is_leaving())));
+        marks.fold(0, u64::wrapping_add)
     }
 
     /// Finds an endpoint by the hash of its identifier.
--- /dev/null
+++ b/bergamotshift-forward/src/follow/knowledge.rs
@@ -0,0 +1,53 @@
+//! How fresh what an entry knows of the store is, and when it has to ask the store itself.
+
+use core::time::Duration;
+
+use bergamotshift_core::prelude::*;
+
+use crate::outside::Cursor;
+
+/// How much longer each entry waits than the one before it in rank, so that they do not all ask at once when the first
+/// one is gone.
+const STEP: Duration = Duration::from_millis(150);
+
+/// The most steps: however many entries there are, knowledge is never older than a few looks.
+const MOST_STEPS: u32 = 3;
+
+/// What is known as of some moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Knowledge {
+    cursor: Cursor,
+    confirmed: Option<Instant>,
+}
+
+impl Knowledge {
+    /// Returns up to which change it is known.
+    pub const fn cursor(&self) -> Cursor {
+        self.cursor
+    }
+
+    /// Returns how old it is; `None` when nothing is known.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
+    /// Notes what somebody knew `age` ago; what is older than what is known already is passed over.
+    pub fn learn(&mut self, now: Instant, cursor: Cursor, age: Duration) {
+        let at = now - age;
+        if cursor >= self.cursor {
+            self.cursor = cursor;
+            self.confirmed = Some(self.confirmed.map_or(at, |confirmed| confirmed.max(at)));
+        }
+    }
+
+    /// Returns how long until the entry asks the store itself.
+    ///
+    /// Every entry could ask for itself, and calls would grow with the entries. So the first in rank asks every `look`,
+    /// and tells the others; the next ones ask only when their knowledge is older than that, because the first is gone
+    /// or cannot reach the store. No entry is chosen, so none has to be found dead first.
+    pub fn due(&self, now: Instant, look: Duration, rank: usize) -> Duration {
+        let steps = u32::try_from(rank).unwrap_or(u32::MAX).min(MOST_STEPS);
+        let patience = look + STEP * steps;
+        self.age(now).map_or(Duration::ZERO, |age| patience.saturating_sub(age))
+    }
+}
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -14,7 +14,7 @@
 use slog::info;
 use smol_str::SmolStr;
 
-use crate::daemon::Control;
+use crate::control::Control;
 
 /// The partition of the list.
 const PARTITION: &str = "entry";
--- a/bergamotshift-forward/src/follow/mod.rs
+++ b/bergamotshift-forward/src/follow/mod.rs
@@ -1,11 +1,13 @@
 //! Follows what the store holds: the operators' document, the registrations and the list of entries.
 
 mod document;
+mod knowledge;
 mod members;
 mod notes;
 mod registrations;
 
 pub use self::document::document;
+pub use self::knowledge::Knowledge;
 pub use self::members::members;
 pub use self::notes::notes;
 pub use self::registrations::registrations;
--- a/bergamotshift-forward/src/follow/notes.rs
+++ b/bergamotshift-forward/src/follow/notes.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::daemon::Control;
+use crate::control::Control;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
 use crate::peers::Note;
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -3,57 +3,47 @@
 use core::time::Duration;
 use std::rc::Rc;
 
-use slog::info;
-
-use crate::daemon::Control;
+use super::document::failure;
+use crate::control::Control;
 use crate::endpoint::Event;
-use crate::outside::Cursor;
 use crate::outside::Gap;
 use crate::outside::Registry;
 
-/// The time between two looks. Every endpoint writes about once a second, so awaiting each change would cost a call for
-/// each of them; a look covers them all, and two of them fit into the time within which a leaving endpoint must get no
-/// more work.
-const LOOK: Duration = Duration::from_millis(700);
+/// How old the knowledge of the registrations may be until an entry looks. Every endpoint writes about once a second, so
+/// awaiting each change would cost a call for each of them; a look covers them all, and one look, a round of telling and
+/// a lost call fit into the time within which a leaving endpoint must get no more work.
+const LOOK: Duration = Duration::from_millis(500);
 
 /// How long to wait after a call failed.
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// Follows the registrations for as long as the process lives.
 pub async fn registrations(control: Control, registry: Rc<dyn Registry>) {
-    let mut cursor: Option<Cursor> = None;
-    let mut reached = true;
+    let mut anew = true;
     loop {
-        let result = match cursor {
-            None => match registry.registrations().await {
-                Ok((listed, next)) => Ok((Event::Listed(listed), next)),
-                Err(error) => Err(Gap::Failed(error)),
-            },
-            Some(after) => match registry.changes(after).await {
+        let due = control.registrations_due(LOOK);
+        if !due.is_zero() {
+            tokio::time::sleep(due).await;
+            continue;
+        }
+        let after = control.registrations_cursor();
+        let result = match after {
+            Some(after) if !anew => match registry.changes(after).await {
                 Ok((changes, next)) => Ok((Event::Changed(changes), next)),
                 Err(gap) => Err(gap),
             },
+            _ => match registry.registrations().await {
+                Ok((listed, next)) => Ok((Event::Listed(listed), next)),
+                Err(error) => Err(Gap::Failed(error)),
+            },
         };
-        let metrics = &control.shared().metrics;
-        metrics.called("registrations", !matches!(result, Err(Gap::Failed(_))));
+        anew = result.is_err();
+        control.called("registrations", result.as_ref().err().and_then(failure));
         match result {
-            Ok((event, next)) => {
-                if !reached {
-                    reached = true;
-                    info!(control.shared().log.always(), "store reached again"; "for" => "registrations");
-                }
-                cursor = Some(next);
-                control.on_registrations(event, "store");
-                tokio::time::sleep(LOOK).await;
-            }
-            Err(Gap::Forgotten) => cursor = None,
-            Err(Gap::Failed(error)) => {
-                if reached {
-                    reached = false;
-                    info!(control.shared().log.always(), "store lost"; "for" => "registrations", "cause" => %error);
-                }
-                cursor = None;
-                control.on_registrations(Event::Lost, "store");
+            Ok((event, next)) => control.read_registrations(event, next),
+            Err(Gap::Forgotten) => {}
+            Err(Gap::Failed(_)) => {
+                control.registrations_lost();
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/bergamotshift-forward/src/lib.rs
+++ b/bergamotshift-forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! ([`limits`]), [`choice`] finds the endpoint that is expected to answer first, and [`exchange`] carries it there and
 //! back. All of that reads one immutable [`view::View`].
 //!
-//! One control thread ([`daemon::Control`]) makes those views from what it follows in the store ([`follow`]), what the
+//! One control thread ([`control::Control`]) makes those views from what it follows in the store ([`follow`]), what the
 //! other entries say ([`peers`]) and what requests ran into. It also does the duties that one entry has for all
 //! ([`duty`]), such as ordering endpoints ([`capacity`]).
 //!
@@ -12,6 +12,7 @@
 
 pub mod capacity;
 pub mod choice;
+pub mod control;
 pub mod daemon;
 pub mod dialect;
 pub mod document;
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -12,6 +12,9 @@
 /// restarted is back within seconds.
 const MEMORY: Duration = Duration::from_secs(40);
 
+/// How long an entry may be silent until the ones behind it in rank do without it.
+const RANKED: Duration = Duration::from_millis(1_500);
+
 /// How long after a failure an entry is left alone.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -69,7 +72,7 @@
     }
 
     /// Notes what an entry says of itself; returns whether it was not heard for long before.
-    pub fn heard(&mut self, now: Instant, state: State) -> bool {
+    pub fn heard_of(&mut self, now: Instant, state: State) -> bool {
         let entry = state.entry.clone();
         self.named(now, &entry, state.address);
         let Some(peer) = self.peers.get_mut(&entry) else {
@@ -120,9 +123,24 @@
         names
     }
 
-    /// Returns the other entries.
-    pub fn peers(&self) -> impl Iterator<Item = (&name::Entry, &Peer)> {
-        self.peers.iter()
+    /// Returns the entries heard within `span`, with what they last said.
+    pub fn heard(&self, now: Instant, span: Duration) -> impl Iterator<Item = (&name::Entry, &State)> {
+        let heard = self.peers.iter().filter(move |(_, peer)| peer.was_heard(now, span));
+        heard.filter_map(|(entry, peer)| peer.said.as_ref().map(|(_, state)| (entry, state)))
+    }
+
+    /// Returns how many of the entries that were heard lately, and that reach the store, come before this one.
+    pub fn rank(&self, now: Instant) -> usize {
+        let able = self.heard(now, RANKED).filter(|(_, state)| state.reaches_store);
+        able.filter(|(entry, _)| **entry < self.own).count()
+    }
+
+    /// Returns the other entries with their addresses.
+    pub fn addresses(&self) -> Vec<(name::Entry, SocketAddr)> {
+        self.peers
+            .iter()
+            .map(|(entry, peer)| (entry.clone(), peer.address))
+            .collect()
     }
 
     /// Returns how many entries there are, this one included.
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::choice::Reading;
 use crate::document::Document;
 use crate::duty::Windows;
 use crate::endpoint::Registration;
@@ -47,6 +48,16 @@
     pub unread: u64,
 }
 
+/// Up to which change of the store something is known, and how long ago that was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Known {
+    /// The change.
+    pub cursor: u64,
+    /// How long ago, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// What an entry tells another one; about a kilobyte with 16 endpoints and 5 organisations.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -57,16 +68,26 @@
     pub life: u64,
     /// Where it can be asked.
     pub address: SocketAddr,
+    /// Whether it holds the duties.
+    pub holds: bool,
+    /// Whether the store answered its last calls.
+    pub reaches_store: bool,
     /// The version of the document that it has; 0 without one.
     pub document: u64,
-    /// Whether it cannot follow the registrations at the moment.
-    pub wants_endpoints: bool,
+    /// How fresh that is.
+    pub document_known: Option<Known>,
+    /// A digest of the endpoints that it knows and of those among them that leave.
+    pub endpoints: u64,
+    /// How fresh that is.
+    pub endpoints_known: Option<Known>,
     /// What its callers ask for.
     pub uses: Vec<Use>,
     /// Its work under way.
     pub flown: Vec<Flown>,
-    /// Endpoints that it knows to leave.
-    pub leaving: Vec<u64>,
+    /// Prompt tokens a second that its callers ask to have read, by service.
+    pub reading: Vec<(name::Service, f64)>,
+    /// Parts of prompts that it had read lately.
+    pub readings: Vec<Reading>,
     /// Requests by window, as it counted them.
     pub windows: Windows,
     /// Requests that it suspects of ending endpoints.
@@ -83,6 +104,6 @@
     pub state: State,
     /// Its document, when that is newer.
     pub document: Option<Document>,
-    /// The registrations that it knows, when the other one asked for them.
-    pub endpoints: Vec<Registration>,
+    /// All registrations that it knows, when it knows them to be newer and other than the asker's.
+    pub endpoints: Option<Vec<Registration>>,
 }
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -8,6 +8,7 @@
 pub use self::member::Members;
 pub use self::member::Peer;
 pub use self::message::Flown;
+pub use self::message::Known;
 pub use self::message::Note;
 pub use self::message::Reply;
 pub use self::message::State;
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -20,8 +20,8 @@
 
 use super::message::Reply;
 use super::message::State;
-use crate::daemon::Control;
-use crate::daemon::Question;
+use crate::control::Control;
+use crate::control::Question;
 use crate::exchange;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends a request to endpoints until one answers, or no more may be tried.
 
+use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -39,6 +40,12 @@
 /// Less time than this is not worth a send: the endpoint could not answer.
 const SHORTEST: Duration = Duration::from_millis(10);
 
+/// How much longer than the overload is expected to last a caller is told to wait, so that it finds room.
+const ROOM: Duration = Duration::from_millis(400);
+
+/// The longest time that a caller is told to wait for room.
+const LONGEST_ROOM: Duration = Duration::from_secs(2);
+
 /// What happened to a request so far.
 #[derive(Clone, Debug, Default)]
 pub(super) struct History {
@@ -178,13 +185,22 @@
             zone: &self.shared.settings.zone,
             tried: &history.tried,
         };
-        let recall = self.recall.borrow();
+        let recall = self.shared.recall();
         let choice = choice::choose(&self.weights, now, &service.endpoints, &request, &recall);
+        drop(recall);
         let choice = choice.ok_or_else(|| history.refusal(false))?;
-        let left = job.deadline.since(now).as_secs_f64() * 1e3;
-        if service.engine && choice.cost > left {
+        if history.tried.is_empty() {
+            service.asked.fetch_add(choice.unread, Relaxed);
+        }
+        let useful = (job.arrived + job.useful()).min(job.deadline);
+        let left = useful.since(now).as_secs_f64() * 1e3;
+        if service.engine.is_some() && choice.cost > left {
             return Err(if history.sends == 0 {
-                Reason::Overloaded.into()
+                let late = Duration::from_secs_f64((choice.cost - left) / 1e3);
+                Refusal {
+                    reason: Reason::Overloaded,
+                    retry_after: Some((late + ROOM).min(LONGEST_ROOM)),
+                }
             } else {
                 history.refusal(false)
             });
@@ -225,12 +241,13 @@
         history.sends += 1;
         self.shared.metrics.sends.inc();
         if !job.ask.parts.is_empty() {
-            self.recall.borrow_mut().note(now, endpoint.hash, &job.ask.parts);
+            self.shared.recall().note(now, endpoint.hash, &job.ask.parts);
         }
         let envelope = Envelope {
             expected: &endpoint.registration.id,
             organisation: job.organisation.as_ref(),
             time_left: job.time_left(now + WAY_BACK),
+            source: choice.source,
             urgency: self.is_engine(job).then_some(job.urgency.min(9)),
             last_event,
         };
@@ -324,7 +341,9 @@
 
     fn is_engine(&self, job: &Job) -> bool {
         let view: &View = &self.shared.view.load();
-        view.services.get(&job.service).is_some_and(|service| service.engine)
+        view.services
+            .get(&job.service)
+            .is_some_and(|service| service.engine.is_some())
     }
 
     /// Returns the version of the document in force.
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -17,21 +17,21 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::active::Active;
 use super::attempt::History;
+use super::callers::Callers;
 use super::job::Charge;
 use super::job::Job;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::stream::Flow;
 use crate::choice;
-use crate::choice::Recall;
 use crate::dialect::Ask;
 use crate::document::Bounds;
 use crate::exchange::Failure;
 use crate::exchange::Pool;
 use crate::observe::Topic;
 use crate::routes::Table;
-use crate::view::Active;
 use crate::view::Shared;
 use crate::view::View;
 
@@ -46,8 +46,8 @@
 pub struct Forwarder {
     pub(super) shared: Arc<Shared>,
     pub(super) pool: RefCell<Pool>,
-    pub(super) recall: RefCell<Recall>,
     pub(super) weights: choice::Settings,
+    callers: Callers,
 }
 
 impl Forwarder {
@@ -56,15 +56,16 @@
         Self {
             shared,
             pool: RefCell::default(),
-            recall: RefCell::default(),
             weights: choice::Settings::default(),
+            callers: Callers::default(),
         }
     }
 
     /// Answers one request.
     pub async fn serve(self: &Rc<Self>, mut request: Request) -> Response {
         let arrived = self.shared.clock.now();
-        let active = Active::new(&self.shared);
+        let busy = request.io().map(|connection| self.callers.enter(connection));
+        let active = Active::new(&self.shared, busy);
         let ask = Ask::read(&self.shared.dialect, request.headers());
         let id = ask.id.clone();
         let caller = request.io().cloned();
@@ -97,6 +98,9 @@
         } else {
             self.shared.view.load_full()
         };
+        if self.shared.is_closed() {
+            return Err(Reason::Stopping.into());
+        }
         let table = view.table.as_ref().ok_or(Reason::NoDocument)?;
         let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
         let route = table
@@ -246,8 +250,19 @@
         }
     }
 
+    /// Waits for the request to stop.
+    pub async fn stopped(&self) {
+        self.shared.stop.notified().await;
+    }
+
+    /// Closes callers' idle connections.
+    pub fn close_idle(&self) {
+        self.callers.close_idle();
+    }
+
     /// Closes idle connections that are of no more use.
     pub fn sweep(&self) {
+        self.callers.forget_closed();
         let view = self.shared.view.load();
         let endpoints = view.services.values().flat_map(|service| service.endpoints.iter());
         let addresses: Vec<_> = endpoints
--- a/bergamotshift-forward/src/serve/job.rs
+++ b/bergamotshift-forward/src/serve/job.rs
@@ -22,6 +22,18 @@
 /// The longest time that a stream may stand still until it goes on elsewhere, in pauses that are still on time.
 const STALL: u32 = 5;
 
+/// How long callers wait for a stream's beginning, in objectives.
+const OBJECTIVES: u32 = 4;
+
+/// How long callers wait for a stream's next event, in pauses that are still on time.
+const PAUSES: u32 = 8;
+
+/// How long callers wait for a stream's beginning at the least.
+const PATIENCE_LEAST: Duration = Duration::from_secs(2);
+
+/// The part of that time up to which a beginning may be expected: the expectation is off by a quarter at times.
+const PATIENCE_USED: f64 = 0.75;
+
 /// A request that was read whole and matched to its route.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -78,6 +90,19 @@
         self.route.resumable.then(|| self.route.pause * STALL)
     }
 
+    /// Returns how long the answer's beginning is of use.
+    ///
+    /// Failure: in an overload every stream begins after its caller has left. Symptom: endpoints read prompts for
+    /// nobody, and nobody is served. Callers leave a stream that does not begin within a few objectives; what cannot
+    /// begin by then is refused at once, and its caller may come back when there is room.
+    pub(super) fn useful(&self) -> Duration {
+        if self.route.kind != Kind::Stream {
+            return self.route.timeout;
+        }
+        let patience = (self.route.objective * OBJECTIVES).max(self.route.pause * PAUSES);
+        patience.max(PATIENCE_LEAST).mul_f64(PATIENCE_USED)
+    }
+
     /// Returns the time that is left, in milliseconds.
     pub(super) fn time_left(&self, now: Instant) -> u64 {
         u64::try_from(self.deadline.since(now).as_millis()).unwrap_or(u64::MAX)
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -1,6 +1,8 @@
 //! Serves callers: one request goes from its head to a route, an organisation, an endpoint and back.
 
+mod active;
 mod attempt;
+mod callers;
 mod cut;
 mod forwarder;
 mod job;
--- a/bergamotshift-forward/src/serve/refusal.rs
+++ b/bergamotshift-forward/src/serve/refusal.rs
@@ -50,6 +50,9 @@
     /// The request is suspected of ending endpoints.
     #[error("the request is suspected of ending endpoints")]
     Suspect,
+    /// The entry ends before the request could.
+    #[error("the entry ends before the request could")]
+    Stopping,
     /// The time was over before the request was sent.
     #[error("the time was over before the request was sent")]
     Unsent,
@@ -75,6 +78,7 @@
             Self::Overloaded => "overloaded",
             Self::Unrun => "unrun",
             Self::Suspect => "suspect",
+            Self::Stopping => "stopping",
             Self::Unsent => "unsent",
             Self::TimedOut => "timed_out",
             Self::Broken => "broken",
@@ -89,9 +93,13 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoDocument | Self::NoEndpoint | Self::Overloaded | Self::Unrun | Self::Suspect | Self::Unsent => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoDocument
+            | Self::NoEndpoint
+            | Self::Overloaded
+            | Self::Unrun
+            | Self::Suspect
+            | Self::Stopping
+            | Self::Unsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
         }
@@ -111,6 +119,8 @@
     fn from(reason: Reason) -> Self {
         let retry_after = match reason {
             Reason::NoDocument | Reason::Overloaded | Reason::Unrun | Reason::Unsent => Some(SOON),
+            // Another entry takes it at once.
+            Reason::Stopping => Some(Duration::ZERO),
             Reason::NoEndpoint | Reason::Suspect => Some(LATER),
             _ => None,
         };
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use super::Forwarder;
+use super::active::Active;
 use super::attempt::History;
 use super::attempt::Open;
 use super::cut::cut;
@@ -31,7 +32,6 @@
 use crate::exchange::Events;
 use crate::exchange::Failure;
 use crate::observe::Topic;
-use crate::view::Active;
 
 /// A stream that its caller does not get whole.
 #[derive(Clone, Debug)]
--- a/bergamotshift-forward/src/settings/mod.rs
+++ b/bergamotshift-forward/src/settings/mod.rs
@@ -32,6 +32,8 @@
 use smol_str::SmolStr;
 use thiserror::Error as ThisError;
 
+use crate::capacity;
+
 /// Why settings cannot be used.
 #[derive(Debug)]
 #[derive(ThisError)]
@@ -81,6 +83,9 @@
     /// What organisations may exceed their limits by.
     #[serde(default)]
     pub limit: Limit,
+    /// How many endpoints are ordered.
+    #[serde(default)]
+    pub capacity: capacity::Settings,
 }
 
 /// Where an entry listens; all addresses are numeric.
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -1,18 +1,25 @@
 //! The immutable picture that requests are served from, and what outlives each picture.
 
 use core::sync::atomic::AtomicBool;
+use core::sync::atomic::AtomicU64;
 use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use arc_swap::ArcSwap;
 use bergamotshift_core::name;
 use bergamotshift_limit::quarantine;
 use bergamotshift_limit::retry::Budget;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::choice::Recall;
 use crate::dialect::Dialect;
+use crate::document::Engine;
 use crate::duty::Tally;
 use crate::endpoint::Endpoint;
 use crate::limits::Account;
@@ -28,10 +35,12 @@
 pub struct Service {
     /// Its endpoints, leaving ones included.
     pub endpoints: Arc<[Arc<Endpoint>]>,
-    /// Whether they are model engines.
-    pub engine: bool,
+    /// What its model engines are like; `None` for a plain service.
+    pub engine: Option<Engine>,
     /// Bounds repeated sends; outlives pictures.
     pub budget: Arc<Budget>,
+    /// Prompt tokens that callers asked to have read; outlives pictures.
+    pub asked: Arc<AtomicU64>,
 }
 
 /// The immutable picture that requests are served from.
@@ -66,43 +75,39 @@
     pub metrics: Metrics,
     /// Requests by organisation and window.
     pub tally: Tally,
+    /// Which endpoints read which parts of prompts. Worker threads and the control thread hold it for microseconds.
+    pub recall: Mutex<Recall>,
     /// What requests tell the control thread.
     pub notes: UnboundedSender<Note>,
     /// Whether the entry is about to end.
     pub stopping: AtomicBool,
+    /// Wakes whoever has something to do once the entry is about to end.
+    pub stop: Notify,
+    /// Whether requests are refused because the entry ends before they could.
+    pub closed: AtomicBool,
     /// Requests under way.
     pub active: AtomicUsize,
 }
 
 impl Shared {
+    /// Lends the memory of which endpoints read which parts.
+    pub fn recall(&self) -> MutexGuard<'_, Recall> {
+        self.recall.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the balancer may send callers.
     pub fn is_ready(&self) -> bool {
         let view = self.view.load();
         view.table.is_some() && view.knows_endpoints && !self.is_stopping()
     }
 
+    /// Returns whether requests are refused because the entry ends before they could.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
     /// Returns whether the entry is about to end.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
     }
 }
-
-/// Counts one request as under way until it is dropped.
-#[derive(Debug)]
-pub struct Active(Arc<Shared>);
-
-impl Active {
-    /// Counts a request.
-    pub fn new(shared: &Arc<Shared>) -> Self {
-        shared.active.fetch_add(1, Ordering::AcqRel);
-        shared.metrics.active.inc();
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.active.fetch_sub(1, Ordering::AcqRel);
-        self.0.metrics.active.dec();
-    }
-}
