--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -166,6 +166,10 @@
                 organisation.share.forget(&entry);
             }
         }
+        if !self.directory.is_settled() {
+            // Time alone proves what is missing; no news may come for long.
+            self.on_endpoints(now, shared, Event::Changed(Vec::new()), "time");
+        }
         self.deal(now, shared);
         self.sum_flown(now);
         let oldest = shared.tally.current().saturating_sub(WINDOWS);
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -38,7 +38,7 @@
         let uses = self.organisations.iter().map(|(name, organisation)| Use {
             organisation: name.clone(),
             demand: organisation.demand.get(),
-            share: organisation.fraction,
+            share: organisation.share.told(),
         });
         let flown = self.directory.endpoints().map(|endpoint| Flown {
             endpoint: endpoint.hash,
--- a/bergamotshift-forward/src/daemon/mod.rs
+++ b/bergamotshift-forward/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 use thiserror::Error as ThisError;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
 use crate::control::Control;
 use crate::duty::Tally;
@@ -29,6 +30,7 @@
 use crate::outside::Addresses;
 use crate::outside::Kind;
 use crate::peers;
+use crate::settings::Listen;
 use crate::settings::Settings;
 use crate::view::Shared;
 use crate::view::View;
@@ -80,6 +82,8 @@
     pub stop: mpsc::UnboundedReceiver<()>,
     /// Gets new settings after a reload.
     pub reload: mpsc::UnboundedReceiver<Settings>,
+    /// Is told the addresses once they are served; `None` when nobody asks.
+    pub started: Option<oneshot::Sender<Listen>>,
 }
 
 /// Runs a daemon on the current thread's runtime until it is told to stop; returns how many requests the end cut.
@@ -87,7 +91,7 @@
 /// # Errors
 ///
 /// Returns why it cannot start.
-pub async fn run(settings: Settings, logger: Logger, mut signals: Signals) -> Result<usize, Error> {
+pub async fn run(mut settings: Settings, logger: Logger, mut signals: Signals) -> Result<usize, Error> {
     let kind = plugin::find::<Kind>(&settings.outside).ok_or_else(|| Error::Kind {
         name: settings.outside.clone(),
         known: plugin::names::<Kind>(),
@@ -101,6 +105,7 @@
             .filter(|address| !address.is_empty()),
     };
     let outside = (kind.connect)(addresses).await?;
+    let listeners = server::Listeners::bind(&mut settings.listen)?;
     let (notes, inbox) = mpsc::unbounded_channel();
     let clock = Clock;
     let shared = Arc::new(Shared {
@@ -119,11 +124,15 @@
         settings,
     });
     let control = Control::new(Arc::clone(&shared));
-    let server = server::start(&shared, &control)?;
+    let server = server::start(&shared, &control, listeners)?;
     let Settings { name, zone, listen, .. } = &shared.settings;
     info!(shared.log.always(), "started"; "entry" => name.as_str(), "zone" => zone.as_str(),
         "callers" => %listen.callers, "ready" => %listen.ready, "peers" => %listen.peers,
         "metrics" => %listen.metrics, "store" => shared.settings.store.address.as_str());
+    if let Some(started) = signals.started.take() {
+        // Whoever asked may have gone meanwhile.
+        let _ = started.send(*listen);
+    }
     let tasks = [
         ntex::rt::spawn(follow::document(
             control.clone(),
--- a/bergamotshift-forward/src/daemon/server.rs
+++ b/bergamotshift-forward/src/daemon/server.rs
@@ -23,6 +23,7 @@
 use crate::control::Control;
 use crate::peers;
 use crate::serve::Forwarder;
+use crate::settings::Listen;
 use crate::view::Shared;
 
 /// How long an idle connection is kept, in seconds; longer than operators let callers be idle.
@@ -43,9 +44,29 @@
 /// How often a stopping entry looks for connections that became idle.
 const CLOSE: Millis = Millis(50);
 
+/// The addresses' sockets.
+#[derive(Debug)]
+pub(super) struct Listeners {
+    callers: TcpListener,
+    ready: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses; a port of 0 becomes the one that the system chose.
+    pub(super) fn bind(listen: &mut Listen) -> Result<Self, Error> {
+        Ok(Self {
+            callers: bind(&mut listen.callers)?,
+            ready: bind(&mut listen.ready)?,
+            peers: bind(&mut listen.peers)?,
+            metrics: bind(&mut listen.metrics)?,
+        })
+    }
+}
+
 /// Starts the server.
-pub(super) fn start(shared: &Arc<Shared>, control: &Control) -> Result<Server, Error> {
-    let listen = shared.settings.listen;
+pub(super) fn start(shared: &Arc<Shared>, control: &Control, listeners: Listeners) -> Result<Server, Error> {
     let mut builder = ntex::server::build().workers(1).disable_signals();
     let config = || {
         HttpServiceConfig::new()
@@ -55,7 +76,7 @@
     };
     let callers = Arc::clone(shared);
     builder = builder
-        .listen("callers", bind(listen.callers)?, async move |_| {
+        .listen("callers", listeners.callers, async move |_| {
             let forwarder = Rc::new(Forwarder::new(Arc::clone(&callers)));
             ntex::rt::spawn(sweep(Rc::clone(&forwarder)));
             ntex::rt::spawn(close(Rc::clone(&forwarder)));
@@ -68,7 +89,7 @@
         .config("callers", SharedCfg::new("callers").add(config()));
     let asked = Arc::clone(shared);
     builder = builder
-        .listen("ready", bind(listen.ready)?, async move |_| {
+        .listen("ready", listeners.ready, async move |_| {
             let shared = Arc::clone(&asked);
             HttpService::new(fn_service(move |request: Request| {
                 let response = ready(&shared, &request);
@@ -79,7 +100,7 @@
         .config("ready", SharedCfg::new("ready").add(config()));
     let collected = Arc::clone(shared);
     builder = builder
-        .listen("metrics", bind(listen.metrics)?, async move |_| {
+        .listen("metrics", listeners.metrics, async move |_| {
             let shared = Arc::clone(&collected);
             HttpService::new(fn_service(move |request: Request| {
                 let response = metrics(&shared, &request);
@@ -90,7 +111,7 @@
         .config("metrics", SharedCfg::new("metrics").add(config()));
     let exchange = control.exchange();
     builder = builder
-        .listen("peers", bind(listen.peers)?, async move |_| {
+        .listen("peers", listeners.peers, async move |_| {
             let exchange = exchange.clone();
             HttpService::new(fn_service(move |request: Request| {
                 let exchange = exchange.clone();
@@ -138,6 +159,10 @@
         .body(shared.metrics.text())
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
-    ntex::server::create_tcp_listener(address, BACKLOG).map_err(|source| Error::Bind { address, source })
+fn bind(address: &mut SocketAddr) -> Result<TcpListener, Error> {
+    let asked = *address;
+    let failed = |source| Error::Bind { address: asked, source };
+    let listener = ntex::server::create_tcp_listener(asked, BACKLOG).map_err(failed)?;
+    *address = listener.local_addr().map_err(failed)?;
+    Ok(listener)
 }
--- a/bergamotshift-forward/src/dialect/mod.rs
+++ b/bergamotshift-forward/src/dialect/mod.rs
@@ -56,19 +56,19 @@
             HeaderName::from_static(name)
         }
         Self {
-            request: own("x-bergamotshift-request"),
-            time_left: own("x-bergamotshift-deadline-ms"),
+            request: own("bergamotshift-request"),
+            time_left: own("bergamotshift-deadline-ms"),
             key_scheme: SmolStr::new_static("Bearer"),
-            organisation: own("x-bergamotshift-organisation"),
-            expected: own("x-bergamotshift-expected"),
-            incarnation: own("x-bergamotshift-incarnation"),
-            not_run: own("x-bergamotshift-not-run"),
-            seal: own("x-bergamotshift-seal"),
-            load: own("x-bergamotshift-load"),
-            size: own("x-bergamotshift-size"),
-            prompt: own("x-bergamotshift-prompt"),
-            urgency: own("x-bergamotshift-priority"),
-            source: own("x-bergamotshift-source"),
+            organisation: own("bergamotshift-organisation"),
+            expected: own("bergamotshift-expected"),
+            incarnation: own("bergamotshift-incarnation"),
+            not_run: own("bergamotshift-not-run"),
+            seal: own("bergamotshift-seal"),
+            load: own("bergamotshift-load"),
+            size: own("bergamotshift-size"),
+            prompt: own("bergamotshift-prompt"),
+            urgency: own("bergamotshift-priority"),
+            source: own("bergamotshift-source"),
             reserved: Vec::new(),
         }
     }
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -121,9 +121,11 @@
                 Change::Ended => None,
             };
             self.planners.clear();
-            self.control.hold(self.number.is_some());
             info!(shared.log.always(), "duties"; "held" => self.number.is_some(), "number" => self.number);
         }
+        // Failure: a holder that cannot reach the store goes on saying that it holds the duties. Symptom: nobody takes
+        // them over, and nothing is reported. It says so only as long as it may act.
+        self.control.hold(self.holder().is_some());
         if self.holder().is_none() {
             return;
         }
--- a/bergamotshift-forward/src/limits/share.rs
+++ b/bergamotshift-forward/src/limits/share.rs
@@ -55,15 +55,34 @@
     heard: Instant,
 }
 
+/// A share that the others are told before it is used.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    share: f64,
+    since: Instant,
+}
+
 /// This entry's share of one organisation's limit.
+///
+/// All entries hear each other: a share that shrinks does so at once, and one that grows is told first, as a claim. It
+/// is used when every other entry was heard since, and only as far as their own claims leave room.
+///
+/// Failure: two entries see the same room, or two halves of the fleet do not hear each other, and both grow. Symptom:
+/// the organisation uses more than its limit, up to twice as much. A claim that somebody may not have heard is not
+/// used, and while an entry is silent the others share out among them only what they had when it fell silent.
 #[derive(Clone, Debug, Default)]
 pub struct Share {
     others: BTreeMap<name::Entry, Other>,
     own: Option<f64>,
+    claim: Option<Claim>,
+    /// The demand that the others were told last.
+    told: f64,
+    /// While an entry is silent: how many are heard, and what they and this one had when it fell silent.
+    held: Option<(usize, f64)>,
 }
 
 impl Share {
-    /// Takes in what another entry says: its demand, and the share that it uses by its own reckoning.
+    /// Takes in what another entry says: its demand, and the share that it uses or claims.
     pub fn heard(&mut self, now: Instant, entry: &name::Entry, demand: f64, share: f64) {
         let other = Other {
             demand,
@@ -78,38 +97,66 @@
         self.others.remove(entry);
     }
 
+    /// Returns the share that the others have to be told: the one in use, or the larger one that is claimed.
+    pub fn told(&self) -> f64 {
+        self.claim.map_or(self.own.unwrap_or_default(), |claim| claim.share)
+    }
+
     /// Returns this entry's share, between 0 and 1, among `members` entries in all.
-    ///
-    /// Failure: two halves of the fleet that do not hear each other both deal out the whole limit. Symptom: the
-    /// organisation uses twice its limit. An entry that is not heard keeps what it last said it used, and only the
-    /// rest is dealt out anew; no half can take what the other one holds.
     pub fn next(&mut self, now: Instant, timing: &Timing, demand: Demand, members: usize) -> f64 {
         let is_heard = |other: &&Other| now.since(other.heard) < timing.silence;
-        let heard: Vec<&Other> = self.others.values().filter(is_heard).collect();
-        let kept: f64 = self
-            .others
-            .values()
-            .filter(|other| !is_heard(other))
-            .map(|other| other.share)
-            .sum();
-        let silent = members.saturating_sub(1).saturating_sub(self.others.len());
-        // An entry that was never heard of may use as much as an even share.
-        let unknown = silent as f64 / members.max(1) as f64;
-        let free = (1.0 - kept - unknown).max(0.0);
-        let count = heard.len() as f64 + 1.0;
-        let total = demand.get() + heard.iter().map(|other| other.demand).sum::<f64>();
-        let fair = if total > 0.0 { demand.get() / total } else { 1.0 / count };
-        let wanted = free * (timing.even / count + (1.0 - timing.even) * fair);
-        // A share that grows waits until the others are heard to use less, so that the sum stays within the whole.
+        let heard: Vec<Other> = self.others.values().filter(is_heard).copied().collect();
         let used: f64 = heard.iter().map(|other| other.share).sum();
-        let room = (free - used).max(0.0);
-        let before = self.own.unwrap_or(0.0);
-        let share = if wanted <= before {
-            wanted
-        } else {
-            wanted.min(before.max(room))
+        let own = self.own.unwrap_or_default();
+        let free = self.free(&heard, members, own + used);
+        let asked: f64 = heard.iter().map(|other| other.demand).sum();
+        let count = heard.len() as f64 + 1.0;
+        let part = |demand: f64| {
+            let total = demand + asked;
+            let fair = if total > 0.0 { demand / total } else { 1.0 / count };
+            timing.even / count + (1.0 - timing.even) * fair
+        };
+        let wanted = free * part(demand.get());
+        let room = (free - used - own).max(0.0);
+        let all_heard_since = |since: Instant| heard.iter().all(|other| other.heard > since);
+        let share = match self.claim {
+            _ if wanted <= own => {
+                self.claim = None;
+                wanted
+            }
+            // Nobody else is there to be told.
+            _ if members <= 1 => wanted,
+            Some(claim) if all_heard_since(claim.since) => {
+                self.claim = None;
+                claim.share.min(wanted).min(own + room)
+            }
+            Some(_) => own,
+            None => {
+                let share = wanted.min(own + room * part(self.told));
+                self.claim = (share > own).then_some(Claim { share, since: now });
+                own
+            }
         };
+        self.told = demand.get();
         self.own = Some(share);
         share
     }
+
+    /// Returns how much of the limit this entry and those that it hears share out.
+    fn free(&mut self, heard: &[Other], members: usize, had: f64) -> f64 {
+        if heard.len() + 1 >= members {
+            self.held = None;
+            return 1.0;
+        }
+        match self.held {
+            Some((count, held)) if count == heard.len() => held,
+            _ => {
+                // An entry that never heard anybody may use what an even share is.
+                let even = (heard.len() + 1) as f64 / members as f64;
+                let held = if self.own.is_some() { had.min(1.0) } else { even };
+                self.held = Some((heard.len(), held));
+                held
+            }
+        }
+    }
 }
--- /dev/null
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -0,0 +1,219 @@
+//! A store and a cloud in memory, with faults on order.
+
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::LazyLock;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use bergamotshift_core::plugin::inventory;
+use bergamotshift_core::table;
+use bergamotshift_core::table::Condition;
+use bergamotshift_core::table::Ending;
+use bergamotshift_core::table::Key;
+use bergamotshift_core::table::Row;
+use bergamotshift_core::table::Write;
+use bergamotshift_forward::dialect::Dialect;
+use bergamotshift_forward::document::Document;
+use bergamotshift_forward::endpoint::Change;
+use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::outside::Addresses;
+use bergamotshift_forward::outside::Cursor;
+use bergamotshift_forward::outside::Duties;
+use bergamotshift_forward::outside::Gap;
+use bergamotshift_forward::outside::Holder;
+use bergamotshift_forward::outside::Kind;
+use bergamotshift_forward::outside::Operators;
+use bergamotshift_forward::outside::Order;
+use bergamotshift_forward::outside::Outside;
+use bergamotshift_forward::outside::Registry;
+use bergamotshift_forward::outside::Usage;
+use bergamotshift_platform::Error;
+use bergamotshift_platform::Future;
+use bergamotshift_platform::table::Page;
+use smol_str::SmolStr;
+
+/// What the store holds, and what the cloud was told.
+#[derive(Debug, Default)]
+pub struct World {
+    pub document: Option<Document>,
+    pub registrations: BTreeMap<SmolStr, Registration>,
+    pub rows: BTreeMap<Key, Row>,
+    pub reports: Vec<(Holder, Usage)>,
+    pub orders: Vec<(Holder, Order)>,
+    /// Entries, by the name after `@` in their store's address, to which no call is answered.
+    pub cut: Vec<SmolStr>,
+    changes: u64,
+}
+
+/// A world that tests and daemons share.
+pub type Shared = Arc<Mutex<World>>;
+
+static WORLDS: LazyLock<Mutex<HashMap<SmolStr, Shared>>> = LazyLock::new(Mutex::default);
+
+/// Makes a world that daemons find under a name.
+pub fn world(name: &str) -> Shared {
+    Arc::clone(lock(&WORLDS).entry(SmolStr::new(name)).or_default())
+}
+
+/// Locks, whatever happened to the thread before.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl World {
+    /// Puts a document that the operators wrote.
+    pub fn put(&mut self, document: Document) {
+        self.document = Some(document);
+        self.changes += 1;
+    }
+
+    /// Registers an endpoint, or takes its registration away.
+    pub fn register(&mut self, registration: Registration) {
+        self.registrations.insert(registration.id.clone(), registration);
+        self.changes += 1;
+    }
+
+    /// Takes an endpoint's registration away.
+    pub fn remove(&mut self, id: &str) {
+        self.registrations.remove(id);
+        self.changes += 1;
+    }
+}
+
+inventory::submit! {
+    Kind { name: "memory", dialect: Dialect::default, connect: |addresses| Box::pin(core::future::ready(Ok(connect(addresses)))) }
+}
+
+fn connect(addresses: Addresses) -> Outside {
+    let (name, entry) = addresses
+        .store
+        .split_once('@')
+        .unwrap_or((addresses.store.as_str(), ""));
+    let store = Rc::new(Store {
+        world: world(name),
+        entry: SmolStr::new(entry),
+    });
+    Outside {
+        operators: Rc::clone(&store) as _,
+        registry: Rc::clone(&store) as _,
+        table: Rc::clone(&store) as _,
+        duties: addresses.cloud.map(|_| store as _),
+    }
+}
+
+#[derive(Debug)]
+struct Store {
+    world: Shared,
+    entry: SmolStr,
+}
+
+impl Store {
+    fn reach(&self) -> Result<MutexGuard<'_, World>, Error> {
+        let world = lock(&self.world);
+        if world.cut.contains(&self.entry) {
+            return Err(Error::Refused("cut off".to_owned()));
+        }
+        Ok(world)
+    }
+}
+
+impl Operators for Store {
+    fn document(&self) -> Future<'_, Result<(Option<Document>, Cursor), Error>> {
+        let answer = self
+            .reach()
+            .map(|world| (world.document.clone(), Cursor(world.changes)));
+        Box::pin(async move { answer })
+    }
+
+    fn changed(&self, _after: Cursor, wait: Duration) -> Future<'_, Result<(Option<Document>, Cursor), Gap>> {
+        const LOOK: Duration = Duration::from_millis(20);
+        Box::pin(async move {
+            tokio::time::sleep(wait.min(LOOK)).await;
+            let world = self.reach()?;
+            Ok((world.document.clone(), Cursor(world.changes)))
+        })
+    }
+}
+
+impl Registry for Store {
+    fn registrations(&self) -> Future<'_, Result<(Vec<Registration>, Cursor), Error>> {
+        let list = |world: MutexGuard<'_, World>| {
+            let all = world.registrations.values().cloned().collect();
+            (all, Cursor(world.changes))
+        };
+        let answer = self.reach().map(list);
+        Box::pin(async move { answer })
+    }
+
+    fn changes(&self, _after: Cursor) -> Future<'_, Result<(Vec<Change>, Cursor), Gap>> {
+        // The history is gone each time, so that everything is read anew.
+        Box::pin(async { Err(Gap::Forgotten) })
+    }
+}
+
+impl bergamotshift_platform::table::Table for Store {
+    fn transact(&self, writes: Vec<Write>) -> Future<'_, Ending> {
+        let ending = match self.reach() {
+            Err(_) => Ending::Refused,
+            Ok(mut world) => transact(&mut world, writes),
+        };
+        Box::pin(async move { ending })
+    }
+
+    fn get(&self, keys: Vec<Key>) -> Future<'_, Result<Vec<Option<Row>>, Error>> {
+        let read = |world: MutexGuard<'_, World>| keys.iter().map(|key| world.rows.get(key).cloned()).collect();
+        let answer = self.reach().map(read);
+        Box::pin(async move { answer })
+    }
+
+    fn query(&self, partition: SmolStr, _after: Option<SmolStr>, _limit: u32) -> Future<'_, Result<Page, Error>> {
+        let read = |world: MutexGuard<'_, World>| {
+            let rows = world.rows.iter().filter(|(key, _)| key.partition == partition);
+            Page {
+                rows: rows.map(|(key, row)| (key.sort.clone(), row.clone())).collect(),
+                next: None,
+            }
+        };
+        let answer = self.reach().map(read);
+        Box::pin(async move { answer })
+    }
+}
+
+fn transact(world: &mut World, writes: Vec<Write>) -> Ending {
+    let version = |world: &World, key: &Key| world.rows.get(key).map(|row| row.version);
+    let holds = |write: &Write| match write.condition {
+        Condition::Any => true,
+        Condition::Absent => version(world, &write.key).is_none(),
+        Condition::Version(wanted) => version(world, &write.key) == Some(wanted),
+    };
+    let failed: Vec<usize> = (0..writes.len()).filter(|place| !holds(&writes[*place])).collect();
+    if !failed.is_empty() {
+        return Ending::Conflict(failed);
+    }
+    for write in writes {
+        let next = version(world, &write.key).unwrap_or_default() + 1;
+        match write.change {
+            table::Change::Put(body) => drop(world.rows.insert(write.key, Row { version: next, body })),
+            table::Change::Delete => drop(world.rows.remove(&write.key)),
+            table::Change::Check => {}
+        }
+    }
+    Ending::Applied
+}
+
+impl Duties for Store {
+    fn report(&self, holder: Holder, usage: Usage) -> Future<'_, Result<(), Error>> {
+        lock(&self.world).reports.push((holder, usage));
+        Box::pin(async { Ok(()) })
+    }
+
+    fn order(&self, holder: Holder, order: Order) -> Future<'_, Result<(), Error>> {
+        lock(&self.world).orders.push((holder, order));
+        Box::pin(async { Ok(()) })
+    }
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -0,0 +1,309 @@
+//! A store, endpoints and daemons of one test, and callers.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Instant;
+
+use bergamotshift_forward::daemon;
+use bergamotshift_forward::daemon::Signals;
+use bergamotshift_forward::document::Document;
+use bergamotshift_forward::document::Kind;
+use bergamotshift_forward::document::Organisation;
+use bergamotshift_forward::document::Route;
+use bergamotshift_forward::document::Service;
+use bergamotshift_forward::document::Split;
+use bergamotshift_forward::settings::Listen;
+use bergamotshift_forward::settings::Settings;
+use ntex::rt::DefaultRuntime;
+use ntex::rt::System;
+use slog::Logger;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::endpoint::Endpoint;
+use crate::endpoint::head;
+use crate::endpoint::header;
+use crate::outside;
+use crate::outside::Shared;
+use crate::outside::lock;
+
+/// The longest that a test waits for something that is due at once.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The key of the organisation `horeca`.
+pub const KEY: &str = "key-1";
+
+/// Waits until something holds; a test that waits in vain fails.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    const LOOK: Duration = Duration::from_millis(5);
+    let since = Instant::now();
+    while !holds() {
+        assert!(since.elapsed() < PATIENCE, "it did not come about: {what}");
+        thread::sleep(LOOK);
+    }
+}
+
+/// A running daemon.
+pub struct Daemon {
+    pub listen: Listen,
+    stop: mpsc::UnboundedSender<()>,
+    thread: JoinHandle<usize>,
+}
+
+impl Daemon {
+    /// Asks the daemon to stop.
+    pub fn stop(&self) {
+        self.stop.send(()).expect("it runs");
+    }
+
+    /// Waits for its end, and returns how many requests it cut.
+    pub fn join(self) -> usize {
+        self.thread.join().expect("it ends in order")
+    }
+
+    /// Returns whether it says that callers may come.
+    pub fn is_ready(&self) -> bool {
+        let Ok(mut caller) = TcpStream::connect(self.listen.ready) else {
+            return false;
+        };
+        let asked = caller.write_all(b"GET /ready HTTP/1.1\r\nhost: r\r\nconnection: close\r\n\r\n");
+        asked.is_ok()
+            && head(&mut caller)
+                .ok()
+                .flatten()
+                .is_some_and(|head| head.contains(" 200 "))
+    }
+}
+
+/// One test's surroundings.
+pub struct Site {
+    pub world: Shared,
+    name: String,
+}
+
+impl Site {
+    /// Makes surroundings with the usual routes, in which these endpoints run the service `staff`.
+    pub fn new(endpoints: &[&Endpoint]) -> Self {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("world-{}", NUMBER.fetch_add(1, Ordering::Relaxed));
+        let world = outside::world(&name);
+        lock(&world).put(document(1));
+        for endpoint in endpoints {
+            lock(&world).register(endpoint.registration("staff"));
+        }
+        Self { world, name }
+    }
+
+    /// Starts a daemon and waits until it is ready.
+    pub fn start(&self) -> Daemon {
+        let daemon = self.launch("entry-1", &[]);
+        until("the daemon is ready", || daemon.is_ready());
+        daemon
+    }
+
+    /// Starts a daemon with a name and the addresses of others.
+    pub fn launch(&self, name: &str, seeds: &[SocketAddr]) -> Daemon {
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let text = format!(
+            r#"
+            name = "{name}"
+            zone = "one"
+            outside = "memory"
+            [listen]
+            callers = "127.0.0.1:0"
+            ready = "127.0.0.1:0"
+            peers = "127.0.0.1:0"
+            metrics = "127.0.0.1:0"
+            [store]
+            address = "{world}@{name}"
+            [cloud]
+            address = "here"
+            [peers]
+            seeds = [{seeds}]
+            [stop]
+            grace_s = 6.0
+            [duty]
+            lease_ms = 1000
+            usage_window_s = 1.0
+            "#,
+            world = self.name,
+            seeds = seeds.join(","),
+        );
+        let settings = Settings::parse(&text).expect("the settings are in order");
+        let (stop, stopped) = mpsc::unbounded_channel();
+        let (_reload, reloaded) = mpsc::unbounded_channel();
+        let (started, addresses) = oneshot::channel();
+        let signals = Signals {
+            stop: stopped,
+            reload: reloaded,
+            started: Some(started),
+        };
+        let thread = thread::spawn(move || {
+            let logger = Logger::root(slog::Discard, slog::o!());
+            let run = daemon::run(settings, logger, signals);
+            let ended = System::new("daemon", DefaultRuntime).block_on(run);
+            ended.expect("it starts")
+        });
+        Daemon {
+            listen: addresses.blocking_recv().expect("it starts"),
+            stop,
+            thread,
+        }
+    }
+}
+
+fn route(prefix: &str, kind: Kind) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "staff.example".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(300),
+        pause: Duration::from_millis(400),
+        urgency: 2,
+        splits: vec![Split {
+            service: "staff".into(),
+            weight: 1,
+        }],
+        attempts: 2,
+        public: false,
+        resumable: false,
+    }
+}
+
+/// Returns the usual document under a version.
+pub fn document(version: u64) -> Document {
+    let mut resumable = route("/draft/", Kind::Stream);
+    resumable.resumable = true;
+    let mut public = route("/open/", Kind::Idempotent);
+    public.public = true;
+    Document {
+        version,
+        routes: vec![
+            route("/checkin/", Kind::Idempotent),
+            route("/confirm/", Kind::Once),
+            route("/chat/", Kind::Stream),
+            resumable,
+            public,
+        ],
+        services: vec![Service {
+            name: "staff".into(),
+            connections: 100,
+            engine: None,
+            scale: None,
+        }],
+        organisations: vec![Organisation {
+            name: "horeca".into(),
+            keys: vec![KEY.into()],
+            urgency: None,
+            limit: None,
+        }],
+        ..Document::default()
+    }
+}
+
+/// An answer as a caller got it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the body ended as the head announced.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A caller's connection.
+pub struct Caller(pub TcpStream);
+
+impl Caller {
+    pub fn new(daemon: &Daemon) -> Self {
+        let stream = TcpStream::connect(daemon.listen.callers).expect("the daemon listens");
+        stream
+            .set_read_timeout(Some(PATIENCE))
+            .expect("a socket takes a timeout");
+        Self(stream)
+    }
+
+    /// Sends a request with the key of `horeca`.
+    pub fn send(&mut self, method: &str, path: &str, id: &str, extra: &str, body: &str) {
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nhost: staff.example\r\nauthorization: Bearer {KEY}\r\n\
+             bergamotshift-request: {id}\r\nbergamotshift-deadline-ms: 4000\r\ncontent-length: {}\r\n{extra}\r\n{body}",
+            body.len()
+        );
+        self.0.write_all(text.as_bytes()).expect("the connection stands");
+    }
+
+    /// Reads an answer; `None` when the connection ends before its head.
+    pub fn answer(&mut self) -> Option<Answer> {
+        let head = head(&mut self.0).ok().flatten()?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let (body, whole) = match header(&head, "content-length") {
+            Some(length) => self.sized(length.parse().ok()?),
+            None if header(&head, "transfer-encoding").is_some() => self.chunked(),
+            None => (Vec::new(), true),
+        };
+        Some(Answer {
+            status,
+            head,
+            body,
+            whole,
+        })
+    }
+
+    /// Sends a request and reads its answer.
+    pub fn ask(&mut self, method: &str, path: &str, id: &str, body: &str) -> Answer {
+        self.send(method, path, id, "", body);
+        self.answer().expect("an answer comes")
+    }
+
+    fn sized(&mut self, length: usize) -> (Vec<u8>, bool) {
+        let mut body = vec![0; length];
+        let whole = self.0.read_exact(&mut body).is_ok();
+        (body, whole)
+    }
+
+    fn chunked(&mut self) -> (Vec<u8>, bool) {
+        let mut body = Vec::new();
+        loop {
+            let mut line = Vec::new();
+            let mut byte = [0];
+            while !line.ends_with(b"\r\n") {
+                match self.0.read(&mut byte) {
+                    Ok(1) => line.push(byte[0]),
+                    _ => return (body, false),
+                }
+            }
+            let text = String::from_utf8_lossy(&line);
+            let Ok(size) = usize::from_str_radix(text.trim(), 16) else {
+                return (body, false);
+            };
+            let (piece, whole) = self.sized(size + 2);
+            if !whole {
+                return (body, false);
+            }
+            if size == 0 {
+                return (body, true);
+            }
+            body.extend_from_slice(&piece[..size]);
+        }
+    }
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/capacity.rs
@@ -0,0 +1,137 @@
+//! How many endpoints are ordered.
+
+use core::time::Duration;
+use std::collections::BTreeMap;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::capacity::Planner;
+use bergamotshift_forward::capacity::Present;
+use bergamotshift_forward::capacity::Settings;
+use bergamotshift_forward::document::Scale;
+use bergamotshift_forward::outside::Order;
+
+use crate::support::at;
+
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+
+fn scale() -> Scale {
+    let prices = [1.0, 0.8, 1.25, 0.9];
+    let prices = ZONES
+        .iter()
+        .zip(prices)
+        .map(|(zone, price)| (name::Zone::new(zone), price));
+    Scale {
+        min: 1,
+        max: 6,
+        boot: Duration::from_secs(4),
+        reclaimable_price: Some(0.15),
+        zone_prices: prices.collect(),
+    }
+}
+
+fn present(counts: [(u32, u32); 4]) -> BTreeMap<name::Zone, Present> {
+    let present = |(on_demand, reclaimable)| Present { on_demand, reclaimable };
+    let pairs = ZONES.iter().zip(counts);
+    pairs
+        .map(|(zone, counts)| (name::Zone::new(zone), present(counts)))
+        .collect()
+}
+
+fn planner() -> Planner {
+    Planner::new(Settings {
+        reclaimable: 4,
+        least: 7,
+        ..Settings::default()
+    })
+}
+
+fn plan(planner: &mut Planner, now: Instant, counts: [(u32, u32); 4]) -> Vec<Order> {
+    planner.plan(now, &"planner".into(), &scale(), &present(counts), 10_000.0)
+}
+
+fn of(orders: &[Order], market: Market) -> Vec<(&str, u32)> {
+    let kind = orders.iter().filter(|order| order.market == market);
+    kind.map(|order| (order.zone.as_str(), order.count)).collect()
+}
+
+#[test]
+fn on_demand_endpoints_stay_until_reclaimable_ones_serve() {
+    let mut planner = planner();
+    let orders = plan(&mut planner, at(0), [(3, 0); 4]);
+    assert!(of(&orders, Market::OnDemand).is_empty());
+    assert_eq!(of(&orders, Market::Reclaimable).len(), 4);
+    let orders = plan(&mut planner, at(5_000), [(3, 3); 4]);
+    let given_back = of(&orders, Market::OnDemand);
+    assert_eq!(given_back.len(), 4);
+    assert!(given_back.iter().all(|(_, count)| *count == 0));
+}
+
+#[test]
+fn an_order_is_not_repeated_while_its_endpoints_boot() {
+    let mut planner = planner();
+    assert!(!plan(&mut planner, at(0), [(3, 0); 4]).is_empty());
+    assert!(plan(&mut planner, at(1_000), [(3, 0); 4]).is_empty());
+    assert!(!plan(&mut planner, at(8_000), [(3, 0); 4]).is_empty());
+}
+
+/// A zone's reclaimable endpoints are taken away, and the platform has none left anywhere. Callers see no overload when
+/// the next zone goes too: on-demand endpoints are ordered for that loss, before it comes.
+#[test]
+fn while_none_are_to_be_had_the_next_zone_is_made_up_for_ahead() {
+    let mut planner = planner();
+    let all = [(0, 4); 4];
+    plan(&mut planner, at(0), all);
+    plan(&mut planner, at(5_000), all);
+    let one_gone = [(0, 4), (0, 4), (0, 4), (0, 0)];
+    let two_gone = [(0, 4), (0, 4), (0, 0), (0, 0)];
+    let orders = plan(&mut planner, at(10_000), one_gone);
+    assert_eq!(of(&orders, Market::Reclaimable), [("d", 4)]);
+    planner.refused(at(10_000), &orders[0]);
+    let orders = plan(&mut planner, at(10_250), one_gone);
+    assert!(
+        of(&orders, Market::OnDemand).is_empty(),
+        "8 of 12 would be left, 7 are needed"
+    );
+    let orders = plan(&mut planner, at(12_000), two_gone);
+    planner.refused(at(12_000), &orders[0]);
+    let orders = plan(&mut planner, at(12_250), two_gone);
+    let ordered: u32 = of(&orders, Market::OnDemand).iter().map(|(_, count)| count).sum();
+    assert_eq!(ordered, 3, "4 of 8 would be left, 7 are needed");
+}
+
+#[test]
+fn the_refusals_of_a_dry_zone_do_not_give_on_demand_endpoints_back() {
+    let mut planner = planner();
+    let present = [(2, 4), (2, 4), (0, 0), (0, 0)];
+    let orders = plan(&mut planner, at(0), present);
+    for order in &orders {
+        planner.refused(at(0), order);
+    }
+    for step in 1..40 {
+        for order in plan(&mut planner, at(step * 250), present) {
+            assert!(order.market != Market::OnDemand || order.count > 0, "{order:?}");
+            if order.market == Market::Reclaimable {
+                planner.refused(at(step * 250), &order);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_service_without_reclaimable_endpoints_is_left_alone() {
+    let scale = Scale {
+        reclaimable_price: None,
+        ..scale()
+    };
+    let orders = planner().plan(at(0), &"planner".into(), &scale, &present([(3, 0); 4]), 10_000.0);
+    assert!(orders.is_empty());
+}
+
+#[test]
+fn no_zone_is_asked_for_more_than_its_most() {
+    let mut planner = planner();
+    for (now, counts) in [(0, [(3, 0); 4]), (9_000, [(6, 0); 4]), (18_000, [(5, 1); 4])] {
+        let orders = planner.plan(at(now), &"planner".into(), &scale(), &present(counts), 1e6);
+        assert!(orders.iter().all(|order| order.count <= 6), "{orders:?}");
+    }
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/choice.rs
@@ -0,0 +1,148 @@
+//! Which endpoint gets a request.
+
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::choice::Choice;
+use bergamotshift_forward::choice::Recall;
+use bergamotshift_forward::choice::Request;
+use bergamotshift_forward::choice::Settings;
+use bergamotshift_forward::choice::choose;
+use bergamotshift_forward::dialect::Ask;
+use bergamotshift_forward::dialect::Part;
+use bergamotshift_forward::dialect::Size;
+use bergamotshift_forward::document::Engine;
+use bergamotshift_forward::endpoint::Endpoint;
+use bergamotshift_forward::endpoint::Seat;
+
+use crate::support::at;
+use crate::support::registration;
+
+const ENGINE: Engine = Engine {
+    slots: 64,
+    memory: 500_000,
+    transfer: Some(0.001),
+};
+
+fn endpoints(count: usize) -> Vec<Arc<Endpoint>> {
+    let endpoint = |number| Arc::new(Endpoint::new(registration(&format!("e{number}"), "one")));
+    (0..count).map(endpoint).collect()
+}
+
+fn ask() -> Ask {
+    Ask {
+        size: Some(Size {
+            prompt: 15_000,
+            output: 100,
+        }),
+        parts: vec![Part { id: 1, tokens: 12_000 }, Part { id: 2, tokens: 3_000 }],
+        ..Ask::default()
+    }
+}
+
+fn chosen(endpoints: &[Arc<Endpoint>], engine: Option<Engine>, recall: &Recall, tried: &[u64]) -> Option<Choice> {
+    let ask = ask();
+    let zone = name::Zone::new("one");
+    let request = Request {
+        ask: &ask,
+        engine,
+        zone: &zone,
+        tried,
+    };
+    choose(&Settings::default(), at(1_000), endpoints, &request, recall)
+}
+
+#[test]
+fn entries_that_know_nothing_agree() {
+    let endpoints = endpoints(8);
+    let mut turned = endpoints.clone();
+    turned.rotate_left(3);
+    let one = chosen(&endpoints, Some(ENGINE), &Recall::default(), &[]).expect("one of them");
+    let other = chosen(&turned, Some(ENGINE), &Recall::default(), &[]).expect("one of them");
+    assert_eq!(one.endpoint.hash, other.endpoint.hash);
+}
+
+#[test]
+fn who_holds_the_prompt_reads_only_the_rest() {
+    let endpoints = endpoints(8);
+    let mut recall = Recall::default();
+    recall.note(at(0), endpoints[5].hash, &ask().parts[..1]);
+    let choice = chosen(&endpoints, Some(ENGINE), &recall, &[]).expect("one of them");
+    assert_eq!(choice.endpoint.hash, endpoints[5].hash);
+    assert_eq!(choice.unread, 3_000);
+    assert_eq!(choice.source, None);
+}
+
+/// The endpoint that holds a prompt's shared part has much to read before. Another one gets the part over the engines'
+/// link in milliseconds and begins sooner; without such a link it would read it anew.
+#[test]
+fn a_busy_holder_hands_its_part_to_an_idle_endpoint() {
+    let endpoints = endpoints(8);
+    let mut recall = Recall::default();
+    recall.note(at(0), endpoints[5].hash, &ask().parts[..1]);
+    let _busy = Seat::take(Arc::clone(&endpoints[5]), 60_000);
+    let choice = chosen(&endpoints, Some(ENGINE), &recall, &[]).expect("one of them");
+    assert_ne!(choice.endpoint.hash, endpoints[5].hash);
+    assert_eq!(choice.source, Some(endpoints[5].registration.address));
+    assert_eq!(choice.unread, 3_000);
+    let apart = Engine {
+        transfer: None,
+        ..ENGINE
+    };
+    let choice = chosen(&endpoints, Some(apart), &recall, &[]).expect("one of them");
+    assert_eq!((choice.source, choice.unread), (None, 15_000));
+}
+
+#[test]
+fn a_leaving_holder_is_still_a_source() {
+    let endpoints = endpoints(3);
+    let mut recall = Recall::default();
+    recall.note(at(0), endpoints[1].hash, &ask().parts[..1]);
+    endpoints[1].leave();
+    let choice = chosen(&endpoints, Some(ENGINE), &recall, &[]).expect("one of the others");
+    assert_ne!(choice.endpoint.hash, endpoints[1].hash);
+    assert_eq!(choice.source, Some(endpoints[1].registration.address));
+}
+
+#[test]
+fn an_endpoint_that_was_lost_is_taken_only_when_no_other_is_left() {
+    let endpoints = endpoints(2);
+    endpoints[0].health.lost(at(1_000));
+    let first = chosen(&endpoints, None, &Recall::default(), &[]).expect("the other one");
+    assert_eq!(first.endpoint.hash, endpoints[1].hash);
+    let second = chosen(&endpoints, None, &Recall::default(), &[endpoints[1].hash]).expect("the lost one");
+    assert_eq!(second.endpoint.hash, endpoints[0].hash);
+}
+
+#[test]
+fn an_endpoint_that_fails_two_in_five_is_passed_over_though_it_is_idle() {
+    let endpoints = endpoints(2);
+    for turn in 0..20 {
+        if turn % 5 < 2 {
+            endpoints[0].health.failed();
+        } else {
+            endpoints[0].health.succeeded();
+        }
+    }
+    let _work: Vec<_> = (0..4).map(|_| Seat::take(Arc::clone(&endpoints[1]), 0)).collect();
+    let choice = chosen(&endpoints, None, &Recall::default(), &[]).expect("one of them");
+    assert_eq!(choice.endpoint.hash, endpoints[1].hash);
+}
+
+#[test]
+fn nothing_is_chosen_when_all_leave() {
+    let endpoints = endpoints(2);
+    for endpoint in &endpoints {
+        endpoint.leave();
+    }
+    assert!(chosen(&endpoints, None, &Recall::default(), &[]).is_none());
+}
+
+#[test]
+fn readings_are_told_without_the_requests_own_part() {
+    let mut recall = Recall::default();
+    recall.note(at(0), 9, &ask().parts);
+    let told = recall.told(at(100));
+    assert_eq!(told.iter().map(|reading| reading.part).collect::<Vec<_>>(), [1]);
+    assert!(recall.told(at(60_000)).is_empty());
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/dialect.rs
@@ -0,0 +1,110 @@
+//! What callers say, and what endpoints get to see.
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::dialect::Ask;
+use bergamotshift_forward::dialect::Dialect;
+use bergamotshift_forward::dialect::Envelope;
+use bergamotshift_forward::dialect::Load;
+use bergamotshift_forward::dialect::Size;
+use ntex::http::HeaderMap;
+use ntex::http::header::HeaderName;
+use ntex::http::header::HeaderValue;
+
+fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        let name = HeaderName::try_from(*name).expect("a header's name");
+        headers.append(name, HeaderValue::from_str(value).expect("a header's value"));
+    }
+    headers
+}
+
+fn envelope() -> Envelope<'static> {
+    Envelope {
+        expected: "i-1",
+        organisation: None,
+        time_left: 900,
+        urgency: None,
+        source: None,
+        last_event: None,
+    }
+}
+
+#[test]
+fn a_head_is_read_with_its_prompt() {
+    let head = headers(&[
+        ("bergamotshift-request", "r1"),
+        ("bergamotshift-size", "1460,80"),
+        ("bergamotshift-prompt", "5c1e:800,91bd:410,e440:250"),
+    ]);
+    let ask = Ask::read(&Dialect::default(), &head);
+    assert_eq!(ask.id, "r1");
+    assert_eq!(ask.size.map(Size::total), Some(1_540));
+    assert_eq!(ask.shared().map(|part| part.id), Some(0x91bd));
+}
+
+#[test]
+fn values_without_sense_count_as_absent() {
+    let head = headers(&[
+        ("bergamotshift-size", "many,few"),
+        ("bergamotshift-deadline-ms", "-5"),
+        ("bergamotshift-prompt", "zz:1"),
+    ]);
+    let ask = Ask::read(&Dialect::default(), &head);
+    assert_eq!((ask.size, ask.time_left, ask.parts.len()), (None, None, 0));
+}
+
+/// A caller sets the headers by which the system steers endpoints, and names another organisation. The endpoint sees
+/// neither those nor the caller's key.
+#[test]
+fn a_caller_cannot_steer_an_endpoint_or_pose_as_another_organisation() {
+    let dialect = Dialect {
+        organisation: HeaderName::from_static("x-organisation"),
+        reserved: vec![HeaderName::from_static("x-hold")],
+        ..Dialect::default()
+    };
+    let head = headers(&[
+        ("authorization", "Bearer secret"),
+        ("x-organisation", "somebody-else"),
+        ("x-hold", "h1"),
+        ("x-other", "kept"),
+        ("connection", "x-dropped"),
+        ("x-dropped", "1"),
+    ]);
+    let name = name::Organisation::new("horeca");
+    let sent = dialect.towards_endpoint(
+        &head,
+        &Envelope {
+            organisation: Some(&name),
+            ..envelope()
+        },
+    );
+    assert!(!sent.contains_key("authorization"));
+    assert!(!sent.contains_key("x-hold"));
+    assert!(!sent.contains_key("x-dropped"));
+    assert_eq!(sent.get("x-organisation").expect("it is set").as_bytes(), b"horeca");
+    assert_eq!(sent.get("x-other").expect("it passes").as_bytes(), b"kept");
+    let public = dialect.towards_endpoint(&head, &envelope());
+    assert!(!public.contains_key("x-organisation"));
+}
+
+#[test]
+fn a_key_needs_its_scheme() {
+    let dialect = Dialect::default();
+    assert_eq!(dialect.key(&headers(&[("authorization", "bearer k1")])), Some("k1"));
+    assert_eq!(dialect.key(&headers(&[("authorization", "Token k1")])), None);
+    assert_eq!(dialect.key(&headers(&[("authorization", "Bearer ")])), None);
+}
+
+#[test]
+fn a_load_is_three_numbers() {
+    let dialect = Dialect::default();
+    let load = |text| dialect.load(&headers(&[("bergamotshift-load", text)]));
+    let expected = Load {
+        running: 3,
+        waiting: 0,
+        slots: 8,
+    };
+    assert_eq!(load("3,0,8"), Some(expected));
+    assert_eq!(load("3,0"), None);
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -0,0 +1,97 @@
+//! Which endpoints there are.
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::endpoint::Change;
+use bergamotshift_forward::endpoint::Directory;
+use bergamotshift_forward::endpoint::Event;
+use bergamotshift_forward::endpoint::Registration;
+
+use crate::support::at;
+use crate::support::registration;
+
+fn taking(directory: &Directory) -> usize {
+    directory.endpoints().filter(|endpoint| !endpoint.is_leaving()).count()
+}
+
+fn listed() -> Vec<Registration> {
+    vec![registration("a", "one"), registration("b", "two")]
+}
+
+fn directory(now: Instant) -> Directory {
+    let mut directory = Directory::default();
+    directory.on(now, Event::Listed(listed()));
+    directory
+}
+
+#[test]
+fn a_removed_registration_ends_its_endpoint_at_once() {
+    let mut directory = directory(at(0));
+    let left = directory.on(at(100), Event::Changed(vec![Change::Removed("a".into())]));
+    assert_eq!(left.len(), 1);
+    assert_eq!(taking(&directory), 1);
+}
+
+#[test]
+fn a_leaving_endpoint_never_takes_work_again() {
+    let mut directory = directory(at(0));
+    let leaving = Registration {
+        leaving: true,
+        ..registration("a", "one")
+    };
+    directory.on(at(100), Event::Changed(vec![Change::Written(leaving)]));
+    directory.on(at(200), Event::Changed(vec![Change::Written(registration("a", "one"))]));
+    assert_eq!(taking(&directory), 1);
+}
+
+/// The store is away, and registrations lapse because nobody can renew them. When it is back they are missing for a
+/// moment. Callers see no refusal: the endpoints are used on until they had time to register again.
+#[test]
+fn what_lapsed_while_the_store_was_away_is_used_until_it_had_time_to_return() {
+    let mut directory = directory(at(0));
+    directory.on(at(5_000), Event::Lost);
+    directory.on(at(5_300), Event::Listed(Vec::new()));
+    assert_eq!(taking(&directory), 2);
+    directory.on(
+        at(6_000),
+        Event::Changed(vec![Change::Written(registration("a", "one"))]),
+    );
+    directory.on(at(7_700), Event::Changed(Vec::new()));
+    assert_eq!(taking(&directory), 1, "the one that did not return is gone");
+}
+
+/// One entry cannot reach the store and keeps endpoints whose registrations are missing. Another entry that took its
+/// list for the newest state would send work to endpoints that left, for good. So it says that its list is not settled.
+#[test]
+fn a_directory_with_lapsed_endpoints_is_not_settled() {
+    let mut directory = directory(at(0));
+    assert!(directory.is_settled());
+    directory.on(at(5_000), Event::Lost);
+    directory.on(at(5_300), Event::Changed(vec![Change::Removed("a".into())]));
+    assert!(!directory.is_settled());
+    directory.on(at(8_000), Event::Changed(Vec::new()));
+    assert!(directory.is_settled());
+}
+
+#[test]
+fn a_relayed_list_is_taken_as_a_whole() {
+    let mut directory = directory(at(0));
+    directory.on(
+        at(100),
+        Event::Relayed(vec![registration("b", "two"), registration("c", "two")]),
+    );
+    let ids: Vec<_> = directory.registrations().into_iter().map(|one| one.id).collect();
+    assert_eq!(ids, ["b", "c"]);
+}
+
+#[test]
+fn equal_digests_mean_equal_endpoints_and_marks() {
+    let one = directory(at(0));
+    let mut other = directory(at(900));
+    assert_eq!(one.digest(), other.digest());
+    let leaving = Registration {
+        leaving: true,
+        ..registration("a", "one")
+    };
+    other.on(at(1_000), Event::Changed(vec![Change::Written(leaving)]));
+    assert_ne!(one.digest(), other.digest());
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/events.rs
@@ -0,0 +1,48 @@
+//! Whole events out of bytes that come in any pieces.
+
+use bergamotshift_forward::exchange::Events;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const STREAM: &[u8] = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\r\ndata: three\r\n\r\n";
+
+#[test]
+fn any_pieces_give_the_same_bytes() {
+    fn passes(cuts: Vec<u8>) -> bool {
+        let mut events = Events::default();
+        let mut passed = Vec::new();
+        let mut rest = STREAM;
+        for cut in cuts {
+            let (piece, more) = rest.split_at(usize::from(cut % 7).min(rest.len()));
+            rest = more;
+            passed.extend(events.take(piece).into_iter().flatten());
+        }
+        passed.extend(events.take(rest).into_iter().flatten());
+        passed == STREAM && events.last() == Some(3) && events.is_between()
+    }
+    let random = Gen::from_size_and_seed(60, 7);
+    QuickCheck::new()
+        .rng(random)
+        .tests(1_000)
+        .quickcheck(passes as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn half_an_event_is_held_back() {
+    let mut events = Events::default();
+    let whole = events.take(b"id: 1\ndata: a\n\nid: 2\nda").expect("one is whole");
+    assert_eq!(&*whole, b"id: 1\ndata: a\n\n");
+    assert_eq!(events.last(), Some(1));
+    assert!(!events.is_between());
+}
+
+/// An endpoint dies in the middle of an event and the stream goes on at another one, which sends that event anew. The
+/// caller sees each event once: what the first endpoint began is dropped.
+#[test]
+fn an_event_that_broke_off_is_not_joined_with_the_next_endpoints() {
+    let mut events = Events::after(Some(4));
+    assert!(events.take(b"id: 5\ndata: ha").is_none());
+    events.drop_partial();
+    let whole = events.take(b"id: 5\ndata: half\n\n").expect("it is whole");
+    assert_eq!(&*whole, b"id: 5\ndata: half\n\n");
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/knowledge.rs
@@ -0,0 +1,44 @@
+//! Who asks the store, and when.
+
+use core::time::Duration;
+
+use bergamotshift_forward::follow::Knowledge;
+use bergamotshift_forward::outside::Cursor;
+
+use crate::support::at;
+
+const LOOK: Duration = Duration::from_millis(500);
+
+#[test]
+fn who_knows_nothing_asks_at_once() {
+    assert_eq!(Knowledge::default().due(at(0), LOOK, 3), Duration::ZERO);
+}
+
+#[test]
+fn the_first_in_rank_asks_before_the_others() {
+    let mut knowledge = Knowledge::default();
+    knowledge.learn(at(0), Cursor(7), Duration::ZERO);
+    assert_eq!(knowledge.due(at(0), LOOK, 0), LOOK);
+    assert!(knowledge.due(at(0), LOOK, 1) > LOOK);
+    assert_eq!(knowledge.due(at(0), LOOK, 9), knowledge.due(at(0), LOOK, 90));
+}
+
+/// The first in rank is gone, and nobody has said so yet. The others' knowledge grows old, and they ask for themselves
+/// well inside the two seconds within which a change has to be in force.
+#[test]
+fn no_entry_waits_longer_than_a_second_and_a_half() {
+    let mut knowledge = Knowledge::default();
+    knowledge.learn(at(0), Cursor(7), Duration::ZERO);
+    let document = Duration::from_millis(800);
+    assert!(knowledge.due(at(0), document, usize::MAX) <= Duration::from_millis(1_500));
+}
+
+#[test]
+fn older_news_change_nothing() {
+    let mut knowledge = Knowledge::default();
+    knowledge.learn(at(1_000), Cursor(7), Duration::ZERO);
+    knowledge.learn(at(1_000), Cursor(6), Duration::ZERO);
+    knowledge.learn(at(1_000), Cursor(7), Duration::from_millis(900));
+    assert_eq!(knowledge.cursor(), Cursor(7));
+    assert_eq!(knowledge.age(at(1_000)), Some(Duration::ZERO));
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/limits.rs
@@ -0,0 +1,146 @@
+//! Organisations' limits over several entries.
+
+use core::time::Duration;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::limits::Account;
+use bergamotshift_forward::limits::Demand;
+use bergamotshift_forward::limits::Share;
+use bergamotshift_forward::limits::Timing;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+use crate::support::at;
+
+const ENTRIES: usize = 4;
+
+struct Entry {
+    name: name::Entry,
+    share: Share,
+    demand: Demand,
+    used: f64,
+}
+
+fn entries() -> Vec<Entry> {
+    let entry = |number| Entry {
+        name: name::Entry::new(format!("entry-{number}")),
+        share: Share::default(),
+        demand: Demand::default(),
+        used: 0.0,
+    };
+    (0..ENTRIES).map(entry).collect()
+}
+
+/// One round: every entry notes its demand and works out its share, then those that hear each other tell theirs.
+fn round(entries: &mut [Entry], now: Instant, units: &[u64], hears: impl Fn(usize, usize) -> bool) {
+    let timing = Timing::default();
+    for (entry, units) in entries.iter_mut().zip(units) {
+        entry.demand.note(&timing, *units, Duration::from_millis(250));
+        entry.used = entry.share.next(now, &timing, entry.demand, ENTRIES);
+    }
+    let told: Vec<_> = entries
+        .iter()
+        .map(|entry| (entry.name.clone(), entry.demand.get(), entry.share.told()))
+        .collect();
+    for (place, entry) in entries.iter_mut().enumerate() {
+        for (other, (name, demand, share)) in told.iter().enumerate() {
+            if other != place && hears(place, other) {
+                entry.share.heard(now, name, *demand, *share);
+            }
+        }
+    }
+}
+
+fn used(entries: &[Entry]) -> f64 {
+    entries.iter().map(|entry| entry.used).sum()
+}
+
+#[test]
+fn shares_follow_demand_and_add_up_to_the_whole() {
+    let mut entries = entries();
+    for step in 0..40 {
+        round(&mut entries, at(step * 250), &[900, 100, 0, 0], |_, _| true);
+    }
+    assert!(entries[0].used > 0.7, "the busy entry has {}", entries[0].used);
+    assert!(entries[2].used > 0.05, "an idle entry has room for a caller that comes");
+    assert!(
+        (used(&entries) - 1.0).abs() < 0.02,
+        "all together use {}",
+        used(&entries)
+    );
+}
+
+/// A zone is cut off while an organisation's demand moves. Both halves see only their own callers. Each entry that is
+/// not heard keeps the share that it last told, so neither half deals out what the other one holds, and the sum stays
+/// within the whole.
+#[test]
+fn halves_that_do_not_hear_each_other_use_no_more_than_the_whole() {
+    let mut entries = entries();
+    for step in 0..20 {
+        round(&mut entries, at(step * 250), &[100, 100, 100, 100], |_, _| true);
+    }
+    let mut most: f64 = 0.0;
+    for step in 20..80 {
+        let same_half = |a: usize, b: usize| a / 2 == b / 2;
+        round(&mut entries, at(step * 250), &[900, 0, 900, 0], same_half);
+        most = most.max(used(&entries));
+    }
+    assert!(most <= 1.0 + 1e-6, "the halves together used {most}");
+}
+
+#[test]
+fn an_entry_that_has_heard_nobody_takes_an_even_share() {
+    let mut share = Share::default();
+    let alone = share.next(at(0), &Timing::default(), Demand::default(), ENTRIES);
+    assert!(alone <= 1.0 / ENTRIES as f64 + 1e-9, "it takes {alone}");
+}
+
+/// Entries are cut off from each other in any groups, and their callers' demand moves, in any order. All together never
+/// use more than the whole.
+#[test]
+fn no_order_of_cuts_and_demands_exceeds_the_whole() {
+    fn most_used(steps: Vec<(u8, u8)>) -> bool {
+        let mut entries = entries();
+        steps.into_iter().enumerate().all(|(step, (cut, demand))| {
+            let units: Vec<u64> = (0..ENTRIES)
+                .map(|place| u64::from(demand >> (2 * place) & 3) * 300)
+                .collect();
+            let together = |a: usize, b: usize| cut >> a & 1 == cut >> b & 1;
+            round(&mut entries, at(step as u64 * 250), &units, together);
+            used(&entries) <= 1.0 + 1e-6
+        })
+    }
+    let random = Gen::from_size_and_seed(60, 7);
+    QuickCheck::new()
+        .rng(random)
+        .tests(3_000)
+        .quickcheck(most_used as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn a_request_larger_than_the_share_of_the_burst_is_let_in_once() {
+    let account = Account::default();
+    account.set(at(0), Some((100.0, 50.0)));
+    account.take(at(0), 500).expect("the burst is whole");
+    let refused = account.take(at(0), 1).expect_err("the debt is not paid yet");
+    let paid = at(0) + refused.retry_after;
+    account.take(paid, 1).expect("the debt is paid");
+}
+
+#[test]
+fn units_given_back_can_be_taken_again() {
+    let account = Account::default();
+    account.set(at(0), Some((100.0, 50.0)));
+    account.take(at(0), 100).expect("the burst is whole");
+    account.take(at(0), 1).expect_err("the burst is used up");
+    account.refund(100);
+    account.take(at(0), 1).expect("they were given back");
+}
+
+#[test]
+fn without_a_limit_everything_is_let_in_and_counted() {
+    let account = Account::default();
+    account.set(at(0), None);
+    assert!((0..100).all(|_| account.take(at(0), 1_000_000).is_ok()));
+    assert_eq!(account.take_asked(), 100_000_000);
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -0,0 +1,13 @@
+//! The decisions of the forwarding daemon, without a socket.
+
+mod capacity;
+mod choice;
+mod dialect;
+mod directory;
+mod events;
+mod knowledge;
+mod limits;
+mod members;
+mod routes;
+mod settings;
+mod support;
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -0,0 +1,72 @@
+//! Which other entries there are, and who asks whom.
+
+use std::collections::BTreeMap;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::peers::Members;
+use bergamotshift_forward::peers::State;
+
+use crate::support::at;
+
+fn state(entry: &str, reaches_store: bool) -> State {
+    State {
+        entry: entry.into(),
+        life: 1,
+        address: "127.0.0.1:9".parse().expect("an address"),
+        holds: false,
+        reaches_store,
+        document: 0,
+        document_known: None,
+        endpoints: 0,
+        endpoints_known: None,
+        uses: Vec::new(),
+        flown: Vec::new(),
+        reading: Vec::new(),
+        readings: Vec::new(),
+        windows: BTreeMap::new(),
+        suspicions: Vec::new(),
+        members: Vec::new(),
+    }
+}
+
+/// An entry that comes first in rank is cut off from the store but heard by the others. If they waited for its news,
+/// changes would reach nobody in time. Only entries that reach the store count.
+#[test]
+fn who_does_not_reach_the_store_comes_before_nobody() {
+    let mut members = Members::new("entry-2".into());
+    members.heard_of(at(0), state("entry-1", true));
+    assert_eq!(members.rank(at(100)), 1);
+    members.heard_of(at(200), state("entry-1", false));
+    assert_eq!(members.rank(at(300)), 0);
+}
+
+#[test]
+fn who_is_silent_comes_before_nobody_and_is_forgotten_in_the_end() {
+    let mut members = Members::new("entry-2".into());
+    members.heard_of(at(0), state("entry-1", true));
+    assert_eq!(members.rank(at(5_000)), 0);
+    assert_eq!(members.count(), 2, "it may be restarted");
+    assert_eq!(members.expire(at(60_000)), [name::Entry::new("entry-1")]);
+    assert_eq!(members.count(), 1);
+}
+
+#[test]
+fn every_entry_is_asked_in_turn() {
+    let mut members = Members::new("entry-0".into());
+    for number in 1..7 {
+        members.heard_of(at(0), state(&format!("entry-{number}"), true));
+    }
+    let mut asked: Vec<_> = (1..=2).flat_map(|round| members.due(at(round * 250), 3)).collect();
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), 6);
+}
+
+#[test]
+fn who_did_not_answer_is_left_alone_for_a_moment() {
+    let mut members = Members::new("entry-0".into());
+    members.heard_of(at(0), state("entry-1", true));
+    members.failed(at(100), &"entry-1".into());
+    assert!(members.due(at(300), 3).is_empty());
+    assert_eq!(members.due(at(700), 3).len(), 1);
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/routes.rs
@@ -0,0 +1,75 @@
+//! Which route, service and organisation a request finds.
+
+use std::sync::Arc;
+
+use bergamotshift_forward::document::Document;
+use bergamotshift_forward::document::Organisation;
+use bergamotshift_forward::document::Split;
+use bergamotshift_forward::routes::Table;
+
+use crate::support::route;
+
+fn table() -> Table {
+    let document = Document {
+        version: 3,
+        routes: vec![route("/"), route("/drafts/"), route("/drafts/week/")],
+        organisations: vec![Organisation {
+            name: "horeca".into(),
+            keys: vec!["secret".into()],
+            urgency: None,
+            limit: None,
+        }],
+        ..Document::default()
+    };
+    Table::new(Arc::new(document))
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = table();
+    let name = |path| table.route("roster.example", path).map(|route| route.name.as_str());
+    assert_eq!(name("/drafts/week/7"), Some("/drafts/week/"));
+    assert_eq!(name("/drafts/weeks"), Some("/drafts/"));
+    assert_eq!(name("/drafts"), Some("/"));
+}
+
+#[test]
+fn a_host_is_found_in_any_case_and_with_its_port() {
+    let table = table();
+    assert!(table.route("Roster.Example:8080", "/drafts/").is_some());
+    assert!(table.route("other.example", "/drafts/").is_none());
+}
+
+#[test]
+fn a_key_finds_its_organisation_and_no_other_does() {
+    let table = table();
+    assert_eq!(
+        table.organisation("secret").map(|found| found.name.as_str()),
+        Some("horeca")
+    );
+    assert!(table.organisation("Secret").is_none());
+}
+
+#[test]
+fn shares_come_out_as_weighted() {
+    let mut route = route("/");
+    route.splits = vec![
+        Split {
+            service: "old".into(),
+            weight: 90,
+        },
+        Split {
+            service: "new".into(),
+            weight: 10,
+        },
+    ];
+    let to_new = (0..1_000).filter(|hash| route.service(*hash).is_some_and(|service| service.as_str() == "new"));
+    assert_eq!(to_new.count(), 100);
+}
+
+#[test]
+fn a_route_without_weight_goes_nowhere() {
+    let mut route = route("/");
+    route.splits[0].weight = 0;
+    assert!(route.service(7).is_none());
+}
--- a/bergamotshift/src/command/forward.rs
+++ b/bergamotshift/src/command/forward.rs
@@ -114,6 +114,7 @@
     Ok(Signals {
         stop: stopped,
         reload: reloaded,
+        started: None,
     })
 }
 
