fix(forward): let endpoints return that were only missing, and stay in the zone in a large fleet

Time now settles only by a look from after the time to return, and an endpoint that did not say that it leaves takes work again. In a large fleet each entry can hear few others: the own zone's are asked first, and requests stay in the zone when it has ten endpoints of the service.

--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -31,6 +31,11 @@
     pub trouble: f64,
     /// What another availability zone counts as slower, in milliseconds: about one way there and back.
     pub distance: f64,
+    /// The same where the own zone has endpoints enough. What the entries of another zone have under way there is known
+    /// late in a large fleet, so a choice there is a guess.
+    pub far: f64,
+    /// How many of a service's endpoints are enough for a zone.
+    pub enough: usize,
     /// What sets the endpoint apart on which all entries agree for a part that nobody has read, in milliseconds.
     pub agreement: f64,
     /// The time to set a transfer of cached parts up, in milliseconds.
@@ -47,6 +52,8 @@
             work: 30.0,
             trouble: 1_500.0,
             distance: 1.0,
+            far: 150.0,
+            enough: 10,
             agreement: 30.0,
             transfer: 3.0,
             transferred: 256,
@@ -75,11 +82,19 @@
     /// What the service's model engines are like; `None` for a plain service.
     pub engine: Option<Engine>,
     /// The entry's own availability zone.
-    pub zone: &'a name::Zone,
+    pub own: &'a name::Zone,
+    /// The zone in which the request is to stay, when that has endpoints enough; set by [`choose`].
+    pub zone: Option<&'a name::Zone>,
     /// Endpoints that had the request already.
     pub tried: &'a [u64],
 }
 
+impl Request<'_> {
+    fn is_near(&self, endpoint: &Endpoint) -> bool {
+        self.zone.is_none_or(|zone| endpoint.registration.zone == *zone)
+    }
+}
+
 /// Chooses among a service's endpoints; `None` when none takes work.
 ///
 /// An endpoint that could not be reached lately is taken only when all others are gone: it may be back.
@@ -90,6 +105,13 @@
     request: &Request<'_>,
     recall: &Recall,
 ) -> Option<Choice> {
+    let here = endpoints
+        .iter()
+        .filter(|endpoint| !endpoint.is_leaving() && endpoint.registration.zone == *request.own);
+    let request = &Request {
+        zone: (here.count() >= settings.enough).then_some(request.own),
+        ..*request
+    };
     let open = || {
         let taking = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
         taking.filter(|endpoint| !request.tried.contains(&endpoint.hash))
@@ -128,7 +150,9 @@
         let reachable = endpoints.iter().filter(|endpoint| !endpoint.health.is_paused(now));
         let holders = reachable.map(|endpoint| (endpoint, recall.held(&ask.parts, endpoint.hash)));
         let known = ask.shared().is_some_and(|part| recall.is_known(part.id));
-        let open = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
+        let open = endpoints
+            .iter()
+            .filter(|endpoint| !endpoint.is_leaving() && request.is_near(endpoint));
         Self {
             engine,
             ask,
@@ -152,10 +176,10 @@
 fn weigh(settings: &Settings, endpoint: &Arc<Endpoint>, request: &Request<'_>, prompt: Option<&Prompt<'_>>) -> Choice {
     let running = f64::from(endpoint.running());
     let slots = f64::from(endpoint.registration.slots.max(1));
-    let away = if endpoint.registration.zone == *request.zone {
-        0.0
-    } else {
-        settings.distance
+    let away = match request.zone {
+        _ if endpoint.registration.zone == *request.own => 0.0,
+        Some(_) => settings.far,
+        None => settings.distance,
     };
     let trouble = settings.trouble * endpoint.health.trouble();
     let beyond = (running - slots).max(0.0) * settings.work;
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -104,7 +104,7 @@
             registrations_known: Knowledge::default(),
             organisations: BTreeMap::new(),
             services: BTreeMap::new(),
-            members: Members::new(shared.settings.name.clone()),
+            members: Members::new(shared.settings.name.clone(), shared.settings.zone.clone()),
             quarantine: Quarantine::new(quarantine::Settings::default()),
             counted: BTreeMap::new(),
             holds: false,
@@ -142,9 +142,23 @@
 
     /// Takes in what somebody tells of the registrations.
     pub(super) fn on_endpoints(&mut self, now: Instant, shared: &Shared, event: Event, from: &str) {
-        let before = self.directory.endpoints().count();
+        let (before, digest) = (self.directory.endpoints().count(), self.directory.digest());
         let leaving = self.directory.on(now, event);
-        for endpoint in &leaving {
+        self.left(now, shared, &leaving, from);
+        if digest == self.directory.digest() && shared.view.load().knows_endpoints {
+            return;
+        }
+        let after = self.directory.endpoints().count();
+        if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
+            info!(logger, "endpoints changed"; "before" => before, "after" => after, "from" => from,
+                "cursor" => self.registrations_known.cursor().0, "left_out" => left_out);
+        }
+        self.publish(shared);
+    }
+
+    /// Takes in that endpoints stopped taking work.
+    fn left(&mut self, now: Instant, shared: &Shared, leaving: &[Arc<Endpoint>], from: &str) {
+        for endpoint in leaving {
             self.quarantine.announce(now, victim(endpoint));
             if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
                 info!(logger, "endpoint leaves"; "endpoint" => endpoint.registration.id.as_str(),
@@ -153,15 +167,9 @@
                     "cursor" => self.registrations_known.cursor().0, "left_out" => left_out);
             }
         }
-        let after = self.directory.endpoints().count();
-        if before == after && leaving.is_empty() && shared.view.load().knows_endpoints {
-            return;
-        }
-        if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
-            info!(logger, "endpoints changed"; "before" => before, "after" => after, "from" => from,
-                "cursor" => self.registrations_known.cursor().0, "left_out" => left_out);
+        if !leaving.is_empty() {
+            self.publish(shared);
         }
-        self.publish(shared);
     }
 
     /// Works out shares and figures anew.
@@ -184,8 +192,10 @@
             }
         }
         if !self.directory.is_settled() {
-            // Time alone proves what is missing; no news may come for long.
-            self.on_endpoints(now, shared, Event::Changed(Vec::new()), "time");
+            // What another entry read lately proves what is missing, also when it brought no news.
+            let age = self.registrations_known.age(now).unwrap_or(FRESH);
+            let left = self.directory.settle(now, now - age);
+            self.left(now, shared, &left, "time");
         }
         self.deal(now, shared);
         self.sum_flown(now);
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -53,6 +53,7 @@
             entry: shared.settings.name.clone(),
             life: self.life,
             address: shared.settings.listen.peers,
+            zone: shared.settings.zone.clone(),
             holds: self.holds,
             reaches_store: self.lost_calls.is_empty(),
             document: self.document.version,
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -48,6 +48,8 @@
     lapsed: Option<Instant>,
     /// Since when it is gone.
     gone: Option<Instant>,
+    /// Whether it said itself that it leaves; no later word takes that back.
+    said: bool,
 }
 
 /// Folds events into the endpoints that may get work.
@@ -83,7 +85,7 @@
                 }
             }
         }
-        self.settle(now, &mut leaving);
+        leaving.extend(self.settle(now, now));
         leaving
     }
 
@@ -124,13 +126,20 @@
     fn written(&mut self, registration: Registration, leaving: &mut Vec<Arc<Endpoint>>) {
         let leaves = registration.leaving;
         let known = self.known.entry(registration.id.clone()).or_insert_with(|| Known {
-            endpoint: Arc::new(Endpoint::new(registration)),
+            endpoint: Arc::new(Endpoint::new(registration.clone())),
             lapsed: None,
             gone: None,
+            said: leaves,
         });
         known.lapsed = None;
-        if leaves && known.endpoint.leave() {
-            leaving.push(Arc::clone(&known.endpoint));
+        known.said |= leaves;
+        if known.said {
+            if known.endpoint.leave() {
+                leaving.push(Arc::clone(&known.endpoint));
+            }
+        } else if known.gone.take().is_some() {
+            // It was only missing, because it or the store was cut off.
+            known.endpoint = Arc::new(Endpoint::new(registration));
         }
     }
 
@@ -144,7 +153,7 @@
         let Some(known) = self.known.get_mut(id).filter(|known| known.gone.is_none()) else {
             return;
         };
-        if unsure && !known.endpoint.is_leaving() {
+        if unsure && !known.said {
             known.lapsed.get_or_insert(now);
             return;
         }
@@ -154,9 +163,11 @@
         }
     }
 
-    /// Settles what lapsed, and forgets what is long gone.
-    fn settle(&mut self, now: Instant, leaving: &mut Vec<Arc<Endpoint>>) {
-        let calm = self.lost.is_none_or(|lost| now.since(lost) >= RENEWAL);
+    /// Settles what lapsed by what is known as of a moment, forgets what is long gone, and returns the endpoints that
+    /// stopped taking work.
+    pub fn settle(&mut self, now: Instant, as_of: Instant) -> Vec<Arc<Endpoint>> {
+        let mut leaving = Vec::new();
+        let calm = self.lost.is_none_or(|lost| as_of.since(lost) >= RENEWAL);
         for known in self.known.values_mut() {
             if calm && known.lapsed.take().is_some() {
                 known.gone = Some(now);
@@ -167,5 +178,6 @@
         }
         self.known
             .retain(|_, known| known.gone.is_none_or(|gone| now.since(gone) < MEMORY));
+        leaving
     }
 }
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -12,6 +12,9 @@
 /// restarted is back within seconds.
 const MEMORY: Duration = Duration::from_secs(40);
 
+/// The most other entries that are all asked alike.
+const SMALL: usize = 16;
+
 /// How long an entry may be silent until the ones behind it in rank do without it.
 const RANKED: Duration = Duration::from_millis(1_500);
 
@@ -44,14 +47,16 @@
 #[derive(Debug)]
 pub struct Members {
     own: name::Entry,
+    zone: name::Zone,
     peers: BTreeMap<name::Entry, Peer>,
 }
 
 impl Members {
     /// Makes a list without other entries.
-    pub const fn new(own: name::Entry) -> Self {
+    pub const fn new(own: name::Entry, zone: name::Zone) -> Self {
         Self {
             own,
+            zone,
             peers: BTreeMap::new(),
         }
     }
@@ -91,12 +96,25 @@
         }
     }
 
-    /// Returns whom to ask now: those asked longest ago, at most `most`.
+    /// Returns whom to ask now: those heard longest ago, at most `most`.
+    ///
+    /// In a large fleet not every entry can be heard often. Requests stay in their zone there, so the entries of the own
+    /// zone are asked first, and one of the others a round.
     pub fn due(&mut self, now: Instant, most: usize) -> Vec<(name::Entry, SocketAddr)> {
+        let is_large = self.peers.len() > SMALL;
+        let zone = self.zone.clone();
+        let is_near = |peer: &Peer| peer.said.as_ref().is_some_and(|(_, state)| state.zone == zone);
         let is_paused = |peer: &Peer| peer.failed.is_some_and(|failed| now.since(failed) < PAUSE);
         let mut open: Vec<_> = self.peers.iter_mut().filter(|(_, peer)| !is_paused(peer)).collect();
         // Whoever asked this entry lately has been heard already.
         open.sort_by_key(|(_, peer)| peer.asked.max(peer.said.as_ref().map_or(Instant::ZERO, |(at, _)| *at)));
+        if is_large {
+            let (mut near, far): (Vec<_>, Vec<_>) = open.into_iter().partition(|(_, peer)| is_near(peer));
+            near.truncate(most.saturating_sub(1));
+            let left = most - near.len();
+            near.extend(far.into_iter().take(left));
+            open = near;
+        }
         open.truncate(most);
         let ask = |(entry, peer): (&name::Entry, &mut Peer)| {
             peer.asked = now;
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -68,6 +68,8 @@
     pub life: u64,
     /// Where it can be asked.
     pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: name::Zone,
     /// Whether it holds the duties.
     pub holds: bool,
     /// Whether the store answered its last calls.
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -182,7 +182,8 @@
         let request = choice::Request {
             ask: &job.ask,
             engine: service.engine,
-            zone: &self.shared.settings.zone,
+            own: &self.shared.settings.zone,
+            zone: None,
             tried: &history.tried,
         };
         let recall = self.shared.recall();
--- a/bergamotshift-forward/tests/kernel/choice.rs
+++ b/bergamotshift-forward/tests/kernel/choice.rs
@@ -46,7 +46,8 @@
     let request = Request {
         ask: &ask,
         engine,
-        zone: &zone,
+        own: &zone,
+        zone: None,
         tried,
     };
     choose(&Settings::default(), at(1_000), endpoints, &request, recall)
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -59,6 +59,33 @@
     assert_eq!(taking(&directory), 1, "the one that did not return is gone");
 }
 
+/// Two seconds after the store is back an endpoint registers again, and this entry has not looked since. Time alone must
+/// not end the endpoint: what it last read is from before. Only a look from after that time proves that it is gone.
+#[test]
+fn what_was_read_before_the_time_to_return_proves_nothing_after_it() {
+    let mut directory = directory(at(0));
+    directory.on(at(5_000), Event::Lost);
+    directory.on(at(5_300), Event::Listed(Vec::new()));
+    directory.settle(at(7_900), at(7_000));
+    assert_eq!(taking(&directory), 2);
+    directory.settle(at(8_400), at(7_900));
+    assert_eq!(taking(&directory), 0);
+}
+
+/// An endpoint is cut off from the store, its registration lapses, and it registers again once the cut has healed. It
+/// said nothing of leaving, so it takes work again.
+#[test]
+fn an_endpoint_that_registers_again_takes_work_again() {
+    let mut directory = directory(at(0));
+    directory.on(at(1_000), Event::Changed(vec![Change::Removed("a".into())]));
+    assert_eq!(taking(&directory), 1);
+    directory.on(
+        at(9_000),
+        Event::Changed(vec![Change::Written(registration("a", "one"))]),
+    );
+    assert_eq!(taking(&directory), 2);
+}
+
 /// One entry cannot reach the store and keeps endpoints whose registrations are missing. Another entry that took its
 /// list for the newest state would send work to endpoints that left, for good. So it says that its list is not settled.
 #[test]
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -13,6 +13,7 @@
         entry: entry.into(),
         life: 1,
         address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "one".into(),
         holds: false,
         reaches_store,
         document: 0,
@@ -33,7 +34,7 @@
 /// changes would reach nobody in time. Only entries that reach the store count.
 #[test]
 fn who_does_not_reach_the_store_comes_before_nobody() {
-    let mut members = Members::new("entry-2".into());
+    let mut members = Members::new("entry-2".into(), "one".into());
     members.heard_of(at(0), state("entry-1", true));
     assert_eq!(members.rank(at(100)), 1);
     members.heard_of(at(200), state("entry-1", false));
@@ -42,7 +43,7 @@
 
 #[test]
 fn who_is_silent_comes_before_nobody_and_is_forgotten_in_the_end() {
-    let mut members = Members::new("entry-2".into());
+    let mut members = Members::new("entry-2".into(), "one".into());
     members.heard_of(at(0), state("entry-1", true));
     assert_eq!(members.rank(at(5_000)), 0);
     assert_eq!(members.count(), 2, "it may be restarted");
@@ -52,7 +53,7 @@
 
 #[test]
 fn every_entry_is_asked_in_turn() {
-    let mut members = Members::new("entry-0".into());
+    let mut members = Members::new("entry-0".into(), "one".into());
     for number in 1..7 {
         members.heard_of(at(0), state(&format!("entry-{number}"), true));
     }
@@ -64,9 +65,34 @@
 
 #[test]
 fn who_did_not_answer_is_left_alone_for_a_moment() {
-    let mut members = Members::new("entry-0".into());
+    let mut members = Members::new("entry-0".into(), "one".into());
     members.heard_of(at(0), state("entry-1", true));
     members.failed(at(100), &"entry-1".into());
     assert!(members.due(at(300), 3).is_empty());
     assert_eq!(members.due(at(700), 3).len(), 1);
 }
+
+/// In a fleet of sixty entries each can hear only a few a second. The entries of the own zone, which share its
+/// endpoints, are heard about twice a second all the same, and every other one within some seconds.
+#[test]
+fn in_a_large_fleet_the_own_zone_is_heard_most() {
+    let mut members = Members::new("entry-0".into(), "one".into());
+    for number in 1..60 {
+        let mut state = state(&format!("entry-{number}"), true);
+        state.zone = if number <= 6 { "one".into() } else { "two".into() };
+        members.heard_of(at(0), state);
+    }
+    let mut near = 0;
+    let mut far = std::collections::BTreeSet::new();
+    for round in 1..=60 {
+        for (entry, _) in members.due(at(round * 250), 3) {
+            let number: u32 = entry.as_str()[6..].parse().expect("a number");
+            if number <= 6 {
+                near += 1;
+            } else {
+                far.insert(number);
+            }
+        }
+    }
+    assert_eq!((near, far.len()), (120, 53));
+}
