--- a/bergamotshift-forward/src/observe/log.rs
+++ b/bergamotshift-forward/src/observe/log.rs
@@ -25,9 +25,11 @@
     Attempt,
     /// What the entry believes of endpoints.
     Belief,
+    /// Why there was no room for a request.
+    Limit,
 }
 
-const TOPICS: usize = 4;
+const TOPICS: usize = 5;
 
 /// Bounds the lines of each topic and counts what is left out.
 #[derive(Debug)]
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -196,6 +196,7 @@
         let useful = (job.arrived + job.useful()).min(job.deadline);
         let left = useful.since(now).as_secs_f64() * 1e3;
         if service.engine.is_some() && choice.cost > left {
+            self.overloaded(now, job, &choice, left);
             return Err(if history.sends == 0 {
                 let late = Duration::from_secs_f64((choice.cost - left) / 1e3);
                 Refusal {
@@ -209,6 +210,17 @@
         Ok(choice)
     }
 
+    /// Notes what decided that no endpoint is expected to answer in time.
+    fn overloaded(&self, now: Instant, job: &Job, choice: &Choice, left: f64) {
+        if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Limit) {
+            info!(logger, "no endpoint in time"; "request" => job.ask.id.as_str(),
+                "route" => job.route.name.as_str(), "best" => choice.endpoint.registration.id.as_str(),
+                "expected_ms" => choice.cost as u64, "useful_ms" => left as u64,
+                "running" => choice.endpoint.running(), "unread" => choice.endpoint.unread(),
+                "to_read" => choice.unread, "document" => self.version(), "left_out" => left_out);
+        }
+    }
+
     async fn send(
         &self,
         job: &Job,
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -28,6 +28,7 @@
 use crate::choice;
 use crate::dialect::Ask;
 use crate::document::Bounds;
+use crate::document::Organisation;
 use crate::exchange::Failure;
 use crate::exchange::Pool;
 use crate::observe::Topic;
@@ -41,6 +42,30 @@
 /// How long a caller waits that does not say.
 const USUAL_TIME: Duration = Duration::from_secs(30);
 
+/// A request that is refused before it is a job, with the route that it found.
+struct Rejected {
+    route: SmolStr,
+    refusal: Refusal,
+}
+
+impl From<Reason> for Rejected {
+    fn from(reason: Reason) -> Self {
+        Self {
+            route: SmolStr::new_static("none"),
+            refusal: reason.into(),
+        }
+    }
+}
+
+impl From<Refusal> for Rejected {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            route: SmolStr::new_static("none"),
+            refusal,
+        }
+    }
+}
+
 /// Serves callers on one thread.
 #[derive(Debug)]
 pub struct Forwarder {
@@ -71,8 +96,8 @@
         let caller = request.io().cloned();
         let mut response = match self.job(&mut request, ask, arrived).await {
             Ok(job) => self.answer(Rc::new(job), caller, active).await,
-            Err(refusal) => {
-                self.refused("none", &id, arrived, refusal);
+            Err(Rejected { route, refusal }) => {
+                self.refused(&route, &id, arrived, refusal);
                 refusal.response(&self.shared.dialect, &id)
             }
         };
@@ -85,7 +110,7 @@
     }
 
     /// Reads a request whole and matches it to its route, its organisation and a service.
-    async fn job(&self, request: &mut Request, ask: Ask, arrived: Instant) -> Result<Job, Refusal> {
+    async fn job(&self, request: &mut Request, ask: Ask, arrived: Instant) -> Result<Job, Rejected> {
         let view = self.shared.view.load_full();
         let bound = view
             .table
@@ -106,11 +131,13 @@
         let route = table
             .route(host.unwrap_or_default(), request.path())
             .ok_or(Reason::NoRoute)?;
-        let organisation = self.organisation(table, request, route.public)?;
-        let service = route
-            .service(xxh3_64(ask.id.as_bytes()))
-            .ok_or(Reason::NoEndpoint)?
-            .clone();
+        let rejected = |refusal: Refusal| Rejected {
+            route: route.name.clone(),
+            refusal,
+        };
+        let organisation = self.organisation(table, request, route.public).map_err(rejected)?;
+        let service = route.service(xxh3_64(ask.id.as_bytes())).cloned();
+        let service = service.ok_or_else(|| rejected(Reason::NoEndpoint.into()))?;
         let path = request
             .uri()
             .path_and_query()
@@ -119,9 +146,12 @@
         let caller = organisation.map_or("", |organisation| organisation.name.as_str());
         let fingerprint = Fingerprint::of(caller, request.method().as_str(), &path, &body);
         if let bergamotshift_limit::quarantine::Verdict::Refused { .. } = view.suspects.verdict(arrived, fingerprint) {
-            return Err(Reason::Suspect.into());
+            return Err(rejected(Reason::Suspect.into()));
         }
-        let charge = charge(&view, organisation, &ask, arrived)?;
+        let charge = charge(&view, organisation, &ask, arrived).map_err(|refusal| {
+            self.over_limit(organisation, &ask, refusal, table.document().version);
+            rejected(refusal)
+        })?;
         let patience = ask.time_left.unwrap_or(USUAL_TIME).min(route.timeout);
         let urgency = organisation
             .and_then(|organisation| organisation.urgency)
@@ -148,7 +178,7 @@
         table: &'a Table,
         request: &Request,
         public: bool,
-    ) -> Result<Option<&'a crate::document::Organisation>, Refusal> {
+    ) -> Result<Option<&'a Organisation>, Refusal> {
         if !table.wants_keys() {
             return Ok(None);
         }
@@ -238,6 +268,20 @@
         }
     }
 
+    /// Notes what decided that an organisation is over this entry's share of its limit.
+    fn over_limit(&self, organisation: Option<&Organisation>, ask: &Ask, refusal: Refusal, version: u64) {
+        let now = self.shared.clock.now();
+        let limit = organisation.and_then(|organisation| organisation.limit);
+        if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Limit) {
+            info!(logger, "over the limit"; "request" => ask.id.as_str(),
+                "organisation" => organisation.map(|organisation| organisation.name.as_str()),
+                "units" => limit.map(|limit| limit.units(ask.size.map(crate::dialect::Size::total))),
+                "rate" => limit.map(|limit| limit.rate),
+                "owed_beyond_share_ms" => refusal.retry_after.map(|after| after.as_millis() as u64),
+                "document" => version, "left_out" => left_out);
+        }
+    }
+
     fn refused(&self, route: &str, id: &SmolStr, arrived: Instant, refusal: Refusal) {
         self.shared.metrics.ended(route, refusal.reason.as_str());
         let now = self.shared.clock.now();
@@ -279,7 +323,7 @@
 /// Takes what a request counts from its organisation's account.
 fn charge(
     view: &View,
-    organisation: Option<&crate::document::Organisation>,
+    organisation: Option<&Organisation>,
     ask: &Ask,
     now: Instant,
 ) -> Result<Option<Charge>, Refusal> {
