feat(forward): let one entry keep an organisation's account in a large fleet

With more than 16 entries, the entry on which all agree by hashing gives out four fifths of a limit, asked for when the own share does not hold a request; the rest stays shared for when it cannot be reached. The holder of the duties is asked by every entry every other second, so that usage is known in time.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -24,13 +24,18 @@
 use crate::follow::Knowledge;
 use crate::limits::Account;
 use crate::limits::Demand;
+use crate::limits::Keeper;
 use crate::limits::Share;
 use crate::limits::Timing;
+use crate::limits::keeper::KEPT;
 use crate::observe::Topic;
 use crate::peers::Members;
 use crate::random;
 use crate::view::Shared;
 
+/// The same in a large fleet, where news of an entry come through others and in some seconds.
+const FRESH_LARGE: Duration = Duration::from_secs(5);
+
 /// Over what time the reading of prompts is averaged; new endpoints take seconds to boot, so it follows quickly.
 const READING: Duration = Duration::from_secs(3);
 
@@ -57,6 +62,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Organisation {
     pub(super) account: Arc<Account>,
+    /// What this entry grants to all, when it keeps the account.
+    pub(super) kept: Arc<Account>,
+    pub(super) keeper: Option<Keeper>,
     pub(super) share: Share,
     pub(super) demand: Demand,
     /// This entry's share of the limit, between 0 and 1.
@@ -87,6 +95,8 @@
     pub(super) counted: BTreeMap<(name::Entry, u64), Windows>,
     /// Whether this entry holds the duties.
     pub(super) holds: bool,
+    /// Which other entry said so last, and when.
+    pub(super) holder: Option<(name::Entry, Instant)>,
     /// Whether the list of entries was read.
     pub(super) lists_entries: bool,
     /// The calls that failed when they were last made.
@@ -108,6 +118,7 @@
             quarantine: Quarantine::new(quarantine::Settings::default()),
             counted: BTreeMap::new(),
             holds: false,
+            holder: None,
             lists_entries: false,
             lost_calls: BTreeSet::new(),
             life: random::generator().next_u64(),
@@ -214,22 +225,36 @@
         let known = self.members.count();
         let members = if self.lists_entries { known } else { known.max(UNKNOWN) };
         let document = Arc::clone(&self.document);
+        let mut news = false;
         for declared in &document.organisations {
+            let keeper = self.members.keeper(now, &declared.name);
+            let part = if keeper == Keeper::Nobody { 1.0 } else { 1.0 - KEPT };
             let organisation = self.organisations.entry(declared.name.clone()).or_default();
             let demand = organisation.demand;
             let fraction = organisation.share.next(now, &timing, demand, members);
             organisation.fraction = fraction;
             let slack = shared.settings.limit.slack * SLACK_USED;
-            let part = declared.limit.filter(|limit| limit.rate > 0.0).map(|limit| {
+            let shared_part = declared.limit.filter(|limit| limit.rate > 0.0).map(|limit| {
                 let calm = organisation.share.is_calm(now, &timing, demand, members, limit.rate);
                 let spread = if calm {
                     (CALM_BURSTS / members as f64).min(1.0)
                 } else {
                     0.0
                 };
-                (limit.rate * fraction, (limit.burst + slack) * fraction.max(spread))
+                (
+                    limit.rate * part * fraction,
+                    (limit.burst + slack) * part * fraction.max(spread),
+                )
             });
-            organisation.account.set(now, part);
+            organisation.account.set(now, shared_part);
+            let kept = declared.limit.filter(|limit| limit.rate > 0.0);
+            let kept = kept.filter(|_| keeper == Keeper::Own);
+            let kept = kept.map(|limit| (limit.rate * KEPT, (limit.burst + slack) * KEPT));
+            organisation.kept.set(now, kept);
+            news |= organisation.keeper.replace(keeper) != Some(keeper);
+        }
+        if news {
+            self.publish(shared);
         }
     }
 
@@ -263,7 +288,8 @@
     }
 
     pub(super) fn is_held_elsewhere(&self, now: Instant) -> bool {
-        self.members.heard(now, FRESH).any(|(_, state)| state.holds)
+        let patience = if self.members.is_large() { FRESH_LARGE } else { FRESH };
+        self.holder.as_ref().is_some_and(|(_, at)| now.since(*at) < patience)
     }
 }
 
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -199,7 +199,9 @@
     /// Returns whom to ask now.
     pub fn due(&self, most: usize) -> Vec<(name::Entry, SocketAddr)> {
         let now = self.now();
-        self.inner.borrow_mut().members.due(now, most)
+        let mut inner = self.inner.borrow_mut();
+        let holder = inner.holder.as_ref().map(|(entry, _)| entry.clone());
+        inner.members.due(now, most, holder.as_ref())
     }
 
     /// Returns whether no other entry is known.
@@ -249,6 +251,11 @@
         self.inner.borrow().is_held_elsewhere(now)
     }
 
+    /// Returns whether so many entries take part that news of all of them take seconds.
+    pub fn is_large(&self) -> bool {
+        self.inner.borrow().members.is_large()
+    }
+
     /// Returns the requests of a window, over all entries.
     pub fn usage(&self, window: u64) -> BTreeMap<name::Organisation, u64> {
         let inner = self.inner.borrow();
--- a/bergamotshift-forward/src/control/publish.rs
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -8,14 +8,27 @@
 
 use super::inner::Inner;
 use super::inner::Lasting;
+use super::inner::Organisation;
 use super::inner::budget;
 use crate::endpoint::Endpoint;
 use crate::limits::Demand;
+use crate::limits::Keeper;
 use crate::routes::Table;
+use crate::view::Accounts;
 use crate::view::Service;
 use crate::view::Shared;
 use crate::view::View;
 
+impl Organisation {
+    fn accounts(&self) -> Accounts {
+        Accounts {
+            own: Arc::clone(&self.account),
+            kept: Arc::clone(&self.kept),
+            keeper: self.keeper.unwrap_or(Keeper::Nobody),
+        }
+    }
+}
+
 impl Inner {
     /// Publishes what requests are served from next.
     pub(super) fn publish(&mut self, shared: &Shared) {
@@ -46,9 +59,7 @@
         let view = View {
             table: (document.version > 0).then(|| Table::new(Arc::clone(&document))),
             services,
-            accounts: accounts
-                .map(|(name, one)| (name.clone(), Arc::clone(&one.account)))
-                .collect(),
+            accounts: accounts.map(|(name, one)| (name.clone(), one.accounts())).collect(),
             suspects: self.quarantine.table(),
             knows_endpoints: self.directory.endpoints().next().is_some(),
         };
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -55,6 +55,10 @@
             address: shared.settings.listen.peers,
             zone: shared.settings.zone.clone(),
             holds: self.holds,
+            holder: self.holder.as_ref().map(|(entry, at)| {
+                let age = now.since(*at).as_millis();
+                (entry.clone(), u32::try_from(age).unwrap_or(u32::MAX))
+            }),
             reaches_store: self.lost_calls.is_empty(),
             document: self.document.version,
             document_known: told(&self.document_known, now),
@@ -123,6 +127,17 @@
                 organisation.share.heard(now, &state.entry, used.demand, used.share);
             }
         }
+        let said = if state.holds {
+            Some((state.entry.clone(), now))
+        } else {
+            let told = state.holder.clone();
+            told.map(|(entry, age)| (entry, now - Duration::from_millis(age.into())))
+        };
+        if let Some((entry, at)) = said.filter(|(entry, _)| *entry != shared.settings.name)
+            && self.holder.as_ref().is_none_or(|(_, before)| *before < at)
+        {
+            self.holder = Some((entry, at));
+        }
         // Who has the same, and knows it to be newer, makes this entry's knowledge as fresh as its own.
         if state.document == self.document.version {
             learn(&mut self.document_known, now, state.document_known);
--- a/bergamotshift-forward/src/daemon/server.rs
+++ b/bergamotshift-forward/src/daemon/server.rs
@@ -110,12 +110,21 @@
         .map_err(Error::Server)?
         .config("metrics", SharedCfg::new("metrics").add(config()));
     let exchange = control.exchange();
+    let granting = Arc::clone(shared);
     builder = builder
         .listen("peers", listeners.peers, async move |_| {
             let exchange = exchange.clone();
+            let shared = Arc::clone(&granting);
             HttpService::new(fn_service(move |request: Request| {
                 let exchange = exchange.clone();
-                async move { Ok::<_, io::Error>(peers::answer(&exchange, request).await) }
+                let shared = Arc::clone(&shared);
+                async move {
+                    let response = match request.path() {
+                        peers::GRANT => peers::grant(&shared, request).await,
+                        _ => peers::answer(&exchange, request).await,
+                    };
+                    Ok::<_, io::Error>(response)
+                }
             }))
         })
         .map_err(Error::Server)?
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -44,6 +44,10 @@
 /// How long after a window's end its counts are complete: the other entries have told theirs by then.
 const SETTLED: Duration = Duration::from_millis(2_500);
 
+/// The same in a large fleet, where each entry tells the holder every other second; a report is due ten seconds after
+/// its window.
+const SETTLED_LARGE: Duration = Duration::from_millis(5_500);
+
 /// The oldest window that is still reported, counted back from the current one.
 const OLDEST: u64 = 3;
 
@@ -151,7 +155,12 @@
         let current = shared.tally.current();
         let first = (self.reported + 1).max(current.saturating_sub(OLDEST));
         for window in first..current {
-            if shared.tally.since_end(window) < SETTLED {
+            let settled = if self.control.is_large() {
+                SETTLED_LARGE
+            } else {
+                SETTLED
+            };
+            if shared.tally.since_end(window) < settled {
                 return;
             }
             let Some(counts) = self.write_down(window).await else {
--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -85,6 +85,24 @@
         Ok(())
     }
 
+    /// Takes units for a request only if this entry's part of the burst holds all of them.
+    ///
+    /// In a large fleet the parts are small and the entries many: if each let one request overdraw its part, all together
+    /// would exceed the limit several times.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long it takes until there is room.
+    pub fn take_whole(&self, now: Instant, units: u64) -> Result<(), Refused> {
+        self.asked.fetch_add(units, Relaxed);
+        if self.burst.load(Relaxed) == u64::MAX {
+            return Ok(());
+        }
+        self.bucket
+            .try_take_whole(now, units)
+            .map_err(|retry_after| Refused { retry_after })
+    }
+
     /// Gives the units of a request back that did not run.
     pub fn refund(&self, units: u64) {
         if self.burst.load(Relaxed) != u64::MAX {
--- a/bergamotshift-forward/src/limits/mod.rs
+++ b/bergamotshift-forward/src/limits/mod.rs
@@ -5,10 +5,12 @@
 //! had, so the shares never add up to more than the whole, also while entries are cut off from one another.
 
 mod account;
+pub mod keeper;
 mod share;
 
 pub use self::account::Account;
 pub use self::account::Refused;
+pub use self::keeper::Keeper;
 pub use self::share::Demand;
 pub use self::share::Share;
 pub use self::share::Timing;
--- /dev/null
+++ b/bergamotshift-forward/src/peers/grant.rs
@@ -0,0 +1,51 @@
+//! Grants units of the accounts that this entry keeps for all.
+
+use ntex::http::Method;
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+
+use crate::limits::Keeper;
+use crate::limits::keeper::Answer;
+use crate::limits::keeper::Question;
+use crate::view::Shared;
+
+/// The path at which units are asked for.
+pub const PATH: &str = "/grant";
+
+/// The largest question, in bytes.
+const LARGEST: usize = 1_024;
+
+/// Answers another entry that asks for units.
+///
+/// An entry that does not take itself for the keeper grants nothing: the one that asks has another list of entries, and
+/// two keepers would give out the limit twice.
+pub async fn grant(shared: &Shared, mut request: Request) -> Response {
+    if *request.method() != Method::POST {
+        return Response::new(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let mut payload = request.take_payload();
+    let mut body = Vec::new();
+    while let Some(piece) = payload.recv().await {
+        match piece {
+            Ok(piece) if body.len() + piece.len() <= LARGEST => body.extend_from_slice(&piece),
+            _ => return Response::new(StatusCode::BAD_REQUEST),
+        }
+    }
+    let Ok(question) = postcard::from_bytes::<Question>(&body) else {
+        return Response::new(StatusCode::BAD_REQUEST);
+    };
+    let view = shared.view.load();
+    let kept = view.accounts.get(&question.organisation);
+    let Some(accounts) = kept.filter(|accounts| accounts.keeper == Keeper::Own) else {
+        return Response::new(StatusCode::CONFLICT);
+    };
+    let taken = accounts.kept.take(shared.clock.now(), question.units);
+    let answer = Answer {
+        retry_after_ms: taken.err().map(|refused| refused.retry_after.as_millis() as u64),
+    };
+    match postcard::to_stdvec(&answer) {
+        Ok(bytes) => Response::build(StatusCode::OK).body(bytes),
+        Err(_) => Response::new(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -7,13 +7,18 @@
 use bergamotshift_core::prelude::*;
 
 use super::message::State;
+use crate::limits::Keeper;
+use crate::limits::keeper;
 
 /// How long an entry may be silent until it is forgotten; a VM that is replaced never comes back, and one that is
 /// restarted is back within seconds.
 const MEMORY: Duration = Duration::from_secs(40);
 
-/// The most other entries that are all asked alike.
-const SMALL: usize = 16;
+/// How often the holder of the duties is asked in a large fleet.
+const HOLDER: Duration = Duration::from_secs(2);
+
+/// How long an entry must have been known until it keeps accounts, so that the others know it too.
+const SETTLED: Duration = Duration::from_secs(3);
 
 /// How long an entry may be silent until the ones behind it in rank do without it.
 const RANKED: Duration = Duration::from_millis(1_500);
@@ -100,8 +105,22 @@
     ///
     /// In a large fleet not every entry can be heard often. Requests stay in their zone there, so the entries of the own
     /// zone are asked first, and one of the others a round.
-    pub fn due(&mut self, now: Instant, most: usize) -> Vec<(name::Entry, SocketAddr)> {
-        let is_large = self.peers.len() > SMALL;
+    ///
+    /// The `holder` of the duties has to know what each entry counted, so it is asked every other second.
+    pub fn due(&mut self, now: Instant, most: usize, holder: Option<&name::Entry>) -> Vec<(name::Entry, SocketAddr)> {
+        let is_large = self.is_large();
+        let mut due = Vec::new();
+        if is_large
+            && let Some((entry, peer)) = holder.and_then(|holder| self.peers.get_key_value(holder))
+            && now.since(peer.asked) >= HOLDER
+        {
+            due.push((entry.clone(), peer.address));
+        }
+        for (entry, _) in &due {
+            if let Some(peer) = self.peers.get_mut(entry) {
+                peer.asked = now;
+            }
+        }
         let zone = self.zone.clone();
         let is_near = |peer: &Peer| peer.said.as_ref().is_some_and(|(_, state)| state.zone == zone);
         let is_paused = |peer: &Peer| peer.failed.is_some_and(|failed| now.since(failed) < PAUSE);
@@ -120,7 +139,33 @@
             peer.asked = now;
             (entry.clone(), peer.address)
         };
-        open.into_iter().map(ask).collect()
+        due.extend(open.into_iter().map(ask));
+        due
+    }
+
+    /// Returns whether the entries are too many to be heard often each.
+    pub fn is_large(&self) -> bool {
+        self.peers.len() >= keeper::SMALL
+    }
+
+    /// Returns who keeps an organisation's account.
+    ///
+    /// An entry that does not answer keeps it on, so that two halves of the fleet never both give out a limit; only when
+    /// it is forgotten does another one follow.
+    pub fn keeper(&self, now: Instant, organisation: &name::Organisation) -> Keeper {
+        if !self.is_large() {
+            return Keeper::Nobody;
+        }
+        let settled = self.peers.iter().filter(|(_, peer)| now.since(peer.since) >= SETTLED);
+        let entries = settled.map(|(entry, _)| entry).chain([&self.own]);
+        match keeper::keeper(organisation, entries) {
+            Some(entry) if *entry == self.own => Keeper::Own,
+            Some(entry) => self
+                .peers
+                .get(entry)
+                .map_or(Keeper::Nobody, |peer| Keeper::Other(peer.address)),
+            None => Keeper::Nobody,
+        }
     }
 
     /// Forgets entries that are gone for good, and returns them.
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -72,6 +72,8 @@
     pub zone: name::Zone,
     /// Whether it holds the duties.
     pub holds: bool,
+    /// Which other entry holds the duties, as far as it knows, and how many milliseconds ago that one said so.
+    pub holder: Option<(name::Entry, u32)>,
     /// Whether the store answered its last calls.
     pub reaches_store: bool,
     /// The version of the document that it has; 0 without one.
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -1,10 +1,13 @@
 //! What the entries tell one another, directly and often: enough to share limits and endpoints, to know of endpoints
 //! that leave, and to go on with the newest document while some of them cannot reach the store.
 
+mod grant;
 mod member;
 mod message;
 mod task;
 
+pub use self::grant::PATH as GRANT;
+pub use self::grant::grant;
 pub use self::member::Members;
 pub use self::member::Peer;
 pub use self::message::Flown;
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -20,7 +20,6 @@
 use super::active::Active;
 use super::attempt::History;
 use super::callers::Callers;
-use super::job::Charge;
 use super::job::Job;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -31,10 +30,10 @@
 use crate::document::Organisation;
 use crate::exchange::Failure;
 use crate::exchange::Pool;
+use crate::limits::Keeper;
 use crate::observe::Topic;
 use crate::routes::Table;
 use crate::view::Shared;
-use crate::view::View;
 
 /// How long a caller may take for its body.
 const BODY_TIME: Duration = Duration::from_secs(3);
@@ -148,10 +147,13 @@
         if let bergamotshift_limit::quarantine::Verdict::Refused { .. } = view.suspects.verdict(arrived, fingerprint) {
             return Err(rejected(Reason::Suspect.into()));
         }
-        let charge = charge(&view, organisation, &ask, arrived).map_err(|refusal| {
-            self.over_limit(organisation, &ask, refusal, table.document().version);
-            rejected(refusal)
-        })?;
+        let charge = self
+            .charge(&view, organisation, &ask, arrived)
+            .await
+            .map_err(|refusal| {
+                self.over_limit(organisation, &ask, refusal, table.document().version);
+                rejected(refusal)
+            })?;
         let patience = ask.time_left.unwrap_or(USUAL_TIME).min(route.timeout);
         let urgency = organisation
             .and_then(|organisation| organisation.urgency)
@@ -309,10 +311,14 @@
         self.callers.forget_closed();
         let view = self.shared.view.load();
         let endpoints = view.services.values().flat_map(|service| service.endpoints.iter());
-        let addresses: Vec<_> = endpoints
+        let mut addresses: Vec<_> = endpoints
             .filter(|endpoint| !endpoint.is_leaving())
             .map(|endpoint| endpoint.registration.address)
             .collect();
+        addresses.extend(view.accounts.values().filter_map(|accounts| match accounts.keeper {
+            Keeper::Other(address) => Some(address),
+            _ => None,
+        }));
         let now = self.shared.clock.now();
         self.pool
             .borrow_mut()
@@ -320,30 +326,6 @@
     }
 }
 
-/// Takes what a request counts from its organisation's account.
-fn charge(
-    view: &View,
-    organisation: Option<&Organisation>,
-    ask: &Ask,
-    now: Instant,
-) -> Result<Option<Charge>, Refusal> {
-    let Some(organisation) = organisation else {
-        return Ok(None);
-    };
-    let (Some(limit), Some(account)) = (organisation.limit, view.accounts.get(&organisation.name)) else {
-        return Ok(None);
-    };
-    let units = limit.units(ask.size.map(crate::dialect::Size::total));
-    account.take(now, units).map_err(|refused| Refusal {
-        reason: Reason::OverLimit,
-        retry_after: Some(refused.retry_after),
-    })?;
-    Ok(Some(Charge {
-        account: Arc::clone(account),
-        units,
-    }))
-}
-
 async fn read_body(request: &mut Request, bound: usize) -> Result<BytesMut, Refusal> {
     let mut body = BytesMut::new();
     let mut payload = request.take_payload();
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod active;
 mod attempt;
 mod callers;
+mod charge;
 mod cut;
 mod forwarder;
 mod job;
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -23,6 +23,7 @@
 use crate::duty::Tally;
 use crate::endpoint::Endpoint;
 use crate::limits::Account;
+use crate::limits::Keeper;
 use crate::observe::Clock;
 use crate::observe::Log;
 use crate::observe::Metrics;
@@ -43,6 +44,17 @@
     pub asked: Arc<AtomicU64>,
 }
 
+/// What a request asks about its organisation's limit.
+#[derive(Clone, Debug)]
+pub struct Accounts {
+    /// This entry's share.
+    pub own: Arc<Account>,
+    /// What this entry grants to all, when it is the keeper.
+    pub kept: Arc<Account>,
+    /// Who keeps the account for all.
+    pub keeper: Keeper,
+}
+
 /// The immutable picture that requests are served from.
 #[derive(Debug, Default)]
 pub struct View {
@@ -51,7 +63,7 @@
     /// The services.
     pub services: HashMap<name::Service, Service>,
     /// The organisations' accounts.
-    pub accounts: HashMap<name::Organisation, Arc<Account>>,
+    pub accounts: HashMap<name::Organisation, Accounts>,
     /// Requests that are suspected of ending endpoints.
     pub suspects: quarantine::Table,
     /// Whether endpoints have been read at least once.
--- a/bergamotshift-forward/tests/kernel/limits.rs
+++ b/bergamotshift-forward/tests/kernel/limits.rs
@@ -7,6 +7,7 @@
 use bergamotshift_forward::limits::Demand;
 use bergamotshift_forward::limits::Share;
 use bergamotshift_forward::limits::Timing;
+use bergamotshift_forward::limits::keeper;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
@@ -199,3 +200,32 @@
     assert!((0..100).all(|_| account.take(at(0), 1_000_000).is_ok()));
     assert_eq!(account.take_asked(), 100_000_000);
 }
+
+#[test]
+fn a_request_is_taken_whole_or_not_at_all() {
+    let account = Account::default();
+    account.set(at(0), Some((100.0, 50.0)));
+    account.take_whole(at(5_000), 51).expect_err("the burst never holds it");
+    account.take_whole(at(5_000), 50).expect("the burst holds it");
+    let refused = account.take_whole(at(5_000), 10).expect_err("the burst is used up");
+    account
+        .take_whole(at(5_000) + refused.retry_after, 10)
+        .expect("it has grown again");
+}
+
+/// Sixty entries share a limit. Whichever of them a caller meets, the same entry keeps its organisation's account, and
+/// an entry that does not answer for a while keeps it on: nobody else gives out what it may have given out already.
+#[test]
+fn all_entries_agree_on_who_keeps_an_account() {
+    let names: Vec<name::Entry> = (0..60)
+        .map(|number| name::Entry::new(format!("entry-{number}")))
+        .collect();
+    for organisation in ["horeca", "events", "halls"] {
+        let organisation = name::Organisation::new(organisation);
+        let first = keeper::keeper(&organisation, names.iter());
+        let second = keeper::keeper(&organisation, names.iter().rev());
+        assert_eq!(first, second);
+        let others = names.iter().filter(|entry| Some(*entry) != first);
+        assert_ne!(keeper::keeper(&organisation, others), first);
+    }
+}
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_forward::limits::Keeper;
 use bergamotshift_forward::peers::Members;
 use bergamotshift_forward::peers::State;
 
@@ -15,6 +16,7 @@
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "one".into(),
         holds: false,
+        holder: None,
         reaches_store,
         document: 0,
         document_known: None,
@@ -57,7 +59,9 @@
     for number in 1..7 {
         members.heard_of(at(0), state(&format!("entry-{number}"), true));
     }
-    let mut asked: Vec<_> = (1..=2).flat_map(|round| members.due(at(round * 250), 3)).collect();
+    let mut asked: Vec<_> = (1..=2)
+        .flat_map(|round| members.due(at(round * 250), 3, None))
+        .collect();
     asked.sort();
     asked.dedup();
     assert_eq!(asked.len(), 6);
@@ -68,8 +72,8 @@
     let mut members = Members::new("entry-0".into(), "one".into());
     members.heard_of(at(0), state("entry-1", true));
     members.failed(at(100), &"entry-1".into());
-    assert!(members.due(at(300), 3).is_empty());
-    assert_eq!(members.due(at(700), 3).len(), 1);
+    assert!(members.due(at(300), 3, None).is_empty());
+    assert_eq!(members.due(at(700), 3, None).len(), 1);
 }
 
 /// In a fleet of sixty entries each can hear only a few a second. The entries of the own zone, which share its
@@ -85,7 +89,7 @@
     let mut near = 0;
     let mut far = std::collections::BTreeSet::new();
     for round in 1..=60 {
-        for (entry, _) in members.due(at(round * 250), 3) {
+        for (entry, _) in members.due(at(round * 250), 3, None) {
             let number: u32 = entry.as_str()[6..].parse().expect("a number");
             if number <= 6 {
                 near += 1;
@@ -96,3 +100,34 @@
     }
     assert_eq!((near, far.len()), (120, 53));
 }
+
+#[test]
+fn a_small_fleet_has_no_keepers_and_a_large_one_keeps_those_that_fall_silent() {
+    let mut members = Members::new("entry-00".into(), "one".into());
+    for number in 1..10 {
+        members.heard_of(at(0), state(&format!("entry-{number:02}"), true));
+    }
+    assert_eq!(members.keeper(at(10_000), &"horeca".into()), Keeper::Nobody);
+    for number in 10..40 {
+        members.heard_of(at(0), state(&format!("entry-{number:02}"), true));
+    }
+    let before = members.keeper(at(10_000), &"horeca".into());
+    assert_ne!(before, Keeper::Nobody);
+    assert_eq!(members.keeper(at(30_000), &"horeca".into()), before);
+}
+
+#[test]
+fn the_holder_of_the_duties_is_asked_every_other_second_in_a_large_fleet() {
+    let mut members = Members::new("entry-00".into(), "one".into());
+    for number in 1..40 {
+        members.heard_of(at(0), state(&format!("entry-{number:02}"), true));
+    }
+    let holder = name::Entry::new("entry-33");
+    let asked = (8..48).filter(|round| {
+        members
+            .due(at(round * 250), 3, Some(&holder))
+            .iter()
+            .any(|(entry, _)| *entry == holder)
+    });
+    assert!((5..=7).contains(&asked.count()));
+}
--- a/bergamotshift-limit/src/bucket.rs
+++ b/bergamotshift-limit/src/bucket.rs
@@ -65,6 +65,25 @@
         })
     }
 
+    /// Takes units only if the bucket holds all of them; a cost above the burst is never taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long it takes until the bucket holds enough, or until it is full where that is not enough.
+    pub fn try_take_whole(&self, now: Instant, units: u64) -> Result<(), Duration> {
+        let now = nanos(now);
+        let cost = self.cost(units);
+        let burst = self.burst_nanos.load(Relaxed);
+        let taken = self.paid_at.try_update(Relaxed, Relaxed, |paid_at| {
+            let owed = paid_at.saturating_sub(now);
+            (owed.saturating_add(cost) <= burst).then(|| now.saturating_add(owed).saturating_add(cost))
+        });
+        taken.map(|_| ()).map_err(|paid_at| {
+            let owed = paid_at.saturating_sub(now);
+            Duration::from_nanos(owed.saturating_add(cost.min(burst)).saturating_sub(burst))
+        })
+    }
+
     /// Takes units whether or not the bucket holds them.
     pub fn charge(&self, now: Instant, units: u64) {
         let now = nanos(now);
