fix(forward): take no share for no limit, and keep what operators provided until demand is known

Found by the daemons' own tests after the claims came in: an entry that just started had a share of nothing, and a limit with a rate of nothing counted as none, so it let everything in until its first claim; and an entry that hears the store only through others never settled what had lapsed, as its digest differed from theirs by just that. A part of nothing is now closed, the burst starts used up when the first part comes, and the digest leaves out what lapsed.

--- a/bergamotshift-forward/src/capacity/mod.rs
+++ b/bergamotshift-forward/src/capacity/mod.rs
@@ -87,7 +87,7 @@
     placed: BTreeMap<(name::Zone, Market), Placed>,
     dry: BTreeMap<name::Zone, Instant>,
     /// The most endpoints needed lately, and when.
-    peak: (u32, Instant),
+    peak: Option<(u32, Instant)>,
 }
 
 impl Planner {
@@ -97,7 +97,7 @@
             settings,
             placed: BTreeMap::new(),
             dry: BTreeMap::new(),
-            peak: (0, Instant::ZERO),
+            peak: None,
         }
     }
 
@@ -134,7 +134,8 @@
         if scale.reclaimable_price.is_none() {
             return Vec::new();
         }
-        let needed = self.needed(now, reading);
+        let there = present.values().map(|here| here.on_demand).sum();
+        let needed = self.needed(now, reading, there);
         let wanted = self.wanted(scale, present, needed);
         let mut orders = Vec::new();
         for (zone, counts) in wanted {
@@ -156,12 +157,16 @@
 
     /// Returns how many endpoints are needed: the most of the last while, since demand comes in waves and an endpoint
     /// that is given back loses its cache.
-    fn needed(&mut self, now: Instant, reading: f64) -> u32 {
+    ///
+    /// Before anything was asked for, the on-demand ones that are there are what the operators found right.
+    fn needed(&mut self, now: Instant, reading: f64, there: u32) -> u32 {
         let needed = ((reading / self.settings.reads).ceil() as u32).max(self.settings.least);
-        if needed >= self.peak.0 || now.since(self.peak.1) >= PEAK {
-            self.peak = (needed, now);
-        }
-        self.peak.0
+        let (peak, at) = self.peak.unwrap_or((there, now));
+        let at = if reading > 0.0 { at } else { now };
+        let is_over = needed >= peak || now.since(at) >= PEAK;
+        let (peak, at) = if is_over { (needed, now) } else { (peak, at) };
+        self.peak = Some((peak, at));
+        peak
     }
 
     /// Returns the counts that are wanted in each zone.
--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -27,6 +27,9 @@
     pub company: f64,
     /// How long a plain request takes, in milliseconds; only what lies beyond the places waits.
     pub work: f64,
+    /// How long a request waits for a place of a model engine, for each one that waits before it, in milliseconds: a
+    /// stream of one to two seconds through 16 places.
+    pub turn: f64,
     /// What an endpoint that fails every request counts as slower, in milliseconds.
     pub trouble: f64,
     /// What another availability zone counts as slower, in milliseconds: about one way there and back.
@@ -50,6 +53,7 @@
             read_rate: 50.0,
             company: 1.5,
             work: 30.0,
+            turn: 100.0,
             trouble: 1_500.0,
             distance: 1.0,
             far: 150.0,
@@ -182,7 +186,8 @@
         None => settings.distance,
     };
     let trouble = settings.trouble * endpoint.health.trouble();
-    let beyond = (running - slots).max(0.0) * settings.work;
+    let turn = if prompt.is_some() { settings.turn } else { settings.work };
+    let beyond = (running + 1.0 - slots).max(0.0) * turn;
     let mut choice = Choice {
         endpoint: Arc::clone(endpoint),
         unread: 0,
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -25,6 +25,7 @@
 use crate::limits::Account;
 use crate::limits::Demand;
 use crate::limits::Keeper;
+use crate::limits::Part;
 use crate::limits::Share;
 use crate::limits::Timing;
 use crate::limits::keeper::KEPT;
@@ -241,15 +242,21 @@
                 } else {
                     0.0
                 };
-                (
-                    limit.rate * part * fraction,
-                    (limit.burst + slack) * part * fraction.max(spread),
-                )
+                let burst = (limit.burst + slack) * part;
+                Part {
+                    rate: limit.rate * part * fraction,
+                    burst: burst * fraction.max(spread),
+                    base: burst * fraction,
+                }
             });
             organisation.account.set(now, shared_part);
             let kept = declared.limit.filter(|limit| limit.rate > 0.0);
             let kept = kept.filter(|_| keeper == Keeper::Own);
-            let kept = kept.map(|limit| (limit.rate * KEPT, (limit.burst + slack) * KEPT));
+            let kept = kept.map(|limit| Part {
+                rate: limit.rate * KEPT,
+                burst: (limit.burst + slack) * KEPT,
+                base: (limit.burst + slack) * KEPT,
+            });
             organisation.kept.set(now, kept);
             news |= organisation.keeper.replace(keeper) != Some(keeper);
         }
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -110,10 +110,17 @@
         self.known.values().all(|known| known.lapsed.is_none())
     }
 
-    /// Returns a digest of the endpoints that are not gone and of those among them that leave.
+    /// Returns a digest of the endpoints that are registered and of those among them that leave.
+    ///
+    /// What lapsed does not count: another entry that knows it to be gone has the same, and this one learns from that how
+    /// fresh its own knowledge is.
     pub fn digest(&self) -> u64 {
-        let marks = self
-            .endpoints()
+        let registered = self
+            .known
+            .values()
+            .filter(|known| known.gone.is_none() && known.lapsed.is_none());
+        let marks = registered
+            .map(|known| &known.endpoint)
             .map(|endpoint| endpoint.hash.rotate_left(u32::from(endpoint.is_leaving())));
         marks.fold(0, u64::wrapping_add)
     }
--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -1,5 +1,6 @@
 //! One organisation's use at this entry.
 
+use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU64;
 use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
@@ -10,6 +11,26 @@
 use crate::document::Limit;
 use crate::document::Unit;
 
+/// Stands for no limit.
+const UNLIMITED: u64 = u64::MAX;
+
+/// Stands for a part of nothing.
+const CLOSED: u64 = u64::MAX - 1;
+
+/// When there may be a part; entries tell each other theirs several times a second.
+const SOON: Duration = Duration::from_millis(300);
+
+/// An entry's part of a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Part {
+    /// Units per second.
+    pub rate: f64,
+    /// Units beyond that at once.
+    pub burst: f64,
+    /// What the burst is when nothing but this entry's share is counted.
+    pub base: f64,
+}
+
 /// What a process that starts takes to be used up, in bursts: what was owed before its start is not known, and every
 /// entry lets one request overdraw its share.
 const FRESH: f64 = 1.25;
@@ -25,8 +46,10 @@
 #[derive(Debug)]
 pub struct Account {
     bucket: Bucket,
-    /// How long the burst lasts at the rate, in nanoseconds; `u64::MAX` without a limit.
+    /// How long the burst lasts at the rate, in nanoseconds, or [`UNLIMITED`] or [`CLOSED`].
     burst: AtomicU64,
+    /// Whether it ever had a part of a limit.
+    is_open: AtomicBool,
     /// Units asked for since the last look, refused ones included.
     asked: AtomicU64,
 }
@@ -35,29 +58,35 @@
     fn default() -> Self {
         Self {
             bucket: Bucket::new(1.0, 1.0),
-            burst: AtomicU64::new(u64::MAX),
+            burst: AtomicU64::new(UNLIMITED),
+            is_open: AtomicBool::new(false),
             asked: AtomicU64::new(0),
         }
     }
 }
 
 impl Account {
-    /// Sets this entry's part of the limit, or that there is none.
+    /// Sets this entry's part of the limit, or that there is no limit; a part of nothing lets nothing in.
     ///
     /// Failure: all entries are killed and start again, each with a whole burst. Symptom: the organisation uses its
     /// burst twice within a window. A limit that is new to the process starts with more than the burst used up, and is
     /// whole after a little longer than the burst lasts at the rate.
-    pub fn set(&self, now: Instant, limit: Option<(f64, f64)>) {
-        let Some((rate, burst)) = limit.filter(|(rate, _)| *rate > 0.0) else {
-            self.burst.store(u64::MAX, Relaxed);
+    pub fn set(&self, now: Instant, part: Option<Part>) {
+        let Some(part) = part else {
+            self.burst.store(UNLIMITED, Relaxed);
             return;
         };
-        self.bucket.set_rate(now, rate, burst);
-        let length = Duration::from_secs_f64(burst / rate);
-        let nanos = u64::try_from(length.as_nanos()).unwrap_or(u64::MAX - 1);
-        let before = self.burst.swap(nanos, Relaxed);
-        if before == u64::MAX {
-            self.bucket.set_owed(now, length.mul_f64(FRESH));
+        if part.rate <= 0.0 {
+            self.burst.store(CLOSED, Relaxed);
+            return;
+        }
+        self.bucket.set_rate(now, part.rate, part.burst);
+        let length = Duration::from_secs_f64(part.burst / part.rate);
+        let nanos = u64::try_from(length.as_nanos()).unwrap_or(CLOSED).min(CLOSED - 1);
+        self.burst.store(nanos, Relaxed);
+        if !self.is_open.swap(true, Relaxed) {
+            let used = Duration::from_secs_f64(part.base / part.rate);
+            self.bucket.set_owed(now, used.mul_f64(FRESH));
         }
     }
 
@@ -71,11 +100,11 @@
     /// Returns how long it takes until there is room.
     pub fn take(&self, now: Instant, units: u64) -> Result<(), Refused> {
         self.asked.fetch_add(units, Relaxed);
-        let burst = self.burst.load(Relaxed);
-        if burst == u64::MAX {
-            return Ok(());
-        }
-        let burst = Duration::from_nanos(burst);
+        let burst = match self.burst.load(Relaxed) {
+            UNLIMITED => return Ok(()),
+            CLOSED => return Err(Refused { retry_after: SOON }),
+            burst => Duration::from_nanos(burst),
+        };
         let owed = self.bucket.owed(now);
         let retry_after = owed.saturating_sub(burst);
         if !retry_after.is_zero() {
@@ -95,8 +124,10 @@
     /// Returns how long it takes until there is room.
     pub fn take_whole(&self, now: Instant, units: u64) -> Result<(), Refused> {
         self.asked.fetch_add(units, Relaxed);
-        if self.burst.load(Relaxed) == u64::MAX {
-            return Ok(());
+        match self.burst.load(Relaxed) {
+            UNLIMITED => return Ok(()),
+            CLOSED => return Err(Refused { retry_after: SOON }),
+            _ => {}
         }
         self.bucket
             .try_take_whole(now, units)
@@ -105,7 +136,7 @@
 
     /// Gives the units of a request back that did not run.
     pub fn refund(&self, units: u64) {
-        if self.burst.load(Relaxed) != u64::MAX {
+        if self.burst.load(Relaxed) != UNLIMITED {
             self.bucket.refund(units);
         }
     }
--- a/bergamotshift-forward/src/limits/mod.rs
+++ b/bergamotshift-forward/src/limits/mod.rs
@@ -9,6 +9,7 @@
 mod share;
 
 pub use self::account::Account;
+pub use self::account::Part;
 pub use self::account::Refused;
 pub use self::keeper::Keeper;
 pub use self::share::Demand;
--- a/bergamotshift-forward/tests/kernel/capacity.rs
+++ b/bergamotshift-forward/tests/kernel/capacity.rs
@@ -135,3 +135,25 @@
         assert!(orders.iter().all(|order| order.count <= 6), "{orders:?}");
     }
 }
+
+/// A fleet starts with the endpoints that its operators ordered, and nobody has asked for anything yet. They are not
+/// given back for want of demand: callers who come a moment later would meet an overload until others have booted.
+#[test]
+fn what_operators_provided_stays_until_demand_is_known() {
+    let mut planner = planner();
+    let provided = [(10, 0); 4];
+    let wide = Scale { max: 20, ..scale() };
+    let plan = |planner: &mut Planner, now, counts, reading| {
+        planner.plan(at(now), &"planner".into(), &wide, &present(counts), reading)
+    };
+    let orders = plan(&mut planner, 0, provided, 0.0);
+    let ordered: u32 = of(&orders, Market::Reclaimable).iter().map(|(_, count)| count).sum();
+    assert!(ordered >= 40, "{ordered} reclaimable ones for 40 that were provided");
+    plan(&mut planner, 60_000, [(0, 14); 4], 0.0);
+    assert!(plan(&mut planner, 61_000, [(0, 14); 4], 10_000.0).is_empty());
+    let orders = plan(&mut planner, 90_000, [(0, 14); 4], 10_000.0);
+    assert!(
+        orders.iter().all(|order| order.count < 14) && !orders.is_empty(),
+        "{orders:?}"
+    );
+}
--- a/bergamotshift-forward/tests/kernel/limits.rs
+++ b/bergamotshift-forward/tests/kernel/limits.rs
@@ -5,6 +5,7 @@
 use bergamotshift_core::prelude::*;
 use bergamotshift_forward::limits::Account;
 use bergamotshift_forward::limits::Demand;
+use bergamotshift_forward::limits::Part;
 use bergamotshift_forward::limits::Share;
 use bergamotshift_forward::limits::Timing;
 use bergamotshift_forward::limits::keeper;
@@ -158,10 +159,32 @@
         .quickcheck(most_used as fn(Vec<(u8, u8)>) -> bool);
 }
 
+fn part(rate: f64, burst: f64) -> Part {
+    Part {
+        rate,
+        burst,
+        base: burst,
+    }
+}
+
+/// An entry that has just started has no share yet. That must not mean that it knows no limit.
+#[test]
+fn a_part_of_nothing_lets_nothing_in() {
+    let account = Account::default();
+    account.set(at(0), Some(part(0.0, 0.0)));
+    let refused = account.take(at(10_000), 1).expect_err("there is nothing to take");
+    assert!(!refused.retry_after.is_zero());
+    account.take_whole(at(10_000), 1).expect_err("there is nothing to take");
+    account.set(at(10_000), Some(part(100.0, 50.0)));
+    account
+        .take(at(10_000), 1)
+        .expect_err("the burst starts used up, also after that");
+}
+
 #[test]
 fn a_request_larger_than_the_share_of_the_burst_is_let_in_once() {
     let account = Account::default();
-    account.set(at(0), Some((100.0, 50.0)));
+    account.set(at(0), Some(part(100.0, 50.0)));
     account.take(at(5_000), 500).expect("the burst is whole");
     let refused = account.take(at(5_000), 1).expect_err("the debt is not paid yet");
     let paid = at(5_000) + refused.retry_after;
@@ -173,7 +196,7 @@
 #[test]
 fn a_new_process_brings_no_new_burst() {
     let account = Account::default();
-    account.set(at(0), Some((100.0, 50.0)));
+    account.set(at(0), Some(part(100.0, 50.0)));
     let taken = (0..50).filter(|_| account.take(at(0), 10).is_ok()).count();
     assert_eq!(taken, 0, "all wait for the rate");
     let later = (0..50).filter(|_| account.take(at(1_000), 10).is_ok()).count();
@@ -186,7 +209,7 @@
 #[test]
 fn units_given_back_can_be_taken_again() {
     let account = Account::default();
-    account.set(at(0), Some((100.0, 50.0)));
+    account.set(at(0), Some(part(100.0, 50.0)));
     account.take(at(5_000), 100).expect("the burst is whole");
     account.take(at(5_000), 1).expect_err("the burst is used up");
     account.refund(100);
@@ -204,7 +227,7 @@
 #[test]
 fn a_request_is_taken_whole_or_not_at_all() {
     let account = Account::default();
-    account.set(at(0), Some((100.0, 50.0)));
+    account.set(at(0), Some(part(100.0, 50.0)));
     account.take_whole(at(5_000), 51).expect_err("the burst never holds it");
     account.take_whole(at(5_000), 50).expect("the burst holds it");
     let refused = account.take_whole(at(5_000), 10).expect_err("the burst is used up");
