fix(forward): forget entries that are gone, and give one that starts a share at once

Rows now carry their time, only entries that were heard are named, one that never spoke is forgotten after 8 s, and an entry starts with half of an even share.

--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -11,6 +11,8 @@
 use bergamotshift_core::table::Key;
 use bergamotshift_core::table::Write;
 use bergamotshift_platform::table::Table;
+use serde::Deserialize;
+use serde::Serialize;
 use slog::info;
 use smol_str::SmolStr;
 
@@ -19,35 +21,63 @@
 /// The partition of the list.
 const PARTITION: &str = "entry";
 
-/// The time between two readings. Entries name one another, so the list is for those that know nobody.
-const LOOK: Duration = Duration::from_secs(10);
+/// The time between two writes of the own row.
+const WRITE: Duration = Duration::from_secs(5);
 
-/// The time between two readings until the list has been read once.
+/// How many writes lie between two readings. Entries name one another, so the list is for those that know nobody.
+const WRITES: u32 = 3;
+
+/// The time until the next try after a call failed.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// How old a row may be. Failure: a VM is gone for good and its row stays. Symptom: every entry that starts waits for an
+/// entry that never speaks, and leaves its share of each limit unused. Two writes that failed, and clocks that differ by
+/// seconds, stay below this.
+const OLDEST: Duration = Duration::from_secs(18);
+
 /// The most rows of a page.
 const PAGE: u32 = 500;
 
+/// An entry's row.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Row {
+    /// Where it can be asked.
+    address: SocketAddr,
+    /// When it was written, in seconds since the start of 1970 by the writer's clock.
+    at: u64,
+}
+
 /// Keeps the row and reads the list for as long as the process lives.
 pub async fn members(control: Control, table: Rc<dyn Table>) {
-    let mut written = false;
+    let mut round = 0;
     loop {
-        if !written {
-            written = write(&control, &table).await;
+        let written = write(&control, &table).await;
+        let read = round % WRITES != 0 || read(&control, &table).await;
+        control.shared().metrics.called("entries", read && written);
+        if read && written {
+            round += 1;
+            tokio::time::sleep(WRITE).await;
+        } else {
+            tokio::time::sleep(PAUSE).await;
         }
-        let read = read(&control, &table).await;
-        control.shared().metrics.called("entries", read);
-        tokio::time::sleep(if read && written { LOOK } else { PAUSE }).await;
     }
 }
 
-/// Writes this entry's row, unless it says the same already.
+/// Writes this entry's row.
 async fn write(control: &Control, table: &Rc<dyn Table>) -> bool {
     let settings = &control.shared().settings;
+    let row = Row {
+        address: settings.listen.peers,
+        at: control.shared().tally.today().as_secs(),
+    };
+    let Ok(body) = postcard::to_stdvec(&row) else {
+        return false;
+    };
     let write = Write {
         key: Key::new(PARTITION, settings.name.as_str()),
         condition: Condition::Any,
-        change: Change::Put(settings.listen.peers.to_string().into_bytes()),
+        change: Change::Put(body),
     };
     let ending = table.transact(vec![write]).await;
     if ending != Ending::Applied {
@@ -57,6 +87,7 @@
 }
 
 async fn read(control: &Control, table: &Rc<dyn Table>) -> bool {
+    let today = control.shared().tally.today();
     let mut after: Option<SmolStr> = None;
     loop {
         let page = match table.query(SmolStr::new_static(PARTITION), after, PAGE).await {
@@ -67,11 +98,15 @@
             }
         };
         for (name, row) in &page.rows {
-            let address = core::str::from_utf8(&row.body)
-                .ok()
-                .and_then(|text| text.parse::<SocketAddr>().ok());
-            if let Some(address) = address {
-                control.named(&name::Entry::new(name), address);
+            match postcard::from_bytes::<Row>(&row.body) {
+                Ok(row) if today.saturating_sub(Duration::from_secs(row.at)) < OLDEST => {
+                    control.named(&name::Entry::new(name), row.address);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    info!(control.shared().log.always(), "row of an entry not read"; "entry" => name.as_str(),
+                        "cause" => %error);
+                }
             }
         }
         let Some(next) = page.next else {
--- a/bergamotshift-forward/src/limits/share.rs
+++ b/bergamotshift-forward/src/limits/share.rs
@@ -61,6 +61,9 @@
     heard: Instant,
 }
 
+/// What an entry that starts uses, in even shares.
+const FIRST: f64 = 0.5;
+
 /// A share that the others are told before it is used.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
@@ -113,7 +116,9 @@
         let is_heard = |other: &&Other| now.since(other.heard) < timing.silence;
         let heard: Vec<Other> = self.others.values().filter(is_heard).copied().collect();
         let used: f64 = heard.iter().map(|other| other.share).sum();
-        let own = self.own.unwrap_or_default();
+        // An entry that starts uses half of an even share before anybody has heard it, or it could serve nobody while
+        // another one is silent. The others give way as soon as they hear it.
+        let own = self.own.unwrap_or(FIRST / members.max(1) as f64);
         let free = self.free(&heard, members, own + used);
         let asked: f64 = heard.iter().map(|other| other.demand).sum();
         let count = heard.len() as f64 + 1.0;
@@ -150,14 +155,16 @@
         share
     }
 
-    /// Returns whether all entries are heard and together ask for far less than `rate` units a second.
+    /// Returns whether most entries are heard and together ask for far less than `rate` units a second.
+    ///
+    /// The smaller half of a fleet that is cut in two is never calm, so not both halves spend what calm times allow.
     pub fn is_calm(&self, now: Instant, timing: &Timing, demand: Demand, members: usize, rate: f64) -> bool {
         let heard = self
             .others
             .values()
             .filter(|other| now.since(other.heard) < timing.silence);
         let (count, asked) = heard.fold((1, demand.get()), |(count, sum), other| (count + 1, sum + other.demand));
-        count >= members && asked < rate * timing.calm
+        2 * count > members && asked < rate * timing.calm
     }
 
     /// Returns how much of the limit this entry and those that it hears share out.
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -10,9 +10,12 @@
 use crate::limits::Keeper;
 use crate::limits::keeper;
 
-/// How long an entry may be silent until it is forgotten; a VM that is replaced never comes back, and one that is
-/// restarted is back within seconds.
-const MEMORY: Duration = Duration::from_secs(40);
+/// How long an entry may be silent until it is forgotten. A VM that is replaced never comes back, one that is restarted
+/// is back within seconds, and cuts of up to this time take nothing from those behind them.
+const MEMORY: Duration = Duration::from_secs(20);
+
+/// How long an entry that was named may be silent from the start until it is forgotten.
+const UNHEARD: Duration = Duration::from_secs(8);
 
 /// How often the holder of the duties is asked in a large fleet.
 const HOLDER: Duration = Duration::from_secs(2);
@@ -170,9 +173,9 @@
 
     /// Forgets entries that are gone for good, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<name::Entry> {
-        let gone = |peer: &Peer| {
-            let last = peer.said.as_ref().map_or(peer.since, |(at, _)| *at);
-            now.since(last) >= MEMORY
+        let gone = |peer: &Peer| match &peer.said {
+            Some((at, _)) => now.since(*at) >= MEMORY,
+            None => now.since(peer.since) >= UNHEARD,
         };
         let names: Vec<_> = self
             .peers
@@ -198,10 +201,14 @@
         able.filter(|(entry, _)| **entry < self.own).count()
     }
 
-    /// Returns the other entries with their addresses.
+    /// Returns the other entries that were heard, with their addresses.
+    ///
+    /// Failure: entries name one that is gone for good to each other, and each that forgets it is told of it anew.
+    /// Symptom: its share of each limit stays unused for good. Only who was heard is named.
     pub fn addresses(&self) -> Vec<(name::Entry, SocketAddr)> {
         self.peers
             .iter()
+            .filter(|(_, peer)| peer.said.is_some())
             .map(|(entry, peer)| (entry.clone(), peer.address))
             .collect()
     }
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -131,3 +131,13 @@
     });
     assert!((5..=7).contains(&asked.count()));
 }
+
+/// A VM is gone for good and its row is still read. Entries that never heard it do not name it to others, or it would be
+/// remembered for ever and its share of each limit lie idle.
+#[test]
+fn who_was_never_heard_is_named_to_nobody_and_soon_forgotten() {
+    let mut members = Members::new("entry-0".into(), "one".into());
+    members.named(at(0), &"entry-1".into(), "127.0.0.1:9".parse().expect("an address"));
+    assert!(members.addresses().is_empty());
+    assert_eq!(members.expire(at(9_000)), [name::Entry::new("entry-1")]);
+}
