refactor(forward): one call between entries, one way to read its question

The exchange of states and the grants of a keeper wrote the same request, answer and question by hand.

--- a/bergamotshift-forward/src/exchange/mod.rs
+++ b/bergamotshift-forward/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 //! whether a byte of the request left, whether an answer was reset or ended, and whether bytes follow a whole answer.
 
 mod body;
+mod call;
 mod connection;
 mod event;
 mod failure;
@@ -11,6 +12,7 @@
 mod pool;
 
 pub use self::body::Body;
+pub use self::call::call;
 pub use self::connection::Connection;
 pub use self::event::Events;
 pub use self::failure::Failure;
--- a/bergamotshift-forward/src/peers/grant.rs
+++ b/bergamotshift-forward/src/peers/grant.rs
@@ -1,10 +1,10 @@
 //! Grants units of the accounts that this entry keeps for all.
 
-use ntex::http::Method;
 use ntex::http::Request;
 use ntex::http::Response;
 use ntex::http::StatusCode;
 
+use super::question::question;
 use crate::limits::Keeper;
 use crate::limits::keeper::Answer;
 use crate::limits::keeper::Question;
@@ -21,19 +21,9 @@
 /// An entry that does not take itself for the keeper grants nothing: the one that asks has another list of entries, and
 /// two keepers would give out the limit twice.
 pub async fn grant(shared: &Shared, mut request: Request) -> Response {
-    if *request.method() != Method::POST {
-        return Response::new(StatusCode::METHOD_NOT_ALLOWED);
-    }
-    let mut payload = request.take_payload();
-    let mut body = Vec::new();
-    while let Some(piece) = payload.recv().await {
-        match piece {
-            Ok(piece) if body.len() + piece.len() <= LARGEST => body.extend_from_slice(&piece),
-            _ => return Response::new(StatusCode::BAD_REQUEST),
-        }
-    }
-    let Ok(question) = postcard::from_bytes::<Question>(&body) else {
-        return Response::new(StatusCode::BAD_REQUEST);
+    let question = match question::<Question>(&mut request, LARGEST).await {
+        Ok(question) => question,
+        Err(status) => return Response::new(status),
     };
     let view = shared.view.load();
     let kept = view.accounts.get(&question.organisation);
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod grant;
 mod member;
 mod message;
+mod question;
 mod task;
 
 pub use self::grant::PATH as GRANT;
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -7,8 +7,6 @@
 
 use bergamotshift_core::name;
 use futures_util::future::join_all;
-use ntex::http::HeaderMap;
-use ntex::http::Method;
 use ntex::http::Request;
 use ntex::http::Response;
 use ntex::http::StatusCode;
@@ -20,6 +18,7 @@
 
 use super::message::Reply;
 use super::message::State;
+use super::question::question;
 use crate::control::Control;
 use crate::control::Question;
 use crate::exchange;
@@ -128,39 +127,22 @@
         Some(connection) => connection,
         None => Connection::open(address, PATIENCE).await?,
     };
-    let mut headers = HeaderMap::new();
-    if let Ok(host) = ntex::http::header::HeaderValue::from_str(&address.to_string()) {
-        headers.insert(ntex::http::header::HOST, host);
-    }
-    let request = exchange::encode(&Method::POST, PATH, &headers, question);
-    let answer = connection.send(&request, &Method::POST, |_| true).await?;
-    let mut framing = answer.body;
-    let mut body = Vec::new();
-    while let Some(piece) = connection.body(&mut framing).await? {
-        body.extend_from_slice(&piece);
-    }
+    let answer = exchange::call(&mut connection, address, PATH, question).await?;
     if answer.status != StatusCode::OK {
         return Err(Error::Status(answer.status.as_u16()));
     }
     connections.borrow_mut().insert(address, connection);
-    Ok(postcard::from_bytes(&body)?)
+    Ok(postcard::from_bytes(&answer.body)?)
 }
 
 /// Answers another entry's question.
 pub async fn answer(control: &mpsc::UnboundedSender<Question>, mut request: Request) -> Response {
-    if *request.method() != Method::POST || request.path() != PATH {
+    if request.path() != PATH {
         return Response::new(StatusCode::NOT_FOUND);
     }
-    let mut payload = request.take_payload();
-    let mut body = Vec::new();
-    while let Some(piece) = payload.recv().await {
-        match piece {
-            Ok(piece) if body.len() + piece.len() <= LARGEST => body.extend_from_slice(&piece),
-            _ => return Response::new(StatusCode::BAD_REQUEST),
-        }
-    }
-    let Ok(state) = postcard::from_bytes::<State>(&body) else {
-        return Response::new(StatusCode::BAD_REQUEST);
+    let state = match question::<State>(&mut request, LARGEST).await {
+        Ok(state) => state,
+        Err(status) => return Response::new(status),
     };
     let (reply, answer) = oneshot::channel();
     if control.send(Question { state, reply }).is_err() {
--- a/bergamotshift-forward/src/serve/charge.rs
+++ b/bergamotshift-forward/src/serve/charge.rs
@@ -5,11 +5,7 @@
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
-use ntex::http::HeaderMap;
-use ntex::http::Method;
 use ntex::http::StatusCode;
-use ntex::http::header;
-use ntex::http::header::HeaderValue;
 use tokio::time::timeout;
 
 use super::Forwarder;
@@ -95,22 +91,15 @@
             units,
         };
         let question = postcard::to_stdvec(&question).ok()?;
-        let mut headers = HeaderMap::new();
-        headers.insert(header::HOST, HeaderValue::from_str(&address.to_string()).ok()?);
-        let request = exchange::encode(&Method::POST, peers::GRANT, &headers, &question);
         let idle = self.pool.borrow_mut().take(self.shared.clock.now(), address);
         let mut connection = match idle {
             Some(connection) => connection,
             None => Connection::open(address, keeper::PATIENCE).await.ok()?,
         };
-        let answer = connection.send(&request, &Method::POST, |_| true).await.ok()?;
-        let mut framing = answer.body;
-        let mut body = Vec::new();
-        while let Some(piece) = connection.body(&mut framing).await.ok()? {
-            body.extend_from_slice(&piece);
-        }
+        let call = exchange::call(&mut connection, address, peers::GRANT, &question);
+        let answer = call.await.ok()?;
         let now = self.shared.clock.now();
         self.pool.borrow_mut().put(now, address, connection, &answer.headers);
-        (answer.status == StatusCode::OK).then(|| postcard::from_bytes(&body).ok())?
+        (answer.status == StatusCode::OK).then(|| postcard::from_bytes(&answer.body).ok())?
     }
 }
