--- a/bergamotshift-forward/src/capacity/mod.rs
+++ b/bergamotshift-forward/src/capacity/mod.rs
@@ -176,48 +176,66 @@
         present: &BTreeMap<name::Zone, Present>,
         needed: u32,
     ) -> BTreeMap<name::Zone, Present> {
-        let zones = scale.zone_prices.len() as u32;
-        // The loss of one zone leaves as many as are needed.
-        let spread = needed.div_ceil(zones.saturating_sub(1).max(1));
-        let each = spread.max(self.settings.reclaimable).min(scale.max);
-        let here = |zone: &name::Zone| present.get(zone).copied().unwrap_or_default();
+        let each = self.each(scale, needed);
+        let counted = self.counted(scale, present, each);
         let serving: u32 = present.values().map(|present| present.reclaimable).sum();
         let enough = serving >= needed && self.dry.is_empty();
-        // What a zone without room has left is all that can be counted on there.
-        let counted = scale.zone_prices.keys().map(|zone| {
-            let expected = if self.dry.contains_key(zone) {
-                here(zone).reclaimable.min(each)
-            } else {
-                each
-            };
-            (zone, expected)
-        });
-        let counted: BTreeMap<&name::Zone, u32> = counted.collect();
-        let mut expected: u32 = counted.values().sum();
-        let lost = self.dry.keys().filter(|zone| here(zone).reclaimable == 0).count();
-        if self.settings.ahead && lost >= AHEAD {
-            // While there are none to be had, the next zone that is reclaimed is not made up for either: on-demand ones
-            // take seconds to boot, so they are ordered before that.
-            expected -= counted.values().copied().max().unwrap_or_default();
-        }
-        let mut missing = needed.saturating_sub(expected);
+        let mut missing = needed.saturating_sub(self.expected(present, &counted));
         let mut by_price: Vec<_> = scale.zone_prices.iter().collect();
         by_price.sort_by(|a, b| a.1.total_cmp(b.1));
         let mut wanted = BTreeMap::new();
         for (zone, _) in by_price {
+            let here = present.get(zone).copied().unwrap_or_default();
             let room = scale.max.saturating_sub(counted[zone]);
             // Spread over two zones at the least: one can be cut off with all that serves there.
             let share = missing.min(room).min(needed.div_ceil(2));
             missing -= share;
-            let kept = if enough { 0 } else { here(zone).on_demand };
+            let kept = if enough { 0 } else { here.on_demand };
             let on_demand = share.max(kept).min(scale.max);
-            let room = scale.max.saturating_sub(here(zone).on_demand.max(on_demand));
+            let room = scale.max.saturating_sub(here.on_demand.max(on_demand));
             let reclaimable = each.min(room).max(scale.min.saturating_sub(on_demand));
             wanted.insert(zone.clone(), Present { on_demand, reclaimable });
         }
         wanted
     }
 
+    /// Returns how many reclaimable endpoints each zone is to have: the loss of one zone leaves as many as are needed.
+    fn each(&self, scale: &Scale, needed: u32) -> u32 {
+        let others = (scale.zone_prices.len() as u32).saturating_sub(1).max(1);
+        let spread = needed.div_ceil(others);
+        spread.max(self.settings.reclaimable).min(scale.max)
+    }
+
+    /// Returns how many reclaimable endpoints can be counted on in each zone: where there is no room, those left.
+    fn counted<'a>(
+        &self,
+        scale: &'a Scale,
+        present: &BTreeMap<name::Zone, Present>,
+        each: u32,
+    ) -> BTreeMap<&'a name::Zone, u32> {
+        let count = |zone: &name::Zone| match present.get(zone) {
+            _ if !self.dry.contains_key(zone) => each,
+            Some(here) => here.reclaimable.min(each),
+            None => 0,
+        };
+        scale.zone_prices.keys().map(|zone| (zone, count(zone))).collect()
+    }
+
+    /// Returns how many reclaimable endpoints can be counted on in all.
+    ///
+    /// While there are none to be had, the next zone that is reclaimed is not made up for either: on-demand ones take
+    /// seconds to boot, so they are ordered before that.
+    fn expected(&self, present: &BTreeMap<name::Zone, Present>, counted: &BTreeMap<&name::Zone, u32>) -> u32 {
+        let all: u32 = counted.values().sum();
+        let is_lost = |zone: &&name::Zone| present.get(*zone).is_none_or(|here| here.reclaimable == 0);
+        let lost = self.dry.keys().filter(is_lost).count();
+        if self.settings.ahead && lost >= AHEAD {
+            all - counted.values().copied().max().unwrap_or_default()
+        } else {
+            all
+        }
+    }
+
     /// Returns whether a zone refused lately, so that asking again is of no use yet.
     fn is_left_alone(&self, now: Instant, zone: &name::Zone) -> bool {
         self.dry
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -17,6 +17,7 @@
 use slog::info;
 
 use crate::document::Document;
+use crate::document::Limit;
 use crate::duty::Windows;
 use crate::endpoint::Directory;
 use crate::endpoint::Endpoint;
@@ -72,6 +73,33 @@
     pub(super) fraction: f64,
 }
 
+impl Organisation {
+    /// Works out this entry's part of the limit among `members` entries; `slack` are units that all together may let in
+    /// beyond its burst.
+    fn deal(&mut self, now: Instant, limit: Option<Limit>, slack: f64, members: usize, keeper: Keeper) {
+        let timing = Timing::default();
+        self.fraction = self.share.next(now, &timing, self.demand, members);
+        let whole = |limit: Limit| Part {
+            rate: limit.rate,
+            burst: limit.burst + slack,
+            base: limit.burst + slack,
+        };
+        let kept = limit.filter(|_| keeper == Keeper::Own);
+        self.kept.set(now, kept.map(|limit| whole(limit).times(KEPT, KEPT)));
+        let shared = limit.map(|limit| {
+            let part = if keeper == Keeper::Nobody { 1.0 } else { 1.0 - KEPT };
+            let calm = self.share.is_calm(now, &timing, self.demand, members, limit.rate);
+            let spread = if calm {
+                (CALM_BURSTS / members as f64).min(1.0)
+            } else {
+                0.0
+            };
+            whole(limit).times(part * self.fraction, part * self.fraction.max(spread))
+        });
+        self.account.set(now, shared);
+    }
+}
+
 /// What outlives pictures of one service.
 #[derive(Debug)]
 pub(super) struct Lasting {
@@ -222,42 +250,16 @@
 
     /// Works out this entry's part of each limit.
     pub(super) fn deal(&mut self, now: Instant, shared: &Shared) {
-        let timing = Timing::default();
         let known = self.members.count();
         let members = if self.lists_entries { known } else { known.max(UNKNOWN) };
+        let slack = shared.settings.limit.slack * SLACK_USED;
         let document = Arc::clone(&self.document);
         let mut news = false;
         for declared in &document.organisations {
             let keeper = self.members.keeper(now, &declared.name);
-            let part = if keeper == Keeper::Nobody { 1.0 } else { 1.0 - KEPT };
             let organisation = self.organisations.entry(declared.name.clone()).or_default();
-            let demand = organisation.demand;
-            let fraction = organisation.share.next(now, &timing, demand, members);
-            organisation.fraction = fraction;
-            let slack = shared.settings.limit.slack * SLACK_USED;
-            let shared_part = declared.limit.filter(|limit| limit.rate > 0.0).map(|limit| {
-                let calm = organisation.share.is_calm(now, &timing, demand, members, limit.rate);
-                let spread = if calm {
-                    (CALM_BURSTS / members as f64).min(1.0)
-                } else {
-                    0.0
-                };
-                let burst = (limit.burst + slack) * part;
-                Part {
-                    rate: limit.rate * part * fraction,
-                    burst: burst * fraction.max(spread),
-                    base: burst * fraction,
-                }
-            });
-            organisation.account.set(now, shared_part);
-            let kept = declared.limit.filter(|limit| limit.rate > 0.0);
-            let kept = kept.filter(|_| keeper == Keeper::Own);
-            let kept = kept.map(|limit| Part {
-                rate: limit.rate * KEPT,
-                burst: (limit.burst + slack) * KEPT,
-                base: (limit.burst + slack) * KEPT,
-            });
-            organisation.kept.set(now, kept);
+            let limit = declared.limit.filter(|limit| limit.rate > 0.0);
+            organisation.deal(now, limit, slack, members, keeper);
             news |= organisation.keeper.replace(keeper) != Some(keeper);
         }
         if news {
--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -31,6 +31,18 @@
     pub base: f64,
 }
 
+impl Part {
+    /// Returns a part of this one; `burst` is the part of the burst that may be used at once.
+    #[must_use]
+    pub fn times(self, share: f64, burst: f64) -> Self {
+        Self {
+            rate: self.rate * share,
+            burst: self.burst * burst,
+            base: self.base * share,
+        }
+    }
+}
+
 /// What a process that starts takes to be used up, in bursts: what was owed before its start is not known, and every
 /// entry lets one request overdraw its share.
 const FRESH: f64 = 1.25;
