refactor(forward): drop what nobody reads, and join two twins

The log line of an endpoint that leaves now says when, which was decoded and used nowhere.

Ruled out: dropping the load header and the engines' memory as well; tests hold their decoding, and the choice of endpoints may use them.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -69,8 +69,6 @@
     pub(super) keeper: Option<Keeper>,
     pub(super) share: Share,
     pub(super) demand: Demand,
-    /// This entry's share of the limit, between 0 and 1.
-    pub(super) fraction: f64,
 }
 
 impl Organisation {
@@ -78,7 +76,7 @@
     /// beyond its burst.
     fn deal(&mut self, now: Instant, limit: Option<Limit>, slack: f64, members: usize, keeper: Keeper) {
         let timing = Timing::default();
-        self.fraction = self.share.next(now, &timing, self.demand, members);
+        let fraction = self.share.next(now, &timing, self.demand, members);
         let whole = |limit: Limit| Part {
             rate: limit.rate,
             burst: limit.burst + slack,
@@ -94,7 +92,7 @@
             } else {
                 0.0
             };
-            whole(limit).times(part * self.fraction, part * self.fraction.max(spread))
+            whole(limit).times(part * fraction, part * fraction.max(spread))
         });
         self.account.set(now, shared);
     }
@@ -204,6 +202,7 @@
                 info!(logger, "endpoint leaves"; "endpoint" => endpoint.registration.id.as_str(),
                     "service" => endpoint.registration.service.as_str(),
                     "zone" => endpoint.registration.zone.as_str(), "from" => from,
+                    "leaves_in_ms" => endpoint.registration.leaves_in.map(|left| left.as_millis() as u64),
                     "cursor" => self.registrations_known.cursor().0, "left_out" => left_out);
             }
         }
--- a/bergamotshift-forward/src/exchange/body.rs
+++ b/bergamotshift-forward/src/exchange/body.rs
@@ -68,15 +68,6 @@
         !matches!(self, Self::Close)
     }
 
-    /// Returns the length that the head announced, before anything was taken.
-    pub const fn length(self) -> Option<u64> {
-        match self {
-            Self::Done => Some(0),
-            Self::Length(length) => Some(length),
-            _ => None,
-        }
-    }
-
     /// Takes the next bytes of the body out of what was received; `None` when more is needed or it has ended.
     pub(super) fn take(&mut self, received: &mut BytesMut) -> Result<Option<Bytes>, Failure> {
         loop {
--- a/bergamotshift-forward/src/exchange/connection.rs
+++ b/bergamotshift-forward/src/exchange/connection.rs
@@ -42,8 +42,6 @@
 pub struct Connection {
     stream: TcpStream,
     received: BytesMut,
-    /// Whether anything was sent on it before.
-    used: bool,
     /// Whether it cannot carry another exchange.
     spent: bool,
 }
@@ -71,7 +69,6 @@
         Ok(Self {
             stream,
             received: BytesMut::new(),
-            used: false,
             spent: false,
         })
     }
@@ -88,11 +85,6 @@
         matches!(self.stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Returns whether a request was sent on it before.
-    pub const fn was_used(&self) -> bool {
-        self.used
-    }
-
     /// Sends a request and returns the head of the answer that `belongs`.
     ///
     /// An endpoint may answer before it has read all of the request; the connection is not used again then, since the
@@ -107,7 +99,6 @@
         method: &Method,
         belongs: impl Fn(&Answer) -> bool,
     ) -> Result<Answer, Failure> {
-        self.used = true;
         let mut sent = 0;
         let mut stray = false;
         loop {
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -65,8 +65,8 @@
 impl Metrics {
     /// Registers all metrics.
     pub fn new() -> Self {
-        let mut registry = Registry::with_prefix("bergamotshift_forward");
-        let metrics = Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("bergamotshift_forward"),
             requests: Family::default(),
             calls: Family::default(),
             latency: Histogram::new(LATENCIES),
@@ -79,8 +79,8 @@
             endpoints: Gauge::default(),
             peers: Gauge::default(),
             holder: Gauge::default(),
-            registry: Registry::default(),
         };
+        let registry = &mut metrics.registry;
         registry.register("requests", "Requests by route and outcome", metrics.requests.clone());
         registry.register(
             "outside_calls",
@@ -110,7 +110,7 @@
             "Whether this entry holds the duties",
             metrics.holder.clone(),
         );
-        Self { registry, ..metrics }
+        metrics
     }
 
     /// Counts a request that ended.
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -114,15 +114,12 @@
         let is_large = self.is_large();
         let mut due = Vec::new();
         if is_large
-            && let Some((entry, peer)) = holder.and_then(|holder| self.peers.get_key_value(holder))
+            && let Some(holder) = holder
+            && let Some(peer) = self.peers.get_mut(holder)
             && now.since(peer.asked) >= HOLDER
         {
-            due.push((entry.clone(), peer.address));
-        }
-        for (entry, _) in &due {
-            if let Some(peer) = self.peers.get_mut(entry) {
-                peer.asked = now;
-            }
+            peer.asked = now;
+            due.push((holder.clone(), peer.address));
         }
         let zone = self.zone.clone();
         let is_near = |peer: &Peer| peer.said.as_ref().is_some_and(|(_, state)| state.zone == zone);
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -49,10 +49,7 @@
 
 impl From<Reason> for Rejected {
     fn from(reason: Reason) -> Self {
-        Self {
-            route: SmolStr::new_static("none"),
-            refusal: reason.into(),
-        }
+        Refusal::from(reason).into()
     }
 }
 
