fix(forward): close the port when the last request is answered

Cause: a daemon that had drained waited for its server to end, a third of a second, with its sockets open. Callers who connected then, because no other entry was left, were never read, and waited until the process was gone.

--- a/bergamotshift-forward/src/daemon/mod.rs
+++ b/bergamotshift-forward/src/daemon/mod.rs
@@ -152,7 +152,10 @@
     for task in tasks {
         task.cancel();
     }
-    server.stop(false).await;
+    // Failure: the server takes a third of a second to end, and its sockets stay open meanwhile. Symptom: callers that
+    // connect then wait for nothing, where a closed port would send them on at once. No request is under way any more,
+    // so nothing is lost by not waiting.
+    drop(server.stop(false));
     info!(shared.log.always(), "stopped"; "cut" => cut);
     Ok(cut)
 }
