feat(soak): run whole daemons by seed, harmed from outside

Daemons run as processes of their own; a loopback proxy delays, holds one way, silences and resets their connections to the store and to endpoints; they are killed, frozen, stopped and reloaded by signal, in series and overlapping; the store loses and delays answers and forgets its history.

Ruled out: a store of the soak's own (the adapter's stand-in serves), and checks that ask the daemons themselves.

--- /dev/null
+++ b/bergamotshift-soak/src/caller.rs
@@ -0,0 +1,283 @@
+//! Callers that keep their connections until the other side ends them.
+
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::Ordering;
+use core::time::Duration;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Instant;
+
+use bergamotshift_forward::dialect::Dialect;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use smol_str::format_smolstr;
+
+use crate::endpoint;
+use crate::fleet::Doors;
+use crate::ledger::Exchange;
+use crate::ledger::Ledger;
+use crate::ledger::Outcome;
+use crate::site::EVENTS;
+use crate::site::HOST;
+use crate::site::Kind;
+use crate::site::PATIENCE;
+use crate::site::Tenant;
+
+/// How long after its own time limit a caller still listens.
+const BEYOND: Duration = Duration::from_secs(1);
+
+/// The longest pause of a caller between two requests, in milliseconds.
+const PAUSE_MS: u64 = 40;
+
+/// Which entry a connection goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Door {
+    /// The entry.
+    pub entry: usize,
+    /// Which start of it.
+    pub life: u32,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// One caller.
+#[derive(Debug)]
+pub struct Caller {
+    number: u64,
+    sent: u64,
+    generator: Pcg64Mcg,
+    dialect: Dialect,
+    ledger: Arc<Ledger>,
+    connection: Option<(Door, BufReader<TcpStream>)>,
+    /// Whether nothing was sent on the connection yet.
+    is_fresh: bool,
+}
+
+/// What is read of an answer.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    head: String,
+    body: Vec<u8>,
+}
+
+impl Caller {
+    /// Makes a caller; its number makes its requests its own.
+    pub fn new(number: u64, seed: u64, ledger: Arc<Ledger>) -> Self {
+        Self {
+            number,
+            sent: 0,
+            generator: Pcg64Mcg::new(u128::from(seed) << 64 | u128::from(number) << 1 | 1),
+            dialect: bergamotshift_metadata::dialect(),
+            ledger,
+            connection: None,
+            is_fresh: true,
+        }
+    }
+
+    /// Sends requests until told to stop.
+    pub fn run(mut self, doors: &Doors, stop: &AtomicBool) {
+        while !stop.load(Ordering::Relaxed) {
+            if self.connection.is_none() {
+                self.connection = self.connect(doors);
+                self.is_fresh = true;
+            }
+            if self.connection.is_some() {
+                let kind = Kind::ALL[self.below(Kind::ALL.len() as u64) as usize];
+                let tenant = match self.below(20) {
+                    0 => Tenant::Stranger,
+                    1..=8 => Tenant::Limited,
+                    _ => Tenant::Free,
+                };
+                self.ask(kind, tenant);
+            }
+            thread::sleep(Duration::from_millis(self.below(PAUSE_MS)));
+        }
+    }
+
+    /// Sends one request to one entry; returns how it ended.
+    pub fn ask_at(&mut self, door: Door, kind: Kind, tenant: Tenant) -> Outcome {
+        self.connection = open(door).ok();
+        self.is_fresh = true;
+        if self.connection.is_none() {
+            return Outcome::Cut;
+        }
+        self.ask(kind, tenant)
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.generator.next_u64() % bound
+    }
+
+    fn connect(&mut self, doors: &Doors) -> Option<(Door, BufReader<TcpStream>)> {
+        let open_doors = doors.open();
+        if open_doors.is_empty() {
+            return None;
+        }
+        let place = self.below(open_doors.len() as u64) as usize;
+        open(open_doors[place]).ok()
+    }
+
+    fn ask(&mut self, kind: Kind, tenant: Tenant) -> Outcome {
+        let Some((door, mut stream)) = self.connection.take() else {
+            return Outcome::Cut;
+        };
+        self.sent += 1;
+        let id = format_smolstr!("c{}-{}", self.number, self.sent);
+        let sent = self.ledger.now();
+        let asked = stream.get_mut().write_all(self.request(&id, kind, tenant).as_bytes());
+        let answer = asked.and_then(|()| read(&mut stream));
+        let outcome = match &answer {
+            Ok(answer) => self.judge(answer, &id, kind),
+            Err(error) => failed(error),
+        };
+        self.ledger.book().exchanges.push(Exchange {
+            id,
+            entry: door.entry,
+            life: door.life,
+            kind,
+            tenant,
+            is_first: core::mem::take(&mut self.is_fresh),
+            sent,
+            ended: self.ledger.now(),
+            outcome: outcome.clone(),
+        });
+        let stays = answer.is_ok_and(|answer| header(&answer.head, "connection") != Some("close"));
+        if stays {
+            self.connection = Some((door, stream));
+        }
+        outcome
+    }
+
+    fn request(&self, id: &str, kind: Kind, tenant: Tenant) -> String {
+        let Dialect {
+            request,
+            time_left,
+            key_scheme,
+            ..
+        } = &self.dialect;
+        format!(
+            "POST {}{id} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: {key_scheme} {}\r\n{request}: {id}\r\n\
+             {time_left}: {}\r\ncontent-length: 2\r\n\r\n{{}}",
+            kind.prefix(),
+            tenant.key(),
+            PATIENCE.as_millis(),
+        )
+    }
+
+    /// Returns whether an answer is whole and belongs to the request.
+    fn judge(&self, answer: &Answer, id: &str, kind: Kind) -> Outcome {
+        if answer.status != 200 {
+            return Outcome::Answered(answer.status);
+        }
+        let request = self.dialect.request.as_str();
+        let seal = header(&answer.head, self.dialect.seal.as_str()).unwrap_or_default();
+        if header(&answer.head, request) != Some(id) || !seal.ends_with(&format!(".{id}")) {
+            return Outcome::Wrong("it belongs to another request".to_owned());
+        }
+        let expected = match kind {
+            Kind::Draft => (1..=EVENTS).map(|number| endpoint::event(id, number)).collect(),
+            Kind::Checkin | Kind::Confirm | Kind::Moving => endpoint::body(id),
+        };
+        if answer.body == expected.as_bytes() {
+            Outcome::Answered(200)
+        } else {
+            Outcome::Wrong(String::from_utf8_lossy(&answer.body).into_owned())
+        }
+    }
+}
+
+fn read(stream: &mut BufReader<TcpStream>) -> io::Result<Answer> {
+    let until = Instant::now() + PATIENCE + BEYOND;
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if line(stream, &mut head, until)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
+    let status = status.ok_or(io::ErrorKind::InvalidData)?;
+    let body = match header(&head, "content-length") {
+        Some(length) => sized(stream, number(length, 10)?)?,
+        None => chunked(stream, until)?,
+    };
+    Ok(Answer { status, head, body })
+}
+
+fn number(text: &str, radix: u32) -> io::Result<usize> {
+    usize::from_str_radix(text, radix).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+}
+
+fn open(door: Door) -> io::Result<(Door, BufReader<TcpStream>)> {
+    let stream = TcpStream::connect_timeout(&door.address, Duration::from_secs(1))?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(PATIENCE + BEYOND))?;
+    Ok((door, BufReader::new(stream)))
+}
+
+fn failed(error: &io::Error) -> Outcome {
+    match error.kind() {
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => Outcome::Silent,
+        io::ErrorKind::InvalidData => Outcome::Wrong(error.to_string()),
+        _ => Outcome::Cut,
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines
+        .find(|(key, _)| key.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim())
+}
+
+fn line(stream: &mut BufReader<TcpStream>, text: &mut String, until: Instant) -> io::Result<usize> {
+    if Instant::now() >= until {
+        return Err(io::ErrorKind::TimedOut.into());
+    }
+    stream.read_line(text)
+}
+
+fn sized(stream: &mut BufReader<TcpStream>, length: usize) -> io::Result<Vec<u8>> {
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body)?;
+    Ok(body)
+}
+
+fn chunked(stream: &mut BufReader<TcpStream>, until: Instant) -> io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut size = String::new();
+        if line(stream, &mut size, until)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let size = number(size.trim(), 16)?;
+        let mut piece = sized(stream, size + 2)?;
+        if size == 0 {
+            return Ok(body);
+        }
+        piece.truncate(size);
+        body.extend(piece);
+    }
+}
+
+/// Returns whether an entry says that callers may come.
+pub fn is_ready(address: SocketAddr) -> bool {
+    let ask = || -> io::Result<SmolStr> {
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nhost: ready\r\nconnection: close\r\n\r\n")?;
+        let mut text = String::new();
+        BufReader::new(stream).read_line(&mut text)?;
+        Ok(text.split(' ').nth(1).unwrap_or_default().to_smolstr())
+    };
+    ask().is_ok_and(|status| status == "200")
+}
--- /dev/null
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -0,0 +1,256 @@
+//! Endpoints that note every request they get, and misbehave on order.
+
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::AtomicU8;
+use core::sync::atomic::Ordering;
+use core::time::Duration;
+use std::io;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::dialect::Dialect;
+use bergamotshift_forward::dialect::LAST_EVENT;
+use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_metadata_standin::Call;
+use smol_str::SmolStr;
+
+use crate::ledger::Arrival;
+use crate::ledger::Ledger;
+use crate::proxy::Proxy;
+use crate::site::EVENTS;
+use crate::site::Kind;
+
+/// How long a request takes, and how far apart the events of a stream are.
+const WORK: Duration = Duration::from_millis(8);
+
+/// How an endpoint answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Habit {
+    /// As it should.
+    Sound,
+    /// It breaks off within its answer.
+    Breaks,
+    /// It sends the answer to a request twice.
+    Repeats,
+    /// It refuses before it runs anything.
+    Refuses,
+    /// It takes the request and says nothing for long.
+    Stalls,
+}
+
+impl Habit {
+    /// All that are wrong.
+    pub const WRONG: [Self; 4] = [Self::Breaks, Self::Repeats, Self::Refuses, Self::Stalls];
+
+    fn of(number: u8) -> Self {
+        match number {
+            0 => Self::Sound,
+            number => Self::WRONG[usize::from(number - 1) % Self::WRONG.len()],
+        }
+    }
+
+    fn number(self) -> u8 {
+        let place = Self::WRONG.iter().position(|habit| *habit == self);
+        place.map_or(0, |place| place as u8 + 1)
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: SmolStr,
+    service: &'static str,
+    dialect: Dialect,
+    ledger: Arc<Ledger>,
+    habit: AtomicU8,
+    is_gone: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
+}
+
+/// One incarnation of an endpoint, behind a proxy.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    /// What all entries' connections go through.
+    pub proxy: Proxy,
+}
+
+impl Endpoint {
+    /// Starts an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system says when no port is free.
+    pub fn start(id: SmolStr, service: &'static str, ledger: Arc<Ledger>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id,
+            service,
+            dialect: bergamotshift_metadata::dialect(),
+            ledger,
+            habit: AtomicU8::new(0),
+            is_gone: AtomicBool::new(false),
+            streams: Mutex::default(),
+        });
+        let served = Arc::clone(&shared);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if served.is_gone.load(Ordering::Relaxed) {
+                    return;
+                }
+                let served = Arc::clone(&served);
+                // A connection that breaks concerns its entry alone.
+                thread::spawn(move || drop(served.serve(stream)));
+            }
+        });
+        Ok(Self {
+            shared,
+            address,
+            proxy: Proxy::start(address)?,
+        })
+    }
+
+    /// Returns its incarnation's name.
+    pub fn id(&self) -> &SmolStr {
+        &self.shared.id
+    }
+
+    /// Returns what it registers.
+    pub fn registration(&self, zone: &str, leaving: bool) -> Registration {
+        Registration {
+            id: self.shared.id.clone(),
+            service: self.shared.service.into(),
+            address: self.proxy.address,
+            zone: zone.into(),
+            slots: 64,
+            leaving,
+            market: Market::OnDemand,
+            leaves_in: None,
+        }
+    }
+
+    /// Sets how it answers from now on.
+    pub fn set(&self, habit: Habit) {
+        self.shared.habit.store(habit.number(), Ordering::Relaxed);
+    }
+
+    /// Ends it at once, with all that it has under way.
+    pub fn crash(&self) {
+        self.shared.is_gone.store(true, Ordering::Relaxed);
+        self.proxy.close();
+        let mut streams = self.shared.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        for stream in streams.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        drop(streams);
+        // The listener ends with the next connection.
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+impl Shared {
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let kept = stream.try_clone()?;
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner).push(kept);
+        while let Some(call) = Call::read(&mut stream)? {
+            let habit = Habit::of(self.habit.load(Ordering::Relaxed));
+            let id: SmolStr = call.header(self.dialect.request.as_str()).unwrap_or_default().into();
+            let is_meant = call.header(self.dialect.expected.as_str()) == Some(self.id.as_str());
+            let runs = is_meant && habit != Habit::Refuses;
+            self.note(&call, id.clone(), runs);
+            if !runs {
+                let status = if is_meant { "503 Full" } else { "421 Another" };
+                let not_run = format!("{}: 1\r\ncontent-length: 0\r\n", self.dialect.not_run);
+                stream.write_all(self.head(status, &id, &not_run).as_bytes())?;
+                continue;
+            }
+            thread::sleep(WORK);
+            if call.line.contains(Kind::Draft.prefix()) {
+                self.stream(&mut stream, &call, &id, habit)?;
+            } else {
+                self.whole(&mut stream, &id, habit)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn note(&self, call: &Call, id: SmolStr, ran: bool) {
+        let organisation = call.header(self.dialect.organisation.as_str());
+        let at = self.ledger.now();
+        self.ledger.book().arrivals.push(Arrival {
+            id,
+            endpoint: self.id.clone(),
+            service: self.service,
+            organisation: organisation.map(SmolStr::new),
+            has_key: call.header("authorization").is_some(),
+            ran,
+            at,
+        });
+    }
+
+    fn head(&self, status: &str, id: &str, extra: &str) -> String {
+        let Dialect { request, seal, .. } = &self.dialect;
+        format!(
+            "HTTP/1.1 {status}\r\n{request}: {id}\r\n{seal}: {}.{id}\r\n{extra}\r\n",
+            self.id
+        )
+    }
+
+    fn whole(&self, stream: &mut TcpStream, id: &str, habit: Habit) -> io::Result<()> {
+        let body = body(id);
+        let length = format!("content-length: {}\r\n", body.len());
+        let answer = self.head("200 OK", id, &length) + &body;
+        match habit {
+            Habit::Breaks => {
+                stream.write_all(&answer.as_bytes()[..answer.len() - body.len() / 2])?;
+                Err(io::ErrorKind::ConnectionAborted.into())
+            }
+            Habit::Repeats => stream.write_all(answer.repeat(2).as_bytes()),
+            Habit::Stalls => {
+                thread::sleep(Duration::from_secs(2));
+                stream.write_all(answer.as_bytes())
+            }
+            Habit::Sound | Habit::Refuses => stream.write_all(answer.as_bytes()),
+        }
+    }
+
+    fn stream(&self, stream: &mut TcpStream, call: &Call, id: &str, habit: Habit) -> io::Result<()> {
+        let last = call.header(LAST_EVENT.as_str()).and_then(|text| text.parse().ok());
+        let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        stream.write_all(self.head("200 OK", id, framing).as_bytes())?;
+        for number in last.unwrap_or(0) + 1..=EVENTS {
+            let event = event(id, number);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if number == EVENTS / 2 && habit == Habit::Breaks {
+                stream.write_all(&chunk.as_bytes()[..chunk.len() / 2])?;
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            if number == EVENTS / 2 && habit == Habit::Stalls {
+                thread::sleep(Duration::from_secs(2));
+            }
+            stream.write_all(chunk.as_bytes())?;
+            thread::sleep(WORK);
+        }
+        stream.write_all(b"0\r\n\r\n")
+    }
+}
+
+/// Returns the body of a whole answer.
+pub fn body(id: &str) -> String {
+    format!("the answer to {id}, and to nobody else")
+}
+
+/// Returns an event of a stream.
+pub fn event(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {id} {number}\n\n")
+}
--- /dev/null
+++ b/bergamotshift-soak/src/ledger.rs
@@ -0,0 +1,205 @@
+//! What callers, endpoints and the soak itself saw, with the time at which each saw it.
+
+use core::time::Duration;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use smol_str::SmolStr;
+
+use crate::site::Kind;
+use crate::site::Tenant;
+
+/// A request that reached an endpoint.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request's identifier.
+    pub id: SmolStr,
+    /// The endpoint's incarnation.
+    pub endpoint: SmolStr,
+    /// The endpoint's service.
+    pub service: &'static str,
+    /// The organisation that the entry named.
+    pub organisation: Option<SmolStr>,
+    /// Whether the caller's key came along.
+    pub has_key: bool,
+    /// Whether the endpoint ran it, rather than refused it.
+    pub ran: bool,
+    /// When it came.
+    pub at: Duration,
+}
+
+/// How an exchange ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// With an answer that is whole and its own.
+    Answered(u16),
+    /// With bytes that are no such answer.
+    Wrong(String),
+    /// The connection ended before the answer did.
+    Cut,
+    /// Nothing came for as long as the caller waited.
+    Silent,
+}
+
+/// One attempt of a caller.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// The request's identifier.
+    pub id: SmolStr,
+    /// The entry that took it.
+    pub entry: usize,
+    /// Which start of that entry.
+    pub life: u32,
+    /// What was asked for.
+    pub kind: Kind,
+    /// Whose request it was.
+    pub tenant: Tenant,
+    /// Whether it was the first on its connection.
+    pub is_first: bool,
+    /// When it was sent.
+    pub sent: Duration,
+    /// When it ended.
+    pub ended: Duration,
+    /// How.
+    pub outcome: Outcome,
+}
+
+/// What was harmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// An entry or its links.
+    Entry(usize),
+    /// An endpoint or its link.
+    Endpoint(usize),
+    /// The store.
+    Store,
+}
+
+/// Something that the soak did.
+#[derive(Clone, Debug)]
+pub struct Disruption {
+    /// What it concerned.
+    pub place: Place,
+    /// What it was.
+    pub what: &'static str,
+    /// Whether operators do so in the course of their work.
+    pub is_planned: bool,
+    /// When it began.
+    pub from: Duration,
+    /// When it was over; `None` while it lasts.
+    pub until: Option<Duration>,
+}
+
+/// A version of the operators' document.
+#[derive(Clone, Copy, Debug)]
+pub struct Version {
+    /// The service that runs requests of the moving route.
+    pub service: &'static str,
+    /// When the operators sent it.
+    pub sent: Duration,
+    /// When the store had it.
+    pub acknowledged: Duration,
+}
+
+/// An endpoint that said it leaves.
+#[derive(Clone, Debug)]
+pub struct Leave {
+    /// The endpoint's incarnation.
+    pub endpoint: SmolStr,
+    /// When the store had it.
+    pub acknowledged: Duration,
+}
+
+/// All of it.
+#[derive(Debug, Default)]
+pub struct Book {
+    /// Requests at endpoints, in the order in which they came.
+    pub arrivals: Vec<Arrival>,
+    /// Callers' attempts, in the order in which they ended.
+    pub exchanges: Vec<Exchange>,
+    /// What the soak did.
+    pub disruptions: Vec<Disruption>,
+    /// The documents, oldest first.
+    pub versions: Vec<Version>,
+    /// Endpoints that left in order.
+    pub leaves: Vec<Leave>,
+    /// What went wrong with the processes themselves.
+    pub faults: Vec<String>,
+}
+
+/// The book, shared by all threads of a run.
+#[derive(Debug)]
+pub struct Ledger {
+    start: Instant,
+    book: Mutex<Book>,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            book: Mutex::default(),
+        }
+    }
+}
+
+impl Ledger {
+    /// Returns how long the run has lasted.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Returns the time of an instant, in the run's own time.
+    pub fn at(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.start)
+    }
+
+    /// Locks the book.
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that something begins.
+    pub fn begin(&self, place: Place, what: &'static str, is_planned: bool) {
+        let from = self.now();
+        self.book().disruptions.push(Disruption {
+            place,
+            what,
+            is_planned,
+            from,
+            until: None,
+        });
+    }
+
+    /// Notes that what was done to a place is over.
+    pub fn end(&self, place: Place, what: &'static str) {
+        let now = self.now();
+        let mut book = self.book();
+        let open = book
+            .disruptions
+            .iter_mut()
+            .filter(|disruption| disruption.until.is_none());
+        for disruption in open.filter(|disruption| disruption.place == place && disruption.what == what) {
+            disruption.until = Some(now);
+        }
+    }
+
+    /// Notes something that is over at once.
+    pub fn note(&self, place: Place, what: &'static str, is_planned: bool) {
+        self.begin(place, what, is_planned);
+        self.end(place, what);
+    }
+}
+
+impl Book {
+    /// Returns whether nothing that `counts` happened between two times.
+    pub fn is_calm(&self, from: Duration, until: Duration, counts: impl Fn(&Disruption) -> bool) -> bool {
+        let met = |disruption: &Disruption| disruption.from <= until && disruption.until.is_none_or(|end| end >= from);
+        !self
+            .disruptions
+            .iter()
+            .any(|disruption| met(disruption) && counts(disruption))
+    }
+}
--- /dev/null
+++ b/bergamotshift-soak/src/lib.rs
@@ -0,0 +1,22 @@
+//! A randomised soak: whole daemons as processes of their own, harmed from outside.
+//!
+//! A [`plan`] drawn from a seed says what happens when: processes are killed, paused, stopped and started; connections
+//! are cut, delayed and reset by a [`proxy`]; the store refuses calls, loses answers and forgets its history; endpoints
+//! crash, leave and answer wrongly; the operators change their document. Meanwhile callers send requests over
+//! connections that they keep. What they and the endpoints see stands in a [`ledger`], and the [`promise`]s are checked
+//! against it.
+
+pub mod caller;
+pub mod endpoint;
+pub mod fleet;
+pub mod ledger;
+pub mod plan;
+pub mod process;
+pub mod promise;
+pub mod proxy;
+pub mod run;
+pub mod site;
+
+pub use self::run::Report;
+pub use self::run::Settings;
+pub use self::run::run;
--- /dev/null
+++ b/bergamotshift-soak/src/main.rs
@@ -0,0 +1,124 @@
+//! `bergamotshift-soak`: makes soak runs from seeds, several at a time, and prints a line for each.
+
+use core::num::NonZeroU64;
+use core::time::Duration;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use bergamotshift_soak::Report;
+use bergamotshift_soak::Settings;
+use bergamotshift_soak::run;
+use gumdrop::Options;
+
+/// Arguments.
+#[derive(Debug)]
+#[derive(Options)]
+struct Arguments {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(
+        help = "the program",
+        meta = "FILE",
+        no_short,
+        default = "target/release/bergamotshift"
+    )]
+    program: PathBuf,
+    #[options(
+        help = "where settings and logs are kept",
+        meta = "FOLDER",
+        no_short,
+        default = "target/soak"
+    )]
+    folder: PathBuf,
+    #[options(help = "the first seed", meta = "N", no_short, default = "1")]
+    seed: u64,
+    #[options(help = "how many seeds", meta = "N", no_short, default = "1")]
+    seeds: NonZeroU64,
+    #[options(help = "how many runs at a time", meta = "N", no_short, default = "2")]
+    jobs: NonZeroU64,
+    #[options(help = "how many entries", meta = "N", no_short, default = "4")]
+    entries: usize,
+    #[options(help = "how long things happen, in seconds", meta = "S", no_short, default = "20")]
+    seconds: u64,
+    #[options(help = "let callers connect to an entry until it is gone", no_short)]
+    unbalanced: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let next = AtomicU64::new(arguments.seed);
+    let end = arguments.seed.saturating_add(arguments.seeds.get());
+    let red = AtomicU64::new(0);
+    thread::scope(|scope| {
+        for _ in 0..arguments.jobs.get() {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= end {
+                        return;
+                    }
+                    if !play(&arguments, seed) {
+                        red.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+    });
+    let red = red.into_inner();
+    println!("{} seeds, {red} of them red", arguments.seeds);
+    if red == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Makes one run and prints what came of it; returns whether all promises were kept.
+fn play(arguments: &Arguments, seed: u64) -> bool {
+    let folder = arguments.folder.join(seed.to_string());
+    let mut settings = Settings {
+        program: arguments.program.clone(),
+        folder: folder.clone(),
+        seed,
+        ..Settings::default()
+    };
+    settings.size.entries = arguments.entries;
+    settings.size.span = Duration::from_secs(arguments.seconds);
+    if arguments.unbalanced {
+        settings.connects = Duration::MAX;
+    }
+    match run(&settings) {
+        Ok(report) => {
+            print(seed, &report, &folder);
+            report.broken.is_empty()
+        }
+        Err(error) => {
+            println!("seed {seed}: not run: {error}");
+            false
+        }
+    }
+}
+
+fn print(seed: u64, report: &Report, folder: &Path) {
+    let Report {
+        exchanges,
+        served,
+        arrivals,
+        steps,
+        reports,
+        broken,
+    } = report;
+    let verdict = if broken.is_empty() { "kept" } else { "BROKEN" };
+    println!(
+        "seed {seed}: {verdict}; {steps} steps, {exchanges} requests, {served} served, {arrivals} at endpoints, \
+         {reports} usage reports"
+    );
+    for broken in broken {
+        println!(
+            "seed {seed}:   {}: {} (logs: {})",
+            broken.promise,
+            broken.what,
+            folder.display()
+        );
+    }
+}
--- /dev/null
+++ b/bergamotshift-soak/src/plan.rs
@@ -0,0 +1,215 @@
+//! What happens in a run, and when: drawn from a seed.
+
+use core::time::Duration;
+
+use bergamotshift_metadata_standin::Fault;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::endpoint::Habit;
+use crate::proxy::Mode;
+use crate::proxy::Way;
+
+/// One thing that the soak does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Kills an entry.
+    Kill(usize),
+    /// Asks an entry to stop; it is started again once it has.
+    Stop(usize),
+    /// Starts an entry unless it runs.
+    Start(usize),
+    /// Freezes an entry.
+    Freeze(usize),
+    /// Lets an entry go on.
+    Thaw(usize),
+    /// Changes an entry's settings file and tells it so.
+    Reload(usize),
+    /// Sets what becomes of an entry's bytes to and from the store.
+    Link(usize, Mode),
+    /// Resets an entry's connections to the store.
+    ResetLink(usize),
+    /// Lets the store misbehave for a while: one call of so many and one meets the fault.
+    Spell(Fault, Duration, u32),
+    /// Lets the store forget its history.
+    Forget,
+    /// Ends an endpoint at once; it registers anew under another name later.
+    Crash(usize),
+    /// Lets an endpoint leave in order, and another one come.
+    Leave(usize),
+    /// Sets how an endpoint answers.
+    Habit(usize, Habit),
+    /// Sets what becomes of the bytes to and from an endpoint.
+    Reach(usize, Mode),
+    /// Resets all connections to an endpoint.
+    ResetReach(usize),
+    /// Moves the moving route to another service.
+    Move,
+}
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// The entries.
+    pub entries: usize,
+    /// The endpoints of each service.
+    pub endpoints: usize,
+    /// How long callers send, and things happen.
+    pub span: Duration,
+}
+
+/// The steps of a run, in order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// When each step is due, and which it is.
+    pub steps: Vec<(Duration, Step)>,
+}
+
+/// The mean time between two things that begin; a thing lasts one to four seconds, so some overlap.
+const GAP_MS: u64 = 1_400;
+
+/// How long callers are left alone at the start.
+const CALM: Duration = Duration::from_millis(1_500);
+
+struct Draw {
+    generator: Pcg64Mcg,
+    size: Size,
+    steps: Vec<(Duration, Step)>,
+}
+
+impl Plan {
+    /// Draws a plan; the same seed and size give the same one.
+    pub fn draw(seed: u64, size: Size) -> Self {
+        let mut draw = Draw {
+            generator: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
+            size,
+            steps: Vec::new(),
+        };
+        // The first numbers of neighbouring seeds are alike.
+        draw.generator.next_u64();
+        let mut at = CALM;
+        while at < size.span {
+            draw.thing(at);
+            at += Duration::from_millis(draw.below(2 * GAP_MS));
+        }
+        draw.steps.sort_by_key(|(at, _)| *at);
+        Self { steps: draw.steps }
+    }
+}
+
+impl Draw {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.generator.next_u64() % bound
+    }
+
+    fn span(&mut self) -> Duration {
+        Duration::from_millis(500 + self.below(3_500))
+    }
+
+    fn entry(&mut self) -> usize {
+        self.below(self.size.entries as u64) as usize
+    }
+
+    fn endpoint(&mut self) -> usize {
+        self.below((self.size.endpoints * crate::site::SERVICES.len()) as u64) as usize
+    }
+
+    fn way(&mut self) -> Way {
+        [Way::Forth, Way::Back, Way::Both][self.below(3) as usize]
+    }
+
+    fn mode(&mut self) -> Mode {
+        match self.below(2) {
+            0 => Mode::Delay(Duration::from_millis(20 + self.below(300))),
+            _ => Mode::Hold(self.way()),
+        }
+    }
+
+    fn push(&mut self, at: Duration, step: Step) {
+        self.steps.push((at, step));
+    }
+
+    /// Draws one thing that begins at a time, with its end.
+    fn thing(&mut self, at: Duration) {
+        const KINDS: u64 = 14;
+        let span = self.span();
+        let end = at + span;
+        match self.below(KINDS) {
+            0 => self.restart(at, end),
+            1 => self.all(at, end),
+            2 | 3 => {
+                let entry = self.entry();
+                self.push(at, Step::Stop(entry));
+            }
+            4 => {
+                let entry = self.entry();
+                self.push(at, Step::Freeze(entry));
+                self.push(end, Step::Thaw(entry));
+            }
+            5 => {
+                let entry = self.entry();
+                self.push(at, Step::Reload(entry));
+            }
+            6 => {
+                let (entry, mode) = (self.entry(), self.mode());
+                self.push(at, Step::Link(entry, mode));
+                self.push(end, Step::Link(entry, Mode::Pass));
+            }
+            7 => {
+                let entry = self.entry();
+                self.push(at, Step::ResetLink(entry));
+                let endpoint = self.endpoint();
+                self.push(at, Step::ResetReach(endpoint));
+            }
+            8 => {
+                let late = Duration::from_millis(200 + self.below(1_500));
+                let faults = [
+                    Fault::Status(503),
+                    Fault::Status(429),
+                    Fault::Lost,
+                    Fault::Reset,
+                    Fault::Late(late),
+                ];
+                let fault = faults[self.below(faults.len() as u64) as usize];
+                let spared = self.below(3) as u32;
+                self.push(at, Step::Spell(fault, span, spared));
+            }
+            9 => self.push(at, Step::Forget),
+            10 => {
+                let endpoint = self.endpoint();
+                self.push(at, Step::Crash(endpoint));
+            }
+            11 => {
+                let endpoint = self.endpoint();
+                self.push(at, Step::Leave(endpoint));
+            }
+            12 => {
+                let endpoint = self.endpoint();
+                let habit = Habit::WRONG[self.below(Habit::WRONG.len() as u64) as usize];
+                self.push(at, Step::Habit(endpoint, habit));
+                self.push(end, Step::Habit(endpoint, Habit::Sound));
+                let (endpoint, mode) = (self.endpoint(), self.mode());
+                self.push(at, Step::Reach(endpoint, mode));
+                self.push(end, Step::Reach(endpoint, Mode::Pass));
+            }
+            _ => self.push(at, Step::Move),
+        }
+    }
+
+    fn restart(&mut self, at: Duration, end: Duration) {
+        let entry = self.entry();
+        self.push(at, Step::Kill(entry));
+        self.push(end, Step::Start(entry));
+    }
+
+    /// Kills all entries, just after a change of the document now and then.
+    fn all(&mut self, at: Duration, end: Duration) {
+        if self.below(2) == 0 {
+            self.push(at, Step::Move);
+        }
+        for entry in 0..self.size.entries {
+            self.push(at, Step::Kill(entry));
+            self.push(end, Step::Start(entry));
+        }
+    }
+}
--- /dev/null
+++ b/bergamotshift-soak/src/run.rs
@@ -0,0 +1,208 @@
+//! One run: a fleet, callers, a plan, and what came of it.
+
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::Ordering;
+use core::time::Duration;
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::Instant;
+
+use thiserror::Error as ThisError;
+
+use crate::caller;
+use crate::caller::Caller;
+use crate::caller::Door;
+use crate::fleet::Fleet;
+use crate::ledger::Ledger;
+use crate::ledger::Outcome;
+use crate::plan::Plan;
+use crate::plan::Size;
+use crate::process;
+use crate::promise;
+use crate::promise::Broken;
+use crate::site::Kind;
+use crate::site::Tenant;
+
+/// How often the plan and the processes are looked at.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// How soon after the end of all trouble every entry takes callers and serves them.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// The number of the first caller that checks the recovery; those of the run have lower ones.
+const CHECKER: u64 = 1_000_000;
+
+/// What a run is made of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The program.
+    pub program: PathBuf,
+    /// Where settings and logs are kept.
+    pub folder: PathBuf,
+    /// What the plan is drawn from.
+    pub seed: u64,
+    /// How large the run is.
+    pub size: Size,
+    /// How many callers there are.
+    pub callers: u64,
+    /// How long after the request to stop callers still connect to an entry. A balancer that asks every second takes it
+    /// out at the second answer in a row that says no; where too few others are left, it never does.
+    pub connects: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            program: PathBuf::from("target/release/bergamotshift"),
+            folder: PathBuf::from("target/soak"),
+            seed: 1,
+            size: Size {
+                entries: 4,
+                endpoints: 2,
+                span: Duration::from_secs(20),
+            },
+            callers: 24,
+            connects: Duration::from_millis(2_500),
+        }
+    }
+}
+
+/// Why a run cannot be made.
+#[derive(Debug)]
+#[derive(ThisError)]
+pub enum Error {
+    /// A folder or a port is not to be had.
+    #[error(transparent)]
+    System(#[from] io::Error),
+    /// A daemon does not run.
+    #[error(transparent)]
+    Process(#[from] process::Error),
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Callers' attempts.
+    pub exchanges: usize,
+    /// Those that got a whole answer of an endpoint.
+    pub served: usize,
+    /// Requests that reached endpoints.
+    pub arrivals: usize,
+    /// Steps of the plan.
+    pub steps: usize,
+    /// Usage reports.
+    pub reports: usize,
+    /// The promises that were broken.
+    pub broken: Vec<Broken>,
+}
+
+/// Makes one run.
+///
+/// # Errors
+///
+/// Returns why it cannot be made; a broken promise is no error.
+pub fn run(settings: &Settings) -> Result<Report, Error> {
+    fs::create_dir_all(&settings.folder)?;
+    let plan = Plan::draw(settings.seed, settings.size);
+    let ledger = Arc::new(Ledger::default());
+    let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
+    let mut late = recover(&mut fleet, &ledger, CHECKER)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..settings.callers)
+        .map(|number| {
+            let caller = Caller::new(number, settings.seed, Arc::clone(&ledger));
+            let (doors, stop) = (Arc::clone(&fleet.doors), Arc::clone(&stop));
+            thread::spawn(move || caller.run(&doors, &stop))
+        })
+        .collect();
+    follow(&mut fleet, &plan, settings.size.span)?;
+    fleet.heal()?;
+    late.extend(recover(&mut fleet, &ledger, CHECKER + 1)?);
+    fleet.finish()?;
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        // A caller that panicked has said so.
+        let _ = caller.join();
+    }
+    let book = ledger.book();
+    let reports = fleet.store.state().reports.clone();
+    let mut broken = promise::check(&ledger, &book, &reports);
+    broken.extend(late);
+    let served = |outcome: &Outcome| *outcome == Outcome::Answered(200);
+    Ok(Report {
+        exchanges: book.exchanges.len(),
+        served: book
+            .exchanges
+            .iter()
+            .filter(|exchange| served(&exchange.outcome))
+            .count(),
+        arrivals: book.arrivals.len(),
+        steps: plan.steps.len(),
+        reports: reports.len(),
+        broken,
+    })
+}
+
+/// Carries a plan out.
+fn follow(fleet: &mut Fleet, plan: &Plan, span: Duration) -> Result<(), process::Error> {
+    let start = Instant::now();
+    let mut steps = plan.steps.iter().peekable();
+    while start.elapsed() < span {
+        while let Some((_, step)) = steps.next_if(|(at, _)| *at <= start.elapsed()) {
+            fleet.carry_out(*step)?;
+        }
+        fleet.look()?;
+        thread::sleep(LOOK);
+    }
+    Ok(())
+}
+
+/// Waits until every entry takes callers and serves them; returns what does not come about in time.
+fn recover(fleet: &mut Fleet, ledger: &Arc<Ledger>, number: u64) -> Result<Vec<Broken>, process::Error> {
+    let start = Instant::now();
+    let mut checker = Caller::new(number, 0, Arc::clone(ledger));
+    loop {
+        fleet.look()?;
+        let unready = unready(fleet);
+        let unserved = if unready.is_empty() {
+            unserved(&fleet.doors.open(), &mut checker)
+        } else {
+            Vec::new()
+        };
+        if unready.is_empty() && unserved.is_empty() {
+            return Ok(Vec::new());
+        }
+        if start.elapsed() > RECOVERY {
+            return Ok(vec![Broken {
+                promise: "after trouble every entry serves again",
+                what: format!("not ready: {unready:?}; not served: {unserved:?}"),
+            }]);
+        }
+        thread::sleep(LOOK);
+    }
+}
+
+fn unready(fleet: &Fleet) -> Vec<usize> {
+    let ready = fleet.ready().into_iter().enumerate();
+    ready
+        .filter(|(_, address)| !address.is_some_and(caller::is_ready))
+        .map(|(number, _)| number)
+        .collect()
+}
+
+/// Asks every entry for one answer of each kind; returns what was not served.
+fn unserved(doors: &[Door], checker: &mut Caller) -> Vec<(usize, Kind, Outcome)> {
+    let mut failed = Vec::new();
+    for door in doors {
+        for kind in Kind::ALL {
+            let outcome = checker.ask_at(*door, kind, Tenant::Free);
+            if outcome != Outcome::Answered(200) {
+                failed.push((door.entry, kind, outcome));
+            }
+        }
+    }
+    failed
+}
--- /dev/null
+++ b/bergamotshift-soak/src/site.rs
@@ -0,0 +1,153 @@
+//! The routes, services and organisations of a run.
+
+use core::time::Duration;
+
+use bergamotshift_forward::document::Document;
+use bergamotshift_forward::document::Kind as Repeat;
+use bergamotshift_forward::document::Limit;
+use bergamotshift_forward::document::Organisation;
+use bergamotshift_forward::document::Route;
+use bergamotshift_forward::document::Service;
+use bergamotshift_forward::document::Split;
+use bergamotshift_forward::document::Unit;
+
+/// The host that all routes answer for.
+pub const HOST: &str = "staff.example";
+
+/// How many events a whole stream has.
+pub const EVENTS: u64 = 12;
+
+/// The services; the moving route goes from one to the next.
+pub const SERVICES: [&str; 3] = ["alpha", "beta", "gamma"];
+
+/// The longest time that a caller waits.
+pub const PATIENCE: Duration = Duration::from_secs(4);
+
+/// The requests a second that the limited organisation may send, over all entries together.
+pub const RATE: f64 = 30.0;
+
+/// What it may send beyond that at once.
+pub const BURST: f64 = 15.0;
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May run any number of times.
+    Checkin,
+    /// Runs once at most.
+    Confirm,
+    /// A stream that may go on elsewhere.
+    Draft,
+    /// As a checkin, on the route that the operators move.
+    Moving,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 4] = [Self::Checkin, Self::Confirm, Self::Draft, Self::Moving];
+
+    /// Returns what the paths of its route begin with.
+    pub const fn prefix(self) -> &'static str {
+        match self {
+            Self::Checkin => "/checkin/",
+            Self::Confirm => "/confirm/",
+            Self::Draft => "/draft/",
+            Self::Moving => "/moving/",
+        }
+    }
+}
+
+/// Whose request it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tenant {
+    /// An organisation without a limit.
+    Free,
+    /// An organisation with a limit that its callers exceed.
+    Limited,
+    /// Nobody: its key is unknown.
+    Stranger,
+}
+
+impl Tenant {
+    /// Returns the organisation's name.
+    pub const fn name(self) -> Option<&'static str> {
+        match self {
+            Self::Free => Some("horeca"),
+            Self::Limited => Some("events"),
+            Self::Stranger => None,
+        }
+    }
+
+    /// Returns the key that its callers show.
+    pub const fn key(self) -> &'static str {
+        match self {
+            Self::Free => "key-horeca",
+            Self::Limited => "key-events",
+            Self::Stranger => "key-nobody",
+        }
+    }
+}
+
+/// Returns the operators' document under a version, in which the moving route goes to `service`.
+pub fn document(version: u64, service: &str) -> Document {
+    Document {
+        version,
+        routes: Kind::ALL.map(|kind| route(kind, service)).to_vec(),
+        services: SERVICES.map(self::service).to_vec(),
+        organisations: vec![
+            organisation(Tenant::Free, None),
+            organisation(Tenant::Limited, Some(LIMIT)),
+        ],
+        ..Document::default()
+    }
+}
+
+const LIMIT: Limit = Limit {
+    rate: RATE,
+    burst: BURST,
+    unit: Unit::Requests,
+};
+
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        connections: 200,
+        engine: None,
+        scale: None,
+    }
+}
+
+fn organisation(tenant: Tenant, limit: Option<Limit>) -> Organisation {
+    Organisation {
+        name: tenant.name().unwrap_or_default().into(),
+        keys: vec![tenant.key().into()],
+        urgency: None,
+        limit,
+    }
+}
+
+fn route(kind: Kind, moving: &str) -> Route {
+    let (repeat, resumable) = match kind {
+        Kind::Checkin | Kind::Moving => (Repeat::Idempotent, false),
+        Kind::Confirm => (Repeat::Once, false),
+        Kind::Draft => (Repeat::Stream, true),
+    };
+    let service = if kind == Kind::Moving { moving } else { SERVICES[0] };
+    Route {
+        name: kind.prefix().into(),
+        host: HOST.into(),
+        prefix: kind.prefix().into(),
+        kind: repeat,
+        timeout: PATIENCE,
+        objective: Duration::from_millis(500),
+        pause: Duration::from_millis(500),
+        urgency: 2,
+        splits: vec![Split {
+            service: service.into(),
+            weight: 1,
+        }],
+        attempts: 3,
+        public: false,
+        resumable,
+    }
+}
--- /dev/null
+++ b/bergamotshift-soak/tests/plan.rs
@@ -0,0 +1,43 @@
+//! Plans come from their seeds alone, and hold every kind of trouble.
+
+use core::mem;
+use core::time::Duration;
+use std::collections::HashSet;
+
+use bergamotshift_soak::plan::Plan;
+use bergamotshift_soak::plan::Size;
+use bergamotshift_soak::plan::Step;
+
+const SIZE: Size = Size {
+    entries: 4,
+    endpoints: 2,
+    span: Duration::from_secs(20),
+};
+
+#[test]
+fn a_seed_gives_the_same_plan_each_time() {
+    assert_eq!(Plan::draw(7, SIZE), Plan::draw(7, SIZE));
+    assert_ne!(Plan::draw(7, SIZE), Plan::draw(8, SIZE));
+}
+
+#[test]
+fn steps_come_in_order_and_name_what_there_is() {
+    for seed in 1..=50 {
+        let plan = Plan::draw(seed, SIZE);
+        assert!(plan.steps.is_sorted_by_key(|(at, _)| *at));
+        for (_, step) in plan.steps {
+            match step {
+                Step::Kill(entry) | Step::Stop(entry) | Step::Start(entry) => assert!(entry < SIZE.entries),
+                Step::Crash(place) | Step::Leave(place) => assert!(place < 3 * SIZE.endpoints),
+                _ => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn fifty_seeds_hold_every_kind_of_step() {
+    let steps = (1..=50).flat_map(|seed| Plan::draw(seed, SIZE).steps);
+    let kinds: HashSet<_> = steps.map(|(_, step)| mem::discriminant(&step)).collect();
+    assert_eq!(kinds.len(), 16);
+}
--- /dev/null
+++ b/bergamotshift-soak/tests/proxy.rs
@@ -0,0 +1,86 @@
+//! What a proxy does with bytes.
+
+use core::time::Duration;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+
+use bergamotshift_soak::proxy::Mode;
+use bergamotshift_soak::proxy::Proxy;
+use bergamotshift_soak::proxy::Way;
+
+/// A connection through a proxy, seen from both ends.
+struct Path {
+    proxy: Proxy,
+    near: TcpStream,
+    far: TcpStream,
+}
+
+impl Path {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let target = listener.local_addr().expect("it is bound");
+        let proxy = Proxy::start(target).expect("a port is free");
+        let near = TcpStream::connect(proxy.address).expect("the proxy listens");
+        let (far, _) = listener.accept().expect("the proxy connects");
+        Self { proxy, near, far }
+    }
+}
+
+fn passes(from: &mut TcpStream, to: &mut TcpStream) {
+    from.write_all(b"ping").expect("the connection stands");
+    let mut got = [0; 4];
+    to.read_exact(&mut got).expect("the bytes come");
+    assert_eq!(&got, b"ping");
+}
+
+fn is_held(from: &mut TcpStream, to: &mut TcpStream) {
+    from.write_all(b"ping").expect("the connection stands");
+    let wait = Some(Duration::from_millis(50));
+    to.set_read_timeout(wait).expect("a socket takes a timeout");
+    let error = to.read(&mut [0; 4]).expect_err("nothing comes");
+    assert!(
+        matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        "{error}"
+    );
+    to.set_read_timeout(None).expect("a socket takes a timeout");
+}
+
+#[test]
+fn bytes_pass_both_ways() {
+    let Path { near, far, .. } = &mut Path::new();
+    passes(near, far);
+    passes(far, near);
+}
+
+#[test]
+fn a_cut_of_one_way_holds_that_way_until_it_heals() {
+    let Path { proxy, near, far } = &mut Path::new();
+    proxy.set(Mode::Hold(Way::Forth));
+    passes(far, near);
+    is_held(near, far);
+    proxy.set(Mode::Pass);
+    let mut got = [0; 4];
+    far.read_exact(&mut got).expect("the bytes come late");
+    assert_eq!(&got, b"ping");
+}
+
+#[test]
+fn a_silent_path_holds_both_ways() {
+    let Path { proxy, near, far } = &mut Path::new();
+    proxy.set(Mode::Hold(Way::Both));
+    is_held(near, far);
+    is_held(far, near);
+}
+
+#[test]
+fn a_reset_ends_both_connections() {
+    let Path { proxy, near, far } = &mut Path::new();
+    passes(near, far);
+    proxy.reset();
+    for end in [near, far] {
+        assert!(matches!(end.read(&mut [0; 4]), Ok(0) | Err(_)));
+    }
+}
