feat(forward): let the keeper give out nearly all of a limit

Cause: in a large fleet a fifth of each limit was shared by dozens of entries.

The keeper now gives out 0.95. The rest stays for when it cannot be reached.

--- a/bergamotshift-forward/src/limits/keeper.rs
+++ b/bergamotshift-forward/src/limits/keeper.rs
@@ -15,8 +15,9 @@
 /// The most entries among which limits are shared without keepers.
 pub const SMALL: usize = 16;
 
-/// The part of a limit that its keeper gives out. Organisations use about half of their limits on calm days.
-pub const KEPT: f64 = 0.8;
+/// The part of a limit that its keeper gives out. The rest is for when the keeper cannot be reached: shared by dozens, it
+/// holds small requests alone, and an organisation that is at its limit cannot use it.
+pub const KEPT: f64 = 0.95;
 
 /// How long a keeper may take to answer: some ways between zones. Nothing is sent meanwhile.
 pub const PATIENCE: Duration = Duration::from_millis(120);
