fix(soak): end the stand-ins of a run with the run

Cause: proxies, endpoints and stores lived until the process ended, and ends of closed connections were kept for a reset. Each is ended with its fleet now, and connections are forgotten when they close.

--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -1,9 +1,11 @@
 //! Endpoints that note every request they get, and misbehave on order.
 
+use core::mem;
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU8;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
+use std::collections::BTreeMap;
 use std::io;
 use std::io::Write;
 use std::net::Shutdown;
@@ -12,6 +14,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::thread;
 
@@ -71,7 +74,8 @@
     ledger: Arc<Ledger>,
     habit: AtomicU8,
     is_gone: AtomicBool,
-    streams: Mutex<Vec<TcpStream>>,
+    /// The connections that stand, by the port at the other side.
+    streams: Mutex<BTreeMap<u16, TcpStream>>,
 }
 
 /// One incarnation of an endpoint, behind a proxy.
@@ -109,7 +113,7 @@
                 }
                 let served = Arc::clone(&served);
                 // A connection that breaks concerns its entry alone.
-                thread::spawn(move || drop(served.serve(stream)));
+                thread::spawn(move || drop(served.keep(stream)));
             }
         });
         Ok(Self {
@@ -147,8 +151,8 @@
     pub fn crash(&self) {
         self.shared.is_gone.store(true, Ordering::Relaxed);
         self.proxy.close();
-        let mut streams = self.shared.streams.lock().unwrap_or_else(PoisonError::into_inner);
-        for stream in streams.drain(..) {
+        let mut streams = self.shared.streams();
+        for stream in mem::take(&mut *streams).values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
         drop(streams);
@@ -158,10 +162,21 @@
 }
 
 impl Shared {
-    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    fn streams(&self) -> MutexGuard<'_, BTreeMap<u16, TcpStream>> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Serves a connection, and keeps it meanwhile, so that a crash can end it.
+    fn keep(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let kept = stream.try_clone()?;
-        self.streams.lock().unwrap_or_else(PoisonError::into_inner).push(kept);
+        let port = stream.peer_addr()?.port();
+        self.streams().insert(port, stream.try_clone()?);
+        let served = self.serve(stream);
+        self.streams().remove(&port);
+        served
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         while let Some(call) = Call::read(&mut stream)? {
             let habit = Habit::of(self.habit.load(Ordering::Relaxed));
             let id: SmolStr = call.header(self.dialect.request.as_str()).unwrap_or_default().into();
--- a/bergamotshift-soak/src/fleet.rs
+++ b/bergamotshift-soak/src/fleet.rs
@@ -450,6 +450,24 @@
     }
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for entry in &mut self.entries {
+            entry.process = None;
+            entry.link.close();
+        }
+        for endpoint in &self.endpoints {
+            endpoint.crash();
+        }
+        for (_, what) in self.later.drain(..) {
+            if let Later::End(endpoint) = what {
+                endpoint.crash();
+            }
+        }
+        self.store.stop();
+    }
+}
+
 fn mark(ledger: &Ledger, place: Place, mode: Mode) {
     ledger.end(place, "link");
     if mode != Mode::Pass {
--- a/bergamotshift-soak/src/proxy.rs
+++ b/bergamotshift-soak/src/proxy.rs
@@ -1,6 +1,8 @@
 //! A proxy on the loopback device that delays, silences, cuts one way and resets what goes through it.
 
+use core::mem;
 use core::time::Duration;
+use std::collections::BTreeMap;
 use std::io;
 use std::io::Read;
 use std::io::Write;
@@ -43,7 +45,9 @@
 #[derive(Debug, Default)]
 struct State {
     mode: Mode,
-    streams: Vec<TcpStream>,
+    /// Both ends of each connection that stands.
+    streams: BTreeMap<u64, [TcpStream; 2]>,
+    opened: u64,
     is_closed: bool,
 }
 
@@ -58,6 +62,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Keeps both ends of a connection, to reset them; returns their place.
+    fn keep(&self, ends: [TcpStream; 2]) -> u64 {
+        let mut state = self.state();
+        state.opened += 1;
+        let place = state.opened;
+        state.streams.insert(place, ends);
+        place
+    }
+
     /// Waits until bytes of one way may pass.
     fn pass(&self, way: Way) {
         let held = |state: &mut State| matches!(state.mode, Mode::Hold(held) if held == way || held == Way::Both);
@@ -109,9 +122,10 @@
 
     /// Resets all connections.
     pub fn reset(&self) {
-        for stream in self.link.state().streams.drain(..) {
+        let streams = mem::take(&mut self.link.state().streams);
+        for stream in streams.values().flatten() {
             // One that is gone needs no reset.
-            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -130,16 +144,16 @@
     let far = TcpStream::connect(target)?;
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
-    let ends = [near.try_clone()?, far.try_clone()?];
-    link.state().streams.extend(ends);
-    let (link, from, to) = (Arc::clone(link), far.try_clone()?, near.try_clone()?);
+    let place = link.keep([near.try_clone()?, far.try_clone()?]);
+    let (from, to) = (far.try_clone()?, near.try_clone()?);
     let back = {
-        let link = Arc::clone(&link);
+        let link = Arc::clone(link);
         thread::spawn(move || copy(&link, Way::Back, from, to))
     };
-    copy(&link, Way::Forth, near.try_clone()?, far);
+    copy(link, Way::Forth, near.try_clone()?, far);
     // The other way ends with its own connection; a panic there was printed.
     let _ = back.join();
+    link.state().streams.remove(&place);
     Ok(())
 }
 
