feat(forward): give the duties back when their holder stops

The holder now gives the lease back, says so to whoever asks it, and the next look takes it. Where the last call had no answer it lapses as before, since that call may still be carried out. A process that was just started takes a lease only once it has lapsed, so that no two lives of one entry act around another's within a lease.

Ruled out: more watchers of the lease (calls are priced, and the five seconds stay), and extending a lease by reading it while writes are refused (a successor may take it right after the read).

--- a/bergamotshift-claim/src/lease/keeper.rs
+++ b/bergamotshift-claim/src/lease/keeper.rs
@@ -33,6 +33,10 @@
     pub backoff_limit: Duration,
     /// The share of each wait that is drawn at random, in percent.
     pub jitter: u32,
+    /// Until when a lease that was given back is taken only once it has lapsed. A process that gave it back and was
+    /// started again would otherwise follow its own successor within a lease, and whoever takes orders without
+    /// checking numbers could not tell the two apart.
+    pub young_until: Instant,
 }
 
 impl Default for Settings {
@@ -45,6 +49,7 @@
             watch: Duration::from_secs(5),
             backoff_limit: Duration::from_secs(30),
             jitter: 50,
+            young_until: Instant::ZERO,
         }
     }
 }
@@ -288,7 +293,8 @@
         };
         self.sight = Some(Sight { version, since });
         let lapsed = now.since(since) >= found.length();
-        if found.released || lapsed {
+        let is_free = found.released && now >= self.settings.young_until;
+        if is_free || lapsed {
             return self.put(now, found.number + 1, version, found.released);
         }
         self.wait(now, self.settings.watch, random)
--- a/bergamotshift-claim/tests/explore/lease/mod.rs
+++ b/bergamotshift-claim/tests/explore/lease/mod.rs
@@ -154,6 +154,7 @@
             watch: second,
             backoff_limit: second,
             jitter: 0,
+            young_until: Instant::ZERO,
         };
         let process = |place: u128| {
             let life = attempt::Id::new(place);
--- a/bergamotshift-claim/tests/lease.rs
+++ b/bergamotshift-claim/tests/lease.rs
@@ -79,6 +79,27 @@
     assert_eq!(keeper.permit(Instant::ZERO, false), Some(4));
 }
 
+// An entry stops, gives its duty back and is started again. Its successor stops as well, so the duty is free once more.
+// Taken at once, its orders could follow those of its first life within a lease, in the order A, B, A, and whoever
+// ignores numbers would mix them up. So a young process waits for a lapse, and takes it at once when it is older.
+#[test]
+fn a_young_process_waits_for_a_released_duty_to_lapse() {
+    let young = Settings {
+        young_until: Instant::from_secs(10),
+        ..Settings::default()
+    };
+    let mut keeper = Keeper::new(young, "duties".into(), "entry-1".into(), attempt::Id::new(1));
+    tell(&mut keeper, 0, Event::Woke);
+    let actions = tell(&mut keeper, 0, Event::Rows(Ok(Some(row(3, true)))));
+    assert!(matches!(actions.as_slice(), [Action::Wake(_)]), "{actions:?}");
+    tell(&mut keeper, 5, Event::Woke);
+    let actions = tell(&mut keeper, 5, Event::Rows(Ok(Some(row(4, true)))));
+    assert!(matches!(actions.as_slice(), [Action::Wake(_)]), "{actions:?}");
+    tell(&mut keeper, 10, Event::Woke);
+    tell(&mut keeper, 10, Event::Rows(Ok(Some(row(4, true)))));
+    assert!(begins(&tell(&mut keeper, 10, Event::Written(Ending::Applied))));
+}
+
 // The holder is paused past its lease and wakes up. Nothing has told it that another entry holds the duty by now.
 // Its clock alone must keep it from giving an order; its next renewal then tells it the rest.
 #[test]
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -108,6 +108,16 @@
     pub(super) reading: Demand,
 }
 
+/// Another entry that holds the duties, or did.
+#[derive(Clone, Debug)]
+pub(super) struct Holder {
+    pub(super) entry: name::Entry,
+    /// When it was last so.
+    pub(super) at: Instant,
+    /// Whether it holds them; one that stops says itself that it does not any more.
+    pub(super) holds: bool,
+}
+
 #[derive(Debug)]
 pub(super) struct Inner {
     pub(super) document: Arc<Document>,
@@ -122,8 +132,8 @@
     pub(super) counted: BTreeMap<(name::Entry, u64), Windows>,
     /// Whether this entry holds the duties.
     pub(super) holds: bool,
-    /// Which other entry said so last, and when.
-    pub(super) holder: Option<(name::Entry, Instant)>,
+    /// Which other entry was last known to hold the duties, or to have given them up.
+    pub(super) holder: Option<Holder>,
     /// Whether the list of entries was read.
     pub(super) lists_entries: bool,
     /// The calls that failed when they were last made.
@@ -300,7 +310,7 @@
     pub(super) fn is_held_elsewhere(&self, now: Instant) -> bool {
         self.holder
             .as_ref()
-            .is_some_and(|(_, at)| now.since(*at) < self.patience())
+            .is_some_and(|holder| holder.holds && now.since(holder.at) < self.patience())
     }
 
     /// Returns how long what each other entry said once stands for what it does now.
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -200,7 +200,7 @@
     pub fn due(&self, most: usize) -> Vec<(name::Entry, SocketAddr)> {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
-        let holder = inner.holder.as_ref().map(|(entry, _)| entry.clone());
+        let holder = inner.holder.as_ref().map(|holder| holder.entry.clone());
         inner.members.due(now, most, holder.as_ref())
     }
 
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -6,6 +6,7 @@
 use bergamotshift_core::prelude::*;
 use slog::info;
 
+use super::inner::Holder;
 use super::inner::Inner;
 use crate::document::Document;
 use crate::endpoint::Event;
@@ -55,9 +56,9 @@
             address: shared.settings.listen.peers,
             zone: shared.settings.zone.clone(),
             holds: self.holds,
-            holder: self.holder.as_ref().map(|(entry, at)| {
-                let age = now.since(*at).as_millis();
-                (entry.clone(), u32::try_from(age).unwrap_or(u32::MAX))
+            holder: self.holder.as_ref().filter(|holder| holder.holds).map(|holder| {
+                let age = now.since(holder.at).as_millis();
+                (holder.entry.clone(), u32::try_from(age).unwrap_or(u32::MAX))
             }),
             reaches_store: self.lost_calls.is_empty(),
             document: self.document.version,
@@ -127,16 +128,25 @@
                 organisation.share.heard(now, &state.entry, used.demand, used.share);
             }
         }
-        let said = if state.holds {
-            Some((state.entry.clone(), now))
+        let was_holder = self.holder.as_ref().is_some_and(|holder| holder.entry == state.entry);
+        let said = if state.holds || was_holder {
+            Some(Holder {
+                entry: state.entry.clone(),
+                at: now,
+                holds: state.holds,
+            })
         } else {
             let told = state.holder.clone();
-            told.map(|(entry, age)| (entry, now - Duration::from_millis(age.into())))
+            told.map(|(entry, age)| Holder {
+                entry,
+                at: now - Duration::from_millis(age.into()),
+                holds: true,
+            })
         };
-        if let Some((entry, at)) = said.filter(|(entry, _)| *entry != shared.settings.name)
-            && self.holder.as_ref().is_none_or(|(_, before)| *before < at)
+        if let Some(holder) = said.filter(|holder| holder.entry != shared.settings.name)
+            && self.holder.as_ref().is_none_or(|before| before.at < holder.at)
         {
-            self.holder = Some((entry, at));
+            self.holder = Some(holder);
         }
         // Who has the same, and knows it to be newer, makes this entry's knowledge as fresh as its own.
         if state.document == self.document.version {
--- a/bergamotshift-forward/src/duty/lease.rs
+++ b/bergamotshift-forward/src/duty/lease.rs
@@ -8,6 +8,8 @@
 use bergamotshift_claim::lease::Event;
 use bergamotshift_claim::lease::Keeper;
 use bergamotshift_core::prelude::*;
+use bergamotshift_core::table::Ending;
+use bergamotshift_platform::Error;
 use bergamotshift_platform::table::Table;
 use rand_pcg::Pcg64Mcg;
 
@@ -30,6 +32,8 @@
     clock: Clock,
     generator: Pcg64Mcg,
     wake: Instant,
+    /// How the last call ended, when that was no answer.
+    failure: Option<Error>,
 }
 
 impl Lease {
@@ -42,6 +46,7 @@
             clock,
             generator,
             wake,
+            failure: None,
         }
     }
 
@@ -52,6 +57,11 @@
         self.keeper.permit(self.clock.now(), checks)
     }
 
+    /// Returns why the last call of the table had no answer, if that was so.
+    pub const fn failure(&self) -> Option<&Error> {
+        self.failure.as_ref()
+    }
+
     /// Does what is due, and returns what changed, in order.
     pub async fn step(&mut self) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -72,11 +82,17 @@
             match action {
                 Action::Read(key) => {
                     let rows = self.table.get(vec![key]).await;
+                    self.failure = rows.as_ref().err().cloned();
                     let row = rows.map(|rows| rows.into_iter().next().flatten());
                     actions.extend(self.on(Event::Rows(row.map_err(|_unreachable| Unreachable))));
                 }
                 Action::Write(write) => {
                     let ending = self.table.transact(vec![write]).await;
+                    self.failure = match &ending {
+                        Ending::Applied | Ending::Conflict(_) => None,
+                        Ending::Refused => Some(Error::Refused("the row was not written".to_owned())),
+                        Ending::Unknown => Some(Error::Unknown("the row may have been written".to_owned())),
+                    };
                     actions.extend(self.on(Event::Written(ending)));
                 }
                 Action::Wake(at) => self.wake = at,
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -51,6 +51,9 @@
 /// The oldest window that is still reported, counted back from the current one.
 const OLDEST: u64 = 3;
 
+/// What a lease lasts beyond the time within which the platform wants no two holders' calls mixed.
+const MARGIN: Duration = Duration::from_millis(500);
+
 /// How many entries look at a lease that nobody is heard to hold.
 const WATCHERS: usize = 3;
 
@@ -68,13 +71,14 @@
     let keeping = Keeping {
         // A successor acts when the row stood still for this long, so the holder before has not acted for longer than
         // the margin; and the time between two holders' acts is longer than the platform asks.
-        length: length + Duration::from_millis(500),
+        length: length + MARGIN,
         renewal: length / 3,
         margin: Duration::from_millis(700),
         pause: Duration::from_millis(300),
         watch: length / 4,
         backoff_limit: length / 3,
         jitter: 30,
+        young_until: clock.now() + length + MARGIN,
     };
     let mut generator = random::generator();
     let life = attempt::Id::new(u128::from(generator.next_u64()) << 64 | u128::from(generator.next_u64()));
@@ -88,6 +92,8 @@
         planners: BTreeMap::new(),
         reported: 0,
         number: None,
+        is_answered: true,
+        is_lease_lost: false,
     };
     loop {
         tokio::time::sleep(LOOK).await;
@@ -105,14 +111,17 @@
     reported: u64,
     /// The fencing number while the duties are held.
     number: Option<u64>,
+    /// Whether the last call under the duties had an answer; one without may still be carried out.
+    is_answered: bool,
+    /// Whether the lease's last call had no answer.
+    is_lease_lost: bool,
 }
 
 impl Work {
     async fn look(&mut self) {
         let shared = std::sync::Arc::clone(self.control.shared());
-        // An entry that stops lets its lease lapse: given back, it might come round to it again within a lease.
         if shared.is_stopping() {
-            self.control.hold(false);
+            self.leave().await;
             return;
         }
         // Who holds the duties says so to all; only when nobody does, the first ones look at the lease.
@@ -127,6 +136,7 @@
             self.planners.clear();
             info!(shared.log.always(), "duties"; "held" => self.number.is_some(), "number" => self.number);
         }
+        self.note_lease();
         // Failure: a holder that cannot reach the store goes on saying that it holds the duties. Symptom: nobody takes
         // them over, and nothing is reported. It says so only as long as it may act.
         self.control.hold(self.holder().is_some());
@@ -137,6 +147,43 @@
         self.report().await;
     }
 
+    /// Logs when the lease's row stops or begins to be read and written; without it, the duties stand still.
+    fn note_lease(&mut self) {
+        let failure = self.lease.failure();
+        if failure.is_some() == self.is_lease_lost {
+            return;
+        }
+        self.is_lease_lost = failure.is_some();
+        let log = &self.control.shared().log;
+        match failure {
+            Some(cause) => info!(log.always(), "dependency lost"; "call" => "lease", "cause" => %cause),
+            None => info!(log.always(), "dependency regained"; "call" => "lease"),
+        }
+    }
+
+    /// Gives the duties up for good.
+    ///
+    /// Failure: a holder that stops lets its lease lapse, and in a large fleet it takes seconds until another entry
+    /// looks. Symptom: for ten seconds nobody reports usage or orders endpoints. A lease that is given back is taken
+    /// with the next look. One whose last call had no answer lapses all the same: the call may still be carried out.
+    async fn leave(&mut self) {
+        self.control.hold(false);
+        let Some(number) = self.number.take() else {
+            return;
+        };
+        if self.is_answered {
+            self.lease.resign().await;
+        }
+        info!(self.control.shared().log.always(), "duties"; "held" => false, "number" => number,
+            "given_back" => self.is_answered);
+    }
+
+    /// Notes how a call under the duties ended.
+    fn called(&mut self, call: &'static str, ending: &Result<(), Error>) {
+        self.is_answered = matches!(ending, Ok(()) | Err(Error::NoCapacity | Error::Refused(_)));
+        self.control.shared().metrics.called(call, ending.is_ok());
+    }
+
     /// Returns the right to make one call now.
     fn holder(&self) -> Option<Holder> {
         let number = self.lease.permit(false)?;
@@ -173,7 +220,7 @@
             let total: u64 = usage.counts.values().sum();
             let number = holder.number;
             let sent = self.duties.report(holder, usage).await;
-            shared.metrics.called("usage", sent.is_ok());
+            self.called("usage", &sent);
             info!(shared.log.always(), "usage reported"; "window" => window, "requests" => total,
                 "number" => number, "error" => sent.as_ref().err().map(ToString::to_string));
             if sent.is_err() {
@@ -243,7 +290,7 @@
             return;
         };
         let placed = self.duties.order(holder, order.clone()).await;
-        shared.metrics.called("order", placed.is_ok());
+        self.called("order", &placed);
         info!(shared.log.always(), "endpoints ordered"; "service" => order.service.as_str(),
             "zone" => order.zone.as_str(), "market" => ?order.market, "count" => order.count,
             "error" => placed.as_ref().err().map(ToString::to_string));
--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -43,6 +43,8 @@
     pub document: Option<Document>,
     pub registrations: BTreeMap<SmolStr, Registration>,
     pub rows: BTreeMap<Key, Row>,
+    /// All that was written, in order.
+    pub written: Vec<(Key, Vec<u8>)>,
     pub reports: Vec<(Holder, Usage)>,
     pub orders: Vec<(Holder, Order)>,
     /// Entries, by the name after `@` in their store's address, to which no call is answered.
@@ -198,8 +200,13 @@
     for write in writes {
         let next = version(world, &write.key).unwrap_or_default() + 1;
         match write.change {
-            table::Change::Put(body) => drop(world.rows.insert(write.key, Row { version: next, body })),
-            table::Change::Delete => drop(world.rows.remove(&write.key)),
+            table::Change::Put(body) => {
+                world.written.push((write.key.clone(), body.clone()));
+                world.rows.insert(write.key, Row { version: next, body });
+            }
+            table::Change::Delete => {
+                world.rows.remove(&write.key);
+            }
             table::Change::Check => {}
         }
     }
