fix(forward): share the slack of repeated sends among all entries

Cause: each entry saved up a twelfth of the slack that all may send again beyond the ratio, whatever their number. At 77 entries that is six times the slack: 16 each, 1,232 in all, where 194 are allowed within a window.

An entry's part now follows the number of entries, from a dozen on, and what it saved beyond a smaller part is gone.

Ruled out: parts by demand, as limits are shared; sends are repeated where endpoints break, which demand does not tell.

Small sites have at most 12 entries, so nothing changes there.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -231,7 +231,11 @@
                 .demand
                 .note(timing.memory, organisation.account.take_asked(), span);
         }
+        // Failure: dozens of entries save up what a dozen may. Symptom: when endpoints break, all together send again more
+        // than the platform allows, and the ones that are left break too.
+        let slack = retry_slack(shared, self.members.count());
         for service in self.services.values_mut() {
+            service.budget.bound(slack);
             service.reading.note(READING, service.asked.swap(0, Relaxed), span);
         }
         for entry in self.members.expire(now) {
@@ -319,14 +323,11 @@
     }
 }
 
-/// Returns this entry's part of what repeated sends may add to a service.
-///
-/// The slack is shared evenly by the largest number of entries that a small site has; the ratio holds by itself, as
-/// each entry counts its own requests.
+/// Returns this entry's part of what repeated sends may add to a service; the ratio holds by itself, as each entry counts
+/// its own requests.
 pub(super) fn budget(shared: &Shared) -> Budget {
-    const ENTRIES: f64 = 12.0;
     const RATIO_USED: f64 = 0.75;
-    let slack = (shared.settings.retry.slack / ENTRIES).max(1.0) as u32;
+    let slack = retry_slack(shared, UNKNOWN);
     Budget::new(retry::Settings {
         ratio: shared.settings.retry.ratio * RATIO_USED,
         reserve: slack,
@@ -334,6 +335,12 @@
     })
 }
 
+/// Returns one entry's even share of the repeated sends that all may make beyond the ratio. A small site's is that of the
+/// most entries that it has, so that it does not change with every entry that comes and goes.
+fn retry_slack(shared: &Shared, entries: usize) -> u32 {
+    (shared.settings.retry.slack / entries.max(UNKNOWN) as f64).max(1.0) as u32
+}
+
 pub(super) fn victim(endpoint: &Endpoint) -> quarantine::Victim {
     quarantine::Victim::new(name::Vm::new(&endpoint.registration.id), Incarnation::default())
 }
--- a/bergamotshift-limit/src/retry/budget.rs
+++ b/bergamotshift-limit/src/retry/budget.rs
@@ -50,7 +50,7 @@
     balance: AtomicU64,
     debt: AtomicU64,
     deposit: u64,
-    cap: u64,
+    cap: AtomicU64,
 }
 
 impl Budget {
@@ -62,16 +62,23 @@
             balance: AtomicU64::new(reserve),
             debt: AtomicU64::new(reserve),
             deposit: (settings.ratio.max(0.0) * TOKEN as f64) as u64,
-            cap: burst.max(reserve),
+            cap: AtomicU64::new(burst.max(reserve)),
         }
     }
 
+    /// Changes how many extra attempts are saved up at most; what is beyond that is gone.
+    pub fn bound(&self, burst: u32) {
+        let cap = u64::from(burst) * TOKEN;
+        self.cap.store(cap, Relaxed);
+        self.balance.update(Relaxed, Relaxed, |balance| balance.min(cap));
+    }
+
     /// Notes one request; called once per request, not per attempt.
     pub fn deposit(&self) {
         let paid = self.repay(self.deposit);
         let left = self.deposit - paid;
         if left > 0 {
-            let cap = self.cap;
+            let cap = self.cap.load(Relaxed);
             self.balance
                 .update(Relaxed, Relaxed, |balance| (balance + left).min(cap));
         }
@@ -88,7 +95,7 @@
 
     /// Gives back an extra attempt that was never sent.
     pub fn refund(&self) {
-        let cap = self.cap;
+        let cap = self.cap.load(Relaxed);
         self.balance
             .update(Relaxed, Relaxed, |balance| (balance + TOKEN).min(cap));
     }
--- a/bergamotshift-limit/tests/retry.rs
+++ b/bergamotshift-limit/tests/retry.rs
@@ -68,6 +68,22 @@
     assert!(budget.try_withdraw());
 }
 
+// An entry that starts takes itself for one of a dozen and has its part of what all may send again. Then it learns that
+// they are dozens. What it had saved beyond its smaller part must not be spent: all together would exceed the bound.
+#[test]
+fn a_smaller_bound_takes_what_was_saved() {
+    let budget = Budget::new(retry::Settings {
+        ratio: 0.0,
+        reserve: 16,
+        burst: 16,
+    });
+    budget.bound(2);
+    let taken = (0..100).filter(|_| budget.try_withdraw()).count();
+    assert_eq!(taken, 1, "a withdrawal leaves some of the balance");
+    budget.bound(16);
+    assert!(!budget.try_withdraw(), "a larger bound lends nothing");
+}
+
 #[test]
 fn refund_gives_one_attempt_back() {
     let budget = Budget::new(retry::Settings::default());
