refactor(soak): give entries and endpoints of a fleet files of their own

Each has its file now, and a stop of all entries returns nothing that it cannot say.

Ruled out: types of their own for both halves; each step touches the ledger and the store too.

--- /dev/null
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -0,0 +1,69 @@
+//! The endpoints of a fleet: how they come and go.
+
+use core::time::Duration;
+use std::io;
+use std::sync::Arc;
+use std::time::Instant;
+
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use super::Fleet;
+use crate::endpoint::Endpoint;
+use crate::ledger::Leave;
+use crate::ledger::Place;
+use crate::site::SERVICES;
+
+/// How long an endpoint that leaves goes on serving.
+const LEAVING: Duration = Duration::from_secs(3);
+
+/// How long a crashed endpoint stays registered.
+const LAPSE: Duration = Duration::from_millis(1_200);
+
+/// Something that is due later.
+#[derive(Debug)]
+pub(super) enum Later {
+    /// The endpoint ends.
+    End(Endpoint),
+    /// The endpoint's registration goes.
+    Lapse(SmolStr),
+}
+
+impl Fleet {
+    pub(super) fn endpoint(&mut self, service: &'static str) -> io::Result<Endpoint> {
+        self.named += 1;
+        let id = format_smolstr!("{service}-{}", self.named);
+        let endpoint = Endpoint::start(id, service, Arc::clone(&self.ledger))?;
+        self.store.register(&endpoint.registration("one", false));
+        Ok(endpoint)
+    }
+
+    pub(super) fn replace(&mut self, place: usize) -> io::Result<Endpoint> {
+        let next = self.endpoint(SERVICES[place % SERVICES.len()])?;
+        Ok(core::mem::replace(&mut self.endpoints[place], next))
+    }
+
+    pub(super) fn crash(&mut self, place: usize) -> io::Result<()> {
+        self.ledger.note(Place::Endpoint(place), "crash", false);
+        let old = self.replace(place)?;
+        old.crash();
+        let lapse = Later::Lapse(old.id().clone());
+        self.later.push((Instant::now() + LAPSE, lapse));
+        Ok(())
+    }
+
+    pub(super) fn leave(&mut self, place: usize) -> io::Result<()> {
+        self.ledger.note(Place::Endpoint(place), "leave", true);
+        let old = self.replace(place)?;
+        self.store.register(&old.registration("one", true));
+        let acknowledged = self.ledger.now();
+        self.ledger.book().leaves.push(Leave {
+            endpoint: old.id().clone(),
+            acknowledged,
+        });
+        let now = Instant::now();
+        self.later.push((now + LEAVING, Later::Lapse(old.id().clone())));
+        self.later.push((now + LEAVING, Later::End(old)));
+        Ok(())
+    }
+}
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -121,7 +121,7 @@
     follow(&mut fleet, &plan, settings.size.span)?;
     fleet.heal()?;
     late.extend(recover(&mut fleet, &ledger, CHECKER + 1)?);
-    fleet.finish()?;
+    fleet.finish();
     stop.store(true, Ordering::Relaxed);
     for caller in callers {
         // A caller that panicked has said so.
