refactor(soak): note what ends by itself in one step

Cause: the last reading of the diff found that a store's spell was noted as begun and its end then written over the last row of the ledger, which is the right one only while one thread notes, and that a note of something that is over at once also ended every open row of its kind. Both go one way now.

--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -214,11 +214,7 @@
     }
 
     fn spell(&mut self, fault: Fault, span: Duration, spared: u32) {
-        self.ledger.begin(Place::Store, "spell", false);
-        let until = self.ledger.now() + span;
-        if let Some(last) = self.ledger.book().disruptions.last_mut() {
-            last.until = Some(until);
-        }
+        self.ledger.during(Place::Store, "spell", span);
         self.store.state().spell = Some(Spell::new(fault, Instant::now() + span, spared));
     }
 
--- a/bergamotshift-soak/src/ledger.rs
+++ b/bergamotshift-soak/src/ledger.rs
@@ -161,16 +161,14 @@
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that something begins.
+    /// Notes that something begins, whose end is noted by [`Self::end`].
     pub fn begin(&self, place: Place, what: &'static str, is_planned: bool) {
-        let from = self.now();
-        self.book().disruptions.push(Disruption {
-            place,
-            what,
-            is_planned,
-            from,
-            until: None,
-        });
+        self.push(place, what, is_planned, None);
+    }
+
+    /// Notes something that ends by itself after a time.
+    pub fn during(&self, place: Place, what: &'static str, span: Duration) {
+        self.push(place, what, false, Some(span));
     }
 
     /// Notes that what was done to a place is over.
@@ -188,8 +186,18 @@
 
     /// Notes something that is over at once.
     pub fn note(&self, place: Place, what: &'static str, is_planned: bool) {
-        self.begin(place, what, is_planned);
-        self.end(place, what);
+        self.push(place, what, is_planned, Some(Duration::ZERO));
+    }
+
+    fn push(&self, place: Place, what: &'static str, is_planned: bool, span: Option<Duration>) {
+        let from = self.now();
+        self.book().disruptions.push(Disruption {
+            place,
+            what,
+            is_planned,
+            from,
+            until: span.map(|span| from + span),
+        });
     }
 }
 
