fix(standin): keep a dead host's port, and ask over a new connection whether it died

Cause: two tests of the entry failed at times. The system takes a port that it chose itself back once the listening socket is shut, and gives it to the next test that asks for any: a shut listener's port could be bound by another socket at once (tried by hand), one that was asked for by its number could not.

A second way to the same symptom, found while reading: a load report asked over a kept connection breaks like one that a living endpoint took, so a death was not seen as one. `Client::load` asks once more over a new connection.

Ruled out: a health check's connection that was cut after it was chosen (control and workers have connections of their own).

--- a/bergamotshift-endpoint/src/client.rs
+++ b/bergamotshift-endpoint/src/client.rs
@@ -138,12 +138,25 @@
         })
     }
 
-    /// Asks an endpoint for its load report.
+    /// Asks an endpoint for its load report, over a new connection when a kept one breaks.
+    ///
+    /// Failure: an endpoint died and this thread has not yet seen its kept connection end. Symptom: the question breaks
+    /// like one that a living endpoint took and did not answer, so the death counts against nobody, and a request that
+    /// kills endpoints goes on to the next. A new connection tells whether anybody listens; asking twice does no harm.
     ///
     /// # Errors
     ///
-    /// Returns what went wrong on the way.
+    /// Returns what went wrong on the way; [`Failure::Connect`] only when nothing listens there.
     pub async fn load(&self, target: &Target, path: &'static str, timeout: Duration) -> Result<load::Report, Failure> {
+        let first = self.ask_load(target, path, timeout).await;
+        if !matches!(first, Err(Failure::Broken(_))) {
+            return first;
+        }
+        self.renew();
+        self.ask_load(target, path, timeout).await
+    }
+
+    async fn ask_load(&self, target: &Target, path: &'static str, timeout: Duration) -> Result<load::Report, Failure> {
         let uri = Uri::builder()
             .scheme(target.scheme())
             .authority(target.authority().clone())
--- a/bergamotshift-standin/src/host/control.rs
+++ b/bergamotshift-standin/src/host/control.rs
@@ -220,7 +220,7 @@
         if *self.phase.borrow() != Phase::Down {
             return;
         }
-        let socket = bind(self.address).expect("the shut socket still keeps the port");
+        let socket = listen(self.address).expect("the shut socket still keeps the port");
         *self.socket() = socket;
         let incarnation = {
             let mut state = self.state();
@@ -243,17 +243,37 @@
     }
 }
 
-/// Listens at an address.
+/// Binds a socket to an address.
 fn bind(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_nonblocking(true)?;
     // Without it, a restart fails while connections that were cut, or the shut socket itself, still hold the port.
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+/// Listens at an address.
+fn listen(address: SocketAddr) -> io::Result<Socket> {
+    let socket = bind(address)?;
     socket.listen(BACKLOG)?;
     Ok(socket)
 }
 
+/// Listens at a free loopback port, and keeps it also while the listening socket is shut.
+///
+/// Failure: the system takes a port that it chose itself back when the listening socket is shut, and gives it to the
+/// next program that asks for any. Symptom: a dead host's callers reach a stranger there. A port that was asked for by
+/// its number stays with the socket until that is closed; both sockets hold it in between, so nobody else can get it.
+fn listen_anywhere() -> io::Result<(Socket, SocketAddr)> {
+    let chosen = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    let address = chosen
+        .local_addr()?
+        .as_socket()
+        .ok_or(io::ErrorKind::AddrNotAvailable)?;
+    Ok((listen(address)?, address))
+}
+
 /// A running host; dropping it stops it.
 #[derive(Debug)]
 pub(crate) struct Host {
@@ -269,11 +289,7 @@
     ///
     /// Returns the error of the socket calls.
     pub(crate) fn start(site: Arc<dyn Site>, on_death: impl Fn() + Send + Sync + 'static) -> io::Result<Self> {
-        let socket = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-        let address = socket
-            .local_addr()?
-            .as_socket()
-            .ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let (socket, address) = listen_anywhere()?;
         let control = Arc::new_cyclic(|me| Control {
             me: Weak::clone(me),
             address,
--- a/bergamotshift-standin/tests/endpoints.rs
+++ b/bergamotshift-standin/tests/endpoints.rs
@@ -12,6 +12,10 @@
 use ntex::http::StatusCode;
 use serde_json::Value;
 use serde_json::json;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+use std::io::ErrorKind;
 
 const ATTEMPT: &str = "x-bergamotshift-attempt";
 
@@ -347,3 +351,17 @@
         server.restart();
     }
 }
+
+#[ntex::test]
+async fn a_dead_host_keeps_its_port() {
+    // An endpoint dies, and another program on the same VM asks for any free port. It must not get the dead one's:
+    // callers would take the stranger for the endpoint and conclude that it lives.
+    let server = plain::Server::start(plain::Settings::default()).unwrap();
+    server.kill();
+    let stranger = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let taken = stranger.bind(&server.address().into());
+    assert_eq!(taken.unwrap_err().kind(), ErrorKind::AddrInUse);
+    server.restart();
+    server.up_as(Incarnation::new(1)).await;
+    assert!(get(server.address(), "/_count").await.is_ok());
+}
