--- a/bergamotshift-standin/tests/endpoints.rs
+++ b/bergamotshift-standin/tests/endpoints.rs
@@ -363,5 +363,6 @@
     assert_eq!(taken.unwrap_err().kind(), ErrorKind::AddrInUse);
     server.restart();
     server.up_as(Incarnation::new(1)).await;
-    assert!(get(server.address(), "/_count").await.is_ok());
+    let counted = get(server.address(), "/_count").await.unwrap();
+    assert_eq!(counted.status(), StatusCode::OK);
 }
