fix(forward): give on-demand endpoints back that fill a zone

Cause: while no reclaimable endpoints are to be had in a zone, on-demand ones are ordered there up to the zone's most. The most holds for both together, so nobody can ask for reclaimable ones any more, no answer says that there is room again, the zone counts as dry for good, and "enough" (which wants no dry zone) never comes true.

Ruled out: the reclaimable ones not being there (54 of them served, 45 were needed).

A zone is forgotten as dry 15 s after its last refusal.

Test, red without it: `capacity::on_demand_endpoints_that_fill_a_zone_are_given_back`.

--- a/bergamotshift-forward/src/capacity/mod.rs
+++ b/bergamotshift-forward/src/capacity/mod.rs
@@ -43,6 +43,9 @@
     /// For how many milliseconds a zone without room is left alone; the platform says that none are to be had for many
     /// seconds.
     pub dry_ms: u64,
+    /// For how many milliseconds a zone counts as without room when it cannot be asked, since on-demand endpoints take all
+    /// that it may have. The longest that was met is 15 seconds.
+    pub dry_memory_ms: u64,
 }
 
 impl Default for Settings {
@@ -55,6 +58,7 @@
             ahead: true,
             patience_ms: 3_000,
             dry_ms: 2_500,
+            dry_memory_ms: 15_000,
         }
     }
 }
@@ -158,6 +162,11 @@
             return Vec::new();
         }
         let began = *self.began.get_or_insert(now);
+        // Failure: on-demand endpoints are ordered up to a zone's most, so there is no room to ask for reclaimable ones.
+        // Symptom: the zone counts as without room for good, and the on-demand ones are never given back (35 seconds of 60
+        // of them on one day, an eighth of its worth). What was heard long ago says nothing of now.
+        let memory = Duration::from_millis(self.settings.dry_memory_ms);
+        self.dry.retain(|_, since| now.since(*since) < memory);
         let there = present.values().map(|here| here.on_demand).sum();
         let need = self.need(now, reading, there);
         let wanted = self.wanted(scale, present, need);
--- a/bergamotshift-forward/tests/kernel/capacity.rs
+++ b/bergamotshift-forward/tests/kernel/capacity.rs
@@ -188,3 +188,36 @@
         "{orders:?}"
     );
 }
+
+/// Two zones have no room for reclaimable endpoints, and on-demand ones are ordered up to all that a zone may have. There
+/// is no place left to ask for reclaimable ones, so no answer ever says that there is room again; the on-demand ones must
+/// be given back all the same, or they are paid for the rest of the day.
+#[test]
+fn on_demand_endpoints_that_fill_a_zone_are_given_back() {
+    let mut planner = planner();
+    for zone in ["a", "b"] {
+        planner.refused(
+            at(0),
+            &Order {
+                service: "planner".into(),
+                zone: zone.into(),
+                market: Market::Reclaimable,
+                count: 4,
+            },
+        );
+    }
+    let full = [(6, 0), (6, 0), (0, 4), (0, 4)];
+    for now in [1_000, 10_000] {
+        let orders = plan(&mut planner, at(now), full);
+        assert!(
+            of(&orders, Market::OnDemand).iter().all(|(_, count)| *count > 0),
+            "{orders:?}"
+        );
+    }
+    let orders = plan(&mut planner, at(16_000), full);
+    let given_back = of(&orders, Market::OnDemand);
+    assert!(
+        given_back.contains(&("a", 0)) && given_back.contains(&("b", 0)),
+        "{orders:?}"
+    );
+}
