--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -26,17 +26,19 @@
 use crate::limits::Account;
 use crate::limits::Demand;
 use crate::limits::Keeper;
+use crate::limits::Keeping;
 use crate::limits::Part;
 use crate::limits::Share;
 use crate::limits::Timing;
-use crate::limits::keeper::KEPT;
+use crate::limits::keeper;
 use crate::observe::Topic;
 use crate::peers::Members;
+use crate::peers::Stage;
 use crate::random;
 use crate::view::Shared;
 
-/// The same in a large fleet, where news of an entry come through others and in some seconds.
-const FRESH_LARGE: Duration = Duration::from_secs(5);
+/// How long what an entry said once stands in a large fleet, where news of it come through others and in some seconds.
+const HEARD_LARGE: Duration = Duration::from_secs(5);
 
 /// Over what time the reading of prompts is averaged; new endpoints take seconds to boot, so it follows quickly.
 const READING: Duration = Duration::from_secs(3);
@@ -61,40 +63,76 @@
 /// than the limit's slack allows.
 const CALM_BURSTS: f64 = 1.5;
 
+/// What a process that starts and keeps its zone takes to be used up, in bursts. Only as many requests as there are zones
+/// overdraw, and a process that was killed is back after a second, so that half a burst more in one window stays within
+/// the tenth by which a limit may be exceeded.
+const USED_KEEPER: f64 = 0.5;
+
 #[derive(Debug, Default)]
 pub(super) struct Organisation {
     pub(super) account: Arc<Account>,
-    /// What this entry grants to all, when it keeps the account.
+    /// What this entry grants to all of its zone, when it keeps that.
     pub(super) kept: Arc<Account>,
-    pub(super) keeper: Option<Keeper>,
-    pub(super) share: Share,
+    /// This entry's share in a small fleet.
+    pub(super) share: Share<name::Entry>,
+    /// The zone's share in a large one.
+    pub(super) zone_share: Share<name::Zone>,
     pub(super) demand: Demand,
 }
 
 impl Organisation {
     /// Works out this entry's part of the limit among `members` entries; `slack` are units that all together may let in
     /// beyond its burst.
-    fn deal(&mut self, now: Instant, limit: Option<Limit>, slack: f64, members: usize, keeper: Keeper) {
+    fn deal(&mut self, now: Instant, limit: Option<Limit>, slack: f64, members: usize) {
         let timing = Timing::default();
         let fraction = self.share.next(now, &timing, self.demand, members);
-        let whole = |limit: Limit| Part {
-            rate: limit.rate,
-            burst: limit.burst + slack,
-            base: limit.burst + slack,
-        };
-        let kept = limit.filter(|_| keeper == Keeper::Own);
-        self.kept.set(now, kept.map(|limit| whole(limit).times(KEPT, KEPT)));
-        let shared = limit.map(|limit| {
-            let part = if keeper == Keeper::Nobody { 1.0 } else { 1.0 - KEPT };
+        let part = limit.map(|limit| {
             let calm = self.share.is_calm(now, &timing, self.demand, members, limit.rate);
-            let spread = if calm {
-                (CALM_BURSTS / members as f64).min(1.0)
-            } else {
-                0.0
+            whole(limit, slack).times(fraction, fraction.max(spread(calm, members)))
+        });
+        self.account.set(now, part);
+    }
+
+    /// Works out the part of the limit that this entry grants as the keeper of its zone, or as its deputy, among `zones`.
+    fn deal_zone(&mut self, now: Instant, limit: Option<Limit>, slack: f64, zones: usize, keeping: Keeping) {
+        let timing = Timing::default();
+        let is_keeper = keeping.keeper == Keeper::Own;
+        if !is_keeper && !keeping.is_deputy {
+            return;
+        }
+        let fraction = if is_keeper {
+            self.zone_share.next(now, &timing, self.demand, zones)
+        } else {
+            self.zone_share.told() * keeper::DEPUTY
+        };
+        let part = limit.map(|limit| {
+            let calm = is_keeper && self.zone_share.is_calm(now, &timing, self.demand, zones, limit.rate);
+            let whole = Part {
+                used: USED_KEEPER,
+                ..whole(limit, slack)
             };
-            whole(limit).times(part * fraction, part * fraction.max(spread))
+            whole.times(fraction, fraction.max(spread(calm, zones)))
         });
-        self.account.set(now, shared);
+        self.kept.set(now, part);
+    }
+}
+
+/// Returns a whole limit, with what may be let in beyond it.
+fn whole(limit: Limit, slack: f64) -> Part {
+    Part {
+        rate: limit.rate,
+        burst: limit.burst + slack,
+        base: limit.burst + slack,
+        ..Part::default()
+    }
+}
+
+/// Returns the part of a burst that each of `members` may use at the least.
+fn spread(is_calm: bool, members: usize) -> f64 {
+    if is_calm {
+        (CALM_BURSTS / members as f64).min(1.0)
+    } else {
+        0.0
     }
 }
 
@@ -139,6 +177,8 @@
     /// The calls that failed when they were last made.
     pub(super) lost_calls: BTreeSet<&'static str>,
     pub(super) life: u64,
+    /// Who keeps the zone.
+    pub(super) keeping: Keeping,
     ticked: Instant,
 }
 
@@ -151,7 +191,11 @@
             registrations_known: Knowledge::default(),
             organisations: BTreeMap::new(),
             services: BTreeMap::new(),
-            members: Members::new(shared.settings.name.clone(), shared.settings.zone.clone()),
+            members: Members::new(
+                shared.settings.name.clone(),
+                shared.settings.zone.clone(),
+                core_share(shared),
+            ),
             quarantine: Quarantine::new(quarantine::Settings::default()),
             counted: BTreeMap::new(),
             holds: false,
@@ -159,6 +203,7 @@
             lists_entries: false,
             lost_calls: BTreeSet::new(),
             life: random::generator().next_u64(),
+            keeping: Keeping::default(),
             ticked: shared.clock.now(),
         }
     }
@@ -227,9 +272,11 @@
         self.ticked = now;
         let timing = Timing::default();
         for organisation in self.organisations.values_mut() {
-            organisation
-                .demand
-                .note(timing.memory, organisation.account.take_asked(), span);
+            organisation.demand.note(
+                timing.memory,
+                organisation.account.take_asked() + organisation.kept.take_asked(),
+                span,
+            );
         }
         // Failure: dozens of entries save up what a dozen may. Symptom: when endpoints break, all together send again more
         // than the platform allows, and the ones that are left break too.
@@ -250,8 +297,10 @@
             let left = self.directory.settle(now, now - age);
             self.left(now, shared, &left, "time");
         }
+        self.keep(now, shared);
         self.deal(now, shared);
-        self.sum_flown(now);
+        shared.ledger().expire(now);
+        self.sum_flown(now, shared);
         let oldest = shared.tally.current().saturating_sub(WINDOWS);
         self.counted.retain(|_, windows| {
             windows.retain(|window, _| *window >= oldest);
@@ -261,36 +310,63 @@
         self.quarantine.expire(now);
     }
 
+    /// Works out who keeps the zone.
+    fn keep(&mut self, now: Instant, shared: &Shared) {
+        if shared.is_stopping() {
+            self.members.stop();
+        }
+        let keeping = self.members.keeping(now);
+        if keeping == self.keeping {
+            return;
+        }
+        if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
+            info!(logger, "zone kept"; "keeper" => ?keeping.keeper, "deputy" => ?keeping.deputy,
+                "is_deputy" => keeping.is_deputy, "members" => self.members.count(), "left_out" => left_out);
+        }
+        self.keeping = keeping;
+        // The accounts come first: whoever is asked from now on grants from them.
+        self.deal(now, shared);
+        self.publish(shared);
+    }
+
     /// Works out this entry's part of each limit.
     pub(super) fn deal(&mut self, now: Instant, shared: &Shared) {
         let known = self.members.count();
         let members = if self.lists_entries { known } else { known.max(UNKNOWN) };
         let slack = shared.settings.limit.slack * SLACK_USED;
         let document = Arc::clone(&self.document);
-        let mut news = false;
+        let zones = self.members.zones().len();
+        let is_large = self.members.is_large();
         for declared in &document.organisations {
-            let keeper = self.members.keeper(now, &declared.name);
             let organisation = self.organisations.entry(declared.name.clone()).or_default();
             let limit = declared.limit.filter(|limit| limit.rate > 0.0);
-            organisation.deal(now, limit, slack, members, keeper);
-            news |= organisation.keeper.replace(keeper) != Some(keeper);
-        }
-        if news {
-            self.publish(shared);
+            if is_large {
+                organisation.deal_zone(now, limit, slack, zones, self.keeping);
+            } else {
+                organisation.deal(now, limit, slack, members);
+            }
         }
     }
 
     /// Sums up what the other entries have under way at each endpoint.
-    fn sum_flown(&self, now: Instant) {
+    ///
+    /// The keepers of the other zones tell that of their whole zones. The entries of the own zone tell their own; what
+    /// they tell this one as the keeper is newer, and counted apart.
+    fn sum_flown(&self, now: Instant, shared: &Shared) {
+        let is_large = self.members.is_large();
+        let ledger = shared.ledger();
         let mut sums: HashMap<u64, (u32, u64)> = HashMap::new();
-        for (_, state) in self.members.heard(now, FRESH) {
-            for flown in &state.flown {
+        for (entry, state) in self.members.heard(now, FRESH) {
+            let is_near = state.zone == shared.settings.zone;
+            let counts = !is_large || (state.stage == Stage::Keeps) != is_near && !ledger.tells(entry);
+            for flown in state.flown.iter().filter(|_| counts) {
                 let sum = sums.entry(flown.endpoint).or_default();
                 sum.0 += flown.running;
                 sum.1 += flown.unread;
             }
         }
         for endpoint in self.directory.endpoints() {
+            ledger.sum(endpoint);
             let (running, unread) = sums.get(&endpoint.hash).copied().unwrap_or_default();
             endpoint.others.set(running, unread);
         }
@@ -319,7 +395,7 @@
 
     /// Returns how long what each other entry said once stands for what it does now.
     fn patience(&self) -> Duration {
-        if self.members.is_large() { FRESH_LARGE } else { FRESH }
+        if self.members.is_large() { HEARD_LARGE } else { FRESH }
     }
 }
 
@@ -341,6 +417,11 @@
     (shared.settings.retry.slack / entries.max(UNKNOWN) as f64).max(1.0) as u32
 }
 
+/// Returns the part of a core that this entry may use, in thousandths.
+pub(super) fn core_share(shared: &Shared) -> u16 {
+    (shared.settings.core_share * 1e3) as u16
+}
+
 pub(super) fn victim(endpoint: &Endpoint) -> quarantine::Victim {
     quarantine::Victim::new(name::Vm::new(&endpoint.registration.id), Incarnation::default())
 }
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -186,9 +186,9 @@
     }
 
     /// Notes that somebody names another entry.
-    pub fn named(&self, entry: &name::Entry, address: SocketAddr) {
+    pub fn named(&self, entry: &name::Entry, address: SocketAddr, zone: &name::Zone) {
         let now = self.now();
-        self.inner.borrow_mut().members.named(now, entry, address);
+        self.inner.borrow_mut().members.listed(now, entry, address, zone);
     }
 
     /// Notes that the list of entries was read.
@@ -204,6 +204,11 @@
         inner.members.due(now, most, holder.as_ref())
     }
 
+    /// Returns how many entries are known, this one included.
+    pub fn members(&self) -> usize {
+        self.inner.borrow().members.count()
+    }
+
     /// Returns whether no other entry is known.
     pub fn is_alone(&self) -> bool {
         self.inner.borrow().members.count() == 1
--- a/bergamotshift-forward/src/control/publish.rs
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -12,7 +12,6 @@
 use super::inner::budget;
 use crate::endpoint::Endpoint;
 use crate::limits::Demand;
-use crate::limits::Keeper;
 use crate::routes::Table;
 use crate::view::Accounts;
 use crate::view::Service;
@@ -24,7 +23,6 @@
         Accounts {
             own: Arc::clone(&self.account),
             kept: Arc::clone(&self.kept),
-            keeper: self.keeper.unwrap_or(Keeper::Nobody),
         }
     }
 }
@@ -61,6 +59,7 @@
             services,
             accounts: accounts.map(|(name, one)| (name.clone(), one.accounts())).collect(),
             suspects: self.quarantine.table(),
+            keeping: self.keeping,
             knows_endpoints: self.directory.endpoints().next().is_some(),
         };
         shared.view.store(Arc::new(view));
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -1,6 +1,5 @@
 //! What this entry tells the others, and what it takes from them.
 
-use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
 
 use bergamotshift_core::prelude::*;
@@ -8,13 +7,15 @@
 
 use super::inner::Holder;
 use super::inner::Inner;
+use super::inner::core_share;
 use crate::document::Document;
 use crate::endpoint::Event;
 use crate::follow::Knowledge;
+use crate::limits::Keeper;
 use crate::outside::Cursor;
-use crate::peers::Flown;
 use crate::peers::Known;
 use crate::peers::Reply;
+use crate::peers::Stage;
 use crate::peers::State;
 use crate::peers::Use;
 use crate::view::Shared;
@@ -36,16 +37,21 @@
 
 impl Inner {
     pub(super) fn state(&self, now: Instant, shared: &Shared) -> State {
-        let uses = self.organisations.iter().map(|(name, organisation)| Use {
+        let is_large = self.members.is_large();
+        let keeps = self.keeping.keeper == Keeper::Own;
+        // In a large fleet only the keepers' shares are in use.
+        let sharing = self.organisations.iter().filter(|_| keeps || !is_large);
+        let uses = sharing.map(|(name, organisation)| Use {
             organisation: name.clone(),
             demand: organisation.demand.get(),
-            share: organisation.share.told(),
-        });
-        let flown = self.directory.endpoints().map(|endpoint| Flown {
-            endpoint: endpoint.hash,
-            running: endpoint.own.running.load(Relaxed),
-            unread: endpoint.own.unread.load(Relaxed),
+            share: if keeps {
+                organisation.zone_share.told()
+            } else {
+                organisation.share.told()
+            },
         });
+        let flown = self.directory.endpoints().map(|endpoint| endpoint.flown(keeps));
+        let (zones, members) = self.members.names(now);
         let reading = self
             .services
             .iter()
@@ -55,6 +61,12 @@
             life: self.life,
             address: shared.settings.listen.peers,
             zone: shared.settings.zone.clone(),
+            core_share: core_share(shared),
+            stage: match keeps {
+                _ if shared.is_stopping() => Stage::Stops,
+                true => Stage::Keeps,
+                false => Stage::Serves,
+            },
             holds: self.holds,
             holder: self.holder.as_ref().filter(|holder| holder.holds).map(|holder| {
                 let age = now.since(holder.at).as_millis();
@@ -74,7 +86,8 @@
             readings: shared.recall().told(now),
             windows: shared.tally.windows(),
             suspicions: self.quarantine.suspicions(now),
-            members: self.members.addresses(),
+            zones,
+            members,
         }
     }
 
@@ -116,18 +129,30 @@
         self.heard(now, shared, state);
     }
 
+    /// Takes in which shares of limits another entry, or another zone, uses.
+    fn hear_uses(&mut self, now: Instant, shared: &Shared, state: &State) {
+        let keeps = self.keeping.keeper == Keeper::Own;
+        let is_near = state.zone == shared.settings.zone;
+        for used in &state.uses {
+            let Some(organisation) = self.organisations.get_mut(&used.organisation) else {
+                continue;
+            };
+            match (state.stage == Stage::Keeps, is_near) {
+                (false, _) => organisation.share.heard(now, &state.entry, used.demand, used.share),
+                (true, false) => organisation.zone_share.heard(now, &state.zone, used.demand, used.share),
+                // A keeper is told nothing by one before it that does not know yet.
+                (true, true) if keeps => {}
+                (true, true) => organisation.zone_share.adopt(used.share),
+            }
+        }
+    }
+
     fn heard(&mut self, now: Instant, shared: &Shared, state: State) {
         if state.entry == shared.settings.name {
             return;
         }
-        for (entry, address) in &state.members {
-            self.members.named(now, entry, *address);
-        }
-        for used in &state.uses {
-            if let Some(organisation) = self.organisations.get_mut(&used.organisation) {
-                organisation.share.heard(now, &state.entry, used.demand, used.share);
-            }
-        }
+        self.members.told(now, &state.zones, &state.members);
+        self.hear_uses(now, shared, &state);
         let was_holder = self.holder.as_ref().is_some_and(|holder| holder.entry == state.entry);
         let said = if state.holds || was_holder {
             Some(Holder {
--- a/bergamotshift-forward/src/daemon/server.rs
+++ b/bergamotshift-forward/src/daemon/server.rs
@@ -80,6 +80,7 @@
             let forwarder = Rc::new(Forwarder::new(Arc::clone(&callers)));
             ntex::rt::spawn(sweep(Rc::clone(&forwarder)));
             ntex::rt::spawn(close(Rc::clone(&forwarder)));
+            ntex::rt::spawn(Rc::clone(&forwarder).tell());
             HttpService::new(fn_service(move |request: Request| {
                 let forwarder = Rc::clone(&forwarder);
                 async move { Ok::<_, io::Error>(forwarder.serve(request).await) }
@@ -120,7 +121,7 @@
                 let shared = Arc::clone(&shared);
                 async move {
                     let response = match request.path() {
-                        peers::GRANT => peers::grant(&shared, request).await,
+                        peers::KEEP => peers::keep(&shared, request).await,
                         _ => peers::answer(&exchange, request).await,
                     };
                     Ok::<_, io::Error>(response)
--- a/bergamotshift-forward/src/dialect/ask.rs
+++ b/bergamotshift-forward/src/dialect/ask.rs
@@ -3,6 +3,8 @@
 use core::time::Duration;
 
 use ntex::http::HeaderMap;
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use super::Dialect;
@@ -10,6 +12,7 @@
 
 /// One part of a prompt; requests that begin with the same parts share them in an engine's cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Part {
     /// Identifies the part's content.
     pub id: u64,
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod health;
+mod ledger;
 
 use core::net::SocketAddr;
 use core::sync::atomic::AtomicBool;
@@ -21,6 +22,8 @@
 pub use self::directory::Directory;
 pub use self::directory::Event;
 pub use self::health::Health;
+pub use self::ledger::Ledger;
+use crate::peers::Flown;
 
 /// What an endpoint says of itself where all endpoints register.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,6 +75,8 @@
     pub own: Flight,
     /// What the other entries have under way there, as they last said.
     pub others: Flight,
+    /// What the entries of the zone have under way there by the choice of this one, their keeper.
+    pub placed: Flight,
     /// How it fared lately.
     pub health: Health,
     leaving: AtomicBool,
@@ -86,6 +91,7 @@
             registration,
             own: Flight::default(),
             others: Flight::default(),
+            placed: Flight::default(),
             health: Health::default(),
         }
     }
@@ -102,12 +108,25 @@
 
     /// Returns the requests under way there from all entries.
     pub fn running(&self) -> u32 {
-        self.own.running.load(Relaxed) + self.others.running.load(Relaxed)
+        let all = [&self.own, &self.others, &self.placed];
+        all.iter().map(|flight| flight.running.load(Relaxed)).sum()
     }
 
     /// Returns the prompt tokens still to be read there for all entries.
     pub fn unread(&self) -> u64 {
-        self.own.unread.load(Relaxed) + self.others.unread.load(Relaxed)
+        let all = [&self.own, &self.others, &self.placed];
+        all.iter().map(|flight| flight.unread.load(Relaxed)).sum()
+    }
+
+    /// Returns what this entry has under way there, with what it placed for its zone if that is to count.
+    pub fn flown(&self, with_placed: bool) -> Flown {
+        let counted = [Some(&self.own), Some(&self.placed).filter(|_| with_placed)];
+        let flights = counted.into_iter().flatten();
+        flights.fold(Flown::at(self.hash), |flown, flight| Flown {
+            running: flown.running + flight.running.load(Relaxed),
+            unread: flown.unread + flight.unread.load(Relaxed),
+            ..flown
+        })
     }
 }
 
@@ -131,12 +150,11 @@
         &self.endpoint
     }
 
-    /// Notes that the prompt was read: the first event has come.
-    pub fn read(&mut self) {
-        self.endpoint
-            .own
-            .unread
-            .fetch_sub(core::mem::take(&mut self.unread), Relaxed);
+    /// Notes that the prompt was read: the first event has come; returns whether that is news.
+    pub fn read(&mut self) -> bool {
+        let unread = core::mem::take(&mut self.unread);
+        self.endpoint.own.unread.fetch_sub(unread, Relaxed);
+        unread > 0
     }
 }
 
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -21,9 +21,13 @@
 /// The partition of the list.
 const PARTITION: &str = "entry";
 
-/// The time between two writes of the own row.
+/// The time between two writes of the own row in a small fleet.
 const WRITE: Duration = Duration::from_secs(5);
 
+/// How many entries write as often as that; with more, each writes less often, so that the calls of all stay the same. With
+/// 77 entries these writes were a quarter of all calls of the store.
+const WRITERS: usize = 16;
+
 /// How many writes lie between two readings. Entries name one another, so the list is for those that know nobody.
 const WRITES: u32 = 3;
 
@@ -32,8 +36,8 @@
 
 /// How old a row may be. Failure: a VM is gone for good and its row stays. Symptom: every entry that starts waits for an
 /// entry that never speaks, and leaves its share of each limit unused. Two writes that failed, and clocks that differ by
-/// seconds, stay below this.
-const OLDEST: Duration = Duration::from_secs(18);
+/// seconds, stay below this many times the time between two writes, and this much more.
+const OLDEST: (u32, Duration) = (3, Duration::from_secs(3));
 
 /// The most rows of a page.
 const PAGE: u32 = 500;
@@ -46,6 +50,21 @@
     address: SocketAddr,
     /// When it was written, in seconds since the start of 1970 by the writer's clock.
     at: u64,
+    /// The writer's availability zone.
+    zone: name::Zone,
+    /// How many seconds the writer waits until it writes again.
+    every: u64,
+}
+
+/// Returns the time between two writes of one entry's row among so many.
+fn every(members: usize) -> Duration {
+    WRITE * u32::try_from(members.div_ceil(WRITERS)).unwrap_or(u32::MAX)
+}
+
+/// Returns how old a row may be whose writer waits for so many seconds between two writes.
+fn oldest(every: u64) -> Duration {
+    let (times, more) = OLDEST;
+    Duration::from_secs(every).saturating_mul(times) + more
 }
 
 /// Keeps the row and reads the list for as long as the process lives.
@@ -57,7 +76,7 @@
         control.shared().metrics.called("entries", read && written);
         if read && written {
             round += 1;
-            tokio::time::sleep(WRITE).await;
+            tokio::time::sleep(every(control.members())).await;
         } else {
             tokio::time::sleep(PAUSE).await;
         }
@@ -70,6 +89,8 @@
     let row = Row {
         address: settings.listen.peers,
         at: control.shared().tally.today().as_secs(),
+        zone: settings.zone.clone(),
+        every: every(control.members()).as_secs(),
     };
     let Ok(body) = postcard::to_stdvec(&row) else {
         return false;
@@ -99,8 +120,8 @@
         };
         for (name, row) in &page.rows {
             match postcard::from_bytes::<Row>(&row.body) {
-                Ok(row) if today.saturating_sub(Duration::from_secs(row.at)) < OLDEST => {
-                    control.named(&name::Entry::new(name), row.address);
+                Ok(row) if today.saturating_sub(Duration::from_secs(row.at)) < oldest(row.every) => {
+                    control.named(&name::Entry::new(name), row.address, &row.zone);
                 }
                 Ok(_) => {}
                 Err(error) => {
--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -20,8 +20,12 @@
 /// When there may be a part; entries tell each other theirs several times a second.
 const SOON: Duration = Duration::from_millis(300);
 
+/// What a process that starts takes to be used up, in bursts: what was owed before its start is not known, and every
+/// entry lets one request overdraw its share.
+const USED: f64 = 1.25;
+
 /// An entry's part of a limit.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
     /// Units per second.
     pub rate: f64,
@@ -29,6 +33,19 @@
     pub burst: f64,
     /// What the burst is when nothing but this entry's share is counted.
     pub base: f64,
+    /// How many times that a process that starts takes to be used up.
+    pub used: f64,
+}
+
+impl Default for Part {
+    fn default() -> Self {
+        Self {
+            rate: 0.0,
+            burst: 0.0,
+            base: 0.0,
+            used: USED,
+        }
+    }
 }
 
 impl Part {
@@ -39,14 +56,11 @@
             rate: self.rate * share,
             burst: self.burst * burst,
             base: self.base * share,
+            ..self
         }
     }
 }
 
-/// What a process that starts takes to be used up, in bursts: what was owed before its start is not known, and every
-/// entry lets one request overdraw its share.
-const FRESH: f64 = 1.25;
-
 /// The organisation is over this entry's share of its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refused {
@@ -81,8 +95,7 @@
     /// Sets this entry's part of the limit, or that there is no limit; a part of nothing lets nothing in.
     ///
     /// Failure: all entries are killed and start again, each with a whole burst. Symptom: the organisation uses its
-    /// burst twice within a window. A limit that is new to the process starts with more than the burst used up, and is
-    /// whole after a little longer than the burst lasts at the rate.
+    /// burst twice within a window. A limit that is new to the process starts with bursts used up.
     pub fn set(&self, now: Instant, part: Option<Part>) {
         let Some(part) = part else {
             self.burst.store(UNLIMITED, Relaxed);
@@ -98,7 +111,7 @@
         self.burst.store(nanos, Relaxed);
         if !self.is_open.swap(true, Relaxed) {
             let used = Duration::from_secs_f64(part.base / part.rate);
-            self.bucket.set_owed(now, used.mul_f64(FRESH));
+            self.bucket.set_owed(now, used.mul_f64(part.used));
         }
     }
 
@@ -126,26 +139,6 @@
         Ok(())
     }
 
-    /// Takes units for a request only if this entry's part of the burst holds all of them.
-    ///
-    /// In a large fleet the parts are small and the entries many: if each let one request overdraw its part, all together
-    /// would exceed the limit several times.
-    ///
-    /// # Errors
-    ///
-    /// Returns how long it takes until there is room.
-    pub fn take_whole(&self, now: Instant, units: u64) -> Result<(), Refused> {
-        self.asked.fetch_add(units, Relaxed);
-        match self.burst.load(Relaxed) {
-            UNLIMITED => return Ok(()),
-            CLOSED => return Err(Refused { retry_after: SOON }),
-            _ => {}
-        }
-        self.bucket
-            .try_take_whole(now, units)
-            .map_err(|retry_after| Refused { retry_after })
-    }
-
     /// Gives the units of a request back that did not run.
     pub fn refund(&self, units: u64) {
         if self.burst.load(Relaxed) != UNLIMITED {
--- a/bergamotshift-forward/src/limits/mod.rs
+++ b/bergamotshift-forward/src/limits/mod.rs
@@ -12,6 +12,7 @@
 pub use self::account::Part;
 pub use self::account::Refused;
 pub use self::keeper::Keeper;
+pub use self::keeper::Keeping;
 pub use self::share::Demand;
 pub use self::share::Share;
 pub use self::share::Timing;
--- a/bergamotshift-forward/src/limits/share.rs
+++ b/bergamotshift-forward/src/limits/share.rs
@@ -71,7 +71,8 @@
     since: Instant,
 }
 
-/// This entry's share of one organisation's limit.
+/// This entry's share of one organisation's limit; in a large fleet, the share of its zone, which the zone's keeper uses.
+/// What is said of entries here holds of zones then.
 ///
 /// All entries hear each other: a share that shrinks does so at once, and one that grows is told first, as a claim. It
 /// is used when every other entry was heard since, and only as far as their own claims leave room.
@@ -79,9 +80,9 @@
 /// Failure: two entries see the same room, or two halves of the fleet do not hear each other, and both grow. Symptom:
 /// the organisation uses more than its limit, up to twice as much. A claim that somebody may not have heard is not
 /// used, and while an entry is silent the others share out among them only what they had when it fell silent.
-#[derive(Clone, Debug, Default)]
-pub struct Share {
-    others: BTreeMap<name::Entry, Other>,
+#[derive(Clone, Debug)]
+pub struct Share<K> {
+    others: BTreeMap<K, Other>,
     own: Option<f64>,
     claim: Option<Claim>,
     /// The demand that the others were told last.
@@ -90,9 +91,21 @@
     held: Option<(usize, f64)>,
 }
 
-impl Share {
+impl<K> Default for Share<K> {
+    fn default() -> Self {
+        Self {
+            others: BTreeMap::new(),
+            own: None,
+            claim: None,
+            told: 0.0,
+            held: None,
+        }
+    }
+}
+
+impl<K: Ord + Clone> Share<K> {
     /// Takes in what another entry says: its demand, and the share that it uses or claims.
-    pub fn heard(&mut self, now: Instant, entry: &name::Entry, demand: f64, share: f64) {
+    pub fn heard(&mut self, now: Instant, entry: &K, demand: f64, share: f64) {
         let other = Other {
             demand,
             share,
@@ -101,8 +114,14 @@
         self.others.insert(entry.clone(), other);
     }
 
+    /// Takes over the share that another entry uses for the same zone, to go on with it when that one is gone.
+    pub const fn adopt(&mut self, share: f64) {
+        self.own = Some(share);
+        self.claim = None;
+    }
+
     /// Forgets an entry that is gone for good.
-    pub fn forget(&mut self, entry: &name::Entry) {
+    pub fn forget(&mut self, entry: &K) {
         self.others.remove(entry);
     }
 
--- /dev/null
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -0,0 +1,131 @@
+//! Grants units and chooses endpoints for the entries of the zone that this entry keeps.
+
+use bergamotshift_core::prelude::*;
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+
+use super::message::Flown;
+use super::question::question;
+use crate::choice;
+use crate::dialect::Ask;
+use crate::dialect::Size;
+use crate::limits::Keeper;
+use crate::limits::Refused;
+use crate::limits::keeper::Answer;
+use crate::limits::keeper::Generation;
+use crate::limits::keeper::Placement;
+use crate::limits::keeper::Question;
+use crate::limits::keeper::Units;
+use crate::view::Shared;
+use crate::view::View;
+
+/// The path at which a zone's keeper is asked.
+pub const PATH: &str = "/keep";
+
+/// The largest question, in bytes.
+const LARGEST: usize = 16 * 1_024;
+
+/// Answers an entry of the zone.
+///
+/// An entry that takes itself neither for the keeper nor for the deputy decides nothing: the one that asks hears other
+/// entries than this one, and two keepers would give out the zone's share twice.
+pub async fn keep(shared: &Shared, mut request: Request) -> Response {
+    let question = match question::<Question>(&mut request, LARGEST).await {
+        Ok(question) => question,
+        Err(status) => return Response::new(status),
+    };
+    let view = shared.view.load();
+    let keeping = view.keeping;
+    if keeping.keeper != Keeper::Own && !(keeping.is_deputy && question.deputy) {
+        return Response::new(StatusCode::CONFLICT);
+    }
+    match postcard::to_stdvec(&decide(shared, &view, &question)) {
+        Ok(bytes) => Response::build(StatusCode::OK).body(bytes),
+        Err(_) => Response::new(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+fn decide(shared: &Shared, view: &View, question: &Question) -> Answer {
+    let now = shared.clock.now();
+    told(shared, view, now, &question.entry, &question.flown);
+    let granted = question.units.as_ref().map_or(Ok(()), |units| grant(view, now, units));
+    if let Err(refused) = granted {
+        return Answer {
+            retry_after_ms: Some(refused.retry_after.as_millis() as u64),
+            placement: None,
+        };
+    }
+    let generation = question.generation.as_ref();
+    let placement = generation.and_then(|generation| place(shared, view, now, generation));
+    if let Some(placed) = placement {
+        let mut ledger = shared.ledger();
+        ledger.placed(&question.entry, placed.endpoint, placed.unread);
+        if let Some(endpoint) = view.endpoint(placed.endpoint) {
+            ledger.sum(endpoint);
+        }
+    }
+    Answer {
+        retry_after_ms: None,
+        placement,
+    }
+}
+
+/// Takes in what an entry of the zone has under way.
+fn told(shared: &Shared, view: &View, now: Instant, entry: &name::Entry, flown: &[Flown]) {
+    let mut ledger = shared.ledger();
+    let changed = ledger.told(now, entry, flown);
+    for endpoint in changed.into_iter().filter_map(|hash| view.endpoint(hash)) {
+        ledger.sum(endpoint);
+    }
+}
+
+/// Grants units of the zone's share of a limit.
+///
+/// # Errors
+///
+/// Returns how long it takes until there is room.
+pub fn grant(view: &View, now: Instant, units: &Units) -> Result<(), Refused> {
+    let accounts = view.accounts.get(&units.organisation);
+    accounts.map_or(Ok(()), |accounts| accounts.kept.take(now, units.count))
+}
+
+/// Chooses an endpoint for a generation; `None` when none takes work.
+pub fn place(shared: &Shared, view: &View, now: Instant, generation: &Generation) -> Option<Placement> {
+    let service = view.services.get(&generation.service)?;
+    let ask = Ask {
+        size: Some(Size {
+            prompt: generation.prompt,
+            output: 0,
+        }),
+        parts: generation.parts.clone(),
+        ..Ask::default()
+    };
+    let request = choice::Request {
+        ask: &ask,
+        engine: service.engine,
+        own: &shared.settings.zone,
+        zone: None,
+        tried: &[],
+    };
+    let mut recall = shared.recall();
+    let weights = choice::Settings::default();
+    let choice = choice::choose(&weights, now, &service.endpoints, &request, &recall)?;
+    let endpoint = choice.endpoint.hash;
+    for part in &ask.parts {
+        // Whoever sends the request tells the others.
+        recall.hear(
+            now,
+            choice::Reading {
+                endpoint,
+                part: part.id,
+            },
+        );
+    }
+    Some(Placement {
+        endpoint,
+        unread: choice.unread,
+        source: choice.source,
+        cost: choice.cost,
+    })
+}
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -3,12 +3,17 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bergamotshift_core::prelude::*;
 
+use super::message::Named;
+use super::message::Stage;
 use super::message::State;
 use crate::limits::Keeper;
+use crate::limits::Keeping;
 use crate::limits::keeper;
+use crate::limits::keeper::Candidate;
 
 /// How long an entry may be silent until it is forgotten. A VM that is replaced never comes back, one that is restarted
 /// is back within seconds, and cuts of up to this time take nothing from those behind them.
@@ -20,8 +25,13 @@
 /// How often the holder of the duties is asked in a large fleet.
 const HOLDER: Duration = Duration::from_secs(2);
 
-/// How long an entry must have been known until it keeps accounts, so that the others know it too.
-const SETTLED: Duration = Duration::from_secs(3);
+/// How long an entry may be silent, towards everybody, until another one keeps its zone. In a large fleet word of an entry
+/// is a second and a half old at times.
+const ALIVE: Duration = Duration::from_millis(2_500);
+
+/// One in so many entries of its zone an entry has to hear, to keep the zone. Single VMs are cut off and then hear nobody
+/// there; of a zone that lost more than half of its processes at once, those left go on.
+const ENOUGH: usize = 4;
 
 /// How long an entry may be silent until the ones behind it in rank do without it.
 const RANKED: Duration = Duration::from_millis(1_500);
@@ -36,6 +46,14 @@
     pub address: SocketAddr,
     /// What it last said, and when.
     pub said: Option<(Instant, State)>,
+    /// Its availability zone, when that is known.
+    zone: Option<name::Zone>,
+    /// The part of a core that it may use, in thousandths.
+    core_share: u16,
+    /// Whether it is about to end.
+    stops: bool,
+    /// When it was last heard, by whomever.
+    heard: Instant,
     /// When it was first named.
     since: Instant,
     /// When it was last asked.
@@ -49,6 +67,11 @@
     pub fn was_heard(&self, now: Instant, span: Duration) -> bool {
         self.said.as_ref().is_some_and(|(at, _)| now.since(*at) < span)
     }
+
+    /// Returns whether anybody heard it lately.
+    fn is_alive(&self, now: Instant) -> bool {
+        self.heard > Instant::ZERO && now.since(self.heard) < ALIVE
+    }
 }
 
 /// The other entries.
@@ -56,27 +79,42 @@
 pub struct Members {
     own: name::Entry,
     zone: name::Zone,
+    core_share: u16,
+    stops: bool,
     peers: BTreeMap<name::Entry, Peer>,
 }
 
 impl Members {
     /// Makes a list without other entries.
-    pub const fn new(own: name::Entry, zone: name::Zone) -> Self {
+    pub const fn new(own: name::Entry, zone: name::Zone, core_share: u16) -> Self {
         Self {
             own,
             zone,
+            core_share,
+            stops: false,
             peers: BTreeMap::new(),
         }
     }
 
-    /// Notes that somebody names an entry.
-    pub fn named(&mut self, now: Instant, entry: &name::Entry, address: SocketAddr) {
+    /// Notes that somebody names an entry, and where that lies.
+    pub fn listed(&mut self, now: Instant, entry: &name::Entry, address: SocketAddr, zone: &name::Zone) {
+        self.named(now, entry, address);
+        if let Some(peer) = self.peers.get_mut(entry) {
+            peer.zone.get_or_insert_with(|| zone.clone());
+        }
+    }
+
+    fn named(&mut self, now: Instant, entry: &name::Entry, address: SocketAddr) {
         if *entry == self.own {
             return;
         }
         let peer = self.peers.entry(entry.clone()).or_insert_with(|| Peer {
             address,
             said: None,
+            zone: None,
+            core_share: 0,
+            stops: false,
+            heard: Instant::ZERO,
             since: now,
             asked: Instant::ZERO,
             failed: None,
@@ -84,6 +122,23 @@
         peer.address = address;
     }
 
+    /// Notes what another entry knows of the entries.
+    pub fn told(&mut self, now: Instant, zones: &[name::Zone], members: &[Named]) {
+        for named in members {
+            self.named(now, &named.entry, named.address);
+            let Some(peer) = self.peers.get_mut(&named.entry) else {
+                continue;
+            };
+            let heard = now - Duration::from_millis(named.age_ms.into());
+            if heard > peer.heard {
+                peer.heard = heard;
+                peer.stops = named.stops;
+            }
+            peer.zone = zones.get(usize::from(named.zone)).cloned().or_else(|| peer.zone.take());
+            peer.core_share = named.core_share;
+        }
+    }
+
     /// Notes what an entry says of itself; returns whether it was not heard for long before.
     pub fn heard_of(&mut self, now: Instant, state: State) -> bool {
         let entry = state.entry.clone();
@@ -92,6 +147,10 @@
             return false;
         };
         let fresh = !peer.was_heard(now, MEMORY);
+        peer.zone = Some(state.zone.clone());
+        peer.core_share = state.core_share;
+        peer.stops = state.stage == Stage::Stops;
+        peer.heard = now;
         peer.said = Some((now, state));
         peer.failed = None;
         fresh
@@ -109,10 +168,19 @@
     /// In a large fleet not every entry can be heard often. Requests stay in their zone there, so the entries of the own
     /// zone are asked first, and one of the others a round.
     ///
-    /// The `holder` of the duties has to know what each entry counted, so it is asked every other second.
+    /// The `holder` of the duties has to know what each entry counted, so it is asked every other second. The keepers of
+    /// zones ask one another each round: they share the limits out.
     pub fn due(&mut self, now: Instant, most: usize, holder: Option<&name::Entry>) -> Vec<(name::Entry, SocketAddr)> {
         let is_large = self.is_large();
         let mut due = Vec::new();
+        if self.keeping(now).keeper == Keeper::Own {
+            due = self.other_keepers(now);
+            for (entry, _) in &due {
+                if let Some(peer) = self.peers.get_mut(entry) {
+                    peer.asked = now;
+                }
+            }
+        }
         if is_large
             && let Some(holder) = holder
             && let Some(peer) = self.peers.get_mut(holder)
@@ -122,7 +190,7 @@
             due.push((holder.clone(), peer.address));
         }
         let zone = self.zone.clone();
-        let is_near = |peer: &Peer| peer.said.as_ref().is_some_and(|(_, state)| state.zone == zone);
+        let is_near = |peer: &Peer| peer.zone.as_ref() == Some(&zone);
         let is_paused = |peer: &Peer| peer.failed.is_some_and(|failed| now.since(failed) < PAUSE);
         let mut open: Vec<_> = self.peers.iter_mut().filter(|(_, peer)| !is_paused(peer)).collect();
         // Whoever asked this entry lately has been heard already.
@@ -148,26 +216,73 @@
         self.peers.len() >= keeper::SMALL
     }
 
-    /// Returns who keeps an organisation's account.
+    /// Returns who keeps this entry's zone.
     ///
-    /// An entry that does not answer keeps it on, so that two halves of the fleet never both give out a limit; only when
-    /// it is forgotten does another one follow.
-    pub fn keeper(&self, now: Instant, organisation: &name::Organisation) -> Keeper {
+    /// Failure: an entry that is cut off takes all others for dead and itself for the keeper, and grants what the real
+    /// one grants too. Symptom: an organisation exceeds its limit. Who hears less than a part of its zone keeps nothing.
+    pub fn keeping(&self, now: Instant) -> Keeping {
         if !self.is_large() {
-            return Keeper::Nobody;
+            return Keeping::default();
         }
-        let settled = self.peers.iter().filter(|(_, peer)| now.since(peer.since) >= SETTLED);
-        let entries = settled.map(|(entry, _)| entry).chain([&self.own]);
-        match keeper::keeper(organisation, entries) {
-            Some(entry) if *entry == self.own => Keeper::Own,
-            Some(entry) => self
-                .peers
-                .get(entry)
-                .map_or(Keeper::Nobody, |peer| Keeper::Other(peer.address)),
-            None => Keeper::Nobody,
+        let near = self
+            .peers
+            .values()
+            .filter(|peer| peer.zone.as_ref() == Some(&self.zone));
+        let (mates, alive) = near.fold((0, 0), |(mates, alive), peer| {
+            (mates + 1, alive + usize::from(peer.is_alive(now)))
+        });
+        let hears_enough = mates == 0 || alive > 0 && alive * ENOUGH >= mates;
+        let own = Candidate {
+            entry: &self.own,
+            core_share: self.core_share,
+        };
+        let own = Some(own).filter(|_| hears_enough && !self.stops);
+        let [first, second] = keeper::first(self.candidates(now, &self.zone).chain(own));
+        let address = |entry: &name::Entry| self.peers.get(entry).map(|peer| peer.address);
+        Keeping {
+            keeper: match first {
+                Some(entry) if *entry == self.own => Keeper::Own,
+                Some(entry) => address(entry).map_or(Keeper::Unknown, Keeper::Other),
+                None => Keeper::Unknown,
+            },
+            deputy: second.and_then(address),
+            is_deputy: second == Some(&self.own),
         }
     }
 
+    /// Returns the availability zones that have entries, this one's included.
+    pub fn zones(&self) -> BTreeSet<&name::Zone> {
+        let others = self.peers.values().filter_map(|peer| peer.zone.as_ref());
+        others.chain([&self.zone]).collect()
+    }
+
+    /// Notes that this entry is about to end.
+    pub const fn stop(&mut self) {
+        self.stops = true;
+    }
+
+    fn candidates<'a>(&'a self, now: Instant, zone: &'a name::Zone) -> impl Iterator<Item = Candidate<'a>> {
+        let alive = self
+            .peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_alive(now) && !peer.stops);
+        let near = alive.filter(move |(_, peer)| peer.zone.as_ref() == Some(zone));
+        near.map(|(entry, peer)| Candidate {
+            entry,
+            core_share: peer.core_share,
+        })
+    }
+
+    /// Returns the keepers of the other zones.
+    fn other_keepers(&self, now: Instant) -> Vec<(name::Entry, SocketAddr)> {
+        let zones = self.zones();
+        let others = zones.into_iter().filter(|zone| **zone != self.zone);
+        let keepers = others.filter_map(|zone| keeper::first(self.candidates(now, zone))[0]);
+        keepers
+            .filter_map(|entry| Some((entry.clone(), self.peers.get(entry)?.address)))
+            .collect()
+    }
+
     /// Forgets entries that are gone for good, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<name::Entry> {
         let gone = |peer: &Peer| match &peer.said {
@@ -198,16 +313,27 @@
         able.filter(|(entry, _)| **entry < self.own).count()
     }
 
-    /// Returns the other entries that were heard, with their addresses.
+    /// Returns the other entries that were heard, as they are told to others, and the zones that they lie in.
     ///
     /// Failure: entries name one that is gone for good to each other, and each that forgets it is told of it anew.
     /// Symptom: its share of each limit stays unused for good. Only who was heard is named.
-    pub fn addresses(&self) -> Vec<(name::Entry, SocketAddr)> {
-        self.peers
-            .iter()
-            .filter(|(_, peer)| peer.said.is_some())
-            .map(|(entry, peer)| (entry.clone(), peer.address))
-            .collect()
+    pub fn names(&self, now: Instant) -> (Vec<name::Zone>, Vec<Named>) {
+        let zones: Vec<name::Zone> = self.zones().into_iter().cloned().collect();
+        let heard = self.peers.iter().filter(|(_, peer)| peer.said.is_some());
+        let names = heard.map(|(entry, peer)| Named {
+            entry: entry.clone(),
+            address: peer.address,
+            zone: zones
+                .iter()
+                .position(|zone| Some(zone) == peer.zone.as_ref())
+                .and_then(|place| u8::try_from(place).ok())
+                .unwrap_or(u8::MAX),
+            core_share: peer.core_share,
+            age_ms: u16::try_from(now.since(peer.heard).as_millis()).unwrap_or(u16::MAX),
+            stops: peer.stops,
+        });
+        let names = names.collect();
+        (zones, names)
     }
 
     /// Returns how many entries there are, this one included.
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -24,7 +24,26 @@
     },
 }
 
-/// What one entry's callers of an organisation ask for, and the share of the limit that it uses.
+/// An entry as another one knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Named {
+    /// The entry.
+    pub entry: name::Entry,
+    /// Where it can be asked.
+    pub address: SocketAddr,
+    /// The place of its availability zone in [`State::zones`].
+    pub zone: u8,
+    /// The part of a core that it may use, in thousandths.
+    pub core_share: u16,
+    /// How long ago it was heard, by whomever, in milliseconds.
+    pub age_ms: u16,
+    /// Whether it is about to end.
+    pub stops: bool,
+}
+
+/// What one entry's callers of an organisation ask for, and the share of the limit that it uses; in a large fleet, a
+/// zone's callers and share, told by the entry that keeps the zone.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Use {
@@ -36,7 +55,7 @@
     pub share: f64,
 }
 
-/// One entry's work under way at an endpoint.
+/// One entry's work under way at an endpoint; told by the entry that keeps a zone, that of the whole zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Flown {
@@ -48,6 +67,17 @@
     pub unread: u64,
 }
 
+impl Flown {
+    /// Makes one of nothing under way.
+    pub const fn at(endpoint: u64) -> Self {
+        Self {
+            endpoint,
+            running: 0,
+            unread: 0,
+        }
+    }
+}
+
 /// Up to which change of the store something is known, and how long ago that was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -58,6 +88,19 @@
     pub age_ms: u32,
 }
 
+/// What an entry is about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Stage {
+    /// It serves callers.
+    #[default]
+    Serves,
+    /// It serves callers and keeps its zone: [`State::uses`] and [`State::flown`] are those of all entries there.
+    Keeps,
+    /// It is about to end.
+    Stops,
+}
+
 /// What an entry tells another one; about a kilobyte with 16 endpoints and 5 organisations.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -70,6 +113,10 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: name::Zone,
+    /// The part of a core that it may use, in thousandths.
+    pub core_share: u16,
+    /// What it is about.
+    pub stage: Stage,
     /// Whether it holds the duties.
     pub holds: bool,
     /// Which other entry holds the duties, as far as it knows, and how many milliseconds ago that one said so.
@@ -96,8 +143,10 @@
     pub windows: Windows,
     /// Requests that it suspects of ending endpoints.
     pub suspicions: Vec<Suspicion>,
+    /// The availability zones of the entries that it knows.
+    pub zones: Vec<name::Zone>,
     /// The entries that it knows.
-    pub members: Vec<(name::Entry, SocketAddr)>,
+    pub members: Vec<Named>,
 }
 
 /// The answer to a [`State`].
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -1,20 +1,22 @@
 //! What the entries tell one another, directly and often: enough to share limits and endpoints, to know of endpoints
 //! that leave, and to go on with the newest document while some of them cannot reach the store.
 
-mod grant;
+pub mod keep;
 mod member;
 mod message;
 mod question;
 mod task;
 
-pub use self::grant::PATH as GRANT;
-pub use self::grant::grant;
+pub use self::keep::PATH as KEEP;
+pub use self::keep::keep;
 pub use self::member::Members;
 pub use self::member::Peer;
 pub use self::message::Flown;
 pub use self::message::Known;
+pub use self::message::Named;
 pub use self::message::Note;
 pub use self::message::Reply;
+pub use self::message::Stage;
 pub use self::message::State;
 pub use self::message::Use;
 pub use self::task::answer;
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -12,6 +12,8 @@
 
 use super::Forwarder;
 use super::job::Job;
+use super::pace::Pace;
+use super::pace::Sent;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use crate::choice;
@@ -57,6 +59,10 @@
     unrun: u32,
     /// Connections that did not come about.
     unreachable: usize,
+    /// Its last send.
+    pub(super) sent: Option<Sent>,
+    /// When the events of its answer came.
+    pub(super) pace: Pace,
 }
 
 impl History {
@@ -122,6 +128,22 @@
     End(Refusal),
 }
 
+/// Returns the endpoint that the zone's keeper chose, for the first try and as long as this entry knows nothing against it.
+fn placed(job: &Job, service: &Service, history: &History, now: Instant) -> Option<Choice> {
+    let placement = job.placement.filter(|_| history.tried.is_empty())?;
+    let mut endpoints = service.endpoints.iter();
+    let endpoint = endpoints.find(|endpoint| endpoint.hash == placement.endpoint)?;
+    if endpoint.is_leaving() || endpoint.health.is_paused(now) {
+        return None;
+    }
+    Some(Choice {
+        endpoint: Arc::clone(endpoint),
+        unread: placement.unread,
+        source: placement.source,
+        cost: placement.cost,
+    })
+}
+
 impl Forwarder {
     /// Sends a request until an endpoint's answer is there.
     pub(super) async fn open(
@@ -186,9 +208,11 @@
             zone: None,
             tried: &history.tried,
         };
-        let recall = self.shared.recall();
-        let choice = choice::choose(&self.weights, now, &service.endpoints, &request, &recall);
-        drop(recall);
+        let placed = placed(job, service, history, now);
+        let choice = placed.or_else(|| {
+            let recall = self.shared.recall();
+            choice::choose(&self.weights, now, &service.endpoints, &request, &recall)
+        });
         let choice = choice.ok_or_else(|| history.refusal(false))?;
         if history.tried.is_empty() {
             service.asked.fetch_add(choice.unread, Relaxed);
@@ -230,6 +254,7 @@
     ) -> Result<Open, Missed> {
         let endpoint = &choice.endpoint;
         let address = endpoint.registration.address;
+        let expected = Sent::new(choice);
         let seat = Seat::take(Arc::clone(endpoint), choice.unread);
         history.tried.push(endpoint.hash);
         let now = self.shared.clock.now();
@@ -252,6 +277,7 @@
             return Err(Missed::Unreachable);
         }
         history.sends += 1;
+        history.sent = Some(expected);
         self.shared.metrics.sends.inc();
         if !job.ask.parts.is_empty() {
             self.shared.recall().note(now, endpoint.hash, &job.ask.parts);
--- a/bergamotshift-forward/src/serve/charge.rs
+++ b/bergamotshift-forward/src/serve/charge.rs
@@ -1,12 +1,8 @@
-//! Takes what a request counts from its organisation's limit.
+//! Takes what a request counts from its organisation's limit, and has an endpoint chosen for it where another entry does.
 
-use core::net::SocketAddr;
-use core::time::Duration;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
-use ntex::http::StatusCode;
-use tokio::time::timeout;
 
 use super::Forwarder;
 use super::job::Charge;
@@ -15,91 +11,90 @@
 use crate::dialect::Ask;
 use crate::dialect::Size;
 use crate::document::Organisation;
-use crate::exchange;
-use crate::exchange::Connection;
 use crate::limits::Account;
 use crate::limits::Keeper;
 use crate::limits::Refused;
-use crate::limits::keeper;
+use crate::limits::keeper::Generation;
+use crate::limits::keeper::Placement;
+use crate::limits::keeper::Units;
 use crate::peers;
 use crate::view::View;
 
+/// What a request was let in with.
+#[derive(Debug, Default)]
+pub(super) struct Admission {
+    /// What it counts against its organisation's limit, and where.
+    pub(super) charge: Option<Charge>,
+    /// The endpoint that the zone's keeper chose for it.
+    pub(super) placement: Option<Placement>,
+}
+
 impl Forwarder {
-    /// Takes what a request counts, from this entry's share or from whoever keeps the account for all.
+    /// Takes what a request counts, from this entry's share or from whoever keeps its zone.
     pub(super) async fn charge(
         &self,
         view: &View,
         organisation: Option<&Organisation>,
+        service: &name::Service,
         ask: &Ask,
         now: Instant,
-    ) -> Result<Option<Charge>, Refusal> {
-        let Some(organisation) = organisation else {
-            return Ok(None);
-        };
-        let (Some(limit), Some(accounts)) = (organisation.limit, view.accounts.get(&organisation.name)) else {
-            return Ok(None);
-        };
-        let units = limit.units(ask.size.map(Size::total));
-        let from = |account: &Arc<Account>| {
-            Some(Charge {
-                account: Arc::clone(account),
-                units,
-            })
+    ) -> Result<Admission, Refusal> {
+        let accounts = organisation.and_then(|organisation| {
+            let accounts = view.accounts.get(&organisation.name)?;
+            let count = organisation.limit?.units(ask.size.map(Size::total));
+            let units = Units {
+                organisation: organisation.name.clone(),
+                count,
+            };
+            Some((accounts, units))
+        });
+        let is_engine = view
+            .services
+            .get(service)
+            .is_some_and(|service| service.engine.is_some());
+        let generation = ask.size.filter(|_| is_engine).map(|size| Generation {
+            service: service.clone(),
+            prompt: size.prompt,
+            parts: ask.parts.clone(),
+        });
+        let admission = match (view.keeping.keeper, accounts) {
+            (Keeper::Nobody, None) => Ok(Admission::default()),
+            (Keeper::Nobody, Some((accounts, units))) => accounts
+                .own
+                .take(now, units.count)
+                .map(|()| from(&accounts.own, units.count)),
+            (Keeper::Own, accounts) => {
+                let granted = accounts.map_or(Ok(Admission::default()), |(accounts, units)| {
+                    peers::keep::grant(view, now, &units).map(|()| from(&accounts.kept, units.count))
+                });
+                let place = |generation: Generation| peers::keep::place(&self.shared, view, now, &generation);
+                granted.map(|admission| Admission {
+                    placement: generation.and_then(place),
+                    ..admission
+                })
+            }
+            (Keeper::Other(_) | Keeper::Unknown, accounts) => {
+                let units = accounts.map(|(_, units)| units);
+                let asked = self.ask_keeper(view.keeping, units, generation).await;
+                asked.map(|placement| Admission {
+                    charge: None,
+                    placement,
+                })
+            }
         };
-        let taken = match accounts.keeper {
-            Keeper::Nobody => accounts.own.take(now, units).map(|()| from(&accounts.own)),
-            Keeper::Own | Keeper::Other(_) if accounts.own.take_whole(now, units).is_ok() => Ok(from(&accounts.own)),
-            Keeper::Own => accounts.kept.take(now, units).map(|()| from(&accounts.kept)),
-            Keeper::Other(address) => self.ask_keeper(address, &organisation.name, units).await.map(|()| None),
-        };
-        taken.map_err(|refused| Refusal {
+        admission.map_err(|Refused { retry_after }| Refusal {
             reason: Reason::OverLimit,
-            retry_after: Some(refused.retry_after),
+            retry_after: Some(retry_after),
         })
     }
+}
 
-    /// Asks the entry that keeps an organisation's account for units.
-    async fn ask_keeper(
-        &self,
-        address: SocketAddr,
-        organisation: &name::Organisation,
-        units: u64,
-    ) -> Result<(), Refused> {
-        /// When a caller may come back after a keeper could not be reached.
-        const UNREACHED: Duration = Duration::from_millis(500);
-        let unreached = Refused { retry_after: UNREACHED };
-        let asked = timeout(keeper::PATIENCE, self.exchange_units(address, organisation, units)).await;
-        let Ok(Some(answer)) = asked else {
-            return Err(unreached);
-        };
-        match answer.retry_after_ms {
-            None => Ok(()),
-            Some(millis) => Err(Refused {
-                retry_after: Duration::from_millis(millis),
-            }),
-        }
-    }
-
-    async fn exchange_units(
-        &self,
-        address: SocketAddr,
-        organisation: &name::Organisation,
-        units: u64,
-    ) -> Option<keeper::Answer> {
-        let question = keeper::Question {
-            organisation: organisation.clone(),
+fn from(account: &Arc<Account>, units: u64) -> Admission {
+    Admission {
+        charge: Some(Charge {
+            account: Arc::clone(account),
             units,
-        };
-        let question = postcard::to_stdvec(&question).ok()?;
-        let idle = self.pool.borrow_mut().take(self.shared.clock.now(), address);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => Connection::open(address, keeper::PATIENCE).await.ok()?,
-        };
-        let call = exchange::call(&mut connection, address, peers::GRANT, &question);
-        let answer = call.await.ok()?;
-        let now = self.shared.clock.now();
-        self.pool.borrow_mut().put(now, address, connection, &answer.headers);
-        (answer.status == StatusCode::OK).then(|| postcard::from_bytes(&answer.body).ok())?
+        }),
+        placement: None,
     }
 }
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -1,5 +1,6 @@
 //! One thread's way of a request from its head to its answer.
 
+use core::cell::Cell;
 use core::cell::RefCell;
 use core::time::Duration;
 use std::rc::Rc;
@@ -21,6 +22,7 @@
 use super::attempt::History;
 use super::callers::Callers;
 use super::job::Job;
+use super::keeper::Away;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::stream::Flow;
@@ -69,6 +71,8 @@
     pub(super) pool: RefCell<Pool>,
     pub(super) weights: choice::Settings,
     callers: Callers,
+    /// The keeper of the zone that did not answer lately.
+    pub(super) away: Cell<Away>,
 }
 
 impl Forwarder {
@@ -79,6 +83,7 @@
             pool: RefCell::default(),
             weights: choice::Settings::default(),
             callers: Callers::default(),
+            away: Cell::default(),
         }
     }
 
@@ -144,8 +149,8 @@
         if let bergamotshift_limit::quarantine::Verdict::Refused { .. } = view.suspects.verdict(arrived, fingerprint) {
             return Err(rejected(Reason::Suspect.into()));
         }
-        let charge = self
-            .charge(&view, organisation, &ask, arrived)
+        let admission = self
+            .charge(&view, organisation, &service, &ask, arrived)
             .await
             .map_err(|refusal| {
                 self.over_limit(organisation, &ask, refusal, table.document().version);
@@ -166,7 +171,8 @@
             urgency,
             arrived,
             deadline: arrived + patience,
-            charge,
+            charge: admission.charge,
+            placement: admission.placement,
             fingerprint,
             ask,
         })
@@ -251,6 +257,12 @@
             info!(logger, "request ended"; "request" => job.ask.id.as_str(), "route" => job.route.name.as_str(),
                 "service" => job.service.as_str(), "status" => status.as_u16(), "outcome" => outcome,
                 "sends" => history.sends, "ms" => now.since(job.arrived).as_millis() as u64,
+                "first_ms" => history.pace.first_ms(job.arrived), "pause_ms" => history.pace.pause_ms(),
+                "endpoint" => history.sent.as_ref().map(|sent| sent.endpoint.as_str()),
+                "expected_ms" => history.sent.as_ref().map(|sent| sent.expected_ms),
+                "running" => history.sent.as_ref().map(|sent| sent.running),
+                "unread" => history.sent.as_ref().map(|sent| sent.unread),
+                "to_read" => history.sent.as_ref().map(|sent| sent.to_read),
                 "document" => self.version(), "left_out" => left_out);
         }
     }
@@ -312,10 +324,10 @@
             .filter(|endpoint| !endpoint.is_leaving())
             .map(|endpoint| endpoint.registration.address)
             .collect();
-        addresses.extend(view.accounts.values().filter_map(|accounts| match accounts.keeper {
-            Keeper::Other(address) => Some(address),
-            _ => None,
-        }));
+        addresses.extend(view.keeping.deputy);
+        if let Keeper::Other(address) = view.keeping.keeper {
+            addresses.push(address);
+        }
         let now = self.shared.clock.now();
         self.pool
             .borrow_mut()
--- a/bergamotshift-forward/src/serve/job.rs
+++ b/bergamotshift-forward/src/serve/job.rs
@@ -12,6 +12,7 @@
 use crate::document::Kind;
 use crate::document::Route;
 use crate::limits::Account;
+use crate::limits::keeper::Placement;
 
 /// How much longer than its objective an idempotent request may take until another endpoint is tried.
 const PATIENCE: f64 = 1.5;
@@ -61,6 +62,8 @@
     pub(super) deadline: Instant,
     /// What it counts against its organisation's limit, and where.
     pub(super) charge: Option<Charge>,
+    /// The endpoint that the zone's keeper chose for it.
+    pub(super) placement: Option<Placement>,
     /// Its content, by which a caller's repeat is recognised.
     pub(super) fingerprint: Fingerprint,
 }
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -7,6 +7,8 @@
 mod cut;
 mod forwarder;
 mod job;
+mod keeper;
+mod pace;
 mod refusal;
 mod stream;
 mod whole;
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -109,7 +109,10 @@
         loop {
             let failure = match self.receive().await {
                 Ok(Some(events)) => {
-                    self.seat.read();
+                    if self.seat.read() {
+                        self.forwarder.shared.flown.notify_one();
+                    }
+                    self.history.pace.note(self.forwarder.shared.clock.now());
                     return Ok(Some(events));
                 }
                 Ok(None) if self.events.is_between() => {
--- a/bergamotshift-forward/src/settings/mod.rs
+++ b/bergamotshift-forward/src/settings/mod.rs
@@ -59,6 +59,10 @@
     pub name: name::Entry,
     /// Its availability zone.
     pub zone: name::Zone,
+    /// The part of a processor core that it may use; in a large fleet, what one entry does for its zone falls to one that
+    /// may use most.
+    #[serde(default = "whole_core")]
+    pub core_share: f64,
     /// The kind of outside, by the name under which it registered itself.
     pub outside: SmolStr,
     /// Where it listens.
@@ -88,6 +92,11 @@
     pub capacity: capacity::Settings,
 }
 
+/// Returns what an entry may use that is not told.
+const fn whole_core() -> f64 {
+    1.0
+}
+
 /// Where an entry listens; all addresses are numeric.
 #[derive(Clone, Copy, Debug)]
 #[derive(Deserialize)]
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -22,8 +22,9 @@
 use crate::document::Engine;
 use crate::duty::Tally;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Ledger;
 use crate::limits::Account;
-use crate::limits::Keeper;
+use crate::limits::Keeping;
 use crate::observe::Clock;
 use crate::observe::Log;
 use crate::observe::Metrics;
@@ -49,10 +50,8 @@
 pub struct Accounts {
     /// This entry's share.
     pub own: Arc<Account>,
-    /// What this entry grants to all, when it is the keeper.
+    /// What this entry grants to its zone, when it keeps that.
     pub kept: Arc<Account>,
-    /// Who keeps the account for all.
-    pub keeper: Keeper,
 }
 
 /// The immutable picture that requests are served from.
@@ -66,10 +65,20 @@
     pub accounts: HashMap<name::Organisation, Accounts>,
     /// Requests that are suspected of ending endpoints.
     pub suspects: quarantine::Table,
+    /// Who decides for the zone.
+    pub keeping: Keeping,
     /// Whether endpoints have been read at least once.
     pub knows_endpoints: bool,
 }
 
+impl View {
+    /// Finds an endpoint by the hash of its identifier.
+    pub fn endpoint(&self, hash: u64) -> Option<&Arc<Endpoint>> {
+        let mut all = self.services.values().flat_map(|service| service.endpoints.iter());
+        all.find(|endpoint| endpoint.hash == hash)
+    }
+}
+
 /// What all threads of one entry share.
 #[derive(Debug)]
 pub struct Shared {
@@ -89,6 +98,10 @@
     pub tally: Tally,
     /// Which endpoints read which parts of prompts. Worker threads and the control thread hold it for microseconds.
     pub recall: Mutex<Recall>,
+    /// What the entries of the zone told this one as their keeper. Threads hold it for microseconds.
+    pub ledger: Mutex<Ledger>,
+    /// Wakes whoever tells the keeper that work under way began or ended.
+    pub flown: Notify,
     /// What requests tell the control thread.
     pub notes: UnboundedSender<Note>,
     /// Whether the entry is about to end.
@@ -107,6 +120,11 @@
         self.recall.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Lends what the entries of the zone told this one.
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the balancer may send callers.
     pub fn is_ready(&self) -> bool {
         let view = self.view.load();
--- /dev/null
+++ b/bergamotshift-forward/tests/daemon/large.rs
@@ -0,0 +1,89 @@
+//! A fleet so large that one entry decides for all of its zone.
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::document::Limit;
+use bergamotshift_forward::document::Unit;
+use bergamotshift_forward::limits::keeper;
+use bergamotshift_forward::limits::keeper::Candidate;
+
+use crate::endpoint::Endpoint;
+use crate::outside::lock;
+use crate::site::Caller;
+use crate::site::Daemon;
+use crate::site::Site;
+use crate::site::until;
+
+/// One more than the most entries that do without a keeper.
+const ENTRIES: usize = keeper::SMALL + 1;
+
+/// What one request without a size counts.
+const PLAIN: u32 = 10;
+
+fn name(number: usize) -> name::Entry {
+    name::Entry::new(format!("entry-{number:02}"))
+}
+
+/// Starts a large fleet whose callers share a limit, and waits until each entry is let in by the keeper.
+fn fleet(endpoint: &Endpoint, rate: f64, burst: f64) -> Vec<Daemon> {
+    let site = Site::new(&[endpoint]);
+    let mut document = crate::site::document(2);
+    document.organisations[0].limit = Some(Limit {
+        rate,
+        burst,
+        unit: Unit::Tokens { plain: PLAIN },
+    });
+    lock(&site.world).put(document);
+    let mut daemons: Vec<Daemon> = Vec::new();
+    for number in 0..ENTRIES {
+        let seeds: Vec<_> = daemons.first().map(|first| first.listen.peers).into_iter().collect();
+        daemons.push(site.launch(name(number).as_str(), &seeds));
+    }
+    for daemon in &daemons {
+        until("an entry is let in", || status(daemon) == 200);
+    }
+    daemons
+}
+
+fn status(daemon: &Daemon) -> u16 {
+    Caller::new(daemon).ask("GET", "/checkin/1", "r", "").status
+}
+
+/// Callers of one organisation come to every entry of a large fleet. Together they get what the limit holds, and whoever
+/// comes after that is refused at once, at whichever entry: no entry has a limit of its own.
+#[test]
+fn a_limit_is_one_for_all_entries_of_a_large_fleet() {
+    let endpoint = Endpoint::plain("e1", "done");
+    let burst = 1_000.0;
+    let daemons = fleet(&endpoint, 1.0, burst);
+    let asked = 3 * ENTRIES * 5;
+    let served = (0..asked)
+        .filter(|number| status(&daemons[number % ENTRIES]) == 200)
+        .count();
+    let most = burst as usize / PLAIN as usize + ENTRIES;
+    assert!(served < asked, "nothing is refused");
+    assert!(
+        endpoint.count() <= most,
+        "{} of at most {most} were let in",
+        endpoint.count()
+    );
+}
+
+/// The entry that keeps the zone ends. Callers of all others are served on: they ask the deputy, which follows it.
+#[test]
+fn the_deputy_lets_callers_in_when_the_keeper_is_gone() {
+    let endpoint = Endpoint::plain("e1", "done");
+    let mut daemons = fleet(&endpoint, 1e6, 1e6);
+    let names: Vec<_> = (0..ENTRIES).map(name).collect();
+    let candidates = names.iter().map(|entry| Candidate {
+        entry,
+        core_share: 1_000,
+    });
+    let first = keeper::first(candidates)[0].expect("there is one").clone();
+    let place = names.iter().position(|name| *name == first).expect("it is one of them");
+    let keeper = daemons.remove(place);
+    keeper.stop();
+    assert_eq!(keeper.join(), 0);
+    for daemon in &daemons {
+        assert_eq!(status(daemon), 200);
+    }
+}
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod endpoint;
 mod fleet;
+mod large;
 mod limits;
 mod outside;
 mod site;
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/ledger.rs
@@ -0,0 +1,69 @@
+//! What the keeper of a zone counts as under way.
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::endpoint::Endpoint;
+use bergamotshift_forward::endpoint::Ledger;
+use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::peers::Flown;
+
+use crate::support::at;
+
+fn endpoint() -> Endpoint {
+    Endpoint::new(Registration {
+        id: "e1".into(),
+        service: "planner".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "one".into(),
+        slots: 8,
+        leaving: false,
+        market: Market::OnDemand,
+        leaves_in: None,
+    })
+}
+
+fn flown(endpoint: &Endpoint, running: u32, unread: u64) -> Flown {
+    Flown {
+        endpoint: endpoint.hash,
+        running,
+        unread,
+    }
+}
+
+fn sum(ledger: &Ledger, endpoint: &Endpoint) -> (u32, u64) {
+    ledger.sum(endpoint);
+    (endpoint.running(), endpoint.unread())
+}
+
+/// Two entries send to an engine by the keeper's choice. Each choice counts before the entry that asked says anything of
+/// it, or the next request would go to the same engine; what the entry says next stands for all that it has there.
+#[test]
+fn a_choice_counts_at_once_and_until_its_entry_says_otherwise() {
+    let endpoint = endpoint();
+    let (one, two) = (name::Entry::new("entry-1"), name::Entry::new("entry-2"));
+    let mut ledger = Ledger::default();
+    ledger.told(at(0), &one, &[]);
+    ledger.placed(&one, endpoint.hash, 900);
+    ledger.told(at(0), &two, &[flown(&endpoint, 1, 100)]);
+    ledger.placed(&two, endpoint.hash, 50);
+    assert_eq!(sum(&ledger, &endpoint), (3, 1_050));
+    let changed = ledger.told(at(100), &one, &[flown(&endpoint, 1, 0)]);
+    assert_eq!(changed, [endpoint.hash, endpoint.hash]);
+    assert_eq!(sum(&ledger, &endpoint), (3, 150));
+    ledger.told(at(200), &two, &[]);
+    assert_eq!(sum(&ledger, &endpoint), (1, 0));
+}
+
+/// An entry is killed with requests under way. Its engines are free again, though it never says so.
+#[test]
+fn what_an_entry_that_ended_had_is_forgotten() {
+    let endpoint = endpoint();
+    let entry = name::Entry::new("entry-1");
+    let mut ledger = Ledger::default();
+    ledger.told(at(0), &entry, &[flown(&endpoint, 2, 5_000)]);
+    ledger.expire(at(2_000));
+    assert!(ledger.tells(&entry));
+    assert_eq!(sum(&ledger, &endpoint), (2, 5_000));
+    ledger.expire(at(4_000));
+    assert!(!ledger.tells(&entry));
+    assert_eq!(sum(&ledger, &endpoint), (0, 0));
+}
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod events;
 mod knowledge;
+mod ledger;
 mod limits;
 mod members;
 mod routes;
