refactor(entry): one concept a file in control and exchange

Ruled out: a change of behaviour; methods were moved as they stood. Conclusion: the circle between `api`, `exchange` and `jobs` is not touched by it.

--- a/bergamotshift-endpoint/tests/load.rs
+++ b/bergamotshift-endpoint/tests/load.rs
@@ -1,5 +1,6 @@
 //! Load reports over connections that are older than the endpoint's end.
 
+use core::time::Duration;
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpListener;
@@ -10,7 +11,6 @@
 use bergamotshift_endpoint::call::Target;
 use bergamotshift_endpoint::client::Client;
 use bergamotshift_endpoint::client::Settings;
-use core::time::Duration;
 
 /// Longer than any exchange of this file; no test waits for it to pass.
 const TIMEOUT: Duration = Duration::from_secs(20);
--- a/bergamotshift-entry/src/control/mod.rs
+++ b/bergamotshift-entry/src/control/mod.rs
@@ -3,9 +3,12 @@
 //! Worker threads talk to it over a channel, and only when an attempt failed. Everything it knows lives in one
 //! [`State`]; tasks that wait for the network report back over the same channel.
 
+mod death;
 mod faults;
 mod fleet;
+mod listing;
 mod peers;
+mod publish;
 mod state;
 
 use std::sync::Arc;
--- a/bergamotshift-entry/src/exchange/attempts.rs
+++ b/bergamotshift-entry/src/exchange/attempts.rs
@@ -1,7 +1,5 @@
 //! The attempts of one request: choose, send, and on failure decide.
 
-use core::time::Duration;
-use std::borrow::Cow;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,22 +7,14 @@
 use bergamotshift_endpoint::answer::Answer;
 use bergamotshift_endpoint::answer::Failure;
 use bergamotshift_endpoint::call;
-use bergamotshift_limit::quarantine;
 use bergamotshift_limit::retry;
 use bergamotshift_limit::retry::Decision;
-use bergamotshift_route::Ask;
-use bergamotshift_route::Choice;
-use bergamotshift_route::Refusal;
 use bergamotshift_route::flight;
-use ntex::http::header::HeaderName;
-use ntex::http::header::HeaderValue;
-use tokio::sync::oneshot;
 
 use super::Call;
 use super::Error;
 use super::Outgoing;
 use crate::api;
-use crate::control;
 use crate::control::Verdict;
 use crate::observe::Hop;
 use crate::observe::Record;
@@ -33,7 +23,6 @@
 use crate::sharing::Taken;
 use crate::sharing::Ticket;
 use crate::snapshot::Endpoint;
-use crate::snapshot::Service;
 use crate::snapshot::Snapshot;
 use crate::worker::Worker;
 
@@ -41,20 +30,6 @@
 pub(crate) const BLOCK_BYTES: usize = 1024;
 pub(crate) const BLOCK_TOKENS: u32 = 256;
 
-/// How long a worker waits to hear what became of an endpoint before it goes on regardless.
-const VERDICT_WAIT: Duration = Duration::from_millis(300);
-
-/// How long a request that was accepted waits for an endpoint to turn up when all are gone.
-const ENDPOINT_WAIT: Duration = Duration::from_secs(5);
-
-/// How long a suspected request waits for an endpoint that runs no other suspect.
-///
-/// A guilty one kills its endpoint soon and is refused then, so what goes on together after this time is innocent.
-const APART_WAIT: Duration = Duration::from_secs(2);
-
-/// The time between two looks for an endpoint while none is there.
-const ENDPOINT_LOOK: Duration = Duration::from_millis(20);
-
 /// An answer whose head has arrived, and where it comes from.
 #[derive(Debug)]
 pub struct Open {
@@ -67,24 +42,24 @@
 /// One attempt under way; dropping it counts the attempt as ended.
 #[derive(Debug)]
 pub struct Running {
-    endpoint: Arc<Endpoint>,
-    key: key::Endpoint,
-    span: Span,
-    _guard: flight::Guard,
-    _seat: Option<Taken>,
+    pub(super) endpoint: Arc<Endpoint>,
+    pub(super) key: key::Endpoint,
+    pub(super) span: Span,
+    pub(super) _guard: flight::Guard,
+    pub(super) _seat: Option<Taken>,
 }
 
 /// Makes the attempts of one request.
 #[derive(Debug)]
 pub struct Attempts {
-    worker: Rc<Worker>,
-    call: Rc<Call>,
-    tried: Vec<key::Endpoint>,
-    made: u32,
+    pub(super) worker: Rc<Worker>,
+    pub(super) call: Rc<Call>,
+    pub(super) tried: Vec<key::Endpoint>,
+    pub(super) made: u32,
     outcome: Outcome,
-    lost: u32,
-    crowded: u32,
-    trace: Trace,
+    pub(super) lost: u32,
+    pub(super) crowded: u32,
+    pub(super) trace: Trace,
     record: Record,
     ticket: Option<Ticket>,
 }
@@ -290,168 +265,4 @@
             Decision::Stop(reason) => Err(error(reason)),
         }
     }
-
-    /// Turns away what must not start: too late, or under quarantine.
-    fn admit(&self, snapshot: &Snapshot) -> Result<(), Error> {
-        let now = self.worker.shared.now();
-        if now >= self.call.times.deadline {
-            return Err(Error::Deadline);
-        }
-        if snapshot.quarantine.is_empty() {
-            return Ok(());
-        }
-        match snapshot.quarantine.verdict(now, self.call.fingerprint) {
-            quarantine::Verdict::Refused { retry_after } => Err(Error::Quarantined { retry_after }),
-            quarantine::Verdict::Clear | quarantine::Verdict::Alone => Ok(()),
-        }
-    }
-
-    /// Chooses an endpoint and counts the attempt there, or waits a little when there is none.
-    async fn choose(&mut self, snapshot: &Snapshot, service: &Service) -> Result<Option<Running>, Error> {
-        let now = self.worker.shared.now();
-        let apart = self.is_apart(snapshot, now);
-        let mut exclude = Cow::Borrowed(self.tried.as_slice());
-        if apart {
-            let taken = snapshot
-                .endpoints
-                .iter()
-                .filter(|(_, endpoint)| endpoint.seat.is_taken());
-            exclude.to_mut().extend(taken.map(|(key, _)| key));
-        }
-        let crowded = exclude.len() > self.tried.len();
-        match self.try_choose(snapshot, service, now, &exclude) {
-            Ok((choice, guard)) => {
-                let Some(endpoint) = snapshot.endpoints.get(choice.key) else {
-                    return Ok(None);
-                };
-                let seat = if apart { endpoint.seat.take() } else { None };
-                // Another suspect may have been quicker; the next look sees it there.
-                Ok((seat.is_some() || !apart).then(|| Running {
-                    endpoint: Arc::clone(endpoint),
-                    key: choice.key,
-                    span: Span::default(),
-                    _guard: guard,
-                    _seat: seat,
-                }))
-            }
-            Err(Refusal::Nowhere) if crowded => {
-                self.crowded += 1;
-                tokio::time::sleep(ENDPOINT_LOOK).await;
-                Ok(None)
-            }
-            Err(Refusal::Later { until }) => {
-                let until = until.min(self.call.times.deadline);
-                tokio::time::sleep(until.since(now).max(ENDPOINT_LOOK)).await;
-                Ok(None)
-            }
-            Err(Refusal::Nowhere) if !self.tried.is_empty() => {
-                // All were tried. One that failed may have come back, so it is better than none.
-                self.tried.clear();
-                Ok(None)
-            }
-            Err(Refusal::Nowhere) => {
-                let waited = ENDPOINT_LOOK.saturating_mul(self.lost);
-                if self.made == 0 || waited >= ENDPOINT_WAIT {
-                    return Err(Error::NoEndpoint);
-                }
-                self.lost += 1;
-                tokio::time::sleep(ENDPOINT_LOOK).await;
-                Ok(None)
-            }
-        }
-    }
-
-    /// Returns whether the request is suspected, and has not yet waited too long for an endpoint without a suspect.
-    fn is_apart(&self, snapshot: &Snapshot, now: Instant) -> bool {
-        !snapshot.quarantine.is_empty()
-            && snapshot.quarantine.verdict(now, self.call.fingerprint) == quarantine::Verdict::Alone
-            && ENDPOINT_LOOK.saturating_mul(self.crowded) < APART_WAIT
-    }
-
-    fn try_choose(
-        &self,
-        snapshot: &Snapshot,
-        service: &Service,
-        now: Instant,
-        exclude: &[key::Endpoint],
-    ) -> Result<(Choice, flight::Guard), Refusal> {
-        let call = &self.call;
-        let ask = Ask {
-            now,
-            service: service.number,
-            zones: snapshot.zones_for(service, &call.organisation),
-            classes: service.classes,
-            urgency: call.urgency,
-            first_token: call.times.first,
-            between_tokens: call.times.between,
-            deadline: call.times.deadline,
-            prompt_tokens: call.work.prompt_tokens,
-            answer_tokens: call.work.answer_tokens,
-            prefix: &call.work.prefix,
-            block_tokens: BLOCK_TOKENS,
-            exclude,
-            ..Ask::default()
-        };
-        let policy = &self.worker.shared.policy;
-        let choice = self
-            .worker
-            .with_generator(|generator| policy.choose(&snapshot.view, &ask, generator))?;
-        let guard = snapshot.view.send(&choice, &ask);
-        Ok((choice, guard))
-    }
-
-    fn span(&self, running: &Running) -> Span {
-        let mut span = self.trace.span(Hop::Attempt);
-        span.note("endpoint", &running.endpoint.vm);
-        span.note("zone", &running.endpoint.zone);
-        span.note("attempt", &self.made);
-        span
-    }
-
-    async fn send(&self, service: &Service, running: &Running, body: call::Body) -> Result<Answer, Failure> {
-        let call = &self.call;
-        let Some(adapter) = self.worker.adapter(&service.adapter) else {
-            return Err(Failure::Encode(format!("no adapter is called {}", service.adapter)));
-        };
-        let left = call.times.deadline.since(self.worker.shared.now());
-        let mut headers = call.headers.clone();
-        headers.insert(
-            HeaderName::from_static(ORGANISATION),
-            HeaderValue::from_str(call.organisation.as_str()).unwrap_or(HeaderValue::from_static("")),
-        );
-        running.span.pass_on(&mut headers);
-        let attempt = call::Call {
-            target: running.endpoint.target.clone(),
-            attempt: self.worker.draw(),
-            method: call.method.clone(),
-            path: call.path.clone(),
-            headers,
-            body,
-            timeout: call.times.head.min(left),
-        };
-        adapter.send(attempt).await
-    }
-
-    fn refuses(&self, service: &Service, answer: &Answer) -> bool {
-        let adapter = self.worker.adapter(&service.adapter);
-        adapter.is_some_and(|adapter| adapter.refuses(answer))
-    }
-
-    /// Asks the control thread what became of an endpoint.
-    async fn ask(&self, running: &Running, failure: &Failure) -> Verdict {
-        let (answer, verdict) = oneshot::channel();
-        self.worker.shared.control.send(control::Request::Broken {
-            endpoint: Arc::clone(&running.endpoint),
-            connected: !matches!(failure, Failure::Connect(_)),
-            fingerprint: self.call.fingerprint,
-            answer,
-        });
-        match tokio::time::timeout(VERDICT_WAIT, verdict).await {
-            Ok(Ok(verdict)) => verdict,
-            Ok(Err(_)) | Err(_) => Verdict::default(),
-        }
-    }
 }
-
-/// Tells endpoints whose request it is.
-const ORGANISATION: &str = "x-bergamotshift-organisation";
--- a/bergamotshift-entry/src/exchange/mod.rs
+++ b/bergamotshift-entry/src/exchange/mod.rs
@@ -7,8 +7,10 @@
 
 pub mod assemble;
 pub mod attempts;
+mod choose;
 pub mod copy;
 pub mod events;
+mod send;
 pub mod stream;
 pub mod whole;
 
--- a/bergamotshift-standin/tests/endpoints.rs
+++ b/bergamotshift-standin/tests/endpoints.rs
@@ -1,5 +1,7 @@
 //! Endpoint stand-ins over real sockets: what they answer, and what each fault looks like from outside.
 
+use std::io::ErrorKind;
+
 use bergamotshift_core::vm::Incarnation;
 use bergamotshift_standin::engine::text;
 use bergamotshift_standin::ledger::State;
@@ -15,7 +17,6 @@
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
-use std::io::ErrorKind;
 
 const ATTEMPT: &str = "x-bergamotshift-attempt";
 
