test(soak): promise that usage is reported while the store is in order

A gap of more than 15 s, not counting time in which the store is in trouble, breaks it now.

Test: `promise::a_time_without_reports_is_found`, red without the check.

--- a/bergamotshift-soak/src/promise.rs
+++ b/bergamotshift-soak/src/promise.rs
@@ -46,6 +46,13 @@
 /// Repeated sends for each request, and beyond that.
 const RETRY: (f64, f64) = (0.2, 30.0);
 
+/// The longest time without a usage report while the store is in order: a window, two leases that lapse one after the other,
+/// and the time until a report is complete.
+const REPORTED: Duration = Duration::from_secs(15);
+
+/// The steps in which time without trouble of the store is counted.
+const STEP: Duration = Duration::from_millis(100);
+
 /// How long after a holder's trouble its late calls are excused.
 const THAW: Duration = Duration::from_millis(500);
 
@@ -86,6 +93,7 @@
     seen.documents();
     seen.regressions();
     seen.reports(ledger, reports);
+    seen.gaps(ledger, reports);
     for fault in &book.faults {
         seen.broken("a daemon ends when it is asked to, and only then", fault.clone());
     }
@@ -341,6 +349,37 @@
         }
     }
 
+    /// Checks that usage is reported again and again, whoever holds the duty.
+    fn gaps(&mut self, ledger: &Ledger, reports: &[Report]) {
+        let Some(end) = self.book.exchanges.iter().map(|exchange| exchange.ended).max() else {
+            return;
+        };
+        let mut times: Vec<Duration> = reports.iter().map(|report| ledger.at(report.at)).collect();
+        times.push(end);
+        let mut from = Duration::ZERO;
+        for until in times {
+            let gap = self.with_store(from, until);
+            if gap > REPORTED {
+                let what = format!("none from {from:?} to {until:?}, {gap:?} of it with the store in order");
+                self.broken("usage is reported while the store is in order", what);
+            }
+            from = until;
+        }
+    }
+
+    /// Returns how much of a span the store was in order.
+    fn with_store(&self, from: Duration, until: Duration) -> Duration {
+        let mut sum = Duration::ZERO;
+        let mut at = from;
+        while at < until {
+            if self.book.is_calm(at, at, |disruption| disruption.place == Place::Store) {
+                sum += STEP;
+            }
+            at += STEP;
+        }
+        sum
+    }
+
     fn is_excused(&self, ledger: &Ledger, report: &Report) -> bool {
         let at = ledger.at(report.at);
         let number = report.holder.rsplit('-').next().and_then(|text| text.parse().ok());
--- a/bergamotshift-soak/tests/promise.rs
+++ b/bergamotshift-soak/tests/promise.rs
@@ -76,8 +76,19 @@
     }
 }
 
+/// Returns the promises that a book breaks whose fleet reports usage as it should.
 fn broken(book: &Book) -> Vec<&'static str> {
-    broken_with(book, &[])
+    let start = Instant::now();
+    let reports: Vec<Report> = (0..20)
+        .map(|window| Report {
+            holder: "entry-0".into(),
+            number: 1,
+            window,
+            counts: BTreeMap::new(),
+            at: start + Duration::from_secs(5 * window),
+        })
+        .collect();
+    broken_with(book, &reports)
 }
 
 fn broken_with(book: &Book, reports: &[Report]) -> Vec<&'static str> {
@@ -286,6 +297,20 @@
     }
 }
 
+/// Nobody reports usage for twenty seconds. That is found, unless the store was away for most of them.
+#[test]
+fn a_time_without_reports_is_found() {
+    let mut book = book();
+    book.exchanges[0].ended = at(20_000);
+    assert_eq!(
+        broken_with(&book, &[]),
+        ["usage is reported while the store is in order"]
+    );
+    book.disruptions
+        .push(disruption(Place::Store, "refuses", false, 2_000, 9_000));
+    assert_eq!(broken_with(&book, &[]), [""; 0]);
+}
+
 #[test]
 fn a_daemon_that_ends_by_itself_is_found() {
     let mut book = book();
