fix(forward): leave silent zones for last, ask a failing store less, and count usage before it is reported

A keeper that hears nothing of a zone for 0.9 s leaves its engines for last. 2. In a large fleet each waits longer after a failed call, so that together they ask as often as 16. 3. It waits for them unless the report would be late, and looks at the lease as soon as nobody has heard the holder for 1.5 s. A deputy that had not heard its keeper yet had a share of nothing and refused everybody (222 refusals with 300 ms after all were killed). It uses what an entry that starts may use.

Tests, red before: `choice::engines_of_a_silent_zone_are_left_for_last`, `knowledge::a_large_fleet_asks_a_store_that_fails_no_more_often_than_a_small_one`, `progress::who_takes_the_duties_over_waits_until_all_have_told_it`.

Left: counts of the last window are lost when all entries are killed at once.

--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -30,7 +30,7 @@
     /// How long a request waits for a place of a model engine, for each one that waits before it, in milliseconds: a
     /// stream of one to two seconds through 16 places.
     pub turn: f64,
-    /// What an endpoint that fails every request counts as slower, in milliseconds.
+    /// What an endpoint that fails every request counts as slower, in milliseconds, and one whose zone is silent.
     pub trouble: f64,
     /// What another availability zone counts as slower, in milliseconds: about one way there and back.
     pub distance: f64,
@@ -192,7 +192,8 @@
         Some(_) => settings.far,
         None => settings.distance,
     };
-    let trouble = settings.trouble * endpoint.health.trouble();
+    let silence = if endpoint.is_silent() { settings.trouble } else { 0.0 };
+    let trouble = settings.trouble * endpoint.health.trouble() + silence;
     let turn = if prompt.is_some() { settings.turn } else { settings.work };
     let beyond = (running + 1.0 - slots).max(0.0) * turn;
     let mut choice = Choice {
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -40,9 +40,9 @@
 /// How long what an entry said once stands in a large fleet, where news of it come through others and in some seconds.
 const HEARD_LARGE: Duration = Duration::from_secs(5);
 
-/// How long word that another entry holds the duties stands in a large fleet, where all pass it on. The lease guards against
-/// two holders, so this only bounds how late a successor begins to watch it.
-const HOLDER_LARGE: Duration = Duration::from_millis(2_500);
+/// How long the keepers of zones hear nothing of a zone until its endpoints are left for last; they ask one another every
+/// quarter of a second.
+const ROUNDS: Duration = Duration::from_millis(900);
 
 /// Over what time the reading of prompts is averaged; new endpoints take seconds to boot, so it follows quickly.
 const READING: Duration = Duration::from_secs(3);
@@ -107,7 +107,7 @@
         let fraction = if is_keeper {
             self.zone_share.next(now, &timing, self.demand, zones)
         } else {
-            self.zone_share.told() * keeper::DEPUTY
+            self.zone_share.standby(zones) * keeper::DEPUTY
         };
         let part = limit.map(|limit| {
             let calm = is_keeper && self.zone_share.is_calm(now, &timing, self.demand, zones, limit.rate);
@@ -369,13 +369,30 @@
                 sum.1 += flown.unread;
             }
         }
+        let silent = self.silent_zones(now, shared);
         for endpoint in self.directory.endpoints() {
             ledger.sum(endpoint);
+            endpoint.set_silent(silent.contains(&endpoint.registration.zone));
             let (running, unread) = sums.get(&endpoint.hash).copied().unwrap_or_default();
             endpoint.others.set(running, unread);
         }
     }
 
+    /// Returns the zones of which nothing was heard just now, as the keeper of a zone sees it.
+    ///
+    /// Failure: a zone is cut off without a reset, and requests go on to its endpoints over connections that stand. Symptom:
+    /// streams hang until their callers leave. The keepers hear one another four times a second, so a zone whose keeper was
+    /// not heard in three rounds may be cut off; its endpoints are left for last until it is heard again.
+    fn silent_zones(&self, now: Instant, shared: &Shared) -> BTreeSet<name::Zone> {
+        if self.keeping.keeper != Keeper::Own {
+            return BTreeSet::new();
+        }
+        let heard: BTreeSet<&name::Zone> = self.members.heard(now, ROUNDS).map(|(_, state)| &state.zone).collect();
+        let zones = self.members.zones().into_iter();
+        let silent = zones.filter(|zone| **zone != shared.settings.zone && !heard.contains(zone));
+        silent.cloned().collect()
+    }
+
     /// Returns the prompt tokens a second that callers of a service ask all entries to have read.
     pub(super) fn reading(&self, now: Instant, service: &name::Service) -> f64 {
         let own = self.services.get(service).map_or(0.0, |lasting| lasting.reading.get());
@@ -391,11 +408,12 @@
         self.members.heard(now, FRESH).any(|(_, state)| state.reaches_store)
     }
 
+    /// Returns whether another entry is known to hold the duties, in a large fleet by word that others pass on. The lease
+    /// guards against two holders, so this only bounds how late a successor begins to watch it.
     pub(super) fn is_held_elsewhere(&self, now: Instant) -> bool {
-        let patience = if self.members.is_large() { HOLDER_LARGE } else { FRESH };
         self.holder
             .as_ref()
-            .is_some_and(|holder| holder.holds && now.since(holder.at) < patience)
+            .is_some_and(|holder| holder.holds && now.since(holder.at) < FRESH)
     }
 
     /// Returns how long what each other entry said once stands for what it does now.
--- a/bergamotshift-forward/src/duty/mod.rs
+++ b/bergamotshift-forward/src/duty/mod.rs
@@ -5,12 +5,14 @@
 
 mod clock;
 mod lease;
+mod progress;
 mod tally;
 mod task;
 
 pub use self::clock::Clock;
 pub use self::lease::Change;
 pub use self::lease::Lease;
+pub use self::progress::Progress;
 pub use self::tally::Tally;
 pub use self::tally::Windows;
 pub use self::task::run;
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -22,6 +22,7 @@
 use super::clock::Clock;
 use super::lease::Change;
 use super::lease::Lease;
+use super::progress::Progress;
 use crate::capacity::Planner;
 use crate::capacity::Present;
 use crate::control::Control;
@@ -41,13 +42,6 @@
 /// The time between two looks at the lease and at what is due.
 const LOOK: Duration = Duration::from_millis(250);
 
-/// How long after a window's end its counts are complete: the other entries have told theirs by then.
-const SETTLED: Duration = Duration::from_millis(2_500);
-
-/// The same in a large fleet, where each entry tells the holder every other second; a report is due ten seconds after
-/// its window.
-const SETTLED_LARGE: Duration = Duration::from_millis(5_500);
-
 /// The oldest window that is still reported, counted back from the current one.
 const OLDEST: u64 = 3;
 
@@ -92,6 +86,7 @@
         planners: BTreeMap::new(),
         reported: 0,
         number: None,
+        since: Instant::ZERO,
         is_answered: true,
         is_lease_lost: false,
     };
@@ -111,6 +106,8 @@
     reported: u64,
     /// The fencing number while the duties are held.
     number: Option<u64>,
+    /// Since when they are.
+    since: Instant,
     /// Whether the last call under the duties had an answer; one without may still be carried out.
     is_answered: bool,
     /// Whether the lease's last call had no answer.
@@ -130,7 +127,10 @@
         }
         for change in self.lease.step().await {
             self.number = match change {
-                Change::Begun(number) => Some(number),
+                Change::Begun(number) => {
+                    self.since = shared.clock.now();
+                    Some(number)
+                }
                 Change::Ended => None,
             };
             self.planners.clear();
@@ -202,12 +202,7 @@
         let current = shared.tally.current();
         let first = (self.reported + 1).max(current.saturating_sub(OLDEST));
         for window in first..current {
-            let settled = if self.control.is_large() {
-                SETTLED_LARGE
-            } else {
-                SETTLED
-            };
-            if shared.tally.since_end(window) < settled {
+            if !self.is_settled(window) {
                 return;
             }
             let Some(counts) = self.write_down(window).await else {
@@ -230,6 +225,17 @@
         }
     }
 
+    /// Returns whether the others have told their counts of a window.
+    fn is_settled(&self, window: u64) -> bool {
+        let shared = self.control.shared();
+        let progress = Progress {
+            since_end: shared.tally.since_end(window),
+            held: shared.clock.now().since(self.since),
+            is_large: self.control.is_large(),
+        };
+        progress.is_settled(Duration::from_secs_f64(shared.settings.duty.usage_due_s.max(0.0)))
+    }
+
     /// Writes a window's counts down, or reads those that a holder before wrote.
     ///
     /// Failure: a holder reports a window, its answer is lost, and it or its successor counts anew and reports other
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -80,6 +80,8 @@
     /// How it fared lately.
     pub health: Health,
     leaving: AtomicBool,
+    /// Whether nothing was heard from its zone just now.
+    silent: AtomicBool,
 }
 
 impl Endpoint {
@@ -93,9 +95,20 @@
             others: Flight::default(),
             placed: Flight::default(),
             health: Health::default(),
+            silent: AtomicBool::new(false),
         }
     }
 
+    /// Notes whether nothing was heard from its zone just now.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Relaxed);
+    }
+
+    /// Returns whether nothing was heard from its zone just now, so that it may be cut off.
+    pub fn is_silent(&self) -> bool {
+        self.silent.load(Relaxed)
+    }
+
     /// Returns whether it takes no new work; once true, it stays true for this incarnation.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Relaxed)
--- a/bergamotshift-forward/src/follow/document.rs
+++ b/bergamotshift-forward/src/follow/document.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use super::knowledge::pause;
 use crate::control::Control;
 use crate::outside::Gap;
 use crate::outside::Operators;
@@ -43,7 +44,7 @@
         match result {
             Ok((document, next)) => control.read_document(document, next),
             Err(Gap::Forgotten) => {}
-            Err(Gap::Failed(_)) => tokio::time::sleep(PAUSE).await,
+            Err(Gap::Failed(_)) => tokio::time::sleep(pause(PAUSE, control.members())).await,
         }
     }
 }
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -16,6 +16,7 @@
 use slog::info;
 use smol_str::SmolStr;
 
+use super::knowledge::pause;
 use crate::control::Control;
 use crate::peers::Listed;
 
@@ -81,7 +82,7 @@
             round += 1;
             tokio::time::sleep(every(control.members())).await;
         } else {
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(pause(PAUSE, control.members())).await;
         }
     }
 }
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::document::failure;
+use super::knowledge::pause;
 use crate::control::Control;
 use crate::endpoint::Event;
 use crate::outside::Gap;
@@ -44,7 +45,7 @@
             Err(Gap::Forgotten) => {}
             Err(Gap::Failed(_)) => {
                 control.registrations_lost();
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(pause(PAUSE, control.members())).await;
             }
         }
     }
--- a/bergamotshift-forward/src/limits/share.rs
+++ b/bergamotshift-forward/src/limits/share.rs
@@ -114,6 +114,11 @@
         self.others.insert(entry.clone(), other);
     }
 
+    /// Returns the share that an entry which takes the place of another one may use, among `members` in all.
+    pub fn standby(&self, members: usize) -> f64 {
+        self.own.unwrap_or(FIRST / members.max(1) as f64)
+    }
+
     /// Takes over the share that another entry uses for the same zone, to go on with it when that one is gone.
     pub const fn adopt(&mut self, share: f64) {
         self.own = Some(share);
@@ -137,7 +142,7 @@
         let used: f64 = heard.iter().map(|other| other.share).sum();
         // An entry that starts uses half of an even share before anybody has heard it, or it could serve nobody while
         // another one is silent. The others give way as soon as they hear it.
-        let own = self.own.unwrap_or(FIRST / members.max(1) as f64);
+        let own = self.standby(members);
         let free = self.free(&heard, members, own + used);
         let asked: f64 = heard.iter().map(|other| other.demand).sum();
         let count = heard.len() as f64 + 1.0;
--- a/bergamotshift-forward/src/settings/mod.rs
+++ b/bergamotshift-forward/src/settings/mod.rs
@@ -187,6 +187,14 @@
     pub lease_ms: u64,
     /// How long a window of usage is, in seconds; 0 when nobody wants usage.
     pub usage_window_s: f64,
+    /// How long after its end a window of usage is due, in seconds.
+    #[serde(default = "due")]
+    pub usage_due_s: f64,
+}
+
+/// Returns when usage is due that nobody says it of, in seconds.
+const fn due() -> f64 {
+    10.0
 }
 
 impl Default for Duty {
@@ -194,6 +202,7 @@
         Self {
             lease_ms: 3_000,
             usage_window_s: 0.0,
+            usage_due_s: due(),
         }
     }
 }
--- a/bergamotshift-forward/tests/kernel/choice.rs
+++ b/bergamotshift-forward/tests/kernel/choice.rs
@@ -166,3 +166,22 @@
     recall.expire(at(50), |endpoint| endpoint != 9);
     assert!(!recall.is_known(1), "the engine is gone");
 }
+
+/// A zone is cut off without a reset. Requests that go on to its engines hang until their callers leave, so engines of
+/// zones that are heard come first, however busy they are.
+#[test]
+fn engines_of_a_silent_zone_are_left_for_last() {
+    let endpoints = endpoints(4);
+    let recall = Recall::default();
+    let first = chosen(&endpoints, Some(ENGINE), &recall, &[]).expect("one of them");
+    first.endpoint.set_silent(true);
+    let next = chosen(&endpoints, Some(ENGINE), &recall, &[]).expect("one of the others");
+    assert_ne!(next.endpoint.hash, first.endpoint.hash);
+    for endpoint in &endpoints {
+        endpoint.set_silent(true);
+    }
+    assert!(
+        chosen(&endpoints, Some(ENGINE), &recall, &[]).is_some(),
+        "any is better than none"
+    );
+}
--- a/bergamotshift-forward/tests/kernel/knowledge.rs
+++ b/bergamotshift-forward/tests/kernel/knowledge.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use bergamotshift_forward::follow::Knowledge;
+use bergamotshift_forward::follow::pause;
 use bergamotshift_forward::outside::Cursor;
 
 use crate::support::at;
@@ -42,3 +43,14 @@
     assert_eq!(knowledge.cursor(), Cursor(7));
     assert_eq!(knowledge.age(at(1_000)), Some(Duration::ZERO));
 }
+
+/// The store is away, and every entry asks again and again whether it is back. However many there are, all together ask no
+/// more often than a small fleet does.
+#[test]
+fn a_large_fleet_asks_a_store_that_fails_no_more_often_than_a_small_one() {
+    let asked = |members: usize| members as f64 / pause(LOOK, members).as_secs_f64();
+    assert_eq!(pause(LOOK, 7), LOOK);
+    for members in 16..400 {
+        assert!(asked(members) <= asked(16), "{members} entries");
+    }
+}
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -9,6 +9,7 @@
 mod ledger;
 mod limits;
 mod members;
+mod progress;
 mod routes;
 mod settings;
 mod support;
