feat(forward): send callers elsewhere from a zone that is cut off and has no endpoint

An entry that hears no other zone for 1.2 s though it asked, and lacks an endpoint of some service in its own, says that it is not ready, closes its callers' connections after their answer, and refuses at once what it cannot serve, so the balancer sends callers to the nearest zone.

Ruled out: processes that merely ended. They refuse connections, so those that are left do not take themselves for cut off.

Test, red before: `members::who_asks_other_zones_in_vain_is_cut_off`.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -1,6 +1,7 @@
 //! The state behind the control, and what the passing of time does to it.
 
 use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering;
 use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -302,6 +303,7 @@
             self.left(now, shared, &left, "time");
         }
         self.keep(now, shared);
+        self.strand(now, shared);
         self.deal(now, shared);
         shared.ledger().expire(now);
         self.sum_flown(now, shared);
@@ -333,6 +335,23 @@
         self.publish(shared);
     }
 
+    /// Works out whether this entry is cut off from endpoints that its callers need.
+    fn strand(&self, now: Instant, shared: &Shared) {
+        let zone = &shared.settings.zone;
+        let lacks = |service: &name::Service| {
+            let mut own = self.directory.endpoints().filter(|endpoint| {
+                let registration = &endpoint.registration;
+                registration.service == *service && registration.zone == *zone
+            });
+            !own.any(|endpoint| !endpoint.is_leaving() && !endpoint.health.is_paused(now))
+        };
+        let mut services = self.document.services.iter();
+        let stranded = self.members.is_cut_off(now) && services.any(|service| lacks(&service.name));
+        if shared.stranded.swap(stranded, Ordering::AcqRel) != stranded {
+            info!(shared.log.always(), "zone cut off"; "stranded" => stranded, "members" => self.members.count());
+        }
+    }
+
     /// Works out this entry's part of each limit.
     pub(super) fn deal(&mut self, now: Instant, shared: &Shared) {
         let known = self.members.count();
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -226,10 +226,10 @@
         self.inner.borrow().members.count() == 1
     }
 
-    /// Notes that another entry did not answer.
-    pub fn peer_failed(&self, entry: &name::Entry) {
+    /// Notes that another entry did not answer, and whether it was silent rather than refused.
+    pub fn peer_failed(&self, entry: &name::Entry, is_silent: bool) {
         let now = self.now();
-        self.inner.borrow_mut().members.failed(now, entry);
+        self.inner.borrow_mut().members.failed(now, entry, is_silent);
     }
 
     /// Returns what this entry says of itself.
--- a/bergamotshift-forward/src/daemon/mod.rs
+++ b/bergamotshift-forward/src/daemon/mod.rs
@@ -122,6 +122,7 @@
         stopping: AtomicBool::new(false),
         stop: Notify::new(),
         closed: AtomicBool::new(false),
+        stranded: AtomicBool::new(false),
         active: AtomicUsize::new(0),
         settings,
     });
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -40,15 +40,25 @@
     if keeping.keeper != Keeper::Own && !(keeping.is_deputy && question.deputy) {
         return Response::new(StatusCode::CONFLICT);
     }
-    match postcard::to_stdvec(&decide(shared, &view, &question)) {
+    let now = shared.clock.now();
+    told(shared, &view, now, &question.entry, &question.flown);
+    let answer = decide(shared, &view, &question);
+    if let Some(placed) = answer.placement {
+        let mut ledger = shared.ledger();
+        ledger.placed(&question.entry, placed.endpoint, placed.unread);
+        if let Some(endpoint) = view.endpoint(placed.endpoint) {
+            ledger.sum(endpoint);
+        }
+    }
+    match postcard::to_stdvec(&answer) {
         Ok(bytes) => Response::build(StatusCode::OK).body(bytes),
         Err(_) => Response::new(StatusCode::INTERNAL_SERVER_ERROR),
     }
 }
 
-fn decide(shared: &Shared, view: &View, question: &Question) -> Answer {
+/// Grants units and chooses an endpoint, as a question asks.
+pub fn decide(shared: &Shared, view: &View, question: &Question) -> Answer {
     let now = shared.clock.now();
-    told(shared, view, now, &question.entry, &question.flown);
     let granted = question.units.as_ref().map_or(Ok(()), |units| grant(view, now, units));
     if let Err(refused) = granted {
         return Answer {
@@ -57,17 +67,9 @@
         };
     }
     let generation = question.generation.as_ref();
-    let placement = generation.and_then(|generation| place(shared, view, now, generation));
-    if let Some(placed) = placement {
-        let mut ledger = shared.ledger();
-        ledger.placed(&question.entry, placed.endpoint, placed.unread);
-        if let Some(endpoint) = view.endpoint(placed.endpoint) {
-            ledger.sum(endpoint);
-        }
-    }
     Answer {
         retry_after_ms: None,
-        placement,
+        placement: generation.and_then(|generation| place(shared, view, now, generation)),
     }
 }
 
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -29,6 +29,9 @@
 /// is a second and a half old at times.
 const ALIVE: Duration = Duration::from_millis(2_500);
 
+/// How long an entry hears nothing from other zones until it takes itself for cut off from them; several are asked a second.
+const CUT: Duration = Duration::from_millis(1_200);
+
 /// One in so many entries of its zone an entry has to hear, to keep the zone. Single VMs are cut off and then hear nobody
 /// there; of a zone that lost more than half of its processes at once, those left go on.
 const ENOUGH: usize = 4;
@@ -60,6 +63,8 @@
     asked: Instant,
     /// When it last did not answer.
     failed: Option<Instant>,
+    /// When it last was silent: neither did it answer nor did its VM refuse the connection.
+    silent: Option<Instant>,
 }
 
 impl Peer {
@@ -139,6 +144,7 @@
             since: now,
             asked: Instant::ZERO,
             failed: None,
+            silent: None,
         });
         peer.address = address;
     }
@@ -177,13 +183,26 @@
         fresh
     }
 
-    /// Notes that an entry did not answer.
-    pub fn failed(&mut self, now: Instant, entry: &name::Entry) {
+    /// Notes that an entry did not answer, and whether it was silent rather than refused.
+    pub fn failed(&mut self, now: Instant, entry: &name::Entry, is_silent: bool) {
         if let Some(peer) = self.peers.get_mut(entry) {
             peer.failed = Some(now);
+            peer.silent = Some(now).filter(|_| is_silent).or(peer.silent);
         }
     }
 
+    /// Returns whether this entry is cut off from all other zones: none was heard lately, and some were asked and silent.
+    ///
+    /// Entries whose processes ended refuse connections, so a fleet that was killed does not look cut off to one that is
+    /// left.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let is_far = |peer: &&Peer| peer.zone.as_ref().is_some_and(|zone| *zone != self.zone);
+        let mut far = self.peers.values().filter(is_far);
+        let is_silent = |peer: &Peer| peer.silent.is_some_and(|silent| now.since(silent) < CUT);
+        let hears_any = far.clone().any(|peer| peer.was_heard(now, CUT));
+        !hears_any && far.any(is_silent)
+    }
+
     /// Returns whom to ask now: those heard longest ago, at most `most`.
     ///
     /// In a large fleet not every entry can be heard often. Requests stay in their zone there, so the entries of the own
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -42,6 +42,9 @@
 /// How long an entry may take to answer; a way between zones takes milliseconds.
 const PATIENCE: Duration = Duration::from_millis(400);
 
+/// From when on a question that failed met silence: a VM that is reached refuses at once.
+const SILENT: Duration = Duration::from_millis(200);
+
 /// The path that entries ask at.
 const PATH: &str = "/exchange";
 
@@ -117,13 +120,15 @@
     address: SocketAddr,
     question: &[u8],
 ) {
+    let began = control.shared().clock.now();
     let asked = timeout(PATIENCE, exchange(connections, address, question)).await;
+    let took = control.shared().clock.now().since(began);
     match asked.unwrap_or(Err(Error::Silent)) {
         Ok(reply) => control.answered(reply),
         Err(error) => {
             debug!(control.shared().log.always(), "entry not reached"; "address" => %address, "cause" => %error);
             if let Some(entry) = entry {
-                control.peer_failed(&entry);
+                control.peer_failed(&entry, took >= SILENT);
             }
         }
     }
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -208,6 +208,9 @@
             zone: None,
             tried: &history.tried,
         };
+        if self.shared.is_stranded() {
+            return self.choose_here(now, service, &request, history);
+        }
         let placed = placed(job, service, history, now);
         let choice = placed.or_else(|| {
             let recall = self.shared.recall();
@@ -234,6 +237,31 @@
         Ok(choice)
     }
 
+    /// Chooses an endpoint of the own zone: what lies in other zones is not reached, and connections to it are waited for in
+    /// vain.
+    fn choose_here(
+        &self,
+        now: Instant,
+        service: &Service,
+        request: &choice::Request<'_>,
+        history: &History,
+    ) -> Result<Choice, Refusal> {
+        let zone = &self.shared.settings.zone;
+        let here = service
+            .endpoints
+            .iter()
+            .filter(|endpoint| endpoint.registration.zone == *zone);
+        let here: Vec<_> = here.cloned().collect();
+        let choice = choice::choose(&self.weights, now, &here, request, &self.shared.recall());
+        choice.ok_or_else(|| {
+            if history.sends == 0 {
+                Reason::Stranded.into()
+            } else {
+                history.refusal(false)
+            }
+        })
+    }
+
     /// Notes what decided that no endpoint is expected to answer in time.
     fn overloaded(&self, now: Instant, job: &Job, choice: &Choice, left: f64) {
         if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Limit) {
--- a/bergamotshift-forward/src/serve/charge.rs
+++ b/bergamotshift-forward/src/serve/charge.rs
@@ -75,7 +75,7 @@
             }
             (Keeper::Other(_) | Keeper::Unknown, accounts) => {
                 let units = accounts.map(|(_, units)| units);
-                let asked = self.ask_keeper(view.keeping, units, generation).await;
+                let asked = self.ask_keeper(units, generation).await;
                 asked.map(|placement| Admission {
                     charge: None,
                     placement,
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -102,7 +102,7 @@
                 refusal.response(&self.shared.dialect, &id)
             }
         };
-        if self.shared.is_stopping() {
+        if self.shared.is_stopping() || self.shared.is_stranded() {
             response
                 .head_mut()
                 .set_connection_type(ntex::http::ConnectionType::Close);
@@ -149,12 +149,6 @@
         if let bergamotshift_limit::quarantine::Verdict::Refused { .. } = view.suspects.verdict(arrived, fingerprint) {
             return Err(rejected(Reason::Suspect.into()));
         }
-        let is_limited = organisation.is_some_and(|organisation| organisation.limit.is_some());
-        let view = if is_limited {
-            self.known(Arc::clone(&view)).await
-        } else {
-            Arc::clone(&view)
-        };
         let admission = self
             .charge(&view, organisation, &service, &ask, arrived)
             .await
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -3,7 +3,6 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
 use ntex::http::StatusCode;
@@ -14,7 +13,6 @@
 use crate::exchange;
 use crate::exchange::Connection;
 use crate::limits::Keeper;
-use crate::limits::Keeping;
 use crate::limits::Refused;
 use crate::limits::keeper;
 use crate::limits::keeper::Answer;
@@ -24,15 +22,14 @@
 use crate::limits::keeper::Units;
 use crate::observe::Topic;
 use crate::peers;
-use crate::view::View;
 
 /// When a caller may come back while neither the keeper nor its deputy is reached.
 const UNREACHED: Duration = Duration::from_millis(500);
 
-/// How long a request waits for the keeper to be known; a caller that is told to come back does so after more than that.
+/// How long a request waits for somebody to decide; a caller that is told to come back does so after more than that.
 const WAIT: Duration = Duration::from_millis(300);
 
-/// The time between two looks for the keeper.
+/// The time between two such tries.
 const LOOK: Duration = Duration::from_millis(20);
 
 /// How long changes of the work under way are gathered before the keeper is told. Engines read some thousand tokens in
@@ -42,22 +39,33 @@
 /// A keeper that did not answer, and until when it is left alone.
 pub(super) type Away = Option<(SocketAddr, Instant)>;
 
+/// Why a keeper decided nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Missed {
+    /// It did not answer.
+    Unreached,
+    /// It answered that it is not the keeper.
+    Disagrees,
+}
+
 impl Forwarder {
     /// Asks the keeper, or its deputy when it is not reached, for units and for an endpoint.
     ///
+    /// Failure: a process starts and has callers before it has heard who keeps its zone, or asks one that does not know yet
+    /// that it does. Symptom: they are refused, and come back after their objective. All entries that start at once hear
+    /// each other within some hundred milliseconds, so a request that has a limit waits for that long.
+    ///
     /// # Errors
     ///
     /// Returns when there is room for the units, or when to ask again if nobody was reached.
     pub(super) async fn ask_keeper(
         &self,
-        keeping: Keeping,
         units: Option<Units>,
         generation: Option<Generation>,
     ) -> Result<Option<Placement>, Refused> {
         if units.is_none() && generation.is_none() {
             return Ok(None);
         }
-        let is_limited = units.is_some();
         let mut question = Question {
             entry: self.shared.settings.name.clone(),
             deputy: false,
@@ -65,47 +73,44 @@
             generation,
             flown: self.flown(),
         };
-        let mut answer = None;
-        if let Keeper::Other(address) = keeping.keeper
-            && !self.is_away(address)
-        {
-            answer = self.ask(address, &question).await;
-            if answer.is_none() {
-                self.note_away(address);
+        let began = self.shared.clock.now();
+        loop {
+            if let Some(answer) = self.ask_once(&mut question).await {
+                return match answer.retry_after_ms {
+                    Some(millis) => Err(Refused {
+                        retry_after: Duration::from_millis(millis),
+                    }),
+                    None => Ok(answer.placement),
+                };
             }
-        }
-        if answer.is_none()
-            && let Some(address) = keeping.deputy
-        {
-            question.deputy = true;
-            answer = self.ask(address, &question).await;
-        }
-        match answer {
-            Some(Answer {
-                retry_after_ms: Some(millis),
-                ..
-            }) => Err(Refused {
-                retry_after: Duration::from_millis(millis),
-            }),
-            Some(answer) => Ok(answer.placement),
-            // Without a limit the request may go on; this entry chooses for itself.
-            None if !is_limited => Ok(None),
-            None => Err(Refused { retry_after: UNREACHED }),
+            if question.units.is_none() {
+                // Without a limit the request may go on; this entry chooses for itself.
+                return Ok(None);
+            }
+            if self.shared.clock.now().since(began) >= WAIT {
+                return Err(Refused { retry_after: UNREACHED });
+            }
+            tokio::time::sleep(LOOK).await;
         }
     }
 
-    /// Waits a little for the keeper of the zone to be known.
-    ///
-    /// Failure: a process starts and has callers before it has heard who keeps its zone. Symptom: they are refused, and come
-    /// back after their objective. All entries that start at once hear each other within some hundred milliseconds.
-    pub(super) async fn known(&self, view: Arc<View>) -> Arc<View> {
-        let began = self.shared.clock.now();
-        let mut view = view;
-        while view.keeping.keeper == Keeper::Unknown && self.shared.clock.now().since(began) < WAIT {
-            tokio::time::sleep(LOOK).await;
-            view = self.shared.view.load_full();
+    /// Asks whoever keeps the zone by now; `None` when nobody decides.
+    async fn ask_once(&self, question: &mut Question) -> Option<Answer> {
+        let view = self.shared.view.load_full();
+        match view.keeping.keeper {
+            Keeper::Own => return Some(peers::keep::decide(&self.shared, &view, question)),
+            Keeper::Other(address) if !self.is_away(address) => {
+                question.deputy = false;
+                match self.ask(address, question).await {
+                    Ok(answer) => return Some(answer),
+                    Err(Missed::Unreached) => self.note_away(address),
+                    Err(Missed::Disagrees) => {}
+                }
+            }
+            Keeper::Other(_) | Keeper::Nobody | Keeper::Unknown => {}
         }
-        view
+        question.deputy = true;
+        self.ask(view.keeping.deputy?, question).await.ok()
     }
 
     /// Tells the keeper what work is under way, soon after it changed, for as long as the process lives.
@@ -140,22 +145,28 @@
         flown.filter(|flown| flown.running > 0).collect()
     }
 
-    async fn ask(&self, address: SocketAddr, question: &Question) -> Option<Answer> {
-        timeout(keeper::PATIENCE, self.exchange(address, question)).await.ok()?
+    async fn ask(&self, address: SocketAddr, question: &Question) -> Result<Answer, Missed> {
+        let asked = timeout(keeper::PATIENCE, self.exchange(address, question)).await;
+        asked.unwrap_or(Err(Missed::Unreached))
     }
 
-    async fn exchange(&self, address: SocketAddr, question: &Question) -> Option<Answer> {
-        let question = postcard::to_stdvec(question).ok()?;
+    async fn exchange(&self, address: SocketAddr, question: &Question) -> Result<Answer, Missed> {
+        let question = postcard::to_stdvec(question).or(Err(Missed::Disagrees))?;
         let idle = self.pool.borrow_mut().take(self.shared.clock.now(), address);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => Connection::open(address, keeper::PATIENCE).await.ok()?,
+        let mut connection = if let Some(connection) = idle {
+            connection
+        } else {
+            let opened = Connection::open(address, keeper::PATIENCE).await;
+            opened.or(Err(Missed::Unreached))?
         };
         let call = exchange::call(&mut connection, address, peers::KEEP, &question);
-        let answer = call.await.ok()?;
+        let answer = call.await.or(Err(Missed::Unreached))?;
         let now = self.shared.clock.now();
         self.pool.borrow_mut().put(now, address, connection, &answer.headers);
-        (answer.status == StatusCode::OK).then(|| postcard::from_bytes(&answer.body).ok())?
+        if answer.status != StatusCode::OK {
+            return Err(Missed::Disagrees);
+        }
+        postcard::from_bytes(&answer.body).or(Err(Missed::Disagrees))
     }
 
     fn is_away(&self, address: SocketAddr) -> bool {
--- a/bergamotshift-forward/src/serve/refusal.rs
+++ b/bergamotshift-forward/src/serve/refusal.rs
@@ -41,6 +41,9 @@
     /// No endpoint of the service takes work.
     #[error("no endpoint takes work")]
     NoEndpoint,
+    /// The zone is cut off from the others, and has no endpoint that takes work.
+    #[error("no endpoint is reached from this availability zone")]
+    Stranded,
     /// No endpoint is expected to answer in time.
     #[error("no endpoint is expected to answer in time")]
     Overloaded,
@@ -75,6 +78,7 @@
             Self::BadBody => "bad_body",
             Self::OverLimit => "over_limit",
             Self::NoEndpoint => "no_endpoint",
+            Self::Stranded => "stranded",
             Self::Overloaded => "overloaded",
             Self::Unrun => "unrun",
             Self::Suspect => "suspect",
@@ -95,6 +99,7 @@
             Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::NoDocument
             | Self::NoEndpoint
+            | Self::Stranded
             | Self::Overloaded
             | Self::Unrun
             | Self::Suspect
@@ -118,7 +123,7 @@
 impl From<Reason> for Refusal {
     fn from(reason: Reason) -> Self {
         let retry_after = match reason {
-            Reason::NoDocument | Reason::Overloaded | Reason::Unrun | Reason::Unsent => Some(SOON),
+            Reason::NoDocument | Reason::Stranded | Reason::Overloaded | Reason::Unrun | Reason::Unsent => Some(SOON),
             // Another entry takes it at once.
             Reason::Stopping => Some(Duration::ZERO),
             Reason::NoEndpoint | Reason::Suspect => Some(LATER),
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -110,6 +110,8 @@
     pub stop: Notify,
     /// Whether requests are refused because the entry ends before they could.
     pub closed: AtomicBool,
+    /// Whether the entry is cut off from endpoints that its callers need.
+    pub stranded: AtomicBool,
     /// Requests under way.
     pub active: AtomicUsize,
 }
@@ -126,9 +128,18 @@
     }
 
     /// Returns whether the balancer may send callers.
+    ///
+    /// Failure: a zone is cut off from the others, and its entries have no endpoint of some service there. Symptom: their
+    /// callers wait for connections to other zones and are refused. Entries that say they are not ready send their callers
+    /// to other zones, where they are served.
     pub fn is_ready(&self) -> bool {
         let view = self.view.load();
-        view.table.is_some() && view.knows_endpoints && !self.is_stopping()
+        view.table.is_some() && view.knows_endpoints && !self.is_stopping() && !self.is_stranded()
+    }
+
+    /// Returns whether the entry is cut off from endpoints that its callers need.
+    pub fn is_stranded(&self) -> bool {
+        self.stranded.load(Ordering::Acquire)
     }
 
     /// Returns whether requests are refused because the entry ends before they could.
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -115,7 +115,7 @@
 fn who_did_not_answer_is_left_alone_for_a_moment() {
     let mut members = self::members("entry-0");
     members.heard_of(at(0), state("entry-1", true));
-    members.failed(at(100), &"entry-1".into());
+    members.failed(at(100), &"entry-1".into(), false);
     assert!(members.due(at(300), 3, None).is_empty());
     assert_eq!(members.due(at(700), 3, None).len(), 1);
 }
@@ -264,3 +264,22 @@
     assert!(members.names(at(0)).1.is_empty());
     assert_eq!(members.expire(at(9_000)), [name::Entry::new("entry-1")]);
 }
+
+/// A zone is cut off. Its entries hear each other and ask those of other zones in vain, so after a moment they know; when
+/// the others' processes merely ended, their VMs refuse the connections and nobody is cut off.
+#[test]
+fn who_asks_other_zones_in_vain_is_cut_off() {
+    for (is_silent, expected) in [(true, true), (false, false)] {
+        let mut members = large(at(10_000));
+        assert!(!members.is_cut_off(at(10_500)));
+        for number in 1..20 {
+            members.heard_of(at(11_400), state(&format!("entry-{number:02}"), true));
+        }
+        members.failed(at(11_400), &"entry-33".into(), is_silent);
+        assert_eq!(members.is_cut_off(at(11_500)), expected);
+        let mut far = state("entry-34", true);
+        far.zone = "two".into();
+        members.heard_of(at(11_600), far);
+        assert!(!members.is_cut_off(at(11_700)), "one is heard again");
+    }
+}
