refactor(forward): one concept a file where the keepers made files large; count and bound what they log

Gauges say who keeps a zone and who is cut off, a counter how often a keeper did not answer.

Ruled out: a change of what is decided; methods were moved as they stood.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -1,12 +1,10 @@
 //! The state behind the control, and what the passing of time does to it.
 
 use core::sync::atomic::AtomicU64;
-use core::sync::atomic::Ordering;
 use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
@@ -17,34 +15,24 @@
 use rand::Rng;
 use slog::info;
 
+use super::organisation::Organisation;
 use crate::document::Document;
-use crate::document::Limit;
 use crate::duty::Windows;
 use crate::endpoint::Directory;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Event;
 use crate::follow::Knowledge;
-use crate::limits::Account;
 use crate::limits::Demand;
-use crate::limits::Keeper;
 use crate::limits::Keeping;
-use crate::limits::Part;
-use crate::limits::Share;
 use crate::limits::Timing;
-use crate::limits::keeper;
 use crate::observe::Topic;
 use crate::peers::Members;
-use crate::peers::Stage;
 use crate::random;
 use crate::view::Shared;
 
 /// How long what an entry said once stands in a large fleet, where news of it come through others and in some seconds.
 const HEARD_LARGE: Duration = Duration::from_secs(5);
 
-/// How long the keepers of zones hear nothing of a zone until its endpoints are left for last; they ask one another every
-/// quarter of a second.
-const ROUNDS: Duration = Duration::from_millis(900);
-
 /// Over what time the reading of prompts is averaged; new endpoints take seconds to boot, so it follows quickly.
 const READING: Duration = Duration::from_secs(3);
 
@@ -52,95 +40,11 @@
 pub(super) const FRESH: Duration = Duration::from_millis(1_500);
 
 /// How many entries there may be until the list of them was read; more than a small site has.
-const UNKNOWN: usize = 12;
+pub(super) const UNKNOWN: usize = 12;
 
 /// How many windows of usage are kept of other entries.
 const WINDOWS: u64 = 6;
 
-/// The part of the units beyond a limit that entries deal out; the rest covers requests that overdraw their share.
-const SLACK_USED: f64 = 0.4;
-
-/// How many times the burst all entries together may deal out while an organisation is far below its limit.
-///
-/// Failure: a few large requests come to one entry, whose share of the burst is small. Symptom: they are refused though
-/// the organisation uses half of its limit (one to two in a hundred requests on calm days). What is taken beyond the
-/// share stays owed when demand rises, so it is paid back at the rate before more is let in, and a window holds no more
-/// than the limit's slack allows.
-const CALM_BURSTS: f64 = 1.5;
-
-/// What a process that starts and keeps its zone takes to be used up, in bursts. Only as many requests as there are zones
-/// overdraw, and a process that was killed is back after a second, so that half a burst more in one window stays within
-/// the tenth by which a limit may be exceeded.
-const USED_KEEPER: f64 = 0.5;
-
-#[derive(Debug, Default)]
-pub(super) struct Organisation {
-    pub(super) account: Arc<Account>,
-    /// What this entry grants to all of its zone, when it keeps that.
-    pub(super) kept: Arc<Account>,
-    /// This entry's share in a small fleet.
-    pub(super) share: Share<name::Entry>,
-    /// The zone's share in a large one.
-    pub(super) zone_share: Share<name::Zone>,
-    pub(super) demand: Demand,
-}
-
-impl Organisation {
-    /// Works out this entry's part of the limit among `members` entries; `slack` are units that all together may let in
-    /// beyond its burst.
-    fn deal(&mut self, now: Instant, limit: Option<Limit>, slack: f64, members: usize) {
-        let timing = Timing::default();
-        let fraction = self.share.next(now, &timing, self.demand, members);
-        let part = limit.map(|limit| {
-            let calm = self.share.is_calm(now, &timing, self.demand, members, limit.rate);
-            whole(limit, slack).times(fraction, fraction.max(spread(calm, members)))
-        });
-        self.account.set(now, part);
-    }
-
-    /// Works out the part of the limit that this entry grants as the keeper of its zone, or as its deputy, among `zones`.
-    fn deal_zone(&mut self, now: Instant, limit: Option<Limit>, slack: f64, zones: usize, keeping: Keeping) {
-        let timing = Timing::default();
-        let is_keeper = keeping.keeper == Keeper::Own;
-        if !is_keeper && !keeping.is_deputy {
-            return;
-        }
-        let fraction = if is_keeper {
-            self.zone_share.next(now, &timing, self.demand, zones)
-        } else {
-            self.zone_share.standby(zones) * keeper::DEPUTY
-        };
-        let part = limit.map(|limit| {
-            let calm = is_keeper && self.zone_share.is_calm(now, &timing, self.demand, zones, limit.rate);
-            let whole = Part {
-                used: USED_KEEPER,
-                ..whole(limit, slack)
-            };
-            whole.times(fraction, fraction.max(spread(calm, zones)))
-        });
-        self.kept.set(now, part);
-    }
-}
-
-/// Returns a whole limit, with what may be let in beyond it.
-fn whole(limit: Limit, slack: f64) -> Part {
-    Part {
-        rate: limit.rate,
-        burst: limit.burst + slack,
-        base: limit.burst + slack,
-        ..Part::default()
-    }
-}
-
-/// Returns the part of a burst that each of `members` may use at the least.
-fn spread(is_calm: bool, members: usize) -> f64 {
-    if is_calm {
-        (CALM_BURSTS / members as f64).min(1.0)
-    } else {
-        0.0
-    }
-}
-
 /// What outlives pictures of one service.
 #[derive(Debug)]
 pub(super) struct Lasting {
@@ -291,7 +195,9 @@
             service.reading.note(READING, service.asked.swap(0, Relaxed), span);
         }
         for entry in self.members.expire(now) {
-            info!(shared.log.always(), "entry forgotten"; "entry" => entry.as_str());
+            if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
+                info!(logger, "entry forgotten"; "entry" => entry.as_str(), "left_out" => left_out);
+            }
             for organisation in self.organisations.values_mut() {
                 organisation.share.forget(&entry);
             }
@@ -316,102 +222,6 @@
         self.quarantine.expire(now);
     }
 
-    /// Works out who keeps the zone.
-    fn keep(&mut self, now: Instant, shared: &Shared) {
-        if shared.is_stopping() {
-            self.members.stop();
-        }
-        let keeping = self.members.keeping(now);
-        if keeping == self.keeping {
-            return;
-        }
-        if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
-            info!(logger, "zone kept"; "keeper" => ?keeping.keeper, "deputy" => ?keeping.deputy,
-                "is_deputy" => keeping.is_deputy, "members" => self.members.count(), "left_out" => left_out);
-        }
-        self.keeping = keeping;
-        // The accounts come first: whoever is asked from now on grants from them.
-        self.deal(now, shared);
-        self.publish(shared);
-    }
-
-    /// Works out whether this entry is cut off from endpoints that its callers need.
-    fn strand(&self, now: Instant, shared: &Shared) {
-        let zone = &shared.settings.zone;
-        let lacks = |service: &name::Service| {
-            let mut own = self.directory.endpoints().filter(|endpoint| {
-                let registration = &endpoint.registration;
-                registration.service == *service && registration.zone == *zone
-            });
-            !own.any(|endpoint| !endpoint.is_leaving() && !endpoint.health.is_paused(now))
-        };
-        let mut services = self.document.services.iter();
-        let stranded = self.members.is_cut_off(now) && services.any(|service| lacks(&service.name));
-        if shared.stranded.swap(stranded, Ordering::AcqRel) != stranded {
-            info!(shared.log.always(), "zone cut off"; "stranded" => stranded, "members" => self.members.count());
-        }
-    }
-
-    /// Works out this entry's part of each limit.
-    pub(super) fn deal(&mut self, now: Instant, shared: &Shared) {
-        let known = self.members.count();
-        let members = if self.lists_entries { known } else { known.max(UNKNOWN) };
-        let slack = shared.settings.limit.slack * SLACK_USED;
-        let document = Arc::clone(&self.document);
-        let zones = self.members.zones().len();
-        let is_large = self.members.is_large();
-        for declared in &document.organisations {
-            let organisation = self.organisations.entry(declared.name.clone()).or_default();
-            let limit = declared.limit.filter(|limit| limit.rate > 0.0);
-            if is_large {
-                organisation.deal_zone(now, limit, slack, zones, self.keeping);
-            } else {
-                organisation.deal(now, limit, slack, members);
-            }
-        }
-    }
-
-    /// Sums up what the other entries have under way at each endpoint.
-    ///
-    /// The keepers of the other zones tell that of their whole zones. The entries of the own zone tell their own; what
-    /// they tell this one as the keeper is newer, and counted apart.
-    fn sum_flown(&self, now: Instant, shared: &Shared) {
-        let is_large = self.members.is_large();
-        let ledger = shared.ledger();
-        let mut sums: HashMap<u64, (u32, u64)> = HashMap::new();
-        for (entry, state) in self.members.heard(now, FRESH) {
-            let is_near = state.zone == shared.settings.zone;
-            let counts = !is_large || (state.stage == Stage::Keeps) != is_near && !ledger.tells(entry);
-            for flown in state.flown.iter().filter(|_| counts) {
-                let sum = sums.entry(flown.endpoint).or_default();
-                sum.0 += flown.running;
-                sum.1 += flown.unread;
-            }
-        }
-        let silent = self.silent_zones(now, shared);
-        for endpoint in self.directory.endpoints() {
-            ledger.sum(endpoint);
-            endpoint.set_silent(silent.contains(&endpoint.registration.zone));
-            let (running, unread) = sums.get(&endpoint.hash).copied().unwrap_or_default();
-            endpoint.others.set(running, unread);
-        }
-    }
-
-    /// Returns the zones of which nothing was heard just now, as the keeper of a zone sees it.
-    ///
-    /// Failure: a zone is cut off without a reset, and requests go on to its endpoints over connections that stand. Symptom:
-    /// streams hang until their callers leave. The keepers hear one another four times a second, so a zone whose keeper was
-    /// not heard in three rounds may be cut off; its endpoints are left for last until it is heard again.
-    fn silent_zones(&self, now: Instant, shared: &Shared) -> BTreeSet<name::Zone> {
-        if self.keeping.keeper != Keeper::Own {
-            return BTreeSet::new();
-        }
-        let heard: BTreeSet<&name::Zone> = self.members.heard(now, ROUNDS).map(|(_, state)| &state.zone).collect();
-        let zones = self.members.zones().into_iter();
-        let silent = zones.filter(|zone| **zone != shared.settings.zone && !heard.contains(zone));
-        silent.cloned().collect()
-    }
-
     /// Returns the prompt tokens a second that callers of a service ask all entries to have read.
     pub(super) fn reading(&self, now: Instant, service: &name::Service) -> f64 {
         let own = self.services.get(service).map_or(0.0, |lasting| lasting.reading.get());
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -1,8 +1,10 @@
 //! What the control thread knows, and the pictures that it publishes from that.
 
 mod inner;
+mod organisation;
 mod publish;
 mod talk;
+mod zone;
 
 use core::cell::RefCell;
 use core::net::SocketAddr;
--- /dev/null
+++ b/bergamotshift-forward/src/control/organisation.rs
@@ -0,0 +1,146 @@
+//! An organisation's limit at this entry: its share, or its zone's, and who keeps the zone.
+
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+use slog::info;
+
+use super::inner::Inner;
+use super::inner::UNKNOWN;
+use crate::document::Limit;
+use crate::limits::Account;
+use crate::limits::Demand;
+use crate::limits::Keeper;
+use crate::limits::Keeping;
+use crate::limits::Part;
+use crate::limits::Share;
+use crate::limits::Timing;
+use crate::limits::keeper;
+use crate::observe::Topic;
+use crate::view::Shared;
+
+/// The part of the units beyond a limit that entries deal out; the rest covers requests that overdraw their share.
+const SLACK_USED: f64 = 0.4;
+
+/// How many times the burst all entries together may deal out while an organisation is far below its limit.
+///
+/// Failure: a few large requests come to one entry, whose share of the burst is small. Symptom: they are refused though
+/// the organisation uses half of its limit (one to two in a hundred requests on calm days). What is taken beyond the
+/// share stays owed when demand rises, so it is paid back at the rate before more is let in, and a window holds no more
+/// than the limit's slack allows.
+const CALM_BURSTS: f64 = 1.5;
+
+/// What a process that starts and keeps its zone takes to be used up, in bursts. Only as many requests as there are zones
+/// overdraw, and a process that was killed is back after a second, so that half a burst more in one window stays within
+/// the tenth by which a limit may be exceeded.
+const USED_KEEPER: f64 = 0.5;
+
+#[derive(Debug, Default)]
+pub(super) struct Organisation {
+    pub(super) account: Arc<Account>,
+    /// What this entry grants to all of its zone, when it keeps that.
+    pub(super) kept: Arc<Account>,
+    /// This entry's share in a small fleet.
+    pub(super) share: Share<name::Entry>,
+    /// The zone's share in a large one.
+    pub(super) zone_share: Share<name::Zone>,
+    pub(super) demand: Demand,
+}
+
+impl Organisation {
+    /// Works out this entry's part of the limit among `members` entries; `slack` are units that all together may let in
+    /// beyond its burst.
+    fn deal(&mut self, now: Instant, limit: Option<Limit>, slack: f64, members: usize) {
+        let timing = Timing::default();
+        let fraction = self.share.next(now, &timing, self.demand, members);
+        let part = limit.map(|limit| {
+            let calm = self.share.is_calm(now, &timing, self.demand, members, limit.rate);
+            whole(limit, slack).times(fraction, fraction.max(spread(calm, members)))
+        });
+        self.account.set(now, part);
+    }
+
+    /// Works out the part of the limit that this entry grants as the keeper of its zone, or as its deputy, among `zones`.
+    fn deal_zone(&mut self, now: Instant, limit: Option<Limit>, slack: f64, zones: usize, keeping: Keeping) {
+        let timing = Timing::default();
+        let is_keeper = keeping.keeper == Keeper::Own;
+        if !is_keeper && !keeping.is_deputy {
+            return;
+        }
+        let fraction = if is_keeper {
+            self.zone_share.next(now, &timing, self.demand, zones)
+        } else {
+            self.zone_share.standby(zones) * keeper::DEPUTY
+        };
+        let part = limit.map(|limit| {
+            let calm = is_keeper && self.zone_share.is_calm(now, &timing, self.demand, zones, limit.rate);
+            let whole = Part {
+                used: USED_KEEPER,
+                ..whole(limit, slack)
+            };
+            whole.times(fraction, fraction.max(spread(calm, zones)))
+        });
+        self.kept.set(now, part);
+    }
+}
+
+/// Returns a whole limit, with what may be let in beyond it.
+fn whole(limit: Limit, slack: f64) -> Part {
+    Part {
+        rate: limit.rate,
+        burst: limit.burst + slack,
+        base: limit.burst + slack,
+        ..Part::default()
+    }
+}
+
+/// Returns the part of a burst that each of `members` may use at the least.
+fn spread(is_calm: bool, members: usize) -> f64 {
+    if is_calm {
+        (CALM_BURSTS / members as f64).min(1.0)
+    } else {
+        0.0
+    }
+}
+
+impl Inner {
+    /// Works out who keeps the zone.
+    pub(super) fn keep(&mut self, now: Instant, shared: &Shared) {
+        if shared.is_stopping() {
+            self.members.stop();
+        }
+        let keeping = self.members.keeping(now);
+        if keeping == self.keeping {
+            return;
+        }
+        if let Some((logger, left_out)) = shared.log.room(now, Topic::Belief) {
+            info!(logger, "zone kept"; "keeper" => ?keeping.keeper, "deputy" => ?keeping.deputy,
+                "is_deputy" => keeping.is_deputy, "members" => self.members.count(), "left_out" => left_out);
+        }
+        let is_keeper = keeping.keeper == Keeper::Own;
+        shared.metrics.keeper.set(i64::from(is_keeper));
+        self.keeping = keeping;
+        // The accounts come first: whoever is asked from now on grants from them.
+        self.deal(now, shared);
+        self.publish(shared);
+    }
+
+    /// Works out this entry's part of each limit.
+    pub(super) fn deal(&mut self, now: Instant, shared: &Shared) {
+        let known = self.members.count();
+        let members = if self.lists_entries { known } else { known.max(UNKNOWN) };
+        let slack = shared.settings.limit.slack * SLACK_USED;
+        let document = Arc::clone(&self.document);
+        let zones = self.members.zones().len();
+        let is_large = self.members.is_large();
+        for declared in &document.organisations {
+            let organisation = self.organisations.entry(declared.name.clone()).or_default();
+            let limit = declared.limit.filter(|limit| limit.rate > 0.0);
+            if is_large {
+                organisation.deal_zone(now, limit, slack, zones, self.keeping);
+            } else {
+                organisation.deal(now, limit, slack, members);
+            }
+        }
+    }
+}
--- a/bergamotshift-forward/src/control/publish.rs
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -8,8 +8,8 @@
 
 use super::inner::Inner;
 use super::inner::Lasting;
-use super::inner::Organisation;
 use super::inner::budget;
+use super::organisation::Organisation;
 use crate::endpoint::Endpoint;
 use crate::limits::Demand;
 use crate::routes::Table;
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -12,6 +12,7 @@
 use crate::endpoint::Event;
 use crate::follow::Knowledge;
 use crate::limits::Keeper;
+use crate::observe::Topic;
 use crate::outside::Cursor;
 use crate::peers::Known;
 use crate::peers::Reply;
@@ -194,8 +195,11 @@
             counted.insert(*window, counts.clone());
         }
         let entry = state.entry.clone();
-        if self.members.heard_of(now, state) {
-            info!(shared.log.always(), "entry heard"; "entry" => entry.as_str(), "members" => self.members.count());
+        if self.members.heard_of(now, state)
+            && let Some((logger, left_out)) = shared.log.room(now, Topic::Belief)
+        {
+            info!(logger, "entry heard"; "entry" => entry.as_str(), "members" => self.members.count(),
+                "left_out" => left_out);
         }
     }
 }
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -60,6 +60,12 @@
     pub peers: Gauge<i64, AtomicI64>,
     /// Whether this entry holds the duties.
     pub holder: Gauge<i64, AtomicI64>,
+    /// Whether this entry keeps its zone.
+    pub keeper: Gauge<i64, AtomicI64>,
+    /// Questions that the keeper of the zone did not answer.
+    pub unanswered: Counter<u64, AtomicU64>,
+    /// Whether this entry is cut off from endpoints that its callers need.
+    pub stranded: Gauge<i64, AtomicI64>,
 }
 
 impl Metrics {
@@ -79,6 +85,9 @@
             endpoints: Gauge::default(),
             peers: Gauge::default(),
             holder: Gauge::default(),
+            keeper: Gauge::default(),
+            unanswered: Counter::default(),
+            stranded: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by route and outcome", metrics.requests.clone());
@@ -110,6 +119,21 @@
             "Whether this entry holds the duties",
             metrics.holder.clone(),
         );
+        registry.register(
+            "zone_keeper",
+            "Whether this entry keeps its zone",
+            metrics.keeper.clone(),
+        );
+        registry.register(
+            "keeper_unanswered",
+            "Questions that the keeper of the zone did not answer",
+            metrics.unanswered.clone(),
+        );
+        registry.register(
+            "stranded",
+            "Whether this entry is cut off from endpoints that its callers need",
+            metrics.stranded.clone(),
+        );
         metrics
     }
 
--- /dev/null
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -0,0 +1,114 @@
+//! Works out who keeps each zone, and whether this entry is cut off from the others.
+
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::collections::BTreeSet;
+
+use bergamotshift_core::prelude::*;
+
+use super::member::Members;
+use super::member::Peer;
+use crate::limits::Keeper;
+use crate::limits::Keeping;
+use crate::limits::keeper;
+use crate::limits::keeper::Candidate;
+
+/// How long an entry hears nothing from other zones until it takes itself for cut off from them; several are asked a second.
+const CUT: Duration = Duration::from_millis(1_200);
+
+/// One in so many entries of its zone an entry has to hear, to keep the zone. Single VMs are cut off and then hear nobody
+/// there; of a zone that lost more than half of its processes at once, those left go on.
+const ENOUGH: usize = 4;
+
+impl Members {
+    /// Returns whether this entry is cut off from all other zones: none was heard lately, and some were asked and silent.
+    ///
+    /// Entries whose processes ended refuse connections, so a fleet that was killed does not look cut off to one that is
+    /// left.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let is_far = |peer: &&Peer| peer.zone.as_ref().is_some_and(|zone| *zone != self.zone);
+        let mut far = self.peers.values().filter(is_far);
+        let is_silent = |peer: &Peer| peer.silent.is_some_and(|silent| now.since(silent) < CUT);
+        let hears_any = far.clone().any(|peer| peer.was_heard(now, CUT));
+        !hears_any && far.any(is_silent)
+    }
+
+    /// Returns who keeps this entry's zone.
+    ///
+    /// Failure: an entry that is cut off takes all others for dead and itself for the keeper, and grants what the real
+    /// one grants too. Symptom: an organisation exceeds its limit. Who hears less than a part of its zone keeps nothing.
+    pub fn keeping(&self, now: Instant) -> Keeping {
+        if !self.is_large() {
+            return Keeping::default();
+        }
+        let near = self
+            .peers
+            .values()
+            .filter(|peer| peer.zone.as_ref() == Some(&self.zone));
+        let (mates, alive) = near.fold((0, 0), |(mates, alive), peer| {
+            (mates + 1, alive + usize::from(peer.is_alive(now)))
+        });
+        let hears_enough = mates == 0 || alive > 0 && alive * ENOUGH >= mates;
+        let own = Candidate {
+            entry: &self.own,
+            core_share: self.core_share,
+        };
+        let own = Some(own).filter(|_| hears_enough && !self.stops);
+        let [first, second] = keeper::first(self.candidates(now, &self.zone).chain(own));
+        let address = |entry: &name::Entry| self.peers.get(entry).map(|peer| peer.address);
+        Keeping {
+            keeper: match first {
+                Some(entry) if *entry == self.own => Keeper::Own,
+                Some(entry) => address(entry).map_or(Keeper::Unknown, Keeper::Other),
+                None => Keeper::Unknown,
+            },
+            deputy: second.and_then(address),
+            is_deputy: second == Some(&self.own),
+        }
+    }
+
+    /// Returns the availability zones that have entries, this one's included.
+    pub fn zones(&self) -> BTreeSet<&name::Zone> {
+        let others = self.peers.values().filter_map(|peer| peer.zone.as_ref());
+        others.chain([&self.zone]).collect()
+    }
+
+    fn candidates<'a>(&'a self, now: Instant, zone: &'a name::Zone) -> impl Iterator<Item = Candidate<'a>> {
+        let alive = self
+            .peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_alive(now) && !peer.stops);
+        let near = alive.filter(move |(_, peer)| peer.zone.as_ref() == Some(zone));
+        near.map(|(entry, peer)| Candidate {
+            entry,
+            core_share: peer.core_share,
+        })
+    }
+
+    /// Returns the entries of the own zone that would keep it if they were heard.
+    ///
+    /// Failure: all entries are killed and start again, and hear the one that comes first only after a second. Symptom:
+    /// they are let in by nobody meanwhile. It is asked first.
+    pub(super) fn likely_keepers(&self, now: Instant) -> Vec<name::Entry> {
+        let near = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.zone.as_ref() == Some(&self.zone));
+        let open = near.filter(|(_, peer)| !peer.is_paused(now));
+        let candidates = open.map(|(entry, peer)| Candidate {
+            entry,
+            core_share: peer.core_share,
+        });
+        keeper::first(candidates).into_iter().flatten().cloned().collect()
+    }
+
+    /// Returns the keepers of the other zones.
+    pub(super) fn other_keepers(&self, now: Instant) -> Vec<(name::Entry, SocketAddr)> {
+        let zones = self.zones();
+        let others = zones.into_iter().filter(|zone| **zone != self.zone);
+        let keepers = others.filter_map(|zone| keeper::first(self.candidates(now, zone))[0]);
+        keepers
+            .filter_map(|entry| Some((entry.clone(), self.peers.get(entry)?.address)))
+            .collect()
+    }
+}
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -3,7 +3,6 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use bergamotshift_core::prelude::*;
 
@@ -11,9 +10,7 @@
 use super::message::Stage;
 use super::message::State;
 use crate::limits::Keeper;
-use crate::limits::Keeping;
 use crate::limits::keeper;
-use crate::limits::keeper::Candidate;
 
 /// How long an entry may be silent until it is forgotten. A VM that is replaced never comes back, one that is restarted
 /// is back within seconds, and cuts of up to this time take nothing from those behind them.
@@ -29,13 +26,6 @@
 /// is a second and a half old at times.
 const ALIVE: Duration = Duration::from_millis(2_500);
 
-/// How long an entry hears nothing from other zones until it takes itself for cut off from them; several are asked a second.
-const CUT: Duration = Duration::from_millis(1_200);
-
-/// One in so many entries of its zone an entry has to hear, to keep the zone. Single VMs are cut off and then hear nobody
-/// there; of a zone that lost more than half of its processes at once, those left go on.
-const ENOUGH: usize = 4;
-
 /// How long an entry may be silent until the ones behind it in rank do without it.
 const RANKED: Duration = Duration::from_millis(1_500);
 
@@ -50,11 +40,11 @@
     /// What it last said, and when.
     pub said: Option<(Instant, State)>,
     /// Its availability zone, when that is known.
-    zone: Option<name::Zone>,
+    pub(super) zone: Option<name::Zone>,
     /// The part of a core that it may use, in thousandths.
-    core_share: u16,
+    pub(super) core_share: u16,
     /// Whether it is about to end.
-    stops: bool,
+    pub(super) stops: bool,
     /// When it was last heard, by whomever.
     heard: Instant,
     /// When it was first named.
@@ -64,7 +54,7 @@
     /// When it last did not answer.
     failed: Option<Instant>,
     /// When it last was silent: neither did it answer nor did its VM refuse the connection.
-    silent: Option<Instant>,
+    pub(super) silent: Option<Instant>,
 }
 
 impl Peer {
@@ -74,12 +64,12 @@
     }
 
     /// Returns whether it is left alone, since it did not answer just now.
-    fn is_paused(&self, now: Instant) -> bool {
+    pub(super) fn is_paused(&self, now: Instant) -> bool {
         self.failed.is_some_and(|failed| now.since(failed) < PAUSE)
     }
 
     /// Returns whether anybody heard it lately.
-    fn is_alive(&self, now: Instant) -> bool {
+    pub(super) fn is_alive(&self, now: Instant) -> bool {
         self.heard > Instant::ZERO && now.since(self.heard) < ALIVE
     }
 }
@@ -100,11 +90,11 @@
 /// The other entries.
 #[derive(Debug)]
 pub struct Members {
-    own: name::Entry,
-    zone: name::Zone,
-    core_share: u16,
-    stops: bool,
-    peers: BTreeMap<name::Entry, Peer>,
+    pub(super) own: name::Entry,
+    pub(super) zone: name::Zone,
+    pub(super) core_share: u16,
+    pub(super) stops: bool,
+    pub(super) peers: BTreeMap<name::Entry, Peer>,
 }
 
 impl Members {
@@ -191,18 +181,6 @@
         }
     }
 
-    /// Returns whether this entry is cut off from all other zones: none was heard lately, and some were asked and silent.
-    ///
-    /// Entries whose processes ended refuse connections, so a fleet that was killed does not look cut off to one that is
-    /// left.
-    pub fn is_cut_off(&self, now: Instant) -> bool {
-        let is_far = |peer: &&Peer| peer.zone.as_ref().is_some_and(|zone| *zone != self.zone);
-        let mut far = self.peers.values().filter(is_far);
-        let is_silent = |peer: &Peer| peer.silent.is_some_and(|silent| now.since(silent) < CUT);
-        let hears_any = far.clone().any(|peer| peer.was_heard(now, CUT));
-        !hears_any && far.any(is_silent)
-    }
-
     /// Returns whom to ask now: those heard longest ago, at most `most`.
     ///
     /// In a large fleet not every entry can be heard often. Requests stay in their zone there, so the entries of the own
@@ -261,90 +239,11 @@
         self.peers.len() >= keeper::SMALL
     }
 
-    /// Returns who keeps this entry's zone.
-    ///
-    /// Failure: an entry that is cut off takes all others for dead and itself for the keeper, and grants what the real
-    /// one grants too. Symptom: an organisation exceeds its limit. Who hears less than a part of its zone keeps nothing.
-    pub fn keeping(&self, now: Instant) -> Keeping {
-        if !self.is_large() {
-            return Keeping::default();
-        }
-        let near = self
-            .peers
-            .values()
-            .filter(|peer| peer.zone.as_ref() == Some(&self.zone));
-        let (mates, alive) = near.fold((0, 0), |(mates, alive), peer| {
-            (mates + 1, alive + usize::from(peer.is_alive(now)))
-        });
-        let hears_enough = mates == 0 || alive > 0 && alive * ENOUGH >= mates;
-        let own = Candidate {
-            entry: &self.own,
-            core_share: self.core_share,
-        };
-        let own = Some(own).filter(|_| hears_enough && !self.stops);
-        let [first, second] = keeper::first(self.candidates(now, &self.zone).chain(own));
-        let address = |entry: &name::Entry| self.peers.get(entry).map(|peer| peer.address);
-        Keeping {
-            keeper: match first {
-                Some(entry) if *entry == self.own => Keeper::Own,
-                Some(entry) => address(entry).map_or(Keeper::Unknown, Keeper::Other),
-                None => Keeper::Unknown,
-            },
-            deputy: second.and_then(address),
-            is_deputy: second == Some(&self.own),
-        }
-    }
-
-    /// Returns the availability zones that have entries, this one's included.
-    pub fn zones(&self) -> BTreeSet<&name::Zone> {
-        let others = self.peers.values().filter_map(|peer| peer.zone.as_ref());
-        others.chain([&self.zone]).collect()
-    }
-
     /// Notes that this entry is about to end.
     pub const fn stop(&mut self) {
         self.stops = true;
     }
 
-    fn candidates<'a>(&'a self, now: Instant, zone: &'a name::Zone) -> impl Iterator<Item = Candidate<'a>> {
-        let alive = self
-            .peers
-            .iter()
-            .filter(move |(_, peer)| peer.is_alive(now) && !peer.stops);
-        let near = alive.filter(move |(_, peer)| peer.zone.as_ref() == Some(zone));
-        near.map(|(entry, peer)| Candidate {
-            entry,
-            core_share: peer.core_share,
-        })
-    }
-
-    /// Returns the entries of the own zone that would keep it if they were heard.
-    ///
-    /// Failure: all entries are killed and start again, and hear the one that comes first only after a second. Symptom:
-    /// they are let in by nobody meanwhile. It is asked first.
-    fn likely_keepers(&self, now: Instant) -> Vec<name::Entry> {
-        let near = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.zone.as_ref() == Some(&self.zone));
-        let open = near.filter(|(_, peer)| !peer.is_paused(now));
-        let candidates = open.map(|(entry, peer)| Candidate {
-            entry,
-            core_share: peer.core_share,
-        });
-        keeper::first(candidates).into_iter().flatten().cloned().collect()
-    }
-
-    /// Returns the keepers of the other zones.
-    fn other_keepers(&self, now: Instant) -> Vec<(name::Entry, SocketAddr)> {
-        let zones = self.zones();
-        let others = zones.into_iter().filter(|zone| **zone != self.zone);
-        let keepers = others.filter_map(|zone| keeper::first(self.candidates(now, zone))[0]);
-        keepers
-            .filter_map(|entry| Some((entry.clone(), self.peers.get(entry)?.address)))
-            .collect()
-    }
-
     /// Forgets entries that are gone for good, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<name::Entry> {
         let gone = |peer: &Peer| match &peer.said {
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! that leave, and to go on with the newest document while some of them cannot reach the store.
 
 pub mod keep;
+mod keepers;
 mod member;
 mod message;
 mod question;
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -180,6 +180,7 @@
     fn note_away(&self, address: SocketAddr) {
         let now = self.shared.clock.now();
         self.away.set(Some((address, now + keeper::PAUSE)));
+        self.shared.metrics.unanswered.inc();
         if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Belief) {
             info!(logger, "keeper not reached"; "keeper" => %address,
                 "pause_ms" => keeper::PAUSE.as_millis() as u64, "left_out" => left_out);
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod callers;
 mod charge;
+mod choose;
 mod cut;
 mod forwarder;
 mod job;
