perf(forward): tell entries of other zones in brief, and name all entries only once in a while

Cause: each word between entries named all of them and what was read where. In a large fleet an entry of another zone that does not keep it is told only what it needs (counts, demand, how fresh its knowledge is), and its answer is as brief; the own zone and the keepers are named each time, all entries in one round of sixteen.

Ruled out: links between zones being short of room (1,000 Mbit/s there).

Test, red before: `members::a_large_fleet_names_all_entries_only_once_in_a_while`.

--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -234,6 +234,12 @@
         self.inner.borrow_mut().members.failed(now, entry, is_silent);
     }
 
+    /// Returns whether another entry is told in brief.
+    pub fn is_brief(&self, entry: &name::Entry) -> bool {
+        let now = self.now();
+        self.inner.borrow().members.is_brief(now, entry)
+    }
+
     /// Returns what this entry says of itself.
     pub fn state(&self) -> State {
         let now = self.now();
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -95,14 +95,16 @@
     /// Takes in what another entry says of itself, and returns what it is told: also what it has in an older state.
     pub(super) fn asked(&mut self, now: Instant, shared: &Shared, state: State) -> Reply {
         let theirs = (state.document, state.endpoints, state.endpoints_known);
+        let is_brief = state.is_brief();
         self.heard(now, shared, state);
         let newer = self.document.version > theirs.0;
         let cursor = theirs.2.map_or(0, |known| known.cursor);
         let fresher = self.registrations_known.cursor().0 > cursor
             && self.directory.is_settled()
             && self.directory.digest() != theirs.1;
+        let own = self.state(now, shared);
         Reply {
-            state: self.state(now, shared),
+            state: if is_brief { own.brief() } else { own },
             document: newer.then(|| Document::clone(&self.document)),
             endpoints: fresher.then(|| self.directory.registrations()),
         }
--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -94,7 +94,7 @@
             .peers
             .iter()
             .filter(|(_, peer)| peer.zone.as_ref() == Some(&self.zone));
-        let open = near.filter(|(_, peer)| !peer.is_paused(now));
+        let open = near.filter(|(_, peer)| !peer.is_paused(now) && !peer.was_asked(now));
         let candidates = open.map(|(entry, peer)| Candidate {
             entry,
             core_share: peer.core_share,
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use bergamotshift_core::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::message::Named;
 use super::message::Stage;
@@ -68,6 +69,11 @@
         self.failed.is_some_and(|failed| now.since(failed) < PAUSE)
     }
 
+    /// Returns whether it was asked just now.
+    pub(super) fn was_asked(&self, now: Instant) -> bool {
+        self.asked > Instant::ZERO && now.since(self.asked) < PAUSE
+    }
+
     /// Returns whether anybody heard it lately.
     pub(super) fn is_alive(&self, now: Instant) -> bool {
         self.heard > Instant::ZERO && now.since(self.heard) < ALIVE
@@ -280,7 +286,15 @@
     /// Symptom: its share of each limit stays unused for good. Only who was heard is named.
     pub fn names(&self, now: Instant) -> (Vec<name::Zone>, Vec<Named>) {
         let zones: Vec<name::Zone> = self.zones().into_iter().cloned().collect();
-        let heard = self.peers.iter().filter(|(_, peer)| peer.said.is_some());
+        let keepers = self.other_keepers(now);
+        let is_whole = !self.is_large() || self.tells_all(now);
+        let counts = |entry: &name::Entry, peer: &Peer| {
+            is_whole || peer.zone.as_ref() == Some(&self.zone) || keepers.iter().any(|(keeper, _)| keeper == entry)
+        };
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(entry, peer)| peer.said.is_some() && counts(entry, peer));
         let names = heard.map(|(entry, peer)| Named {
             entry: entry.clone(),
             address: peer.address,
@@ -297,6 +311,29 @@
         (zones, names)
     }
 
+    /// Returns whether all entries are named at this moment, which is so for one round in sixteen.
+    ///
+    /// Failure: each of hundreds of entries names all others to whomever it asks. Symptom: the entries' words to each other
+    /// fill the links of small VMs (600 kB a second at 300 entries). What is needed at once is who is alive in the own zone
+    /// and who keeps the others; the rest may be heard some seconds late.
+    fn tells_all(&self, now: Instant) -> bool {
+        const SPAN: u64 = 4_000;
+        const ROUND: u64 = 250;
+        // Not all at the same moment.
+        let offset = xxh3_64(self.own.as_str().as_bytes()) % SPAN;
+        (now.as_micros() / 1_000 + offset) % SPAN < ROUND
+    }
+
+    /// Returns whether an entry is told in brief: in a large fleet, one of another zone that does not keep it, and any while
+    /// nobody keeps the own zone, since all ask the same one then.
+    pub fn is_brief(&self, now: Instant, entry: &name::Entry) -> bool {
+        let is_near = |peer: &Peer| peer.zone.as_ref() == Some(&self.zone);
+        if !self.is_large() || self.other_keepers(now).iter().any(|(keeper, _)| keeper == entry) {
+            return false;
+        }
+        self.keeping(now).keeper == Keeper::Unknown || !self.peers.get(entry).is_some_and(is_near)
+    }
+
     /// Returns how many entries there are, this one included.
     pub fn count(&self) -> usize {
         self.peers.len() + 1
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -149,6 +149,26 @@
     pub members: Vec<Named>,
 }
 
+impl State {
+    /// Leaves out what only entries of the same zone and the keepers of others need.
+    #[must_use]
+    pub fn brief(self) -> Self {
+        Self {
+            uses: Vec::new(),
+            flown: Vec::new(),
+            readings: Vec::new(),
+            zones: Vec::new(),
+            members: Vec::new(),
+            ..self
+        }
+    }
+
+    /// Returns whether it is brief; the answer is brief then too.
+    pub const fn is_brief(&self) -> bool {
+        self.zones.is_empty()
+    }
+}
+
 /// The answer to a [`State`].
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -103,12 +103,14 @@
             due.extend(others.map(|seed| (None, *seed)));
         }
         let state = control.state();
-        let Ok(question) = postcard::to_stdvec(&state) else {
+        let (Ok(question), Ok(brief)) = (postcard::to_stdvec(&state), postcard::to_stdvec(&state.brief())) else {
             continue;
         };
-        let asks = due
-            .into_iter()
-            .map(|(entry, address)| ask(&control, &connections, entry, address, &question));
+        let asks = due.into_iter().map(|(entry, address)| {
+            let is_brief = entry.as_ref().is_some_and(|entry| control.is_brief(entry));
+            let question = if is_brief { &brief } else { &question };
+            ask(&control, &connections, entry, address, question)
+        });
         join_all(asks).await;
     }
 }
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -283,3 +283,28 @@
         assert!(!members.is_cut_off(at(11_700)), "one is heard again");
     }
 }
+
+/// Three hundred entries tell each other whom they know. If each named all others each time, their words would fill the
+/// links of small VMs; they name their own zone and the keepers of the others, and all of them once in a while.
+#[test]
+fn a_large_fleet_names_all_entries_only_once_in_a_while() {
+    let mut members = self::members("entry-000");
+    for number in 1..300 {
+        let mut state = state(&format!("entry-{number:03}"), true);
+        state.zone = format!("zone-{}", number % 4).as_str().into();
+        members.heard_of(at(60_000), state);
+    }
+    for number in 300..310 {
+        members.heard_of(at(60_000), state(&format!("entry-{number}"), true));
+    }
+    let named: Vec<usize> = (0..16)
+        .map(|round| members.names(at(60_000 + round * 250)).1.len())
+        .collect();
+    assert_eq!(named.iter().filter(|count| **count == 309).count(), 1, "{named:?}");
+    assert_eq!(named.iter().filter(|count| **count <= 14).count(), 15, "{named:?}");
+    assert!(members.is_brief(at(60_100), &"entry-001".into()) || members.is_brief(at(60_100), &"entry-005".into()));
+    assert!(
+        !members.is_brief(at(60_100), &"entry-300".into()),
+        "it lies in the own zone"
+    );
+}
