perf(forward): weigh only engines that can win, and tell the keeper less

For each choice it weighed all 3,004 engines and looked three parts up for each. Engines of other zones that hold nothing of the prompt count as 150 ms slower at least; they are weighed only when no near one and no holder is below that. Who holds a part is looked up once by the part. Work that changed is told 60 ms later instead of 30, and not at all when a question told it meanwhile.

Ruled out: another choice; the test `choice::a_busy_zone_sends_on_what_another_zone_begins_sooner` and the older ones hold.

--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -6,6 +6,7 @@
 mod recall;
 
 use core::net::SocketAddr;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
@@ -134,15 +135,25 @@
     let best = |candidates: &mut dyn Iterator<Item = &Arc<Endpoint>>| {
         candidates.map(cost).min_by(|a, b| a.cost.total_cmp(&b.cost))
     };
-    let reachable = best(&mut open().filter(|endpoint| !endpoint.health.is_paused(now)));
-    reachable.or_else(|| best(&mut open()))
+    let reachable = || open().filter(|endpoint| !endpoint.health.is_paused(now));
+    let is_likely = |endpoint: &&Arc<Endpoint>| {
+        request.is_near(endpoint) || prompt.as_ref().is_some_and(|prompt| prompt.held(endpoint) > 0)
+    };
+    // What lies in another zone and holds nothing of the prompt counts as `far` slower at least. With thousands of endpoints
+    // most need not be weighed, which is most of the time that a keeper takes for a choice.
+    let likely = best(&mut reachable().filter(is_likely));
+    likely
+        .filter(|choice| choice.cost <= settings.far)
+        .or_else(|| best(&mut reachable()))
+        .or_else(|| best(&mut open()))
 }
 
 /// What is known of where a prompt's parts are.
 struct Prompt<'a> {
     engine: Engine,
     ask: &'a Ask,
-    recall: &'a Recall,
+    /// How many tokens of the prompt's beginning each endpoint holds that holds any.
+    held: HashMap<u64, u64>,
     /// The endpoint on which all entries agree for a part that nobody has read.
     home: Option<u64>,
     /// The endpoint that holds most of the prompt's beginning, leaving ones included, and how many tokens.
@@ -155,11 +166,13 @@
         engine: Engine,
         endpoints: &'a [Arc<Endpoint>],
         request: &Request<'a>,
-        recall: &'a Recall,
+        recall: &Recall,
     ) -> Self {
         let ask = request.ask;
+        let held = recall.held_by(&ask.parts);
         let reachable = endpoints.iter().filter(|endpoint| !endpoint.health.is_paused(now));
-        let holders = reachable.map(|endpoint| (endpoint, recall.held(&ask.parts, endpoint.hash)));
+        let holders = reachable.filter_map(|endpoint| held.get(&endpoint.hash).map(|held| (endpoint, *held)));
+        let holder = holders.max_by_key(|(_, held)| *held);
         let known = ask.shared().is_some_and(|part| recall.is_known(part.id));
         let open = endpoints
             .iter()
@@ -167,13 +180,13 @@
         Self {
             engine,
             ask,
-            recall,
+            held,
             home: if known {
                 None
             } else {
                 home(ask, open.map(|endpoint| endpoint.hash))
             },
-            holder: holders.max_by_key(|(_, held)| *held).filter(|(_, held)| *held > 0),
+            holder,
         }
     }
 }
@@ -213,6 +226,11 @@
 }
 
 impl Prompt<'_> {
+    /// Returns how many tokens of the prompt's beginning an endpoint holds.
+    fn held(&self, endpoint: &Endpoint) -> u64 {
+        self.held.get(&endpoint.hash).copied().unwrap_or_default()
+    }
+
     /// Returns the expected time until an endpoint has read the prompt, with what it reads and what it gets from where.
     fn weigh(
         &self,
@@ -221,7 +239,7 @@
         source: &mut Option<SocketAddr>,
         endpoint: &Endpoint,
     ) -> f64 {
-        let held = self.recall.held(&self.ask.parts, endpoint.hash);
+        let held = self.held(endpoint);
         let total = u64::from(self.ask.size.unwrap_or_default().prompt);
         let elsewhere = self.holder.filter(|(holder, _)| holder.hash != endpoint.hash);
         let more = elsewhere.map_or(0, |(_, tokens)| tokens.saturating_sub(held));
--- a/bergamotshift-forward/src/choice/recall.rs
+++ b/bergamotshift-forward/src/choice/recall.rs
@@ -49,34 +49,40 @@
 }
 
 impl Cache {
-    fn hold(&mut self, part: Part, at: Instant) {
+    /// Notes that a part was used; returns whether it was not held before.
+    fn hold(&mut self, part: Part, at: Instant) -> bool {
         let held = Held {
             tokens: part.tokens,
             at,
         };
-        if let Some(before) = self.parts.insert(part.id, held) {
-            self.tokens -= u64::from(before.tokens);
-        }
+        let before = self.parts.insert(part.id, held);
+        self.tokens -= before.map_or(0, |before| u64::from(before.tokens));
         self.tokens += u64::from(part.tokens);
+        before.is_none()
     }
 
-    /// Drops what was used longest ago until no more than `room` tokens are held.
-    fn fit(&mut self, room: u64) {
+    /// Drops what was used longest ago until no more than `room` tokens are held; returns what was dropped.
+    fn fit(&mut self, room: u64) -> Vec<u64> {
+        let mut dropped = Vec::new();
         while self.tokens > room || self.parts.len() > MOST_PARTS {
             let oldest = self.parts.iter().min_by_key(|(_, held)| held.at);
             let Some(id) = oldest.map(|(id, _)| *id) else {
-                return;
+                break;
             };
             self.drop(id);
+            dropped.push(id);
         }
+        dropped
     }
 
-    fn expire(&mut self, now: Instant) {
-        let old = self.parts.iter().filter(|(_, held)| now.since(held.at) >= MEMORY);
+    /// Drops what was not used for a time; returns what was dropped.
+    fn expire(&mut self, now: Instant, memory: Duration) -> Vec<u64> {
+        let old = self.parts.iter().filter(|(_, held)| now.since(held.at) >= memory);
         let old: Vec<u64> = old.map(|(id, _)| *id).collect();
-        for id in old {
-            self.drop(id);
+        for id in &old {
+            self.drop(*id);
         }
+        old
     }
 
     fn drop(&mut self, id: u64) {
@@ -94,6 +100,8 @@
 #[derive(Debug)]
 pub struct Recall {
     caches: HashMap<u64, Cache>,
+    /// The endpoints that hold each part.
+    holders: HashMap<u64, Vec<u64>>,
     told: VecDeque<(Instant, Reading)>,
     /// The tokens that one endpoint's cache holds.
     room: u64,
@@ -103,6 +111,7 @@
     fn default() -> Self {
         Self {
             caches: HashMap::new(),
+            holders: HashMap::new(),
             told: VecDeque::new(),
             room: u64::MAX,
         }
@@ -134,8 +143,22 @@
     /// Notes that an endpoint reads a part.
     pub fn hear(&mut self, now: Instant, reading: Reading) {
         let cache = self.caches.entry(reading.endpoint).or_default();
-        cache.hold(reading.part, now);
-        cache.fit(self.room);
+        if cache.hold(reading.part, now) {
+            let holders = self.holders.entry(reading.part.id).or_default();
+            holders.push(reading.endpoint);
+        }
+        for dropped in cache.fit(self.room) {
+            forget(&mut self.holders, dropped, reading.endpoint);
+        }
+    }
+
+    /// Returns how many tokens at the beginning of a prompt each endpoint holds that holds any.
+    pub fn held_by(&self, parts: &[Part]) -> HashMap<u64, u64> {
+        let first = parts.first().and_then(|part| self.holders.get(&part.id));
+        let holders = first.into_iter().flatten();
+        holders
+            .map(|endpoint| (*endpoint, self.held(parts, *endpoint)))
+            .collect()
     }
 
     /// Returns what this entry had read lately, for the other entries.
@@ -160,15 +183,27 @@
 
     /// Returns whether any endpoint is known to hold a part.
     pub fn is_known(&self, part: u64) -> bool {
-        self.caches.values().any(|cache| cache.parts.contains_key(&part))
+        self.holders.contains_key(&part)
     }
 
     /// Forgets what has not been used for long, and what endpoints hold that are gone.
     pub fn expire(&mut self, now: Instant, is_there: impl Fn(u64) -> bool) {
-        for cache in self.caches.values_mut() {
-            cache.expire(now);
+        for (endpoint, cache) in &mut self.caches {
+            let memory = if is_there(*endpoint) { MEMORY } else { Duration::ZERO };
+            for dropped in cache.expire(now, memory) {
+                forget(&mut self.holders, dropped, *endpoint);
+            }
+        }
+        self.caches.retain(|_, cache| !cache.parts.is_empty());
+    }
+}
+
+/// Takes an endpoint out of those that hold a part.
+fn forget(holders: &mut HashMap<u64, Vec<u64>>, part: u64, endpoint: u64) {
+    if let Some(of_part) = holders.get_mut(&part) {
+        of_part.retain(|holder| *holder != endpoint);
+        if of_part.is_empty() {
+            holders.remove(&part);
         }
-        self.caches
-            .retain(|endpoint, cache| !cache.parts.is_empty() && is_there(*endpoint));
     }
 }
--- a/bergamotshift-forward/src/control/publish.rs
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -35,6 +35,8 @@
             let service = endpoint.registration.service.clone();
             endpoints.entry(service).or_default().push(Arc::clone(endpoint));
         }
+        let by_hash = self.directory.endpoints();
+        let by_hash = by_hash.map(|endpoint| (endpoint.hash, Arc::clone(endpoint))).collect();
         let open = endpoints.values().flatten().filter(|endpoint| !endpoint.is_leaving());
         shared.metrics.endpoints.set(open.count() as i64);
         let document = Arc::clone(&self.document);
@@ -61,6 +63,7 @@
         let view = View {
             table: (document.version > 0).then(|| Table::new(Arc::clone(&document))),
             services,
+            by_hash,
             accounts: accounts.map(|(name, one)| (name.clone(), one.accounts())).collect(),
             suspects: self.quarantine.table(),
             keeping: self.keeping,
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -73,6 +73,8 @@
     callers: Callers,
     /// The keeper of the zone that did not answer lately.
     pub(super) away: Cell<Away>,
+    /// When the keeper was last told what work is under way.
+    pub(super) told: Cell<Instant>,
 }
 
 impl Forwarder {
@@ -84,6 +86,7 @@
             weights: choice::Settings::default(),
             callers: Callers::default(),
             away: Cell::default(),
+            told: Cell::default(),
         }
     }
 
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -33,8 +33,8 @@
 const LOOK: Duration = Duration::from_millis(20);
 
 /// How long changes of the work under way are gathered before the keeper is told. Engines read some thousand tokens in
-/// this time, a fraction of a prompt.
-const GATHER: Duration = Duration::from_millis(30);
+/// this time, a fraction of a prompt, and where requests are many the next question tells it anyway.
+const GATHER: Duration = Duration::from_millis(60);
 
 /// A keeper that did not answer, and until when it is left alone.
 pub(super) type Away = Option<(SocketAddr, Instant)>;
@@ -117,7 +117,12 @@
     pub async fn tell(self: Rc<Self>) {
         loop {
             self.shared.flown.notified().await;
+            let changed = self.shared.clock.now();
             tokio::time::sleep(GATHER).await;
+            // A question that was asked meanwhile told it.
+            if self.told.get() > changed {
+                continue;
+            }
             let keeping = self.shared.view.load().keeping;
             let Keeper::Other(address) = keeping.keeper else {
                 continue;
@@ -146,6 +151,7 @@
     }
 
     async fn ask(&self, address: SocketAddr, question: &Question) -> Result<Answer, Missed> {
+        self.told.set(self.shared.clock.now());
         let asked = timeout(keeper::PATIENCE, self.exchange(address, question)).await;
         asked.unwrap_or(Err(Missed::Unreached))
     }
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -61,6 +61,8 @@
     pub table: Option<Table>,
     /// The services.
     pub services: HashMap<name::Service, Service>,
+    /// The endpoints of all services, by the hash of their identifiers.
+    pub by_hash: HashMap<u64, Arc<Endpoint>>,
     /// The organisations' accounts.
     pub accounts: HashMap<name::Organisation, Accounts>,
     /// Requests that are suspected of ending endpoints.
@@ -74,8 +76,7 @@
 impl View {
     /// Finds an endpoint by the hash of its identifier.
     pub fn endpoint(&self, hash: u64) -> Option<&Arc<Endpoint>> {
-        let mut all = self.services.values().flat_map(|service| service.endpoints.iter());
-        all.find(|endpoint| endpoint.hash == hash)
+        self.by_hash.get(&hash)
     }
 }
 
--- a/bergamotshift-forward/tests/kernel/choice.rs
+++ b/bergamotshift-forward/tests/kernel/choice.rs
@@ -185,3 +185,18 @@
         "any is better than none"
     );
 }
+
+/// The own zone has engines enough, so others are weighed only when they hold something of the prompt or when all near ones
+/// are busy. What is chosen must be the same as if all had been weighed.
+#[test]
+fn a_busy_zone_sends_on_what_another_zone_begins_sooner() {
+    let near: Vec<_> = endpoints(12);
+    let far = Arc::new(Endpoint::new(registration("far", "two")));
+    let all: Vec<_> = near.iter().cloned().chain([Arc::clone(&far)]).collect();
+    let recall = Recall::default();
+    let chosen_first = chosen(&all, Some(ENGINE), &recall, &[]).expect("a near one");
+    assert_ne!(chosen_first.endpoint.hash, far.hash);
+    let _busy: Vec<_> = near.iter().map(|one| Seat::take(Arc::clone(one), 100_000)).collect();
+    let chosen_then = chosen(&all, Some(ENGINE), &recall, &[]).expect("the far one");
+    assert_eq!(chosen_then.endpoint.hash, far.hash);
+}
