fix(forward): let an entry that starts say and hear all

For its first three seconds an entry is brief to nobody and names all that it knows, which is little then.

Test: `members::a_large_fleet_names_all_entries_only_once_in_a_while` has the start now.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -93,6 +93,13 @@
 
 impl Inner {
     pub(super) fn new(shared: &Shared) -> Self {
+        let now = shared.clock.now();
+        let mut members = Members::new(
+            shared.settings.name.clone(),
+            shared.settings.zone.clone(),
+            core_share(shared),
+        );
+        members.start(now);
         Self {
             document: Arc::default(),
             document_known: Knowledge::default(),
@@ -100,11 +107,7 @@
             registrations_known: Knowledge::default(),
             organisations: BTreeMap::new(),
             services: BTreeMap::new(),
-            members: Members::new(
-                shared.settings.name.clone(),
-                shared.settings.zone.clone(),
-                core_share(shared),
-            ),
+            members,
             quarantine: Quarantine::new(quarantine::Settings::default()),
             counted: BTreeMap::new(),
             holds: false,
@@ -113,7 +116,7 @@
             lost_calls: BTreeSet::new(),
             life: random::generator().next_u64(),
             keeping: Keeping::default(),
-            ticked: shared.clock.now(),
+            ticked: now,
         }
     }
 
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -30,6 +30,9 @@
 /// How long an entry may be silent until the ones behind it in rank do without it.
 const RANKED: Duration = Duration::from_millis(1_500);
 
+/// How long an entry that starts says all that it knows.
+const YOUNG: Duration = Duration::from_secs(3);
+
 /// How long after a failure an entry is left alone.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -100,6 +103,8 @@
     pub(super) zone: name::Zone,
     pub(super) core_share: u16,
     pub(super) stops: bool,
+    /// When the process started; `None` when that is long ago.
+    started: Option<Instant>,
     pub(super) peers: BTreeMap<name::Entry, Peer>,
 }
 
@@ -111,6 +116,7 @@
             zone,
             core_share,
             stops: false,
+            started: None,
             peers: BTreeMap::new(),
         }
     }
@@ -287,7 +293,7 @@
     pub fn names(&self, now: Instant) -> (Vec<name::Zone>, Vec<Named>) {
         let zones: Vec<name::Zone> = self.zones().into_iter().cloned().collect();
         let keepers = self.other_keepers(now);
-        let is_whole = !self.is_large() || self.tells_all(now);
+        let is_whole = !self.is_large() || self.is_young(now) || self.tells_all(now);
         let counts = |entry: &name::Entry, peer: &Peer| {
             is_whole || peer.zone.as_ref() == Some(&self.zone) || keepers.iter().any(|(keeper, _)| keeper == entry)
         };
@@ -324,14 +330,24 @@
         (now.as_micros() / 1_000 + offset) % SPAN < ROUND
     }
 
-    /// Returns whether an entry is told in brief: in a large fleet, one of another zone that does not keep it, and any while
-    /// nobody keeps the own zone, since all ask the same one then.
+    /// Notes that the process starts.
+    pub const fn start(&mut self, now: Instant) {
+        self.started = Some(now);
+    }
+
+    /// Returns whether the process started just now. It says all that it knows then, which is little: when all entries start
+    /// at once, each has to hear who keeps the other zones.
+    fn is_young(&self, now: Instant) -> bool {
+        self.started.is_some_and(|started| now.since(started) < YOUNG)
+    }
+
+    /// Returns whether an entry is told in brief: in a large fleet, one of another zone that does not keep it.
     pub fn is_brief(&self, now: Instant, entry: &name::Entry) -> bool {
         let is_near = |peer: &Peer| peer.zone.as_ref() == Some(&self.zone);
-        if !self.is_large() || self.other_keepers(now).iter().any(|(keeper, _)| keeper == entry) {
+        if !self.is_large() || self.is_young(now) || self.peers.get(entry).is_some_and(is_near) {
             return false;
         }
-        self.keeping(now).keeper == Keeper::Unknown || !self.peers.get(entry).is_some_and(is_near)
+        !self.other_keepers(now).iter().any(|(keeper, _)| keeper == entry)
     }
 
     /// Returns how many entries there are, this one included.
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -307,4 +307,7 @@
         !members.is_brief(at(60_100), &"entry-300".into()),
         "it lies in the own zone"
     );
+    members.start(at(60_000));
+    assert_eq!(members.names(at(60_500)).1.len(), 309, "it starts");
+    assert!(!members.is_brief(at(60_500), &"entry-001".into()));
 }
