fix(platform): drop with its connection what a call that is given up has not delivered

Ruled out: a permit that was asked too early (the lease had stood when the call began), the lease's clock. The HTTP client's own time limit also begins only when all of a request was sent, so a call to a silent platform had no end at all.

Connections now end in a reset, and one limit covers the whole call, connection included. Test: 64 MB to a receiver that is silent and reads later: all of it arrived before, a part and a reset now.

--- a/bergamotshift-forward/src/exchange/connection.rs
+++ b/bergamotshift-forward/src/exchange/connection.rs
@@ -4,6 +4,7 @@
 use core::time::Duration;
 use std::io;
 
+use bergamotshift_platform::socket::reset_on_close;
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -59,6 +60,7 @@
             Err(_) => return Err(Failure::Connect("no answer in time".to_owned())),
         };
         stream.set_nodelay(true).map_err(failed)?;
+        reset_on_close(&stream).map_err(failed)?;
         let socket = SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)).map_err(failed)?;
         let probes = TcpKeepalive::new()
--- a/bergamotshift-platform/src/http/client.rs
+++ b/bergamotshift-platform/src/http/client.rs
@@ -15,11 +15,17 @@
 use ntex::http::header;
 use ntex::time::Millis;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
+use super::connector::Connector as Opener;
 use super::signer::Bearer;
 use super::signer::Signer;
 use crate::Error;
 
+/// The part of a call's time within which its connection has to come about. What fails by then was surely not sent, and
+/// an answer still fits into the rest.
+const CONNECTING: f64 = 0.75;
+
 /// Settings of the connection to one part of the platform.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -74,7 +80,9 @@
     pub async fn new(settings: Settings) -> Result<Self, Error> {
         // The HTTP client sets up TLS in any case; whichever provider the process chose first stays.
         drop(rustls::crypto::ring::default_provider().install_default());
-        let connector = Connector::default().limit(settings.connections);
+        let connector = Connector::default().limit(settings.connections).connector(Opener {
+            patience: settings.timeout.mul_f64(CONNECTING),
+        });
         let timeout = Millis::from(settings.timeout);
         let inner = ntex::client::Client::builder()
             .connector::<()>(connector)
@@ -93,7 +101,20 @@
         self.inner.request(method, format!("{}{path}", self.settings.base))
     }
 
-    /// Sends a request and reads the whole answer.
+    /// Sends a request and reads the whole answer, within the time of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns what may be concluded when there is no whole answer; any status is an answer.
+    pub async fn send(&self, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
+        self.send_within(self.settings.timeout, request, body).await
+    }
+
+    /// Sends a request and reads the whole answer, all within `patience`.
+    ///
+    /// Failure: the HTTP client's own time limit begins when all of the request was sent. Symptom: a call to a silent
+    /// platform waits for a connection or for room to send for as long as it likes, and leaves long after whoever asked
+    /// for it has given up. One limit over everything ends the call, and its connection drops what was not delivered.
     ///
     /// A connection that was not made means that nothing was sent: `Refused`. Whatever fails later may have reached
     /// the platform, even a write to a pooled connection that the platform had closed: `Unknown`.
@@ -101,7 +122,13 @@
     /// # Errors
     ///
     /// Returns what may be concluded when there is no whole answer; any status is an answer.
-    pub async fn send(&self, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
+    pub async fn send_within(&self, patience: Duration, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
+        let call = timeout(patience, self.exchange(request, body));
+        call.await
+            .unwrap_or_else(|_late| Err(Error::Unknown("no whole answer in time".to_owned())))
+    }
+
+    async fn exchange(&self, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
         let signed = self.settings.signer.sign(request, &body);
         let response = signed
             .send_body(ntex::util::Bytes::copy_from_slice(&body))
--- a/bergamotshift-platform/src/http/mod.rs
+++ b/bergamotshift-platform/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 pub mod cloud;
 mod connect;
+mod connector;
 pub mod objects;
 mod signer;
 pub mod table;
--- a/bergamotshift-platform/src/lib.rs
+++ b/bergamotshift-platform/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod kind;
 pub mod objects;
 pub mod prelude;
+pub mod socket;
 pub mod table;
 pub mod vms;
 pub mod weights;
