feat(endpoint): tell incarnations apart by their start, and pass over what somebody else wrote

An endpoint may start again under its name: its start (born) now stands in the registration and in the hash by which cached parts, work under way, marks and suspicions are known, so nothing of the incarnation before is held against the next one, and late words of the old one change nothing. An entry among the registrations that lacks a field, has one of another type or names a state that there is not names no endpoint; before, one such entry hid all others. It is counted and logged.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -285,5 +285,6 @@
 }
 
 pub(super) fn victim(endpoint: &Endpoint) -> quarantine::Victim {
-    quarantine::Victim::new(name::Vm::new(&endpoint.registration.id), Incarnation::default())
+    let vm = name::Vm::new(&endpoint.registration.id);
+    quarantine::Victim::new(vm, Incarnation::new(endpoint.registration.born))
 }
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -23,9 +23,11 @@
 use self::inner::Inner;
 use self::inner::victim;
 use crate::document::Document;
+use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Event;
 use crate::limits::Keeping;
+use crate::observe::Topic;
 use crate::outside::Cursor;
 use crate::peers::Listed;
 use crate::peers::Reply;
@@ -162,6 +164,18 @@
         inner.on_endpoints(now, &self.shared, event, "store");
     }
 
+    /// Counts and logs what stands among the registrations and cannot be read.
+    pub fn unread(&self, changes: &[Change]) {
+        for change in changes {
+            let Change::Unread { id, cause } = change else { continue };
+            self.shared.metrics.unread.inc();
+            if let Some((logger, left_out)) = self.shared.log.room(self.now(), Topic::Belief) {
+                info!(logger, "registration not read"; "endpoint" => id.as_str(), "cause" => %cause,
+                    "left_out" => left_out);
+            }
+        }
+    }
+
     /// Takes in that the store did not tell of the registrations.
     pub fn registrations_lost(&self) {
         let now = self.now();
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -1,5 +1,6 @@
 //! Which endpoints there are: folds what the store says into marks that are never taken back.
 
+use core::cmp::Ordering;
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -26,6 +27,13 @@
     Written(Registration),
     /// It was taken away.
     Removed(SmolStr),
+    /// What stands there is no registration; somebody else wrote it, and it names no endpoint.
+    Unread {
+        /// The identifier under which it stands.
+        id: SmolStr,
+        /// Why it cannot be read.
+        cause: bergamotshift_platform::Error,
+    },
 }
 
 /// Something that the store, or the lack of it, tells.
@@ -80,7 +88,7 @@
                 for change in changes {
                     match change {
                         Change::Written(registration) => self.written(registration, &mut leaving),
-                        Change::Removed(id) => self.removed(now, &id, &mut leaving),
+                        Change::Removed(id) | Change::Unread { id, .. } => self.removed(now, &id, &mut leaving),
                     }
                 }
             }
@@ -130,8 +138,22 @@
         self.endpoints().find(|endpoint| endpoint.hash == hash)
     }
 
+    /// A registration was written.
+    ///
+    /// Failure: an endpoint crashes and starts again under its identifier. Symptom: it is taken to hold the cached parts,
+    /// the work and the marks of the incarnation before, whose late words hide it. An incarnation that started later takes
+    /// the place of the one before; a word of an earlier one says nothing any more.
     fn written(&mut self, registration: Registration, leaving: &mut Vec<Arc<Endpoint>>) {
         let leaves = registration.leaving;
+        let before = self.known.get(&registration.id);
+        match before.map(|known| known.endpoint.registration.born.cmp(&registration.born)) {
+            Some(Ordering::Greater) => return,
+            Some(Ordering::Less) => {
+                let ended = self.known.remove(&registration.id);
+                leaving.extend(ended.map(|known| known.endpoint).filter(|endpoint| endpoint.leave()));
+            }
+            Some(Ordering::Equal) | None => {}
+        }
         let known = self.known.entry(registration.id.clone()).or_insert_with(|| Known {
             endpoint: Arc::new(Endpoint::new(registration.clone())),
             lapsed: None,
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 pub use self::directory::Change;
 pub use self::directory::Directory;
@@ -29,8 +29,11 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Registration {
-    /// Names one incarnation; a restart gets another name.
+    /// Names the endpoint; a restart may keep the name.
     pub id: SmolStr,
+    /// When its process started, in milliseconds since the start of 1970; 0 where it does not say. With the name, it tells
+    /// one incarnation from the next.
+    pub born: u64,
     /// The service that it runs.
     pub service: name::Service,
     /// Where it listens.
@@ -69,7 +72,8 @@
 pub struct Endpoint {
     /// What it registered when it was first seen.
     pub registration: Registration,
-    /// A hash of its identifier, the same on every entry.
+    /// A hash of its identifier and the start of its process, the same on every entry. What is known of one incarnation
+    /// (cached parts, work under way, suspicions) is known by this, so nothing of it is held against the next one.
     pub hash: u64,
     /// What this entry has under way there.
     pub own: Flight,
@@ -88,7 +92,7 @@
     /// Makes an endpoint from its registration.
     pub fn new(registration: Registration) -> Self {
         Self {
-            hash: xxh3_64(registration.id.as_bytes()),
+            hash: xxh3_64_with_seed(registration.id.as_bytes(), registration.born),
             leaving: AtomicBool::new(registration.leaving),
             registration,
             own: Flight::default(),
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -6,6 +6,7 @@
 use super::document::failure;
 use super::knowledge::pause;
 use crate::control::Control;
+use crate::endpoint::Change;
 use crate::endpoint::Event;
 use crate::outside::Gap;
 use crate::outside::Registry;
@@ -30,11 +31,21 @@
         let after = control.registrations_cursor();
         let result = match after {
             Some(after) if !anew => match registry.changes(after).await {
-                Ok((changes, next)) => Ok((Event::Changed(changes), next)),
+                Ok((changes, next)) => {
+                    control.unread(&changes);
+                    Ok((Event::Changed(changes), next))
+                }
                 Err(gap) => Err(gap),
             },
             _ => match registry.registrations().await {
-                Ok((listed, next)) => Ok((Event::Listed(listed), next)),
+                Ok((listed, next)) => {
+                    control.unread(&listed);
+                    let written = listed.into_iter().filter_map(|change| match change {
+                        Change::Written(registration) => Some(registration),
+                        Change::Removed(_) | Change::Unread { .. } => None,
+                    });
+                    Ok((Event::Listed(written.collect()), next))
+                }
                 Err(error) => Err(Gap::Failed(error)),
             },
         };
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -66,6 +66,8 @@
     pub unanswered: Counter<u64, AtomicU64>,
     /// Whether this entry is cut off from endpoints that its callers need.
     pub stranded: Gauge<i64, AtomicI64>,
+    /// Registrations that could not be read.
+    pub unread: Counter<u64, AtomicU64>,
 }
 
 impl Metrics {
@@ -88,6 +90,7 @@
             keeper: Gauge::default(),
             unanswered: Counter::default(),
             stranded: Gauge::default(),
+            unread: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by route and outcome", metrics.requests.clone());
@@ -134,6 +137,11 @@
             "Whether this entry is cut off from endpoints that its callers need",
             metrics.stranded.clone(),
         );
+        registry.register(
+            "registrations_unread",
+            "Registrations that could not be read",
+            metrics.unread.clone(),
+        );
         metrics
     }
 
--- a/bergamotshift-forward/src/outside/mod.rs
+++ b/bergamotshift-forward/src/outside/mod.rs
@@ -17,7 +17,6 @@
 use crate::dialect::Dialect;
 use crate::document::Document;
 use crate::endpoint::Change;
-use crate::endpoint::Registration;
 
 /// A place in a history of changes; grows with each change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,12 +53,12 @@
 
 /// Where endpoints register.
 pub trait Registry: Debug {
-    /// Reads all registrations as of one moment.
+    /// Reads all registrations as of one moment; none of them is [`Change::Removed`].
     ///
     /// # Errors
     ///
     /// Returns why they could not be read.
-    fn registrations(&self) -> Future<'_, Result<(Vec<Registration>, Cursor), Error>>;
+    fn registrations(&self) -> Future<'_, Result<(Vec<Change>, Cursor), Error>>;
 
     /// Returns what changed after a cursor, at once.
     ///
--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -105,6 +105,7 @@
     pub fn registration(&self, service: &str) -> Registration {
         Registration {
             id: self.id.as_str().into(),
+            born: 0,
             service: service.into(),
             address: self.address,
             zone: "one".into(),
--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -143,9 +143,9 @@
 }
 
 impl Registry for Store {
-    fn registrations(&self) -> Future<'_, Result<(Vec<Registration>, Cursor), Error>> {
+    fn registrations(&self) -> Future<'_, Result<(Vec<Change>, Cursor), Error>> {
         let list = |world: MutexGuard<'_, World>| {
-            let all = world.registrations.values().cloned().collect();
+            let all = world.registrations.values().cloned().map(Change::Written).collect();
             (all, Cursor(world.changes))
         };
         let answer = self.reach().map(list);
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -5,6 +5,7 @@
 use bergamotshift_forward::endpoint::Directory;
 use bergamotshift_forward::endpoint::Event;
 use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_platform::Error;
 
 use crate::support::at;
 use crate::support::registration;
@@ -122,3 +123,63 @@
     other.on(at(1_000), Event::Changed(vec![Change::Written(leaving)]));
     assert_ne!(one.digest(), other.digest());
 }
+
+fn born(at: u64) -> Registration {
+    Registration {
+        born: at,
+        ..registration("a", "one")
+    }
+}
+
+/// An endpoint crashes and starts again under its name, while an entry still hears of the incarnation before. The new one
+/// takes work, what was known of the old one is not held against it, and late words of the old one change nothing.
+#[test]
+fn an_incarnation_takes_the_place_of_the_one_before() {
+    let mut directory = Directory::default();
+    directory.on(at(0), Event::Listed(vec![born(100)]));
+    let before = directory.endpoints().next().expect("it is there").clone();
+    let leaving = Registration {
+        leaving: true,
+        ..born(100)
+    };
+    directory.on(at(100), Event::Changed(vec![Change::Written(leaving.clone())]));
+    assert_eq!(taking(&directory), 0);
+
+    directory.on(at(200), Event::Changed(vec![Change::Written(born(200))]));
+    assert_eq!(taking(&directory), 1);
+    let after = directory.endpoints().next().expect("it is there").clone();
+    assert_ne!(
+        before.hash, after.hash,
+        "what one had read is not taken to be held by the other"
+    );
+    assert!(before.is_leaving(), "requests under way there know that it is over");
+
+    directory.on(at(300), Event::Changed(vec![Change::Written(leaving)]));
+    directory.on(at(400), Event::Relayed(vec![born(100)]));
+    assert_eq!(taking(&directory), 1);
+}
+
+/// The incarnation before has left and is remembered for a minute. The next one under its name is none that was only
+/// missing: it takes work, and its own leaving counts.
+#[test]
+fn an_incarnation_after_one_that_left_takes_work_until_it_leaves_itself() {
+    let mut directory = Directory::default();
+    directory.on(at(0), Event::Listed(vec![born(100)]));
+    directory.on(at(100), Event::Changed(vec![Change::Removed("a".into())]));
+    directory.on(at(200), Event::Changed(vec![Change::Written(born(200))]));
+    assert_eq!(taking(&directory), 1);
+    let left = directory.on(at(300), Event::Changed(vec![Change::Removed("a".into())]));
+    assert_eq!((left.len(), taking(&directory)), (1, 0));
+}
+
+/// Somebody else writes over an endpoint's registration. It names no endpoint to use any more.
+#[test]
+fn what_cannot_be_read_names_no_endpoint() {
+    let mut directory = directory(at(0));
+    let unread = Change::Unread {
+        id: "a".into(),
+        cause: Error::Unknown("no registration".to_owned()),
+    };
+    directory.on(at(100), Event::Changed(vec![unread]));
+    assert_eq!(taking(&directory), 1);
+}
--- a/bergamotshift-forward/tests/kernel/ledger.rs
+++ b/bergamotshift-forward/tests/kernel/ledger.rs
@@ -11,6 +11,7 @@
 fn endpoint() -> Endpoint {
     Endpoint::new(Registration {
         id: "e1".into(),
+        born: 0,
         service: "planner".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "one".into(),
--- a/bergamotshift-forward/tests/kernel/support.rs
+++ b/bergamotshift-forward/tests/kernel/support.rs
@@ -15,6 +15,7 @@
 pub fn registration(id: &str, zone: &str) -> Registration {
     Registration {
         id: id.into(),
+        born: 0,
         service: "planner".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: zone.into(),
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -132,6 +132,7 @@
     pub fn registration(&self, zone: &str, leaving: bool) -> Registration {
         Registration {
             id: self.shared.id.clone(),
+            born: 0,
             service: self.shared.service.into(),
             address: self.proxy.address,
             zone: zone.into(),
