--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -1,5 +1,7 @@
 //! Which endpoints there are.
 
+use std::sync::Arc;
+
 use bergamotshift_core::prelude::*;
 use bergamotshift_forward::endpoint::Change;
 use bergamotshift_forward::endpoint::Directory;
@@ -137,7 +139,7 @@
 fn an_incarnation_takes_the_place_of_the_one_before() {
     let mut directory = Directory::default();
     directory.on(at(0), Event::Listed(vec![born(100)]));
-    let before = directory.endpoints().next().expect("it is there").clone();
+    let before = Arc::clone(directory.endpoints().next().expect("it is there"));
     let leaving = Registration {
         leaving: true,
         ..born(100)
@@ -147,7 +149,7 @@
 
     directory.on(at(200), Event::Changed(vec![Change::Written(born(200))]));
     assert_eq!(taking(&directory), 1);
-    let after = directory.endpoints().next().expect("it is there").clone();
+    let after = Arc::clone(directory.endpoints().next().expect("it is there"));
     assert_ne!(
         before.hash, after.hash,
         "what one had read is not taken to be held by the other"
