feat(limits): remember over a restart which organisations were busy

Cause: after all entries were killed, each took every organisation's burst to be used up. Ruled out: the wait for the document (mended before, and its callers met the limit next), the shares (they are whole again after a second).

Entries write with their row which organisations asked for much of their limits in the last 13 s, and read the list before they write their own row anew. Who starts gives the others 0.6 of their bursts. Two restarts within one window keep the limit, also of one that rose just then (virtual time, eight entries, eight times the limit).

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -88,6 +88,8 @@
     pub(super) holder: Option<Holder>,
     /// Whether the list of entries was read.
     pub(super) lists_entries: bool,
+    /// The organisations that the entries wrote to be busy before this process started, until they are taken in.
+    pub(super) remembered: Option<Vec<name::Organisation>>,
     /// The calls that failed when they were last made.
     pub(super) lost_calls: BTreeSet<&'static str>,
     pub(super) life: u64,
@@ -120,6 +122,7 @@
             heard_word: None,
             holder: None,
             lists_entries: false,
+            remembered: None,
             lost_calls: BTreeSet::new(),
             life: random::generator().next_u64(),
             keeping: Keeping::default(),
@@ -149,6 +152,7 @@
         shared.metrics.document.set(version);
         self.document = Arc::new(document);
         self.deal(now, shared);
+        self.remember(now, shared);
         self.publish(shared);
     }
 
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -210,9 +210,21 @@
         self.inner.borrow_mut().members.listed(now, listed);
     }
 
-    /// Notes that the list of entries was read.
-    pub fn listed(&self) {
-        self.inner.borrow_mut().lists_entries = true;
+    /// Notes that the list of entries was read, with the organisations that they wrote to be busy.
+    pub fn listed(&self, busy: Vec<name::Organisation>) {
+        let mut inner = self.inner.borrow_mut();
+        let is_first = !inner.lists_entries;
+        inner.lists_entries = true;
+        if is_first {
+            inner.remembered = Some(busy);
+            inner.remember(self.now(), &self.shared);
+        }
+    }
+
+    /// Returns the organisations that asked for much of their limits lately.
+    pub fn busy(&self) -> Vec<name::Organisation> {
+        let now = self.now();
+        self.inner.borrow().busy(now)
     }
 
     /// Returns whom to ask now.
--- a/bergamotshift-forward/src/control/organisation.rs
+++ b/bergamotshift-forward/src/control/organisation.rs
@@ -1,5 +1,6 @@
 //! An organisation's limit at this entry: its share, or its zone's, and who keeps the zone.
 
+use core::time::Duration;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
@@ -15,6 +16,7 @@
 use crate::limits::Part;
 use crate::limits::Share;
 use crate::limits::Timing;
+use crate::limits::USED_CALM;
 use crate::limits::keeper;
 use crate::observe::Topic;
 use crate::view::Shared;
@@ -30,6 +32,10 @@
 /// than the limit's slack allows.
 const CALM_BURSTS: f64 = 1.5;
 
+/// How long an organisation counts as busy: the longest window over which limits are judged that was met, and the time
+/// between two writes of an entry's row.
+const BUSY: Duration = Duration::from_secs(13);
+
 /// What a process that starts and keeps its zone takes to be used up, in bursts. Only as many requests as there are zones
 /// overdraw, and a process that was killed is back after a second, so that half a burst more in one window stays within
 /// the tenth by which a limit may be exceeded.
@@ -45,6 +51,10 @@
     /// The zone's share in a large one.
     pub(super) zone_share: Share<name::Zone>,
     pub(super) demand: Demand,
+    /// When it last asked for more than what is calm, as far as this entry knows.
+    pub(super) busy: Option<Instant>,
+    /// This entry's part of the limit.
+    part: Option<Part>,
 }
 
 impl Organisation {
@@ -53,11 +63,21 @@
     fn deal(&mut self, now: Instant, limit: Option<Limit>, slack: f64, members: usize) {
         let timing = Timing::default();
         let fraction = self.share.next(now, &timing, self.demand, members);
-        let part = limit.map(|limit| {
+        self.part = limit.map(|limit| {
             let calm = self.share.is_calm(now, &timing, self.demand, members, limit.rate);
+            if !calm && self.share.asked(now, &timing, self.demand) >= limit.rate * timing.calm {
+                self.busy = Some(now);
+            }
             whole(limit, slack).times(fraction, fraction.max(spread(calm, members)))
         });
-        self.account.set(now, part);
+        self.account.set(now, self.part);
+    }
+
+    /// Takes in that all entries knew the organisation to be far below its limit before this process started.
+    fn was_calm(&self, now: Instant) {
+        if let Some(part) = self.part {
+            self.account.relieve(now, part, USED_CALM);
+        }
     }
 
     /// Works out the part of the limit that this entry grants as the keeper of its zone, or as its deputy, among `zones`.
@@ -104,6 +124,38 @@
 }
 
 impl Inner {
+    /// Returns the organisations that asked for much of their limits lately.
+    pub(super) fn busy(&self, now: Instant) -> Vec<name::Organisation> {
+        let is_busy = |organisation: &&Organisation| organisation.busy.is_some_and(|at| now.since(at) < BUSY);
+        let busy = self
+            .organisations
+            .iter()
+            .filter(|(_, organisation)| is_busy(organisation));
+        busy.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Takes in which organisations asked for much of their limits, as the entries wrote before this process started.
+    ///
+    /// Failure: all entries are killed, and each that starts again takes every organisation's burst to be used up. Symptom:
+    /// for a second after the end of an outage half of all callers are refused, though they ask for half of their limits.
+    /// What the entries wrote down some seconds before says who may have been at its limit; the others get a part of their
+    /// bursts at once.
+    pub(super) fn remember(&mut self, now: Instant, shared: &Shared) {
+        let Some(busy) = self.remembered.take_if(|_| self.document.version > 0) else {
+            return;
+        };
+        info!(shared.log.always(), "limits remembered"; "busy" => busy.len(),
+            "organisations" => self.organisations.len(), "document" => self.document.version);
+        for declared in &Arc::clone(&self.document).organisations {
+            let organisation = self.organisations.entry(declared.name.clone()).or_default();
+            if busy.contains(&declared.name) {
+                organisation.busy = Some(now);
+            } else {
+                organisation.was_calm(now);
+            }
+        }
+    }
+
     /// Works out who keeps the zone.
     pub(super) fn keep(&mut self, now: Instant, shared: &Shared) {
         if shared.is_stopping() {
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -58,6 +58,8 @@
     core_share: u16,
     /// How many seconds the writer waits until it writes again.
     every: u64,
+    /// Organisations that asked for much of their limits lately.
+    busy: Vec<name::Organisation>,
 }
 
 /// Returns the time between two writes of one entry's row among so many.
@@ -75,8 +77,9 @@
 pub async fn members(control: Control, table: Rc<dyn Table>) {
     let mut round = 0;
     loop {
-        let written = write(&control, &table).await;
+        // The list is read first: the own row still says what the process before knew.
         let read = round % WRITES != 0 || read(&control, &table).await;
+        let written = write(&control, &table).await;
         control.shared().metrics.called("entries", read && written);
         if read && written {
             round += 1;
@@ -96,6 +99,7 @@
         zone: settings.zone.clone(),
         core_share: control.core_share(),
         every: every(control.members()).as_secs(),
+        busy: control.busy(),
     };
     let Ok(body) = postcard::to_stdvec(&row) else {
         return false;
@@ -115,6 +119,7 @@
 async fn read(control: &Control, table: &Rc<dyn Table>) -> bool {
     let today = control.shared().tally.today();
     let mut after: Option<SmolStr> = None;
+    let mut busy = Vec::new();
     loop {
         let page = match table.query(SmolStr::new_static(PARTITION), after, PAGE).await {
             Ok(page) => page,
@@ -126,6 +131,7 @@
         for (name, row) in &page.rows {
             match postcard::from_bytes::<Row>(&row.body) {
                 Ok(row) if today.saturating_sub(Duration::from_secs(row.at)) < oldest(row.every) => {
+                    busy.extend(row.busy);
                     control.named(&Listed {
                         entry: name::Entry::new(name),
                         address: row.address,
@@ -141,7 +147,7 @@
             }
         }
         let Some(next) = page.next else {
-            control.listed();
+            control.listed(busy);
             return true;
         };
         after = Some(next);
--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -20,9 +20,14 @@
 /// When there may be a part; entries tell each other theirs several times a second.
 const SOON: Duration = Duration::from_millis(300);
 
-/// What a process that starts takes to be used up, in bursts: what was owed before its start is not known, and every
-/// entry lets one request overdraw its share.
-const USED: f64 = 1.25;
+/// What a process that starts takes to be used up, in bursts, of an organisation that may have been at its limit: what was
+/// owed before its start is not known, and every entry lets one request overdraw its share.
+pub const USED: f64 = 1.25;
+
+/// The same of an organisation that all entries knew to be far below its limit a few seconds before. Entries may be killed
+/// twice within a window, so it gets no whole burst each time: two of these and what the limit lets in between them stay
+/// below the tenth by which a window may exceed a limit.
+pub const USED_CALM: f64 = 0.4;
 
 /// An entry's part of a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -115,6 +120,14 @@
         }
     }
 
+    /// Takes no more than `used` bursts to be used up, now that the organisation is known to have been far below its limit.
+    pub fn relieve(&self, now: Instant, part: Part, used: f64) {
+        if part.rate > 0.0 && self.is_open.load(Relaxed) {
+            let owed = Duration::from_secs_f64(part.base / part.rate).mul_f64(used);
+            self.bucket.set_owed(now, self.bucket.owed(now).min(owed));
+        }
+    }
+
     /// Takes units for a request.
     ///
     /// A request is let in while anything of the burst is left and may overdraw it: a large request must not be
--- a/bergamotshift-forward/src/limits/share.rs
+++ b/bergamotshift-forward/src/limits/share.rs
@@ -183,12 +183,21 @@
     ///
     /// The smaller half of a fleet that is cut in two is never calm, so not both halves spend what calm times allow.
     pub fn is_calm(&self, now: Instant, timing: &Timing, demand: Demand, members: usize, rate: f64) -> bool {
-        let heard = self
-            .others
+        let count = 1 + self.heard_lately(now, timing).count();
+        2 * count > members && self.asked(now, timing, demand) < rate * timing.calm
+    }
+
+    /// Returns the units per second that this entry and those that it hears are asked for.
+    pub fn asked(&self, now: Instant, timing: &Timing, demand: Demand) -> f64 {
+        let others = self.heard_lately(now, timing).map(|other| other.demand);
+        demand.get() + others.sum::<f64>()
+    }
+
+    fn heard_lately(&self, now: Instant, timing: &Timing) -> impl Iterator<Item = &Other> {
+        let silence = timing.silence;
+        self.others
             .values()
-            .filter(|other| now.since(other.heard) < timing.silence);
-        let (count, asked) = heard.fold((1, demand.get()), |(count, sum), other| (count + 1, sum + other.demand));
-        2 * count > members && asked < rate * timing.calm
+            .filter(move |other| now.since(other.heard) < silence)
     }
 
     /// Returns how much of the limit this entry and those that it hears share out.
--- a/bergamotshift-forward/tests/kernel/limits.rs
+++ b/bergamotshift-forward/tests/kernel/limits.rs
@@ -8,6 +8,7 @@
 use bergamotshift_forward::limits::Part;
 use bergamotshift_forward::limits::Share;
 use bergamotshift_forward::limits::Timing;
+use bergamotshift_forward::limits::USED_CALM;
 use bergamotshift_forward::limits::keeper;
 use bergamotshift_forward::limits::keeper::Candidate;
 use quickcheck::Arbitrary;
@@ -208,6 +209,121 @@
     );
 }
 
+/// Units per second of the organisation in the tests of restarts, its burst, and what all entries may let in beyond it.
+const RATE: f64 = 157_000.0;
+const BURST: f64 = 157_000.0;
+const SLACK: f64 = 140_000.0;
+
+/// The window over which the platform judges a limit, in milliseconds, and the part by which it may be exceeded there.
+const WINDOW: u64 = 8_000;
+const OVER: f64 = 1.1;
+
+/// Entries that let requests in until they are killed.
+struct Killed {
+    accounts: Vec<Account>,
+    part: Part,
+    /// When how many units were let in.
+    taken: Vec<(u64, u64)>,
+}
+
+impl Killed {
+    const ENTRIES: usize = 8;
+
+    fn start(now: u64, is_calm: bool) -> Self {
+        let whole = part(RATE, BURST + 0.4 * SLACK);
+        let share = 1.0 / Self::ENTRIES as f64;
+        let part = whole.times(share, share);
+        let account = || {
+            let account = Account::default();
+            account.set(at(now), Some(part));
+            if is_calm {
+                account.relieve(at(now), part, USED_CALM);
+            }
+            account
+        };
+        Self {
+            accounts: (0..Self::ENTRIES).map(|_| account()).collect(),
+            part,
+            taken: Vec::new(),
+        }
+    }
+
+    /// Asks one entry after the other for requests of the usual sizes, one every `pause` milliseconds; returns how many of
+    /// them were asked for and let in.
+    fn ask(&mut self, span: core::ops::Range<u64>, pause: usize) -> (usize, usize) {
+        const SIZES: [u64; 8] = [700, 1_900, 12_000, 800, 200, 25_000, 2_400, 200];
+        let mut counts = (0, 0);
+        for (turn, now) in span.step_by(pause).enumerate() {
+            let units = SIZES[turn % SIZES.len()];
+            // Sizes and entries have the same period, so the entries shift with each round.
+            let entry = (turn + turn / SIZES.len()) % Self::ENTRIES;
+            counts.0 += 1;
+            if self.accounts[entry].take(at(now), units).is_ok() {
+                counts.1 += 1;
+                self.taken.push((now, units));
+            }
+        }
+        counts
+    }
+}
+
+fn most_in_a_window(taken: &[(u64, u64)]) -> u64 {
+    let within = |from: u64| taken.iter().filter(move |(at, _)| (from..from + WINDOW).contains(at));
+    let sums = taken
+        .iter()
+        .map(|(from, _)| within(*from).map(|(_, units)| units).sum());
+    sums.max().unwrap_or_default()
+}
+
+/// An organisation asks for eight times its limit. All entries are killed, and again three seconds later, each time back
+/// after half a second. It may have been written down as calm a moment before it rose, so each start gives it a part of its
+/// burst; over no window does it get more than the platform allows.
+#[test]
+fn two_restarts_within_a_window_keep_the_limit() {
+    for is_calm in [false, true] {
+        let mut taken = Vec::new();
+        for (from, to) in [(0, 10_000), (10_500, 13_000), (13_500, 30_000)] {
+            let mut entries = Killed::start(from, is_calm);
+            entries.ask(from..to, 4);
+            taken.extend(entries.taken);
+        }
+        let allowed = (RATE * 8.0 + BURST) * OVER + SLACK;
+        let most = most_in_a_window(&taken);
+        assert!(most as f64 <= allowed, "{most} of {allowed} units, calm: {is_calm}");
+    }
+}
+
+/// All entries are killed and start again, and callers who ask for half of the limit come back at once. Nearly all of them
+/// are let in within the first second; with the burst taken to be used up, half are refused for the second time.
+#[test]
+fn callers_of_a_calm_organisation_are_let_in_after_a_restart() {
+    let half = |is_calm| Killed::start(0, is_calm).ask(0..1_000, 70);
+    let (asked, calm) = half(true);
+    let (_, unknown) = half(false);
+    assert!(calm * 10 >= asked * 9, "{calm} of {asked} are let in");
+    assert!(
+        unknown * 10 <= asked * 6,
+        "{unknown} of {asked} are let in where nothing is known"
+    );
+}
+
+/// A start takes no more of the burst back than it took to be used up.
+#[test]
+fn what_is_relieved_is_still_owed_in_part() {
+    let mut entries = Killed::start(0, true);
+    let (_, taken) = entries.ask(0..1, 1);
+    assert_eq!(taken, 1);
+    let burst = entries.part.base * (1.0 - USED_CALM);
+    let first: u64 = (0..200)
+        .filter(|_| entries.accounts[1].take(at(0), 200).is_ok())
+        .count() as u64
+        * 200;
+    assert!(
+        first as f64 <= burst + 200.0 && first > 0,
+        "{first} of {burst} units at once"
+    );
+}
+
 #[test]
 fn units_given_back_can_be_taken_again() {
     let account = Account::default();
