fix(duty): hold on to the lease while a call under it has no answer

Cause: read, not met: a holder that gives up by word promises that nothing of it is on its way, and a call that was delivered and not answered may still be carried out after its successor's first one. Whoever stops already waits for the lease to lapse then.

--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -166,9 +166,11 @@
     /// Failure: the store turns the holder's VM away, its lease lapses, and whoever watches waits the lease out once more.
     /// Symptom: for six seconds nobody orders endpoints or reports usage; three zones were reclaimed meanwhile, and half
     /// of the callers were late. A holder that is known to be the only one says so, and another entry goes on within a
-    /// second. While the store answers nobody it holds on, since nobody could take its place.
+    /// second. While the store answers nobody it holds on, since nobody could take its place; and a holder whose last call
+    /// had no answer holds on too, since that call may still be carried out.
     async fn hand_over(&mut self) {
-        let Some(number) = self.number.filter(|_| self.lease.failure().is_some()) else {
+        let is_turned_away = self.is_answered && self.lease.failure().is_some();
+        let Some(number) = self.number.filter(|_| is_turned_away) else {
             return;
         };
         let length = Duration::from_millis(self.control.shared().settings.duty.lease_ms) + MARGIN;
