refactor(forward): say once what stood twice, and build no question that nobody asks

The time between two writes of an entry's row was worked out like the pause between calls of a failing store (follow::pause serves both); the receiver that reads late stood in two tests (standin::silent); the part of a zone and the candidate of a peer, the question to a keeper, the length of the lease and what a burst lasts were written out two to six times; registrations were read in two arms that did the same; a word's age was worked out outside of the lease. Bucket::try_take_whole had no caller left.

--- a/bergamotshift-claim/src/lease/word.rs
+++ b/bergamotshift-claim/src/lease/word.rs
@@ -27,12 +27,25 @@
 
 impl Word {
     /// Returns the fencing number that it is about.
-    pub const fn number(self) -> u64 {
+    const fn number(self) -> u64 {
         match self {
             Self::Holds { number, .. } | Self::GaveUp { number } => number,
         }
     }
 
+    /// Returns what it says some time after it was heard.
+    #[must_use]
+    pub const fn after(self, passed: Duration) -> Self {
+        match self {
+            Self::Holds { number, version, left } => Self::Holds {
+                number,
+                version,
+                left: left.saturating_sub(passed),
+            },
+            Self::GaveUp { .. } => self,
+        }
+    }
+
     /// Returns whether it is to be believed after `before`: words of an earlier holder, and of a holder from before it
     /// gave up, may be heard late.
     pub fn replaces(self, before: Self) -> bool {
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -303,14 +303,7 @@
     pub fn take_word(&self) -> Option<Word> {
         let now = self.now();
         let (word, at) = self.inner.borrow_mut().heard_word.take()?;
-        Some(match word {
-            Word::Holds { number, version, left } => Word::Holds {
-                number,
-                version,
-                left: left.saturating_sub(now.since(at)),
-            },
-            gave_up @ Word::GaveUp { .. } => gave_up,
-        })
+        Some(word.after(now.since(at)))
     }
 
     /// Returns whether another entry said lately that the store answers it.
--- a/bergamotshift-forward/src/control/organisation.rs
+++ b/bergamotshift-forward/src/control/organisation.rs
@@ -64,10 +64,10 @@
         let timing = Timing::default();
         let fraction = self.share.next(now, &timing, self.demand, members);
         self.part = limit.map(|limit| {
-            let calm = self.share.is_calm(now, &timing, self.demand, members, limit.rate);
-            if !calm && self.share.asked(now, &timing, self.demand) >= limit.rate * timing.calm {
+            if self.share.asked(now, &timing, self.demand) >= limit.rate * timing.calm {
                 self.busy = Some(now);
             }
+            let calm = self.share.is_calm(now, &timing, self.demand, members, limit.rate);
             whole(limit, slack).times(fraction, fraction.max(spread(calm, members)))
         });
         self.account.set(now, self.part);
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -33,6 +33,7 @@
 use crate::outside::Outside;
 use crate::outside::Usage;
 use crate::random;
+use crate::view::Shared;
 
 /// The name of the duties in the store.
 const DUTY: &str = "duties";
@@ -66,14 +67,14 @@
     let keeping = Keeping {
         // A successor acts when the row stood still for this long, so the holder before has not acted for longer than
         // the margin; and the time between two holders' acts is longer than the platform asks.
-        length: length + MARGIN,
+        length: lease_length(&shared),
         renewal: length / 3,
         margin: Duration::from_millis(700),
         pause: Duration::from_millis(300),
         watch: length / 4,
         backoff_limit: length / 3,
         jitter: 30,
-        young_until: clock.now() + length + MARGIN,
+        young_until: clock.now() + lease_length(&shared),
     };
     let mut generator = random::generator();
     let life = attempt::Id::new(u128::from(generator.next_u64()) << 64 | u128::from(generator.next_u64()));
@@ -97,6 +98,11 @@
     }
 }
 
+/// Returns how long a holder's lease stands without renewal.
+fn lease_length(shared: &Shared) -> Duration {
+    Duration::from_millis(shared.settings.duty.lease_ms) + MARGIN
+}
+
 struct Work {
     control: Control,
     lease: Lease,
@@ -173,9 +179,8 @@
         let Some(number) = self.number.filter(|_| is_turned_away) else {
             return;
         };
-        let length = Duration::from_millis(self.control.shared().settings.duty.lease_ms) + MARGIN;
         let left = self.lease.left();
-        if left >= length / 2 || !self.control.others_reach_store() {
+        if left >= lease_length(self.control.shared()) / 2 || !self.control.others_reach_store() {
             return;
         }
         info!(self.control.shared().log.always(), "duties given up"; "number" => number,
@@ -204,13 +209,16 @@
     /// looks. Symptom: for ten seconds nobody reports usage or orders endpoints. A lease that is given back is taken
     /// with the next look. One whose last call had no answer lapses all the same: the call may still be carried out.
     async fn leave(&mut self) {
-        self.control.hold(false, None);
-        let Some(number) = self.number.take() else {
+        let number = self.number.take();
+        // The store may not answer; whoever hears this need not wait until the lease has lapsed.
+        let word = number
+            .filter(|_| self.is_answered)
+            .map(|number| Word::GaveUp { number });
+        self.control.hold(false, word);
+        let Some(number) = number else {
             return;
         };
         if self.is_answered {
-            // The store may not answer; whoever hears this need not wait until the lease has lapsed.
-            self.control.hold(false, Some(Word::GaveUp { number }));
             self.lease.resign().await;
         }
         info!(self.control.shared().log.always(), "duties"; "held" => false, "number" => number,
--- a/bergamotshift-forward/src/follow/knowledge.rs
+++ b/bergamotshift-forward/src/follow/knowledge.rs
@@ -13,16 +13,16 @@
 /// The most steps: however many entries there are, knowledge is never older than a few looks.
 const MOST_STEPS: u32 = 3;
 
-/// How many entries may each ask a store that fails as often as one alone would.
-const ASKERS: usize = 16;
+/// How many entries may each call the store as often as one alone would.
+const CALLERS: usize = 16;
 
-/// Returns how long one of `members` entries waits after a call failed, where one alone would wait for `pause`.
+/// Returns how long one of `members` entries waits between two calls of the store, where one alone would wait for `pause`.
 ///
 /// Failure: the store is away, and dozens of entries ask four times a second whether it is back. Symptom: half of a day's
 /// calls are made while it is away, and every call is paid for. With more entries each waits longer, so that together
 /// they ask as often; whoever has an answer first tells the others.
 pub fn pause(pause: Duration, members: usize) -> Duration {
-    pause * u32::try_from(members.div_ceil(ASKERS)).unwrap_or(u32::MAX)
+    pause * u32::try_from(members.div_ceil(CALLERS)).unwrap_or(u32::MAX)
 }
 
 /// What is known as of some moment.
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -23,13 +23,10 @@
 /// The partition of the list.
 const PARTITION: &str = "entry";
 
-/// The time between two writes of the own row in a small fleet.
+/// The time between two writes of the own row in a small fleet. In a large one each entry writes less often: with 77 of
+/// them these writes were a quarter of all calls of the store.
 const WRITE: Duration = Duration::from_secs(5);
 
-/// How many entries write as often as that; with more, each writes less often, so that the calls of all stay the same. With
-/// 77 entries these writes were a quarter of all calls of the store.
-const WRITERS: usize = 16;
-
 /// How many writes lie between two readings. Entries name one another, so the list is for those that know nobody.
 const WRITES: u32 = 3;
 
@@ -62,11 +59,6 @@
     busy: Vec<name::Organisation>,
 }
 
-/// Returns the time between two writes of one entry's row among so many.
-fn every(members: usize) -> Duration {
-    WRITE * u32::try_from(members.div_ceil(WRITERS)).unwrap_or(u32::MAX)
-}
-
 /// Returns how old a row may be whose writer waits for so many seconds between two writes.
 fn oldest(every: u64) -> Duration {
     let (times, more) = OLDEST;
@@ -83,7 +75,7 @@
         control.shared().metrics.called("entries", read && written);
         if read && written {
             round += 1;
-            tokio::time::sleep(every(control.members())).await;
+            tokio::time::sleep(pause(WRITE, control.members())).await;
         } else {
             tokio::time::sleep(pause(PAUSE, control.members())).await;
         }
@@ -98,7 +90,7 @@
         at: control.shared().tally.today().as_secs(),
         zone: settings.zone.clone(),
         core_share: control.core_share(),
-        every: every(control.members()).as_secs(),
+        every: pause(WRITE, control.members()).as_secs(),
         busy: control.busy(),
     };
     let Ok(body) = postcard::to_stdvec(&row) else {
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -29,30 +29,17 @@
             continue;
         }
         let after = control.registrations_cursor();
-        let result = match after {
-            Some(after) if !anew => match registry.changes(after).await {
-                Ok((changes, next)) => {
-                    control.unread(&changes);
-                    Ok((Event::Changed(changes), next))
-                }
-                Err(gap) => Err(gap),
-            },
-            _ => match registry.registrations().await {
-                Ok((listed, next)) => {
-                    control.unread(&listed);
-                    let written = listed.into_iter().filter_map(|change| match change {
-                        Change::Written(registration) => Some(registration),
-                        Change::Removed(_) | Change::Unread { .. } => None,
-                    });
-                    Ok((Event::Listed(written.collect()), next))
-                }
-                Err(error) => Err(Gap::Failed(error)),
-            },
+        let (is_whole, result) = match after {
+            Some(after) if !anew => (false, registry.changes(after).await),
+            _ => (true, registry.registrations().await.map_err(Gap::Failed)),
         };
         anew = result.is_err();
         control.called("registrations", result.as_ref().err().and_then(failure));
         match result {
-            Ok((event, next)) => control.read_registrations(event, next),
+            Ok((changes, next)) => {
+                control.unread(&changes);
+                control.read_registrations(event(is_whole, changes), next);
+            }
             Err(Gap::Forgotten) => {}
             Err(Gap::Failed(_)) => {
                 control.registrations_lost();
@@ -61,3 +48,15 @@
         }
     }
 }
+
+/// Returns what was read as an event: all registrations as of one moment, or what changed.
+fn event(is_whole: bool, changes: Vec<Change>) -> Event {
+    if !is_whole {
+        return Event::Changed(changes);
+    }
+    let written = changes.into_iter().filter_map(|change| match change {
+        Change::Written(registration) => Some(registration),
+        Change::Removed(_) | Change::Unread { .. } => None,
+    });
+    Event::Listed(written.collect())
+}
--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -22,7 +22,7 @@
 
 /// What a process that starts takes to be used up, in bursts, of an organisation that may have been at its limit: what was
 /// owed before its start is not known, and every entry lets one request overdraw its share.
-pub const USED: f64 = 1.25;
+const USED: f64 = 1.25;
 
 /// The same of an organisation that all entries knew to be far below its limit a few seconds before. Entries may be killed
 /// twice within a window, so it gets no whole burst each time: two of these and what the limit lets in between them stay
@@ -64,6 +64,11 @@
             ..self
         }
     }
+
+    /// Returns how long so many bursts last at the rate, which is not zero.
+    fn lasts(self, bursts: f64) -> Duration {
+        Duration::from_secs_f64(self.base / self.rate).mul_f64(bursts)
+    }
 }
 
 /// The organisation is over this entry's share of its limit.
@@ -115,16 +120,15 @@
         let nanos = u64::try_from(length.as_nanos()).unwrap_or(CLOSED).min(CLOSED - 1);
         self.burst.store(nanos, Relaxed);
         if !self.is_open.swap(true, Relaxed) {
-            let used = Duration::from_secs_f64(part.base / part.rate);
-            self.bucket.set_owed(now, used.mul_f64(part.used));
+            self.bucket.set_owed(now, part.lasts(part.used));
         }
     }
 
     /// Takes no more than `used` bursts to be used up, now that the organisation is known to have been far below its limit.
     pub fn relieve(&self, now: Instant, part: Part, used: f64) {
         if part.rate > 0.0 && self.is_open.load(Relaxed) {
-            let owed = Duration::from_secs_f64(part.base / part.rate).mul_f64(used);
-            self.bucket.set_owed(now, self.bucket.owed(now).min(owed));
+            let owed = self.bucket.owed(now).min(part.lasts(used));
+            self.bucket.set_owed(now, owed);
         }
     }
 
--- a/bergamotshift-forward/src/limits/mod.rs
+++ b/bergamotshift-forward/src/limits/mod.rs
@@ -11,7 +11,6 @@
 pub use self::account::Account;
 pub use self::account::Part;
 pub use self::account::Refused;
-pub use self::account::USED;
 pub use self::account::USED_CALM;
 pub use self::keeper::Keeper;
 pub use self::keeper::Keeping;
--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -41,10 +41,7 @@
         if !self.is_large() {
             return Keeping::default();
         }
-        let near = self
-            .peers
-            .values()
-            .filter(|peer| peer.zone.as_ref() == Some(&self.zone));
+        let near = self.peers.values().filter(|peer| peer.is_in(&self.zone));
         let (mates, alive) = near.fold((0, 0), |(mates, alive), peer| {
             (mates + 1, alive + usize::from(peer.is_alive(now)))
         });
@@ -78,11 +75,8 @@
             .peers
             .iter()
             .filter(move |(_, peer)| peer.is_alive(now) && !peer.stops);
-        let near = alive.filter(move |(_, peer)| peer.zone.as_ref() == Some(zone));
-        near.map(|(entry, peer)| Candidate {
-            entry,
-            core_share: peer.core_share,
-        })
+        let near = alive.filter(move |(_, peer)| peer.is_in(zone));
+        near.map(|(entry, peer)| peer.candidate(entry))
     }
 
     /// Returns the entries of the own zone that would keep it if they were heard.
@@ -90,15 +84,9 @@
     /// Failure: all entries are killed and start again, and hear the one that comes first only after a second. Symptom:
     /// they are let in by nobody meanwhile. It is asked first.
     pub(super) fn likely_keepers(&self, now: Instant) -> Vec<name::Entry> {
-        let near = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.zone.as_ref() == Some(&self.zone));
+        let near = self.peers.iter().filter(|(_, peer)| peer.is_in(&self.zone));
         let open = near.filter(|(_, peer)| !peer.is_paused(now) && !peer.was_asked(now));
-        let candidates = open.map(|(entry, peer)| Candidate {
-            entry,
-            core_share: peer.core_share,
-        });
+        let candidates = open.map(|(entry, peer)| peer.candidate(entry));
         keeper::first(candidates).into_iter().flatten().cloned().collect()
     }
 
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -12,6 +12,7 @@
 use super::message::State;
 use crate::limits::Keeper;
 use crate::limits::keeper;
+use crate::limits::keeper::Candidate;
 
 /// How long an entry may be silent until it is forgotten. A VM that is replaced never comes back, one that is restarted
 /// is back within seconds, and cuts of up to this time take nothing from those behind them.
@@ -77,6 +78,19 @@
         self.asked > Instant::ZERO && now.since(self.asked) < PAUSE
     }
 
+    /// Returns whether it is known to lie in an availability zone.
+    pub(super) fn is_in(&self, zone: &name::Zone) -> bool {
+        self.zone.as_ref() == Some(zone)
+    }
+
+    /// Returns it as one that may keep its zone, under its name.
+    pub(super) const fn candidate<'a>(&self, entry: &'a name::Entry) -> Candidate<'a> {
+        Candidate {
+            entry,
+            core_share: self.core_share,
+        }
+    }
+
     /// Returns whether anybody heard it lately.
     pub(super) fn is_alive(&self, now: Instant) -> bool {
         self.heard > Instant::ZERO && now.since(self.heard) < ALIVE
@@ -203,7 +217,8 @@
     pub fn due(&mut self, now: Instant, most: usize, holder: Option<&name::Entry>) -> Vec<(name::Entry, SocketAddr)> {
         let is_large = self.is_large();
         let mut due = Vec::new();
-        if self.keeping(now).keeper == Keeper::Own {
+        let keeper = self.keeping(now).keeper;
+        if keeper == Keeper::Own {
             due = self.other_keepers(now);
             for (entry, _) in &due {
                 if let Some(peer) = self.peers.get_mut(entry) {
@@ -219,13 +234,13 @@
             peer.asked = now;
             due.push((holder.clone(), peer.address));
         }
-        let likely = if is_large && self.keeping(now).keeper == Keeper::Unknown {
+        let likely = if keeper == Keeper::Unknown {
             self.likely_keepers(now)
         } else {
             Vec::new()
         };
         let zone = self.zone.clone();
-        let is_near = |peer: &Peer| peer.zone.as_ref() == Some(&zone);
+        let is_near = |peer: &Peer| peer.is_in(&zone);
         let mut open: Vec<_> = self.peers.iter_mut().filter(|(_, peer)| !peer.is_paused(now)).collect();
         // Whoever asked this entry lately has been heard already.
         open.sort_by_key(|(_, peer)| peer.asked.max(peer.said.as_ref().map_or(Instant::ZERO, |(at, _)| *at)));
@@ -295,7 +310,7 @@
         let keepers = self.other_keepers(now);
         let is_whole = !self.is_large() || self.is_young(now) || self.tells_all(now);
         let counts = |entry: &name::Entry, peer: &Peer| {
-            is_whole || peer.zone.as_ref() == Some(&self.zone) || keepers.iter().any(|(keeper, _)| keeper == entry)
+            is_whole || peer.is_in(&self.zone) || keepers.iter().any(|(keeper, _)| keeper == entry)
         };
         let heard = self
             .peers
@@ -343,7 +358,7 @@
 
     /// Returns whether an entry is told in brief: in a large fleet, one of another zone that does not keep it.
     pub fn is_brief(&self, now: Instant, entry: &name::Entry) -> bool {
-        let is_near = |peer: &Peer| peer.zone.as_ref() == Some(&self.zone);
+        let is_near = |peer: &Peer| peer.is_in(&self.zone);
         if !self.is_large() || self.is_young(now) || self.peers.get(entry).is_some_and(is_near) {
             return false;
         }
--- a/bergamotshift-forward/src/serve/charge.rs
+++ b/bergamotshift-forward/src/serve/charge.rs
@@ -48,15 +48,14 @@
             };
             Some((accounts, units))
         });
-        let is_engine = view
-            .services
-            .get(service)
-            .is_some_and(|service| service.engine.is_some());
-        let generation = ask.size.filter(|_| is_engine).map(|size| Generation {
-            service: service.clone(),
-            prompt: size.prompt,
-            parts: ask.parts.clone(),
-        });
+        let generation = || {
+            let size = ask.size.filter(|_| view.is_engine(service))?;
+            Some(Generation {
+                service: service.clone(),
+                prompt: size.prompt,
+                parts: ask.parts.clone(),
+            })
+        };
         let admission = match (view.keeping.keeper, accounts) {
             (Keeper::Nobody, None) => Ok(Admission::default()),
             (Keeper::Nobody, Some((accounts, units))) => accounts
@@ -69,13 +68,13 @@
                 });
                 let place = |generation: Generation| peers::keep::place(&self.shared, view, now, &generation);
                 granted.map(|admission| Admission {
-                    placement: generation.and_then(place),
+                    placement: generation().and_then(place),
                     ..admission
                 })
             }
             (Keeper::Other(_) | Keeper::Unknown, accounts) => {
                 let units = accounts.map(|(_, units)| units);
-                let asked = self.ask_keeper(units, generation).await;
+                let asked = self.ask_keeper(units, generation()).await;
                 asked.map(|placement| Admission {
                     charge: None,
                     placement,
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -16,7 +16,6 @@
 use crate::choice::Choice;
 use crate::observe::Topic;
 use crate::view::Service;
-use crate::view::View;
 
 /// How much longer than the overload is expected to last a caller is told to wait, so that it finds room.
 const ROOM: Duration = Duration::from_millis(400);
@@ -122,9 +121,6 @@
     }
 
     pub(super) fn is_engine(&self, job: &Job) -> bool {
-        let view: &View = &self.shared.view.load();
-        view.services
-            .get(&job.service)
-            .is_some_and(|service| service.engine.is_some())
+        self.shared.view.load().is_engine(&job.service)
     }
 }
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -66,13 +66,7 @@
         if units.is_none() && generation.is_none() {
             return Ok(None);
         }
-        let mut question = Question {
-            entry: self.shared.settings.name.clone(),
-            deputy: false,
-            units,
-            generation,
-            flown: self.flown(),
-        };
+        let mut question = self.question(units, generation);
         let began = self.shared.clock.now();
         loop {
             if let Some(answer) = self.ask_once(&mut question).await {
@@ -130,18 +124,23 @@
             if self.is_away(address) {
                 continue;
             }
-            let question = Question {
-                entry: self.shared.settings.name.clone(),
-                deputy: false,
-                units: None,
-                generation: None,
-                flown: self.flown(),
-            };
+            let question = self.question(None, None);
             // What was not told now is told with the next question.
             let _ = self.ask(address, &question).await;
         }
     }
 
+    /// Returns a question to the keeper, which tells it what work is under way by now.
+    fn question(&self, units: Option<Units>, generation: Option<Generation>) -> Question {
+        Question {
+            entry: self.shared.settings.name.clone(),
+            deputy: false,
+            units,
+            generation,
+            flown: self.flown(),
+        }
+    }
+
     /// Returns this entry's own work under way.
     fn flown(&self) -> Vec<peers::Flown> {
         let view = self.shared.view.load();
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -79,6 +79,12 @@
         self.table.is_some() && self.knows_endpoints
     }
 
+    /// Returns whether a service's endpoints are model engines.
+    pub fn is_engine(&self, service: &name::Service) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Finds an endpoint by the hash of its identifier.
     pub fn endpoint(&self, hash: u64) -> Option<&Arc<Endpoint>> {
         self.by_hash.get(&hash)
--- a/bergamotshift-forward/tests/daemon/abandoned.rs
+++ b/bergamotshift-forward/tests/daemon/abandoned.rs
@@ -2,11 +2,7 @@
 
 use core::time::Duration;
 use std::io::ErrorKind;
-use std::io::Read;
-use std::net::TcpListener;
 use std::rc::Rc;
-use std::sync::mpsc;
-use std::thread;
 
 use bergamotshift_claim::lease::Keeper;
 use bergamotshift_claim::lease::Settings;
@@ -19,51 +15,34 @@
 use bergamotshift_forward::outside::Addresses;
 use bergamotshift_forward::outside::Kind;
 use bergamotshift_platform::Error;
+use bergamotshift_standin::silent;
 use ntex::http::Method;
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
-/// More than the system's buffers of both ends hold together, so that a part of it waits at the sender.
-const REQUEST: usize = 64 << 20;
-
-/// How long the endpoint waits for more until nothing more will come.
-const SILENCE: Duration = Duration::from_secs(5);
-
 /// A caller is told that its request failed, and the request runs seconds later.
 ///
 /// The endpoint's zone is cut off, so the rest of the request waits at the entry; the entry gives the request up; the cut
 /// heals. What was not delivered must not come any more, or the endpoint runs what its caller was told is over.
 #[ntex::test]
 async fn a_request_that_is_given_up_delivers_nothing_more() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let (gave_up, is_given_up) = mpsc::channel::<()>();
-    let endpoint = thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        is_given_up.recv().unwrap();
-        stream.set_read_timeout(Some(SILENCE)).unwrap();
-        let mut received = 0;
-        let mut buffer = vec![0; 1 << 20];
-        loop {
-            match stream.read(&mut buffer) {
-                Ok(0) => return (received, None),
-                Ok(length) => received += length,
-                Err(error) => return (received, Some(error.kind())),
-            }
-        }
-    });
-    let mut connection = Connection::open(address, Duration::from_secs(1)).await.unwrap();
-    let request = vec![b'x'; REQUEST];
+    let endpoint = silent::Receiver::start().unwrap();
+    let mut connection = Connection::open(endpoint.address(), Duration::from_secs(1))
+        .await
+        .unwrap();
+    let request = vec![b'x'; silent::MORE_THAN_BUFFERED];
     let exchange = connection.send(&request, &Method::POST, |_| true);
     timeout(Duration::from_millis(300), exchange)
         .await
         .expect_err("the endpoint is silent");
     drop(connection);
-    gave_up.send(()).unwrap();
-    let (received, ended) = endpoint.join().unwrap();
-    assert!(received < REQUEST, "all of a request that was given up arrived");
-    assert_eq!(ended, Some(ErrorKind::ConnectionReset), "{received} bytes arrived");
+    let received = endpoint.read().unwrap();
+    assert!(
+        received.bytes < silent::MORE_THAN_BUFFERED,
+        "all of a request that was given up arrived"
+    );
+    assert_eq!(received.failure, Some(ErrorKind::ConnectionReset), "{received:?}");
 }
 
 /// The operator sees an order under an old fencing number after one under a newer number.
--- a/bergamotshift-forward/tests/daemon/start.rs
+++ b/bergamotshift-forward/tests/daemon/start.rs
@@ -5,16 +5,24 @@
 use crate::endpoint::Endpoint;
 use crate::outside::lock;
 use crate::site::Caller;
+use crate::site::Daemon;
 use crate::site::KEY;
 use crate::site::Site;
 use crate::site::document;
 
-/// A caller whose time is longer than any machine takes for what the tests wait for.
-fn request() -> String {
-    format!(
+/// A site whose document is not written yet, an entry that starts there, and a caller that asks it at once. The caller's
+/// time is longer than any machine takes for what the tests wait for.
+fn ask_at_the_start(endpoint: &Endpoint, patience_ms: u64) -> (Site, Daemon, Caller) {
+    let site = Site::new(&[endpoint]);
+    lock(&site.world).document = None;
+    let daemon = site.launch_with("entry-1", &[], &format!("[start]\npatience_ms = {patience_ms}"));
+    let mut caller = Caller::new(&daemon);
+    let request = format!(
         "GET /checkin/1 HTTP/1.1\r\nhost: staff.example\r\nauthorization: Bearer {KEY}\r\n\
          bergamotshift-request: r1\r\nbergamotshift-deadline-ms: 600000\r\n\r\n"
-    )
+    );
+    caller.0.write_all(request.as_bytes()).expect("the connection stands");
+    (site, daemon, caller)
 }
 
 /// A caller comes back after all entries were killed, and gets its answer.
@@ -24,11 +32,7 @@
 #[test]
 fn a_caller_waits_until_the_document_is_read() {
     let endpoint = Endpoint::plain("e1", "done");
-    let site = Site::new(&[&endpoint]);
-    lock(&site.world).document = None;
-    let daemon = site.launch_with("entry-1", &[], "[start]\npatience_ms = 60000");
-    let mut caller = Caller::new(&daemon);
-    caller.0.write_all(request().as_bytes()).expect("the connection stands");
+    let (site, daemon, mut caller) = ask_at_the_start(&endpoint, 60_000);
     lock(&site.world).put(document(1));
     let answer = caller.answer().expect("an answer comes");
     assert_eq!((answer.status, answer.text().as_str()), (200, "done"));
@@ -40,11 +44,7 @@
 #[test]
 fn a_caller_of_an_entry_that_cannot_read_is_refused_at_once() {
     let endpoint = Endpoint::plain("e1", "done");
-    let site = Site::new(&[&endpoint]);
-    lock(&site.world).document = None;
-    let daemon = site.launch_with("entry-1", &[], "[start]\npatience_ms = 0");
-    let mut caller = Caller::new(&daemon);
-    caller.0.write_all(request().as_bytes()).expect("the connection stands");
+    let (_site, daemon, mut caller) = ask_at_the_start(&endpoint, 0);
     assert_eq!(caller.answer().expect("an answer comes").status, 503);
     daemon.stop();
     daemon.join();
--- a/bergamotshift-limit/src/bucket.rs
+++ b/bergamotshift-limit/src/bucket.rs
@@ -51,31 +51,17 @@
     ///
     /// Returns how long it takes until the bucket holds enough.
     pub fn try_take(&self, now: Instant, units: u64) -> Result<(), Duration> {
-        let cost = self.cost(units);
-        self.take_if_held(now, cost, cost.min(self.burst_nanos.load(Relaxed)))
-    }
-
-    /// Takes units only if the bucket holds all of them; a cost above the burst is never taken.
-    ///
-    /// # Errors
-    ///
-    /// Returns how long it takes until the bucket holds enough, or until it is full where that is not enough.
-    pub fn try_take_whole(&self, now: Instant, units: u64) -> Result<(), Duration> {
-        let cost = self.cost(units);
-        self.take_if_held(now, cost, cost)
-    }
-
-    /// Takes `cost` if the bucket holds `needed`, both in nanoseconds of its rate.
-    fn take_if_held(&self, now: Instant, cost: u64, needed: u64) -> Result<(), Duration> {
         let now = nanos(now);
+        let cost = self.cost(units);
         let burst = self.burst_nanos.load(Relaxed);
+        let needed = cost.min(burst);
         let taken = self.paid_at.try_update(Relaxed, Relaxed, |paid_at| {
             let owed = paid_at.saturating_sub(now);
             (owed.saturating_add(needed) <= burst).then(|| now.saturating_add(owed).saturating_add(cost))
         });
         taken.map(|_| ()).map_err(|paid_at| {
             let owed = paid_at.saturating_sub(now);
-            Duration::from_nanos(owed.saturating_add(needed.min(burst)).saturating_sub(burst))
+            Duration::from_nanos(owed.saturating_add(needed).saturating_sub(burst))
         })
     }
 
--- a/bergamotshift-platform/src/http/client.rs
+++ b/bergamotshift-platform/src/http/client.rs
@@ -123,6 +123,7 @@
     ///
     /// Returns what may be concluded when there is no whole answer; any status is an answer.
     pub async fn send_within(&self, patience: Duration, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
+        let request = request.timeout(Millis::from(patience));
         let call = timeout(patience, self.exchange(request, body));
         call.await
             .unwrap_or_else(|_late| Err(Error::Unknown("no whole answer in time".to_owned())))
--- a/bergamotshift-standin/src/lib.rs
+++ b/bergamotshift-standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod objects;
 pub mod plain;
 pub mod prelude;
+pub mod silent;
 pub mod table;
 pub mod vms;
 pub mod weights;
