feat(logs): say how much of an answer came when a call is given up

Cause sought: entries stay behind the operators' document. Logs could not tell an answer that never begins from one that is too long for its time: the store's lost calls had no sizes, and entries that were not reached were a debug line.

Now: the platform client says how many bytes of a body came and in how many ms, and 'entry not reached' is a bounded line with bytes and ms. Decisions are untouched; the limits in time are the same.

--- a/bergamotshift-forward/src/exchange/connection.rs
+++ b/bergamotshift-forward/src/exchange/connection.rs
@@ -43,6 +43,8 @@
 pub struct Connection {
     stream: TcpStream,
     received: BytesMut,
+    /// How many bytes ever came.
+    total: usize,
     /// Whether it cannot carry another exchange.
     spent: bool,
 }
@@ -71,10 +73,16 @@
         Ok(Self {
             stream,
             received: BytesMut::new(),
+            total: 0,
             spent: false,
         })
     }
 
+    /// Returns how many bytes ever came.
+    pub const fn total(&self) -> usize {
+        self.total
+    }
+
     /// Returns whether another exchange may follow on the connection.
     ///
     /// Failure: an endpoint closes an idle connection, or sends a second answer after a whole one. Symptom: the next
@@ -207,7 +215,9 @@
 
     fn take(&mut self) -> io::Result<usize> {
         self.received.reserve(READ);
-        self.stream.try_read_buf(&mut self.received)
+        let length = self.stream.try_read_buf(&mut self.received)?;
+        self.total += length;
+        Ok(length)
     }
 }
 
--- a/bergamotshift-forward/src/observe/log.rs
+++ b/bergamotshift-forward/src/observe/log.rs
@@ -27,9 +27,11 @@
     Belief,
     /// Why there was no room for a request.
     Limit,
+    /// What went wrong between entries.
+    Peers,
 }
 
-const TOPICS: usize = 5;
+const TOPICS: usize = 6;
 
 /// Bounds the lines of each topic and counts what is left out.
 #[derive(Debug)]
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -10,11 +10,12 @@
 use ntex::http::Request;
 use ntex::http::Response;
 use ntex::http::StatusCode;
-use slog::debug;
+use slog::info;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use super::message::Reply;
 use super::message::State;
@@ -25,6 +26,7 @@
 use crate::exchange::Connection;
 use crate::exchange::Failure;
 use crate::limits::Keeper;
+use crate::observe::Topic;
 
 /// The time between two rounds.
 const ROUND: Duration = Duration::from_millis(250);
@@ -57,8 +59,8 @@
 enum Error {
     #[error(transparent)]
     Exchange(#[from] Failure),
-    #[error("no answer in time")]
-    Silent,
+    #[error("no whole answer in time: {received} bytes came")]
+    Late { received: usize },
     #[error("the answer cannot be decoded: {0}")]
     Decode(#[from] postcard::Error),
     #[error("status {0}")]
@@ -123,12 +125,16 @@
     question: &[u8],
 ) {
     let began = control.shared().clock.now();
-    let asked = timeout(PATIENCE, exchange(connections, address, question)).await;
-    let took = control.shared().clock.now().since(began);
-    match asked.unwrap_or(Err(Error::Silent)) {
+    let asked = exchange(connections, address, question).await;
+    let now = control.shared().clock.now();
+    let took = now.since(began);
+    match asked {
         Ok(reply) => control.answered(reply),
         Err(error) => {
-            debug!(control.shared().log.always(), "entry not reached"; "address" => %address, "cause" => %error);
+            if let Some((logger, left_out)) = control.shared().log.room(now, Topic::Peers) {
+                info!(logger, "entry not reached"; "address" => %address, "cause" => %error,
+                    "ms" => took.as_millis() as u64, "left_out" => left_out);
+            }
             if let Some(entry) = entry {
                 control.peer_failed(&entry, took >= SILENT);
             }
@@ -141,6 +147,7 @@
     address: SocketAddr,
     question: &[u8],
 ) -> Result<Reply, Error> {
+    let deadline = Instant::now() + PATIENCE;
     let kept = connections
         .borrow_mut()
         .remove(&address)
@@ -149,7 +156,11 @@
         Some(connection) => connection,
         None => Connection::open(address, PATIENCE).await?,
     };
-    let answer = exchange::call(&mut connection, address, PATH, question).await?;
+    let before = connection.total();
+    let call = timeout_at(deadline, exchange::call(&mut connection, address, PATH, question)).await;
+    let answer = call.map_err(|_late| Error::Late {
+        received: connection.total() - before,
+    })??;
     if answer.status != StatusCode::OK {
         return Err(Error::Status(answer.status.as_u16()));
     }
--- a/bergamotshift-platform/src/http/client.rs
+++ b/bergamotshift-platform/src/http/client.rs
@@ -1,9 +1,13 @@
 //! Sends one request and tells what may be concluded when no answer comes.
 
+use core::cell::Cell;
 use core::time::Duration;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
 use ntex::SharedCfg;
 use ntex::client::ClientRequest;
 use ntex::client::Connector;
@@ -124,25 +128,38 @@
     /// Returns what may be concluded when there is no whole answer; any status is an answer.
     pub async fn send_within(&self, patience: Duration, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
         let request = request.timeout(Millis::from(patience));
-        let call = timeout(patience, self.exchange(request, body));
-        call.await
-            .unwrap_or_else(|_late| Err(Error::Unknown("no whole answer in time".to_owned())))
+        let received = Cell::new(0);
+        let began = Instant::now();
+        let call = timeout(patience, self.exchange(request, body, &received));
+        call.await.unwrap_or_else(|_late| {
+            let (received, took) = (received.get(), began.elapsed().as_millis());
+            let cause = format!("no whole answer in time: {received} bytes of its body after {took} ms");
+            Err(Error::Unknown(cause))
+        })
     }
 
-    async fn exchange(&self, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
+    /// Sends a request and reads its answer; `received` is how much of the body has come so far.
+    async fn exchange(&self, request: ClientRequest, body: Bytes, received: &Cell<usize>) -> Result<Answer, Error> {
         let signed = self.settings.signer.sign(request, &body);
-        let response = signed
+        let mut response = signed
             .send_body(ntex::util::Bytes::copy_from_slice(&body))
             .await
             .map_err(|cause| failure(&cause))?;
         let status = response.status();
         let headers = response.headers().clone();
-        let body = response.body().limit(self.settings.limit).await;
-        let body = body.map_err(|cause| Error::Unknown(cause.to_string()))?;
+        let mut body = BytesMut::new();
+        while let Some(piece) = response.next().await {
+            let piece = piece.map_err(|cause| Error::Unknown(cause.to_string()))?;
+            body.extend_from_slice(&piece);
+            received.set(body.len());
+            if body.len() > self.settings.limit {
+                return Err(Error::Unknown("the answer is too large".to_owned()));
+            }
+        }
         Ok(Answer {
             status,
             headers,
-            body: Bytes::copy_from_slice(&body),
+            body: body.freeze(),
         })
     }
 }
