fix(platform): let an answer that keeps coming come to its end

Cause: a call of the store had one limit of 900 ms on its whole answer. A document of 4,250 routes is over a megabyte there, and VMs have links down to 10 Mbit/s: its copy cannot be whole in that time, is given up and begun anew, for good.

Now the limit is on what comes: within each 900 ms at least 64 kB more, else the call ends. Answers below that size have the limit that they had. Ruled out: a longer limit, which the next larger document meets again, and leaves a silent store longer unnoticed; reading in ranges, which the store does not offer.

--- a/bergamotshift-platform/src/http/client.rs
+++ b/bergamotshift-platform/src/http/client.rs
@@ -1,6 +1,7 @@
 //! Sends one request and tells what may be concluded when no answer comes.
 
 use core::cell::Cell;
+use core::pin::pin;
 use core::time::Duration;
 use std::rc::Rc;
 use std::time::Instant;
@@ -30,12 +31,16 @@
 /// an answer still fits into the rest.
 const CONNECTING: f64 = 0.75;
 
+/// How much of an answer has to come within each further time that a call takes, in bytes. Over the narrowest links of VMs,
+/// 10 Mbit/s, it comes in a sixteenth of a second; a way that is slower by ten times is as good as silent.
+const PACE: usize = 64 * 1_024;
+
 /// Settings of the connection to one part of the platform.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Where it is, such as `http://10.0.0.2:8000`.
     pub base: String,
-    /// How long to wait for a whole answer.
+    /// How long to wait for a whole answer, or for more of a long one.
     pub timeout: Duration,
     /// The largest answer taken, in bytes.
     pub limit: usize,
@@ -114,12 +119,17 @@
         self.send_within(self.settings.timeout, request, body).await
     }
 
-    /// Sends a request and reads the whole answer, all within `patience`.
+    /// Sends a request and reads the whole answer, within `patience` and as much again each time that a [`PACE`] more of it
+    /// came meanwhile.
     ///
     /// Failure: the HTTP client's own time limit begins when all of the request was sent. Symptom: a call to a silent
     /// platform waits for a connection or for room to send for as long as it likes, and leaves long after whoever asked
     /// for it has given up. One limit over everything ends the call, and its connection drops what was not delivered.
     ///
+    /// Failure: an answer has grown so large that the VM's link takes longer for it than a call may take. Symptom: it is
+    /// given up and asked for anew from its start, for good, and the link is full of what is thrown away. An answer that
+    /// keeps coming is let come, however large; one that is silent, or hardly moves, ends as soon as before.
+    ///
     /// A connection that was not made means that nothing was sent: `Refused`. Whatever fails later may have reached
     /// the platform, even a write to a pooled connection that the platform had closed: `Unknown`.
     ///
@@ -130,12 +140,19 @@
         let request = request.timeout(Millis::from(patience));
         let received = Cell::new(0);
         let began = Instant::now();
-        let call = timeout(patience, self.exchange(request, body, &received));
-        call.await.unwrap_or_else(|_late| {
+        let mut call = pin!(self.exchange(request, body, &received));
+        let mut due = PACE;
+        loop {
+            if let Ok(ended) = timeout(patience, call.as_mut()).await {
+                return ended;
+            }
             let (received, took) = (received.get(), began.elapsed().as_millis());
-            let cause = format!("no whole answer in time: {received} bytes of its body after {took} ms");
-            Err(Error::Unknown(cause))
-        })
+            if received < due {
+                let cause = format!("no whole answer in time: {received} bytes of its body after {took} ms");
+                return Err(Error::Unknown(cause));
+            }
+            due = received + PACE;
+        }
     }
 
     /// Sends a request and reads its answer; `received` is how much of the body has come so far.
