fix(platform): let a long body that keeps moving be delivered

The same cause elsewhere: a call's limit was one on the whole of what it sends, too. The body of a deferred job goes into the object store before the job is accepted; over a narrow link 4 MB take longer than the call's two seconds, so it is refused, and sent anew from its start by the next try.

The rule is now one value type, core::pace: so many bytes within each so long, else it ends. The platform's client counts both ways, and a copy of the document is watched by the same. Small calls keep the limits that they had.

A receiver that is silent is given up after two such times at the most (abandoned.rs, unchanged).

--- a/bergamotshift-core/src/lib.rs
+++ b/bergamotshift-core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod load;
 pub mod name;
 pub mod outcome;
+pub mod pace;
 pub mod plugin;
 pub mod prelude;
 pub mod price;
--- a/bergamotshift-forward/src/exchange/call.rs
+++ b/bergamotshift-forward/src/exchange/call.rs
@@ -1,16 +1,16 @@
 //! Calls between entries: short ones, and answers of any length.
 
+use core::cell::Cell;
 use core::net::SocketAddr;
-use core::time::Duration;
+use core::pin::pin;
 
+use bergamotshift_core::pace::Pace;
 use ntex::http::HeaderMap;
 use ntex::http::Method;
 use ntex::http::StatusCode;
 use ntex::http::header;
 use ntex::http::header::HeaderValue;
-use tokio::time::Instant;
 use tokio::time::timeout;
-use tokio::time::timeout_at;
 
 use super::connection::Connection;
 use super::failure::Failure;
@@ -39,26 +39,7 @@
     path: &str,
     question: &[u8],
 ) -> Result<Reply, Failure> {
-    let answer = ask(connection, address, path, question).await?;
-    let mut framing = answer.body;
-    let mut body = Vec::new();
-    while let Some(piece) = connection.body(&mut framing).await? {
-        body.extend_from_slice(&piece);
-    }
-    Ok(Reply {
-        status: answer.status,
-        headers: answer.headers,
-        body,
-    })
-}
-
-/// How fast a long answer has to come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pace {
-    /// So many bytes.
-    pub bytes: usize,
-    /// Within each such time.
-    pub within: Duration,
+    read(connection, address, path, question, &Cell::new(0)).await
 }
 
 /// Sends a question to another entry and reads its whole answer, however long that is, while it keeps pace.
@@ -73,21 +54,35 @@
     question: &[u8],
     pace: Pace,
 ) -> Result<Reply, Failure> {
-    let slow = |received: usize| Failure::Slow { received };
-    let asked = timeout(pace.within, ask(connection, address, path, question));
-    let answer = asked.await.map_err(|_late| slow(0))??;
+    let received = Cell::new(0);
+    let mut reading = pin!(read(connection, address, path, question, &received));
+    let mut watch = pace.watch();
+    loop {
+        if let Ok(ended) = timeout(pace.within, reading.as_mut()).await {
+            return ended;
+        }
+        if !watch.keeps(received.get()) {
+            return Err(Failure::Slow {
+                received: received.get(),
+            });
+        }
+    }
+}
+
+/// Sends a question and reads its whole answer; `received` is how much of the answer's body has come so far.
+async fn read(
+    connection: &mut Connection,
+    address: SocketAddr,
+    path: &str,
+    question: &[u8],
+    received: &Cell<usize>,
+) -> Result<Reply, Failure> {
+    let answer = ask(connection, address, path, question).await?;
     let mut framing = answer.body;
     let mut body = Vec::new();
-    let (mut deadline, mut due) = (Instant::now() + pace.within, pace.bytes);
-    loop {
-        let piece = timeout_at(deadline, connection.body(&mut framing)).await;
-        let Some(piece) = piece.map_err(|_late| slow(body.len()))?? else {
-            break;
-        };
+    while let Some(piece) = connection.body(&mut framing).await? {
         body.extend_from_slice(&piece);
-        if body.len() >= due {
-            (deadline, due) = (Instant::now() + pace.within, body.len() + pace.bytes);
-        }
+        received.set(body.len());
     }
     Ok(Reply {
         status: answer.status,
--- a/bergamotshift-forward/src/exchange/mod.rs
+++ b/bergamotshift-forward/src/exchange/mod.rs
@@ -12,7 +12,6 @@
 mod pool;
 
 pub use self::body::Body;
-pub use self::call::Pace;
 pub use self::call::call;
 pub use self::call::download;
 pub use self::connection::Connection;
--- a/bergamotshift-forward/src/peers/update.rs
+++ b/bergamotshift-forward/src/peers/update.rs
@@ -8,6 +8,7 @@
 use std::borrow::Cow;
 use std::rc::Rc;
 
+use bergamotshift_core::pace::Pace;
 use bytes::Bytes;
 use futures_util::stream;
 use ntex::http::Request;
@@ -30,7 +31,6 @@
 use crate::exchange;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
-use crate::exchange::Pace;
 
 /// The path at which an entry is asked for its document.
 pub const PATH: &str = "/document";
--- a/bergamotshift-platform/src/http/client.rs
+++ b/bergamotshift-platform/src/http/client.rs
@@ -1,14 +1,17 @@
 //! Sends one request and tells what may be concluded when no answer comes.
 
 use core::cell::Cell;
+use core::error::Error as StdError;
 use core::pin::pin;
 use core::time::Duration;
 use std::rc::Rc;
 use std::time::Instant;
 
+use bergamotshift_core::pace::Pace;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use futures_util::stream;
 use ntex::SharedCfg;
 use ntex::client::ClientRequest;
 use ntex::client::Connector;
@@ -17,6 +20,8 @@
 use ntex::http::HeaderMap;
 use ntex::http::Method;
 use ntex::http::StatusCode;
+use ntex::http::body::Body;
+use ntex::http::body::SizedStream;
 use ntex::http::header;
 use ntex::time::Millis;
 use serde::de::DeserializeOwned;
@@ -31,7 +36,7 @@
 /// an answer still fits into the rest.
 const CONNECTING: f64 = 0.75;
 
-/// How much of an answer has to come within each further time that a call takes, in bytes. Over the narrowest links of VMs,
+/// How much of a request or an answer has to go over within each time that a call may take, in bytes. Over the narrowest links of VMs,
 /// 10 Mbit/s, it comes in a sixteenth of a second; a way that is slower by ten times is as good as silent.
 const PACE: usize = 64 * 1_024;
 
@@ -69,6 +74,13 @@
     settings: Settings,
 }
 
+/// How much of a call has gone over so far, in bytes.
+#[derive(Debug, Default)]
+struct Moved {
+    sent: Cell<usize>,
+    received: Cell<usize>,
+}
+
 /// A whole answer.
 #[derive(Debug)]
 pub struct Answer {
@@ -119,16 +131,16 @@
         self.send_within(self.settings.timeout, request, body).await
     }
 
-    /// Sends a request and reads the whole answer, within `patience` and as much again each time that a [`PACE`] more of it
-    /// came meanwhile.
+    /// Sends a request and reads the whole answer, within `patience` and as much again each time that a [`PACE`] more of
+    /// both went over meanwhile.
     ///
     /// Failure: the HTTP client's own time limit begins when all of the request was sent. Symptom: a call to a silent
     /// platform waits for a connection or for room to send for as long as it likes, and leaves long after whoever asked
     /// for it has given up. One limit over everything ends the call, and its connection drops what was not delivered.
     ///
-    /// Failure: an answer has grown so large that the VM's link takes longer for it than a call may take. Symptom: it is
-    /// given up and asked for anew from its start, for good, and the link is full of what is thrown away. An answer that
-    /// keeps coming is let come, however large; one that is silent, or hardly moves, ends as soon as before.
+    /// Failure: an answer or a request has grown so large that the VM's link takes longer for it than a call may take.
+    /// Symptom: it is given up and begun anew, for good, and the link is full of what is thrown away. What keeps moving is
+    /// let move, however large; what is silent, or hardly moves, ends as soon as ever.
     ///
     /// A connection that was not made means that nothing was sent: `Refused`. Whatever fails later may have reached
     /// the platform, even a write to a pooled connection that the platform had closed: `Unknown`.
@@ -138,28 +150,32 @@
     /// Returns what may be concluded when there is no whole answer; any status is an answer.
     pub async fn send_within(&self, patience: Duration, request: ClientRequest, body: Bytes) -> Result<Answer, Error> {
         let request = request.timeout(Millis::from(patience));
-        let received = Cell::new(0);
+        let moved = Rc::new(Moved::default());
         let began = Instant::now();
-        let mut call = pin!(self.exchange(request, body, &received));
-        let mut due = PACE;
+        let mut call = pin!(self.exchange(request, body, &moved));
+        let pace = Pace {
+            bytes: PACE,
+            within: patience,
+        };
+        let mut watch = pace.watch();
         loop {
             if let Ok(ended) = timeout(patience, call.as_mut()).await {
                 return ended;
             }
-            let (received, took) = (received.get(), began.elapsed().as_millis());
-            if received < due {
+            let (sent, received) = (moved.sent.get(), moved.received.get());
+            if !watch.keeps(sent + received) {
+                let took = began.elapsed().as_millis();
                 let cause = format!("no whole answer in time: {received} bytes of its body after {took} ms");
                 return Err(Error::Unknown(cause));
             }
-            due = received + PACE;
         }
     }
 
-    /// Sends a request and reads its answer; `received` is how much of the body has come so far.
-    async fn exchange(&self, request: ClientRequest, body: Bytes, received: &Cell<usize>) -> Result<Answer, Error> {
+    /// Sends a request and reads its answer; `moved` is how much of both has gone over so far.
+    async fn exchange(&self, request: ClientRequest, body: Bytes, moved: &Rc<Moved>) -> Result<Answer, Error> {
         let signed = self.settings.signer.sign(request, &body);
         let mut response = signed
-            .send_body(ntex::util::Bytes::copy_from_slice(&body))
+            .send_body(outgoing(body, Rc::clone(moved)))
             .await
             .map_err(|cause| failure(&cause))?;
         let status = response.status();
@@ -168,7 +184,7 @@
         while let Some(piece) = response.next().await {
             let piece = piece.map_err(|cause| Error::Unknown(cause.to_string()))?;
             body.extend_from_slice(&piece);
-            received.set(body.len());
+            moved.received.set(body.len());
             if body.len() > self.settings.limit {
                 return Err(Error::Unknown("the answer is too large".to_owned()));
             }
@@ -213,6 +229,21 @@
     }
 }
 
+/// Returns a request's body; a long one is handed over in pieces as the connection takes them, and counted.
+fn outgoing(body: Bytes, moved: Rc<Moved>) -> Body {
+    const PIECE: usize = PACE / 4;
+    if body.len() <= PACE {
+        return Body::from(ntex::util::Bytes::copy_from_slice(&body));
+    }
+    let length = body.len();
+    let pieces = (0..length).step_by(PIECE).map(move |first| {
+        let piece = &body[first..length.min(first + PIECE)];
+        moved.sent.set(first + piece.len());
+        Ok::<_, Rc<dyn StdError>>(ntex::util::Bytes::copy_from_slice(piece))
+    });
+    Body::from_message(SizedStream::new(length as u64, stream::iter(pieces)))
+}
+
 fn failure(error: &ClientError) -> Error {
     match error {
         // The client also says this when a connection ends after the request was sent, before its answer.
