fix(link): let a long answer that keeps moving arrive

Now it has that for each 64 kB that goes over; a peer that is silent is given up after the same time as before.

Test before: Timeout after 0.4 s of an answer of 2 MB over a megabyte a second; after: whole after 2.2 s, and a silent peer times out still.

Looked at and left: what entries of the forwarding daemon tell one another (400 ms whole, bounded by the entries and endpoints there are, about 20 kB at 77 entries), the keeper's answers (bounded, 120 ms), load reports of endpoints (bounded).

--- a/bergamotshift-link/src/node/mod.rs
+++ b/bergamotshift-link/src/node/mod.rs
@@ -5,9 +5,13 @@
 mod transport;
 
 use core::net::SocketAddr;
+use core::pin::pin;
+use core::sync::atomic::AtomicUsize;
+use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
 use std::sync::Arc;
 
+use bergamotshift_core::pace::Pace;
 use bergamotshift_fleet::kernel::Way;
 use slog::Logger;
 use thiserror::Error;
@@ -21,6 +25,10 @@
 /// Most bytes of a question or an answer.
 pub const MAX_MESSAGE: usize = 16 * 1_024 * 1_024;
 
+/// How much of a question or an answer has to go over within each time that it may take, in bytes: a configuration's content
+/// and a caller's body may take longer than that over a narrow link, and are as good as lost when they hardly move.
+pub const PACE: usize = 64 * 1_024;
+
 /// Why something did not go over the link.
 #[derive(Debug)]
 #[derive(Error)]
@@ -159,28 +167,28 @@
         self.peers.send(to, way, bytes);
     }
 
-    /// Sends a frame and waits until the peer has it.
+    /// Sends a frame and waits until the peer has it, as long as it keeps moving.
     ///
     /// # Errors
     ///
-    /// Returns an error when the peer does not acknowledge it in time.
+    /// Returns an error when the peer does not acknowledge it in time: `within`, and as much again for each [`PACE`].
     pub async fn deliver(&self, to: SocketAddr, bytes: &[u8], within: Duration) -> Result<(), Error> {
-        let delivering = self.peers.deliver(to, bytes);
-        tokio::time::timeout(within, delivering).await.or(Err(Error::Timeout))?
+        let moved = AtomicUsize::new(0);
+        moving(within, &moved, self.peers.deliver(to, bytes, &moved)).await
     }
 
-    /// Asks a peer and waits for its answer.
+    /// Asks a peer and waits for its answer, as long as that or the question keeps moving.
     ///
     /// # Errors
     ///
     /// Returns an error when the peer cannot be reached, does not trust this entry or is not trusted, or does not
-    /// answer in time. The question may have been acted on all the same.
+    /// answer in time: `within`, and as much again for each [`PACE`]. The question may have been acted on all the same.
     pub async fn ask(&self, to: SocketAddr, question: &[u8], within: Duration) -> Result<Vec<u8>, Error> {
         if question.len() > MAX_MESSAGE {
             return Err(Error::Size(question.len()));
         }
-        let asking = self.peers.ask(to, question);
-        tokio::time::timeout(within, asking).await.or(Err(Error::Timeout))?
+        let moved = AtomicUsize::new(0);
+        moving(within, &moved, self.peers.ask(to, question, &moved)).await
     }
 
     /// Takes a renewed certificate for connections from now on; open ones stay.
@@ -206,3 +214,22 @@
         self.peers.endpoint.wait_idle().await;
     }
 }
+
+/// Waits for something to go over, for as long as it keeps pace.
+async fn moving<T>(
+    within: Duration,
+    moved: &AtomicUsize,
+    going: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    let pace = Pace { bytes: PACE, within };
+    let mut watch = pace.watch();
+    let mut going = pin!(going);
+    loop {
+        if let Ok(gone) = tokio::time::timeout(within, going.as_mut()).await {
+            return gone;
+        }
+        if !watch.keeps(moved.load(Relaxed)) {
+            return Err(Error::Timeout);
+        }
+    }
+}
--- a/bergamotshift-link/src/node/peers.rs
+++ b/bergamotshift-link/src/node/peers.rs
@@ -1,6 +1,8 @@
 //! Connections to other entries, opened when they are needed.
 
 use core::net::SocketAddr;
+use core::sync::atomic::AtomicUsize;
+use core::sync::atomic::Ordering::Relaxed;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -10,6 +12,10 @@
 use quinn::ClientConfig;
 use quinn::Connection;
 use quinn::Endpoint;
+use quinn::ReadToEndError;
+use quinn::RecvStream;
+use quinn::SendStream;
+use quinn::WriteError;
 use slog::Logger;
 use slog::debug;
 use tokio::sync::mpsc;
@@ -22,6 +28,9 @@
 use super::receive;
 use crate::identity::SERVER_NAME;
 
+/// The most bytes that are taken off a stream at a time.
+const READ: usize = 64 * 1_024;
+
 /// A frame on its way out.
 type Outgoing = (Way, Vec<u8>);
 
@@ -112,22 +121,34 @@
         });
     }
 
-    pub(super) async fn deliver(self: &Arc<Self>, to: SocketAddr, bytes: &[u8]) -> Result<(), Error> {
+    /// Delivers a frame; `moved` is how much of it has gone over so far, in bytes.
+    pub(super) async fn deliver(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        bytes: &[u8],
+        moved: &AtomicUsize,
+    ) -> Result<(), Error> {
         let connection = self.connection(to).await?;
         let mut stream = connection.open_uni().await?;
-        stream.write_all(bytes).await?;
+        write(&mut stream, bytes, moved).await?;
         drop(stream.finish());
         stream.stopped().await?;
         Ok(())
     }
 
-    pub(super) async fn ask(self: &Arc<Self>, to: SocketAddr, question: &[u8]) -> Result<Vec<u8>, Error> {
+    /// Asks a peer; `moved` is how much of the question and its answer has gone over so far, in bytes.
+    pub(super) async fn ask(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        question: &[u8],
+        moved: &AtomicUsize,
+    ) -> Result<Vec<u8>, Error> {
         let connection = self.connection(to).await?;
         let (mut out, mut back) = connection.open_bi().await?;
-        out.write_all(question).await?;
+        write(&mut out, question, moved).await?;
         // The other side may have reset the stream; then no answer comes, and reading says so.
         drop(out.finish());
-        Ok(back.read_to_end(MAX_MESSAGE).await?)
+        Ok(read(&mut back, moved).await?)
     }
 
     /// Returns an open connection, or opens one.
@@ -190,3 +211,26 @@
     drop(stream.finish());
     Ok(())
 }
+
+/// Writes all of a message, and counts what went.
+async fn write(stream: &mut SendStream, mut bytes: &[u8], moved: &AtomicUsize) -> Result<(), WriteError> {
+    while !bytes.is_empty() {
+        let length = stream.write(bytes).await?;
+        moved.fetch_add(length, Relaxed);
+        bytes = &bytes[length..];
+    }
+    Ok(())
+}
+
+/// Reads a message to its end, and counts what came.
+async fn read(stream: &mut RecvStream, moved: &AtomicUsize) -> Result<Vec<u8>, ReadToEndError> {
+    let mut message = Vec::new();
+    while let Some(chunk) = stream.read_chunk(READ, true).await? {
+        if message.len() + chunk.bytes.len() > MAX_MESSAGE {
+            return Err(ReadToEndError::TooLong);
+        }
+        moved.fetch_add(chunk.bytes.len(), Relaxed);
+        message.extend_from_slice(&chunk.bytes);
+    }
+    Ok(message)
+}
