--- a/bergamotshift-forward/tests/daemon/growth.rs
+++ b/bergamotshift-forward/tests/daemon/growth.rs
@@ -1,9 +1,17 @@
 //! Entries with narrow links, and a document that has grown large.
 
+use std::io::Write;
+use std::net::TcpStream;
+
 use bergamotshift_forward::document::Document;
 use bergamotshift_forward::document::Route;
+use bergamotshift_forward::peers::update::UPLOADS;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use crate::endpoint::Endpoint;
+use crate::endpoint::head;
 use crate::link::Link;
 use crate::outside::lock;
 use crate::site::Caller;
@@ -20,9 +28,13 @@
 
 /// Returns the usual document with many routes more, the last of them below `/route-4249/`.
 fn grown(version: u64) -> Document {
+    grown_by(version, ROUTES)
+}
+
+fn grown_by(version: u64, routes: usize) -> Document {
     let mut grown = document(version);
     let route = grown.routes[0].clone();
-    grown.routes.extend((0..ROUTES).map(|number| Route {
+    grown.routes.extend((0..routes).map(|number| Route {
         name: format!("route-{number}").into(),
         prefix: format!("/route-{number}/").into(),
         ..route.clone()
@@ -84,7 +96,7 @@
     let mut unknown = Caller::new(&narrow);
     let request = "GET /checkin/1 HTTP/1.1\r\nhost: staff.example\r\nauthorization: Bearer key-2\r\n\
          bergamotshift-request: r\r\nbergamotshift-deadline-ms: 4000\r\n\r\n";
-    std::io::Write::write_all(&mut unknown.0, request.as_bytes()).expect("the connection stands");
+    unknown.0.write_all(request.as_bytes()).expect("the connection stands");
     assert_eq!(unknown.answer().expect("an answer comes").status, 503);
     assert_eq!(status(&narrow, "/checkin/1"), 200);
 }
@@ -108,3 +120,36 @@
     assert_eq!(status(&narrow, "/route-4249/1"), 200);
     assert_eq!(link.large(), large, "the whole document went over the link again");
 }
+
+/// Asks an entry for its document, reads the answer's status and leaves the rest where it is.
+fn ask_and_read_nothing(daemon: &Daemon) -> (TcpStream, u16) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    // So little that most of the answer stays with its sender.
+    socket.set_recv_buffer_size(4_096).expect("a socket takes a size");
+    socket.connect(&daemon.listen.peers.into()).expect("the daemon listens");
+    let mut stream = TcpStream::from(socket);
+    // The version 0: it has none.
+    let question = b"POST /document HTTP/1.1\r\nhost: e\r\ncontent-length: 1\r\n\r\n\0";
+    stream.write_all(question).expect("the connection stands");
+    let head = head(&mut stream).expect("an answer comes").expect("it has a head");
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    (stream, status.expect("a status"))
+}
+
+/// Callers of the entry that reads a new document first get their answers late, while it goes round.
+///
+/// Dozens of entries hear of it at once and ask that one, and its link is full of copies. It gives so many at a time and
+/// turns the others away, who ask one that has got it meanwhile; a copy that has gone out makes room for the next one.
+#[test]
+fn an_entry_gives_its_document_to_a_few_at_a_time() {
+    const ROUTES_HELD_UP: usize = 40 * ROUTES;
+    let endpoint = Endpoint::plain("e1", "done");
+    let site = Site::new(&[&endpoint]);
+    lock(&site.world).put(grown_by(2, ROUTES_HELD_UP));
+    let daemon = site.start();
+    let mut served: Vec<_> = (0..UPLOADS).map(|_| ask_and_read_nothing(&daemon)).collect();
+    assert!(served.iter().all(|(_, status)| *status == 200));
+    assert_eq!(ask_and_read_nothing(&daemon).1, 503);
+    served.pop();
+    until("there is room for one more", || ask_and_read_nothing(&daemon).1 == 200);
+}
