--- a/bergamotshift-forward/src/control/behind.rs
+++ b/bergamotshift-forward/src/control/behind.rs
@@ -11,14 +11,12 @@
 use super::inner::Inner;
 use super::talk::learn;
 use super::talk::told;
-use crate::document::Difference;
 use crate::document::Unfit;
 use crate::observe::Topic;
 use crate::peers::Holder;
 use crate::peers::Offer;
 use crate::peers::Source;
 use crate::peers::State;
-use crate::peers::Update;
 use crate::peers::update::Arrival;
 use crate::view::Shared;
 
@@ -88,19 +86,7 @@
     pub fn given(&self, holder: &Holder, arrival: Arrival, took: Duration) -> Result<(), Unfit> {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
-        let (document, steps) = match arrival.update {
-            Update::Whole(document) => (document.into_owned(), None),
-            Update::Steps(steps) => {
-                let steps: Vec<Difference> = steps.into_iter().map(std::borrow::Cow::into_owned).collect();
-                let (first, rest) = steps.split_first().ok_or(Unfit {
-                    before: 0,
-                    version: inner.document.version,
-                })?;
-                let first = first.apply(&inner.document);
-                let document = rest.iter().fold(first, |before, step| step.apply(&before?))?;
-                (document, Some(steps))
-            }
-        };
+        let (document, steps) = arrival.update.apply(&inner.document)?;
         let version = document.version;
         if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Peers) {
             info!(logger, "document given"; "version" => version, "from" => holder.entry.as_str(),
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -170,6 +170,8 @@
         self.copies.step(&document, steps);
         self.document = Arc::new(document);
         shared.newest.fetch_max(self.document.version, Ordering::AcqRel);
+        // Versions that follow one another quickly are got one by one; who gets on is not left behind.
+        self.behind = self.behind.map(|_since| now);
         self.lag(now, shared);
         self.deal(now, shared);
         self.remember(now, shared);
--- a/bergamotshift-forward/src/peers/update.rs
+++ b/bergamotshift-forward/src/peers/update.rs
@@ -28,6 +28,7 @@
 use crate::control::Question;
 use crate::document::Difference;
 use crate::document::Document;
+use crate::document::Unfit;
 use crate::exchange;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
@@ -71,6 +72,28 @@
     Whole(Cow<'a, Document>),
 }
 
+impl Update<'_> {
+    /// Makes the newer document out of the one that this entry has; returns the steps to it, too, where they were told.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Unfit`] when it starts from another version.
+    pub fn apply(self, before: &Document) -> Result<(Document, Option<Vec<Difference>>), Unfit> {
+        let steps: Vec<Difference> = match self {
+            Self::Whole(document) => return Ok((document.into_owned(), None)),
+            Self::Steps(steps) => steps.into_iter().map(Cow::into_owned).collect(),
+        };
+        let unfit = Unfit {
+            before: 0,
+            version: before.version,
+        };
+        let (first, rest) = steps.split_first().ok_or(unfit)?;
+        let first = first.apply(before);
+        let document = rest.iter().fold(first, |before, step| step.apply(&before?))?;
+        Ok((document, Some(steps)))
+    }
+}
+
 /// What an entry that is asked for its document does.
 #[derive(Debug)]
 pub enum Offer {
--- a/bergamotshift-forward/tests/kernel/difference.rs
+++ b/bergamotshift-forward/tests/kernel/difference.rs
@@ -3,6 +3,8 @@
 use bergamotshift_forward::document::Difference;
 use bergamotshift_forward::document::Document;
 use bergamotshift_forward::document::Route;
+use bergamotshift_forward::document::Unfit;
+use bytes::Bytes;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
@@ -11,14 +13,14 @@
 /// How many routes the documents of properties have at the most.
 const SIZE: usize = 40;
 
-fn document(version: u64, routes: &[(u8, u8)]) -> Document {
-    let route = |(name, urgency): &(u8, u8)| Route {
+fn document(version: u64, routes: impl IntoIterator<Item = (u8, u8)>) -> Document {
+    let route = |(name, urgency): (u8, u8)| Route {
         urgency: urgency % 2,
         ..route(&format!("/{}/", name % 50))
     };
     Document {
         version,
-        routes: routes.iter().map(route).collect(),
+        routes: routes.into_iter().map(route).collect(),
         ..Document::default()
     }
 }
@@ -28,7 +30,7 @@
 #[test]
 fn whatever_changed_the_later_version_comes_out() {
     fn comes_out(before: Vec<(u8, u8)>, after: Vec<(u8, u8)>) -> bool {
-        let (before, after) = (document(1, &before), document(2, &after));
+        let (before, after) = (document(1, before), document(2, after));
         Difference::between(&before, &after).apply(&before) == Ok(after)
     }
     QuickCheck::new()
@@ -41,8 +43,8 @@
 #[test]
 fn any_bytes_are_a_difference_that_fits_or_an_error() {
     fn ends(bytes: Vec<u8>) -> bool {
-        if let Ok(difference) = postcard::from_bytes::<Difference>(&bytes) {
-            let _ = difference.apply(&document(difference.before, &[(1, 0), (2, 0)]));
+        if let Ok(difference) = postcard::from_bytes::<Difference>(&Bytes::from(bytes)) {
+            let _ = difference.apply(&document(difference.before, [(1, 0), (2, 0)]));
         }
         true
     }
@@ -59,15 +61,16 @@
     after[7].1 = 1;
     after.remove(20);
     after.push((45, 0));
-    let difference = Difference::between(&document(1, &before), &document(2, &after));
+    let difference = Difference::between(&document(1, before), &document(2, after));
     assert_eq!(difference.written(), 2);
 }
 
 #[test]
 fn a_difference_from_another_version_is_refused() {
-    let (before, after) = (document(1, &[(1, 0)]), document(2, &[(1, 0), (2, 0)]));
+    let (before, after) = (document(1, [(1, 0)]), document(2, [(1, 0), (2, 0)]));
     let difference = Difference::between(&before, &after);
-    assert!(difference.apply(&document(3, &[(1, 0)])).is_err());
+    let unfit = |version| Err(Unfit { before: 1, version });
+    assert_eq!(difference.apply(&document(3, [(1, 0)])), unfit(3));
     // The same version with fewer routes is no such version.
-    assert!(difference.apply(&document(1, &[])).is_err());
+    assert_eq!(difference.apply(&document(1, [])), unfit(1));
 }
--- a/bergamotshift-link/tests/narrow.rs
+++ b/bergamotshift-link/tests/narrow.rs
@@ -32,7 +32,7 @@
     let asker = Arc::new(Mutex::new(None));
     let (back, from, whom) = (Arc::clone(&near), Arc::clone(&far), Arc::clone(&asker));
     thread::spawn(move || {
-        let mut datagram = [0; 65_536];
+        let mut datagram = vec![0; 65_536];
         while let Ok((length, from)) = near.recv_from(&mut datagram) {
             *asker.lock().unwrap() = Some(from);
             // Whoever ended is not there any more.
@@ -40,7 +40,7 @@
         }
     });
     thread::spawn(move || {
-        let mut datagram = [0; 65_536];
+        let mut datagram = vec![0; 65_536];
         while let Ok(length) = from.recv(&mut datagram) {
             thread::sleep(GAP);
             if let Some(asker) = *whom.lock().unwrap() {
--- a/bergamotshift-platform/src/http/client.rs
+++ b/bergamotshift-platform/src/http/client.rs
@@ -131,7 +131,7 @@
         self.send_within(self.settings.timeout, request, body).await
     }
 
-    /// Sends a request and reads the whole answer, within `patience` and as much again each time that a [`PACE`] more of
+    /// Sends a request and reads the whole answer, within `patience` and as much again each time that 64 kB more of
     /// both went over meanwhile.
     ///
     /// Failure: the HTTP client's own time limit begins when all of the request was sent. Symptom: a call to a silent
