--- a/bergamotshift-forward/src/control/behind.rs
+++ b/bergamotshift-forward/src/control/behind.rs
@@ -11,7 +11,7 @@
 use super::inner::Inner;
 use super::talk::learn;
 use super::talk::told;
-use crate::document::Unfit;
+use crate::document::Mismatch;
 use crate::observe::Topic;
 use crate::peers::Holder;
 use crate::peers::Offer;
@@ -82,8 +82,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Unfit`] when what came starts from another version than the one in force.
-    pub fn given(&self, holder: &Holder, arrival: Arrival, took: Duration) -> Result<(), Unfit> {
+    /// Returns [`Mismatch`] when what came starts from another version than the one in force.
+    pub fn given(&self, holder: &Holder, arrival: Arrival, took: Duration) -> Result<(), Mismatch> {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
         let (document, steps) = arrival.update.apply(&inner.document)?;
--- a/bergamotshift-forward/src/document/difference.rs
+++ b/bergamotshift-forward/src/document/difference.rs
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Error)]
 #[error("a difference from version {before} does not fit version {version}")]
-pub struct Unfit {
+pub struct Mismatch {
     /// The version that it starts from.
     pub before: u64,
     /// The version that it was applied to.
@@ -90,21 +90,21 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Unfit`] when `before` is not the version that the difference starts from.
-    pub fn apply(&self, before: &Document) -> Result<Document, Unfit> {
-        let unfit = Unfit {
+    /// Returns [`Mismatch`] when `before` is not the version that the difference starts from.
+    pub fn apply(&self, before: &Document) -> Result<Document, Mismatch> {
+        let mismatch = Mismatch {
             before: self.before,
             version: before.version,
         };
         if before.version != self.before {
-            return Err(unfit);
+            return Err(mismatch);
         }
         let mut routes = Vec::with_capacity(before.routes.len() + self.written());
         for run in &self.routes {
             match run {
                 Run::Kept { first, count } => {
                     let (first, count) = (*first as usize, *count as usize);
-                    let kept = before.routes.get(first..first.saturating_add(count)).ok_or(unfit)?;
+                    let kept = before.routes.get(first..first.saturating_add(count)).ok_or(mismatch)?;
                     routes.extend_from_slice(kept);
                 }
                 Run::Written(written) => routes.extend_from_slice(written),
--- a/bergamotshift-forward/src/document/mod.rs
+++ b/bergamotshift-forward/src/document/mod.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 pub use self::difference::Difference;
-pub use self::difference::Unfit;
+pub use self::difference::Mismatch;
 pub use self::organisation::Limit;
 pub use self::organisation::Organisation;
 pub use self::organisation::Unit;
--- a/bergamotshift-forward/src/follow/document.rs
+++ b/bergamotshift-forward/src/follow/document.rs
@@ -176,7 +176,7 @@
     let cause = match fetched {
         Ok(arrival) => match control.given(holder, arrival, took) {
             Ok(()) => return Given::Newer,
-            Err(unfit) => unfit.to_string(),
+            Err(mismatch) => mismatch.to_string(),
         },
         Err(update::Error::Busy) => return Given::Busy,
         Err(error) => error.to_string(),
--- a/bergamotshift-forward/src/peers/update.rs
+++ b/bergamotshift-forward/src/peers/update.rs
@@ -28,7 +28,7 @@
 use crate::control::Question;
 use crate::document::Difference;
 use crate::document::Document;
-use crate::document::Unfit;
+use crate::document::Mismatch;
 use crate::exchange;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
@@ -77,17 +77,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Unfit`] when it starts from another version.
-    pub fn apply(self, before: &Document) -> Result<(Document, Option<Vec<Difference>>), Unfit> {
+    /// Returns [`Mismatch`] when it starts from another version.
+    pub fn apply(self, before: &Document) -> Result<(Document, Option<Vec<Difference>>), Mismatch> {
         let steps: Vec<Difference> = match self {
             Self::Whole(document) => return Ok((document.into_owned(), None)),
             Self::Steps(steps) => steps.into_iter().map(Cow::into_owned).collect(),
         };
-        let unfit = Unfit {
+        let mismatch = Mismatch {
             before: 0,
             version: before.version,
         };
-        let (first, rest) = steps.split_first().ok_or(unfit)?;
+        let (first, rest) = steps.split_first().ok_or(mismatch)?;
         let first = first.apply(before);
         let document = rest.iter().fold(first, |before, step| step.apply(&before?))?;
         Ok((document, Some(steps)))
--- a/bergamotshift-forward/tests/kernel/difference.rs
+++ b/bergamotshift-forward/tests/kernel/difference.rs
@@ -1,9 +1,12 @@
 //! What one version of the document has that another one has not.
 
+use std::borrow::Cow;
+
 use bergamotshift_forward::document::Difference;
 use bergamotshift_forward::document::Document;
+use bergamotshift_forward::document::Mismatch;
 use bergamotshift_forward::document::Route;
-use bergamotshift_forward::document::Unfit;
+use bergamotshift_forward::peers::Update;
 use bytes::Bytes;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -69,8 +72,35 @@
 fn a_difference_from_another_version_is_refused() {
     let (before, after) = (document(1, [(1, 0)]), document(2, [(1, 0), (2, 0)]));
     let difference = Difference::between(&before, &after);
-    let unfit = |version| Err(Unfit { before: 1, version });
-    assert_eq!(difference.apply(&document(3, [(1, 0)])), unfit(3));
+    let mismatch = |version| Err(Mismatch { before: 1, version });
+    assert_eq!(difference.apply(&document(3, [(1, 0)])), mismatch(3));
     // The same version with fewer routes is no such version.
-    assert_eq!(difference.apply(&document(1, [])), unfit(1));
+    assert_eq!(difference.apply(&document(1, [])), mismatch(1));
+}
+
+/// An entry is two versions behind. It is told both steps, and comes out where the one that told them is; it says which steps
+/// they were, so that it can tell them on.
+#[test]
+fn several_steps_lead_to_the_newest_version() {
+    let versions = [
+        document(1, [(1, 0), (2, 0)]),
+        document(4, [(1, 1), (2, 0)]),
+        document(9, [(2, 0), (3, 0)]),
+    ];
+    let steps = [
+        Difference::between(&versions[0], &versions[1]),
+        Difference::between(&versions[1], &versions[2]),
+    ];
+    let told = || Update::Steps(steps.iter().map(Cow::Borrowed).collect());
+    let newest = (versions[2].clone(), Some(steps.to_vec()));
+    assert_eq!(told().apply(&versions[0]), Ok(newest));
+    assert!(told().apply(&versions[1]).is_err_and(|mismatch| mismatch.before == 1));
+}
+
+/// An answer without any step leads nowhere, and must not count as the newest document.
+#[test]
+fn no_step_at_all_is_no_update() {
+    let before = document(1, [(1, 0)]);
+    let mismatch = Mismatch { before: 0, version: 1 };
+    assert_eq!(Update::Steps(Vec::new()).apply(&before), Err(mismatch));
 }
