fix(limits)!: an organisation has its burst once while a fleet grows

Cause, two of them, both seen by large::a_limit_is_one_for_all_entries_of_a_large_fleet beside 8 busy loops. 1. Each entry that joined came up with six tenths of its share of every calm organisation's burst, which the entries before held too. With sixteen that join one after the other that is 1.3 bursts and one overdraft each, 150 requests of 100: the 118 to 151 that the test saw. That part was meant for entries that are back after all were killed. 2. What entries let in by their own shares before they knew enough of each other was granted once more by the keeper.

Now only an entry that is back (its row stands in the list) or the first one gets a part at once, and an entry tells the keeper with its first question what it let in and what is not paid for yet.

New tests that were red before: growing::a_burst_is_granted_once_while_a_fleet_grows, growing::entries_that_lag_behind_do_not_double_the_burst, limits::an_entry_that_joins_brings_no_burst_of_its_own.

Conclusion: a newcomer waits for what the others leave, a quarter of a burst's length at the most.

BREAKING: questions to keepers carry one figure more; let all entries of a fleet start anew together.

--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -232,13 +232,18 @@
         self.inner.borrow_mut().members.listed(now, listed);
     }
 
-    /// Notes that the list of entries was read, with the organisations that they wrote to be busy.
-    pub fn listed(&self, busy: Vec<name::Organisation>) {
+    /// Notes that the list of entries was read, with the organisations that they wrote to be busy; `None` where this entry
+    /// joins others that serve already.
+    ///
+    /// Failure: entries join one after the other, and each starts with a part of every organisation's burst, which the ones
+    /// before hold too. Symptom: with sixteen that join, an organisation has its burst more than twice. Only an entry that is
+    /// back, or the first one, gets a part at once; one that joins gets what the others leave.
+    pub fn listed(&self, busy: Option<Vec<name::Organisation>>) {
         let mut inner = self.inner.borrow_mut();
         let is_first = !inner.lists_entries;
         inner.lists_entries = true;
         if is_first {
-            inner.remembered = Some(busy);
+            inner.remembered = busy;
             inner.remember(self.now(), &self.shared);
         }
     }
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -112,6 +112,7 @@
     let today = control.shared().tally.today();
     let mut after: Option<SmolStr> = None;
     let mut busy = Vec::new();
+    let (mut others, mut is_back) = (0, false);
     loop {
         let page = match table.query(SmolStr::new_static(PARTITION), after, PAGE).await {
             Ok(page) => page,
@@ -124,6 +125,9 @@
             match postcard::from_bytes::<Row>(&row.body) {
                 Ok(row) if today.saturating_sub(Duration::from_secs(row.at)) < oldest(row.every) => {
                     busy.extend(row.busy);
+                    let is_own = *name == control.shared().settings.name.as_str();
+                    is_back |= is_own;
+                    others += usize::from(!is_own);
                     control.named(&Listed {
                         entry: name::Entry::new(name),
                         address: row.address,
@@ -139,7 +143,9 @@
             }
         }
         let Some(next) = page.next else {
-            control.listed(busy);
+            // Where others serve and it has no row of its own, the entry joins them.
+            let joins = others > 0 && !is_back;
+            control.listed(Some(busy).filter(|_| !joins));
             return true;
         };
         after = Some(next);
--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -88,6 +88,8 @@
     is_open: AtomicBool,
     /// Units asked for since the last look, refused ones included.
     asked: AtomicU64,
+    /// Units let in that no keeper was told of.
+    untold: AtomicU64,
 }
 
 impl Default for Account {
@@ -97,6 +99,7 @@
             burst: AtomicU64::new(UNLIMITED),
             is_open: AtomicBool::new(false),
             asked: AtomicU64::new(0),
+            untold: AtomicU64::new(0),
         }
     }
 }
@@ -153,9 +156,32 @@
             return Err(Refused { retry_after });
         }
         self.bucket.charge(now, units);
+        self.untold.fetch_add(units, Relaxed);
         Ok(())
     }
 
+    /// Returns the units that were let in here, are not paid for yet and no keeper was told of; it is told now.
+    ///
+    /// Failure: a fleet grows, and its entries let callers in by their own shares until each has heard of enough others;
+    /// whoever keeps the zone then grants the burst once more. Symptom: the organisation uses its burst twice. What was
+    /// let in moves to the keeper with the first question, before that grants anything to the same entry.
+    pub fn hand_over(&self, now: Instant) -> u64 {
+        let untold = self.untold.swap(0, Relaxed);
+        untold.min(self.bucket.owed_units(now))
+    }
+
+    /// Takes back what a keeper did not get to hear.
+    pub fn take_back(&self, untold: u64) {
+        self.untold.fetch_add(untold, Relaxed);
+    }
+
+    /// Counts units that another entry let in before it asked this one; whether there is room does not matter any more.
+    pub fn take_over(&self, now: Instant, units: u64) {
+        if units > 0 && self.is_open.load(Relaxed) {
+            self.bucket.charge(now, units);
+        }
+    }
+
     /// Gives the units of a request back that did not run.
     pub fn refund(&self, units: u64) {
         if self.burst.load(Relaxed) != UNLIMITED {
--- a/bergamotshift-forward/src/limits/keeper.rs
+++ b/bergamotshift-forward/src/limits/keeper.rs
@@ -41,6 +41,8 @@
     pub organisation: name::Organisation,
     /// How many.
     pub count: u64,
+    /// Units that the entry let in by its own share, and of which it told no keeper yet.
+    pub before: u64,
 }
 
 /// A generation that needs an endpoint.
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -82,14 +82,17 @@
     }
 }
 
-/// Grants units of the zone's share of a limit.
+/// Grants units of the zone's share of a limit, and counts what the entry let in before it asked.
 ///
 /// # Errors
 ///
 /// Returns how long it takes until there is room.
 pub fn grant(view: &View, now: Instant, units: &Units) -> Result<(), Refused> {
-    let accounts = view.accounts.get(&units.organisation);
-    accounts.map_or(Ok(()), |accounts| accounts.kept.take(now, units.count))
+    let Some(accounts) = view.accounts.get(&units.organisation) else {
+        return Ok(());
+    };
+    accounts.kept.take_over(now, units.before);
+    accounts.kept.take(now, units.count)
 }
 
 /// Chooses an endpoint for a generation; `None` when none takes work.
--- a/bergamotshift-forward/src/serve/charge.rs
+++ b/bergamotshift-forward/src/serve/charge.rs
@@ -45,6 +45,10 @@
             let units = Units {
                 organisation: organisation.name.clone(),
                 count,
+                before: match view.keeping.keeper {
+                    Keeper::Nobody => 0,
+                    Keeper::Own | Keeper::Other(_) | Keeper::Unknown => accounts.own.hand_over(now),
+                },
             };
             Some((accounts, units))
         });
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -82,12 +82,22 @@
                 return Ok(None);
             }
             if self.shared.clock.now().since(began) >= WAIT {
+                self.take_back(question.units.as_ref());
                 return Err(Refused { retry_after: UNREACHED });
             }
             tokio::time::sleep(LOOK).await;
         }
     }
 
+    /// Keeps what this entry let in by itself for the next question, since nobody heard it.
+    fn take_back(&self, units: Option<&Units>) {
+        let view = self.shared.view.load();
+        let accounts = units.and_then(|units| Some((view.accounts.get(&units.organisation)?, units.before)));
+        if let Some((accounts, before)) = accounts {
+            accounts.own.take_back(before);
+        }
+    }
+
     /// Asks whoever keeps the zone by now; `None` when nobody decides.
     async fn ask_once(&self, question: &mut Question) -> Option<Answer> {
         let view = self.shared.view.load_full();
--- a/bergamotshift-forward/tests/daemon/limits.rs
+++ b/bergamotshift-forward/tests/daemon/limits.rs
@@ -82,3 +82,22 @@
     assert_eq!((after, refused.status), (0, 429));
     assert_eq!(endpoint.count(), usize::try_from(before).expect("it is small"));
 }
+
+/// One entry lets an organisation use its burst, and another one joins it. If the newcomer came up with a part of the burst
+/// too, the organisation would have that part twice, and more with each that joins. It gets what the first one leaves.
+#[test]
+fn an_entry_that_joins_brings_no_burst_of_its_own() {
+    let endpoint = Endpoint::plain("e1", "done");
+    let site = site(&endpoint);
+    let first = site.start();
+    let is_written = || {
+        let world = lock(&site.world);
+        world.rows.keys().any(|key| key.partition == "entry")
+    };
+    until("the first one stands in the list", is_written);
+    ask_until_refused(&first);
+    let second = site.launch("entry-2", &[first.listen.peers]);
+    until("the second one is ready", || second.is_ready());
+    let (served, refused) = ask_until_refused(&second);
+    assert_eq!((served, refused.status), (0, 429));
+}
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -6,6 +6,7 @@
 mod difference;
 mod directory;
 mod events;
+mod growing;
 mod holders;
 mod knowledge;
 mod ledger;
--- a/bergamotshift-limit/src/bucket.rs
+++ b/bergamotshift-limit/src/bucket.rs
@@ -85,6 +85,13 @@
         Duration::from_nanos(self.paid_at.load(Relaxed).saturating_sub(nanos(now)))
     }
 
+    /// Returns how many units of those taken are not paid for yet.
+    pub fn owed_units(&self, now: Instant) -> u64 {
+        let picos = self.owed(now).as_nanos() * u128::from(PICOS_PER_NANO);
+        let price = u128::from(self.picos_per_unit.load(Relaxed).max(1));
+        u64::try_from(picos / price).unwrap_or(u64::MAX)
+    }
+
     /// Sets how long it takes, from `now`, until all units taken are paid for.
     pub fn set_owed(&self, now: Instant, owed: Duration) {
         let owed = u64::try_from(owed.as_nanos()).unwrap_or(u64::MAX);
