fix(exchange): only the program gives up a connection with a request under way

Cause: the system's keep-alive and its limit on unacknowledged bytes ended a connection within a network cut, without a reset.

Now the system watches idle connections only. Every exchange has a limit of its own (the deadline, the patience of repeatable requests, the caller that leaves), and what is given up at that is reset, which drops what is held back.

Ruled out: a limit below the system's own on every silence, since engines are silent for seconds in shortage.

Test: abandoned::the_system_gives_up_no_connection_with_a_request_under_way.

--- a/bergamotshift-forward/src/exchange/connection.rs
+++ b/bergamotshift-forward/src/exchange/connection.rs
@@ -19,15 +19,11 @@
 use super::failure::Failure;
 use super::head::Answer;
 
-/// How long bytes may stay unacknowledged until the connection counts as broken. A partition swallows packets without
-/// a word; an answer that comes after this is late in any case.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
-
 /// How long a connection may be idle until the peer's system is asked whether it is there.
 const PROBE: Duration = Duration::from_secs(1);
 
 /// How many such questions in a row may stay without an answer.
-const PROBES: u32 = 2;
+const PROBES: u32 = 1;
 
 /// How much room there is for one read, in bytes.
 const READ: usize = 8 * 1024;
@@ -63,19 +59,51 @@
         };
         stream.set_nodelay(true).map_err(failed)?;
         reset_on_close(&stream).map_err(failed)?;
-        let socket = SockRef::from(&stream);
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)).map_err(failed)?;
         let probes = TcpKeepalive::new()
             .with_time(PROBE)
             .with_interval(PROBE)
             .with_retries(PROBES);
-        socket.set_tcp_keepalive(&probes).map_err(failed)?;
-        Ok(Self {
+        SockRef::from(&stream).set_tcp_keepalive(&probes).map_err(failed)?;
+        let connection = Self {
             stream,
             received: BytesMut::new(),
             total: 0,
             spent: false,
-        })
+        };
+        connection.wake().map_err(failed)?;
+        Ok(connection)
+    }
+
+    /// Prepares it for an exchange: only whoever carries that out gives it up.
+    ///
+    /// Failure: a network partition swallows a request, and the system gives the silent connection up by itself, without
+    /// a reset. Symptom: the partition heals, and the request reaches an endpoint that left long ago, or runs after its
+    /// caller was told otherwise. Every exchange has a limit of its own, and what is given up at that is reset.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the option cannot be set.
+    pub fn wake(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_keepalive(false)
+    }
+
+    /// Lets the system find out whether the peer is there, while no exchange is under way.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the option cannot be set.
+    pub fn rest(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_keepalive(true)
+    }
+
+    /// Returns whether the system gives it up by itself when the peer is silent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the options cannot be read.
+    pub fn is_watched(&self) -> io::Result<bool> {
+        let socket = SockRef::from(&self.stream);
+        Ok(socket.keepalive()? || socket.tcp_user_timeout()?.is_some_and(|timeout| !timeout.is_zero()))
     }
 
     /// Returns how many bytes ever came.
--- a/bergamotshift-forward/src/exchange/pool.rs
+++ b/bergamotshift-forward/src/exchange/pool.rs
@@ -35,7 +35,7 @@
     pub fn take(&mut self, now: Instant, address: SocketAddr) -> Option<Connection> {
         let idle = self.idle.get_mut(&address)?;
         while let Some(one) = idle.pop() {
-            if one.until > now && one.connection.is_reusable() {
+            if one.until > now && one.connection.is_reusable() && one.connection.wake().is_ok() {
                 return Some(one.connection);
             }
         }
@@ -44,7 +44,7 @@
 
     /// Takes back a connection whose exchange ended; `answer` are the headers of its last answer.
     pub fn put(&mut self, now: Instant, address: SocketAddr, connection: Connection, answer: &HeaderMap) {
-        if !connection.is_reusable() {
+        if !connection.is_reusable() || connection.rest().is_err() {
             return;
         }
         let keep = keep(answer).saturating_sub(MARGIN);
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -155,7 +155,7 @@
     let kept = connections
         .borrow_mut()
         .remove(&address)
-        .filter(Connection::is_reusable);
+        .filter(|connection| connection.is_reusable() && connection.wake().is_ok());
     let mut connection = match kept {
         Some(connection) => connection,
         None => Connection::open(address, PATIENCE).await?,
@@ -168,7 +168,9 @@
     if answer.status != StatusCode::OK {
         return Err(Error::Status(answer.status.as_u16()));
     }
-    connections.borrow_mut().insert(address, connection);
+    if connection.rest().is_ok() {
+        connections.borrow_mut().insert(address, connection);
+    }
     Ok(postcard::from_bytes(&answer.body)?)
 }
 
--- a/bergamotshift-forward/tests/daemon/abandoned.rs
+++ b/bergamotshift-forward/tests/daemon/abandoned.rs
@@ -12,10 +12,12 @@
 use bergamotshift_forward::duty::Clock;
 use bergamotshift_forward::duty::Lease;
 use bergamotshift_forward::exchange::Connection;
+use bergamotshift_forward::exchange::Pool;
 use bergamotshift_forward::outside::Addresses;
 use bergamotshift_forward::outside::Kind;
 use bergamotshift_platform::Error;
 use bergamotshift_standin::silent;
+use ntex::http::HeaderMap;
 use ntex::http::Method;
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
@@ -45,6 +47,31 @@
     assert_eq!(received.failure, Some(ErrorKind::ConnectionReset), "{received:?}");
 }
 
+/// A request reaches an endpoint three seconds after a cut healed, long after the endpoint left and the caller was told that
+/// the request failed.
+///
+/// The endpoint's zone is cut off while a request is under way. The system finds the connection silent and gives it up
+/// without a reset, so what the cut held back is delivered after all. While an exchange is under way only this program gives
+/// a connection up, which resets it; an idle one carries nothing, and the system may tell that its peer is gone.
+#[ntex::test]
+async fn the_system_gives_up_no_connection_with_a_request_under_way() {
+    let endpoint = silent::Receiver::start().unwrap();
+    let address = endpoint.address();
+    let mut connection = Connection::open(address, Duration::from_secs(1)).await.unwrap();
+    assert!(!connection.is_watched().unwrap(), "a new one is");
+    let exchange = connection.send(b"x", &Method::POST, |_| true);
+    timeout(Duration::from_millis(50), exchange)
+        .await
+        .expect_err("the endpoint is silent");
+    assert!(!connection.is_watched().unwrap(), "one with a request is");
+    let (now, mut pool) = (Instant::from_secs(1), Pool::default());
+    pool.put(now, address, connection, &HeaderMap::new());
+    let connection = pool.take(now, address).expect("it was kept");
+    assert!(!connection.is_watched().unwrap(), "one that is used again is");
+    connection.rest().unwrap();
+    assert!(connection.is_watched().unwrap(), "an idle one is not");
+}
+
 /// The operator sees an order under an old fencing number after one under a newer number.
 ///
 /// The holder orders in time, the cloud does not answer, and the lease ends meanwhile. The call has to end with the lease,
