fix(capacity): on-demand endpoints give way in steps, and not only when every zone has room

Pattern: zones are reclaimed in turn and stay without room for seconds; or they have little room beside the on-demand endpoints that the operators provided.

Cause: on-demand endpoints stayed, all of them, until reclaimable ones served everybody and no zone was without room.

Now one goes for each reclaimable one that serves, as long as what is covered (the loss of the next zones) is left; those in a zone without room stay until that is known to be over, as before.

Ruled out: giving back whatever exceeds the need at once, with no reclaimable one in its place (on_demand_endpoints_stay_until_reclaimable_ones_serve, red); giving back in a zone without room (on_demand_endpoints_that_fill_a_zone_are_given_back, red).

Tests that were red before: capacity::on_demand_endpoints_give_way_in_steps_where_zones_have_little_room, capacity::on_demand_endpoints_beyond_the_cover_are_given_back_while_a_zone_is_dry.

--- a/bergamotshift-forward/src/capacity/mod.rs
+++ b/bergamotshift-forward/src/capacity/mod.rs
@@ -233,9 +233,8 @@
     ) -> BTreeMap<name::Zone, Present> {
         let each = self.each(scale, need.kept);
         let counted = self.counted(now, scale, present, each);
-        let serving: u32 = present.values().map(|present| present.reclaimable).sum();
-        let enough = serving >= need.kept && self.dry.is_empty();
         let mut missing = self.missing(need.measured, present, &counted);
+        let mut kept = self.kept(scale, present, need.kept);
         let mut by_price: Vec<_> = scale.zone_prices.iter().collect();
         by_price.sort_by(|a, b| a.1.total_cmp(b.1));
         let mut wanted = BTreeMap::new();
@@ -245,8 +244,14 @@
             // Spread over two zones at the least: one can be cut off with all that serves there.
             let share = missing.min(room).min(need.measured.div_ceil(2));
             missing -= share;
-            let kept = if enough { 0 } else { here.on_demand };
-            let on_demand = share.max(kept).min(scale.max);
+            let is_dry = self.dry.contains_key(zone);
+            let stays = if is_dry {
+                here.on_demand
+            } else {
+                here.on_demand.min(kept)
+            };
+            kept = kept.saturating_sub(stays);
+            let on_demand = share.max(stays).min(scale.max);
             let room = scale.max.saturating_sub(here.on_demand.max(on_demand));
             let reclaimable = each.min(room).max(scale.min.saturating_sub(on_demand));
             wanted.insert(zone.clone(), Present { on_demand, reclaimable });
@@ -254,6 +259,22 @@
         wanted
     }
 
+    /// Returns how many of the on-demand endpoints that are there stay, in zones that may have room for reclaimable ones: one
+    /// goes for each reclaimable one that serves, and none that covers the loss of the zones that may go next.
+    ///
+    /// Failure: all on-demand endpoints stay until reclaimable ones serve all callers and every zone has room. Symptom: they
+    /// fill the zones, so that there is no room for reclaimable ones, and a fleet is paid for twice for most of a day on
+    /// which zones are reclaimed in turn. Each step back makes room for the next.
+    fn kept(&self, scale: &Scale, present: &BTreeMap<name::Zone, Present>, needed: u32) -> u32 {
+        let zones = scale.zone_prices.keys();
+        let serving: Vec<u32> = zones
+            .map(|zone| present.get(zone).map_or(0, |here| here.reclaimable))
+            .collect();
+        let there: u32 = present.values().map(|here| here.on_demand).sum();
+        let unreplaced = there.saturating_sub(serving.iter().sum());
+        unreplaced.max(cover::on_demand(needed, &serving, self.dry.len()))
+    }
+
     /// Returns how many reclaimable endpoints each zone is to have: the loss of one zone leaves as many as are needed.
     fn each(&self, scale: &Scale, needed: u32) -> u32 {
         let others = (scale.zone_prices.len() as u32).saturating_sub(1).max(1);
--- a/bergamotshift-forward/tests/kernel/capacity.rs
+++ b/bergamotshift-forward/tests/kernel/capacity.rs
@@ -259,3 +259,58 @@
     let orders = plan(&mut planner, at(4_000), [(0, 4), (0, 0), (0, 0), (0, 0)]);
     assert!(of(&orders, Market::OnDemand).is_empty(), "{orders:?}");
 }
+
+/// A fleet starts with on-demand endpoints that leave its zones little room for reclaimable ones. Fewer of those fit than are
+/// needed, so the on-demand ones stayed for good. Those that the reclaimable ones make up for are given back, and each step
+/// makes room for more, until nobody is paid for twice.
+#[test]
+fn on_demand_endpoints_give_way_in_steps_where_zones_have_little_room() {
+    let mut planner = planner();
+    let plan =
+        |planner: &mut Planner, now, counts| planner.plan(at(now), &"planner".into(), &scale(), &present(counts), 0.0);
+    let orders = plan(&mut planner, 0, [(4, 0); 4]);
+    assert!(of(&orders, Market::OnDemand).is_empty(), "{orders:?}");
+    let mut counts = [(4, 0); 4];
+    for step in 1..8_u64 {
+        // What was ordered has booted.
+        for order in plan(&mut planner, step * 5_000, counts) {
+            let zone = ZONES
+                .iter()
+                .position(|zone| *zone == order.zone.as_str())
+                .expect("it is one");
+            match order.market {
+                Market::OnDemand => counts[zone].0 = order.count,
+                Market::Reclaimable => counts[zone].1 = order.count,
+            }
+        }
+        let serving: u32 = counts
+            .iter()
+            .map(|(on_demand, reclaimable)| on_demand + reclaimable)
+            .sum();
+        assert!(serving >= 16, "{counts:?} serve where 16 were provided");
+    }
+    let on_demand: u32 = counts.iter().map(|(on_demand, _)| on_demand).sum();
+    assert_eq!(on_demand, 0, "{counts:?}");
+}
+
+/// Zones are reclaimed in turn and have no room for seconds. On-demand endpoints that the zones left do not need are given
+/// back meanwhile where reclaimable ones serve; those of the zone without room stay.
+#[test]
+fn on_demand_endpoints_beyond_the_cover_are_given_back_while_a_zone_is_dry() {
+    let mut planner = planner();
+    plan(&mut planner, at(0), [(3, 4); 4]);
+    let order = Order {
+        service: "planner".into(),
+        zone: "d".into(),
+        market: Market::Reclaimable,
+        count: 4,
+    };
+    planner.refused(at(16_000), &order);
+    let orders = plan(&mut planner, at(16_250), [(3, 4), (3, 4), (3, 4), (3, 0)]);
+    let given_back = of(&orders, Market::OnDemand);
+    assert_eq!(
+        given_back,
+        [("a", 0), ("b", 0), ("c", 0)],
+        "8 would serve without one more zone, 7 are needed"
+    );
+}
