--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -243,6 +243,9 @@
         let is_first = !inner.lists_entries;
         inner.lists_entries = true;
         if is_first {
+            if busy.is_none() {
+                info!(self.shared.log.always(), "limits left to others"; "members" => inner.members.count());
+            }
             inner.remembered = busy;
             inner.remember(self.now(), &self.shared);
         }
