fix(exchange): no connection is ended by the system, and none is used again after a second of idleness

Now there is no keep-alive at all. What it told of idle connections is told by their age: one that was idle for over a second is not used again, half of what the keep-alive needed to find a silent peer.

--- a/bergamotshift-forward/src/exchange/connection.rs
+++ b/bergamotshift-forward/src/exchange/connection.rs
@@ -10,7 +10,6 @@
 use bytes::BytesMut;
 use ntex::http::Method;
 use socket2::SockRef;
-use socket2::TcpKeepalive;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -19,12 +18,6 @@
 use super::failure::Failure;
 use super::head::Answer;
 
-/// How long a connection may be idle until the peer's system is asked whether it is there.
-const PROBE: Duration = Duration::from_secs(1);
-
-/// How many such questions in a row may stay without an answer.
-const PROBES: u32 = 1;
-
 /// How much room there is for one read, in bytes.
 const READ: usize = 8 * 1024;
 
@@ -46,7 +39,12 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection, which only this program gives up.
+    ///
+    /// Failure: a network partition swallows a request, and the system gives the silent connection up by itself, by
+    /// keep-alive or for unacknowledged bytes, without a reset. Symptom: the partition heals, and the request reaches an
+    /// endpoint that left long ago, or runs after its caller was told otherwise. Every exchange has a limit of its own, and
+    /// what is given up at that is reset; an idle connection is not used again for long.
     ///
     /// # Errors
     ///
@@ -59,41 +57,12 @@
         };
         stream.set_nodelay(true).map_err(failed)?;
         reset_on_close(&stream).map_err(failed)?;
-        let probes = TcpKeepalive::new()
-            .with_time(PROBE)
-            .with_interval(PROBE)
-            .with_retries(PROBES);
-        SockRef::from(&stream).set_tcp_keepalive(&probes).map_err(failed)?;
-        let connection = Self {
+        Ok(Self {
             stream,
             received: BytesMut::new(),
             total: 0,
             spent: false,
-        };
-        connection.wake().map_err(failed)?;
-        Ok(connection)
-    }
-
-    /// Prepares it for an exchange: only whoever carries that out gives it up.
-    ///
-    /// Failure: a network partition swallows a request, and the system gives the silent connection up by itself, without
-    /// a reset. Symptom: the partition heals, and the request reaches an endpoint that left long ago, or runs after its
-    /// caller was told otherwise. Every exchange has a limit of its own, and what is given up at that is reset.
-    ///
-    /// # Errors
-    ///
-    /// Returns the system's error when the option cannot be set.
-    pub fn wake(&self) -> io::Result<()> {
-        SockRef::from(&self.stream).set_keepalive(false)
-    }
-
-    /// Lets the system find out whether the peer is there, while no exchange is under way.
-    ///
-    /// # Errors
-    ///
-    /// Returns the system's error when the option cannot be set.
-    pub fn rest(&self) -> io::Result<()> {
-        SockRef::from(&self.stream).set_keepalive(true)
+        })
     }
 
     /// Returns whether the system gives it up by itself when the peer is silent.
--- a/bergamotshift-forward/src/exchange/pool.rs
+++ b/bergamotshift-forward/src/exchange/pool.rs
@@ -12,6 +12,10 @@
 /// How long an idle connection is kept when the endpoint does not say.
 const USUAL_KEEP: Duration = Duration::from_secs(4);
 
+/// The longest time that an idle connection is kept. Nothing tells whether its peer is still reached, and a request that is
+/// sent into silence may have run.
+const LONGEST_KEEP: Duration = Duration::from_secs(1);
+
 /// What is taken off an endpoint's own figure, so that it does not close a connection just as it is used again.
 const MARGIN: Duration = Duration::from_millis(500);
 
@@ -35,7 +39,7 @@
     pub fn take(&mut self, now: Instant, address: SocketAddr) -> Option<Connection> {
         let idle = self.idle.get_mut(&address)?;
         while let Some(one) = idle.pop() {
-            if one.until > now && one.connection.is_reusable() && one.connection.wake().is_ok() {
+            if one.until > now && one.connection.is_reusable() {
                 return Some(one.connection);
             }
         }
@@ -44,10 +48,10 @@
 
     /// Takes back a connection whose exchange ended; `answer` are the headers of its last answer.
     pub fn put(&mut self, now: Instant, address: SocketAddr, connection: Connection, answer: &HeaderMap) {
-        if !connection.is_reusable() || connection.rest().is_err() {
+        if !connection.is_reusable() {
             return;
         }
-        let keep = keep(answer).saturating_sub(MARGIN);
+        let keep = keep(answer).saturating_sub(MARGIN).min(LONGEST_KEEP);
         if keep.is_zero() {
             return;
         }
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -155,7 +155,7 @@
     let kept = connections
         .borrow_mut()
         .remove(&address)
-        .filter(|connection| connection.is_reusable() && connection.wake().is_ok());
+        .filter(Connection::is_reusable);
     let mut connection = match kept {
         Some(connection) => connection,
         None => Connection::open(address, PATIENCE).await?,
@@ -168,9 +168,7 @@
     if answer.status != StatusCode::OK {
         return Err(Error::Status(answer.status.as_u16()));
     }
-    if connection.rest().is_ok() {
-        connections.borrow_mut().insert(address, connection);
-    }
+    connections.borrow_mut().insert(address, connection);
     Ok(postcard::from_bytes(&answer.body)?)
 }
 
--- a/bergamotshift-forward/tests/daemon/abandoned.rs
+++ b/bergamotshift-forward/tests/daemon/abandoned.rs
@@ -50,26 +50,40 @@
 /// A request reaches an endpoint three seconds after a cut healed, long after the endpoint left and the caller was told that
 /// the request failed.
 ///
-/// The endpoint's zone is cut off while a request is under way. The system finds the connection silent and gives it up
-/// without a reset, so what the cut held back is delivered after all. While an exchange is under way only this program gives
-/// a connection up, which resets it; an idle one carries nothing, and the system may tell that its peer is gone.
+/// The endpoint's zone is cut off, and a connection that was idle till then gets a request. The system finds the peer silent
+/// and ends the connection without a reset, so what the cut held back is delivered after all. Only this program gives a
+/// connection up, which resets it, whether it was used before or not.
 #[ntex::test]
 async fn the_system_gives_up_no_connection_with_a_request_under_way() {
     let endpoint = silent::Receiver::start().unwrap();
     let address = endpoint.address();
-    let mut connection = Connection::open(address, Duration::from_secs(1)).await.unwrap();
+    let connection = Connection::open(address, Duration::from_secs(1)).await.unwrap();
     assert!(!connection.is_watched().unwrap(), "a new one is");
+    let (now, mut pool) = (Instant::from_secs(1), Pool::default());
+    pool.put(now, address, connection, &HeaderMap::new());
+    let mut connection = pool.take(now, address).expect("it was kept");
     let exchange = connection.send(b"x", &Method::POST, |_| true);
     timeout(Duration::from_millis(50), exchange)
         .await
         .expect_err("the endpoint is silent");
     assert!(!connection.is_watched().unwrap(), "one with a request is");
+}
+
+/// A request is sent over a connection whose peer went silent without a word while it was idle, and is lost. Nobody watches
+/// idle connections, so one that was idle for longer than a moment is not used again.
+#[ntex::test]
+async fn a_connection_that_was_idle_for_long_is_not_used_again() {
+    let endpoint = silent::Receiver::start().unwrap();
+    let address = endpoint.address();
     let (now, mut pool) = (Instant::from_secs(1), Pool::default());
-    pool.put(now, address, connection, &HeaderMap::new());
-    let connection = pool.take(now, address).expect("it was kept");
-    assert!(!connection.is_watched().unwrap(), "one that is used again is");
-    connection.rest().unwrap();
-    assert!(connection.is_watched().unwrap(), "an idle one is not");
+    for (idle, is_kept) in [
+        (Duration::from_millis(900), true),
+        (Duration::from_millis(1_100), false),
+    ] {
+        let connection = Connection::open(address, Duration::from_secs(1)).await.unwrap();
+        pool.put(now, address, connection, &HeaderMap::new());
+        assert_eq!(pool.take(now + idle, address).is_some(), is_kept, "{idle:?}");
+    }
 }
 
 /// The operator sees an order under an old fencing number after one under a newer number.
