fix(endpoint): an entry that is cut off does not take the store for away

Now a call that fails while no other zone is heard says nothing of the store.

Ruled out: taking whatever another entry tells as proof. A process that starts just after the store was away knows nothing of that, and would tell all others that what has lapsed is gone.

Test: members::a_cut_off_entry_does_not_take_the_store_for_away (red with the condition before: it asked only whether others reach the store).

--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -202,8 +202,8 @@
     pub fn registrations_lost(&self) {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
-        // A store that answers other entries is not away: what is missing there has left.
-        if !inner.others_reach_store(now) {
+        // Only while the store is away does what is missing there prove nothing.
+        if inner.members.misses_store(now, inner::FRESH) {
             inner.on_endpoints(now, &self.shared, Event::Lost, "store");
         }
     }
--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -33,6 +33,17 @@
         !hears_any && far.any(is_silent)
     }
 
+    /// Returns whether the store may be away when it does not answer this entry: no other one that was heard within `span`
+    /// reaches it, and it is not this entry that is cut off.
+    ///
+    /// Failure: an entry is cut off, and its calls of the store fail up to the end. Symptom: it takes what is missing among
+    /// the registrations after that for what a store that was away has to get back, and sends requests to endpoints that left
+    /// two seconds before.
+    pub fn misses_store(&self, now: Instant, span: Duration) -> bool {
+        let is_reached = self.heard(now, span).any(|(_, state)| state.reaches_store);
+        !is_reached && !self.is_cut_off(now)
+    }
+
     /// Returns who keeps this entry's zone.
     ///
     /// Failure: an entry that is cut off takes all others for dead and itself for the keeper, and grants what the real
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -1,5 +1,6 @@
 //! Which other entries there are, and who asks whom.
 
+use core::time::Duration;
 use std::collections::BTreeMap;
 
 use bergamotshift_core::prelude::*;
@@ -266,6 +267,22 @@
     assert_eq!(members.expire(at(9_000)), [name::Entry::new("entry-1")]);
 }
 
+/// A zone is cut off for five seconds, and endpoints there leave. Its entries' calls of the store fail, but it is not the store
+/// that is away: others go on reading it, and what they tell after the cut is true at once. A store that nobody reaches is
+/// away, as far as this entry can tell.
+#[test]
+fn a_cut_off_entry_does_not_take_the_store_for_away() {
+    const SPAN: Duration = Duration::from_millis(1_500);
+    let mut members = large(at(10_000));
+    assert!(!members.misses_store(at(10_500), SPAN), "others reach it");
+    for number in 1..20 {
+        members.heard_of(at(11_800), state(&format!("entry-{number:02}"), false));
+    }
+    assert!(members.misses_store(at(11_900), SPAN), "nobody says that it reaches it");
+    members.failed(at(11_800), &"entry-33".into(), true);
+    assert!(!members.misses_store(at(11_900), SPAN), "no other zone is heard");
+}
+
 /// A zone is cut off. Its entries hear each other and ask those of other zones in vain, so after a moment they know; when
 /// the others' processes merely ended, their VMs refuse the connections and nobody is cut off.
 #[test]
