feat(observe): a log line when an endpoint's answer names a rate, or names none any more

What was missing: after an endpoint names its limit, the logs show requests that it served and nothing of what its answers said, so an entry that does not read the limit cannot be told from one that reads it and exceeds it.

Change: the header's name stands in the platform's folder, dialect::Notice reads it, and the endpoint keeps the newest word. An answer without a rate lifts one only if its request was sent after the rate was heard, as answers overtake one another. A new line 'endpoint names its rate' says endpoint, request, rate, rate before and how long ago the request was sent. No decision reads it yet.

--- a/bergamotshift-forward/src/dialect/mod.rs
+++ b/bergamotshift-forward/src/dialect/mod.rs
@@ -4,6 +4,7 @@
 //! platform to the next, so they are data. The defaults are this product's own.
 
 mod ask;
+mod notice;
 
 use core::net::SocketAddr;
 
@@ -16,6 +17,7 @@
 pub use self::ask::Ask;
 pub use self::ask::Part;
 pub use self::ask::Size;
+pub use self::notice::Notice;
 
 /// The header names and the key scheme that callers and endpoints use.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,6 +40,8 @@
     pub seal: HeaderName,
     /// An endpoint's load: running, waiting and slots, comma-separated.
     pub load: HeaderName,
+    /// The requests a second that an endpoint takes from all entries together, as a decimal number.
+    pub rate: HeaderName,
     /// The prompt's tokens and the most tokens to generate, comma-separated.
     pub size: HeaderName,
     /// The prompt's parts in order, as comma-separated `ID:TOKENS` with hexadecimal identifiers.
@@ -65,6 +69,7 @@
             not_run: own("bergamotshift-not-run"),
             seal: own("bergamotshift-seal"),
             load: own("bergamotshift-load"),
+            rate: own("bergamotshift-limit"),
             size: own("bergamotshift-size"),
             prompt: own("bergamotshift-prompt"),
             urgency: own("bergamotshift-priority"),
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -168,7 +168,7 @@
             }
         } else if known.gone.take().is_some() {
             // It was only missing, because it or the store was cut off.
-            known.endpoint = Arc::new(Endpoint::new(registration));
+            known.endpoint = Arc::new(known.endpoint.again(registration));
         }
     }
 
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_limit::throttle::Throttle;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -86,6 +87,8 @@
     pub placed: Flight,
     /// How it fared lately.
     pub health: Health,
+    /// The rate that it names for itself; outlives a time in which it is not registered.
+    pub throttle: Arc<Throttle>,
     leaving: AtomicBool,
     /// Whether nothing was heard from its zone just now.
     silent: AtomicBool,
@@ -102,10 +105,20 @@
             others: Flight::default(),
             placed: Flight::default(),
             health: Health::default(),
+            throttle: Arc::default(),
             silent: AtomicBool::new(false),
         }
     }
 
+    /// Makes it anew for the same incarnation, which was not registered for a time; what it said of itself stands.
+    #[must_use]
+    pub fn again(&self, registration: Registration) -> Self {
+        Self {
+            throttle: Arc::clone(&self.throttle),
+            ..Self::new(registration)
+        }
+    }
+
     /// Notes whether nothing was heard from its zone just now.
     pub fn set_silent(&self, silent: bool) {
         self.silent.store(silent, Relaxed);
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -237,6 +237,7 @@
                 return Err(Missed::Lost(failure));
             }
         };
+        self.hear(job, choice, now, &answer);
         let open = Open {
             answer,
             connection,
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod choose;
 mod cut;
 mod forwarder;
+mod hear;
 mod job;
 mod keeper;
 mod pace;
--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod quota;
 pub mod retry;
 pub mod share;
+pub mod throttle;
--- a/bergamotshift-limit/src/prelude.rs
+++ b/bergamotshift-limit/src/prelude.rs
@@ -19,3 +19,5 @@
 pub use crate::retry::Budget;
 pub use crate::share;
 pub use crate::share::Pool;
+pub use crate::throttle;
+pub use crate::throttle::Throttle;
