test(forward): entries exceed the rate that an endpoint names (red)

Five tests with whole daemons on loopback, all red on this code: four entries share an endpoint that names 0.001 requests a second and send it all of 160 requests; a sole endpoint, a repeat and a stream that goes on do the same; and a rate is never kept, so it cannot be lifted either.

--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -17,3 +17,4 @@
 mod start;
 mod stop;
 mod streams;
+mod throttled;
