fix(limit): the rate that an endpoint names is one budget over all entries

What callers saw: nothing at first; an endpoint in need got 15 requests in 4 s where the rate that it named allows 11, and slowed down for those that it had.

Cause: no source read the rate in answers, so choices were made as for any endpoint. Class: what an endpoint says of itself was taken from the store alone, and answers were read for the request's outcome only.

Change: an entry that knows of a rate asks for a permit before each send. One entry grants for each endpoint, the first by rendezvous hash among those that are heard (in large fleets among the zones' keepers), from one token bucket; the second in rank grants a third of the rate while the first is not reached. Refused endpoints are closed to this entry until there is room, and choices pass over them; where nothing else is left, a request waits an eighth of its objective at the most, and is refused with the time at which the first endpoint opens. Keepers ask for permits for what they place. Entries tell one another the rates that they heard themselves. All sends pass choose(): first ones, repeats, streams that go on, sole endpoints.

In virtual time a first and a second that grant at once, and a successor beside the first for two seconds, stay within one and a half times the rate and five.

--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -126,7 +126,9 @@
         ..*request
     };
     let open = || {
-        let taking = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
+        let taking = endpoints
+            .iter()
+            .filter(|endpoint| !endpoint.is_leaving() && endpoint.closed_until(now).is_none());
         taking.filter(|endpoint| !request.tried.contains(&endpoint.hash))
     };
     let prompt = request
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -31,6 +31,7 @@
 use crate::limits::Demand;
 use crate::limits::Keeping;
 use crate::limits::Timing;
+use crate::limits::granter;
 use crate::observe::Topic;
 use crate::peers::Members;
 use crate::random;
@@ -112,6 +113,8 @@
     pub(super) life: u64,
     /// Who keeps the zone.
     pub(super) keeping: Keeping,
+    /// The entries that grant requests to endpoints which name a rate.
+    pub(super) granters: Arc<[granter::Candidate]>,
     ticked: Instant,
 }
 
@@ -148,6 +151,7 @@
             lost_calls: BTreeSet::new(),
             life: random::generator().next_u64(),
             keeping: Keeping::default(),
+            granters: Arc::default(),
             ticked: now,
         }
     }
@@ -258,6 +262,7 @@
             self.left(now, shared, &left, "time");
         }
         self.keep(now, shared);
+        self.grant(now, shared);
         self.strand(now, shared);
         self.lag(now, shared);
         self.deal(now, shared);
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod inner;
 mod organisation;
 mod publish;
+mod rates;
 mod rollouts;
 mod talk;
 mod zone;
--- a/bergamotshift-forward/src/control/publish.rs
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -75,6 +75,7 @@
             accounts: accounts.map(|(name, one)| (name.clone(), one.accounts())).collect(),
             suspects: self.quarantine.table(),
             keeping: self.keeping,
+            granters: Arc::clone(&self.granters),
             knows_endpoints: self.directory.endpoints().next().is_some(),
             knows_entries: self.lists_entries,
         };
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -87,6 +87,7 @@
             readings: shared.recall().told(now),
             windows: shared.tally.windows(),
             suspicions: self.quarantine.suspicions(now),
+            rates: self.told_rates(now),
             rollouts: self.told_rollouts(now),
             evidence: shared.book.evidence(),
             zones,
@@ -176,6 +177,7 @@
         {
             self.holder = Some(holder);
         }
+        self.hear_rates(now, shared, &state);
         self.hear_rollouts(now, shared, &state);
         self.hear_document(now, shared, &state);
         // Who has the same, and knows it to be newer, makes this entry's knowledge as fresh as its own.
--- a/bergamotshift-forward/src/daemon/server.rs
+++ b/bergamotshift-forward/src/daemon/server.rs
@@ -22,6 +22,7 @@
 use super::Error;
 use crate::control::Control;
 use crate::peers;
+use crate::peers::Permits;
 use crate::serve::Forwarder;
 use crate::settings::Listen;
 use crate::view::Shared;
@@ -115,13 +116,14 @@
     builder = builder
         .listen("peers", listeners.peers, async move |_| {
             let exchange = exchange.clone();
-            let shared = Arc::clone(&granting);
+            let permits = Rc::new(Permits::new(Arc::clone(&granting)));
             HttpService::new(fn_service(move |request: Request| {
                 let exchange = exchange.clone();
-                let shared = Arc::clone(&shared);
+                let permits = Rc::clone(&permits);
                 async move {
                     let response = match request.path() {
-                        peers::KEEP => peers::keep(&shared, request).await,
+                        peers::KEEP => peers::keep(&permits, request).await,
+                        peers::PERMIT => peers::permit(permits.shared(), request).await,
                         peers::DOCUMENT => peers::give(&exchange, request).await,
                         _ => peers::answer(&exchange, request).await,
                     };
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -134,6 +134,11 @@
         self.leaving.load(Relaxed)
     }
 
+    /// Returns until when this entry sends it nothing; `None` when it may be sent something.
+    pub fn closed_until(&self, now: Instant) -> Option<Instant> {
+        self.throttle.closed_until(now)
+    }
+
     /// Marks it as leaving and returns whether that is news.
     pub fn leave(&self) -> bool {
         !self.leaving.swap(true, Relaxed)
--- a/bergamotshift-forward/src/limits/keeper.rs
+++ b/bergamotshift-forward/src/limits/keeper.rs
@@ -87,6 +87,8 @@
     pub source: Option<SocketAddr>,
     /// The expected time to the first event, in milliseconds.
     pub cost: f64,
+    /// Whether the endpoint names a rate and the request was granted.
+    pub is_granted: bool,
 }
 
 /// A keeper's answer.
--- a/bergamotshift-forward/src/limits/mod.rs
+++ b/bergamotshift-forward/src/limits/mod.rs
@@ -5,6 +5,7 @@
 //! had, so the shares never add up to more than the whole, also while entries are cut off from one another.
 
 mod account;
+pub mod granter;
 pub mod keeper;
 mod share;
 
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -43,12 +43,20 @@
     service: String,
 }
 
+/// A permit to send to an endpoint that names a rate, as a metric's label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Permit {
+    outcome: &'static str,
+}
+
 /// All metrics of one entry.
 pub struct Metrics {
     registry: Registry,
     requests: Family<Outcome, Counter>,
     calls: Family<Call, Counter>,
     canaries: Family<Canary, Gauge>,
+    permits: Family<Permit, Counter>,
     /// Time to the first event of a stream, or to a whole answer, in seconds.
     pub latency: Histogram,
     /// Time until a request was refused, in seconds.
@@ -75,6 +83,8 @@
     pub keeper: Gauge<i64, AtomicI64>,
     /// Questions that the keeper of the zone did not answer.
     pub unanswered: Counter<u64, AtomicU64>,
+    /// Questions for a permit that an entry did not answer.
+    pub ungranted: Counter<u64, AtomicU64>,
     /// Whether this entry is cut off from endpoints that its callers need.
     pub stranded: Gauge<i64, AtomicI64>,
     /// Registrations that could not be read.
@@ -89,6 +99,7 @@
             requests: Family::default(),
             calls: Family::default(),
             canaries: Family::default(),
+            permits: Family::default(),
             latency: Histogram::new(LATENCIES),
             refusal: Histogram::new(LATENCIES),
             active: Gauge::default(),
@@ -102,6 +113,7 @@
             holder: Gauge::default(),
             keeper: Gauge::default(),
             unanswered: Counter::default(),
+            ungranted: Counter::default(),
             stranded: Gauge::default(),
             unread: Counter::default(),
         };
@@ -114,6 +126,8 @@
         );
         let help = "Thousandths of the requests that go to a new version";
         registry.register("canary_share", help, metrics.canaries.clone());
+        let help = "Permits to send to an endpoint that names a rate";
+        registry.register("permits", help, metrics.permits.clone());
         let help = "Time to the first event or the whole answer";
         registry.register("latency_seconds", help, metrics.latency.clone());
         registry.register("refusal_seconds", "Time until a refusal", metrics.refusal.clone());
@@ -152,6 +166,11 @@
             "Questions that the keeper of the zone did not answer",
             metrics.unanswered.clone(),
         );
+        registry.register(
+            "permits_unanswered",
+            "Questions for a permit that an entry did not answer",
+            metrics.ungranted.clone(),
+        );
         registry.register(
             "stranded",
             "Whether this entry is cut off from endpoints that its callers need",
@@ -180,6 +199,11 @@
         self.calls.get_or_create(&Call { call, outcome }).inc();
     }
 
+    /// Counts a permit to send to an endpoint that names a rate.
+    pub fn permits(&self, outcome: &'static str) {
+        self.permits.get_or_create(&Permit { outcome }).inc();
+    }
+
     /// Notes the part of a service's requests that goes to a new version, in thousandths.
     pub fn canary(&self, service: &name::Service, share: u16) {
         let service = service.as_str().to_owned();
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -6,8 +6,10 @@
 use ntex::http::StatusCode;
 
 use super::message::Flown;
+use super::permit::Permits;
 use super::question::question;
 use crate::choice;
+use crate::choice::Choice;
 use crate::dialect::Ask;
 use crate::dialect::Size;
 use crate::limits::Keeper;
@@ -26,23 +28,27 @@
 /// The largest question, in bytes.
 const LARGEST: usize = 16 * 1_024;
 
+/// How many endpoints are chosen for a generation at the most, as those that name a rate may refuse it.
+const PLACES: usize = 3;
+
 /// Answers an entry of the zone.
 ///
 /// An entry that takes itself neither for the keeper nor for the deputy decides nothing: the one that asks hears other
 /// entries than this one, and two keepers would give out the zone's share twice.
-pub async fn keep(shared: &Shared, mut request: Request) -> Response {
+pub async fn keep(permits: &Permits, mut request: Request) -> Response {
+    let shared = permits.shared();
     let question = match question::<Question>(&mut request, LARGEST).await {
         Ok(question) => question,
         Err(status) => return Response::new(status),
     };
-    let view = shared.view.load();
+    let view = shared.view.load_full();
     let keeping = view.keeping;
     if keeping.keeper != Keeper::Own && !(keeping.is_deputy && question.deputy) {
         return Response::new(StatusCode::CONFLICT);
     }
     let now = shared.clock.now();
     told(shared, &view, now, &question.entry, &question.flown);
-    let answer = decide(shared, &view, &question);
+    let answer = decide(permits, &view, &question).await;
     if let Some(placed) = answer.placement {
         let mut ledger = shared.ledger();
         ledger.placed(&question.entry, placed.endpoint, placed.unread);
@@ -57,8 +63,8 @@
 }
 
 /// Grants units and chooses an endpoint, as a question asks.
-pub fn decide(shared: &Shared, view: &View, question: &Question) -> Answer {
-    let now = shared.clock.now();
+pub async fn decide(permits: &Permits, view: &View, question: &Question) -> Answer {
+    let now = permits.shared().clock.now();
     let granted = question.units.as_ref().map_or(Ok(()), |units| grant(view, now, units));
     if let Err(refused) = granted {
         return Answer {
@@ -66,10 +72,13 @@
             placement: None,
         };
     }
-    let generation = question.generation.as_ref();
+    let placement = match &question.generation {
+        Some(generation) => place(permits, view, generation).await,
+        None => None,
+    };
     Answer {
         retry_after_ms: None,
-        placement: generation.and_then(|generation| place(shared, view, now, generation)),
+        placement,
     }
 }
 
@@ -95,8 +104,30 @@
     accounts.kept.take(now, units.count)
 }
 
-/// Chooses an endpoint for a generation; `None` when none takes work.
-pub fn place(shared: &Shared, view: &View, now: Instant, generation: &Generation) -> Option<Placement> {
+/// Chooses an endpoint for a generation, to which it is granted where the endpoint names a rate; `None` when none takes
+/// work.
+pub async fn place(permits: &Permits, view: &View, generation: &Generation) -> Option<Placement> {
+    for _ in 0..PLACES {
+        let choice = choose(permits.shared(), view, generation)?;
+        let is_limited = choice.endpoint.throttle.rate().is_some();
+        if is_limited && !permits.ask(&choice.endpoint, "").await {
+            continue;
+        }
+        let shared = permits.shared();
+        let endpoint = choice.endpoint.hash;
+        shared.recall().note(shared.clock.now(), endpoint, &generation.parts);
+        return Some(Placement {
+            endpoint,
+            unread: choice.unread,
+            source: choice.source,
+            cost: choice.cost,
+            is_granted: is_limited,
+        });
+    }
+    None
+}
+
+fn choose(shared: &Shared, view: &View, generation: &Generation) -> Option<Choice> {
     let service = view.services.get(&generation.service)?;
     let ask = Ask {
         size: Some(Size {
@@ -115,15 +146,7 @@
         sources: &[],
     };
     let canary = service.canary_of(generation.is_canary);
-    let mut recall = shared.recall();
+    let recall = shared.recall();
     let weights = choice::Settings::default();
-    let choice = choice::among(&weights, now, service, canary, &request, &recall)?;
-    let endpoint = choice.endpoint.hash;
-    recall.note(now, endpoint, &ask.parts);
-    Some(Placement {
-        endpoint,
-        unread: choice.unread,
-        source: choice.source,
-        cost: choice.cost,
-    })
+    choice::among(&weights, shared.clock.now(), service, canary, &request, &recall)
 }
--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -5,11 +5,13 @@
 use std::collections::BTreeSet;
 
 use bergamotshift_core::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::member::Members;
 use super::member::Peer;
 use crate::limits::Keeper;
 use crate::limits::Keeping;
+use crate::limits::granter;
 use crate::limits::keeper;
 use crate::limits::keeper::Candidate;
 
@@ -75,6 +77,35 @@
         }
     }
 
+    /// Returns the entries that grant requests to endpoints which name a rate: in a large fleet the keepers of the zones, which
+    /// hear one another often, and all entries in a small one.
+    pub fn granters(&self, now: Instant) -> Vec<granter::Candidate> {
+        let candidate = |entry: &name::Entry, address| granter::Candidate {
+            hash: xxh3_64(entry.as_str().as_bytes()),
+            address,
+        };
+        let mut granters: Vec<_> = if self.is_large() {
+            let near = keeper::first(self.candidates(now, &self.zone))[0];
+            let near = near.filter(|_| self.keeping(now).keeper != Keeper::Own);
+            let near = near.and_then(|entry| Some((entry.clone(), self.peers.get(entry)?.address)));
+            let keepers = self.other_keepers(now).into_iter().chain(near);
+            keepers
+                .map(|(entry, address)| candidate(&entry, Some(address)))
+                .collect()
+        } else {
+            let alive = self.peers.iter().filter(|(_, peer)| peer.is_alive(now) && !peer.stops);
+            alive
+                .map(|(entry, peer)| candidate(entry, Some(peer.address)))
+                .collect()
+        };
+        let grants = !self.stops && (!self.is_large() || self.keeping(now).keeper == Keeper::Own);
+        if grants || granters.is_empty() {
+            granters.push(candidate(&self.own, None));
+        }
+        granters.sort_unstable();
+        granters
+    }
+
     /// Returns the availability zones that have entries, this one's included.
     pub fn zones(&self) -> BTreeSet<&name::Zone> {
         let others = self.peers.values().filter_map(|peer| peer.zone.as_ref());
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -1,16 +1,19 @@
 //! The messages between entries, and between an entry's threads.
 
 use core::net::SocketAddr;
+use core::time::Duration;
 
-use bergamotshift_claim::lease::Word;
+use bergamotshift_claim::lease;
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::quarantine::Suspicion;
+use bergamotshift_limit::throttle::Word;
 use bergamotshift_rollout as rollout;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::choice::Reading;
 use crate::duty::Windows;
+use crate::endpoint::Endpoint;
 use crate::endpoint::Registration;
 
 /// What a request tells the control thread.
@@ -79,6 +82,42 @@
     }
 }
 
+/// The rate that an endpoint names for itself, as entries tell each other of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Rate {
+    /// The endpoint, by its hash.
+    pub endpoint: u64,
+    /// Requests per second from all entries together; `None` when it names none any more.
+    pub rate: Option<f64>,
+    /// How long ago that was known, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl Rate {
+    /// Makes one of what is known of an endpoint.
+    pub fn of(endpoint: &Endpoint, now: Instant) -> Self {
+        Self::new(endpoint, endpoint.throttle.word(), now)
+    }
+
+    /// Makes one of a word of an endpoint.
+    pub fn new(endpoint: &Endpoint, word: Word, now: Instant) -> Self {
+        Self {
+            endpoint: endpoint.hash,
+            rate: word.rate,
+            age_ms: u32::try_from(now.since(word.at).as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns it as a word at the time at which it is heard.
+    pub fn word(&self, now: Instant) -> Word {
+        Word {
+            rate: self.rate,
+            at: now - Duration::from_millis(self.age_ms.into()),
+        }
+    }
+}
+
 /// Up to which change of the store something is known, and how long ago that was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -133,7 +172,7 @@
     /// Whether it holds the duties.
     pub holds: bool,
     /// What it tells of the duties' lease, when it holds that or gave it up.
-    pub lease: Option<Word>,
+    pub lease: Option<lease::Word>,
     /// Which other entry holds the duties, as far as it knows, and how many milliseconds ago that one said so.
     pub holder: Option<(name::Entry, u32)>,
     /// Whether the store answered its last calls.
@@ -160,6 +199,8 @@
     pub suspicions: Vec<Suspicion>,
     /// The last order of each service to roll a version out.
     pub rollouts: Vec<Rollout>,
+    /// The rates that endpoints named in answers to it, and those that they name no more.
+    pub rates: Vec<Rate>,
     /// What it saw of the answers of both versions while such an order stands.
     pub evidence: Vec<(name::Service, rollout::Evidence)>,
     /// The availability zones of the entries that it knows.
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -139,15 +139,14 @@
     }
 
     async fn step(&self, job: &Job, history: &mut History, last_event: Option<u64>) -> Step {
-        let now = self.shared.clock.now();
-        if job.deadline.since(now) < SHORTEST {
+        if job.deadline.since(self.shared.clock.now()) < SHORTEST {
             return Step::End(history.refusal(true));
         }
         let view = self.shared.view.load_full();
         let Some(service) = view.services.get(&job.service) else {
             return Step::End(history.refusal(false));
         };
-        let choice = match self.choose(now, service, job, history) {
+        let choice = match self.choose(service, job, history).await {
             Ok(choice) => choice,
             Err(refusal) => return Step::End(refusal),
         };
--- a/bergamotshift-forward/src/serve/charge.rs
+++ b/bergamotshift-forward/src/serve/charge.rs
@@ -72,11 +72,13 @@
                 let granted = accounts.map_or(Ok(Admission::default()), |(accounts, units)| {
                     peers::keep::grant(view, now, &units).map(|()| from(&accounts.kept, units.count))
                 });
-                let place = |generation: Generation| peers::keep::place(&self.shared, view, now, &generation);
-                granted.map(|admission| Admission {
-                    placement: generation().and_then(place),
-                    ..admission
-                })
+                match (granted, generation()) {
+                    (Ok(admission), Some(generation)) => Ok(Admission {
+                        placement: peers::keep::place(&self.permits, view, &generation).await,
+                        ..admission
+                    }),
+                    (granted, _) => granted,
+                }
             }
             (Keeper::Other(_) | Keeper::Unknown, accounts) => {
                 let units = accounts.map(|(_, units)| units);
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -20,11 +20,27 @@
 /// How much longer than the overload is expected to last a caller is told to wait, so that it finds room.
 const ROOM: Duration = Duration::from_millis(400);
 
+/// The shortest time that a caller is told to wait until an endpoint takes more.
+const SOONEST: Duration = Duration::from_millis(100);
+
 /// The longest time that a caller is told to wait for room.
 const LONGEST_ROOM: Duration = Duration::from_secs(2);
 
+/// The most endpoints of which one may refuse a request that names a rate, until its caller is told to come back.
+const PERMITS: usize = 4;
+
+/// The part of its objective that a request waits at the most for an endpoint to take more.
+const WAITING_USED: u32 = 8;
+
+/// An endpoint that may get a request.
+struct Candidate {
+    choice: Choice,
+    /// Whether the request was granted already where the endpoint names a rate.
+    is_granted: bool,
+}
+
 /// Returns the endpoint that the zone's keeper chose, for the first try and as long as this entry knows nothing against it.
-fn placed(job: &Job, service: &Service, history: &History, now: Instant) -> Option<Choice> {
+fn placed(job: &Job, service: &Service, history: &History, now: Instant) -> Option<Candidate> {
     let placement = job.placement.filter(|_| history.tried.is_empty())?;
     let canary = service.canary.iter().flat_map(|canary| canary.endpoints.iter());
     let mut endpoints = service.endpoints.iter().chain(canary);
@@ -32,23 +48,76 @@
     if endpoint.is_leaving() || endpoint.health.is_paused(now) {
         return None;
     }
-    Some(Choice {
-        endpoint: Arc::clone(endpoint),
-        unread: placement.unread,
-        source: placement.source,
-        cost: placement.cost,
+    if !placement.is_granted && endpoint.closed_until(now).is_some() {
+        return None;
+    }
+    Some(Candidate {
+        choice: Choice {
+            endpoint: Arc::clone(endpoint),
+            unread: placement.unread,
+            source: placement.source,
+            cost: placement.cost,
+        },
+        is_granted: placement.is_granted,
     })
 }
 
 impl Forwarder {
-    /// Chooses an endpoint, and refuses at once what cannot be answered in time.
-    pub(super) fn choose(
-        &self,
-        now: Instant,
-        service: &Service,
-        job: &Job,
-        history: &History,
-    ) -> Result<Choice, Refusal> {
+    /// Chooses an endpoint that takes the request now, and refuses at once what cannot be answered in time.
+    ///
+    /// Every send goes to an endpoint that was chosen here, so none exceeds the rate that an endpoint names.
+    pub(super) async fn choose(&self, service: &Service, job: &Job, history: &History) -> Result<Choice, Refusal> {
+        let patience = job.route.objective / WAITING_USED;
+        let until = self.shared.clock.now() + patience;
+        let mut refused = 0;
+        while refused < PERMITS {
+            let now = self.shared.clock.now();
+            let candidate = match self.candidate(now, service, job, history) {
+                Ok(candidate) => candidate,
+                Err(refusal) => match self.opens(now, service, history) {
+                    Some(opens) if opens <= until => {
+                        tokio::time::sleep(opens.since(now)).await;
+                        continue;
+                    }
+                    _ => return Err(refusal),
+                },
+            };
+            let Candidate { choice, is_granted } = candidate;
+            if is_granted || self.permits.ask(&choice.endpoint, &job.ask.id).await {
+                if history.tried.is_empty() {
+                    service.asked.fetch_add(choice.unread, Relaxed);
+                }
+                return Ok(choice);
+            }
+            refused += 1;
+        }
+        Err(self.closed(self.shared.clock.now(), service, history))
+    }
+
+    /// Returns when the first endpoint takes more that could take the request and was not tried; `None` when there is none.
+    fn opens(&self, now: Instant, service: &Service, history: &History) -> Option<Instant> {
+        let canary = service.canary.iter().flat_map(|canary| canary.endpoints.iter());
+        let endpoints = service.endpoints.iter().chain(canary);
+        let is_stranded = self.shared.is_stranded();
+        let zone = &self.shared.settings.zone;
+        let reached = endpoints.filter(|endpoint| !is_stranded || endpoint.registration.zone == *zone);
+        let open = reached.filter(|endpoint| !endpoint.is_leaving() && !history.tried.contains(&endpoint.hash));
+        open.filter_map(|endpoint| endpoint.closed_until(now)).min()
+    }
+
+    /// Returns the refusal of a request that no endpoint takes, with the time at which the first one takes more.
+    fn closed(&self, now: Instant, service: &Service, history: &History) -> Refusal {
+        match self.opens(now, service, history) {
+            Some(opens) if !history.may_have_run() => Refusal {
+                reason: Reason::Throttled,
+                retry_after: Some(opens.since(now).max(SOONEST)),
+            },
+            _ => history.refusal(false),
+        }
+    }
+
+    /// Chooses an endpoint among those that take work, and refuses what cannot be answered in time.
+    fn candidate(&self, now: Instant, service: &Service, job: &Job, history: &History) -> Result<Candidate, Refusal> {
         let request = choice::Request {
             ask: &job.ask,
             engine: service.engine,
@@ -58,23 +127,29 @@
             sources: &[],
         };
         if self.shared.is_stranded() {
-            return self.choose_here(now, service, &request, history);
+            let choice = self.choose_here(now, service, &request, history)?;
+            return Ok(Candidate {
+                choice,
+                is_granted: false,
+            });
         }
         let placed = placed(job, service, history, now);
         // A repeat goes to the version in force.
         let canary = service.canary_of(job.is_canary && history.tried.is_empty());
-        let choice = placed.or_else(|| {
+        let candidate = placed.or_else(|| {
             let recall = self.shared.recall();
-            choice::among(&self.weights, now, service, canary, &request, &recall)
+            let choice = choice::among(&self.weights, now, service, canary, &request, &recall)?;
+            Some(Candidate {
+                choice,
+                is_granted: false,
+            })
         });
-        let choice = choice.ok_or_else(|| history.refusal(false))?;
-        if history.tried.is_empty() {
-            service.asked.fetch_add(choice.unread, Relaxed);
-        }
+        let candidate = candidate.ok_or_else(|| self.closed(now, service, history))?;
+        let choice = &candidate.choice;
         let useful = (job.arrived + job.useful()).min(job.deadline);
         let left = useful.since(now).as_secs_f64() * 1e3;
         if service.engine.is_some() && choice.cost > left {
-            self.overloaded(now, job, &choice, left);
+            self.overloaded(now, job, choice, left);
             return Err(if history.sends == 0 {
                 let late = Duration::from_secs_f64((choice.cost - left) / 1e3);
                 Refusal {
@@ -85,7 +160,7 @@
                 history.refusal(false)
             });
         }
-        Ok(choice)
+        Ok(candidate)
     }
 
     /// Chooses an endpoint of the own zone: what lies in other zones is not reached, and connections to it are waited for in
@@ -105,7 +180,9 @@
         let here: Vec<_> = here.cloned().collect();
         let choice = choice::choose(&self.weights, now, &here, request, &self.shared.recall());
         choice.ok_or_else(|| {
-            if history.sends == 0 {
+            if self.opens(now, service, history).is_some() {
+                self.closed(now, service, history)
+            } else if history.sends == 0 {
                 Reason::Stranded.into()
             } else {
                 history.refusal(false)
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -35,6 +35,7 @@
 use crate::exchange::Pool;
 use crate::limits::Keeper;
 use crate::observe::Topic;
+use crate::peers::Permits;
 use crate::routes::Table;
 use crate::view::Shared;
 use crate::view::View;
@@ -76,6 +77,7 @@
     pub(super) shared: Arc<Shared>,
     pub(super) pool: RefCell<Pool>,
     pub(super) weights: choice::Settings,
+    pub(super) permits: Permits,
     callers: Callers,
     /// The keeper of the zone that did not answer lately.
     pub(super) away: Cell<Away>,
@@ -87,6 +89,7 @@
     /// Makes the state of the current thread.
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
+            permits: Permits::new(Arc::clone(&shared)),
             shared,
             pool: RefCell::default(),
             weights: choice::Settings::default(),
@@ -425,6 +428,7 @@
     /// Closes idle connections, and forgets caches, that are of no more use.
     pub fn sweep(&self) {
         self.callers.forget_closed();
+        self.permits.sweep();
         let view = self.shared.view.load();
         let is_there = |hash| view.endpoint(hash).is_some();
         self.shared.recall().expire(self.shared.clock.now(), is_there);
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -102,7 +102,7 @@
     async fn ask_once(&self, question: &mut Question) -> Option<Answer> {
         let view = self.shared.view.load_full();
         match view.keeping.keeper {
-            Keeper::Own => return Some(peers::keep::decide(&self.shared, &view, question)),
+            Keeper::Own => return Some(peers::keep::decide(&self.permits, &view, question).await),
             Keeper::Other(address) if !self.is_away(address) => {
                 question.deputy = false;
                 match self.ask(address, question).await {
--- a/bergamotshift-forward/src/serve/refusal.rs
+++ b/bergamotshift-forward/src/serve/refusal.rs
@@ -50,6 +50,9 @@
     /// No endpoint is expected to answer in time.
     #[error("no endpoint is expected to answer in time")]
     Overloaded,
+    /// All endpoints that could take the request take no more for now.
+    #[error("no endpoint takes more for now")]
+    Throttled,
     /// Endpoints refused the request before they ran it.
     #[error("the endpoints refused the request unrun")]
     Unrun,
@@ -84,6 +87,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::Stranded => "stranded",
             Self::Overloaded => "overloaded",
+            Self::Throttled => "throttled",
             Self::Unrun => "unrun",
             Self::Suspect => "suspect",
             Self::Stopping => "stopping",
@@ -106,6 +110,7 @@
             | Self::NoEndpoint
             | Self::Stranded
             | Self::Overloaded
+            | Self::Throttled
             | Self::Unrun
             | Self::Suspect
             | Self::Stopping
@@ -132,6 +137,7 @@
             | Reason::Behind
             | Reason::Stranded
             | Reason::Overloaded
+            | Reason::Throttled
             | Reason::Unrun
             | Reason::Unsent => Some(SOON),
             // Another entry takes it at once.
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -1,5 +1,7 @@
 //! The immutable picture that requests are served from, and what outlives each picture.
 
+mod rates;
+
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU64;
 use core::sync::atomic::AtomicUsize;
@@ -19,6 +21,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use self::rates::Source;
 use crate::choice::Recall;
 use crate::dialect::Dialect;
 use crate::document::Engine;
@@ -27,6 +30,7 @@
 use crate::endpoint::Ledger;
 use crate::limits::Account;
 use crate::limits::Keeping;
+use crate::limits::granter;
 use crate::observe::Clock;
 use crate::observe::Log;
 use crate::observe::Metrics;
@@ -124,6 +128,8 @@
     pub suspects: quarantine::Table,
     /// Who decides for the zone.
     pub keeping: Keeping,
+    /// The entries that grant requests to endpoints which name a rate.
+    pub granters: Arc<[granter::Candidate]>,
     /// Whether endpoints have been read at least once.
     pub knows_endpoints: bool,
     /// Whether the list of entries has been read, or what it tells was heard.
--- a/bergamotshift-forward/tests/daemon/large.rs
+++ b/bergamotshift-forward/tests/daemon/large.rs
@@ -1,11 +1,15 @@
 //! A fleet so large that one entry decides for all of its zone.
 
+use std::io::Write;
+
 use bergamotshift_core::prelude::*;
+use bergamotshift_forward::document::Engine;
 use bergamotshift_forward::document::Limit;
 use bergamotshift_forward::document::Unit;
 use bergamotshift_forward::limits::keeper;
 use bergamotshift_forward::limits::keeper::Candidate;
 
+use crate::endpoint::After;
 use crate::endpoint::Endpoint;
 use crate::outside::lock;
 use crate::site::Caller;
@@ -16,6 +20,13 @@
 /// One more than the most entries that do without a keeper.
 const ENTRIES: usize = keeper::SMALL + 1;
 
+/// What the endpoints are like where they are model engines.
+const ENGINE: Engine = Engine {
+    slots: 8,
+    memory: 500_000,
+    transfer: None,
+};
+
 /// What one request without a size counts.
 const PLAIN: u32 = 10;
 
@@ -25,8 +36,13 @@
 
 /// Starts a large fleet whose callers share a limit, and waits until each entry is let in by the keeper.
 fn fleet(endpoint: &Endpoint, rate: f64, burst: f64) -> Vec<Daemon> {
-    let site = Site::new(&[endpoint]);
+    fleet_of(&[endpoint], rate, burst, None)
+}
+
+fn fleet_of(endpoints: &[&Endpoint], rate: f64, burst: f64, engine: Option<Engine>) -> Vec<Daemon> {
+    let site = Site::new(endpoints);
     let mut document = crate::site::document(2);
+    document.services[0].engine = engine;
     document.organisations[0].limit = Some(Limit {
         rate,
         burst,
@@ -68,6 +84,27 @@
     );
 }
 
+/// Guards against a keeper that places generations beyond the rate that an endpoint names, and entries that follow it.
+#[test]
+fn in_a_large_fleet_a_rate_is_one_budget_for_generations_that_a_keeper_places() {
+    let scarce = Endpoint::start("e1", |seen, _, stream| {
+        let extra = "bergamotshift-limit: 0.001\r\n";
+        stream.write_all(seen.answer("200 OK", extra, "scarce").as_bytes())?;
+        Ok(After::Keep)
+    });
+    let other = Endpoint::plain("e2", "done");
+    let daemons = fleet_of(&[&scarce, &other], 1e6, 1e6, Some(ENGINE));
+    let before = scarce.count();
+    for number in 0..10 * ENTRIES {
+        let mut caller = Caller::new(&daemons[number % ENTRIES]);
+        let extra = "bergamotshift-size: 100,10\r\nbergamotshift-prompt: 1:50,2:50\r\n";
+        caller.send("POST", "/confirm/1", &format!("r-{number}"), extra, "x");
+        assert_eq!(caller.answer().expect("an answer comes").status, 200);
+    }
+    let count = scarce.count() - before;
+    assert!(count <= ENTRIES + 1, "{count} requests reached it");
+}
+
 /// The entry that keeps the zone ends. Callers of all others are served on: they ask the deputy, which follows it.
 #[test]
 fn the_deputy_lets_callers_in_when_the_keeper_is_gone() {
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -37,6 +37,7 @@
         readings: Vec::new(),
         windows: BTreeMap::new(),
         suspicions: Vec::new(),
+        rates: Vec::new(),
         rollouts: Vec::new(),
         evidence: Vec::new(),
         zones: Vec::new(),
@@ -331,3 +332,26 @@
     assert_eq!(members.names(at(60_500)).1.len(), 309, "it starts");
     assert!(!members.is_brief(at(60_500), &"entry-001".into()));
 }
+
+/// Guards against an endpoint's budget at entries that hear one another seldom: in a large fleet only keepers grant.
+#[test]
+fn in_a_large_fleet_the_keepers_grant() {
+    let now = at(10_000);
+    let granters = large(now).granters(now);
+    assert_eq!(granters.len(), 2, "one for each zone");
+}
+
+/// Guards against an entry that is asked for permits although it is about to end.
+#[test]
+fn who_stops_grants_nothing() {
+    let mut members = self::members("entry-0");
+    members.heard_of(at(100), state("entry-1", true));
+    members.heard_of(at(100), state("entry-2", true));
+    assert_eq!(members.granters(at(150)).len(), 3);
+    let mut stopping = state("entry-1", true);
+    stopping.stage = Stage::Stops;
+    members.heard_of(at(200), stopping);
+    assert_eq!(members.granters(at(300)).len(), 2);
+    members.stop();
+    assert_eq!(members.granters(at(300)).len(), 1);
+}
--- /dev/null
+++ b/bergamotshift-limit/tests/throttle.rs
@@ -0,0 +1,142 @@
+//! Rates that servers name for themselves, in virtual time.
+
+use core::time::Duration;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_limit::throttle::SECOND;
+use bergamotshift_limit::throttle::Throttle;
+use bergamotshift_limit::throttle::Word;
+use quickcheck::TestResult;
+use quickcheck::quickcheck;
+
+/// The window in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// The part of the rate by which it may be exceeded while two clients grant, and the requests beyond that.
+const MOST: (f64, f64) = (1.5, 5.0);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(10_000 + millis)
+}
+
+fn limited(rate: f64) -> Throttle {
+    let throttle = Throttle::default();
+    assert!(throttle.hear(Word::named(rate, at(0)), true));
+    throttle
+}
+
+/// Returns the most grants within a window.
+fn most_in_window(grants: &[Instant]) -> usize {
+    let within = |from: &Instant| {
+        grants
+            .iter()
+            .filter(|at| **at >= *from && at.since(*from) < WINDOW)
+            .count()
+    };
+    grants.iter().map(within).max().unwrap_or_default()
+}
+
+quickcheck! {
+    /// Guards against a budget that asking often makes larger.
+    fn no_window_holds_more_than_the_rate(rate: u8, gaps: Vec<u8>) -> TestResult {
+        if rate == 0 {
+            return TestResult::discard();
+        }
+        let throttle = limited(f64::from(rate));
+        let mut now = at(0);
+        let mut grants = Vec::new();
+        for gap in gaps.iter().cycle().take(gaps.len() * 20) {
+            now = now + Duration::from_millis(u64::from(*gap));
+            if throttle.grant(now, 1).is_ok() {
+                grants.push(now);
+            }
+        }
+        let most = f64::from(rate) * WINDOW.as_secs_f64() * 1.1 + 2.0;
+        TestResult::from_bool(most_in_window(&grants) as f64 <= most)
+    }
+}
+
+/// Guards against two clients that both take themselves for the one that grants, one of them as the second.
+#[test]
+fn a_first_and_a_second_that_grant_at_once_stay_within_the_bound() {
+    for rate in [0.0, 0.3, 1.0, 4.0, 30.0, 200.0] {
+        let (first, second) = (limited(rate), limited(rate));
+        let mut grants = Vec::new();
+        for millis in 0..20_000 {
+            let now = at(millis);
+            let granted = [first.grant(now, 1), second.grant(now, SECOND)];
+            grants.extend(granted.iter().filter(|granted| granted.is_ok()).map(|_| now));
+        }
+        let (share, more) = MOST;
+        let allowed = rate * share * WINDOW.as_secs_f64() + more;
+        let most = most_in_window(&grants) as f64;
+        assert!(most <= allowed, "{most} of {allowed} at {rate} a second");
+    }
+}
+
+/// Guards against clients that change who grants, each with a budget of its own.
+#[test]
+fn a_successor_that_grants_for_two_seconds_beside_the_first_stays_within_the_bound() {
+    for rate in [0.3, 1.0, 4.0, 30.0] {
+        let (first, successor) = (limited(rate), limited(rate));
+        let mut grants = Vec::new();
+        for millis in 0..12_000 {
+            let now = at(millis);
+            let mut granted = Vec::new();
+            if millis < 6_000 {
+                granted.push(first.grant(now, 1));
+            }
+            if millis >= 4_000 {
+                granted.push(successor.grant(now, 1));
+            }
+            grants.extend(granted.iter().filter(|granted| granted.is_ok()).map(|_| now));
+        }
+        let (share, more) = MOST;
+        let most = most_in_window(&grants) as f64;
+        assert!(
+            most <= rate * share * WINDOW.as_secs_f64() + more,
+            "{most} at {rate} a second"
+        );
+    }
+}
+
+/// Guards against an answer that was made before the limit, and arrives after it is known.
+#[test]
+fn an_answer_that_was_overtaken_lifts_no_rate() {
+    let throttle = limited(2.0);
+    assert!(!throttle.hear(Word::lifted(Instant::from_millis(9_990)), true));
+    assert_eq!(throttle.rate(), Some(2.0));
+    assert!(throttle.hear(Word::lifted(at(1)), true));
+    assert_eq!(throttle.rate(), None);
+}
+
+/// Guards against a limit that ends while its last refusal still keeps requests away.
+#[test]
+fn a_limit_that_ends_opens_the_server_at_once() {
+    let throttle = limited(0.01);
+    throttle.close(at(100_000));
+    assert!(throttle.closed_until(at(1)).is_some());
+    assert!(throttle.hear(Word::lifted(at(1)), false));
+    assert_eq!(throttle.closed_until(at(2)), None);
+    assert_eq!(throttle.grant(at(2), 1), Ok(()));
+}
+
+/// Guards against a server that takes nothing and so could never tell that it takes something again.
+#[test]
+fn a_server_that_names_a_rate_of_nothing_is_asked_now_and_then() {
+    let throttle = limited(0.0);
+    let granted = (0..60_000)
+        .filter(|millis| throttle.grant(at(*millis), 1).is_ok())
+        .count();
+    assert!((5..=7).contains(&granted), "{granted} in a minute");
+}
+
+/// Guards against words that go round among clients and hide that the limit has ended.
+#[test]
+fn only_what_the_server_said_itself_is_passed_on() {
+    let throttle = Throttle::default();
+    assert!(throttle.hear(Word::named(1.0, at(0)), false));
+    assert_eq!(throttle.first_hand(), None);
+    throttle.hear(Word::named(1.0, at(1)), true);
+    assert_eq!(throttle.first_hand(), Some(Word::named(1.0, at(1))));
+}
