feat(observe): a log line when an endpoint's answer says that it leaves or wants nothing for a time

What was missing: nothing in the logs says what an answer said of its endpoint's leaving, and a 503 with a time to come back looks like any other failed attempt.

Change: the header's name stands in the platform's folder, dialect::Notice reads both, and a line 'endpoint wants no more' says endpoint, request, status, whether the leaving was known before, and the time. No decision reads them yet.

--- a/bergamotshift-forward/src/dialect/mod.rs
+++ b/bergamotshift-forward/src/dialect/mod.rs
@@ -42,6 +42,8 @@
     pub load: HeaderName,
     /// The requests a second that an endpoint takes from all entries together, as a decimal number.
     pub rate: HeaderName,
+    /// Marks an answer of an endpoint that leaves.
+    pub leaving: HeaderName,
     /// The prompt's tokens and the most tokens to generate, comma-separated.
     pub size: HeaderName,
     /// The prompt's parts in order, as comma-separated `ID:TOKENS` with hexadecimal identifiers.
@@ -70,6 +72,7 @@
             seal: own("bergamotshift-seal"),
             load: own("bergamotshift-load"),
             rate: own("bergamotshift-limit"),
+            leaving: own("bergamotshift-leaving"),
             size: own("bergamotshift-size"),
             prompt: own("bergamotshift-prompt"),
             urgency: own("bergamotshift-priority"),
--- a/bergamotshift-forward/src/serve/hear.rs
+++ b/bergamotshift-forward/src/serve/hear.rs
@@ -3,12 +3,14 @@
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::throttle::Word;
 use ntex::http::StatusCode;
+use slog::info;
 
 use super::Forwarder;
 use super::job::Job;
 use crate::choice::Choice;
 use crate::dialect::Notice;
 use crate::exchange::Answer;
+use crate::observe::Topic;
 use crate::view::Source;
 
 impl Forwarder {
@@ -18,10 +20,23 @@
             // Another incarnation made it.
             return;
         }
-        let notice = Notice::read(&self.shared.dialect, &answer.headers);
+        let notice = Notice::read(&self.shared.dialect, answer.status, &answer.headers);
         let now = self.shared.clock.now();
         let word = notice.rate.map_or(Word::lifted(sent), |rate| Word::named(rate, now));
         self.shared
             .hear_rate(now, &choice.endpoint, word, Source::Answer(&job.ask.id));
+        if notice.leaves || notice.pause.is_some() {
+            self.log_notice(now, job, choice, answer.status, notice);
+        }
+    }
+
+    fn log_notice(&self, now: Instant, job: &Job, choice: &Choice, status: StatusCode, notice: Notice) {
+        let endpoint = &choice.endpoint;
+        if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Belief) {
+            info!(logger, "endpoint wants no more"; "endpoint" => endpoint.registration.id.as_str(),
+                "request" => job.ask.id.as_str(), "status" => status.as_u16(), "leaves" => notice.leaves,
+                "leaves_known" => endpoint.is_leaving(),
+                "pause_ms" => notice.pause.map(|pause| pause.as_millis() as u64), "left_out" => left_out);
+        }
     }
 }
