--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod growth;
 mod large;
+mod leaving;
 mod limits;
 mod link;
 mod outside;
