fix(endpoint): an endpoint that says in an answer that it leaves gets no further request

What callers saw: nothing as long as the endpoint lived; requests reached it up to 8.1 s after an answer had told the entry that it leaves, and those under way at its end would have been cut.

Cause: leaving was learnt from the store alone, and the store was silent for twelve seconds.

Change: the first answer that says so, of whatever status, marks the endpoint for this entry, with neither the store nor another entry. The mark belongs to the incarnation: a registration that lapses and returns as ready, or that another entry passes on, does not take it back, and a new incarnation starts without it. It is no part of what entries compare and pass on of the registrations; else two entries that read the same from the store would take each other for newer until the store tells.

--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -106,7 +106,7 @@
     /// Returns the registrations of all endpoints that are not gone, for an entry that cannot read them itself.
     pub fn registrations(&self) -> Vec<Registration> {
         let told = |endpoint: &Arc<Endpoint>| Registration {
-            leaving: endpoint.is_leaving(),
+            leaving: endpoint.is_withdrawn(),
             ..endpoint.registration.clone()
         };
         self.endpoints().map(told).collect()
@@ -120,6 +120,8 @@
 
     /// Returns a digest of the endpoints that are registered and of those among them that leave.
     ///
+    /// What this entry alone knows, from answers, does not count: others would look as if they knew something else.
+    ///
     /// What lapsed does not count: another entry that knows it to be gone has the same, and this one learns from that how
     /// fresh its own knowledge is.
     pub fn digest(&self) -> u64 {
@@ -129,7 +131,7 @@
             .filter(|known| known.gone.is_none() && known.lapsed.is_none());
         let marks = registered
             .map(|known| &known.endpoint)
-            .map(|endpoint| endpoint.hash.rotate_left(u32::from(endpoint.is_leaving())));
+            .map(|endpoint| endpoint.hash.rotate_left(u32::from(endpoint.is_withdrawn())));
         marks.fold(0, u64::wrapping_add)
     }
 
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod health;
 mod ledger;
+mod said;
 
 use core::net::SocketAddr;
 use core::sync::atomic::AtomicBool;
@@ -13,7 +14,6 @@
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
-use bergamotshift_limit::throttle::Throttle;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -24,6 +24,7 @@
 pub use self::directory::Event;
 pub use self::health::Health;
 pub use self::ledger::Ledger;
+pub use self::said::Said;
 use crate::peers::Flown;
 use crate::rollouts::Witness;
 
@@ -87,8 +88,8 @@
     pub placed: Flight,
     /// How it fared lately.
     pub health: Health,
-    /// The rate that it names for itself; outlives a time in which it is not registered.
-    pub throttle: Arc<Throttle>,
+    /// What it said of itself in its answers; outlives a time in which it is not registered.
+    pub said: Arc<Said>,
     leaving: AtomicBool,
     /// Whether nothing was heard from its zone just now.
     silent: AtomicBool,
@@ -105,7 +106,7 @@
             others: Flight::default(),
             placed: Flight::default(),
             health: Health::default(),
-            throttle: Arc::default(),
+            said: Arc::default(),
             silent: AtomicBool::new(false),
         }
     }
@@ -114,7 +115,7 @@
     #[must_use]
     pub fn again(&self, registration: Registration) -> Self {
         Self {
-            throttle: Arc::clone(&self.throttle),
+            said: Arc::clone(&self.said),
             ..Self::new(registration)
         }
     }
@@ -131,15 +132,20 @@
 
     /// Returns whether it takes no new work; once true, it stays true for this incarnation.
     pub fn is_leaving(&self) -> bool {
+        self.is_withdrawn() || self.said.leaves()
+    }
+
+    /// Returns whether it takes no new work by what is registered, which all entries come to know alike.
+    pub fn is_withdrawn(&self) -> bool {
         self.leaving.load(Relaxed)
     }
 
     /// Returns until when this entry sends it nothing; `None` when it may be sent something.
     pub fn closed_until(&self, now: Instant) -> Option<Instant> {
-        self.throttle.closed_until(now)
+        self.said.throttle.closed_until(now)
     }
 
-    /// Marks it as leaving and returns whether that is news.
+    /// Marks it as leaving by what is registered, and returns whether that is news.
     pub fn leave(&self) -> bool {
         !self.leaving.swap(true, Relaxed)
     }
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -109,7 +109,7 @@
 pub async fn place(permits: &Permits, view: &View, generation: &Generation) -> Option<Placement> {
     for _ in 0..PLACES {
         let choice = choose(permits.shared(), view, generation)?;
-        let is_limited = choice.endpoint.throttle.rate().is_some();
+        let is_limited = choice.endpoint.said.throttle.rate().is_some();
         if is_limited && !permits.ask(&choice.endpoint, "").await {
             continue;
         }
--- a/bergamotshift-forward/src/peers/permit.rs
+++ b/bergamotshift-forward/src/peers/permit.rs
@@ -84,7 +84,7 @@
 
     /// Returns whether a request may be sent to an endpoint now; one that may not is left alone until it may.
     pub async fn ask(&self, endpoint: &Endpoint, request: &str) -> bool {
-        let Some(rate) = endpoint.throttle.rate() else {
+        let Some(rate) = endpoint.said.throttle.rate() else {
             return true;
         };
         let granters = Arc::clone(&self.shared.view.load().granters);
@@ -103,6 +103,7 @@
             }
             if let Some(millis) = verdict.wait_ms {
                 endpoint
+                    .said
                     .throttle
                     .close(now + Duration::from_millis(millis).max(SHORTEST));
             }
@@ -110,7 +111,7 @@
             return verdict.wait_ms.is_none();
         }
         let now = self.shared.clock.now();
-        endpoint.throttle.close(now + granter::PAUSE);
+        endpoint.said.throttle.close(now + granter::PAUSE);
         if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Limit) {
             info!(logger, "nobody grants a permit"; "request" => request, "rate" => rate,
                 "endpoint" => endpoint.registration.id.as_str(), "entries" => granters.len(),
@@ -177,7 +178,7 @@
 
 /// Grants a request to an endpoint, or says when one can be granted.
 fn grant(now: Instant, endpoint: &Endpoint, cost: u64) -> Verdict {
-    let granted = endpoint.throttle.grant(now, cost);
+    let granted = endpoint.said.throttle.grant(now, cost);
     Verdict {
         rate: Rate::of(endpoint, now),
         wait_ms: granted.err().map(|wait| wait.as_millis() as u64 + 1),
--- a/bergamotshift-forward/src/serve/hear.rs
+++ b/bergamotshift-forward/src/serve/hear.rs
@@ -25,7 +25,8 @@
         let word = notice.rate.map_or(Word::lifted(sent), |rate| Word::named(rate, now));
         self.shared
             .hear_rate(now, &choice.endpoint, word, Source::Answer(&job.ask.id));
-        if notice.leaves || notice.pause.is_some() {
+        let is_news = notice.leaves && choice.endpoint.said.leave();
+        if is_news || notice.pause.is_some() {
             self.log_notice(now, job, choice, answer.status, notice);
         }
     }
@@ -35,7 +36,7 @@
         if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Belief) {
             info!(logger, "endpoint wants no more"; "endpoint" => endpoint.registration.id.as_str(),
                 "request" => job.ask.id.as_str(), "status" => status.as_u16(), "leaves" => notice.leaves,
-                "leaves_known" => endpoint.is_leaving(),
+                "leaves_registered" => endpoint.is_withdrawn(),
                 "pause_ms" => notice.pause.map(|pause| pause.as_millis() as u64), "left_out" => left_out);
         }
     }
--- a/bergamotshift-forward/src/view/rates.rs
+++ b/bergamotshift-forward/src/view/rates.rs
@@ -20,9 +20,9 @@
 impl Shared {
     /// Takes in a word of an endpoint's rate, and logs it when it is news.
     pub fn hear_rate(&self, now: Instant, endpoint: &Endpoint, word: Word, source: Source<'_>) {
-        let before = endpoint.throttle.rate();
+        let before = endpoint.said.throttle.rate();
         let is_first_hand = matches!(source, Source::Answer(_));
-        if !endpoint.throttle.hear(word, is_first_hand) {
+        if !endpoint.said.throttle.hear(word, is_first_hand) {
             return;
         }
         let (request, entry) = match source {
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -186,3 +186,46 @@
     directory.on(at(100), Event::Changed(vec![unread]));
     assert_eq!(taking(&directory), 1);
 }
+
+fn say_leaving(directory: &Directory, id: &str) {
+    let mut endpoints = directory.endpoints();
+    let endpoint = endpoints.find(|endpoint| endpoint.registration.id == id);
+    assert!(endpoint.expect("it is registered").said.leave());
+}
+
+/// Guards against a registration that is missing, returns as ready and undoes what the endpoint's answer said.
+#[test]
+fn what_an_answer_said_outlives_a_registration_that_returns() {
+    let mut directory = directory(at(0));
+    say_leaving(&directory, "a");
+    assert_eq!(taking(&directory), 1);
+    directory.on(at(100), Event::Changed(vec![Change::Removed("a".into())]));
+    directory.on(at(200), Event::Changed(vec![Change::Written(registration("a", "one"))]));
+    assert_eq!(taking(&directory), 1);
+    directory.on(at(300), Event::Relayed(listed()));
+    assert_eq!(taking(&directory), 1);
+}
+
+/// Guards against a new incarnation that gets no work because the one before it left.
+#[test]
+fn what_one_incarnation_said_does_not_hold_for_the_next() {
+    let mut directory = directory(at(0));
+    say_leaving(&directory, "a");
+    let reborn = Registration {
+        born: 7,
+        ..registration("a", "one")
+    };
+    directory.on(at(100), Event::Changed(vec![Change::Written(reborn)]));
+    assert_eq!(taking(&directory), 2);
+}
+
+/// Guards against entries that take each other's registrations for other ones, and pass all of them on each round, because
+/// one of them heard an answer.
+#[test]
+fn what_an_answer_said_is_not_told_as_a_registration() {
+    let directory = directory(at(0));
+    let digest = directory.digest();
+    say_leaving(&directory, "a");
+    assert_eq!(directory.digest(), digest);
+    assert!(directory.registrations().iter().all(|registration| !registration.leaving));
+}
