fix(endpoint): an endpoint that turns away for a time gets nothing until then, and that is no failure

What callers saw: a request that an endpoint had turned away with a time went there again as soon as the others looked worse, and callers of a sole endpoint were told to come back after 0.3 s where it had named 600.

Cause: a 503 with Retry-After was read as any refusal: a fourth of a failure on the endpoint's record, which the next success reduces, and evidence against its version.

Change: the time closes the endpoint to this entry; a later success, a registration or another entry does not open it, and a shorter time does not either. Choices pass over it, also as the last one left, and a request that waits for a connection looks again before it is sent. Neither the endpoint's health nor its version's evidence suffers. Where all endpoints are closed, the caller is refused at once with the time at which the first one opens.

--- a/bergamotshift-forward/src/endpoint/said.rs
+++ b/bergamotshift-forward/src/endpoint/said.rs
@@ -1,8 +1,10 @@
 //! What an endpoint says of itself in its answers.
 
 use core::sync::atomic::AtomicBool;
+use core::sync::atomic::AtomicU64;
 use core::sync::atomic::Ordering::Relaxed;
 
+use bergamotshift_core::prelude::*;
 use bergamotshift_limit::throttle::Throttle;
 
 /// What one incarnation of an endpoint said of itself; no registration takes any of it back.
@@ -11,6 +13,8 @@
     /// The rate that it names.
     pub throttle: Throttle,
     leaves: AtomicBool,
+    /// Until when it wants nothing from this entry, in microseconds of kernel time.
+    paused: AtomicU64,
 }
 
 impl Said {
@@ -23,4 +27,15 @@
     pub fn leave(&self) -> bool {
         !self.leaves.swap(true, Relaxed)
     }
+
+    /// Notes until when it wants nothing from this entry; an earlier time takes nothing back.
+    pub fn pause(&self, until: Instant) {
+        self.paused.fetch_max(until.as_micros(), Relaxed);
+    }
+
+    /// Returns until when it wants nothing from this entry; `None` when it said no such time, or that is over.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        let until = Instant::from_micros(self.paused.load(Relaxed));
+        Some(until).filter(|until| *until > now)
+    }
 }
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -18,6 +18,7 @@
 use super::refusal::Refusal;
 use crate::choice::Choice;
 use crate::dialect::Envelope;
+use crate::dialect::Notice;
 use crate::document::Kind;
 use crate::endpoint::Seat;
 use crate::exchange;
@@ -102,6 +103,10 @@
 enum Missed {
     /// The endpoint proved that it did not run the request.
     Unrun,
+    /// The same, and it named a time for which it wants nothing.
+    TurnedAway,
+    /// The endpoint wants no more, as an answer said while the request waited for a connection.
+    Withdrawn,
     /// The endpoint failed in a way that its answer tells; the answer stands if no other comes.
     Failed(Box<Open>),
     /// There was no connection.
@@ -201,9 +206,8 @@
         if left < SHORTEST {
             return Err(Missed::Unreachable);
         }
-        // An endpoint may have been marked as leaving while the connection came about.
-        if endpoint.is_leaving() {
-            return Err(Missed::Unreachable);
+        if endpoint.is_leaving() || endpoint.said.paused_until(now).is_some() {
+            return Err(Missed::Withdrawn);
         }
         history.sends += 1;
         history.sent = Some(expected);
@@ -236,13 +240,13 @@
                 return Err(Missed::Lost(failure));
             }
         };
-        self.hear(job, choice, now, &answer);
+        let notice = self.hear(job, choice, now, &answer);
         let open = Open {
             answer,
             connection,
             seat,
         };
-        self.accept(job, open)
+        self.accept(job, open, notice)
     }
 
     /// Returns who sees what comes of a send while two versions of the service are compared.
@@ -271,12 +275,17 @@
     }
 
     /// Tells an answer that the caller may get from one that calls for another try.
-    fn accept(&self, job: &Job, mut open: Open) -> Result<Open, Missed> {
+    ///
+    /// Being turned away with a time is no failure: neither the endpoint's health nor its version's evidence suffers.
+    fn accept(&self, job: &Job, mut open: Open, notice: Notice) -> Result<Open, Missed> {
+        let turned_away = notice.pause.is_some();
         let Answer { status, headers, .. } = &open.answer;
         if self.shared.dialect.says_not_run(headers) || *status == StatusCode::MISDIRECTED_REQUEST {
             if *status == StatusCode::MISDIRECTED_REQUEST {
                 // Another incarnation has the address, so this one is gone.
                 open.seat.endpoint().leave();
+            } else if turned_away {
+                return Err(Missed::TurnedAway);
             } else {
                 open.seat.testify();
             }
@@ -288,11 +297,15 @@
             return Err(Missed::Lost(Failure::Malformed("a success bears no seal")));
         }
         if status.is_server_error() {
-            if job.route.kind == Kind::Idempotent {
-                open.seat.testify();
+            let repeats = job.route.kind == Kind::Idempotent;
+            match (repeats, turned_away) {
+                (true, false) => open.seat.testify(),
+                (false, false) => open.seat.failed(),
+                (_, true) => {}
+            }
+            if repeats {
                 return Err(Missed::Failed(Box::new(open)));
             }
-            open.seat.failed();
         }
         Ok(open)
     }
@@ -308,13 +321,23 @@
                 endpoint.health.failed();
                 "the endpoint refused it unrun".to_owned()
             }
+            Missed::TurnedAway => {
+                history.unrun += 1;
+                "the endpoint turned it away unrun for a time".to_owned()
+            }
+            Missed::Withdrawn => {
+                history.unreachable += 1;
+                "the endpoint wants no more".to_owned()
+            }
             Missed::Unreachable => {
                 history.unreachable += 1;
                 endpoint.health.lost(now);
                 "the endpoint cannot be reached".to_owned()
             }
             Missed::Failed(open) => {
-                endpoint.health.failed();
+                if endpoint.said.paused_until(now).is_none() {
+                    endpoint.health.failed();
+                }
                 let cause = format!("the endpoint answered {}", open.answer.status.as_u16());
                 failed = Some(open);
                 cause
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -14,6 +14,7 @@
 use super::refusal::Refusal;
 use crate::choice;
 use crate::choice::Choice;
+use crate::endpoint::Endpoint;
 use crate::observe::Topic;
 use crate::view::Service;
 
@@ -94,20 +95,32 @@
         Err(self.closed(self.shared.clock.now(), service, history))
     }
 
-    /// Returns when the first endpoint takes more that could take the request and was not tried; `None` when there is none.
-    fn opens(&self, now: Instant, service: &Service, history: &History) -> Option<Instant> {
+    /// Returns the endpoints of a service that are reached and do not leave.
+    fn staying<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Arc<Endpoint>> {
         let canary = service.canary.iter().flat_map(|canary| canary.endpoints.iter());
         let endpoints = service.endpoints.iter().chain(canary);
         let is_stranded = self.shared.is_stranded();
         let zone = &self.shared.settings.zone;
-        let reached = endpoints.filter(|endpoint| !is_stranded || endpoint.registration.zone == *zone);
-        let open = reached.filter(|endpoint| !endpoint.is_leaving() && !history.tried.contains(&endpoint.hash));
+        let reached = endpoints.filter(move |endpoint| !is_stranded || endpoint.registration.zone == *zone);
+        reached.filter(|endpoint| !endpoint.is_leaving())
+    }
+
+    /// Returns when the first endpoint takes more that has not had the request; `None` when there is none.
+    fn opens(&self, now: Instant, service: &Service, history: &History) -> Option<Instant> {
+        let open = self
+            .staying(service)
+            .filter(|endpoint| !history.tried.contains(&endpoint.hash));
         open.filter_map(|endpoint| endpoint.closed_until(now)).min()
     }
 
-    /// Returns the refusal of a request that no endpoint takes, with the time at which the first one takes more.
+    /// Returns the refusal of a request that no endpoint takes; where all of them are closed, with the time at which the first
+    /// one takes more.
     fn closed(&self, now: Instant, service: &Service, history: &History) -> Refusal {
-        match self.opens(now, service, history) {
+        let all_closed: Option<Vec<Instant>> = self
+            .staying(service)
+            .map(|endpoint| endpoint.closed_until(now))
+            .collect();
+        match all_closed.and_then(|opens| opens.into_iter().min()) {
             Some(opens) if !history.may_have_run() => Refusal {
                 reason: Reason::Throttled,
                 retry_after: Some(opens.since(now).max(SOONEST)),
@@ -180,12 +193,11 @@
         let here: Vec<_> = here.cloned().collect();
         let choice = choice::choose(&self.weights, now, &here, request, &self.shared.recall());
         choice.ok_or_else(|| {
-            if self.opens(now, service, history).is_some() {
-                self.closed(now, service, history)
-            } else if history.sends == 0 {
+            let refusal = self.closed(now, service, history);
+            if refusal.reason == Reason::NoEndpoint {
                 Reason::Stranded.into()
             } else {
-                history.refusal(false)
+                refusal
             }
         })
     }
--- a/bergamotshift-forward/src/serve/hear.rs
+++ b/bergamotshift-forward/src/serve/hear.rs
@@ -14,11 +14,11 @@
 use crate::view::Source;
 
 impl Forwarder {
-    /// Takes in what an answer to a request that was sent at `sent` says of its endpoint.
-    pub(super) fn hear(&self, job: &Job, choice: &Choice, sent: Instant, answer: &Answer) {
+    /// Takes in what an answer to a request that was sent at `sent` says of its endpoint, and returns it.
+    pub(super) fn hear(&self, job: &Job, choice: &Choice, sent: Instant, answer: &Answer) -> Notice {
         if answer.status == StatusCode::MISDIRECTED_REQUEST {
             // Another incarnation made it.
-            return;
+            return Notice::default();
         }
         let notice = Notice::read(&self.shared.dialect, answer.status, &answer.headers);
         let now = self.shared.clock.now();
@@ -26,9 +26,13 @@
         self.shared
             .hear_rate(now, &choice.endpoint, word, Source::Answer(&job.ask.id));
         let is_news = notice.leaves && choice.endpoint.said.leave();
+        if let Some(pause) = notice.pause {
+            choice.endpoint.said.pause(now + pause);
+        }
         if is_news || notice.pause.is_some() {
             self.log_notice(now, job, choice, answer.status, notice);
         }
+        notice
     }
 
     fn log_notice(&self, now: Instant, job: &Job, choice: &Choice, status: StatusCode, notice: Notice) {
--- a/bergamotshift-forward/tests/daemon/leaving.rs
+++ b/bergamotshift-forward/tests/daemon/leaving.rs
@@ -164,7 +164,7 @@
 /// Guards against a pause that an answer to another request, made before it, takes back.
 #[test]
 fn a_success_that_was_under_way_does_not_end_the_time_for_which_nothing_is_wanted() {
-    let one = Endpoint::start("e1", |seen, before, stream| {
+    let one = Endpoint::start("e1", |seen, _, stream| {
         if seen.head.starts_with("GET") {
             // The answer begins, and ends after the other request was turned away.
             let head = seen.open("200 OK", "transfer-encoding: chunked\r\n");
@@ -175,7 +175,6 @@
             let extra = "bergamotshift-not-run: 1\r\nretry-after: 600\r\n";
             stream.write_all(seen.answer("503 Service Unavailable", extra, "").as_bytes())?;
         }
-        let _ = before;
         Ok(After::Keep)
     });
     let site = Site::new(&[&one]);
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -227,5 +227,10 @@
     let digest = directory.digest();
     say_leaving(&directory, "a");
     assert_eq!(directory.digest(), digest);
-    assert!(directory.registrations().iter().all(|registration| !registration.leaving));
+    assert!(
+        directory
+            .registrations()
+            .iter()
+            .all(|registration| !registration.leaving)
+    );
 }
