fix(keeper): a keeper places nothing at endpoints that the asking entry sends nothing to

Cause: an entry learns from an answer that an endpoint leaves or wants nothing from it, and the keeper of its zone may not know. The keeper sees an endpoint without work and places generations there, and each entry then chooses by itself, by what it alone has under way, which keepers are there to avoid.

Change: a question to the keeper names the endpoints that the asking entry sends nothing to. Frames to keepers change.

Test: a keeper is asked over its socket with each endpoint avoided in turn, and with all of them. The field is new, so on the code before the test does not compile.

--- a/bergamotshift-forward/src/limits/keeper.rs
+++ b/bergamotshift-forward/src/limits/keeper.rs
@@ -57,6 +57,8 @@
     pub parts: Vec<Part>,
     /// Whether it belongs to the share of a new version.
     pub is_canary: bool,
+    /// Endpoints that the asking entry sends nothing to, by their hashes.
+    pub avoided: Vec<u64>,
 }
 
 /// What an entry asks its zone's keeper.
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -142,7 +142,7 @@
         engine: service.engine,
         own: &shared.settings.zone,
         zone: None,
-        tried: &[],
+        tried: &generation.avoided,
         sources: &[],
     };
     let canary = service.canary_of(generation.is_canary);
--- a/bergamotshift-forward/src/serve/charge.rs
+++ b/bergamotshift-forward/src/serve/charge.rs
@@ -11,6 +11,7 @@
 use crate::dialect::Ask;
 use crate::dialect::Size;
 use crate::document::Organisation;
+use crate::endpoint::Endpoint;
 use crate::limits::Account;
 use crate::limits::Keeper;
 use crate::limits::Refused;
@@ -60,6 +61,7 @@
                 prompt: size.prompt,
                 parts: ask.parts.clone(),
                 is_canary,
+                avoided: avoided(view, service, now),
             })
         };
         let admission = match (view.keeping.keeper, accounts) {
@@ -96,6 +98,22 @@
     }
 }
 
+/// Returns the endpoints of a service that said that they want nothing from this entry.
+///
+/// Only this entry may know that; a keeper that does not would take them for idle and place all generations there.
+fn avoided(view: &View, service: &name::Service, now: Instant) -> Vec<u64> {
+    let Some(service) = view.services.get(service) else {
+        return Vec::new();
+    };
+    let canary = service.canary.iter().flat_map(|canary| canary.endpoints.iter());
+    let endpoints = service.endpoints.iter().chain(canary);
+    let wants_nothing = |endpoint: &&Arc<Endpoint>| {
+        let is_told = endpoint.said.leaves() || endpoint.said.paused_until(now).is_some();
+        is_told && !endpoint.is_withdrawn()
+    };
+    endpoints.filter(wants_nothing).map(|endpoint| endpoint.hash).collect()
+}
+
 fn from(account: &Arc<Account>, units: u64) -> Admission {
     Admission {
         charge: Some(Charge {
--- a/bergamotshift-forward/tests/daemon/large.rs
+++ b/bergamotshift-forward/tests/daemon/large.rs
@@ -1,6 +1,7 @@
 //! A fleet so large that one entry decides for all of its zone.
 
 use std::io::Write;
+use std::net::TcpStream;
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_forward::document::Engine;
@@ -8,6 +9,8 @@
 use bergamotshift_forward::document::Unit;
 use bergamotshift_forward::limits::keeper;
 use bergamotshift_forward::limits::keeper::Candidate;
+use bergamotshift_forward::limits::keeper::Generation;
+use bergamotshift_forward::limits::keeper::Question;
 
 use crate::endpoint::After;
 use crate::endpoint::Endpoint;
@@ -105,19 +108,65 @@
     assert!(count <= ENTRIES + 1, "{count} requests reached it");
 }
 
-/// The entry that keeps the zone ends. Callers of all others are served on: they ask the deputy, which follows it.
+/// Asks a keeper for an endpoint, and returns the one that it chose.
+fn placed(keeper: &Daemon, avoided: &[u64]) -> Option<u64> {
+    let question = Question {
+        entry: "entry-asking".into(),
+        deputy: false,
+        units: None,
+        generation: Some(Generation {
+            service: "staff".into(),
+            prompt: 1_000,
+            parts: Vec::new(),
+            is_canary: false,
+            avoided: avoided.to_vec(),
+        }),
+        flown: Vec::new(),
+    };
+    let body = postcard::to_stdvec(&question).expect("it is encoded");
+    let mut connection = Caller(TcpStream::connect(keeper.listen.peers).expect("the keeper listens"));
+    let head = format!(
+        "POST /keep HTTP/1.1\r\nhost: k\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    connection.0.write_all(head.as_bytes()).expect("it takes the question");
+    connection.0.write_all(&body).expect("it takes the question");
+    let answer = connection.answer().expect("it answers");
+    assert_eq!(answer.status, 200);
+    let answer: keeper::Answer = postcard::from_bytes(&answer.body).expect("it is decoded");
+    answer.placement.map(|placement| placement.endpoint)
+}
+
+/// Guards against a keeper that takes an endpoint for idle which only the asking entry knows to leave, and places all
+/// generations there.
 #[test]
-fn the_deputy_lets_callers_in_when_the_keeper_is_gone() {
-    let endpoint = Endpoint::plain("e1", "done");
-    let mut daemons = fleet(&endpoint, 1e6, 1e6);
+fn a_keeper_places_nothing_at_endpoints_that_the_asking_entry_avoids() {
+    let (one, two) = (Endpoint::plain("e1", "done"), Endpoint::plain("e2", "done"));
+    let daemons = fleet_of(&[&one, &two], 1e6, 1e6, Some(ENGINE));
+    let keeper = &daemons[keeper_place()];
+    let first = placed(keeper, &[]).expect("one takes work");
+    let second = placed(keeper, &[first]).expect("the other one takes work");
+    assert_ne!(first, second);
+    assert_eq!(placed(keeper, &[first, second]), None);
+}
+
+/// Returns the place of the entry that keeps the zone while all live.
+fn keeper_place() -> usize {
     let names: Vec<_> = (0..ENTRIES).map(name).collect();
     let candidates = names.iter().map(|entry| Candidate {
         entry,
         core_share: 1_000,
     });
     let first = keeper::first(candidates)[0].expect("there is one").clone();
-    let place = names.iter().position(|name| *name == first).expect("it is one of them");
-    let keeper = daemons.remove(place);
+    names.iter().position(|name| *name == first).expect("it is one of them")
+}
+
+/// The entry that keeps the zone ends. Callers of all others are served on: they ask the deputy, which follows it.
+#[test]
+fn the_deputy_lets_callers_in_when_the_keeper_is_gone() {
+    let endpoint = Endpoint::plain("e1", "done");
+    let mut daemons = fleet(&endpoint, 1e6, 1e6);
+    let keeper = daemons.remove(keeper_place());
     keeper.stop();
     assert_eq!(keeper.join(), 0);
     for daemon in &daemons {
