feat(soak): endpoints name rates, say that they leave and turn away for a time

Three promises are checked by what callers and endpoints see: a rate holds over all entries that passed on an answer with it; an entry that passed on an answer that says leaving sends nothing there two seconds later; an entry that was turned away for a time sends nothing there until then.

--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -66,6 +66,32 @@
     }
 }
 
+/// What an endpoint says of itself in its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Notice {
+    /// Nothing.
+    #[default]
+    Quiet,
+    /// The requests a minute that it takes from all entries together.
+    Rate(u32),
+    /// That it leaves.
+    Leaves,
+    /// It turns requests away, and wants nothing from that entry for so long.
+    Pause(Duration),
+}
+
+impl Notice {
+    /// Returns the header lines that say so.
+    fn lines(self, dialect: &Dialect) -> String {
+        match self {
+            Self::Quiet => String::new(),
+            Self::Rate(minute) => format!("{}: {:.3}\r\n", dialect.rate, f64::from(minute) / 60.0),
+            Self::Leaves => format!("{}: 1\r\n", dialect.leaving),
+            Self::Pause(pause) => format!("retry-after: {:.3}\r\n", pause.as_secs_f64()),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     id: SmolStr,
@@ -73,6 +99,7 @@
     dialect: Dialect,
     ledger: Arc<Ledger>,
     habit: AtomicU8,
+    notice: Mutex<Notice>,
     is_gone: AtomicBool,
     /// The connections that stand, by the port at the other side.
     streams: Mutex<BTreeMap<u16, TcpStream>>,
@@ -102,6 +129,7 @@
             dialect: bergamotshift_metadata::dialect(),
             ledger,
             habit: AtomicU8::new(0),
+            notice: Mutex::default(),
             is_gone: AtomicBool::new(false),
             streams: Mutex::default(),
         });
@@ -149,6 +177,16 @@
         self.shared.habit.store(habit.number(), Ordering::Relaxed);
     }
 
+    /// Sets what it says of itself from now on.
+    pub fn say(&self, notice: Notice) {
+        *self.shared.notice() = notice;
+    }
+
+    /// Returns what it says of itself.
+    pub fn says(&self) -> Notice {
+        *self.shared.notice()
+    }
+
     /// Ends it at once, with all that it has under way.
     pub fn crash(&self) {
         self.shared.is_gone.store(true, Ordering::Relaxed);
@@ -168,6 +206,10 @@
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn notice(&self) -> MutexGuard<'_, Notice> {
+        self.notice.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Serves a connection, and keeps it meanwhile, so that a crash can end it.
     fn keep(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
@@ -183,25 +225,27 @@
             let habit = Habit::of(self.habit.load(Ordering::Relaxed));
             let id: SmolStr = call.header(self.dialect.request.as_str()).unwrap_or_default().into();
             let is_meant = call.header(self.dialect.expected.as_str()) == Some(self.id.as_str());
-            let runs = is_meant && habit != Habit::Refuses;
-            self.note(&call, id.clone(), runs);
+            let said = *self.notice();
+            let refuses = habit == Habit::Refuses || matches!(said, Notice::Pause(_));
+            let runs = is_meant && !refuses;
+            self.note(&call, id.clone(), runs, said);
             if !runs {
                 let status = if is_meant { "503 Full" } else { "421 Another" };
                 let not_run = format!("{}: 1\r\ncontent-length: 0\r\n", self.dialect.not_run);
-                stream.write_all(self.head(status, &id, &not_run).as_bytes())?;
+                stream.write_all(self.head(status, &id, said, &not_run).as_bytes())?;
                 continue;
             }
             thread::sleep(WORK);
             if call.line.contains(Kind::Draft.prefix()) {
-                self.stream(&mut stream, &call, &id, habit)?;
+                self.stream(&mut stream, &call, &id, said, habit)?;
             } else {
-                self.whole(&mut stream, &id, habit)?;
+                self.whole(&mut stream, &id, said, habit)?;
             }
         }
         Ok(())
     }
 
-    fn note(&self, call: &Call, id: SmolStr, ran: bool) {
+    fn note(&self, call: &Call, id: SmolStr, ran: bool, said: Notice) {
         let organisation = call.header(self.dialect.organisation.as_str());
         let at = self.ledger.now();
         self.ledger.book().arrivals.push(Arrival {
@@ -211,22 +255,24 @@
             organisation: organisation.map(SmolStr::new),
             has_key: call.header("authorization").is_some(),
             ran,
+            said,
             at,
         });
     }
 
-    fn head(&self, status: &str, id: &str, extra: &str) -> String {
+    fn head(&self, status: &str, id: &str, said: Notice, extra: &str) -> String {
+        let said = said.lines(&self.dialect);
         let Dialect { request, seal, .. } = &self.dialect;
         format!(
-            "HTTP/1.1 {status}\r\n{request}: {id}\r\n{seal}: {}.{id}\r\n{extra}\r\n",
+            "HTTP/1.1 {status}\r\n{request}: {id}\r\n{seal}: {}.{id}\r\n{said}{extra}\r\n",
             self.id
         )
     }
 
-    fn whole(&self, stream: &mut TcpStream, id: &str, habit: Habit) -> io::Result<()> {
+    fn whole(&self, stream: &mut TcpStream, id: &str, said: Notice, habit: Habit) -> io::Result<()> {
         let body = body(id);
         let length = format!("content-length: {}\r\n", body.len());
-        let answer = self.head("200 OK", id, &length) + &body;
+        let answer = self.head("200 OK", id, said, &length) + &body;
         match habit {
             Habit::Breaks => {
                 stream.write_all(&answer.as_bytes()[..answer.len() - body.len() / 2])?;
@@ -241,10 +287,10 @@
         }
     }
 
-    fn stream(&self, stream: &mut TcpStream, call: &Call, id: &str, habit: Habit) -> io::Result<()> {
+    fn stream(&self, stream: &mut TcpStream, call: &Call, id: &str, said: Notice, habit: Habit) -> io::Result<()> {
         let last = call.header(LAST_EVENT.as_str()).and_then(|text| text.parse().ok());
         let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-        stream.write_all(self.head("200 OK", id, framing).as_bytes())?;
+        stream.write_all(self.head("200 OK", id, said, framing).as_bytes())?;
         for number in last.unwrap_or(0) + 1..=EVENTS {
             let event = event(id, number);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -10,8 +10,10 @@
 
 use super::Fleet;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Notice;
 use crate::ledger::Leave;
 use crate::ledger::Place;
+use crate::ledger::Saying;
 use crate::site::SERVICES;
 
 /// How long an endpoint that leaves goes on serving.
@@ -43,6 +45,31 @@
         Ok(core::mem::replace(&mut self.endpoints[place], next))
     }
 
+    /// Has an endpoint say something of itself from now on; one that leaves says so up to its end.
+    pub(super) fn say(&mut self, place: usize, notice: Notice) {
+        if self.endpoints[place].says() == Notice::Leaves {
+            return;
+        }
+        self.ledger.end(Place::Endpoint(place), "notice");
+        if notice != Notice::Quiet {
+            self.ledger.begin(Place::Endpoint(place), "notice", false);
+        }
+        let endpoint = &self.endpoints[place];
+        endpoint.say(notice);
+        let from = self.ledger.now();
+        let mut book = self.ledger.book();
+        let open = book.sayings.iter_mut().filter(|saying| saying.until.is_none());
+        for saying in open.filter(|saying| saying.endpoint == *endpoint.id()) {
+            saying.until = Some(from);
+        }
+        book.sayings.push(Saying {
+            endpoint: endpoint.id().clone(),
+            notice,
+            from,
+            until: None,
+        });
+    }
+
     pub(super) fn crash(&mut self, place: usize) -> io::Result<()> {
         self.ledger.note(Place::Endpoint(place), "crash", false);
         let old = self.replace(place)?;
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 use self::entries::configuration;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Habit;
+use crate::endpoint::Notice;
 use crate::ledger::Ledger;
 use crate::ledger::Place;
 use crate::ledger::Version;
@@ -159,6 +160,7 @@
                 }
                 self.endpoints[place].set(habit);
             }
+            Step::Notice(place, notice) => self.say(place, notice),
             Step::Reach(place, mode) => {
                 mark(&self.ledger, Place::Endpoint(place), mode);
                 self.endpoints[place].proxy.set(mode);
@@ -181,6 +183,10 @@
         self.store.state().spell = None;
         for place in 0..self.endpoints.len() {
             self.carry_out(Step::Habit(place, Habit::Sound))?;
+            if self.endpoints[place].says() == Notice::Leaves {
+                self.leave(place)?;
+            }
+            self.carry_out(Step::Notice(place, Notice::Quiet))?;
             self.carry_out(Step::Reach(place, Mode::Pass))?;
         }
         for entry in 0..self.entries.len() {
--- a/bergamotshift-soak/src/ledger.rs
+++ b/bergamotshift-soak/src/ledger.rs
@@ -8,6 +8,7 @@
 
 use smol_str::SmolStr;
 
+use crate::endpoint::Notice;
 use crate::site::Kind;
 use crate::site::Tenant;
 
@@ -26,6 +27,8 @@
     pub has_key: bool,
     /// Whether the endpoint ran it, rather than refused it.
     pub ran: bool,
+    /// What the endpoint said of itself in the answer.
+    pub said: Notice,
     /// When it came.
     pub at: Duration,
 }
@@ -112,6 +115,19 @@
     pub acknowledged: Duration,
 }
 
+/// A time in which an endpoint said something of itself.
+#[derive(Clone, Debug)]
+pub struct Saying {
+    /// The endpoint's incarnation.
+    pub endpoint: SmolStr,
+    /// What it said.
+    pub notice: Notice,
+    /// From when on.
+    pub from: Duration,
+    /// Until when; `None` while it says so.
+    pub until: Option<Duration>,
+}
+
 /// All of it.
 #[derive(Debug, Default)]
 pub struct Book {
@@ -125,6 +141,8 @@
     pub versions: Vec<Version>,
     /// Endpoints that left in order.
     pub leaves: Vec<Leave>,
+    /// What endpoints said of themselves.
+    pub sayings: Vec<Saying>,
     /// What went wrong with the processes themselves.
     pub faults: Vec<String>,
 }
--- a/bergamotshift-soak/src/lib.rs
+++ b/bergamotshift-soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod endpoint;
 pub mod fleet;
 pub mod ledger;
+pub mod notice;
 pub mod plan;
 pub mod process;
 pub mod promise;
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -46,6 +46,11 @@
     seconds: u64,
     #[options(help = "let callers connect to an entry until it is gone", no_short)]
     unbalanced: bool,
+    #[options(
+        help = "let endpoints name rates, say that they leave and turn away for a time",
+        no_short
+    )]
+    notices: bool,
 }
 
 fn main() -> ExitCode {
@@ -82,6 +87,7 @@
         seed,
         ..Settings::default()
     };
+    settings.notices = arguments.notices;
     settings.size.entries = arguments.entries;
     settings.size.span = Duration::from_secs(arguments.seconds);
     if arguments.unbalanced {
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -8,6 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::endpoint::Habit;
+use crate::endpoint::Notice;
 use crate::proxy::Mode;
 use crate::proxy::Way;
 
@@ -40,6 +41,8 @@
     Leave(usize),
     /// Sets how an endpoint answers.
     Habit(usize, Habit),
+    /// Sets what an endpoint says of itself.
+    Notice(usize, Notice),
     /// Sets what becomes of the bytes to and from an endpoint.
     Reach(usize, Mode),
     /// Resets all connections to an endpoint.
@@ -79,6 +82,12 @@
 /// How much later the store does what it gave no answer to, in milliseconds: also after its sender has tried again.
 const LATE_MS: Range<u64> = 200..1_700;
 
+/// The mean time between two endpoints that begin to say something of themselves, in milliseconds.
+const NOTICE_GAP_MS: u64 = 3_000;
+
+/// How long they say so, in milliseconds: also longer than a window in which their requests are counted.
+const NOTICE_MS: Range<u64> = 2_000..10_000;
+
 /// How long callers are left alone at the start.
 const CALM: Duration = Duration::from_millis(1_500);
 
@@ -106,6 +115,27 @@
         draw.steps.sort_by_key(|(at, _)| *at);
         Self { steps: draw.steps }
     }
+
+    /// Draws what endpoints say of themselves, and adds it; the other steps stay as they are.
+    #[must_use]
+    pub fn with_notices(mut self, seed: u64, size: Size) -> Self {
+        let mut draw = Draw {
+            generator: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
+            size,
+            steps: Vec::new(),
+        };
+        // Other numbers than those of the steps before.
+        draw.generator.next_u64();
+        draw.generator.next_u64();
+        let mut at = CALM;
+        while at < size.span {
+            draw.notice(at);
+            at += Duration::from_millis(draw.below(2 * NOTICE_GAP_MS));
+        }
+        self.steps.extend(draw.steps);
+        self.steps.sort_by_key(|(at, _)| *at);
+        self
+    }
 }
 
 impl Draw {
@@ -207,6 +237,25 @@
         }
     }
 
+    /// Draws what an endpoint says of itself from a time on. One that says that it leaves registers that at the end.
+    fn notice(&mut self, at: Duration) {
+        const PAUSE_MS: Range<u64> = 1_000..4_000;
+        const RATES: Range<u64> = 0..180;
+        let endpoint = self.endpoint();
+        let end = at + self.within(NOTICE_MS);
+        let notice = match self.below(3) {
+            0 => Notice::Rate((RATES.start + self.below(RATES.end)) as u32),
+            1 => Notice::Leaves,
+            _ => Notice::Pause(self.within(PAUSE_MS)),
+        };
+        self.push(at, Step::Notice(endpoint, notice));
+        if notice == Notice::Leaves {
+            self.push(end, Step::Leave(endpoint));
+        } else {
+            self.push(end, Step::Notice(endpoint, Notice::Quiet));
+        }
+    }
+
     fn restart(&mut self, at: Duration, end: Duration) {
         let entry = self.entry();
         self.push(at, Step::Kill(entry));
--- a/bergamotshift-soak/src/promise.rs
+++ b/bergamotshift-soak/src/promise.rs
@@ -391,7 +391,7 @@
 }
 
 /// Returns the most times within any window of a length, and when that window begins.
-fn most_within(times: &[Duration], length: Duration) -> (usize, Duration) {
+pub(crate) fn most_within(times: &[Duration], length: Duration) -> (usize, Duration) {
     let mut most = (0, Duration::ZERO);
     let mut last = 0;
     for (first, from) in times.iter().enumerate() {
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -18,6 +18,7 @@
 use crate::fleet::Fleet;
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
+use crate::notice;
 use crate::plan::Plan;
 use crate::plan::Size;
 use crate::process;
@@ -51,6 +52,8 @@
     /// How long after the request to stop callers still connect to an entry. A balancer that asks every second takes it
     /// out at the second answer in a row that says no; where too few others are left, it never does.
     pub connects: Duration,
+    /// Whether endpoints say something of themselves in their answers.
+    pub notices: bool,
 }
 
 impl Default for Settings {
@@ -66,6 +69,7 @@
             },
             callers: 24,
             connects: Duration::from_millis(2_500),
+            notices: false,
         }
     }
 }
@@ -106,7 +110,10 @@
 /// Returns why it cannot be made; a broken promise is no error.
 pub fn run(settings: &Settings) -> Result<Report, Error> {
     fs::create_dir_all(&settings.folder)?;
-    let plan = Plan::draw(settings.seed, settings.size);
+    let mut plan = Plan::draw(settings.seed, settings.size);
+    if settings.notices {
+        plan = plan.with_notices(settings.seed, settings.size);
+    }
     let ledger = Arc::new(Ledger::default());
     let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
     let mut late = recover(&mut fleet, &ledger, CHECKER)?;
@@ -130,6 +137,7 @@
     let book = ledger.book();
     let reports = fleet.store.state().reports.clone();
     let mut broken = promise::check(&ledger, &book, &reports);
+    broken.extend(notice::check(&book));
     broken.extend(late);
     let served = |outcome: &Outcome| *outcome == Outcome::Answered(200);
     Ok(Report {
--- a/bergamotshift-soak/tests/plan.rs
+++ b/bergamotshift-soak/tests/plan.rs
@@ -41,3 +41,26 @@
     let kinds: HashSet<_> = steps.map(|(_, step)| mem::discriminant(&step)).collect();
     assert_eq!(kinds.len(), 16);
 }
+
+/// Guards against kept seeds that mean something else once endpoints say something of themselves.
+#[test]
+fn notices_are_added_and_change_nothing_else() {
+    for seed in 1..=50 {
+        let plain = Plan::draw(seed, SIZE);
+        let mut noted = plain.clone().with_notices(seed, SIZE);
+        assert_ne!(plain, noted);
+        let is_kept = |entry: &(Duration, Step)| plain.steps.contains(entry);
+        noted.steps.retain(is_kept);
+        assert_eq!(noted, plain);
+    }
+}
+
+#[test]
+fn fifty_seeds_hold_every_kind_of_notice() {
+    let noted = (1..=50).flat_map(|seed| Plan::default().with_notices(seed, SIZE).steps);
+    let notices = noted.filter_map(|(_, step)| match step {
+        Step::Notice(_, notice) => Some(mem::discriminant(&notice)),
+        _ => None,
+    });
+    assert_eq!(notices.collect::<HashSet<_>>().len(), 4);
+}
--- a/bergamotshift-soak/tests/promise.rs
+++ b/bergamotshift-soak/tests/promise.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bergamotshift_metadata_standin::Report;
+use bergamotshift_soak::endpoint::Notice;
 use bergamotshift_soak::ledger::Arrival;
 use bergamotshift_soak::ledger::Book;
 use bergamotshift_soak::ledger::Disruption;
@@ -44,6 +45,7 @@
         organisation: Tenant::Free.name().map(Into::into),
         has_key: false,
         ran: true,
+        said: Notice::Quiet,
         at: at(millis),
     }
 }
--- a/bergamotshift/tests/soak.rs
+++ b/bergamotshift/tests/soak.rs
@@ -8,28 +8,30 @@
 use bergamotshift_soak::plan::Size;
 use bergamotshift_soak::run;
 
-fn soak(seed: u64, connects: Duration) {
+fn soak(settings: &Settings) {
     let folder = tempfile::tempdir().expect("a folder can be made");
-    let report = run(&Settings {
+    let settings = Settings {
         program: PathBuf::from(env!("CARGO_BIN_EXE_bergamotshift")),
         folder: folder.path().to_owned(),
-        seed,
         size: Size {
             entries: 3,
             endpoints: 2,
             span: Duration::from_secs(6),
         },
         callers: 8,
-        connects,
-    })
-    .expect("the processes start");
-    assert_eq!(report.broken, [], "seed {seed}: {report:?}");
+        ..settings.clone()
+    };
+    let report = run(&settings).expect("the processes start");
+    assert_eq!(report.broken, [], "seed {}: {report:?}", settings.seed);
     assert!(report.steps > 0 && report.served > 0, "{report:?}");
 }
 
 #[test]
 fn promises_hold_while_everything_is_harmed() {
-    soak(3, Settings::default().connects);
+    soak(&Settings {
+        seed: 3,
+        ..Settings::default()
+    });
 }
 
 // All entries stop, and callers, who have nowhere else to go, connect to the last moment. An entry that had answered its
@@ -37,5 +39,19 @@
 // until the process was gone.
 #[test]
 fn who_connects_to_an_entry_that_ends_does_not_wait() {
-    soak(8, Duration::MAX);
+    soak(&Settings {
+        seed: 8,
+        connects: Duration::MAX,
+        ..Settings::default()
+    });
+}
+
+/// Guards against requests beyond what endpoints say of themselves while entries are killed, stopped and cut off.
+#[test]
+fn promises_to_endpoints_hold_while_everything_is_harmed() {
+    soak(&Settings {
+        seed: 50,
+        notices: true,
+        ..Settings::default()
+    });
 }
