fix(fleet): a note whose teller was not known yet is told again once it is

Cause: the head of the configuration travels as a note under its teller's tag. A fresh entry that hears the note before the teller's record cannot name the teller; the member then asked an entry without a name for the content, found nobody, and the same note is no news when it comes again, so the holder was never corrected. The platform, asked in turn, was down.

Change: the kernel remembers tellers that it could not name, and tells their notes again when they become known. The entry takes a head without a named teller as one that nobody holds.

Ruled out: the fetch's backoff (it goes on for ever, each time with the same holder), lost datagrams (probes go on).

--- a/bergamotshift-entry/src/peers/content.rs
+++ b/bergamotshift-entry/src/peers/content.rs
@@ -46,11 +46,14 @@
         *self.listener.borrow_mut() = Some(listener);
     }
 
-    /// Tells the member a head that another entry announced.
-    pub(super) fn heard(&self, note: &note::Note, from: name::Entry) {
-        let Ok(announcement) = postcard::from_bytes::<Announcement>(&note.body) else {
+    /// Tells the member a head that another entry announced. Who is not known yet cannot be asked for content; the note
+    /// comes again once it is.
+    pub(super) fn heard(&self, note: &note::Note, from: Option<name::Entry>) {
+        let Ok(mut announcement) = postcard::from_bytes::<Announcement>(&note.body) else {
             return;
         };
+        announcement.holds &= from.is_some();
+        let from = from.unwrap_or_default();
         let event = member::Event::Heard { from, announcement };
         match &*self.listener.borrow() {
             Some(listener) => drop(listener.send(event)),
--- a/bergamotshift-entry/src/peers/driver.rs
+++ b/bergamotshift-entry/src/peers/driver.rs
@@ -140,8 +140,7 @@
             Action::Unwatch(endpoint) => Event::Watching(endpoint, false),
             Action::Marked(mark) => Event::Marked(mark),
             Action::Noted { note, origin } if note.topic == note::Topic::CONFIG => {
-                // Who is not known yet cannot be asked for content; it is named again with its next announcement.
-                return self.content.heard(&note, origin.unwrap_or_default());
+                return self.content.heard(&note, origin);
             }
             Action::Noted { note, origin } => Event::Noted { note, origin },
             Action::Loaded { endpoint, report, age } => Event::Loaded { endpoint, report, age },
--- a/bergamotshift-fleet/src/kernel/action.rs
+++ b/bergamotshift-fleet/src/kernel/action.rs
@@ -60,7 +60,7 @@
     Noted {
         /// The news.
         note: note::Note,
-        /// Who told it first, when that entry is known here.
+        /// Who told it first, when that entry is known here; once it is, the news comes again.
         origin: Option<name::Entry>,
     },
 }
--- a/bergamotshift-fleet/src/kernel/mod.rs
+++ b/bergamotshift-fleet/src/kernel/mod.rs
@@ -79,6 +79,8 @@
     usage: usage::Book,
     published: publish::Published,
     notes: note::Table,
+    /// Tellers of notes that are no known members yet.
+    untold: BTreeSet<tag::Long>,
     unreadable: u64,
     pauses: u64,
 }
@@ -123,6 +125,7 @@
             usage: usage::Book::default(),
             published: publish::Published::default(),
             notes: note::Table::default(),
+            untold: BTreeSet::new(),
             unreadable: 0,
             pauses: 0,
             settings,
--- a/bergamotshift-fleet/src/kernel/news.rs
+++ b/bergamotshift-fleet/src/kernel/news.rs
@@ -81,8 +81,12 @@
             return;
         }
         let teller = self.members.tagged(note.origin).and_then(|key| self.members.get(key));
+        let origin_name = teller.map(|record| record.name.clone());
+        if origin_name.is_none() && self.untold.len() < note::Table::CAPACITY {
+            self.untold.insert(note.origin);
+        }
         out.push(Action::Noted {
-            origin: teller.map(|record| record.name.clone()),
+            origin: origin_name,
             note: note.clone(),
         });
         self.hurry(now, Item::Note(note), origin);
@@ -140,9 +144,22 @@
             .entry(record.zone.clone())
             .or_insert_with(|| crate::zone::View::new(now));
         out.push(Action::Member(record.clone()));
+        if self.untold.remove(&record.tag()) {
+            self.name_teller(now, &record, out);
+        }
         self.hurry(now, Item::Member(record), origin);
     }
 
+    /// Tells once more what a member noted before it was known: the same note is no news any more when it comes again.
+    fn name_teller(&self, now: Instant, record: &member::Record, out: &mut Vec<Action>) {
+        let tag = record.tag();
+        let noted = self.notes.iter(now).filter(|note| note.origin == tag);
+        out.extend(noted.map(|note| Action::Noted {
+            origin: Some(record.name.clone()),
+            note,
+        }));
+    }
+
     /// Refutes what others wrongly think of this entry.
     fn learn_of_self(&mut self, now: Instant, record: &member::Record, out: &mut Vec<Action>) {
         if record.incarnation > self.me.incarnation {
