fix(entry): a status tells what is published, not what the same turn has changed since

Cause: the control thread takes all messages of a turn in before it publishes. A status in the same turn as a new configuration took the version from the state and the readiness from what was published before.

Change: what is due is published before a status is answered.

--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -95,7 +95,11 @@
                 fingerprint,
                 answer,
             }) => self.broken(endpoint, connected, Waiting { fingerprint, answer }),
-            Message::Request(Request::Status(answer)) => drop(answer.send(self.status())),
+            Message::Request(Request::Status(answer)) => {
+                // A status tells what is published; messages of the same turn may have changed more than that.
+                self.publish();
+                drop(answer.send(self.status()));
+            }
             Message::Request(Request::Stop) => return false,
             Message::Seen(Event::Tick) => self.tick(),
             Message::Seen(Event::Configured { mark, config }) => self.configure(mark, config),
