fix(limit): an entry that starts grants for itself until it hears others

What operators saw: 'nobody grants a permit' with 0 entries in logs of a soak, right after starts: the endpoint was left alone for 0.8 s by that entry.

Cause: the entries that grant were worked out with the first round only, and until then there was none, not even the entry itself.

Change: they are worked out at the start.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -127,6 +127,7 @@
             core_share(shared),
         );
         members.start(now);
+        let granters = members.granters(now).into();
         Self {
             document: Arc::default(),
             document_known: Knowledge::default(),
@@ -151,7 +152,7 @@
             lost_calls: BTreeSet::new(),
             life: random::generator().next_u64(),
             keeping: Keeping::default(),
-            granters: Arc::default(),
+            granters,
             ticked: now,
         }
     }
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -341,6 +341,14 @@
     assert_eq!(granters.len(), 2, "one for each zone");
 }
 
+/// Guards against an entry that starts, knows of no other one yet and gets no permit from anybody.
+#[test]
+fn who_knows_nobody_grants_for_itself() {
+    let granters = self::members("entry-0").granters(at(0));
+    assert_eq!(granters.len(), 1);
+    assert_eq!(granters[0].address, None);
+}
+
 /// Guards against an entry that is asked for permits although it is about to end.
 #[test]
 fn who_stops_grants_nothing() {
