test(soak): time in which every entry is killed is no time without a usage report

In some seven of the sixteen seconds no process was there that could have reported.

Change: the check counts time with the store in order in which any entry runs. Its bound is as before, and time in which one entry of several is killed counts as before; a test shows both.

--- a/bergamotshift-soak/src/promise.rs
+++ b/bergamotshift-soak/src/promise.rs
@@ -367,12 +367,19 @@
         }
     }
 
-    /// Returns how much of a span the store was in order.
+    /// Returns how much of a span the store was in order and any entry ran: nobody else could report.
     fn with_store(&self, from: Duration, until: Duration) -> Duration {
+        let entries = self.entries();
+        let is_killed = |at: Duration, entry: &usize| {
+            let killed =
+                |disruption: &Disruption| disruption.place == Place::Entry(*entry) && disruption.what == "killed";
+            !self.book.is_calm(at, at, killed)
+        };
         let mut sum = Duration::ZERO;
         let mut at = from;
         while at < until {
-            if self.book.is_calm(at, at, |disruption| disruption.place == Place::Store) {
+            let has_store = self.book.is_calm(at, at, |disruption| disruption.place == Place::Store);
+            if has_store && !entries.iter().all(|entry| is_killed(at, entry)) {
                 sum += STEP;
             }
             at += STEP;
@@ -380,6 +387,20 @@
         sum
     }
 
+    /// Returns the entries that the book names.
+    fn entries(&self) -> BTreeSet<usize> {
+        let asked = self.book.exchanges.iter().map(|exchange| exchange.entry);
+        let harmed = self
+            .book
+            .disruptions
+            .iter()
+            .filter_map(|disruption| match disruption.place {
+                Place::Entry(entry) => Some(entry),
+                Place::Endpoint(_) | Place::Store => None,
+            });
+        asked.chain(harmed).collect()
+    }
+
     fn is_excused(&self, ledger: &Ledger, report: &Report) -> bool {
         let at = ledger.at(report.at);
         let number = report.holder.rsplit('-').next().and_then(|text| text.parse().ok());
--- a/bergamotshift-soak/tests/promise.rs
+++ b/bergamotshift-soak/tests/promise.rs
@@ -313,6 +313,23 @@
     assert_eq!(broken_with(&book, &[]), [""; 0]);
 }
 
+/// Guards against a gap that is excused although an entry could have reported, and one that counts while none ran.
+#[test]
+fn a_time_in_which_no_entry_runs_is_no_time_without_reports() {
+    let mut book = book();
+    book.exchanges[0].ended = at(20_000);
+    book.exchanges.push(Exchange {
+        entry: 1,
+        ..exchange("b", Kind::Checkin, 10_000, Outcome::Answered(200))
+    });
+    let killed = |entry| disruption(Place::Entry(entry), "killed", false, 2_000, 9_000);
+    book.disruptions.push(killed(0));
+    let gap = "usage is reported while the store is in order";
+    assert_eq!(broken_with(&book, &[]), [gap]);
+    book.disruptions.push(killed(1));
+    assert_eq!(broken_with(&book, &[]), [""; 0]);
+}
+
 #[test]
 fn a_daemon_that_ends_by_itself_is_found() {
     let mut book = book();
