fix(capacity): the planner remembers the most of a sliding window, not one peak

Cause: the planner remembered one peak. Once that was 15 s old it took the need of that very look in its place, also where demand had been nearly as high a second before, and gave back half of the endpoints in the trough of a wave.

Change: a maximum over a sliding window (capacity::peak), in a queue of figures that nothing later exceeds.

Test: endpoints_stay_for_the_most_of_the_last_while, red before (four zones were ordered down to 4 of 6 endpoints).

--- a/bergamotshift-forward/src/capacity/mod.rs
+++ b/bergamotshift-forward/src/capacity/mod.rs
@@ -5,6 +5,7 @@
 //! of a zone leaves enough, and costs less than a few on-demand ones would.
 
 pub mod cover;
+mod peak;
 
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -12,6 +13,7 @@
 use bergamotshift_core::prelude::*;
 use serde::Deserialize;
 
+use self::peak::Peak;
 use crate::document::Scale;
 use crate::outside::Order;
 
@@ -104,8 +106,8 @@
     settings: Settings,
     placed: BTreeMap<(name::Zone, Market), Placed>,
     dry: BTreeMap<name::Zone, Instant>,
-    /// The most endpoints needed lately, and when.
-    peak: Option<(u32, Instant)>,
+    /// The most endpoints needed lately.
+    peak: Peak,
     /// The most on-demand endpoints that were there before anybody asked for anything, and when that was last so.
     provided: Option<(u32, Instant)>,
     /// When it first knew of endpoints.
@@ -119,7 +121,7 @@
             settings,
             placed: BTreeMap::new(),
             dry: BTreeMap::new(),
-            peak: None,
+            peak: Peak::new(),
             provided: None,
             began: None,
         }
@@ -208,7 +210,7 @@
     /// learnt of one after another.
     fn need(&mut self, now: Instant, reading: f64, there: u32) -> Need {
         let provided = self.provided.map_or(0, |(count, _)| count);
-        if reading <= 0.0 && self.peak.is_none() {
+        if reading <= 0.0 && self.peak.is_empty() {
             let provided = provided.max(there);
             self.provided = Some((provided, now));
             let needed = provided.max(self.settings.least);
@@ -218,10 +220,7 @@
             };
         }
         let needed = ((reading / self.settings.reads).ceil() as u32).max(self.settings.least);
-        let (peak, at) = self.peak.unwrap_or((needed, now));
-        let is_over = needed >= peak || now.since(at) >= PEAK;
-        let (peak, at) = if is_over { (needed, now) } else { (peak, at) };
-        self.peak = Some((peak, at));
+        let peak = self.peak.note(now, PEAK, needed);
         let counts = self.provided.is_some_and(|(_, at)| now.since(at) < PEAK);
         Need {
             measured: peak,
--- a/bergamotshift-forward/tests/kernel/capacity.rs
+++ b/bergamotshift-forward/tests/kernel/capacity.rs
@@ -359,3 +359,27 @@
     assert!((8..=12).contains(&left), "8 are needed: {orders:?}");
     assert_eq!(of(&orders, Market::OnDemand).len(), 4);
 }
+
+/// Has a planner see a demand for so many endpoints every quarter of a second up to a time, and returns its last orders.
+fn follow(planner: &mut Planner, seconds: core::ops::Range<u64>, needed: f64) -> Vec<Order> {
+    let reading = needed * Settings::default().reads - 1.0;
+    let mut orders = Vec::new();
+    for millis in (seconds.start * 1_000..seconds.end * 1_000).step_by(250) {
+        let here = present([(0, 6); 4]);
+        let due = planner.plan(at(millis), &"planner".into(), &scale(), &here, reading);
+        orders.extend(due);
+    }
+    orders
+}
+
+/// Guards against endpoints that are given back in the trough of a wave, when the last peak is as old as is remembered although
+/// demand was as high a few seconds ago.
+#[test]
+fn endpoints_stay_for_the_most_of_the_last_while() {
+    let mut planner = planner();
+    follow(&mut planner, 0..2, 12.0);
+    let before = follow(&mut planner, 2..15, 11.0);
+    let in_the_trough = follow(&mut planner, 15..25, 2.0);
+    assert_eq!(before, in_the_trough, "nothing changes while the wave is remembered");
+    assert!(!follow(&mut planner, 25..45, 2.0).is_empty(), "the wave is over");
+}
