fix(limit): an entry that starts and has heard nobody grants nothing while there may be others

Cause: each entry grants the burst by itself until it hears the first other one.

Change: a process that starts and has heard nobody grants nothing while others are named or the list of entries is unread, for three seconds at the most; the endpoint is left alone for 0.1 s at a time meanwhile, where it was 0.8 s.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -127,7 +127,6 @@
             core_share(shared),
         );
         members.start(now);
-        let granters = members.granters(now).into();
         Self {
             document: Arc::default(),
             document_known: Knowledge::default(),
@@ -152,7 +151,7 @@
             lost_calls: BTreeSet::new(),
             life: random::generator().next_u64(),
             keeping: Keeping::default(),
-            granters,
+            granters: Arc::default(),
             ticked: now,
         }
     }
--- a/bergamotshift-forward/src/control/rates.rs
+++ b/bergamotshift-forward/src/control/rates.rs
@@ -38,7 +38,7 @@
 
     /// Works out which entries grant requests to endpoints that name a rate.
     pub(super) fn grant(&mut self, now: Instant, shared: &Shared) {
-        let granters = self.members.granters(now);
+        let granters = self.members.granters(now, self.lists_entries);
         if granters[..] != self.granters[..] {
             self.granters = granters.into();
             self.publish(shared);
--- a/bergamotshift-forward/src/limits/granter.rs
+++ b/bergamotshift-forward/src/limits/granter.rs
@@ -12,6 +12,9 @@
 /// How long an entry may take to grant a request or to refuse it.
 pub const PATIENCE: Duration = Duration::from_millis(50);
 
+/// How long an endpoint is left alone while it is not known who grants requests to it.
+pub const UNKNOWN: Duration = Duration::from_millis(100);
+
 /// How long an entry that did not answer is left alone, and an endpoint that nobody grants requests to.
 pub const PAUSE: Duration = Duration::from_millis(800);
 
--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -78,8 +78,11 @@
     }
 
     /// Returns the entries that grant requests to endpoints which name a rate: in a large fleet the keepers of the zones, which
-    /// hear one another often, and all entries in a small one.
-    pub fn granters(&self, now: Instant) -> Vec<granter::Candidate> {
+    /// hear one another often, and all entries in a small one. `knows_list` says that the list of entries was read.
+    ///
+    /// Failure: all entries start, and each grants by itself until it hears the first other one. Symptom: an endpoint gets the
+    /// rate's burst from each. A process that starts and has heard nobody grants nothing while there may be others.
+    pub fn granters(&self, now: Instant, knows_list: bool) -> Vec<granter::Candidate> {
         let candidate = |entry: &name::Entry, address| granter::Candidate {
             hash: xxh3_64(entry.as_str().as_bytes()),
             address,
@@ -98,6 +101,10 @@
                 .map(|(entry, peer)| candidate(entry, Some(peer.address)))
                 .collect()
         };
+        let may_have_others = !self.peers.is_empty() || !knows_list;
+        if granters.is_empty() && may_have_others && self.is_young(now) {
+            return granters;
+        }
         let grants = !self.stops && (!self.is_large() || self.keeping(now).keeper == Keeper::Own);
         if grants || granters.is_empty() {
             granters.push(candidate(&self.own, None));
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -370,7 +370,7 @@
 
     /// Returns whether the process started just now. It says all that it knows then, which is little: when all entries start
     /// at once, each has to hear who keeps the other zones.
-    fn is_young(&self, now: Instant) -> bool {
+    pub(super) fn is_young(&self, now: Instant) -> bool {
         self.started.is_some_and(|started| now.since(started) < YOUNG)
     }
 
--- a/bergamotshift-forward/src/peers/permit.rs
+++ b/bergamotshift-forward/src/peers/permit.rs
@@ -111,11 +111,16 @@
             return verdict.wait_ms.is_none();
         }
         let now = self.shared.clock.now();
-        endpoint.said.throttle.close(now + granter::PAUSE);
+        let pause = if granters.is_empty() {
+            granter::UNKNOWN
+        } else {
+            granter::PAUSE
+        };
+        endpoint.said.throttle.close(now + pause);
         if let Some((logger, left_out)) = self.shared.log.room(now, Topic::Limit) {
             info!(logger, "nobody grants a permit"; "request" => request, "rate" => rate,
                 "endpoint" => endpoint.registration.id.as_str(), "entries" => granters.len(),
-                "pause_ms" => granter::PAUSE.as_millis() as u64, "left_out" => left_out);
+                "pause_ms" => pause.as_millis() as u64, "left_out" => left_out);
         }
         false
     }
