fix(limit): only an endpoint's own answer lifts its rate

What callers saw: nothing; found in reading the diff. A refusal that the endpoint did not make and seal, such as that of something in between, names no rate and lifted the one that the endpoint had named.

Change: an answer without a rate lifts one only if it bears the endpoint's seal. Any answer may name one.

Test: only_an_endpoints_own_answer_lifts_its_rate, red before (8 requests where 2 are allowed).

--- a/bergamotshift-forward/src/serve/hear.rs
+++ b/bergamotshift-forward/src/serve/hear.rs
@@ -22,9 +22,12 @@
         }
         let notice = Notice::read(&self.shared.dialect, answer.status, &answer.headers);
         let now = self.shared.clock.now();
-        let word = notice.rate.map_or(Word::lifted(sent), |rate| Word::named(rate, now));
-        self.shared
-            .hear_rate(now, &choice.endpoint, word, Source::Answer(&job.ask.id));
+        let is_own = self.shared.dialect.is_sealed(&answer.headers);
+        let lifted = is_own.then(|| Word::lifted(sent));
+        if let Some(word) = notice.rate.map(|rate| Word::named(rate, now)).or(lifted) {
+            let source = Source::Answer(&job.ask.id);
+            self.shared.hear_rate(now, &choice.endpoint, word, source);
+        }
         let is_news = notice.leaves && choice.endpoint.said.leave();
         if let Some(pause) = notice.pause {
             choice.endpoint.said.pause(now + pause);
--- a/bergamotshift-forward/tests/daemon/throttled.rs
+++ b/bergamotshift-forward/tests/daemon/throttled.rs
@@ -132,3 +132,31 @@
     });
     assert!(refused > 0, "the limit was never kept");
 }
+
+/// Guards against a limit that ends by an answer which the endpoint did not make, such as that of something in between.
+#[test]
+fn only_an_endpoints_own_answer_lifts_its_rate() {
+    let one = Endpoint::start("e1", |seen, before, stream| {
+        let answer = if before == 0 {
+            seen.answer("200 OK", SCARCE, "scarce")
+        } else {
+            let id = seen.header("bergamotshift-request").unwrap_or_default();
+            format!(
+                "HTTP/1.1 503 Away\r\nbergamotshift-request: {id}\r\nbergamotshift-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            )
+        };
+        stream.write_all(answer.as_bytes())?;
+        Ok(After::Keep)
+    });
+    let site = Site::new(&[&one]);
+    let daemon = site.start();
+    let mut caller = Caller::new(&daemon);
+    until("the budget's first request is granted", || {
+        caller.ask("POST", "/confirm/1", "r", "x");
+        one.count() == 2
+    });
+    for number in 0..8 {
+        caller.ask("POST", "/confirm/1", &format!("r-{number}"), "x");
+    }
+    assert_eq!(one.count(), 2);
+}
