fix(limit): callers are served by endpoints without a rate, however many with one refuse

Cause: a request that four endpoints had refused a permit was refused, though other endpoints named no rate.

Change: after four refusals endpoints that name a rate are left out, and the request goes to another one. It is refused only where all endpoints that stay are closed or name rates, with the time at which the first one may take more.

--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -27,7 +27,7 @@
 /// The longest time that a caller is told to wait for room.
 const LONGEST_ROOM: Duration = Duration::from_secs(2);
 
-/// The most endpoints of which one may refuse a request that names a rate, until its caller is told to come back.
+/// How many endpoints are asked whether they take a request, until those that name a rate are left out.
 const PERMITS: usize = 4;
 
 /// The part of its objective that a request waits at the most for an endpoint to take more.
@@ -71,13 +71,16 @@
         let patience = job.route.objective / WAITING_USED;
         let until = self.shared.clock.now() + patience;
         let mut refused = 0;
-        while refused < PERMITS {
+        let mut avoided = history.tried.clone();
+        loop {
             let now = self.shared.clock.now();
-            let candidate = match self.candidate(now, service, job, history) {
+            let candidate = match self.candidate(now, service, job, history, &avoided) {
                 Ok(candidate) => candidate,
                 Err(refusal) => match self.opens(now, service, history) {
                     Some(opens) if opens <= until => {
                         tokio::time::sleep(opens.since(now)).await;
+                        refused = 0;
+                        avoided.clone_from(&history.tried);
                         continue;
                     }
                     _ => return Err(refusal),
@@ -91,8 +94,12 @@
                 return Ok(choice);
             }
             refused += 1;
+            if refused == PERMITS {
+                let limited = self.staying(service);
+                let limited = limited.filter(|endpoint| endpoint.said.throttle.rate().is_some());
+                avoided.extend(limited.map(|endpoint| endpoint.hash));
+            }
         }
-        Err(self.closed(self.shared.clock.now(), service, history))
     }
 
     /// Returns the endpoints of a service that are reached and do not leave.
@@ -113,13 +120,14 @@
         open.filter_map(|endpoint| endpoint.closed_until(now)).min()
     }
 
-    /// Returns the refusal of a request that no endpoint takes; where all of them are closed, with the time at which the first
-    /// one takes more.
+    /// Returns the refusal of a request that no endpoint takes; where all of them are closed or name rates, with the time at which
+    /// the first one may take more.
     fn closed(&self, now: Instant, service: &Service, history: &History) -> Refusal {
-        let all_closed: Option<Vec<Instant>> = self
-            .staying(service)
-            .map(|endpoint| endpoint.closed_until(now))
-            .collect();
+        let opens = |endpoint: &Arc<Endpoint>| {
+            let is_limited = endpoint.said.throttle.rate().is_some();
+            endpoint.closed_until(now).or_else(|| is_limited.then_some(now))
+        };
+        let all_closed: Option<Vec<Instant>> = self.staying(service).map(opens).collect();
         match all_closed.and_then(|opens| opens.into_iter().min()) {
             Some(opens) if !history.may_have_run() => Refusal {
                 reason: Reason::Throttled,
@@ -130,13 +138,20 @@
     }
 
     /// Chooses an endpoint among those that take work, and refuses what cannot be answered in time.
-    fn candidate(&self, now: Instant, service: &Service, job: &Job, history: &History) -> Result<Candidate, Refusal> {
+    fn candidate(
+        &self,
+        now: Instant,
+        service: &Service,
+        job: &Job,
+        history: &History,
+        avoided: &[u64],
+    ) -> Result<Candidate, Refusal> {
         let request = choice::Request {
             ask: &job.ask,
             engine: service.engine,
             own: &self.shared.settings.zone,
             zone: None,
-            tried: &history.tried,
+            tried: avoided,
             sources: &[],
         };
         if self.shared.is_stranded() {
--- a/bergamotshift-forward/tests/daemon/site.rs
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -68,6 +68,19 @@
         self.thread.join().expect("it ends in order")
     }
 
+    /// Returns how many other entries it has heard lately, by its metrics.
+    pub fn peers(&self) -> Option<usize> {
+        let mut caller = TcpStream::connect(self.listen.metrics).ok()?;
+        caller
+            .write_all(b"GET /metrics HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n")
+            .ok()?;
+        let mut text = String::new();
+        caller.read_to_string(&mut text).ok()?;
+        let mut lines = text.lines();
+        let peers = lines.find_map(|line| line.strip_prefix("bergamotshift_forward_peers "))?;
+        peers.trim().parse().ok()
+    }
+
     /// Returns whether it says that callers may come.
     pub fn is_ready(&self) -> bool {
         let Ok(mut caller) = TcpStream::connect(self.listen.ready) else {
