--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -80,8 +80,7 @@
     /// Returns the entries that grant requests to endpoints which name a rate: in a large fleet the keepers of the zones, which
     /// hear one another often, and all entries in a small one. `knows_list` says that the list of entries was read.
     ///
-    /// Failure: all entries start, and each grants by itself until it hears the first other one. Symptom: an endpoint gets the
-    /// rate's burst from each. A process that starts and has heard nobody grants nothing while there may be others.
+    /// There is none while a process that starts has heard nobody and there may be others: each of them would grant the burst.
     pub fn granters(&self, now: Instant, knows_list: bool) -> Vec<granter::Candidate> {
         let candidate = |entry: &name::Entry, address| granter::Candidate {
             hash: xxh3_64(entry.as_str().as_bytes()),
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -27,7 +27,7 @@
 /// The longest time that a caller is told to wait for room.
 const LONGEST_ROOM: Duration = Duration::from_secs(2);
 
-/// How many endpoints are asked whether they take a request, until those that name a rate are left out.
+/// After how many refused permits a request leaves out the endpoints that name a rate.
 const PERMITS: usize = 4;
 
 /// The part of its objective that a request waits at the most for an endpoint to take more.
