refactor(view): a service lists the endpoints of all its versions in one place

Found in reading the change once more: the endpoints of the version in force and of a new one were chained in three places, at the placement of a keeper, for the refusal's time and for what a question to the keeper avoids.

Change: Service::all.

--- a/bergamotshift-forward/src/serve/charge.rs
+++ b/bergamotshift-forward/src/serve/charge.rs
@@ -105,13 +105,15 @@
     let Some(service) = view.services.get(service) else {
         return Vec::new();
     };
-    let canary = service.canary.iter().flat_map(|canary| canary.endpoints.iter());
-    let endpoints = service.endpoints.iter().chain(canary);
     let wants_nothing = |endpoint: &&Arc<Endpoint>| {
         let is_told = endpoint.said.leaves() || endpoint.said.paused_until(now).is_some();
         is_told && !endpoint.is_withdrawn()
     };
-    endpoints.filter(wants_nothing).map(|endpoint| endpoint.hash).collect()
+    service
+        .all()
+        .filter(wants_nothing)
+        .map(|endpoint| endpoint.hash)
+        .collect()
 }
 
 fn from(account: &Arc<Account>, units: u64) -> Admission {
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -43,9 +43,7 @@
 /// Returns the endpoint that the zone's keeper chose, for the first try and as long as this entry knows nothing against it.
 fn placed(job: &Job, service: &Service, history: &History, now: Instant) -> Option<Candidate> {
     let placement = job.placement.filter(|_| history.tried.is_empty())?;
-    let canary = service.canary.iter().flat_map(|canary| canary.endpoints.iter());
-    let mut endpoints = service.endpoints.iter().chain(canary);
-    let endpoint = endpoints.find(|endpoint| endpoint.hash == placement.endpoint)?;
+    let endpoint = service.all().find(|endpoint| endpoint.hash == placement.endpoint)?;
     if endpoint.is_leaving() || endpoint.health.is_paused(now) {
         return None;
     }
@@ -104,11 +102,11 @@
 
     /// Returns the endpoints of a service that are reached and do not leave.
     fn staying<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Arc<Endpoint>> {
-        let canary = service.canary.iter().flat_map(|canary| canary.endpoints.iter());
-        let endpoints = service.endpoints.iter().chain(canary);
         let is_stranded = self.shared.is_stranded();
         let zone = &self.shared.settings.zone;
-        let reached = endpoints.filter(move |endpoint| !is_stranded || endpoint.registration.zone == *zone);
+        let reached = service
+            .all()
+            .filter(move |endpoint| !is_stranded || endpoint.registration.zone == *zone);
         reached.filter(|endpoint| !endpoint.is_leaving())
     }
 
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -57,6 +57,12 @@
 }
 
 impl Service {
+    /// Returns the endpoints of all versions that take requests, leaving ones included.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        let canary = self.canary.iter().flat_map(|canary| canary.endpoints.iter());
+        self.endpoints.iter().chain(canary)
+    }
+
     /// Returns the new version that a request goes to, if it belongs to its share or all requests go there.
     pub fn canary_of(&self, is_canary: bool) -> Option<&Canary> {
         self.canary.as_ref().filter(|canary| is_canary || canary.is_whole())
