refactor(serve): whether an answer turned its request away is asked once

Found in reading the change once more: accept() asked the answer's notice, and judge() asked the endpoint whether it is paused, to decide whether an answer counts against the endpoint; one branch was three deep.

Change: accept() alone decides, a failure is noted in one call for all kinds of requests, and a misdirected request has its own branch. One case differs: a 503 with a time of zero and no proof that it did not run, to a request that may be repeated, counted as a failure, as the pause was over at once; the method's page says that it is none.

--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -280,15 +280,16 @@
     fn accept(&self, job: &Job, mut open: Open, notice: Notice) -> Result<Open, Missed> {
         let turned_away = notice.pause.is_some();
         let Answer { status, headers, .. } = &open.answer;
-        if self.shared.dialect.says_not_run(headers) || *status == StatusCode::MISDIRECTED_REQUEST {
-            if *status == StatusCode::MISDIRECTED_REQUEST {
-                // Another incarnation has the address, so this one is gone.
-                open.seat.endpoint().leave();
-            } else if turned_away {
+        if *status == StatusCode::MISDIRECTED_REQUEST {
+            // Another incarnation has the address, so this one is gone.
+            open.seat.endpoint().leave();
+            return Err(Missed::Unrun);
+        }
+        if self.shared.dialect.says_not_run(headers) {
+            if turned_away {
                 return Err(Missed::TurnedAway);
-            } else {
-                open.seat.testify();
             }
+            open.seat.testify();
             return Err(Missed::Unrun);
         }
         let sealed = self.shared.dialect.is_sealed(headers);
@@ -297,13 +298,10 @@
             return Err(Missed::Lost(Failure::Malformed("a success bears no seal")));
         }
         if status.is_server_error() {
-            let repeats = job.route.kind == Kind::Idempotent;
-            match (repeats, turned_away) {
-                (true, false) => open.seat.testify(),
-                (false, false) => open.seat.failed(),
-                (_, true) => {}
+            if !turned_away {
+                open.seat.failed();
             }
-            if repeats {
+            if job.route.kind == Kind::Idempotent {
                 return Err(Missed::Failed(Box::new(open)));
             }
         }
@@ -335,9 +333,6 @@
                 "the endpoint cannot be reached".to_owned()
             }
             Missed::Failed(open) => {
-                if endpoint.said.paused_until(now).is_none() {
-                    endpoint.health.failed();
-                }
                 let cause = format!("the endpoint answered {}", open.answer.status.as_u16());
                 failed = Some(open);
                 cause
