refactor(peers): who lives and who keeps each zone is worked out in one piece

Found in reading the change once more: the entries that grant permits were worked out with a second copy of the rule who lives, a second way to the keeper of a zone, and keeping() twice in each tick of a large fleet.

Change: Members::alive and Members::keepers_of serve granters(), other_keepers() and candidates(); keeping() is asked once, and in a small fleet not at all. Nothing behaves otherwise; tests as before.

--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -86,16 +86,17 @@
             hash: xxh3_64(entry.as_str().as_bytes()),
             address,
         };
-        let mut granters: Vec<_> = if self.is_large() {
-            let near = keeper::first(self.candidates(now, &self.zone))[0];
-            let near = near.filter(|_| self.keeping(now).keeper != Keeper::Own);
-            let near = near.and_then(|entry| Some((entry.clone(), self.peers.get(entry)?.address)));
-            let keepers = self.other_keepers(now).into_iter().chain(near);
+        let is_large = self.is_large();
+        let keeps = is_large && self.keeping(now).keeper == Keeper::Own;
+        let mut granters: Vec<_> = if is_large {
+            let zones = self.zones().into_iter();
+            let others = zones.filter(|zone| !keeps || **zone != self.zone);
+            let keepers = self.keepers_of(now, others);
             keepers
-                .map(|(entry, address)| candidate(&entry, Some(address)))
+                .map(|(entry, peer)| candidate(entry, Some(peer.address)))
                 .collect()
         } else {
-            let alive = self.peers.iter().filter(|(_, peer)| peer.is_alive(now) && !peer.stops);
+            let alive = self.alive(now);
             alive
                 .map(|(entry, peer)| candidate(entry, Some(peer.address)))
                 .collect()
@@ -104,7 +105,7 @@
         if granters.is_empty() && may_have_others && self.is_young(now) {
             return granters;
         }
-        let grants = !self.stops && (!self.is_large() || self.keeping(now).keeper == Keeper::Own);
+        let grants = !self.stops && (!is_large || keeps);
         if grants || granters.is_empty() {
             granters.push(candidate(&self.own, None));
         }
@@ -119,14 +120,27 @@
     }
 
     fn candidates<'a>(&'a self, now: Instant, zone: &'a name::Zone) -> impl Iterator<Item = Candidate<'a>> {
-        let alive = self
-            .peers
-            .iter()
-            .filter(move |(_, peer)| peer.is_alive(now) && !peer.stops);
-        let near = alive.filter(move |(_, peer)| peer.is_in(zone));
+        let near = self.alive(now).filter(move |(_, peer)| peer.is_in(zone));
         near.map(|(entry, peer)| peer.candidate(entry))
     }
 
+    /// Returns the other entries that live and are not about to end.
+    fn alive(&self, now: Instant) -> impl Iterator<Item = (&name::Entry, &Peer)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_alive(now) && !peer.stops)
+    }
+
+    /// Returns the other entry that comes first in each of these zones.
+    fn keepers_of<'a>(
+        &'a self,
+        now: Instant,
+        zones: impl Iterator<Item = &'a name::Zone>,
+    ) -> impl Iterator<Item = (&'a name::Entry, &'a Peer)> {
+        let first = zones.filter_map(move |zone| keeper::first(self.candidates(now, zone))[0]);
+        first.filter_map(|entry| Some((entry, self.peers.get(entry)?)))
+    }
+
     /// Returns the entries of the own zone that would keep it if they were heard.
     ///
     /// Failure: all entries are killed and start again, and hear the one that comes first only after a second. Symptom:
@@ -140,11 +154,8 @@
 
     /// Returns the keepers of the other zones.
     pub(super) fn other_keepers(&self, now: Instant) -> Vec<(name::Entry, SocketAddr)> {
-        let zones = self.zones();
-        let others = zones.into_iter().filter(|zone| **zone != self.zone);
-        let keepers = others.filter_map(|zone| keeper::first(self.candidates(now, zone))[0]);
-        keepers
-            .filter_map(|entry| Some((entry.clone(), self.peers.get(entry)?.address)))
-            .collect()
+        let others = self.zones().into_iter().filter(|zone| **zone != self.zone);
+        let keepers = self.keepers_of(now, others);
+        keepers.map(|(entry, peer)| (entry.clone(), peer.address)).collect()
     }
 }
