refactor(exchange): one piece asks another entry over a pooled connection

Found in reading the change once more: asking for a permit wrote the steps of asking a keeper again (idle connection or a new one, call, give back). And the pool of the thread that answers other entries was never swept, as only the callers' thread did that.

Change: exchange::ask_pooled serves both. Connections of one peer stay bounded as before.

--- a/bergamotshift-forward/src/exchange/call.rs
+++ b/bergamotshift-forward/src/exchange/call.rs
@@ -1,8 +1,10 @@
 //! Calls between entries: short ones, and answers of any length.
 
 use core::cell::Cell;
+use core::cell::RefCell;
 use core::net::SocketAddr;
 use core::pin::pin;
+use core::time::Duration;
 
 use bergamotshift_core::pace::Pace;
 use ntex::http::HeaderMap;
@@ -16,6 +18,8 @@
 use super::failure::Failure;
 use super::head::Answer;
 use super::head::encode;
+use super::pool::Pool;
+use crate::observe::Clock;
 
 /// A whole answer of another entry.
 #[derive(Debug)]
@@ -42,6 +46,30 @@
     read(connection, address, path, question, &Cell::new(0)).await
 }
 
+/// Sends a question to another entry over an idle connection, or a new one that comes about within `patience`, reads the
+/// whole answer and gives the connection back.
+///
+/// # Errors
+///
+/// Returns what went wrong on the way; any status is an answer.
+pub async fn ask_pooled(
+    pool: &RefCell<Pool>,
+    clock: Clock,
+    address: SocketAddr,
+    patience: Duration,
+    path: &str,
+    question: &[u8],
+) -> Result<Reply, Failure> {
+    let idle = pool.borrow_mut().take(clock.now(), address);
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => Connection::open(address, patience).await?,
+    };
+    let reply = call(&mut connection, address, path, question).await?;
+    pool.borrow_mut().put(clock.now(), address, connection, &reply.headers);
+    Ok(reply)
+}
+
 /// Sends a question to another entry and reads its whole answer, however long that is, while it keeps pace.
 ///
 /// # Errors
--- a/bergamotshift-forward/src/exchange/mod.rs
+++ b/bergamotshift-forward/src/exchange/mod.rs
@@ -12,6 +12,7 @@
 mod pool;
 
 pub use self::body::Body;
+pub use self::call::ask_pooled;
 pub use self::call::call;
 pub use self::call::download;
 pub use self::connection::Connection;
--- a/bergamotshift-forward/src/peers/permit.rs
+++ b/bergamotshift-forward/src/peers/permit.rs
@@ -20,7 +20,6 @@
 use super::question::question;
 use crate::endpoint::Endpoint;
 use crate::exchange;
-use crate::exchange::Connection;
 use crate::exchange::Pool;
 use crate::limits::granter;
 use crate::observe::Topic;
@@ -130,6 +129,7 @@
         if self.away.borrow().get(&address).is_some_and(|until| now < *until) {
             return None;
         }
+        self.pool.borrow_mut().sweep(now, |_| true);
         let rate = Rate::of(endpoint, now);
         let entry = self.shared.settings.name.clone();
         let question = Question { entry, rate, cost };
@@ -147,24 +147,14 @@
 
     async fn exchange(&self, address: SocketAddr, question: &Question) -> Option<Verdict> {
         let question = postcard::to_stdvec(question).ok()?;
-        let idle = self.pool.borrow_mut().take(self.shared.clock.now(), address);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => Connection::open(address, granter::PATIENCE).await.ok()?,
-        };
-        let answer = exchange::call(&mut connection, address, PATH, &question).await.ok()?;
-        let now = self.shared.clock.now();
-        self.pool.borrow_mut().put(now, address, connection, &answer.headers);
+        let clock = self.shared.clock;
+        let asked = exchange::ask_pooled(&self.pool, clock, address, granter::PATIENCE, PATH, &question);
+        let answer = asked.await.ok()?;
         (answer.status == StatusCode::OK)
             .then(|| postcard::from_bytes(&answer.body).ok())
             .flatten()
     }
 
-    /// Closes connections that were idle for too long.
-    pub fn sweep(&self) {
-        self.pool.borrow_mut().sweep(self.shared.clock.now(), |_| true);
-    }
-
     fn log(&self, endpoint: &Endpoint, request: &str, rate: f64, granter: granter::Candidate, verdict: Verdict) {
         let outcome = if verdict.wait_ms.is_none() {
             "granted"
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -428,7 +428,6 @@
     /// Closes idle connections, and forgets caches, that are of no more use.
     pub fn sweep(&self) {
         self.callers.forget_closed();
-        self.permits.sweep();
         let view = self.shared.view.load();
         let is_there = |hash| view.endpoint(hash).is_some();
         self.shared.recall().expire(self.shared.clock.now(), is_there);
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -11,7 +11,6 @@
 
 use super::Forwarder;
 use crate::exchange;
-use crate::exchange::Connection;
 use crate::limits::Keeper;
 use crate::limits::Refused;
 use crate::limits::keeper;
@@ -166,17 +165,9 @@
 
     async fn exchange(&self, address: SocketAddr, question: &Question) -> Result<Answer, Missed> {
         let question = postcard::to_stdvec(question).or(Err(Missed::Disagrees))?;
-        let idle = self.pool.borrow_mut().take(self.shared.clock.now(), address);
-        let mut connection = if let Some(connection) = idle {
-            connection
-        } else {
-            let opened = Connection::open(address, keeper::PATIENCE).await;
-            opened.or(Err(Missed::Unreached))?
-        };
-        let call = exchange::call(&mut connection, address, peers::KEEP, &question);
-        let answer = call.await.or(Err(Missed::Unreached))?;
-        let now = self.shared.clock.now();
-        self.pool.borrow_mut().put(now, address, connection, &answer.headers);
+        let clock = self.shared.clock;
+        let asked = exchange::ask_pooled(&self.pool, clock, address, keeper::PATIENCE, peers::KEEP, &question);
+        let answer = asked.await.or(Err(Missed::Unreached))?;
         if answer.status != StatusCode::OK {
             return Err(Missed::Disagrees);
         }
