refactor(core): a time until which something holds is one type

Found in reading the change once more: a microsecond count in an atomic, compared with the clock, stood three times: the endpoint's health, the pause that it asks for and a throttle that is closed.

Change: clock::Until, with the two ways to set it (whatever was before, or only later). Nothing behaves otherwise; tests as before, and a runnable example.

--- a/bergamotshift-core/src/clock.rs
+++ b/bergamotshift-core/src/clock.rs
@@ -6,6 +6,8 @@
 use core::fmt;
 use core::ops::Add;
 use core::ops::Sub;
+use core::sync::atomic::AtomicU64;
+use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
 
 use serde::Deserialize;
@@ -49,6 +51,38 @@
     }
 }
 
+/// A time until which something holds, which any thread may set.
+///
+/// ```
+/// use bergamotshift_core::prelude::*;
+/// use bergamotshift_core::clock::Until;
+///
+/// let pause = Until::default();
+/// pause.extend(Instant::from_secs(5));
+/// pause.extend(Instant::from_secs(3));
+/// assert_eq!(pause.after(Instant::from_secs(4)), Some(Instant::from_secs(5)));
+/// assert_eq!(pause.after(Instant::from_secs(5)), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct Until(AtomicU64);
+
+impl Until {
+    /// Sets the time.
+    pub fn set(&self, at: Instant) {
+        self.0.store(at.0, Relaxed);
+    }
+
+    /// Sets the time if it is later than the one before.
+    pub fn extend(&self, at: Instant) {
+        self.0.fetch_max(at.0, Relaxed);
+    }
+
+    /// Returns the time if it lies after `now`; `None` when it is over.
+    pub fn after(&self, now: Instant) -> Option<Instant> {
+        Some(Instant(self.0.load(Relaxed))).filter(|at| *at > now)
+    }
+}
+
 impl Add<Duration> for Instant {
     type Output = Self;
 
--- a/bergamotshift-forward/src/endpoint/health.rs
+++ b/bergamotshift-forward/src/endpoint/health.rs
@@ -1,10 +1,10 @@
 //! How an endpoint fared lately: whether it can be reached, and how often it fails.
 
 use core::sync::atomic::AtomicU32;
-use core::sync::atomic::AtomicU64;
 use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
 
+use bergamotshift_core::clock::Until;
 use bergamotshift_core::prelude::*;
 
 /// The first pause after an endpoint could not be reached; a crashed one is back after some seconds.
@@ -30,15 +30,15 @@
     trouble: AtomicU32,
     /// Failures to reach it in a row.
     unreachable: AtomicU32,
-    /// Until when it is passed over, in microseconds of kernel time.
-    paused: AtomicU64,
+    /// Until when it is passed over.
+    paused: Until,
 }
 
 impl Health {
     /// Notes an answer that an endpoint in order gives.
     pub fn succeeded(&self) {
         self.unreachable.store(0, Relaxed);
-        self.paused.store(0, Relaxed);
+        self.paused.set(Instant::ZERO);
         self.trouble
             .update(Relaxed, Relaxed, |trouble| trouble - trouble.div_ceil(FALL));
     }
@@ -54,12 +54,12 @@
         self.failed();
         let before = self.unreachable.fetch_add(1, Relaxed).min(8);
         let pause = FIRST_PAUSE.saturating_mul(1 << before).min(LONGEST_PAUSE);
-        self.paused.store((now + pause).as_micros(), Relaxed);
+        self.paused.set(now + pause);
     }
 
     /// Returns whether the endpoint is passed over for now.
     pub fn is_paused(&self, now: Instant) -> bool {
-        self.paused.load(Relaxed) > now.as_micros()
+        self.paused.after(now).is_some()
     }
 
     /// Returns its share of failures lately, between 0 and 1.
--- a/bergamotshift-forward/src/endpoint/said.rs
+++ b/bergamotshift-forward/src/endpoint/said.rs
@@ -1,9 +1,9 @@
 //! What an endpoint says of itself in its answers.
 
 use core::sync::atomic::AtomicBool;
-use core::sync::atomic::AtomicU64;
 use core::sync::atomic::Ordering::Relaxed;
 
+use bergamotshift_core::clock::Until;
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::throttle::Throttle;
 
@@ -13,8 +13,8 @@
     /// The rate that it names.
     pub throttle: Throttle,
     leaves: AtomicBool,
-    /// Until when it wants nothing from this entry, in microseconds of kernel time.
-    paused: AtomicU64,
+    /// Until when it wants nothing from this entry.
+    paused: Until,
 }
 
 impl Said {
@@ -30,12 +30,11 @@
 
     /// Notes until when it wants nothing from this entry; an earlier time takes nothing back.
     pub fn pause(&self, until: Instant) {
-        self.paused.fetch_max(until.as_micros(), Relaxed);
+        self.paused.extend(until);
     }
 
     /// Returns until when it wants nothing from this entry; `None` when it said no such time, or that is over.
     pub fn paused_until(&self, now: Instant) -> Option<Instant> {
-        let until = Instant::from_micros(self.paused.load(Relaxed));
-        Some(until).filter(|until| *until > now)
+        self.paused.after(now)
     }
 }
--- a/bergamotshift-limit/src/throttle/mod.rs
+++ b/bergamotshift-limit/src/throttle/mod.rs
@@ -20,13 +20,12 @@
 
 mod word;
 
-use core::sync::atomic::AtomicU64;
-use core::sync::atomic::Ordering::Relaxed;
 use core::time::Duration;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use bergamotshift_core::clock::Until;
 use bergamotshift_core::prelude::*;
 
 pub use self::word::Word;
@@ -56,8 +55,8 @@
     heard: Mutex<Heard>,
     /// What this client grants to all of them.
     bucket: Bucket,
-    /// Until when this client sends nothing, in microseconds of kernel time.
-    closed: AtomicU64,
+    /// Until when this client sends nothing.
+    closed: Until,
 }
 
 impl Default for Throttle {
@@ -65,7 +64,7 @@
         Self {
             heard: Mutex::default(),
             bucket: Bucket::new(1.0, 1.0),
-            closed: AtomicU64::new(0),
+            closed: Until::default(),
         }
     }
 }
@@ -90,7 +89,7 @@
                 let burst = (rate * BURST.as_secs_f64()).max(1.0);
                 self.bucket.set_rate(word.at, rate, burst);
             }
-            None => self.closed.store(0, Relaxed),
+            None => self.closed.set(Instant::ZERO),
         }
         true
     }
@@ -127,13 +126,12 @@
 
     /// Has this client send nothing until `until`, unless the limit ends before.
     pub fn close(&self, until: Instant) {
-        self.closed.fetch_max(until.as_micros(), Relaxed);
+        self.closed.extend(until);
     }
 
     /// Returns until when this client sends nothing; `None` when it may ask.
     pub fn closed_until(&self, now: Instant) -> Option<Instant> {
-        let until = Instant::from_micros(self.closed.load(Relaxed));
-        Some(until).filter(|until| *until > now)
+        self.closed.after(now)
     }
 
     fn heard(&self) -> MutexGuard<'_, Heard> {
