fix(entry): a drain returns once nobody listens any more

Cause: drain() asked the server threads to end and returned; its page says that it blocks until the entry has ended. Whoever connected in between was accepted and got nothing.

Change: after asking, it waits until the server threads have ended, one second at the most, and logs if they have not.

Ruled out: another process that took the port over (the failing run was reproduced alone, and the wait removes it).

--- a/bergamotshift-entry/src/daemon/handle.rs
+++ b/bergamotshift-entry/src/daemon/handle.rs
@@ -23,6 +23,9 @@
 /// How long the goodbye to the other entries may take.
 const GOODBYE: Duration = Duration::from_secs(2);
 
+/// How long the server threads may take to end once nothing is under way.
+const ENDING: Duration = Duration::from_secs(1);
+
 /// How a drain ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Drained {
@@ -100,6 +103,7 @@
         }
         self.say_goodbye();
         self.end();
+        self.wait_for_server();
         info!(logger, "drained"; "cut" => cut);
         Drained { cut }
     }
@@ -113,6 +117,19 @@
         let _ = told.recv_timeout(GOODBYE);
     }
 
+    /// Waits until the server threads have ended, so that nobody listens any more.
+    fn wait_for_server(&self) {
+        let began = Instant::now();
+        let serves = || self.server.as_ref().is_some_and(|server| !server.is_finished());
+        while serves() && began.elapsed() < ENDING {
+            thread::sleep(LOOK);
+        }
+        if serves() {
+            let logger = &self.shared.settings.logger;
+            warn!(logger, "the server threads have not ended"; "waited_ms" => ENDING.as_millis() as u64);
+        }
+    }
+
     /// Waits until the entry has ended.
     pub fn join(mut self) {
         for thread in [self.server.take(), self.control.take()].into_iter().flatten() {
