feat(forward): log truncated histories and dropped answers of the store

The incident's logs could not tell a store whose versions went back from one that keeps truncating its history: neither a feed that ended with a gap nor a complete read that was dropped as older left a line. Both are logged now, with the positions.

--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -193,14 +193,27 @@
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
         // Another entry may have sent newer changes while this answer was in flight.
-        let is_older = cursor < inner.registrations_checkpoint.cursor();
+        let known = inner.registrations_checkpoint.cursor();
+        let is_older = cursor < known;
         if is_older && matches!(event, Event::Listed(_)) {
+            if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::State) {
+                info!(logger, "older answer dropped"; "call" => "registrations", "cursor" => cursor.0,
+                    "known" => known.0, "left_out" => left_out);
+            }
             return;
         }
         inner.registrations_checkpoint.confirm(now, cursor, Duration::ZERO);
         inner.apply_endpoints(now, &self.shared, event, "store");
     }
 
+    /// Logs that the store no longer has the changes after a cursor, so that everything is read again.
+    pub fn report_truncated(&self, call: &'static str, after: Option<Cursor>) {
+        if let Some((logger, left_out)) = self.shared.log.rate_limited(self.now(), Topic::State) {
+            info!(logger, "history truncated"; "call" => call, "cursor" => after.map(|cursor| cursor.0),
+                "left_out" => left_out);
+        }
+    }
+
     /// Counts and logs registrations that cannot be decoded.
     pub fn report_unreadable(&self, changes: &[Change]) {
         for change in changes {
--- a/bergamotshift-forward/src/follow/document.rs
+++ b/bergamotshift-forward/src/follow/document.rs
@@ -160,7 +160,7 @@
         control.record_call("document", result.as_ref().err().and_then(failure));
         match result {
             Ok((instructions, next)) => control.apply_stored_document(instructions, next),
-            Err(Gap::Truncated) => {}
+            Err(Gap::Truncated) => control.report_truncated("document", after),
             Err(Gap::Failed(_)) => return scale_pause(RETRY_DELAY, control.entry_count()),
         }
         Duration::ZERO
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -41,7 +41,7 @@
                 control.report_unreadable(&changes);
                 control.apply_stored_registrations(event(is_full, changes), next);
             }
-            Err(Gap::Truncated) => {}
+            Err(Gap::Truncated) => control.report_truncated("registrations", after),
             Err(Gap::Failed(_)) => {
                 control.registrations_unavailable();
                 tokio::time::sleep(scale_pause(RETRY_DELAY, control.entry_count())).await;
