--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -40,6 +40,15 @@
 use bergamotshift_rollout::order::State;
 use smol_str::SmolStr;
 
+/// Copy of the store's rows, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    document: Option<Document>,
+    registrations: BTreeMap<SmolStr, Registration>,
+    rows: BTreeMap<Key, Row>,
+    changes: u64,
+}
+
 /// Contents of the store, and the calls that the cloud received.
 #[derive(Debug, Default)]
 pub struct Backend {
@@ -105,6 +114,24 @@
         self.changes += 1;
     }
 
+    /// Copies the rows and their version.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            document: self.document.clone(),
+            registrations: self.registrations.clone(),
+            rows: self.rows.clone(),
+            changes: self.changes,
+        }
+    }
+
+    /// Restores a copy: later writes are lost, and versions continue from the copy's.
+    pub fn restore(&mut self, copy: Copy) {
+        self.document = copy.document;
+        self.registrations = copy.registrations;
+        self.rows = copy.rows;
+        self.changes = copy.changes;
+    }
+
     /// Removes an endpoint's registration.
     pub fn remove(&mut self, id: &str) {
         self.registrations.remove(id);
--- /dev/null
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -0,0 +1,45 @@
+//! A store that is restored from a copy, so that its versions go back.
+
+use crate::endpoint::Endpoint;
+use crate::outside::lock;
+use crate::site::Caller;
+use crate::site::Daemon;
+use crate::site::Site;
+use crate::site::wait_until;
+
+/// Number of requests among which an endpoint that is in use receives at least one.
+const REQUESTS: usize = 20;
+
+/// Number of registrations that are written after the copy, and lost.
+const LOST_WRITES: usize = 50;
+
+/// Sends requests, and returns whether the endpoint received one of them.
+fn is_used(daemon: &Daemon, endpoint: &Endpoint) -> bool {
+    let before = endpoint.count();
+    for number in 0..REQUESTS {
+        Caller::new(daemon).ask("GET", "/checkin/1", &format!("r-{number}"), "");
+    }
+    endpoint.count() > before
+}
+
+/// Guards against registrations that are dropped as older after a restore, so that a leaving endpoint stays in use.
+#[test]
+fn an_endpoint_that_leaves_after_a_restore_gets_no_further_requests() {
+    let (one, two) = (Endpoint::plain("e1", "done"), Endpoint::plain("e2", "done"));
+    let site = Site::new(&[&one]);
+    let daemon = site.start();
+    let copy = lock(&site.backend).copy();
+    for _ in 0..LOST_WRITES {
+        lock(&site.backend).register(two.registration("staff"));
+    }
+    wait_until("both endpoints are known", || daemon.endpoint_count() == Some(2));
+    let mut leaving = one.registration("staff");
+    leaving.leaving = true;
+    {
+        let mut backend = lock(&site.backend);
+        backend.restore(copy);
+        backend.register(two.registration("staff"));
+        backend.register(leaving);
+    }
+    wait_until("the leaving endpoint is not used", || !is_used(&daemon, &one));
+}
--- a/bergamotshift-forward/tests/daemon/site.rs
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -72,17 +72,26 @@
         self.thread.join().expect("it ends in order")
     }
 
-    /// Returns the number of other entries with a recent state, read from the daemon's metrics.
+    /// Returns the number of other entries with a recent state.
     pub fn peer_count(&self) -> Option<usize> {
+        self.gauge("bergamotshift_forward_peers")
+    }
+
+    /// Returns the number of known endpoints.
+    pub fn endpoint_count(&self) -> Option<usize> {
+        self.gauge("bergamotshift_forward_endpoints")
+    }
+
+    /// Reads a gauge from the daemon's metrics.
+    fn gauge(&self, name: &str) -> Option<usize> {
         let mut caller = TcpStream::connect(self.listen.metrics).ok()?;
         caller
             .write_all(b"GET /metrics HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n")
             .ok()?;
         let mut text = String::new();
         caller.read_to_string(&mut text).ok()?;
-        let mut lines = text.lines();
-        let peers = lines.find_map(|line| line.strip_prefix("bergamotshift_forward_peers "))?;
-        peers.trim().parse().ok()
+        let mut values = text.lines().filter_map(|line| line.strip_prefix(name));
+        values.next()?.trim().parse().ok()
     }
 
     /// Returns whether the readiness check succeeds.
