test(forward): calls of the tests' store take as long as the platform's

Reads of registrations now take 4 ms, and the test fails with 'it did not come about: the leaving endpoint is not used', 3 of 3 runs.

--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -160,6 +160,9 @@
     }
 }
 
+/// Duration of a call that reads registrations.
+const CALL_DURATION: Duration = Duration::from_millis(4);
+
 #[derive(Debug)]
 struct Store {
     backend: Shared,
@@ -215,13 +218,18 @@
             let all = backend.registrations.values().cloned().map(Change::Written).collect();
             (all, Cursor(backend.changes))
         };
-        let answer = self.access().map(list);
-        Box::pin(async move { answer })
+        Box::pin(async move {
+            tokio::time::sleep(CALL_DURATION).await;
+            self.access().map(list)
+        })
     }
 
     fn changes(&self, _after: Cursor) -> Future<'_, Result<(Vec<Change>, Cursor), Gap>> {
         // The history is always reported as truncated, so that everything is read again.
-        Box::pin(async { Err(Gap::Truncated) })
+        Box::pin(async {
+            tokio::time::sleep(CALL_DURATION).await;
+            Err(Gap::Truncated)
+        })
     }
 }
 
