fix(forward): compare positions of the store within its era

Callers saw nothing wrong; requests reached an endpoint up to 2.4 s after it had announced in the store that it leaves, where 2 s are allowed, and all entries called the store 140 times a second each for six seconds.

Cause: the store was restored from a copy, so its versions went back. Entries ordered positions by the version alone: each complete read was dropped as older than the cursor, and the feed answered 410, as the cursor lay beyond its newest version. Both calls repeated without a pause until the store's counter had passed the cursor. What was written below it was learnt late, or, by an entry whose cursor the counter passed between two calls, not before the next write of the same row.

Answers of an earlier era are dropped and logged. Entries pass the era on with their positions, so one that only hears of a restore from others follows it.

Ruled out: a truncated history (a complete read would then have taken effect) and entries that confirm each other without reading (each of them called the store).

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -33,6 +33,7 @@
 use crate::limits::Policy;
 use crate::limits::granter;
 use crate::observe::Topic;
+use crate::outside::Cursor;
 use crate::peers::Members;
 use crate::random;
 use crate::view::Shared;
@@ -214,6 +215,19 @@
         self.publish(shared);
     }
 
+    /// Records that the registrations at `cursor` were current `age` ago, and whether the store was restored since.
+    pub(super) fn advance_registrations(&mut self, now: Instant, shared: &Shared, cursor: Cursor, age: Duration) {
+        let is_first = self.registrations_checkpoint.age(now).is_none();
+        let known = self.registrations_checkpoint.cursor();
+        self.registrations_checkpoint.confirm(now, cursor, age);
+        if is_first || cursor.era <= known.era {
+            return;
+        }
+        info!(shared.log.always(), "store restored"; "era" => cursor.era, "before" => known.era,
+            "cursor" => %cursor, "known" => %known);
+        shared.metrics.store_restores.inc();
+    }
+
     /// Applies an event about registrations, and publishes a new view if the endpoints changed.
     pub(super) fn apply_endpoints(&mut self, now: Instant, shared: &Shared, event: Event, from: &str) {
         let (before, digest) = (self.directory.endpoints().count(), self.directory.digest());
@@ -225,7 +239,7 @@
         let after = self.directory.endpoints().count();
         if let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State) {
             info!(logger, "endpoints changed"; "before" => before, "after" => after, "from" => from,
-                "cursor" => self.registrations_checkpoint.cursor().0, "left_out" => left_out);
+                "cursor" => %self.registrations_checkpoint.cursor(), "left_out" => left_out);
         }
         self.publish(shared);
     }
@@ -239,7 +253,7 @@
                     "service" => endpoint.registration.service.as_str(),
                     "zone" => endpoint.registration.zone.as_str(), "from" => from,
                     "leaves_in_ms" => endpoint.registration.leaves_in.map(|left| left.as_millis() as u64),
-                    "cursor" => self.registrations_checkpoint.cursor().0, "left_out" => left_out);
+                    "cursor" => %self.registrations_checkpoint.cursor(), "left_out" => left_out);
             }
         }
         if !leaving.is_empty() {
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -158,6 +158,11 @@
     pub fn apply_stored_document(&self, instructions: Instructions, cursor: Cursor) {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
+        let known = inner.document_checkpoint.cursor();
+        if cursor.era < known.era {
+            self.report_dropped(now, "document", cursor, known);
+            return;
+        }
         inner.document_checkpoint.confirm(now, cursor, Duration::ZERO);
         inner.apply_stored_rollouts(now, &self.shared, instructions.rollouts);
         for (service, cause) in &instructions.unreadable {
@@ -194,22 +199,27 @@
         let mut inner = self.inner.borrow_mut();
         // Another entry may have sent newer changes while this answer was in flight.
         let known = inner.registrations_checkpoint.cursor();
-        let is_older = cursor < known;
-        if is_older && matches!(event, Event::Listed(_)) {
-            if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::State) {
-                info!(logger, "older answer dropped"; "call" => "registrations", "cursor" => cursor.0,
-                    "known" => known.0, "left_out" => left_out);
-            }
+        if cursor.era < known.era || cursor < known && matches!(event, Event::Listed(_)) {
+            self.report_dropped(now, "registrations", cursor, known);
             return;
         }
-        inner.registrations_checkpoint.confirm(now, cursor, Duration::ZERO);
+        inner.advance_registrations(now, &self.shared, cursor, Duration::ZERO);
         inner.apply_endpoints(now, &self.shared, event, "store");
     }
 
+    /// Logs that an answer of the store is older than what this entry knows.
+    fn report_dropped(&self, now: Instant, call: &'static str, cursor: Cursor, known: Cursor) {
+        self.shared.metrics.answers_dropped.inc();
+        if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::State) {
+            info!(logger, "older answer dropped"; "call" => call, "cursor" => %cursor, "known" => %known,
+                "left_out" => left_out);
+        }
+    }
+
     /// Logs that the store no longer has the changes after a cursor, so that everything is read again.
     pub fn report_truncated(&self, call: &'static str, after: Option<Cursor>) {
         if let Some((logger, left_out)) = self.shared.log.rate_limited(self.now(), Topic::State) {
-            info!(logger, "history truncated"; "call" => call, "cursor" => after.map(|cursor| cursor.0),
+            info!(logger, "history truncated"; "call" => call, "cursor" => after.map(|cursor| cursor.to_string()),
                 "left_out" => left_out);
         }
     }
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -23,7 +23,7 @@
 /// Converts a checkpoint to the form in which it is sent to other entries.
 pub(super) fn freshness(checkpoint: &Checkpoint, now: Instant) -> Option<Freshness> {
     checkpoint.age(now).map(|age| Freshness {
-        cursor: checkpoint.cursor().0,
+        cursor: checkpoint.cursor(),
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     })
 }
@@ -31,10 +31,15 @@
 /// Updates a checkpoint from another entry that has the same data.
 pub(super) fn confirm(checkpoint: &mut Checkpoint, now: Instant, freshness: Option<Freshness>) {
     if let Some(Freshness { cursor, age_ms }) = freshness {
-        checkpoint.confirm(now, Cursor(cursor), Duration::from_millis(age_ms.into()));
+        checkpoint.confirm(now, cursor, age(age_ms));
     }
 }
 
+/// Converts an age from the form in which it is sent to other entries.
+fn age(millis: u32) -> Duration {
+    Duration::from_millis(millis.into())
+}
+
 impl Inner {
     /// Returns the state that this entry sends to others.
     pub(super) fn state(&self, now: Instant, shared: &Shared) -> State {
@@ -102,8 +107,8 @@
         let peer = (state.endpoints, state.endpoints_freshness);
         let is_brief = state.is_brief();
         self.apply_state(now, shared, state);
-        let cursor = peer.1.map_or(0, |known| known.cursor);
-        let is_newer = self.registrations_checkpoint.cursor().0 > cursor
+        let cursor = peer.1.map_or(Cursor::default(), |known| known.cursor);
+        let is_newer = self.registrations_checkpoint.cursor() > cursor
             && self.directory.is_settled()
             && self.directory.digest() != peer.0;
         let own = self.state(now, shared);
@@ -120,14 +125,21 @@
         if let Some(endpoints) = endpoints
             && state
                 .endpoints_freshness
-                .is_some_and(|known| known.cursor > self.registrations_checkpoint.cursor().0)
+                .is_some_and(|known| known.cursor > self.registrations_checkpoint.cursor())
         {
-            confirm(&mut self.registrations_checkpoint, now, state.endpoints_freshness);
+            self.confirm_registrations(now, shared, state.endpoints_freshness);
             self.apply_endpoints(now, shared, Event::Relayed(endpoints), from.as_str());
         }
         self.apply_state(now, shared, state);
     }
 
+    /// Updates the registrations' checkpoint from another entry that has the same registrations.
+    fn confirm_registrations(&mut self, now: Instant, shared: &Shared, freshness: Option<Freshness>) {
+        if let Some(Freshness { cursor, age_ms }) = freshness {
+            self.advance_registrations(now, shared, cursor, age(age_ms));
+        }
+    }
+
     /// Applies the demand and the limit shares of another entry or another zone.
     fn apply_limit_usage(&mut self, now: Instant, shared: &Shared, state: &State) {
         let is_keeper = self.keepers.keeper == Keeper::Own;
@@ -198,7 +210,7 @@
             confirm(&mut self.document_checkpoint, now, state.document_freshness);
         }
         if state.endpoints == self.directory.digest() {
-            confirm(&mut self.registrations_checkpoint, now, state.endpoints_freshness);
+            self.confirm_registrations(now, shared, state.endpoints_freshness);
         }
         if !state.suspicions.is_empty() {
             self.quarantine.merge(now, &state.suspicions);
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -90,6 +90,10 @@
     pub stranded: Gauge<i64, AtomicI64>,
     /// Number of registrations and rollout orders that could not be read.
     pub registrations_unread: Counter<u64, AtomicU64>,
+    /// Number of times that this entry found the store restored from a copy.
+    pub store_restores: Counter<u64, AtomicU64>,
+    /// Number of the store's answers that were older than what this entry knew.
+    pub answers_dropped: Counter<u64, AtomicU64>,
 }
 
 impl Metrics {
@@ -117,6 +121,8 @@
             permits_unanswered: Counter::default(),
             stranded: Gauge::default(),
             registrations_unread: Counter::default(),
+            store_restores: Counter::default(),
+            answers_dropped: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by route and outcome", metrics.requests.clone());
@@ -186,6 +192,10 @@
             "Registrations that could not be read",
             metrics.registrations_unread.clone(),
         );
+        let help = "Times that the store was found restored from a copy";
+        registry.register("store_restores", help, metrics.store_restores.clone());
+        let help = "Answers of the store that were older than what was known";
+        registry.register("store_answers_dropped", help, metrics.answers_dropped.clone());
         metrics
     }
 
--- a/bergamotshift-forward/src/outside/mod.rs
+++ b/bergamotshift-forward/src/outside/mod.rs
@@ -1,5 +1,6 @@
 //! Interfaces to external systems, which platform adapters implement. The table of stored rows has its own interface.
 
+use core::fmt;
 use core::fmt::Debug;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -13,6 +14,8 @@
 use bergamotshift_platform::table::Table;
 use bergamotshift_rollout::Order as Rollout;
 use bergamotshift_rollout::order::State;
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 use thiserror::Error as ThisError;
 
@@ -21,8 +24,23 @@
 use crate::endpoint::Change;
 
 /// A position in the store's history of changes, which increases with each change.
+///
+/// A store that is restored from a copy loses its last changes: versions go back and are assigned again, and the era
+/// rises. Positions are therefore ordered by era first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Cursor(pub u64);
+#[derive(Serialize, Deserialize)]
+pub struct Cursor {
+    /// Number of times that the store was restored; 0 if it does not report this.
+    pub era: u64,
+    /// Version of the last change within the era.
+    pub version: u64,
+}
+
+impl fmt::Display for Cursor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era, self.version)
+    }
+}
 
 /// Error of reading changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -15,6 +15,7 @@
 use crate::duty::Windows;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Registration;
+use crate::outside::Cursor;
 
 /// An event that a request reports to the control thread.
 #[derive(Clone, Copy, Debug)]
@@ -124,7 +125,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct Freshness {
     /// The position in the store's history of changes.
-    pub cursor: u64,
+    pub cursor: Cursor,
     /// The time since the copy was known to be current, in milliseconds.
     pub age_ms: u32,
 }
--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -64,6 +64,8 @@
     /// Names of the entries whose calls to the store fail; the name follows the `@` in the store's address.
     pub disconnected: Vec<SmolStr>,
     changes: u64,
+    /// Number of times that a copy was restored.
+    era: u64,
 }
 
 /// Backend shared by tests and daemons.
@@ -114,6 +116,14 @@
         self.changes += 1;
     }
 
+    /// Returns the position of the last change.
+    fn cursor(&self) -> Cursor {
+        Cursor {
+            era: self.era,
+            version: self.changes,
+        }
+    }
+
     /// Copies the rows and their version.
     pub fn copy(&self) -> Copy {
         Copy {
@@ -130,6 +140,7 @@
         self.registrations = copy.registrations;
         self.rows = copy.rows;
         self.changes = copy.changes;
+        self.era += 1;
     }
 
     /// Removes an endpoint's registration.
@@ -181,9 +192,7 @@
 
 impl Operators for Store {
     fn read(&self) -> Future<'_, Result<(Instructions, Cursor), Error>> {
-        let answer = self
-            .access()
-            .map(|backend| (backend.instructions(), Cursor(backend.changes)));
+        let answer = self.access().map(|backend| (backend.instructions(), backend.cursor()));
         Box::pin(async move { answer })
     }
 
@@ -192,7 +201,7 @@
         Box::pin(async move {
             tokio::time::sleep(wait.min(POLL_INTERVAL)).await;
             let backend = self.access()?;
-            Ok((backend.instructions(), Cursor(backend.changes)))
+            Ok((backend.instructions(), backend.cursor()))
         })
     }
 
@@ -216,7 +225,7 @@
     fn registrations(&self) -> Future<'_, Result<(Vec<Change>, Cursor), Error>> {
         let list = |backend: MutexGuard<'_, Backend>| {
             let all = backend.registrations.values().cloned().map(Change::Written).collect();
-            (all, Cursor(backend.changes))
+            (all, backend.cursor())
         };
         Box::pin(async move {
             tokio::time::sleep(CALL_DURATION).await;
--- a/bergamotshift-forward/tests/daemon/restore.rs
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -35,11 +35,8 @@
     wait_until("both endpoints are known", || daemon.endpoint_count() == Some(2));
     let mut leaving = one.registration("staff");
     leaving.leaving = true;
-    {
-        let mut backend = lock(&site.backend);
-        backend.restore(copy);
-        backend.register(two.registration("staff"));
-        backend.register(leaving);
-    }
+    lock(&site.backend).restore(copy);
+    lock(&site.backend).register(two.registration("staff"));
+    lock(&site.backend).register(leaving);
     wait_until("the leaving endpoint is not used", || !is_used(&daemon, &one));
 }
