fix(forward): pause after an answer of the store that is older than what is known

A complete read that is dropped as older left the checkpoint's age as it was, so the next read was due at once. Both followers now wait for the delay of a failed call.

--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -154,14 +154,15 @@
         inner.document_checkpoint.due(now, interval, inner.rank(now))
     }
 
-    /// Applies the document and the rollout orders that were read from the store.
-    pub fn apply_stored_document(&self, instructions: Instructions, cursor: Cursor) {
+    /// Applies the document and the rollout orders that were read from the store; returns whether the answer was as new
+    /// as what this entry knew.
+    pub fn apply_stored_document(&self, instructions: Instructions, cursor: Cursor) -> bool {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
         let known = inner.document_checkpoint.cursor();
         if cursor.era < known.era {
             self.report_dropped(now, "document", cursor, known);
-            return;
+            return false;
         }
         inner.document_checkpoint.confirm(now, cursor, Duration::ZERO);
         inner.apply_stored_rollouts(now, &self.shared, instructions.rollouts);
@@ -175,6 +176,7 @@
         if let Some(document) = instructions.document {
             inner.apply_document(now, &self.shared, document, None, "store");
         }
+        cursor >= known
     }
 
     /// Returns the cursor up to which the registrations are known; `None` before the first read.
@@ -193,18 +195,20 @@
         inner.registrations_checkpoint.due(now, interval, inner.rank(now))
     }
 
-    /// Applies registrations that were read from the store.
-    pub fn apply_stored_registrations(&self, event: Event, cursor: Cursor) {
+    /// Applies registrations that were read from the store; returns whether they were, as they may be older than what
+    /// this entry knows.
+    pub fn apply_stored_registrations(&self, event: Event, cursor: Cursor) -> bool {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
         // Another entry may have sent newer changes while this answer was in flight.
         let known = inner.registrations_checkpoint.cursor();
         if cursor.era < known.era || cursor < known && matches!(event, Event::Listed(_)) {
             self.report_dropped(now, "registrations", cursor, known);
-            return;
+            return false;
         }
         inner.advance_registrations(now, &self.shared, cursor, Duration::ZERO);
         inner.apply_endpoints(now, &self.shared, event, "store");
+        true
     }
 
     /// Logs that an answer of the store is older than what this entry knows.
--- a/bergamotshift-forward/src/follow/document.rs
+++ b/bergamotshift-forward/src/follow/document.rs
@@ -25,7 +25,7 @@
 /// a long-poll call open, so its checkpoint is at most as old as that call.
 const POLL_INTERVAL: Duration = Duration::from_millis(800);
 
-/// Delay after a failed call of the store.
+/// Delay after a call of the store that failed, or whose answer was older than what is known.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Delay before an entry that already uploads to its maximum number of others is asked again: the time that a copy of
@@ -152,18 +152,29 @@
             return due;
         }
         let after = control.document_cursor();
-        let result = match after {
-            Some(after) if !self.needs_full_read => self.operators.wait_for_change(after, watch_timeout(rank)).await,
-            _ => self.operators.read().await.map_err(Gap::Failed),
+        let (is_full, result) = match after {
+            Some(after) if !self.needs_full_read => {
+                let changes = self.operators.wait_for_change(after, watch_timeout(rank));
+                (false, changes.await)
+            }
+            _ => (true, self.operators.read().await.map_err(Gap::Failed)),
         };
         self.needs_full_read = result.is_err();
         control.record_call("document", result.as_ref().err().and_then(failure));
         match result {
-            Ok((instructions, next)) => control.apply_stored_document(instructions, next),
-            Err(Gap::Truncated) => control.report_truncated("document", after),
-            Err(Gap::Failed(_)) => return scale_pause(RETRY_DELAY, control.entry_count()),
+            Ok((instructions, next)) => {
+                let is_current = control.apply_stored_document(instructions, next);
+                if is_current || !is_full {
+                    return Duration::ZERO;
+                }
+            }
+            Err(Gap::Truncated) => {
+                control.report_truncated("document", after);
+                return Duration::ZERO;
+            }
+            Err(Gap::Failed(_)) => {}
         }
-        Duration::ZERO
+        scale_pause(RETRY_DELAY, control.entry_count())
     }
 
     fn now(&self) -> Instant {
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -17,7 +17,7 @@
 /// receiving requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Delay after a failed call of the store.
+/// Delay after a call of the store that failed, or whose answer was older than what is known.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Keeps the registrations up to date for the lifetime of the process.
@@ -39,17 +39,24 @@
         match result {
             Ok((changes, next)) => {
                 control.report_unreadable(&changes);
-                control.apply_stored_registrations(event(is_full, changes), next);
+                if !control.apply_stored_registrations(event(is_full, changes), next) {
+                    pause(&control).await;
+                }
             }
             Err(Gap::Truncated) => control.report_truncated("registrations", after),
             Err(Gap::Failed(_)) => {
                 control.registrations_unavailable();
-                tokio::time::sleep(scale_pause(RETRY_DELAY, control.entry_count())).await;
+                pause(&control).await;
             }
         }
     }
 }
 
+/// Waits before the next call after one that told nothing new.
+async fn pause(control: &Control) {
+    tokio::time::sleep(scale_pause(RETRY_DELAY, control.entry_count())).await;
+}
+
 /// Converts the result of a read to an event: all registrations as of one point in time, or the changes.
 fn event(is_full: bool, changes: Vec<Change>) -> Event {
     if !is_full {
--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -65,7 +65,9 @@
     pub disconnected: Vec<SmolStr>,
     changes: u64,
     /// Number of times that a copy was restored.
-    era: u64,
+    pub era: u64,
+    /// Number of reads of the registrations, and of the document.
+    pub reads: (usize, usize),
 }
 
 /// Backend shared by tests and daemons.
@@ -200,7 +202,8 @@
         const POLL_INTERVAL: Duration = Duration::from_millis(20);
         Box::pin(async move {
             tokio::time::sleep(wait.min(POLL_INTERVAL)).await;
-            let backend = self.access()?;
+            let mut backend = self.access()?;
+            backend.reads.1 += 1;
             Ok((backend.instructions(), backend.cursor()))
         })
     }
@@ -223,7 +226,8 @@
 
 impl Registry for Store {
     fn registrations(&self) -> Future<'_, Result<(Vec<Change>, Cursor), Error>> {
-        let list = |backend: MutexGuard<'_, Backend>| {
+        let list = |mut backend: MutexGuard<'_, Backend>| {
+            backend.reads.0 += 1;
             let all = backend.registrations.values().cloned().map(Change::Written).collect();
             (all, backend.cursor())
         };
--- a/bergamotshift-forward/tests/daemon/restore.rs
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -13,6 +13,9 @@
 /// Number of registrations that are written after the copy, and lost.
 const LOST_WRITES: usize = 50;
 
+/// Number of reads of the document in which an entry reads the registrations a few times.
+const READS: usize = 50;
+
 /// Sends requests, and returns whether the endpoint received one of them.
 fn is_used(daemon: &Daemon, endpoint: &Endpoint) -> bool {
     let before = endpoint.count();
@@ -40,3 +43,26 @@
     lock(&site.backend).register(leaving);
     wait_until("the leaving endpoint is not used", || !is_used(&daemon, &one));
 }
+
+/// Guards against calls without a pause while the store's answers are older than what the entry knows.
+#[test]
+fn a_store_that_stays_behind_is_not_called_without_pause() {
+    let one = Endpoint::plain("e1", "done");
+    let site = Site::new(&[]);
+    let copy = lock(&site.backend).copy();
+    for _ in 0..LOST_WRITES {
+        lock(&site.backend).register(one.registration("staff"));
+    }
+    let _daemon = site.start();
+    let before = {
+        let mut backend = lock(&site.backend);
+        backend.restore(copy);
+        backend.era = 0;
+        backend.reads
+    };
+    wait_until("the document is read", || {
+        lock(&site.backend).reads.1 >= before.1 + READS
+    });
+    let reads = lock(&site.backend).reads.0 - before.0;
+    assert!(reads <= READS / 5, "{reads} reads of the registrations");
+}
