fix(forward): a restored store's missing registrations prove no removal

Callers would have been refused (503, no endpoint) right after a restore: a complete read of the copy lacks what endpoints wrote since it was made, and each of them was taken for removed, unless a call of the store had failed within 2.3 s. A restore that falls between two calls leaves no failed call.

--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -14,7 +14,7 @@
 use super::Endpoint;
 use super::Registration;
 
-/// Time after the last failed call of the store during which lapsed registrations may still be renewed; the platform
+/// Time after the last failed call of the store, or after its restore, during which lapsed registrations may still be renewed; the platform
 /// guarantees about two seconds.
 const RENEWAL_GRACE: Duration = Duration::from_millis(2_300);
 
@@ -49,6 +49,8 @@
     Relayed(Vec<Registration>),
     /// A call of the store failed.
     StoreFailed,
+    /// The store was restored from a copy, which may lack registrations of endpoints that are alive.
+    Restored,
 }
 
 /// Endpoint with the state of its registration.
@@ -67,7 +69,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     records: BTreeMap<SmolStr, Record>,
-    /// Time of the last failed call of the store.
+    /// Time of the last failed call of the store, or of its last restore.
     store_failed_at: Option<Instant>,
 }
 
@@ -76,7 +78,7 @@
     pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Arc<Endpoint>> {
         let mut leaving = Vec::new();
         match event {
-            Event::StoreFailed => self.store_failed_at = Some(now),
+            Event::StoreFailed | Event::Restored => self.store_failed_at = Some(now),
             Event::Listed(registrations) | Event::Relayed(registrations) => {
                 let listed: BTreeSet<SmolStr> = registrations.iter().map(|one| one.id.clone()).collect();
                 for registration in registrations {
@@ -191,7 +193,7 @@
     ///
     /// Registrations lapse while the store is unavailable, because endpoints cannot renew them. If that counted as
     /// removal, all endpoints would disappear at once and all callers would be refused. After a failed call of the
-    /// store, a missing registration therefore proves nothing until [`RENEWAL_GRACE`] is over; the platform guarantees
+    /// store, or its restore, a missing registration therefore proves nothing until [`RENEWAL_GRACE`] is over; the platform guarantees
     /// renewal within that time.
     fn remove(&mut self, now: Instant, id: &SmolStr, leaving: &mut Vec<Arc<Endpoint>>) {
         let is_inconclusive = self
--- a/bergamotshift-forward/tests/daemon/restore.rs
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -44,6 +44,22 @@
     wait_until("the leaving endpoint is not used", || !is_used(&daemon, &one));
 }
 
+/// Guards against callers that are refused because a restored store lacks the registrations of endpoints that are alive.
+#[test]
+fn an_endpoint_that_a_restored_store_lacks_stays_in_use() {
+    let one = Endpoint::plain("e1", "done");
+    let site = Site::new(&[]);
+    let copy = lock(&site.backend).copy();
+    lock(&site.backend).register(one.registration("staff"));
+    let daemon = site.start();
+    lock(&site.backend).restore(copy);
+    wait_until("the restore is known", || daemon.restore_count() == Some(1));
+    let status = |id: &str| Caller::new(&daemon).ask("GET", "/checkin/1", id, "").status;
+    assert_eq!(status("r-1"), 200);
+    lock(&site.backend).register(one.registration("staff"));
+    assert_eq!(status("r-2"), 200);
+}
+
 /// Guards against calls without a pause while the store's answers are older than what the entry knows.
 #[test]
 fn a_store_that_stays_behind_is_not_called_without_pause() {
--- a/bergamotshift-forward/tests/daemon/site.rs
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -74,16 +74,21 @@
 
     /// Returns the number of other entries with a recent state.
     pub fn peer_count(&self) -> Option<usize> {
-        self.gauge("bergamotshift_forward_peers")
+        self.value("bergamotshift_forward_peers")
     }
 
     /// Returns the number of known endpoints.
     pub fn endpoint_count(&self) -> Option<usize> {
-        self.gauge("bergamotshift_forward_endpoints")
+        self.value("bergamotshift_forward_endpoints")
     }
 
-    /// Reads a gauge from the daemon's metrics.
-    fn gauge(&self, name: &str) -> Option<usize> {
+    /// Returns how often the daemon found the store restored from a copy.
+    pub fn restore_count(&self) -> Option<usize> {
+        self.value("bergamotshift_forward_store_restores_total")
+    }
+
+    /// Reads a gauge or a counter from the daemon's metrics.
+    fn value(&self, name: &str) -> Option<usize> {
         let mut caller = TcpStream::connect(self.listen.metrics).ok()?;
         caller
             .write_all(b"GET /metrics HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n")
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -62,6 +62,17 @@
     assert_eq!(available(&directory), 1, "the one that did not return is gone");
 }
 
+/// Guards against endpoints that are taken for removed because the copy lacks what they wrote since it was made.
+#[test]
+fn what_a_restored_store_lacks_is_used_until_it_had_time_to_return() {
+    let mut directory = directory(at(0));
+    directory.apply(at(5_000), Event::Restored);
+    directory.apply(at(5_000), Event::Listed(vec![registration("a", "one")]));
+    assert_eq!(available(&directory), 2);
+    directory.apply(at(7_400), Event::Changed(Vec::new()));
+    assert_eq!(available(&directory), 1, "the one that did not return is gone");
+}
+
 /// An endpoint registers again two seconds after a store outage, and this entry has not read the store since. Time
 /// alone must not remove the endpoint; only a read after the grace period proves that it is gone.
 #[test]
