fix(forward): a registration from a copy brings no removed endpoint back

Requests would have gone to an endpoint that had left without announcing it: its registration was removed, the store was then restored from a copy that still contains it, and a registration that returns after it was missing counts as an endpoint that was only cut off. Each registration now carries the position of its last write. After a restore, only a write past the first position known of the new era brings back an endpoint that was removed before; one that is alive writes again within a heartbeat.

restore::a_restored_registration_brings_no_removed_endpoint_back: the removed endpoint got requests before; passes now. A second test shows that a document in force is not replaced by the copy's older one; it passed before, as documents are compared by the operators' own version.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -226,7 +226,7 @@
         info!(shared.log.always(), "store restored"; "era" => cursor.era, "before" => known.era,
             "cursor" => %cursor, "known" => %known);
         shared.metrics.store_restores.inc();
-        self.apply_endpoints(now, shared, Event::Restored, "store");
+        self.apply_endpoints(now, shared, Event::Restored(cursor), "store");
     }
 
     /// Applies an event about registrations, and publishes a new view if the endpoints changed.
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -13,6 +13,7 @@
 
 use super::Endpoint;
 use super::Registration;
+use crate::outside::Cursor;
 
 /// Time after the last failed call of the store, or after its restore, during which lapsed registrations may still be renewed; the platform
 /// guarantees about two seconds.
@@ -49,8 +50,9 @@
     Relayed(Vec<Registration>),
     /// A call of the store failed.
     StoreFailed,
-    /// The store was restored from a copy, which may lack registrations of endpoints that are alive.
-    Restored,
+    /// The store was restored from a copy, and its position is now at most this one. The copy may lack registrations of
+    /// endpoints that are alive, and contain those of endpoints that were removed.
+    Restored(Cursor),
 }
 
 /// Endpoint with the state of its registration.
@@ -61,6 +63,10 @@
     lapsed_since: Option<Instant>,
     /// Time since which it is known to be removed.
     gone_since: Option<Instant>,
+    /// Position up to which a restored registration may be in the store although it was removed.
+    restored_at: Option<Cursor>,
+    /// Position of its last write in the store's history.
+    written: Cursor,
     /// Whether its registration announced that it is leaving; later registrations do not revoke this.
     announced_leaving: bool,
 }
@@ -78,7 +84,13 @@
     pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Arc<Endpoint>> {
         let mut leaving = Vec::new();
         match event {
-            Event::StoreFailed | Event::Restored => self.store_failed_at = Some(now),
+            Event::StoreFailed => self.store_failed_at = Some(now),
+            Event::Restored(cursor) => {
+                self.store_failed_at = Some(now);
+                for record in self.records.values_mut().filter(|record| record.gone_since.is_some()) {
+                    record.restored_at = Some(cursor);
+                }
+            }
             Event::Listed(registrations) | Event::Relayed(registrations) => {
                 let listed: BTreeSet<SmolStr> = registrations.iter().map(|one| one.id.clone()).collect();
                 for registration in registrations {
@@ -115,11 +127,13 @@
 
     /// Returns the registrations of all endpoints that are not removed, for entries whose registrations are older.
     pub fn registrations(&self) -> Vec<Registration> {
-        let registration = |endpoint: &Arc<Endpoint>| Registration {
-            leaving: endpoint.is_withdrawn(),
-            ..endpoint.registration.clone()
+        let registration = |record: &Record| Registration {
+            leaving: record.endpoint.is_withdrawn(),
+            written: record.written,
+            ..record.endpoint.registration.clone()
         };
-        self.endpoints().map(registration).collect()
+        let present = self.records.values().filter(|record| record.gone_since.is_none());
+        present.map(registration).collect()
     }
 
     /// Returns whether no registration has lapsed without proof of removal. Until then this directory must not count as
@@ -175,15 +189,19 @@
             endpoint: Arc::new(Endpoint::new(registration.clone())),
             lapsed_since: None,
             gone_since: None,
+            restored_at: None,
+            written: Cursor::default(),
             announced_leaving: is_leaving,
         });
         record.lapsed_since = None;
+        record.written = record.written.max(registration.written);
         record.announced_leaving |= is_leaving;
+        let is_restored = record.restored_at.is_some_and(|at| registration.written <= at);
         if record.announced_leaving {
             if record.endpoint.mark_leaving() {
                 leaving.push(Arc::clone(&record.endpoint));
             }
-        } else if record.gone_since.take().is_some() {
+        } else if !is_restored && record.gone_since.take().is_some() {
             // The registration was only missing because the endpoint or the store was cut off.
             record.endpoint = Arc::new(record.endpoint.reregistered(registration));
         }
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -25,6 +25,7 @@
 pub use self::health::Health;
 pub use self::ledger::Ledger;
 pub use self::signals::Signals;
+use crate::outside::Cursor;
 use crate::peers::InFlight;
 use crate::rollouts::Observer;
 
@@ -53,6 +54,8 @@
     pub market: Market,
     /// Time until it is reclaimed, if known.
     pub leaves_in: Option<Duration>,
+    /// Position of its last write in the store's history.
+    pub written: Cursor,
 }
 
 /// Requests and prompt tokens in flight at an endpoint.
--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -12,6 +12,7 @@
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::outside::Cursor;
 
 use crate::outside::lock;
 
@@ -114,6 +115,7 @@
             leaving: false,
             market: Market::OnDemand,
             leaves_in: None,
+            written: Cursor::default(),
         }
     }
 
--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -114,8 +114,13 @@
 
     /// Registers an endpoint, or replaces its registration.
     pub fn register(&mut self, registration: Registration) {
-        self.registrations.insert(registration.id.clone(), registration);
         self.changes += 1;
+        let written = self.cursor();
+        let registration = Registration {
+            written,
+            ..registration
+        };
+        self.registrations.insert(registration.id.clone(), registration);
     }
 
     /// Returns the position of the last change.
--- a/bergamotshift-forward/tests/daemon/restore.rs
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -5,6 +5,7 @@
 use crate::site::Caller;
 use crate::site::Daemon;
 use crate::site::Site;
+use crate::site::document;
 use crate::site::wait_until;
 
 /// Number of requests among which an endpoint that is in use receives at least one.
@@ -60,6 +61,49 @@
     assert_eq!(status("r-2"), 200);
 }
 
+/// Guards against requests to an endpoint that was removed before a restore, and is registered in the copy.
+#[test]
+fn a_restored_registration_brings_no_removed_endpoint_back() {
+    let (one, two) = (Endpoint::plain("e1", "done"), Endpoint::plain("e2", "done"));
+    let site = Site::new(&[&one, &two]);
+    let daemon = site.start();
+    let copy = lock(&site.backend).copy();
+    lock(&site.backend).remove("e1");
+    wait_until("one endpoint is left", || daemon.endpoint_count() == Some(1));
+    lock(&site.backend).restore(copy);
+    wait_until("the restore is known", || daemon.restore_count() == Some(1));
+    lock(&site.backend).register(two.registration("staff"));
+    assert!(!is_used(&daemon, &one));
+    assert_eq!(daemon.endpoint_count(), Some(1));
+    lock(&site.backend).register(one.registration("staff"));
+    wait_until("the endpoint is back", || daemon.endpoint_count() == Some(2));
+}
+
+/// Guards against a revoked key that is valid again because the copy contains an older document.
+#[test]
+fn a_restored_document_does_not_replace_a_newer_one() {
+    let one = Endpoint::plain("e1", "done");
+    let site = Site::new(&[&one]);
+    let daemon = site.start();
+    let copy = lock(&site.backend).copy();
+    let mut revoked = document(2);
+    revoked.organisations[0].keys.clear();
+    lock(&site.backend).put_document(revoked);
+    let status = || Caller::new(&daemon).ask("GET", "/checkin/1", "r-1", "").status;
+    wait_until("the key is revoked", || status() == 401);
+    let reads = {
+        let mut backend = lock(&site.backend);
+        backend.restore(copy);
+        backend.reads.1
+    };
+    wait_until("the restored document is read", || {
+        lock(&site.backend).reads.1 >= reads + 2
+    });
+    assert_eq!(status(), 401);
+    lock(&site.backend).put_document(document(3));
+    wait_until("the newer document is in force", || status() == 200);
+}
+
 /// Guards against calls without a pause while the store's answers are older than what the entry knows.
 #[test]
 fn a_store_that_stays_behind_is_not_called_without_pause() {
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -7,6 +7,7 @@
 use bergamotshift_forward::endpoint::Directory;
 use bergamotshift_forward::endpoint::Event;
 use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::outside::Cursor;
 use bergamotshift_platform::Error;
 
 use crate::support::at;
@@ -66,13 +67,29 @@
 #[test]
 fn what_a_restored_store_lacks_is_used_until_it_had_time_to_return() {
     let mut directory = directory(at(0));
-    directory.apply(at(5_000), Event::Restored);
+    directory.apply(at(5_000), Event::Restored(Cursor { era: 1, version: 9 }));
     directory.apply(at(5_000), Event::Listed(vec![registration("a", "one")]));
     assert_eq!(available(&directory), 2);
     directory.apply(at(7_400), Event::Changed(Vec::new()));
     assert_eq!(available(&directory), 1, "the one that did not return is gone");
 }
 
+/// Guards against a removed endpoint that is used again because its registration came back with the copy.
+#[test]
+fn only_a_later_write_brings_a_removed_endpoint_back_after_a_restore() {
+    let written = |version| Registration {
+        written: Cursor { era: 1, version },
+        ..registration("a", "one")
+    };
+    let mut directory = directory(at(0));
+    directory.apply(at(1_000), Event::Changed(vec![Change::Removed("a".into())]));
+    directory.apply(at(2_000), Event::Restored(Cursor { era: 1, version: 9 }));
+    directory.apply(at(2_000), Event::Listed(vec![written(9), registration("b", "two")]));
+    assert_eq!(available(&directory), 1);
+    directory.apply(at(3_000), Event::Changed(vec![Change::Written(written(10))]));
+    assert_eq!(available(&directory), 2);
+}
+
 /// An endpoint registers again two seconds after a store outage, and this entry has not read the store since. Time
 /// alone must not remove the endpoint; only a read after the grace period proves that it is gone.
 #[test]
--- a/bergamotshift-forward/tests/kernel/ledger.rs
+++ b/bergamotshift-forward/tests/kernel/ledger.rs
@@ -4,6 +4,7 @@
 use bergamotshift_forward::endpoint::Endpoint;
 use bergamotshift_forward::endpoint::Ledger;
 use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::outside::Cursor;
 use bergamotshift_forward::peers::InFlight;
 
 use crate::support::at;
@@ -20,6 +21,7 @@
         leaving: false,
         market: Market::OnDemand,
         leaves_in: None,
+        written: Cursor::default(),
     })
 }
 
--- a/bergamotshift-forward/tests/kernel/support.rs
+++ b/bergamotshift-forward/tests/kernel/support.rs
@@ -7,6 +7,7 @@
 use bergamotshift_forward::document::Route;
 use bergamotshift_forward::document::Split;
 use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::outside::Cursor;
 
 pub fn at(millis: u64) -> Instant {
     Instant::from_millis(millis)
@@ -24,6 +25,7 @@
         leaving: false,
         market: Market::Reclaimable,
         leaves_in: None,
+        written: Cursor::default(),
     }
 }
 
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -22,6 +22,7 @@
 use bergamotshift_forward::dialect::Dialect;
 use bergamotshift_forward::dialect::LAST_EVENT;
 use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::outside::Cursor;
 use bergamotshift_metadata_standin::Call;
 use smol_str::SmolStr;
 
@@ -169,6 +170,7 @@
             leaving,
             market: Market::OnDemand,
             leaves_in: None,
+            written: Cursor::default(),
         }
     }
 
