--- a/bergamotshift-claim/tests/explore/lease/steps.rs
+++ b/bergamotshift-claim/tests/explore/lease/steps.rs
@@ -30,7 +30,7 @@
             match action {
                 Action::Write(write) => {
                     let write = self.inject_defect(world, index, write);
-                    self.send(world, index, write);
+                    send(world, index, write);
                 }
                 Action::Read(_) => world.post(Message::Read(index)),
                 Action::Wake(at) => world.processes[index].due = Some(at),
@@ -40,24 +40,6 @@
         }
     }
 
-    /// Sends a write, as the table's client does.
-    fn send(&self, world: &mut World, index: usize, write: Write) {
-        let Process { era, cached, .. } = world.processes[index];
-        let expected = match write.condition {
-            Condition::Version(count) => cached
-                .filter(|(cached, _)| *cached == count)
-                .map(|(_, version)| version),
-            Condition::Absent | Condition::Any => Some(0),
-        };
-        match expected {
-            Some(expected) => world.post(Message::Write(index, Sent { write, expected, era })),
-            None => {
-                let position = Position { version: 0, era };
-                world.post(Message::Written(index, Ending::Conflict(vec![0]), era, position));
-            }
-        }
-    }
-
     /// Reports the era of an answer to a process that does not know it yet.
     fn enter_era(&self, world: &mut World, index: usize, era: u64) {
         let process = &mut world.processes[index];
@@ -260,7 +242,7 @@
                     });
                     let nowhere = Position::default();
                     step("fail", true, &|next| {
-                        next.post(Message::Rows(*index, None, false, nowhere))
+                        next.post(Message::Rows(*index, None, false, nowhere));
                     });
                 }
                 Message::Written(index, ending, era, position) => step("deliver", false, &|next| {
@@ -276,3 +258,19 @@
         }
     }
 }
+
+/// Sends a write, as the table's client does.
+fn send(world: &mut World, index: usize, write: Write) {
+    let Process { era, cached, .. } = world.processes[index];
+    let expected = match write.condition {
+        Condition::Version(count) => cached
+            .filter(|(cached, _)| *cached == count)
+            .map(|(_, version)| version),
+        Condition::Absent | Condition::Any => Some(0),
+    };
+    let message = expected.map_or_else(
+        || Message::Written(index, Ending::Conflict(vec![0]), era, Position { version: 0, era }),
+        |expected| Message::Write(index, Sent { write, expected, era }),
+    );
+    world.post(message);
+}
