fix(forward): usage windows are not reported twice after a restore

The counts of a window are stored before they are sent, so that a later holder sends the same ones. A restored store lacks those of the last seconds: a successor would have counted again and reported other figures, and the window would be billed twice.

Entries pass on which window was reported last. A successor that did not hear that from the former holder after it gave up leaves out a window that may have been reported under lost counts, and logs it. Given up: up to three windows of usage when the holder dies around a restore.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -118,6 +118,8 @@
     pub(super) peer_lease_notice: Option<(Notice, Instant)>,
     /// Other entry that was last known to hold the duties, or to have released them.
     pub(super) duty_holder: Option<Holder>,
+    /// Last usage window that is known to be reported.
+    pub(super) reported: u64,
     /// Whether the list of entries has been read.
     pub(super) entries_listed: bool,
     /// Organisations that the entries stored as busy before this process started, until they have been applied.
@@ -162,6 +164,7 @@
             lease_notice: None,
             peer_lease_notice: None,
             duty_holder: None,
+            reported: 0,
             entries_listed: false,
             busy_before_start: None,
             failed_calls: BTreeSet::new(),
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -388,6 +388,25 @@
         Some(notice.aged(now.since(received)))
     }
 
+    /// Records the last usage window that this entry reported, for the other entries.
+    pub fn set_reported(&self, window: u64) {
+        let mut inner = self.inner.borrow_mut();
+        inner.reported = inner.reported.max(window);
+    }
+
+    /// Returns the last usage window that is known to be reported, and whether the former holder of the duties said so
+    /// after it gave them up.
+    pub fn reported(&self) -> (u64, bool) {
+        let inner = self.inner.borrow();
+        let is_final = inner.duty_holder.as_ref().is_some_and(|holder| !holder.holds);
+        (inner.reported, is_final)
+    }
+
+    /// Returns the era of the store that this entry, or another one that it heard from, knows.
+    pub fn store_era(&self) -> u64 {
+        self.inner.borrow().registrations_checkpoint.cursor().era
+    }
+
     /// Returns whether another entry recently reported that it reaches the store.
     pub fn others_reach_store(&self) -> bool {
         let now = self.now();
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -92,6 +92,7 @@
             prompt_rates: prompt_demand.filter(|(_, rate)| *rate > 0.0).collect(),
             cached_parts: shared.cache_index().announced(now),
             windows: shared.tally.windows(),
+            reported: self.reported,
             suspicions: self.quarantine.suspicions(now),
             rates: self.announced_rates(now),
             rollouts: self.announced_rollouts(now),
@@ -202,6 +203,7 @@
         {
             self.duty_holder = Some(holder);
         }
+        self.reported = self.reported.max(state.reported);
         self.apply_peer_rates(now, shared, &state);
         self.apply_peer_rollouts(now, shared, &state);
         self.record_peer_document(now, shared, &state);
--- a/bergamotshift-forward/src/duty/mod.rs
+++ b/bergamotshift-forward/src/duty/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod lease;
 mod progress;
+mod reports;
 mod rollouts;
 mod tally;
 mod task;
@@ -14,6 +15,8 @@
 pub use self::lease::Change;
 pub use self::lease::Lease;
 pub use self::progress::Progress;
+pub use self::reports::Counts;
+pub use self::reports::Reports;
 pub use self::tally::Tally;
 pub use self::tally::Windows;
 pub use self::task::run;
--- a/bergamotshift-forward/src/duty/tally.rs
+++ b/bergamotshift-forward/src/duty/tally.rs
@@ -7,13 +7,14 @@
 
 use bergamotshift_core::prelude::*;
 
+use super::reports::Counts;
 use crate::observe::Clock;
 
 /// Number of windows that are kept: a report is due two windows after its own, and a new holder catches up on one more.
 const MAX_WINDOWS: u64 = 5;
 
 /// Number of requests of each organisation, by the number of the window.
-pub type Windows = BTreeMap<u64, BTreeMap<name::Organisation, u64>>;
+pub type Windows = BTreeMap<u64, Counts>;
 
 /// Counter of the requests of each organisation, by window of the time of day.
 ///
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -13,6 +13,7 @@
 use bergamotshift_core::table::Condition;
 use bergamotshift_core::table::Ending;
 use bergamotshift_core::table::Key;
+use bergamotshift_core::table::Row;
 use bergamotshift_core::table::Write;
 use bergamotshift_platform::Error;
 use bergamotshift_platform::table::Table;
@@ -24,8 +25,10 @@
 use super::lease::Change;
 use super::lease::Lease;
 use super::progress::Progress;
+use super::reports::Counts;
+use super::reports::Reports;
 use super::rollouts::ActiveRollout;
-use crate::capacity::Counts;
+use crate::capacity;
 use crate::capacity::Planner;
 use crate::control::Control;
 use crate::outside::Clients;
@@ -46,9 +49,6 @@
 /// Interval at which the lease and the due work are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Age of the oldest window that is still reported, in windows before the current one.
-const MAX_WINDOW_AGE: u64 = 3;
-
 /// Time by which a lease exceeds the span in which the platform must not receive calls of two holders.
 const LEASE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -95,7 +95,8 @@
         planners: BTreeMap::new(),
         operators: clients.operators,
         rollouts: BTreeMap::new(),
-        reported: 0,
+        reports: Reports::default(),
+        era: 0,
         number: None,
         held_since: Instant::ZERO,
         is_answered: true,
@@ -112,6 +113,33 @@
     Duration::from_millis(shared.settings.duty.lease_ms) + LEASE_MARGIN
 }
 
+/// Counts of a window in the store.
+enum Stored {
+    /// The counts to report.
+    Counts(Counts),
+    /// The window may have been reported under counts that the store has lost.
+    Lost,
+}
+
+/// Returns the row of a window's counts.
+fn row_of(window: u64) -> Key {
+    Key::new(REPORTS, format!("{window:012}"))
+}
+
+/// Returns the write that stores a window's counts, unless the window has some.
+fn write_of(window: u64, counts: &Counts) -> Option<Write> {
+    Some(Write {
+        key: row_of(window),
+        condition: Condition::Absent,
+        change: TableChange::Put(postcard::to_stdvec(counts).ok()?),
+    })
+}
+
+/// Decodes the counts in a row.
+fn decode_counts(row: &Row) -> Option<Stored> {
+    postcard::from_bytes(&row.body).ok().map(Stored::Counts)
+}
+
 /// Task that performs the duties while this entry holds them.
 pub(super) struct Task {
     pub(super) control: Control,
@@ -122,8 +150,10 @@
     pub(super) operators: Rc<dyn Operators>,
     /// Rollout orders that this entry directs, by service.
     pub(super) rollouts: BTreeMap<name::Service, ActiveRollout>,
-    /// Number of the last window that was reported.
-    reported: u64,
+    /// Usage windows that were reported.
+    reports: Reports,
+    /// Era of the store.
+    era: u64,
     /// Fencing number while the duties are held.
     pub(super) number: Option<u64>,
     /// Time since which they are held.
@@ -149,6 +179,7 @@
         if let Some(notice) = self.control.take_lease_notice() {
             self.lease.receive(notice).await;
         }
+        self.follow_era().await;
         // The holder of the duties announces itself to all entries. Only without a known holder, the first few entries
         // watch the lease.
         if self.number.is_none() && (self.control.is_held_elsewhere() || self.control.rank() >= MAX_WATCHERS) {
@@ -269,14 +300,21 @@
         if shared.settings.duty.usage_window_s <= 0.0 {
             return;
         }
-        let current = shared.tally.current();
-        let first = (self.reported + 1).max(current.saturating_sub(MAX_WINDOW_AGE));
-        for window in first..current {
+        let (reported, is_final) = self.control.reported();
+        self.reports.learn(reported, is_final);
+        for window in self.reports.due(shared.tally.current()) {
             if !self.is_settled(window) {
                 return;
             }
-            let Some(counts) = self.store_counts(window).await else {
-                return;
+            let counts = match self.store_counts(window).await {
+                Some(Stored::Counts(counts)) => counts,
+                Some(Stored::Lost) => {
+                    info!(shared.log.always(), "usage not reported"; "window" => window, "era" => self.era,
+                        "cause" => "another entry may have reported it under counts that a restored store lost");
+                    self.reports.close(window);
+                    continue;
+                }
+                None => return,
             };
             let Some(token) = self.fencing_token() else {
                 return;
@@ -291,7 +329,34 @@
             if sent.is_err() {
                 return;
             }
-            self.reported = window;
+            self.reports.close(window);
+            self.control.set_reported(window);
+        }
+    }
+
+    /// Stores counts again that the store may have lost in a restore, or records that another entry's may be lost.
+    async fn follow_era(&mut self) {
+        let era = self.table.era().max(self.control.store_era());
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        if self.number.is_none() {
+            let current = self.control.shared().tally.current();
+            self.reports.restored(current.saturating_sub(1));
+            return;
+        }
+        let writes: Vec<Write> = self
+            .reports
+            .all_stored()
+            .filter_map(|(window, counts)| write_of(window, counts))
+            .collect();
+        for write in writes {
+            let row = write.key.sort.clone();
+            // A row that the copy contains stays as it is, and ends the write with a conflict.
+            let ending = self.table.transact(vec![write]).await;
+            info!(self.control.shared().log.always(), "usage stored again"; "window" => row.as_str(),
+                "era" => era, "ending" => ?ending);
         }
     }
 
@@ -311,21 +376,23 @@
     /// The row is written once, and only its counts are sent, so a report can be repeated only exactly, which does not
     /// count as a second one. Otherwise, if the answer to a report was lost, the holder or its successor would count
     /// again and report other numbers, and the window would be billed twice.
-    async fn store_counts(&self, window: u64) -> Option<BTreeMap<name::Organisation, u64>> {
-        let key = Key::new(REPORTS, format!("{window:012}"));
-        let counts = self.control.usage(window);
-        let body = postcard::to_stdvec(&counts).ok()?;
-        let write = Write {
-            key: key.clone(),
-            condition: Condition::Absent,
-            change: TableChange::Put(body),
-        };
+    ///
+    /// Counts that this entry stored are stored again if a restored store lost them.
+    async fn store_counts(&mut self, window: u64) -> Option<Stored> {
+        let known = self.reports.stored(window).cloned();
+        if known.is_none() && self.reports.is_uncertain(window) {
+            let rows = self.table.get(vec![row_of(window)]).await.ok()?;
+            let row = rows.into_iter().next().flatten();
+            return row.map_or(Some(Stored::Lost), |row| decode_counts(&row));
+        }
+        let counts = known.unwrap_or_else(|| self.control.usage(window));
+        let write = write_of(window, &counts)?;
         if self.table.transact(vec![write]).await == Ending::Applied {
-            return Some(counts);
+            self.reports.store(window, counts.clone());
+            return Some(Stored::Counts(counts));
         }
-        let rows = self.table.get(vec![key]).await.ok()?;
-        let row = rows.into_iter().next().flatten()?;
-        postcard::from_bytes(&row.body).ok()
+        let rows = self.table.get(vec![row_of(window)]).await.ok()?;
+        decode_counts(&rows.into_iter().next().flatten()?)
     }
 
     /// Orders endpoints where their number differs from the plan.
@@ -335,7 +402,7 @@
         let endpoints = self.control.endpoints();
         for service in &document.services {
             let Some(scale) = &service.scale else { continue };
-            let mut present: BTreeMap<name::Zone, Counts> = BTreeMap::new();
+            let mut present: BTreeMap<name::Zone, capacity::Counts> = BTreeMap::new();
             let own = endpoints
                 .iter()
                 .filter(|endpoint| endpoint.registration.service == service.name);
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -208,6 +208,8 @@
     pub cached_parts: Vec<CachedPart>,
     /// Requests by usage window, as the sender counted them.
     pub windows: Windows,
+    /// The last usage window that was reported, as far as the sender knows.
+    pub reported: u64,
     /// Requests that the sender suspects of crashing endpoints.
     pub suspicions: Vec<Suspicion>,
     /// The last rollout order of each service.
--- a/bergamotshift-forward/tests/daemon/restore.rs
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -1,5 +1,7 @@
 //! A store that is restored from a copy, so that its versions go back.
 
+use bergamotshift_core::table::Key;
+
 use crate::endpoint::Endpoint;
 use crate::outside::lock;
 use crate::site::Caller;
@@ -121,6 +123,26 @@
     assert!(numbers.last() > numbers.first(), "{numbers:?}");
 }
 
+/// Guards against a window that is reported with other counts by a later holder, as a restored store lost the first ones.
+#[test]
+fn the_counts_of_a_reported_window_are_stored_again() {
+    let one = Endpoint::plain("e1", "done");
+    let site = Site::new(&[&one]);
+    let copy = lock(&site.backend).copy();
+    let _daemon = site.start();
+    wait_until("usage is reported", || !lock(&site.backend).reports.is_empty());
+    let (window, counts) = {
+        let mut backend = lock(&site.backend);
+        let (_, usage) = backend.reports.last().expect("there is one").clone();
+        backend.restore(copy);
+        (usage.window, usage.counts)
+    };
+    let key = Key::new("usage", format!("{window:012}"));
+    let stored = || lock(&site.backend).rows.get(&key).map(|row| row.body.clone());
+    wait_until("the counts are stored again", || stored().is_some());
+    assert_eq!(stored(), postcard::to_stdvec(&counts).ok());
+}
+
 /// Guards against calls without a pause while the store's answers are older than what the entry knows.
 #[test]
 fn a_store_that_stays_behind_is_not_called_without_pause() {
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod members;
 mod progress;
+mod reports;
 mod rounds;
 mod routes;
 mod settings;
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -36,6 +36,7 @@
         prompt_rates: Vec::new(),
         cached_parts: Vec::new(),
         windows: BTreeMap::new(),
+        reported: 0,
         suspicions: Vec::new(),
         rates: Vec::new(),
         rollouts: Vec::new(),
