fix(rollout): an order that is written again after a restore goes on

An order's number was the store's version of its row. After a restore, versions go back: a new order could have a lower number than the last one and would have been ignored until the store's counter had passed it, or the same order, written again, would have begun a second time, with its version taken from the endpoints meanwhile. And an earlier order in the copy would have replaced the last.

The holder reports final states again, whose rows may be lost. Not shown in a daemon; evidence of an open order starts anew.

--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -165,7 +165,7 @@
             return false;
         }
         inner.document_checkpoint.confirm(now, cursor, Duration::ZERO);
-        inner.apply_stored_rollouts(now, &self.shared, instructions.rollouts);
+        inner.apply_stored_rollouts(now, &self.shared, instructions.rollouts, cursor.era > known.era);
         for (service, cause) in &instructions.unreadable {
             self.shared.metrics.registrations_unread.inc();
             if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::State) {
--- a/bergamotshift-forward/src/control/rollouts.rs
+++ b/bergamotshift-forward/src/control/rollouts.rs
@@ -61,6 +61,15 @@
             .collect()
     }
 
+    /// Returns the orders that are completed or rolled back, with their state.
+    pub fn closed_rollouts(&self) -> Vec<(Order, State)> {
+        let inner = self.inner.borrow();
+        let closed = inner.trackers.values().filter(|tracker| !tracker.is_open());
+        closed
+            .filter_map(|tracker| Some((tracker.last_order()?.clone(), tracker.directive()?.phase.final_state()?)))
+            .collect()
+    }
+
     /// Puts a directive for a service's requests in force; other entries receive it with the next exchange.
     pub fn apply_directive(&self, service: &name::Service, directive: Directive) {
         let now = self.now();
@@ -85,8 +94,23 @@
     }
 
     /// Applies the operators' orders from the store, with the last state that was written for each.
-    pub(super) fn apply_stored_rollouts(&mut self, now: Instant, shared: &Shared, written: Vec<(Order, State)>) {
+    ///
+    /// A store that was just restored may hold an earlier order in place of the last one, which its operator writes
+    /// again.
+    pub(super) fn apply_stored_rollouts(
+        &mut self,
+        now: Instant,
+        shared: &Shared,
+        written: Vec<(Order, State)>,
+        is_restored: bool,
+    ) {
         for (order, state) in written {
+            let last = self.trackers.get(&order.service).and_then(Tracker::last_order);
+            if is_restored && last.is_some_and(|last| !order.repeats(last)) {
+                info!(shared.log.always(), "restored order dropped"; "service" => order.service.as_str(),
+                    "to" => order.to.as_str(), "order" => order.number);
+                continue;
+            }
             let directive = state.is_final().then_some(Directive {
                 order: order.number,
                 term: 0,
--- a/bergamotshift-forward/src/duty/rollouts.rs
+++ b/bergamotshift-forward/src/duty/rollouts.rs
@@ -48,6 +48,23 @@
         for rollout in self.control.rollouts() {
             self.direct(&rollout).await;
         }
+        for (order, state) in self.control.closed_rollouts() {
+            let is_known = self.closed_rollouts.get(&order.service) == Some(&order.number);
+            if order.era > 0 && !is_known {
+                self.report_closed(order, state).await;
+            }
+        }
+    }
+
+    /// Reports the state of an order that has ended; a restored store may have lost it.
+    async fn report_closed(&mut self, order: Order, state: State) {
+        let Some(_token) = self.fencing_token() else { return };
+        let (service, number) = (order.service.clone(), order.number);
+        let reported = self.lease.within(self.operators.report_rollout(order, state)).await;
+        self.control.record_call("rollout", reported.as_ref().err());
+        if reported.is_ok() {
+            self.closed_rollouts.insert(service, number);
+        }
     }
 
     async fn direct(&mut self, rollout: &Rollout) {
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -95,6 +95,7 @@
         planners: BTreeMap::new(),
         operators: clients.operators,
         rollouts: BTreeMap::new(),
+        closed_rollouts: BTreeMap::new(),
         reports: Reports::default(),
         era: 0,
         number: None,
@@ -150,6 +151,8 @@
     pub(super) operators: Rc<dyn Operators>,
     /// Rollout orders that this entry directs, by service.
     pub(super) rollouts: BTreeMap<name::Service, ActiveRollout>,
+    /// Number of the last order of each service whose final state is known to be reported.
+    pub(super) closed_rollouts: BTreeMap<name::Service, u64>,
     /// Usage windows that were reported.
     reports: Reports,
     /// Era of the store.
--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -100,6 +100,7 @@
             to: to.into(),
             duration,
             number: self.changes,
+            era: self.era,
         };
         self.rollouts.push((order, State::Running));
     }
--- a/bergamotshift-rollout/src/directive.rs
+++ b/bergamotshift-rollout/src/directive.rs
@@ -29,7 +29,16 @@
 impl Phase {
     /// Returns whether the phase is final.
     pub const fn is_final(self) -> bool {
-        matches!(self, Self::Completed | Self::RolledBack)
+        self.final_state().is_some()
+    }
+
+    /// Returns the state that operators read in a final phase.
+    pub const fn final_state(self) -> Option<State> {
+        match self {
+            Self::Completed => Some(State::Completed),
+            Self::RolledBack => Some(State::RolledBack),
+            Self::Canary | Self::Stress | Self::Shifting | Self::Halted => None,
+        }
     }
 }
 
--- a/bergamotshift-rollout/src/lib.rs
+++ b/bergamotshift-rollout/src/lib.rs
@@ -19,6 +19,7 @@
 //!     to: "v2".into(),
 //!     duration: Duration::from_secs(12),
 //!     number: 7,
+//!     era: 0,
 //! };
 //! tracker.apply_order(Instant::from_secs(1), order, Duration::ZERO);
 //! assert_eq!(tracker.admission("v2"), Admission::Canary);
--- a/bergamotshift-rollout/src/order.rs
+++ b/bergamotshift-rollout/src/order.rs
@@ -19,6 +19,17 @@
     pub duration: Duration,
     /// Number of the order, which increases with each order for a service; a later order replaces the earlier one.
     pub number: u64,
+    /// Number of times that the operators' storage had been restored from a copy when the order was read. Operators write
+    /// their orders again after a restore.
+    pub era: u64,
+}
+
+impl Order {
+    /// Returns whether this order is `before`, written again after the operators' storage was restored.
+    pub fn repeats(&self, before: &Self) -> bool {
+        self.era > before.era
+            && (&self.service, &self.to, self.duration) == (&before.service, &before.to, before.duration)
+    }
 }
 
 /// State of an order, as reported to operators.
--- a/bergamotshift-rollout/src/tracker.rs
+++ b/bergamotshift-rollout/src/tracker.rs
@@ -58,6 +58,10 @@
     pub fn apply_order(&mut self, now: Instant, order: Order, age: Duration) -> bool {
         let ordered_at = now - age;
         match &self.order {
+            Some(before) if order.repeats(before) => {
+                self.renumber(order);
+                return false;
+            }
             Some(before) if before.number > order.number => return false,
             Some(before) if before.number == order.number => {
                 self.ordered_at = self.ordered_at.min(ordered_at);
@@ -73,6 +77,14 @@
         true
     }
 
+    /// Replaces the last order by a repetition, to which its directive applies as well.
+    fn renumber(&mut self, order: Order) {
+        if let Some(directive) = &mut self.directive {
+            directive.order = order.number;
+        }
+        self.order = Some(order);
+    }
+
     /// Records the result of the last order when another one replaces it.
     fn finish_order(&mut self) {
         let Some(order) = self.order.take() else { return };
--- a/bergamotshift-rollout/tests/rollout/director.rs
+++ b/bergamotshift-rollout/tests/rollout/director.rs
@@ -12,6 +12,7 @@
         to: "v2".into(),
         duration: Duration::from_secs(12),
         number: 3,
+        era: 0,
     }
 }
 
--- a/bergamotshift-rollout/tests/rollout/sim.rs
+++ b/bergamotshift-rollout/tests/rollout/sim.rs
@@ -103,6 +103,7 @@
         to: "v2".into(),
         duration: Duration::from_secs(scenario.seconds),
         number: 1,
+        era: 0,
     };
     let mut director = Director::new(Settings::default(), order, None);
     let mut world = World {
--- a/bergamotshift-rollout/tests/rollout/standing.rs
+++ b/bergamotshift-rollout/tests/rollout/standing.rs
@@ -13,6 +13,7 @@
         to: to.into(),
         duration: Duration::from_secs(12),
         number,
+        era: 0,
     }
 }
 
@@ -125,3 +126,35 @@
     );
     assert_eq!(tracker.age(AT + Duration::from_secs(1)), Duration::from_secs(4));
 }
+
+/// Returns the order with this number, as its operator writes it again in a restored store.
+fn repeated(number: u64, to: &str) -> Order {
+    Order {
+        era: 1,
+        ..order(number, to)
+    }
+}
+
+/// Guards against a rollout that begins anew because the operator wrote the order again after a restore.
+#[test]
+fn an_order_that_is_written_again_after_a_restore_goes_on() {
+    let mut tracker = tracker();
+    tracker.apply_directive(AT, directive(5, 1, 1, Phase::Shifting));
+    assert!(!tracker.apply_order(AT, repeated(1_003, "v2"), Duration::ZERO));
+    assert_eq!(tracker.last_order().map(|order| order.number), Some(1_003));
+    assert_eq!(
+        tracker.directive().map(|directive| directive.phase),
+        Some(Phase::Shifting)
+    );
+    assert!(tracker.apply_directive(AT, directive(1_003, 1, 2, Phase::Completed)));
+    assert_eq!(tracker.admission("v1"), Admission::Excluded);
+}
+
+#[test]
+fn another_order_after_a_restore_begins_anew() {
+    let mut tracker = tracker();
+    tracker.apply_directive(AT, directive(5, 1, 1, Phase::RolledBack));
+    assert!(tracker.apply_order(AT, repeated(1_003, "v3"), Duration::ZERO));
+    assert_eq!(tracker.directive(), None);
+    assert_eq!(tracker.admission("v2"), Admission::Excluded);
+}
