test(soak): restore the store from copies

--restores draws copies of the store and restores them 0.3 to 4 s later; operators and endpoints write again within a heartbeat, and registrations of endpoints that are gone lapse.

--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -29,6 +29,8 @@
     End(Endpoint),
     /// The endpoint's registration goes.
     Lapse(SmolStr),
+    /// Operators and endpoints write again what a restored store lost.
+    Rewrite,
 }
 
 impl Fleet {
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod doors;
 mod endpoints;
 mod entries;
+mod restores;
 
 use core::time::Duration;
 use std::fs;
@@ -12,6 +13,7 @@
 use std::thread;
 use std::time::Instant;
 
+use bergamotshift_metadata_standin::Copy;
 use bergamotshift_metadata_standin::Disruption;
 use bergamotshift_metadata_standin::Fault;
 use bergamotshift_metadata_standin::Store;
@@ -49,6 +51,8 @@
     named: u64,
     version: u64,
     later: Vec<(Instant, Later)>,
+    /// Copy from which the store is restored next.
+    copy: Option<Copy>,
     /// How long after the request to stop callers still connect to an entry.
     connects: Duration,
 }
@@ -79,6 +83,7 @@
             named: 0,
             version: 0,
             later: Vec::new(),
+            copy: None,
             connects: settings.connects,
         };
         fleet.document();
@@ -116,6 +121,7 @@
             match what {
                 Later::End(endpoint) => endpoint.crash(),
                 Later::Lapse(id) => self.store.deregister(&id),
+                Later::Rewrite => self.rewrite(),
             }
         }
         for number in 0..self.entries.len() {
@@ -150,6 +156,8 @@
                 self.ledger.note(Place::Store, "history forgotten", false);
                 self.store.truncate_history();
             }
+            Step::Copy => self.copy = Some(self.store.state().copy()),
+            Step::Restore(delay) => self.restore(delay),
             Step::Crash(place) => self.crash(place)?,
             Step::Leave(place) => self.leave(place)?,
             Step::Habit(place, habit) => {
@@ -229,7 +237,7 @@
         self.version += 1;
         let service = SERVICES[(self.version % SERVICES.len() as u64) as usize];
         let sent = self.ledger.now();
-        self.store.put_document(&site::document(self.version, service));
+        self.write_document(service);
         let acknowledged = self.ledger.now();
         self.ledger.book().versions.push(Version {
             service,
@@ -239,6 +247,13 @@
     }
 }
 
+impl Fleet {
+    /// Writes the newest document, in which the moving route goes to `service`.
+    fn write_document(&self, service: &'static str) {
+        self.store.put_document(&site::document(self.version, service));
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for entry in &mut self.entries {
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -15,6 +15,7 @@
 use gumdrop::Options;
 
 /// Arguments.
+#[expect(clippy::struct_excessive_bools, reason = "each is a flag of its own")]
 #[derive(Debug)]
 #[derive(Options)]
 struct Arguments {
@@ -51,6 +52,8 @@
         no_short
     )]
     notices: bool,
+    #[options(help = "restore the store from copies", no_short)]
+    restores: bool,
 }
 
 fn main() -> ExitCode {
@@ -88,6 +91,7 @@
         ..Settings::default()
     };
     settings.notices = arguments.notices;
+    settings.restores = arguments.restores;
     settings.size.entries = arguments.entries;
     settings.size.span = Duration::from_secs(arguments.seconds);
     if arguments.unbalanced {
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -35,6 +35,10 @@
     Spell(Fault, Duration, u32),
     /// Lets the store forget its history.
     Forget,
+    /// Copies the store's rows.
+    Copy,
+    /// Restores the store from the last copy; operators and endpoints write again after this time.
+    Restore(Duration),
     /// Ends an endpoint at once; it registers anew under another name later.
     Crash(usize),
     /// Lets an endpoint leave in order, and another one come.
@@ -88,6 +92,15 @@
 /// How long they say so, in milliseconds: also longer than a window in which their requests are counted.
 const NOTICE_MS: Range<u64> = 2_000..10_000;
 
+/// Mean time between two copies of the store that are restored, in milliseconds.
+const RESTORE_GAP_MS: u64 = 5_000;
+
+/// Age of a copy when it is restored, in milliseconds.
+const COPY_AGE_MS: Range<u64> = 300..4_000;
+
+/// Time after a restore until operators and endpoints write again, in milliseconds: at most a heartbeat.
+const REWRITE_MS: Range<u64> = 50..1_200;
+
 /// How long callers are left alone at the start.
 const CALM: Duration = Duration::from_millis(1_500);
 
@@ -116,6 +129,28 @@
         Self { steps: draw.steps }
     }
 
+    /// Draws restores of the store from copies, and adds them; the other steps stay as they are.
+    #[must_use]
+    pub fn with_restores(mut self, seed: u64, size: Size) -> Self {
+        let mut draw = Draw {
+            generator: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
+            size,
+            steps: Vec::new(),
+        };
+        // Skips the numbers with which the other steps begin.
+        for _ in 0..3 {
+            draw.generator.next_u64();
+        }
+        let mut at = CALM + Duration::from_millis(draw.below(RESTORE_GAP_MS));
+        while at < size.span {
+            at = draw.restore(at);
+            at += Duration::from_millis(draw.below(2 * RESTORE_GAP_MS));
+        }
+        self.steps.extend(draw.steps);
+        self.steps.sort_by_key(|(at, _)| *at);
+        self
+    }
+
     /// Draws what endpoints say of themselves, and adds it; the other steps stay as they are.
     #[must_use]
     pub fn with_notices(mut self, seed: u64, size: Size) -> Self {
@@ -139,6 +174,12 @@
 }
 
 impl Draw {
+    /// Draws a duration from a range in milliseconds.
+    fn duration(&mut self, range: Range<u64>) -> Duration {
+        let drawn = self.below(range.end - range.start);
+        Duration::from_millis(range.start + drawn)
+    }
+
     fn below(&mut self, bound: u64) -> u64 {
         self.generator.next_u64() % bound
     }
@@ -238,6 +279,15 @@
     }
 
     /// Draws what an endpoint says of itself from a time on. One that says that it leaves registers that at the end.
+    /// Draws a copy of the store and its restore, and returns the time of the restore.
+    fn restore(&mut self, at: Duration) -> Duration {
+        let restored = at + self.duration(COPY_AGE_MS);
+        let rewritten = self.duration(REWRITE_MS);
+        self.steps.push((at, Step::Copy));
+        self.steps.push((restored, Step::Restore(rewritten)));
+        restored
+    }
+
     fn notice(&mut self, at: Duration) {
         const PAUSE_MS: Range<u64> = 1_000..4_000;
         const RATES: Range<u64> = 0..180;
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -54,6 +54,8 @@
     pub connects: Duration,
     /// Whether endpoints say something of themselves in their answers.
     pub notices: bool,
+    /// Whether the store is restored from copies.
+    pub restores: bool,
 }
 
 impl Default for Settings {
@@ -70,6 +72,7 @@
             callers: 24,
             connects: Duration::from_millis(2_500),
             notices: false,
+            restores: false,
         }
     }
 }
@@ -114,6 +117,9 @@
     if settings.notices {
         plan = plan.with_notices(settings.seed, settings.size);
     }
+    if settings.restores {
+        plan = plan.with_restores(settings.seed, settings.size);
+    }
     let ledger = Arc::new(Ledger::default());
     let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
     let mut late = recover(&mut fleet, &ledger, CHECKER)?;
--- a/bergamotshift-soak/tests/plan.rs
+++ b/bergamotshift-soak/tests/plan.rs
@@ -64,3 +64,16 @@
     });
     assert_eq!(notices.collect::<HashSet<_>>().len(), 4);
 }
+
+#[test]
+fn restores_are_added_and_change_nothing_else() {
+    for seed in 1..=50 {
+        let plain = Plan::draw(seed, SIZE);
+        let mut restored = plain.clone().with_restores(seed, SIZE);
+        let is_added = |step: &Step| matches!(step, Step::Copy | Step::Restore(_));
+        let added = restored.steps.iter().filter(|(_, step)| is_added(step)).count();
+        restored.steps.retain(|(_, step)| !is_added(step));
+        assert_eq!(restored, plain);
+        assert!(added.is_multiple_of(2));
+    }
+}
