--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -154,8 +154,8 @@
         inner.document_checkpoint.due(now, interval, inner.rank(now))
     }
 
-    /// Applies the document and the rollout orders that were read from the store; returns whether the answer was as new
-    /// as what this entry knew.
+    /// Applies the document and the rollout orders that were read from the store; returns `false` if the answer is older
+    /// than what this entry knows.
     pub fn apply_stored_document(&self, instructions: Instructions, cursor: Cursor) -> bool {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
@@ -195,8 +195,8 @@
         inner.registrations_checkpoint.due(now, interval, inner.rank(now))
     }
 
-    /// Applies registrations that were read from the store; returns whether they were, as they may be older than what
-    /// this entry knows.
+    /// Applies registrations that were read from the store; returns `false` if they are older than what this entry knows
+    /// and were dropped.
     pub fn apply_stored_registrations(&self, event: Event, cursor: Cursor) -> bool {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
--- a/bergamotshift-forward/src/duty/rollouts.rs
+++ b/bergamotshift-forward/src/duty/rollouts.rs
@@ -62,9 +62,10 @@
         let (service, number) = (order.service.clone(), order.number);
         let reported = self.lease.within(self.operators.report_rollout(order, state)).await;
         self.control.record_call("rollout", reported.as_ref().err());
-        if reported.is_ok() {
-            self.closed_rollouts.insert(service, number);
-        }
+        let Ok(state) = reported else { return };
+        info!(self.control.shared().log.always(), "rollout told"; "service" => service.as_str(), "order" => number,
+            "state" => ?state);
+        self.closed_rollouts.insert(service, number);
     }
 
     async fn direct(&mut self, rollout: &Rollout) {
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -136,11 +136,6 @@
     })
 }
 
-/// Decodes the counts in a row.
-fn decode_counts(row: &Row) -> Option<Stored> {
-    postcard::from_bytes(&row.body).ok().map(Stored::Counts)
-}
-
 /// Task that performs the duties while this entry holds them.
 pub(super) struct Task {
     pub(super) control: Control,
@@ -385,8 +380,10 @@
         let known = self.reports.stored(window).cloned();
         if known.is_none() && self.reports.is_uncertain(window) {
             let rows = self.table.get(vec![row_of(window)]).await.ok()?;
-            let row = rows.into_iter().next().flatten();
-            return row.map_or(Some(Stored::Lost), |row| decode_counts(&row));
+            let Some(row) = rows.into_iter().next().flatten() else {
+                return Some(Stored::Lost);
+            };
+            return self.keep_counts(window, &row);
         }
         let counts = known.unwrap_or_else(|| self.control.usage(window));
         let write = write_of(window, &counts)?;
@@ -395,7 +392,14 @@
             return Some(Stored::Counts(counts));
         }
         let rows = self.table.get(vec![row_of(window)]).await.ok()?;
-        decode_counts(&rows.into_iter().next().flatten()?)
+        self.keep_counts(window, &rows.into_iter().next().flatten()?)
+    }
+
+    /// Decodes the stored counts of a window, and keeps them to store them again if a restored store loses them.
+    fn keep_counts(&mut self, window: u64, row: &Row) -> Option<Stored> {
+        let counts: Counts = postcard::from_bytes(&row.body).ok()?;
+        self.reports.store(window, counts.clone());
+        Some(Stored::Counts(counts))
     }
 
     /// Orders endpoints where their number differs from the plan.
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -15,8 +15,8 @@
 use super::Registration;
 use crate::outside::Cursor;
 
-/// Time after the last failed call of the store, or after its restore, during which lapsed registrations may still be renewed; the platform
-/// guarantees about two seconds.
+/// Time after the last failed call of the store, or after its restore, during which lapsed registrations may still be
+/// renewed; the platform guarantees about two seconds.
 const RENEWAL_GRACE: Duration = Duration::from_millis(2_300);
 
 /// Time for which an endpoint is kept after its registration was removed. Its last requests end within this time, and
@@ -211,8 +211,8 @@
     ///
     /// Registrations lapse while the store is unavailable, because endpoints cannot renew them. If that counted as
     /// removal, all endpoints would disappear at once and all callers would be refused. After a failed call of the
-    /// store, or its restore, a missing registration therefore proves nothing until [`RENEWAL_GRACE`] is over; the platform guarantees
-    /// renewal within that time.
+    /// store, or its restore, a missing registration therefore proves nothing until [`RENEWAL_GRACE`] is over; the
+    /// platform guarantees renewal within that time.
     fn remove(&mut self, now: Instant, id: &SmolStr, leaving: &mut Vec<Arc<Endpoint>>) {
         let is_inconclusive = self
             .store_failed_at
--- a/bergamotshift/tests/soak.rs
+++ b/bergamotshift/tests/soak.rs
@@ -55,3 +55,13 @@
         ..Settings::default()
     });
 }
+
+/// Guards against promises that are broken when the store comes back from a copy.
+#[test]
+fn promises_hold_while_the_store_is_restored() {
+    soak(&Settings {
+        seed: 52,
+        restores: true,
+        ..Settings::default()
+    });
+}
