--- a/bergamotshift-claim/src/lease/keeper.rs
+++ b/bergamotshift-claim/src/lease/keeper.rs
@@ -14,6 +14,11 @@
 use super::Notice;
 use super::Record;
 use super::record;
+use super::state::Held;
+use super::state::Observation;
+use super::state::Phase;
+use super::state::Put;
+use super::state::Received;
 use crate::driver::Reading;
 
 /// Number of fencing numbers per era of the table, far more than a duty has holders in one.
@@ -99,62 +104,6 @@
     End,
 }
 
-/// Phase of a keeper.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Phase {
-    /// The timer is set.
-    Waiting,
-    /// The lease's row is being read.
-    Reading,
-    /// The lease's row is being written.
-    Writing,
-    /// The duty is released for good.
-    Resigned,
-}
-
-/// Lease that this entry holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Held {
-    number: u64,
-    version: u64,
-    /// Time at which the lease expires by this entry's clock, counted from before the write that last renewed it.
-    until: Instant,
-    /// Time from which orders may be sent to endpoints that do not check fencing numbers.
-    unfenced_from: Instant,
-}
-
-/// Version of another holder's row, and the time since which it is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Observation {
-    version: u64,
-    since: Instant,
-}
-
-/// Last notice from another entry, and the time at which it was received.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Received {
-    notice: Notice,
-    at: Instant,
-}
-
-impl Received {
-    /// Returns the time at which a lease expires according to its holder; `None` if the notice is about another number
-    /// or version.
-    fn expires_at(self, found_number: u64, found_version: u64) -> Option<Instant> {
-        match self.notice {
-            Notice::Holds { number, version, left } if (number, version) == (found_number, found_version) => {
-                Some(self.at + left)
-            }
-            _ => None,
-        }
-    }
-
-    /// Returns whether the holder gave up the lease with this number.
-    fn is_given_up(self, found_number: u64) -> bool {
-        self.notice == Notice::GaveUp { number: found_number }
-    }
-}
-
 /// State machine of one entry that holds or watches a duty's lease.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Keeper {
@@ -176,28 +125,6 @@
     failures: u32,
 }
 
-/// Write of the lease that is in flight, or was sent last.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Put {
-    number: u64,
-    /// Version of the row that the write replaces.
-    base: u64,
-    /// Time at which the write was first sent.
-    at: Instant,
-    /// Whether the former holder had released the duty.
-    released: bool,
-}
-
-impl Put {
-    /// Stands for no write.
-    const NONE: Self = Self {
-        number: 0,
-        base: 0,
-        at: Instant::ZERO,
-        released: false,
-    };
-}
-
 impl Keeper {
     /// Creates a keeper; `incarnation` is generated at random when the process starts.
     pub const fn new(settings: Settings, duty: SmolStr, holder: name::Entry, incarnation: attempt::Id) -> Self {
--- a/bergamotshift-claim/src/lease/mod.rs
+++ b/bergamotshift-claim/src/lease/mod.rs
@@ -16,6 +16,7 @@
 mod keeper;
 mod notice;
 mod record;
+mod state;
 
 pub use self::keeper::Action;
 pub use self::keeper::Event;
