--- a/bergamotshift-claim/src/lease/keeper.rs
+++ b/bergamotshift-claim/src/lease/keeper.rs
@@ -245,9 +245,9 @@
         self.restored_at.is_none_or(|restored| now.since(restored) >= delay)
     }
 
-    /// Returns the held lease if it was written before the table was restored and has not expired.
-    fn lost_lease(&self, now: Instant) -> Option<Held> {
-        self.held.filter(|held| self.is_stale(*held) && now < held.until)
+    /// Returns whether the held lease was written before the table was restored, and has not expired.
+    fn has_lost_lease(&self, now: Instant) -> bool {
+        self.held.is_some_and(|held| self.is_stale(held) && now < held.until)
     }
 
     /// Writes the lease, not released, over version `base` of the row.
@@ -340,7 +340,7 @@
         let Ok(found) = Record::decode(&row.body) else {
             return self.wait(now, self.settings.poll_interval, random);
         };
-        if self.lost_lease(now).is_some() {
+        if self.has_lost_lease(now) {
             return self.put(now, self.next_number(found.number), row.version, true);
         }
         let is_own = found.incarnation == self.incarnation && !found.released && self.gave_up != Some(found.number);
@@ -358,7 +358,7 @@
 
     /// Takes the lease of a duty without a row, as it was never taken, or the table was restored from a copy without it.
     fn row_missing(&mut self, now: Instant, random: &mut impl Rng) -> Vec<Action> {
-        if self.lost_lease(now).is_some() || self.is_settled(now) {
+        if self.has_lost_lease(now) || self.is_settled(now) {
             return self.put(now, self.next_number(0), 0, true);
         }
         let mut actions = self.end_held(now);
--- a/bergamotshift-forward/src/duty/reports.rs
+++ b/bergamotshift-forward/src/duty/reports.rs
@@ -26,11 +26,6 @@
 }
 
 impl Reports {
-    /// Returns the last window that was reported, as far as this entry knows.
-    pub const fn reported(&self) -> u64 {
-        self.reported
-    }
-
     /// Returns the windows to report, before the window `current`.
     pub fn due(&self, current: u64) -> Range<u64> {
         (self.reported + 1).max(current.saturating_sub(MAX_WINDOW_AGE))..current
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -1,5 +1,6 @@
 //! Performs the duties while this entry holds them.
 
+use core::fmt::Display;
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -31,6 +32,7 @@
 use crate::capacity;
 use crate::capacity::Planner;
 use crate::control::Control;
+use crate::observe::Topic;
 use crate::outside::Clients;
 use crate::outside::Duties;
 use crate::outside::FencingToken;
@@ -379,8 +381,7 @@
     async fn store_counts(&mut self, window: u64) -> Option<Stored> {
         let known = self.reports.stored(window).cloned();
         if known.is_none() && self.reports.is_uncertain(window) {
-            let rows = self.table.get(vec![row_of(window)]).await.ok()?;
-            let Some(row) = rows.into_iter().next().flatten() else {
+            let Some(row) = self.read_counts(window).await? else {
                 return Some(Stored::Lost);
             };
             return self.keep_counts(window, &row);
@@ -391,15 +392,40 @@
             self.reports.store(window, counts.clone());
             return Some(Stored::Counts(counts));
         }
-        let rows = self.table.get(vec![row_of(window)]).await.ok()?;
-        self.keep_counts(window, &rows.into_iter().next().flatten()?)
+        let row = self.read_counts(window).await??;
+        self.keep_counts(window, &row)
+    }
+
+    /// Reads the row of a window's counts; `None` when the read failed.
+    async fn read_counts(&self, window: u64) -> Option<Option<Row>> {
+        match self.table.get(vec![row_of(window)]).await {
+            Ok(rows) => Some(rows.into_iter().next().flatten()),
+            Err(error) => {
+                self.log_unread_counts(window, &error);
+                None
+            }
+        }
     }
 
     /// Decodes the stored counts of a window, and keeps them to store them again if a restored store loses them.
     fn keep_counts(&mut self, window: u64, row: &Row) -> Option<Stored> {
-        let counts: Counts = postcard::from_bytes(&row.body).ok()?;
-        self.reports.store(window, counts.clone());
-        Some(Stored::Counts(counts))
+        match postcard::from_bytes::<Counts>(&row.body) {
+            Ok(counts) => {
+                self.reports.store(window, counts.clone());
+                Some(Stored::Counts(counts))
+            }
+            Err(error) => {
+                self.log_unread_counts(window, &error);
+                None
+            }
+        }
+    }
+
+    fn log_unread_counts(&self, window: u64, cause: &dyn Display) {
+        let shared = self.control.shared();
+        if let Some((logger, left_out)) = shared.log.rate_limited(shared.clock.now(), Topic::State) {
+            info!(logger, "counts not read"; "window" => window, "cause" => cause.to_string(), "left_out" => left_out);
+        }
     }
 
     /// Orders endpoints where their number differs from the plan.
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -63,8 +63,8 @@
     lapsed_since: Option<Instant>,
     /// Time since which it is known to be removed.
     gone_since: Option<Instant>,
-    /// Position up to which a restored registration may be in the store although it was removed.
-    restored_at: Option<Cursor>,
+    /// Position up to which the store may contain its registration from a copy, although it was removed.
+    copied_until: Option<Cursor>,
     /// Position of its last write in the store's history.
     written: Cursor,
     /// Whether its registration announced that it is leaving; later registrations do not revoke this.
@@ -88,7 +88,7 @@
             Event::Restored(cursor) => {
                 self.store_failed_at = Some(now);
                 for record in self.records.values_mut().filter(|record| record.gone_since.is_some()) {
-                    record.restored_at = Some(cursor);
+                    record.copied_until = Some(cursor);
                 }
             }
             Event::Listed(registrations) | Event::Relayed(registrations) => {
@@ -189,19 +189,19 @@
             endpoint: Arc::new(Endpoint::new(registration.clone())),
             lapsed_since: None,
             gone_since: None,
-            restored_at: None,
+            copied_until: None,
             written: Cursor::default(),
             announced_leaving: is_leaving,
         });
         record.lapsed_since = None;
         record.written = record.written.max(registration.written);
         record.announced_leaving |= is_leaving;
-        let is_restored = record.restored_at.is_some_and(|at| registration.written <= at);
+        let may_be_copied = record.copied_until.is_some_and(|until| registration.written <= until);
         if record.announced_leaving {
             if record.endpoint.mark_leaving() {
                 leaving.push(Arc::clone(&record.endpoint));
             }
-        } else if !is_restored && record.gone_since.take().is_some() {
+        } else if !may_be_copied && record.gone_since.take().is_some() {
             // The registration was only missing because the endpoint or the store was cut off.
             record.endpoint = Arc::new(record.endpoint.reregistered(registration));
         }
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -113,13 +113,8 @@
 impl Plan {
     /// Draws a plan; the same seed and size give the same one.
     pub fn draw(seed: u64, size: Size) -> Self {
-        let mut draw = Draw {
-            generator: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
-            size,
-            steps: Vec::new(),
-        };
         // The first numbers of neighbouring seeds are alike.
-        draw.generator.next_u64();
+        let mut draw = Draw::new(seed, size, 1);
         let mut at = CALM;
         while at < size.span {
             draw.thing(at);
@@ -132,15 +127,8 @@
     /// Draws restores of the store from copies, and adds them; the other steps stay as they are.
     #[must_use]
     pub fn with_restores(mut self, seed: u64, size: Size) -> Self {
-        let mut draw = Draw {
-            generator: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
-            size,
-            steps: Vec::new(),
-        };
-        // Skips the numbers with which the other steps begin.
-        for _ in 0..3 {
-            draw.generator.next_u64();
-        }
+        // Other numbers than those of the steps before.
+        let mut draw = Draw::new(seed, size, 3);
         let mut at = CALM + Duration::from_millis(draw.below(RESTORE_GAP_MS));
         while at < size.span {
             at = draw.restore(at);
@@ -154,14 +142,8 @@
     /// Draws what endpoints say of themselves, and adds it; the other steps stay as they are.
     #[must_use]
     pub fn with_notices(mut self, seed: u64, size: Size) -> Self {
-        let mut draw = Draw {
-            generator: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
-            size,
-            steps: Vec::new(),
-        };
         // Other numbers than those of the steps before.
-        draw.generator.next_u64();
-        draw.generator.next_u64();
+        let mut draw = Draw::new(seed, size, 2);
         let mut at = CALM;
         while at < size.span {
             draw.notice(at);
@@ -174,6 +156,19 @@
 }
 
 impl Draw {
+    /// Creates a draw that leaves out the first `skipped` numbers of the seed.
+    fn new(seed: u64, size: Size, skipped: usize) -> Self {
+        let mut generator = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+        for _ in 0..skipped {
+            generator.next_u64();
+        }
+        Self {
+            generator,
+            size,
+            steps: Vec::new(),
+        }
+    }
+
     /// Draws a duration from a range in milliseconds.
     fn duration(&mut self, range: Range<u64>) -> Duration {
         let drawn = self.below(range.end - range.start);
