test(forward): count the reads of a fleet after a restore

All entries find the store restored with their next read, and for 2.3 s none confirms another one's registrations. Cause for the count: the store's rate is for all entries together, and nobody had said what 66 or 295 of them do then. Conclusion: no spreading is needed; the bound is a tenth of the rate. Not counted: the document's reads, real loops.

--- a/bergamotshift-forward/tests/kernel/knowledge.rs
+++ b/bergamotshift-forward/tests/kernel/knowledge.rs
@@ -71,3 +71,53 @@
         assert!(call_rate(members) <= call_rate(16), "{members} entries");
     }
 }
+
+/// Duration of a call of the store, in milliseconds.
+const CALL_MS: u64 = 4;
+
+/// Time for which no entry confirms another one's registrations after a restore, in milliseconds.
+const UNSETTLED_MS: u64 = 2_300;
+
+/// Returns the largest number of calls in a second, from a restore of the store until entries confirm each other's
+/// registrations again. Each entry's first call ends with a gap, and it reads everything next.
+fn calls_after_restore(entries: usize) -> usize {
+    let mut calls = Vec::new();
+    for rank in 0..entries {
+        let mut checkpoint = Checkpoint::default();
+        checkpoint.confirm(at(10_000), cursor(7), Duration::from_millis(rank as u64 * 37 % 500));
+        let mut now = 10_000;
+        let mut needs_full_read = false;
+        while now < 10_000 + UNSETTLED_MS {
+            let due = checkpoint.due(at(now), INTERVAL, rank);
+            now += due.as_millis() as u64;
+            calls.push(now);
+            now += CALL_MS;
+            needs_full_read = !needs_full_read && checkpoint.cursor().era == 0;
+            if !needs_full_read {
+                checkpoint.confirm(at(now), Cursor { era: 1, version: 3 }, Duration::ZERO);
+            }
+        }
+    }
+    calls.sort_unstable();
+    let in_second = |from: &u64| {
+        calls
+            .iter()
+            .filter(|call| (*from..from + 1_000).contains(*call))
+            .count()
+    };
+    calls.iter().map(in_second).max().unwrap_or(0)
+}
+
+/// Guards against a rush of reads when all entries find the store restored: they have to stay within a tenth of the
+/// store's rate, which is for all calls together.
+#[test]
+fn a_restored_store_is_read_well_within_its_rate() {
+    for (entries, reads_per_second) in [(7, 2_000), (66, 6_000), (295, 16_000)] {
+        let calls = calls_after_restore(entries);
+        println!("{entries} entries: {calls} calls in the busiest second");
+        assert!(
+            calls <= reads_per_second / 10,
+            "{entries} entries: {calls} calls in a second"
+        );
+    }
+}
