test(forward): ports on which nobody listens stay reserved in daemon tests

Seen: four daemon tests failed once each in 92 runs beside load: 5 or 4 requests at an endpoint where 1 was sent, 401 or no 503 from an entry behind a stalled link, 429 in a large fleet.

Cause: the link in front of an entry gave the other entries an address whose listener it had closed. Entries contact that address for as long as the process runs, since the entry behind the link goes on sending its state. All tests run in one process, so the port can be assigned to an endpoint of another test, which then counts POST /exchange as requests, or to an entry of another test, which then joins the fleet behind the link, takes its document and its keeper. The port of an entry that ended is contacted for 20 s in the same way.

Ruled out: endpoints' own ports, since endpoints listen until the process ends; a fault in the entries' handling of announcements or streams, as each failure needs messages that its own site never sends.

--- a/bergamotshift-forward/tests/daemon/link.rs
+++ b/bergamotshift-forward/tests/daemon/link.rs
@@ -21,6 +21,7 @@
 use crate::endpoint::header;
 use crate::endpoint::read_head;
 use crate::outside::lock;
+use crate::port;
 
 /// Path of the exchange of states between entries, as it appears in a request line.
 const EXCHANGE_PATH: &str = " /exchange ";
@@ -47,8 +48,8 @@
 struct Shared {
     /// Address of the link by the address of the entry.
     link_addresses: HashMap<SocketAddr, SocketAddr>,
-    /// Address on which nobody listens.
-    unused_address: SocketAddr,
+    /// Port that refuses connections.
+    refusing: port::Reservation,
     /// Held while a chunk is sent.
     bandwidth: Mutex<()>,
     /// Number of large answers that were started.
@@ -66,11 +67,10 @@
             .collect();
         let address = |listener: &TcpListener| listener.local_addr().expect("it is bound");
         let addresses: Vec<SocketAddr> = listeners.iter().map(address).collect();
-        let unused_listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let link = Self {
             shared: Arc::new(Shared {
                 link_addresses: entries.iter().copied().zip(addresses.iter().copied()).collect(),
-                unused_address: address(&unused_listener),
+                refusing: port::Reservation::any(),
                 bandwidth: Mutex::default(),
                 large_answers: AtomicUsize::new(0),
                 is_stalled: AtomicBool::new(false),
@@ -90,6 +90,11 @@
         link
     }
 
+    /// Returns the address that the other entries know of the entry behind the link.
+    pub fn refusing_address(&self) -> SocketAddr {
+        self.shared.refusing.address
+    }
+
     /// Stops large answers after their first chunk.
     pub fn stall_large_answers(&self) {
         self.shared.is_stalled.store(true, Ordering::Relaxed);
@@ -122,7 +127,7 @@
     /// Replaces the sender's address in a state, so that other entries cannot reach the entry behind the link.
     fn rewrite_query(&self, body: &[u8]) -> Vec<u8> {
         let mut state: State = postcard::from_bytes(body).expect("entries tell a state");
-        state.address = self.unused_address;
+        state.address = self.refusing.address;
         postcard::to_stdvec(&state).expect("it can be encoded")
     }
 
@@ -135,7 +140,7 @@
             self.link_addresses
                 .get(&address)
                 .copied()
-                .unwrap_or(self.unused_address)
+                .unwrap_or(self.refusing.address)
         };
         reply.state.address = translate(reply.state.address);
         for member in &mut reply.state.members {
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod link;
 mod outside;
+mod port;
 mod restore;
 mod rollouts;
 mod site;
--- a/bergamotshift-forward/tests/daemon/site.rs
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -1,5 +1,6 @@
 //! Test site with a store, endpoints and daemons, and callers that send requests to it.
 
+use core::mem;
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::io::Read;
@@ -33,6 +34,7 @@
 use crate::outside;
 use crate::outside::Shared;
 use crate::outside::lock;
+use crate::port;
 
 /// Time after which a test that waits for a condition fails.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -67,9 +69,12 @@
         self.stop.send(()).expect("it runs");
     }
 
-    /// Waits for the daemon's end and returns the number of requests that it cut.
+    /// Waits for the daemon's end and returns the number of requests that it cut. Its port for other entries stays
+    /// reserved.
     pub fn join(self) -> usize {
-        self.thread.join().expect("it ends in order")
+        let cut = self.thread.join().expect("it ends in order");
+        mem::forget(port::Reservation::after_listener(self.listen.peers));
+        cut
     }
 
     /// Returns the number of other entries with a recent state.
