feat(forward): alarm on the age of registrations and document

Seen: in the incident of the restored store, entries called the store 140 times a second, each call succeeded, and nothing said that they had learnt nothing for seven seconds (docs/incidents/registrations-after-a-restore.md, open point).

Change: gauges of the age of both copies, and a line when a copy has not been known to be current for two seconds, the time in which a change has to be in force, and when it is again. The decision is follow::Alarm, without I/O.

Shown by a store that stays behind its own earlier versions in one era (the daemon's answers are all dropped): the gauge passes two seconds and falls again once the store is ahead. Ruled out: alarms on failing calls, which exist (dependency lost) and were silent in the incident.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -27,6 +27,7 @@
 use crate::endpoint::Directory;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Event;
+use crate::follow::Alarm;
 use crate::follow::Checkpoint;
 use crate::limits::Demand;
 use crate::limits::Keepers;
@@ -86,6 +87,8 @@
     pub(super) document: Arc<Document>,
     /// Freshness of the document.
     pub(super) document_checkpoint: Checkpoint,
+    /// Alarm on the age of the document.
+    pub(super) document_alarm: Alarm,
     /// Time since which another entry is known to have a newer document; `None` if none has.
     pub(super) behind_since: Option<Instant>,
     /// Document updates for other entries.
@@ -94,6 +97,8 @@
     pub(super) directory: Directory,
     /// Freshness of the registrations.
     pub(super) registrations_checkpoint: Checkpoint,
+    /// Alarm on the age of the registrations.
+    pub(super) registrations_alarm: Alarm,
     /// Limits and demand by organisation.
     pub(super) organisations: BTreeMap<name::Organisation, Organisation>,
     /// State by service.
@@ -148,10 +153,12 @@
         Self {
             document: Arc::default(),
             document_checkpoint: Checkpoint::default(),
+            document_alarm: Alarm::default(),
             behind_since: None,
             updates: Cache::default(),
             directory: Directory::default(),
             registrations_checkpoint: Checkpoint::default(),
+            registrations_alarm: Alarm::default(),
             organisations: BTreeMap::new(),
             services: BTreeMap::new(),
             members,
@@ -304,6 +311,7 @@
         self.update_granters(now, shared);
         self.update_stranded(now, shared);
         self.update_lag(now, shared);
+        self.update_ages(now, shared);
         self.update_quotas(now, shared);
         self.apply_shares(now, shared);
         shared.ledger().expire(now);
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread's state, and the views of it that are published to the threads that serve requests.
 
+mod age;
 mod behind;
 mod copies;
 mod inner;
--- a/bergamotshift-forward/src/follow/knowledge.rs
+++ b/bergamotshift-forward/src/follow/knowledge.rs
@@ -16,6 +16,10 @@
 /// Maximum number of entries that may each call the store as often as a single entry would.
 const FULL_RATE_CALLERS: usize = 16;
 
+/// Maximum age of a checkpoint before the entry reports what it covers as outdated. Requests may go to endpoints that
+/// left that long ago, and operators expect a change to be in force by then.
+pub const MAX_AGE: Duration = Duration::from_secs(2);
+
 /// Returns the pause of one of `members` entries between two calls of the store, where a single entry would wait for
 /// `pause`.
 ///
@@ -66,3 +70,38 @@
         self.age(now).map_or(Duration::ZERO, |age| max_age.saturating_sub(age))
     }
 }
+
+/// Change of whether a checkpoint is outdated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Transition {
+    /// It became outdated.
+    Outdated,
+    /// It was outdated for this long, and is no longer.
+    Renewed(Duration),
+}
+
+/// Alarm on the age of a checkpoint. A store that answers without telling anything new leaves the checkpoint as it is,
+/// so its age rises although no call fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Alarm {
+    outdated_since: Option<Instant>,
+}
+
+impl Alarm {
+    /// Returns the change, if any, that the age of a checkpoint means. `None` stands for the age before the first read,
+    /// which is no change.
+    pub fn update(&mut self, now: Instant, age: Option<Duration>) -> Option<Transition> {
+        let is_outdated = age? > MAX_AGE;
+        match self.outdated_since {
+            None if is_outdated => {
+                self.outdated_since = Some(now);
+                Some(Transition::Outdated)
+            }
+            Some(since) if !is_outdated => {
+                self.outdated_since = None;
+                Some(Transition::Renewed(now.since(since)))
+            }
+            _ => None,
+        }
+    }
+}
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -74,6 +74,10 @@
     pub document_version: Gauge<i64, AtomicI64>,
     /// Whether another entry has a newer document.
     pub document_behind: Gauge<i64, AtomicI64>,
+    /// Time since the document was last known to be current, in seconds.
+    pub document_age: Gauge<f64, AtomicU64>,
+    /// Time since the registrations were last known to be current, in seconds.
+    pub registrations_age: Gauge<f64, AtomicU64>,
     /// Number of endpoints that accept requests.
     pub endpoints: Gauge<i64, AtomicI64>,
     /// Number of other entries with a recent state.
@@ -113,6 +117,8 @@
             resumed: Counter::default(),
             document_version: Gauge::default(),
             document_behind: Gauge::default(),
+            document_age: Gauge::default(),
+            registrations_age: Gauge::default(),
             endpoints: Gauge::default(),
             peers: Gauge::default(),
             duty_holder: Gauge::default(),
@@ -160,6 +166,10 @@
             "Whether another entry has a newer document",
             metrics.document_behind.clone(),
         );
+        let help = "Time since the document was last known to be current";
+        registry.register("document_age_seconds", help, metrics.document_age.clone());
+        let help = "Time since the registrations were last known to be current";
+        registry.register("registrations_age_seconds", help, metrics.registrations_age.clone());
         registry.register("endpoints", "Endpoints that take work", metrics.endpoints.clone());
         registry.register("peers", "Other entries heard of lately", metrics.peers.clone());
         registry.register(
--- a/bergamotshift-forward/tests/daemon/restore.rs
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -1,6 +1,7 @@
 //! A store that is restored from a copy, so that its versions go back.
 
 use bergamotshift_core::table::Key;
+use bergamotshift_forward::follow::MAX_AGE;
 
 use crate::endpoint::Endpoint;
 use crate::outside::lock;
@@ -143,6 +144,33 @@
     assert_eq!(stored(), postcard::to_stdvec(&counts).ok());
 }
 
+/// Guards against registrations that grow old unnoticed while the store answers each call with an older state.
+#[test]
+fn the_age_of_registrations_shows_a_store_that_stays_behind() {
+    let one = Endpoint::plain("e1", "done");
+    let site = Site::new(&[&one]);
+    let copy = lock(&site.backend).copy();
+    for _ in 0..LOST_WRITES {
+        lock(&site.backend).register(one.registration("staff"));
+    }
+    let daemon = site.start();
+    {
+        let mut backend = lock(&site.backend);
+        backend.restore(copy);
+        backend.era = 0;
+    }
+    let is_outdated = || {
+        daemon
+            .registrations_age()
+            .is_some_and(|age| age > MAX_AGE.as_secs_f64())
+    };
+    wait_until("the age shows it", is_outdated);
+    for _ in 0..LOST_WRITES {
+        lock(&site.backend).register(one.registration("staff"));
+    }
+    wait_until("the store is ahead again", || !is_outdated());
+}
+
 /// Guards against calls without a pause while the store's answers are older than what the entry knows.
 #[test]
 fn a_store_that_stays_behind_is_not_called_without_pause() {
--- a/bergamotshift-forward/tests/daemon/site.rs
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -97,8 +97,20 @@
         self.value("bergamotshift_forward_store_restores_total")
     }
 
-    /// Reads a gauge or a counter from the daemon's metrics.
+    /// Returns the age of the daemon's registrations, in seconds.
+    pub fn registrations_age(&self) -> Option<f64> {
+        self.text_value("bergamotshift_forward_registrations_age_seconds")?
+            .parse()
+            .ok()
+    }
+
+    /// Reads a whole number from the daemon's metrics.
     fn value(&self, name: &str) -> Option<usize> {
+        self.text_value(name)?.parse().ok()
+    }
+
+    /// Reads a gauge or a counter from the daemon's metrics.
+    fn text_value(&self, name: &str) -> Option<String> {
         let mut caller = TcpStream::connect(self.listen.metrics).ok()?;
         caller
             .write_all(b"GET /metrics HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n")
@@ -106,7 +118,7 @@
         let mut text = String::new();
         caller.read_to_string(&mut text).ok()?;
         let mut values = text.lines().filter_map(|line| line.strip_prefix(name));
-        values.next()?.trim().parse().ok()
+        Some(values.next()?.trim().to_owned())
     }
 
     /// Returns whether the readiness check succeeds.
--- a/bergamotshift-forward/tests/kernel/knowledge.rs
+++ b/bergamotshift-forward/tests/kernel/knowledge.rs
@@ -2,7 +2,10 @@
 
 use core::time::Duration;
 
+use bergamotshift_forward::follow::Alarm;
 use bergamotshift_forward::follow::Checkpoint;
+use bergamotshift_forward::follow::MAX_AGE;
+use bergamotshift_forward::follow::Transition;
 use bergamotshift_forward::follow::scale_pause;
 use bergamotshift_forward::outside::Cursor;
 
@@ -121,3 +124,22 @@
         );
     }
 }
+
+/// Guards against registrations that grow old unnoticed, because the store answers each call and tells nothing new.
+#[test]
+fn an_outdated_checkpoint_raises_one_alarm_until_it_is_renewed() {
+    let mut alarm = Alarm::default();
+    let second = Duration::from_secs(1);
+    assert_eq!(alarm.update(at(0), None), None);
+    assert_eq!(alarm.update(at(0), Some(MAX_AGE)), None);
+    assert_eq!(
+        alarm.update(at(1_000), Some(MAX_AGE + second)),
+        Some(Transition::Outdated)
+    );
+    assert_eq!(alarm.update(at(2_000), Some(MAX_AGE + 2 * second)), None);
+    assert_eq!(
+        alarm.update(at(4_000), Some(Duration::ZERO)),
+        Some(Transition::Renewed(3 * second))
+    );
+    assert_eq!(alarm.update(at(5_000), Some(second)), None);
+}
