test(forward): a model of whole fleets in virtual time

The control tasks of many entries run unchanged on one thread, with a store and a network in memory, and time advances only when all tasks wait. Counts of calls and bytes of hundreds of entries come in seconds, and do not depend on the machine.

For that, the clock is an enum of boot time and the runtime's time, calls to other entries stand behind peers::Network, and daemon::control_tasks returns the tasks that the daemon spawns. Nothing else changes for daemons.

--- a/bergamotshift-forward/src/daemon/mod.rs
+++ b/bergamotshift-forward/src/daemon/mod.rs
@@ -3,38 +3,33 @@
 mod server;
 
 use core::net::SocketAddr;
-use core::sync::atomic::AtomicBool;
-use core::sync::atomic::AtomicU64;
-use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::io;
+use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::Mutex;
 
-use arc_swap::ArcSwap;
 use bergamotshift_core::plugin;
+use bergamotshift_platform::Future;
 use slog::Logger;
 use slog::info;
 use smol_str::SmolStr;
 use thiserror::Error as ThisError;
-use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::control::Control;
-use crate::duty::Tally;
 use crate::follow;
 use crate::observe::Clock;
-use crate::observe::Log;
-use crate::observe::Metrics;
 use crate::outside::Addresses;
+use crate::outside::Clients;
 use crate::outside::Kind;
 use crate::peers;
+use crate::peers::Network;
+use crate::peers::Tcp;
 use crate::settings::Listen;
 use crate::settings::Settings;
 use crate::view::Shared;
-use crate::view::View;
 
 /// Interval at which a stop checks whether requests are in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -109,30 +104,8 @@
     let outside = (kind.connect)(addresses).await?;
     let listeners = server::Listeners::bind(&mut settings.listen)?;
     let (notes, inbox) = mpsc::unbounded_channel();
-    let clock = Clock;
-    let shared = Arc::new(Shared {
-        dialect: (kind.dialect)(),
-        view: ArcSwap::from_pointee(View::default()),
-        view_ready: Notify::new(),
-        started: clock.now(),
-        clock,
-        log: Log::new(logger),
-        metrics: Metrics::new(),
-        tally: Tally::new(clock, Duration::from_secs_f64(settings.duty.usage_window_s.max(0.0))),
-        cache_index: Mutex::default(),
-        ledger: Mutex::default(),
-        rollout_evidence: Arc::default(),
-        in_flight_changed: Notify::new(),
-        notes,
-        stopping: AtomicBool::new(false),
-        stop: Notify::new(),
-        closed: AtomicBool::new(false),
-        stranded: AtomicBool::new(false),
-        newest_document: AtomicU64::new(0),
-        late: AtomicBool::new(false),
-        active: AtomicUsize::new(0),
-        settings,
-    });
+    let dialect = (kind.dialect)();
+    let shared = Arc::new(Shared::new(settings, dialect, Clock::Boot, logger, notes));
     let control = Control::new(Arc::clone(&shared));
     let server = server::start(&shared, &control, listeners)?;
     let Settings { name, zone, listen, .. } = &shared.settings;
@@ -143,20 +116,9 @@
         // An error means that the receiver was dropped and the addresses are not needed.
         let _ = started.send(*listen);
     }
-    let tasks = [
-        ntex::rt::spawn(follow::document(
-            control.clone(),
-            std::rc::Rc::clone(&outside.operators),
-        )),
-        ntex::rt::spawn(follow::registrations(
-            control.clone(),
-            std::rc::Rc::clone(&outside.registry),
-        )),
-        ntex::rt::spawn(follow::members(control.clone(), std::rc::Rc::clone(&outside.table))),
-        ntex::rt::spawn(follow::notes(control.clone(), inbox)),
-        ntex::rt::spawn(peers::run(control.clone())),
-        ntex::rt::spawn(crate::duty::run(control.clone(), outside)),
-    ];
+    let mut tasks = vec![ntex::rt::spawn(follow::notes(control.clone(), inbox))];
+    let control_tasks = control_tasks(&control, &outside, &(Rc::new(Tcp::default()) as _));
+    tasks.extend(control_tasks.into_iter().map(ntex::rt::spawn));
     wait_for_stop(&shared, &mut signals).await;
     let cut = drain(&shared).await;
     for task in tasks {
@@ -170,6 +132,19 @@
     Ok(cut)
 }
 
+/// Returns the tasks of the control thread that follow the store and the other entries, and perform the duties.
+pub fn control_tasks(control: &Control, outside: &Clients, network: &Rc<dyn Network>) -> [Future<'static, ()>; 6] {
+    let operators = Rc::clone(&outside.operators);
+    [
+        Box::pin(follow::document(control.clone(), operators, Rc::clone(network))),
+        Box::pin(follow::registrations(control.clone(), Rc::clone(&outside.registry))),
+        Box::pin(follow::members(control.clone(), Rc::clone(&outside.table))),
+        Box::pin(peers::answer_queries(control.clone())),
+        Box::pin(peers::run(control.clone(), Rc::clone(network))),
+        Box::pin(crate::duty::run(control.clone(), outside.clone())),
+    ]
+}
+
 /// Waits for the request to stop, and logs reloads until then.
 async fn wait_for_stop(shared: &Shared, signals: &mut Signals) {
     loop {
--- a/bergamotshift-forward/src/duty/tally.rs
+++ b/bergamotshift-forward/src/duty/tally.rs
@@ -3,7 +3,6 @@
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::time::SystemTime;
 
 use bergamotshift_core::prelude::*;
 
@@ -33,12 +32,9 @@
 impl Tally {
     /// Creates a counter; with a window of zero it counts nothing.
     pub fn new(clock: Clock, window: Duration) -> Self {
-        let unix_time = SystemTime::now()
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .unwrap_or_default();
         Self {
             clock,
-            epoch: unix_time.saturating_sub(clock.now().since(Instant::ZERO)),
+            epoch: clock.unix_time().saturating_sub(clock.now().since(Instant::ZERO)),
             window,
             windows: Mutex::default(),
         }
--- a/bergamotshift-forward/src/follow/document.rs
+++ b/bergamotshift-forward/src/follow/document.rs
@@ -13,6 +13,7 @@
 use crate::outside::Gap;
 use crate::outside::Operators;
 use crate::peers::Holder;
+use crate::peers::Network;
 use crate::peers::Source;
 use crate::peers::update;
 
@@ -53,11 +54,12 @@
 /// One loop fetches one copy at a time: from an entry that has it and may send only the difference, or else from the
 /// store. Concurrent fetches of a large document would share the link, so that each exceeds its timeout and none
 /// completes.
-pub async fn document(control: Control, operators: Rc<dyn Operators>) {
+pub async fn document(control: Control, operators: Rc<dyn Operators>, network: Rc<dyn Network>) {
     let mut follower = Follower {
         last_store_read: control.shared().clock.now(),
         control,
         operators,
+        network,
         needs_full_read: true,
         failures: 0,
     };
@@ -80,6 +82,7 @@
 struct Follower {
     control: Control,
     operators: Rc<dyn Operators>,
+    network: Rc<dyn Network>,
     /// Whether the next call of the store has to read everything.
     needs_full_read: bool,
     /// Number of consecutive failures to fetch the document from other entries.
@@ -107,7 +110,7 @@
 
     /// Fetches the document from an entry, and defers that entry if this fails.
     async fn fetch(&mut self, holder: &Holder) {
-        match fetch_from(&self.control, holder).await {
+        match fetch_from(&self.control, &*self.network, holder).await {
             Fetched::Newer => self.failures = 0,
             Fetched::Busy => self.control.defer_holder(holder, BUSY_HOLDER_DELAY),
             Fetched::Failed => {
@@ -183,10 +186,10 @@
 }
 
 /// Fetches the document from an entry and puts it in force.
-async fn fetch_from(control: &Control, holder: &Holder) -> Fetched {
+async fn fetch_from(control: &Control, network: &dyn Network, holder: &Holder) -> Fetched {
     let now = || control.shared().clock.now();
     let started = now();
-    let fetched = update::fetch(holder.address, control.document().version).await;
+    let fetched = network.download(holder.address, control.document().version).await;
     let took = now().since(started);
     let cause = match fetched {
         Ok(download) => match control.apply_update(holder, download, took) {
--- /dev/null
+++ b/bergamotshift-forward/src/peers/network.rs
@@ -0,0 +1,110 @@
+//! Calls to other entries.
+
+use core::cell::RefCell;
+use core::fmt::Debug;
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::collections::HashMap;
+
+use bergamotshift_platform::Future;
+use ntex::http::StatusCode;
+use thiserror::Error as ThisError;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::message::Reply;
+use super::task::PATH;
+use super::update;
+use super::update::Download;
+use crate::exchange;
+use crate::exchange::Connection;
+use crate::exchange::Failure;
+
+/// Error of an exchange of states with another entry.
+#[derive(Debug)]
+#[derive(ThisError)]
+pub enum Error {
+    /// The connection failed.
+    #[error(transparent)]
+    Exchange(#[from] Failure),
+    /// The entry did not reply in time.
+    #[error("no whole answer in time: {received} bytes came")]
+    Timeout {
+        /// Number of bytes of the reply received so far.
+        received: usize,
+    },
+    /// The reply is malformed.
+    #[error("the answer cannot be decoded: {0}")]
+    Decode(#[from] postcard::Error),
+    /// The entry refused the state.
+    #[error("the entry answered with status {0}")]
+    Status(u16),
+}
+
+/// Network to the other entries.
+pub trait Network: Debug {
+    /// Sends an encoded [`State`](super::State) to an entry, and returns its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the entry does not reply within `timeout`, or not with a reply.
+    fn exchange<'a>(
+        &'a self,
+        address: SocketAddr,
+        state: &'a [u8],
+        timeout: Duration,
+    ) -> Future<'a, Result<Reply, Error>>;
+
+    /// Downloads the changes of the document since `version` from an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the entry refuses, the connection fails or stalls, or the response is malformed.
+    fn download(&self, address: SocketAddr, version: u64) -> Future<'_, Result<Download, update::Error>>;
+}
+
+/// Network of TCP connections, of which one to each entry is kept between exchanges.
+#[derive(Debug, Default)]
+pub struct Tcp {
+    connections: RefCell<HashMap<SocketAddr, Connection>>,
+}
+
+impl Tcp {
+    async fn exchange(&self, address: SocketAddr, state: &[u8], timeout: Duration) -> Result<Reply, Error> {
+        let deadline = Instant::now() + timeout;
+        let idle = self
+            .connections
+            .borrow_mut()
+            .remove(&address)
+            .filter(Connection::is_reusable);
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => Connection::open(address, timeout).await?,
+        };
+        let before = connection.bytes_received();
+        let call = timeout_at(deadline, exchange::call(&mut connection, address, PATH, state)).await;
+        let answer = call.map_err(|_elapsed| Error::Timeout {
+            received: connection.bytes_received() - before,
+        })??;
+        if answer.status != StatusCode::OK {
+            return Err(Error::Status(answer.status.as_u16()));
+        }
+        self.connections.borrow_mut().insert(address, connection);
+        Ok(postcard::from_bytes(&answer.body)?)
+    }
+}
+
+impl Network for Tcp {
+    fn exchange<'a>(
+        &'a self,
+        address: SocketAddr,
+        state: &'a [u8],
+        timeout: Duration,
+    ) -> Future<'a, Result<Reply, Error>> {
+        Box::pin(self.exchange(address, state, timeout))
+    }
+
+    fn download(&self, address: SocketAddr, version: u64) -> Future<'_, Result<Download, update::Error>> {
+        Box::pin(update::fetch(address, version))
+    }
+}
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -1,9 +1,8 @@
 //! Periodic exchange of states with the other entries.
 
-use core::cell::RefCell;
 use core::net::SocketAddr;
 use core::time::Duration;
-use std::collections::HashMap;
+use std::rc::Rc;
 
 use bergamotshift_core::name;
 use futures_util::future::join_all;
@@ -11,21 +10,15 @@
 use ntex::http::Response;
 use ntex::http::StatusCode;
 use slog::info;
-use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
 
-use super::message::Reply;
 use super::message::State;
+use super::network::Network;
 use super::question::read_body;
 use super::rounds::Rounds;
 use crate::control::Control;
 use crate::control::Query;
-use crate::exchange;
-use crate::exchange::Connection;
-use crate::exchange::Failure;
 use crate::limits::Keeper;
 use crate::observe::Topic;
 
@@ -38,41 +31,27 @@
 const TIMED_OUT_AFTER: Duration = Duration::from_millis(200);
 
 /// Path of requests that exchange states.
-const PATH: &str = "/exchange";
+pub(super) const PATH: &str = "/exchange";
 
 /// Maximum size of a request's body, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
-/// Error of an exchange with another entry.
-#[derive(Debug)]
-#[derive(Error)]
-enum Error {
-    #[error(transparent)]
-    Exchange(#[from] Failure),
-    #[error("no whole answer in time: {received} bytes came")]
-    Timeout { received: usize },
-    #[error("the answer cannot be decoded: {0}")]
-    Decode(#[from] postcard::Error),
-    #[error("the entry answered with status {0}")]
-    Status(u16),
-}
-
-/// Exchanges states with other entries until the process ends.
-pub async fn run(control: Control) {
-    let connections = RefCell::new(HashMap::new());
+/// Answers the queries of other entries until the process ends.
+pub async fn answer_queries(control: Control) {
     let Some(mut queries) = control.take_queries() else {
         return;
     };
-    let responder = control.clone();
-    ntex::rt::spawn(async move {
-        // The requester may have gone meanwhile.
-        while let Some(query) = queries.recv().await {
-            match query {
-                Query::Exchange { state, reply } => drop(reply.send(responder.handle_state(*state))),
-                Query::Document { version, reply } => drop(reply.send(responder.offer(version))),
-            }
+    // The requester may have gone meanwhile.
+    while let Some(query) = queries.recv().await {
+        match query {
+            Query::Exchange { state, reply } => drop(reply.send(control.handle_state(*state))),
+            Query::Document { version, reply } => drop(reply.send(control.offer(version))),
         }
-    });
+    }
+}
+
+/// Exchanges states with other entries until the process ends.
+pub async fn run(control: Control, network: Rc<dyn Network>) {
     let mut rounds = Rounds::default();
     loop {
         let is_discovering = control.keepers().keeper == Keeper::Unknown;
@@ -100,7 +79,7 @@
         let exchanges = targets.into_iter().map(|(entry, address)| {
             let is_brief = entry.as_ref().is_some_and(|entry| control.is_brief(entry));
             let question = if is_brief { &brief } else { &question };
-            contact(&control, &connections, entry, address, question, round.timeout)
+            contact(&control, &*network, entry, address, question, round.timeout)
         });
         join_all(exchanges).await;
     }
@@ -108,14 +87,14 @@
 
 async fn contact(
     control: &Control,
-    connections: &RefCell<HashMap<SocketAddr, Connection>>,
+    network: &dyn Network,
     entry: Option<name::Entry>,
     address: SocketAddr,
     question: &[u8],
     timeout: Duration,
 ) {
     let began = control.shared().clock.now();
-    let result = exchange(connections, address, question, timeout).await;
+    let result = network.exchange(address, question, timeout).await;
     let now = control.shared().clock.now();
     let took = now.since(began);
     match result {
@@ -132,33 +111,6 @@
     }
 }
 
-async fn exchange(
-    connections: &RefCell<HashMap<SocketAddr, Connection>>,
-    address: SocketAddr,
-    question: &[u8],
-    timeout: Duration,
-) -> Result<Reply, Error> {
-    let deadline = Instant::now() + timeout;
-    let idle = connections
-        .borrow_mut()
-        .remove(&address)
-        .filter(Connection::is_reusable);
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => Connection::open(address, timeout).await?,
-    };
-    let before = connection.bytes_received();
-    let call = timeout_at(deadline, exchange::call(&mut connection, address, PATH, question)).await;
-    let answer = call.map_err(|_elapsed| Error::Timeout {
-        received: connection.bytes_received() - before,
-    })??;
-    if answer.status != StatusCode::OK {
-        return Err(Error::Status(answer.status.as_u16()));
-    }
-    connections.borrow_mut().insert(address, connection);
-    Ok(postcard::from_bytes(&answer.body)?)
-}
-
 /// Answers another entry's state with this entry's.
 pub async fn answer_exchange(control: &mpsc::UnboundedSender<Query>, mut request: Request) -> Response {
     if request.path() != PATH {
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -6,6 +6,7 @@
 use core::sync::atomic::AtomicU64;
 use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
+use core::time::Duration;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,6 +18,7 @@
 use bergamotshift_limit::quarantine;
 use bergamotshift_limit::retry::Budget;
 use bergamotshift_rollout::directive::FULL_SHARE;
+use slog::Logger;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -217,6 +219,40 @@
 }
 
 impl Shared {
+    /// Creates the state of an entry that starts now, with a channel for notes from its requests.
+    pub fn new(
+        settings: Settings,
+        dialect: Dialect,
+        clock: Clock,
+        logger: Logger,
+        notes: UnboundedSender<Note>,
+    ) -> Self {
+        let usage_window = Duration::from_secs_f64(settings.duty.usage_window_s.max(0.0));
+        Self {
+            dialect,
+            view: ArcSwap::from_pointee(View::default()),
+            view_ready: Notify::new(),
+            started: clock.now(),
+            clock,
+            log: Log::new(logger),
+            metrics: Metrics::new(),
+            tally: Tally::new(clock, usage_window),
+            cache_index: Mutex::default(),
+            ledger: Mutex::default(),
+            rollout_evidence: Arc::default(),
+            in_flight_changed: Notify::new(),
+            notes,
+            stopping: AtomicBool::new(false),
+            stop: Notify::new(),
+            closed: AtomicBool::new(false),
+            stranded: AtomicBool::new(false),
+            newest_document: AtomicU64::new(0),
+            late: AtomicBool::new(false),
+            active: AtomicUsize::new(0),
+            settings,
+        }
+    }
+
     /// Locks the index of cached prompt parts.
     pub fn cache_index(&self) -> MutexGuard<'_, Index> {
         self.cache_index.lock().unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/bergamotshift-forward/tests/fleet/main.rs
@@ -0,0 +1,9 @@
+//! Whole fleets in virtual time: the real control tasks of many entries, with a store and a network in memory.
+//!
+//! Time advances only when all tasks wait, so a minute of a small fleet takes a second, and counts do not depend on the
+//! machine's speed.
+
+mod model;
+mod network;
+mod start;
+mod store;
--- /dev/null
+++ b/bergamotshift-forward/tests/fleet/model.rs
@@ -0,0 +1,341 @@
+//! Fleet of entries in virtual time.
+
+use core::cell::RefCell;
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::control::Control;
+use bergamotshift_forward::daemon::control_tasks;
+use bergamotshift_forward::dialect::Dialect;
+use bergamotshift_forward::document::Document;
+use bergamotshift_forward::document::Limit;
+use bergamotshift_forward::document::Organisation;
+use bergamotshift_forward::document::Route;
+use bergamotshift_forward::document::Service;
+use bergamotshift_forward::document::Split;
+use bergamotshift_forward::document::Unit;
+use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::observe::Clock;
+use bergamotshift_forward::outside::Cursor;
+use bergamotshift_forward::settings::Settings;
+use bergamotshift_forward::view::Shared;
+use slog::Logger;
+use tokio::runtime::Builder;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::network::Interface;
+use crate::network::Switch;
+use crate::network::Traffic;
+use crate::store::Purpose;
+use crate::store::Store;
+
+/// Names of the availability zones.
+const ZONES: [&str; 6] = ["z0", "z1", "z2", "z3", "z4", "z5"];
+
+/// Interval at which each endpoint writes its registration.
+const HEARTBEAT: Duration = Duration::from_secs(3);
+
+/// Interval at which the model writes a part of the registrations.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time within which all entries start.
+const START_SPREAD: Duration = Duration::from_millis(300);
+
+/// Size of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub entries: usize,
+    pub endpoints: usize,
+    pub organisations: usize,
+}
+
+impl Size {
+    /// Returns the size of a fleet with three endpoints to an entry.
+    pub fn of(entries: usize) -> Self {
+        Self {
+            entries,
+            endpoints: 3 * entries,
+            organisations: entries.div_ceil(3),
+        }
+    }
+}
+
+/// One entry.
+#[derive(Debug)]
+pub struct Node {
+    pub name: String,
+    pub address: SocketAddr,
+    zone: usize,
+    control: RefCell<Option<Control>>,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+}
+
+impl Node {
+    /// Returns the entry's control; `None` while it is down.
+    pub fn control(&self) -> Option<Control> {
+        self.control.borrow().clone()
+    }
+
+    /// Returns whether the entry can serve requests.
+    pub fn can_serve(&self) -> bool {
+        self.control()
+            .is_some_and(|control| control.shared().view.load().is_complete())
+    }
+
+    /// Returns the version of the document in force; 0 without one.
+    pub fn document(&self) -> u64 {
+        self.control().map_or(0, |control| control.document().version)
+    }
+}
+
+/// Fleet of entries with their store and network.
+#[derive(Debug)]
+pub struct Fleet {
+    pub size: Size,
+    pub store: Store,
+    pub switch: Rc<Switch>,
+    pub nodes: Vec<Node>,
+    clock: Clock,
+}
+
+/// Runs a future in virtual time.
+pub fn run(future: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+    let runtime = runtime.expect("a runtime");
+    LocalSet::new().block_on(&runtime, future);
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7_600))
+}
+
+impl Fleet {
+    /// Creates a fleet of which no entry runs, with endpoints that write their registrations.
+    pub fn new(size: Size) -> Self {
+        let store = Store::default();
+        store.put_document(document(1, size));
+        let registrations: Vec<_> = (0..size.endpoints).map(registration).collect();
+        for registration in &registrations {
+            store.register(registration);
+        }
+        tokio::task::spawn_local(heartbeats(store.clone(), registrations));
+        let nodes = (0..size.entries).map(|number| Node {
+            name: format!("entry-{}-{number:04}", ZONES[number % ZONES.len()]),
+            address: address(number),
+            zone: number % ZONES.len(),
+            control: RefCell::default(),
+            tasks: RefCell::default(),
+        });
+        Self {
+            size,
+            store,
+            switch: Rc::default(),
+            nodes: nodes.collect(),
+            clock: Clock::Runtime(Instant::now()),
+        }
+    }
+
+    /// Starts all entries within a fraction of a second.
+    pub async fn start(&self) {
+        let gap = START_SPREAD / self.nodes.len() as u32;
+        for node in &self.nodes {
+            self.start_node(node);
+            sleep(gap).await;
+        }
+    }
+
+    /// Starts one entry.
+    pub fn start_node(&self, node: &Node) {
+        let (notes, _inbox) = mpsc::unbounded_channel();
+        let logger = Logger::root(slog::Discard, slog::o!());
+        let shared = Shared::new(self.settings(node), Dialect::default(), self.clock, logger, notes);
+        let control = Control::new(Arc::new(shared));
+        self.switch.connect(node.address, node.zone, control.query_sender());
+        let network = Rc::new(Interface {
+            switch: Rc::clone(&self.switch),
+            address: node.address,
+        });
+        let tasks = control_tasks(&control, &self.store.clients(&node.name), &(network as _));
+        *node.tasks.borrow_mut() = tasks.into_iter().map(tokio::task::spawn_local).collect();
+        *node.control.borrow_mut() = Some(control);
+    }
+
+    /// Kills one entry.
+    pub fn kill(&self, node: &Node) {
+        self.switch.disconnect(node.address);
+        for task in node.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
+        node.control.borrow_mut().take();
+    }
+
+    fn settings(&self, node: &Node) -> Settings {
+        let seeds: Vec<String> = self
+            .nodes
+            .iter()
+            .take(3)
+            .map(|seed| format!("\"{}\"", seed.address))
+            .collect();
+        let text = format!(
+            r#"
+            name = "{name}"
+            zone = "{zone}"
+            core_share = {core_share}
+            outside = "model"
+            [listen]
+            callers = "{address}"
+            ready = "{address}"
+            peers = "{address}"
+            metrics = "{address}"
+            [store]
+            address = "store"
+            [peers]
+            seeds = [{seeds}]
+            [stop]
+            grace_s = 8.0
+            [duty]
+            lease_ms = 3000
+            usage_window_s = 5.0
+            usage_due_s = 10.0
+            [limit]
+            slack = 190000.0
+            "#,
+            name = node.name,
+            zone = ZONES[node.zone],
+            // A few VMs of each zone are larger.
+            core_share = if node.address.ip().to_string().ends_with('7') {
+                1.0
+            } else {
+                0.12
+            },
+            address = node.address,
+            seeds = seeds.join(","),
+        );
+        Settings::parse(&text).expect("the settings are in order")
+    }
+
+    /// Waits until a condition holds for all running entries, and returns how long that took; fails after `limit`.
+    pub async fn wait_for_all(&self, what: &str, limit: Duration, condition: impl Fn(&Node) -> bool) -> Duration {
+        const POLL_INTERVAL: Duration = Duration::from_millis(10);
+        let began = Instant::now();
+        loop {
+            let running = self.nodes.iter().filter(|node| node.control.borrow().is_some());
+            let missing = running.filter(|node| !condition(node)).count();
+            if missing == 0 {
+                return began.elapsed();
+            }
+            assert!(
+                began.elapsed() < limit,
+                "{what}: {missing} of {} entries lack it",
+                self.nodes.len()
+            );
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns the number of calls of the store by purpose since a time, with the number of those that were refused.
+    pub fn calls_since(&self, from: Instant) -> BTreeMap<Purpose, (usize, usize)> {
+        let mut counts = BTreeMap::<_, (usize, usize)>::new();
+        for call in self.store.calls_since(from) {
+            let count = counts.entry(call.purpose).or_default();
+            count.0 += 1;
+            count.1 += usize::from(call.is_refused);
+        }
+        counts
+    }
+
+    /// Returns the traffic of each entry since the last call, ordered by bytes.
+    pub fn take_traffic(&self) -> Vec<Traffic> {
+        let mut traffic: Vec<_> = self
+            .nodes
+            .iter()
+            .map(|node| self.switch.take_traffic(node.address))
+            .collect();
+        traffic.sort_by_key(|one| one.bytes);
+        traffic
+    }
+}
+
+/// Returns the total of some counts.
+pub fn total(calls: &BTreeMap<Purpose, (usize, usize)>) -> usize {
+    calls.values().map(|(count, _)| count).sum()
+}
+
+/// Returns the document of a size.
+pub fn document(version: u64, size: Size) -> Document {
+    let organisations = (0..size.organisations).map(|number| Organisation {
+        name: name::Organisation::new(format!("organisation-{number}")),
+        keys: vec![format!("key-{number}").into()],
+        urgency: None,
+        limit: Some(Limit {
+            rate: 50_000.0,
+            burst: 100_000.0,
+            unit: Unit::Tokens { plain: 200 },
+        }),
+    });
+    Document {
+        version,
+        routes: vec![Route {
+            name: "chat".into(),
+            host: "chat.example".into(),
+            prefix: "/chat/".into(),
+            kind: bergamotshift_forward::document::Kind::Stream,
+            timeout: Duration::from_secs(10),
+            objective: Duration::from_millis(800),
+            pause: Duration::from_millis(500),
+            urgency: 0,
+            splits: vec![Split {
+                service: "planner".into(),
+                weight: 1,
+            }],
+            attempts: 2,
+            public: false,
+            resumable: true,
+        }],
+        services: vec![Service {
+            name: "planner".into(),
+            connections: 100,
+            engine: None,
+            scale: None,
+        }],
+        organisations: organisations.collect(),
+        ..Document::default()
+    }
+}
+
+/// Returns the registration of an endpoint.
+pub fn registration(number: usize) -> Registration {
+    Registration {
+        id: format!("i-{number:010}").into(),
+        born: 0,
+        version: "v1".into(),
+        service: "planner".into(),
+        address: SocketAddr::from(([10, 1, (number / 250) as u8, (number % 250) as u8], 8_086)),
+        zone: ZONES[number % ZONES.len()].into(),
+        slots: 48,
+        leaving: false,
+        market: Market::OnDemand,
+        leaves_in: None,
+        written: Cursor::default(),
+    }
+}
+
+/// Writes each registration once in a heartbeat.
+async fn heartbeats(store: Store, registrations: Vec<Registration>) {
+    let rounds = (HEARTBEAT.as_millis() / WRITE_INTERVAL.as_millis()) as usize;
+    for round in 0.. {
+        sleep(WRITE_INTERVAL).await;
+        let due = registrations.iter().skip(round % rounds).step_by(rounds);
+        for registration in due {
+            store.register(registration);
+        }
+    }
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/fleet/network.rs
@@ -0,0 +1,192 @@
+//! Network between entries, with latency and bandwidth, that counts messages and bytes.
+
+use core::cell::RefCell;
+use core::net::SocketAddr;
+use core::time::Duration;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bergamotshift_forward::control::Query;
+use bergamotshift_forward::exchange::Failure;
+use bergamotshift_forward::peers::Error;
+use bergamotshift_forward::peers::Network;
+use bergamotshift_forward::peers::Offer;
+use bergamotshift_forward::peers::Reply;
+use bergamotshift_forward::peers::update;
+use bergamotshift_forward::peers::update::Download;
+use bergamotshift_platform::Future;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+/// Latency in one way within a zone and between zones.
+const LATENCY: [Duration; 2] = [Duration::from_micros(100), Duration::from_micros(500)];
+
+/// Bytes of a message's head, and of the packets that acknowledge it.
+const HEAD_BYTES: usize = 200;
+
+/// Bandwidth of an entry's link, in bytes per second: 20 Mbit per second.
+const BANDWIDTH: f64 = 20e6 / 8.0;
+
+/// What an entry sent and received.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+#[derive(Debug)]
+struct Port {
+    zone: usize,
+    /// Queries to the entry; `None` while it is down.
+    queries: Option<mpsc::UnboundedSender<Query>>,
+    /// Time at which the link has carried all bytes so far.
+    free_at: Instant,
+    traffic: Traffic,
+}
+
+/// Network of all entries.
+#[derive(Debug, Default)]
+pub struct Switch {
+    ports: RefCell<HashMap<SocketAddr, Port>>,
+}
+
+impl Switch {
+    /// Connects an entry, or connects it again after it was down.
+    pub fn connect(&self, address: SocketAddr, zone: usize, queries: mpsc::UnboundedSender<Query>) {
+        let mut ports = self.ports.borrow_mut();
+        let port = ports.entry(address).or_insert_with(|| Port {
+            zone,
+            queries: None,
+            free_at: Instant::now(),
+            traffic: Traffic::default(),
+        });
+        port.queries = Some(queries);
+    }
+
+    /// Disconnects an entry; its VM refuses connections.
+    pub fn disconnect(&self, address: SocketAddr) {
+        if let Some(port) = self.ports.borrow_mut().get_mut(&address) {
+            port.queries = None;
+        }
+    }
+
+    /// Returns the traffic of an entry, and resets it.
+    pub fn take_traffic(&self, address: SocketAddr) -> Traffic {
+        let mut ports = self.ports.borrow_mut();
+        ports
+            .get_mut(&address)
+            .map(|port| core::mem::take(&mut port.traffic))
+            .unwrap_or_default()
+    }
+
+    /// Occupies the link of an entry with a message, and returns the time at which it has passed.
+    fn occupy(&self, address: SocketAddr, bytes: usize) -> Option<Instant> {
+        let mut ports = self.ports.borrow_mut();
+        let port = ports.get_mut(&address)?;
+        let duration = Duration::from_secs_f64(bytes as f64 / BANDWIDTH);
+        port.free_at = port.free_at.max(Instant::now()) + duration;
+        port.traffic.messages += 1;
+        port.traffic.bytes += bytes as u64;
+        Some(port.free_at)
+    }
+
+    fn zone(&self, address: SocketAddr) -> Option<usize> {
+        self.ports.borrow().get(&address).map(|port| port.zone)
+    }
+
+    /// Carries a message; returns `None` when an end is unknown.
+    async fn carry(&self, from: SocketAddr, to: SocketAddr, bytes: usize) -> Option<()> {
+        let latency = LATENCY[usize::from(self.zone(from)? != self.zone(to)?)];
+        let bytes = bytes + HEAD_BYTES;
+        sleep_until(self.occupy(from, bytes)? + latency).await;
+        sleep_until(self.occupy(to, bytes)?).await;
+        Some(())
+    }
+
+    fn queries(&self, address: SocketAddr) -> Result<mpsc::UnboundedSender<Query>, Failure> {
+        let ports = self.ports.borrow();
+        let queries = ports.get(&address).and_then(|port| port.queries.clone());
+        queries.ok_or_else(refused)
+    }
+}
+
+fn refused() -> Failure {
+    Failure::Connect("refused".to_owned())
+}
+
+fn broken() -> Failure {
+    Failure::Broken("reset".to_owned())
+}
+
+/// An entry's connection to the network.
+#[derive(Debug)]
+pub struct Interface {
+    pub switch: Rc<Switch>,
+    pub address: SocketAddr,
+}
+
+impl Interface {
+    async fn send(&self, address: SocketAddr, state: &[u8]) -> Result<Reply, Error> {
+        let own = self.address;
+        self.switch.carry(own, address, state.len()).await.ok_or_else(refused)?;
+        let queries = self.switch.queries(address)?;
+        let (reply, answer) = oneshot::channel();
+        let state = postcard::from_bytes(state)?;
+        queries
+            .send(Query::Exchange { state, reply })
+            .map_err(|_closed| broken())?;
+        let answer = postcard::to_stdvec(&answer.await.map_err(|_dropped| broken())?)?;
+        self.switch.carry(address, own, answer.len()).await.ok_or_else(broken)?;
+        Ok(postcard::from_bytes(&answer)?)
+    }
+
+    async fn fetch(&self, address: SocketAddr, version: u64) -> Result<Download, update::Error> {
+        let own = self.address;
+        self.switch.carry(own, address, 8).await.ok_or_else(refused)?;
+        let queries = self.switch.queries(address)?;
+        let (reply, answer) = oneshot::channel();
+        queries
+            .send(Query::Document { version, reply })
+            .map_err(|_closed| broken())?;
+        match answer.await.map_err(|_dropped| broken())? {
+            Offer::Nothing => Err(update::Error::Nothing),
+            Offer::Busy => Err(update::Error::Busy),
+            Offer::Update {
+                freshness,
+                encoded,
+                permit,
+            } => {
+                self.switch
+                    .carry(address, own, encoded.len())
+                    .await
+                    .ok_or_else(broken)?;
+                drop(permit);
+                Ok(Download {
+                    freshness,
+                    update: postcard::from_bytes(&encoded)?,
+                    bytes: encoded.len(),
+                })
+            }
+        }
+    }
+}
+
+impl Network for Interface {
+    fn exchange<'a>(
+        &'a self,
+        address: SocketAddr,
+        state: &'a [u8],
+        timeout: Duration,
+    ) -> Future<'a, Result<Reply, Error>> {
+        Box::pin(async move {
+            let sent = tokio::time::timeout(timeout, self.send(address, state)).await;
+            sent.unwrap_or(Err(Error::Timeout { received: 0 }))
+        })
+    }
+
+    fn download(&self, address: SocketAddr, version: u64) -> Future<'_, Result<Download, update::Error>> {
+        Box::pin(self.fetch(address, version))
+    }
+}
--- /dev/null
+++ b/bergamotshift-forward/tests/fleet/store.rs
@@ -0,0 +1,429 @@
+//! Store in memory that counts its calls by purpose.
+
+use core::cell::RefCell;
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use bergamotshift_core::table;
+use bergamotshift_core::table::Condition;
+use bergamotshift_core::table::Ending;
+use bergamotshift_core::table::Key;
+use bergamotshift_core::table::Row;
+use bergamotshift_core::table::Write;
+use bergamotshift_forward::document::Document;
+use bergamotshift_forward::endpoint::Change;
+use bergamotshift_forward::endpoint::Registration;
+use bergamotshift_forward::outside::Clients;
+use bergamotshift_forward::outside::Cursor;
+use bergamotshift_forward::outside::Duties;
+use bergamotshift_forward::outside::FencingToken;
+use bergamotshift_forward::outside::Gap;
+use bergamotshift_forward::outside::Instructions;
+use bergamotshift_forward::outside::Operators;
+use bergamotshift_forward::outside::Order;
+use bergamotshift_forward::outside::Registry;
+use bergamotshift_forward::outside::Usage;
+use bergamotshift_platform::Error;
+use bergamotshift_platform::Future;
+use bergamotshift_platform::table::Page;
+use bergamotshift_rollout::Order as Rollout;
+use bergamotshift_rollout::order::State;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Duration of a call.
+const CALL_DURATION: Duration = Duration::from_millis(4);
+
+/// Maximum number of rows in an answer.
+const PAGE_SIZE: usize = 500;
+
+/// Size of a registration in an answer, in bytes.
+const REGISTRATION_BYTES: usize = 330;
+
+/// Time that one transaction occupies its partition.
+const TRANSACTION_DURATION: Duration = Duration::from_millis(4);
+
+/// Maximum time that a transaction waits for its partition.
+const MAX_QUEUE: Duration = Duration::from_secs(1);
+
+/// Number of changes that the history holds.
+const MAX_HISTORY: usize = 100_000;
+
+/// Purpose of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Purpose {
+    Document,
+    Registrations,
+    EntriesRead,
+    EntryWrite,
+    Lease,
+    Usage,
+    Order,
+}
+
+/// One call.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    pub at: Instant,
+    pub purpose: Purpose,
+    pub is_refused: bool,
+}
+
+#[derive(Debug, Default)]
+struct Contents {
+    version: u64,
+    era: u64,
+    document: Option<Document>,
+    document_version: u64,
+    registrations: BTreeMap<SmolStr, Registration>,
+    history: VecDeque<(u64, Change)>,
+    rows: BTreeMap<Key, Row>,
+    queues: BTreeMap<SmolStr, Instant>,
+    calls: Vec<Call>,
+    /// Size of all answers with registrations, in bytes.
+    bytes: usize,
+    /// Entries whose calls fail.
+    cut: BTreeSet<SmolStr>,
+    is_down: bool,
+}
+
+/// Handle to the store; clones share its contents.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    contents: Rc<RefCell<Contents>>,
+    changed: Rc<Notify>,
+}
+
+impl Store {
+    /// Stores the operators' document.
+    pub fn put_document(&self, document: Document) {
+        let mut contents = self.contents.borrow_mut();
+        contents.version += 1;
+        contents.document_version = contents.version;
+        contents.document = Some(document);
+        drop(contents);
+        self.changed.notify_waiters();
+    }
+
+    /// Writes a registration.
+    pub fn register(&self, registration: &Registration) {
+        let mut contents = self.contents.borrow_mut();
+        contents.version += 1;
+        let written = contents.cursor();
+        let registration = Registration {
+            written,
+            ..registration.clone()
+        };
+        let id = registration.id.clone();
+        contents.registrations.insert(id, registration.clone());
+        contents.record(Change::Written(registration));
+    }
+
+    /// Makes all calls fail, or lets them succeed again.
+    pub fn set_down(&self, is_down: bool) {
+        self.contents.borrow_mut().is_down = is_down;
+    }
+
+    /// Makes the calls of an entry fail.
+    pub fn cut(&self, entry: &str) {
+        self.contents.borrow_mut().cut.insert(entry.into());
+    }
+
+    /// Forgets the history of changes.
+    pub fn truncate(&self) {
+        self.contents.borrow_mut().history.clear();
+    }
+
+    /// Restores the store's own state of now as if it were a copy, so that all cursors are of an earlier era.
+    pub fn restore(&self) {
+        let mut contents = self.contents.borrow_mut();
+        contents.era += 1;
+        contents.history.clear();
+        drop(contents);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the calls since a time.
+    pub fn calls_since(&self, from: Instant) -> Vec<Call> {
+        let contents = self.contents.borrow();
+        contents.calls.iter().filter(|call| call.at >= from).copied().collect()
+    }
+
+    /// Returns the size of all answers with registrations so far, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.contents.borrow().bytes
+    }
+
+    /// Returns clients for an entry.
+    pub fn clients(&self, entry: &str) -> Clients {
+        let client = Rc::new(Client {
+            store: self.clone(),
+            entry: entry.into(),
+        });
+        Clients {
+            operators: Rc::clone(&client) as _,
+            registry: Rc::clone(&client) as _,
+            table: Rc::clone(&client) as _,
+            duties: Some(client),
+        }
+    }
+}
+
+impl Contents {
+    fn cursor(&self) -> Cursor {
+        Cursor {
+            era: self.era,
+            version: self.version,
+        }
+    }
+
+    fn record(&mut self, change: Change) {
+        self.history.push_back((self.version, change));
+        if self.history.len() > MAX_HISTORY {
+            self.history.pop_front();
+        }
+    }
+
+    /// Returns whether the changes after a position are still there.
+    fn has_history(&self, after: Cursor) -> bool {
+        let oldest = self.history.front().map(|(version, _)| *version);
+        after.era == self.era
+            && (after.version >= self.version || oldest.is_some_and(|oldest| oldest <= after.version + 1))
+    }
+
+    fn holds(&self, write: &Write) -> bool {
+        let version = self.rows.get(&write.key).map(|row| row.version);
+        match write.condition {
+            Condition::Any => true,
+            Condition::Absent => version.is_none(),
+            Condition::Version(expected) => version == Some(expected),
+        }
+    }
+
+    fn apply(&mut self, writes: Vec<Write>) -> Ending {
+        let failed: Vec<usize> = (0..writes.len()).filter(|index| !self.holds(&writes[*index])).collect();
+        if !failed.is_empty() {
+            return Ending::Conflict(failed);
+        }
+        for write in writes {
+            let version = self.rows.get(&write.key).map_or(0, |row| row.version) + 1;
+            match write.change {
+                table::Change::Put(body) => drop(self.rows.insert(write.key, Row { version, body })),
+                table::Change::Delete => drop(self.rows.remove(&write.key)),
+                table::Change::Check => {}
+            }
+        }
+        Ending::Applied
+    }
+}
+
+/// Client of one entry.
+#[derive(Debug)]
+struct Client {
+    store: Store,
+    entry: SmolStr,
+}
+
+impl Client {
+    /// Makes a call: it is counted, takes its time, and fails if the store is down or the entry is cut off.
+    async fn call(&self, purpose: Purpose, duration: Duration) -> Result<(), Error> {
+        let is_refused = {
+            let mut contents = self.store.contents.borrow_mut();
+            let is_refused = contents.is_down || contents.cut.contains(&self.entry);
+            contents.calls.push(Call {
+                at: Instant::now(),
+                purpose,
+                is_refused,
+            });
+            is_refused
+        };
+        sleep(duration).await;
+        if is_refused {
+            return Err(Error::Refused("the store is down".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// Waits for the turn of a transaction in its partition, and returns whether there was room in the queue.
+    async fn queue(&self, partition: &SmolStr) -> bool {
+        let now = Instant::now();
+        let end = {
+            let mut contents = self.store.contents.borrow_mut();
+            let free_at = contents.queues.entry(partition.clone()).or_insert(now);
+            let start = (*free_at).max(now);
+            if start - now > MAX_QUEUE {
+                if let Some(call) = contents.calls.last_mut() {
+                    call.is_refused = true;
+                }
+                return false;
+            }
+            *free_at = start + TRANSACTION_DURATION;
+            *free_at
+        };
+        tokio::time::sleep_until(end).await;
+        true
+    }
+}
+
+fn purpose_of(partition: &str, is_write: bool) -> Purpose {
+    match (partition, is_write) {
+        ("entry", true) => Purpose::EntryWrite,
+        ("entry", false) => Purpose::EntriesRead,
+        ("usage", _) => Purpose::Usage,
+        _ => Purpose::Lease,
+    }
+}
+
+impl Operators for Client {
+    fn read(&self) -> Future<'_, Result<(Instructions, Cursor), Error>> {
+        Box::pin(async move {
+            self.call(Purpose::Document, CALL_DURATION).await?;
+            let contents = self.store.contents.borrow();
+            let instructions = Instructions {
+                document: contents.document.clone(),
+                ..Instructions::default()
+            };
+            Ok((instructions, contents.cursor()))
+        })
+    }
+
+    fn wait_for_change(&self, after: Cursor, wait: Duration) -> Future<'_, Result<(Instructions, Cursor), Gap>> {
+        Box::pin(async move {
+            self.call(Purpose::Document, CALL_DURATION).await?;
+            let is_changed = || {
+                let contents = self.store.contents.borrow();
+                contents.era != after.era || contents.document_version > after.version
+            };
+            let changed = async {
+                while !is_changed() {
+                    self.store.changed.notified().await;
+                }
+            };
+            // The end of the wait is an answer without a change.
+            let _ = timeout(wait, changed).await;
+            let contents = self.store.contents.borrow();
+            if contents.era != after.era {
+                return Err(Gap::Truncated);
+            }
+            let document = contents
+                .document
+                .clone()
+                .filter(|_| contents.document_version > after.version);
+            let instructions = Instructions {
+                document,
+                ..Instructions::default()
+            };
+            Ok((instructions, contents.cursor().max(after)))
+        })
+    }
+
+    fn report_rollout(&self, _order: Rollout, state: State) -> Future<'_, Result<State, Error>> {
+        Box::pin(async move { Ok(state) })
+    }
+}
+
+impl Registry for Client {
+    fn registrations(&self) -> Future<'_, Result<(Vec<Change>, Cursor), Error>> {
+        Box::pin(async move {
+            let pages = self
+                .store
+                .contents
+                .borrow()
+                .registrations
+                .len()
+                .div_ceil(PAGE_SIZE)
+                .max(1);
+            for _ in 0..pages {
+                self.call(Purpose::Registrations, CALL_DURATION).await?;
+            }
+            let mut contents = self.store.contents.borrow_mut();
+            contents.bytes += contents.registrations.len() * REGISTRATION_BYTES;
+            let changes = contents.registrations.values().cloned().map(Change::Written).collect();
+            Ok((changes, contents.cursor()))
+        })
+    }
+
+    fn changes(&self, after: Cursor) -> Future<'_, Result<(Vec<Change>, Cursor), Gap>> {
+        Box::pin(async move {
+            self.call(Purpose::Registrations, CALL_DURATION).await?;
+            let mut contents = self.store.contents.borrow_mut();
+            if !contents.has_history(after) {
+                return Err(Gap::Truncated);
+            }
+            let first = contents
+                .history
+                .partition_point(|(version, _)| *version <= after.version);
+            let changes: Vec<Change> = contents
+                .history
+                .range(first..)
+                .map(|(_, change)| change.clone())
+                .collect();
+            contents.bytes += changes.len() * REGISTRATION_BYTES;
+            Ok((changes, contents.cursor()))
+        })
+    }
+}
+
+impl bergamotshift_platform::table::Table for Client {
+    fn transact(&self, writes: Vec<Write>) -> Future<'_, Ending> {
+        Box::pin(async move {
+            let Some(first) = writes.first() else {
+                return Ending::Applied;
+            };
+            let partition = first.key.partition.clone();
+            if self.call(purpose_of(&partition, true), Duration::ZERO).await.is_err() {
+                return Ending::Refused;
+            }
+            if !self.queue(&partition).await {
+                return Ending::Refused;
+            }
+            self.store.contents.borrow_mut().apply(writes)
+        })
+    }
+
+    fn era(&self) -> u64 {
+        self.store.contents.borrow().era
+    }
+
+    fn get(&self, keys: Vec<Key>) -> Future<'_, Result<Vec<Option<Row>>, Error>> {
+        Box::pin(async move {
+            for key in &keys {
+                self.call(purpose_of(&key.partition, false), CALL_DURATION).await?;
+            }
+            let contents = self.store.contents.borrow();
+            Ok(keys.iter().map(|key| contents.rows.get(key).cloned()).collect())
+        })
+    }
+
+    fn query(&self, partition: SmolStr, after: Option<SmolStr>, limit: u32) -> Future<'_, Result<Page, Error>> {
+        Box::pin(async move {
+            self.call(purpose_of(&partition, false), CALL_DURATION).await?;
+            let contents = self.store.contents.borrow();
+            let rows = contents.rows.iter().filter(|(key, _)| key.partition == partition);
+            let mut rows: Vec<_> = rows
+                .filter(|(key, _)| after.as_ref().is_none_or(|after| key.sort > *after))
+                .map(|(key, row)| (key.sort.clone(), row.clone()))
+                .collect();
+            let has_more = rows.len() > limit as usize;
+            rows.truncate(limit as usize);
+            let next = rows.last().map(|(sort, _)| sort.clone()).filter(|_| has_more);
+            Ok(Page { rows, next })
+        })
+    }
+}
+
+impl Duties for Client {
+    fn report(&self, _holder: FencingToken, _usage: Usage) -> Future<'_, Result<(), Error>> {
+        Box::pin(self.call(Purpose::Usage, CALL_DURATION))
+    }
+
+    fn order(&self, _holder: FencingToken, _order: Order) -> Future<'_, Result<(), Error>> {
+        Box::pin(self.call(Purpose::Order, CALL_DURATION))
+    }
+}
