perf(forward): the digest of registrations is computed once a change

Seen in the model of 300 entries and 900 endpoints: a third of all processor time goes into the digest of all registrations, which each message computed anew, several times; the cost of a message grew with the fleet.

Cause: Directory::digest and is_settled read all records. They are now summarised once after a change.

On the way: an entry that learnt from a 421 that an endpoint had ended got another digest than all others until the store told the same, up to three heartbeats later, and relayed what no registration had said; meanwhile each exchange with it carried all registrations. The digest and the relayed list now hold what the store told. Others learn of the end by their own answers. The test of that failed before.

Ruled out: a digest that is updated by difference, which would have to follow each of six places that change a record, for one pass over the records every half second.

--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -2,6 +2,7 @@
 //!
 //! An endpoint whose registration announced that it is leaving never returns to service.
 
+use core::cell::Cell;
 use core::cmp::Ordering;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -71,10 +72,29 @@
     announced_leaving: bool,
 }
 
+impl Record {
+    /// Returns this record's part of the digest.
+    fn digest(&self) -> u64 {
+        if self.gone_since.is_some() || self.lapsed_since.is_some() {
+            return 0;
+        }
+        self.endpoint.hash.rotate_left(u32::from(self.announced_leaving))
+    }
+}
+
+/// Properties of all records together, which each message between entries contains.
+#[derive(Clone, Copy, Debug)]
+struct Summary {
+    digest: u64,
+    is_settled: bool,
+}
+
 /// Set of known endpoints, updated by events.
 #[derive(Debug, Default)]
 pub struct Directory {
     records: BTreeMap<SmolStr, Record>,
+    /// Summary of the records; `None` after they changed.
+    summary: Cell<Option<Summary>>,
     /// Time of the last failed call of the store, or of its last restore.
     store_failed_at: Option<Instant>,
 }
@@ -83,6 +103,7 @@
     /// Applies an event, and returns the endpoints that it removed from service.
     pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Arc<Endpoint>> {
         let mut leaving = Vec::new();
+        self.summary.set(None);
         match event {
             Event::StoreFailed => self.store_failed_at = Some(now),
             Event::Restored(cursor) => {
@@ -128,7 +149,7 @@
     /// Returns the registrations of all endpoints that are not removed, for entries whose registrations are older.
     pub fn registrations(&self) -> Vec<Registration> {
         let registration = |record: &Record| Registration {
-            leaving: record.endpoint.is_withdrawn(),
+            leaving: record.announced_leaving,
             written: record.written,
             ..record.endpoint.registration.clone()
         };
@@ -139,25 +160,31 @@
     /// Returns whether no registration has lapsed without proof of removal. Until then this directory must not count as
     /// newer than that of other entries.
     pub fn is_settled(&self) -> bool {
-        self.records.values().all(|record| record.lapsed_since.is_none())
+        self.summary().is_settled
     }
 
     /// Returns a digest of the registered endpoints, including which of them are leaving.
     ///
-    /// Signals from answers are excluded: only this entry received them, so its digest would differ from those of
-    /// others.
+    /// What answers showed is excluded, since only this entry received them. If its digest differed from those of others
+    /// until the store told the same, each exchange with them would carry all registrations.
     ///
     /// Lapsed registrations are excluded too: an entry that knows them to be removed then has the same digest, and
     /// confirms how fresh this directory is.
     pub fn digest(&self) -> u64 {
-        let registered = self
-            .records
-            .values()
-            .filter(|record| record.gone_since.is_none() && record.lapsed_since.is_none());
-        let hashes = registered
-            .map(|record| &record.endpoint)
-            .map(|endpoint| endpoint.hash.rotate_left(u32::from(endpoint.is_withdrawn())));
-        hashes.fold(0, u64::wrapping_add)
+        self.summary().digest
+    }
+
+    /// Returns the summary of the records. It is computed once after each change, not for each message.
+    fn summary(&self) -> Summary {
+        if let Some(summary) = self.summary.get() {
+            return summary;
+        }
+        let summary = Summary {
+            digest: self.records.values().map(Record::digest).fold(0, u64::wrapping_add),
+            is_settled: self.records.values().all(|record| record.lapsed_since.is_none()),
+        };
+        self.summary.set(Some(summary));
+        summary
     }
 
     /// Returns an endpoint by [`Endpoint::hash`].
@@ -234,6 +261,7 @@
     /// were removed long ago, and returns the endpoints that stopped accepting requests.
     pub fn settle(&mut self, now: Instant, as_of: Instant) -> Vec<Arc<Endpoint>> {
         let mut leaving = Vec::new();
+        self.summary.set(None);
         let is_conclusive = self
             .store_failed_at
             .is_none_or(|failed| as_of.since(failed) >= RENEWAL_GRACE);
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -264,3 +264,43 @@
             .all(|registration| !registration.leaving)
     );
 }
+
+/// Guards against registrations that are sent whole in each exchange, because one entry learnt from an answer that an
+/// endpoint has ended and its digest differs from those of all others until the store tells the same.
+#[test]
+fn an_endpoint_that_an_answer_showed_to_be_gone_does_not_change_the_digest() {
+    let (own, other) = (directory(at(0)), directory(at(0)));
+    let gone = own.endpoints().next().expect("there is one");
+    assert!(gone.mark_leaving());
+    assert_eq!(own.digest(), other.digest());
+    let mut receiver = Directory::default();
+    receiver.apply(at(0), Event::Relayed(own.registrations()));
+    assert_eq!(receiver.digest(), other.digest());
+}
+
+/// Guards against a digest that stays the same after a change, so that other entries are not told of it.
+#[test]
+fn the_digest_follows_each_change() {
+    let mut directory = directory(at(0));
+    let mut seen = vec![directory.digest()];
+    let leaving = Registration {
+        leaving: true,
+        ..registration("a", "one")
+    };
+    let changes = [
+        Change::Written(leaving),
+        Change::Written(registration("c", "one")),
+        Change::Removed("b".into()),
+    ];
+    for change in changes {
+        directory.apply(at(100), Event::Changed(vec![change]));
+        assert!(!seen.contains(&directory.digest()));
+        seen.push(directory.digest());
+    }
+    assert!(directory.is_settled());
+    directory.apply(at(200), Event::StoreFailed);
+    directory.apply(at(300), Event::Changed(vec![Change::Removed("c".into())]));
+    assert!(!directory.is_settled());
+    directory.settle(at(9_000), at(9_000));
+    assert!(directory.is_settled());
+}
