perf(forward): a keeper sums the requests in flight once a tick

Change: one pass over the reports, one over the endpoints. The sums are the same, which the new test holds.

--- a/bergamotshift-forward/src/control/zone.rs
+++ b/bergamotshift-forward/src/control/zone.rs
@@ -54,9 +54,9 @@
                 sum.1 += load.unread;
             }
         }
+        ledger.apply_to_all(self.directory.endpoints());
         let silent = self.silent_zones(now, shared);
         for endpoint in self.directory.endpoints() {
-            ledger.apply_to(endpoint);
             endpoint.set_silent(silent.contains(&endpoint.registration.zone));
             let (running, unread) = sums.get(&endpoint.hash).copied().unwrap_or_default();
             endpoint.others.set(running, unread);
--- a/bergamotshift-forward/src/endpoint/ledger.rs
+++ b/bergamotshift-forward/src/endpoint/ledger.rs
@@ -2,6 +2,7 @@
 
 use core::time::Duration;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
 
@@ -50,6 +51,22 @@
         in_flight.unread += unread;
     }
 
+    /// Sets the load that this entry placed at each of these endpoints to the sum over all reports.
+    ///
+    /// Reads each report once. A look for each endpoint in each report would grow with the square of the fleet.
+    pub fn apply_to_all<'a>(&self, endpoints: impl Iterator<Item = &'a Arc<Endpoint>>) {
+        let mut sums: HashMap<u64, (u32, u64)> = HashMap::new();
+        for load in self.entries.values().flat_map(|report| report.in_flight.values()) {
+            let sum = sums.entry(load.endpoint).or_default();
+            sum.0 += load.running;
+            sum.1 += load.unread;
+        }
+        for endpoint in endpoints {
+            let (running, unread) = sums.get(&endpoint.hash).copied().unwrap_or_default();
+            endpoint.placed.set(running, unread);
+        }
+    }
+
     /// Sets the load that this entry placed at an endpoint to the sum over all reports.
     pub fn apply_to(&self, endpoint: &Endpoint) {
         let here = self
--- a/bergamotshift-forward/tests/kernel/ledger.rs
+++ b/bergamotshift-forward/tests/kernel/ledger.rs
@@ -1,5 +1,7 @@
 //! Tests of the in-flight requests that the keeper of a zone counts.
 
+use std::sync::Arc;
+
 use bergamotshift_core::prelude::*;
 use bergamotshift_forward::endpoint::Endpoint;
 use bergamotshift_forward::endpoint::Ledger;
@@ -71,3 +73,36 @@
     assert!(!ledger.contains(&entry));
     assert_eq!(load(&ledger, &endpoint), (0, 0));
 }
+
+/// Guards against sums of all endpoints at once that differ from those of each endpoint, as they are computed in another
+/// way, and against loads that stay after the last report of them.
+#[test]
+fn the_sums_of_all_endpoints_are_those_of_each() {
+    let endpoints: Vec<_> = ["e1", "e2", "e3"]
+        .into_iter()
+        .map(|id| {
+            Arc::new(Endpoint::new(Registration {
+                id: id.into(),
+                ..endpoint().registration
+            }))
+        })
+        .collect();
+    let mut ledger = Ledger::default();
+    for (number, entry) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let loads: Vec<_> = endpoints[..number.min(2)]
+            .iter()
+            .map(|endpoint| in_flight(endpoint, number as u32, 100))
+            .collect();
+        ledger.update(at(0), &entry.into(), &loads);
+    }
+    endpoints[2].placed.set(9, 9);
+    let all =
+        |endpoints: &[Arc<Endpoint>]| -> Vec<_> { endpoints.iter().map(|one| (one.running(), one.unread())).collect() };
+    ledger.apply_to_all(endpoints.iter());
+    let at_once = all(&endpoints);
+    for endpoint in &endpoints {
+        ledger.apply_to(endpoint);
+    }
+    assert_eq!(at_once, all(&endpoints));
+    assert_eq!(at_once, [(6, 300), (5, 200), (0, 0)]);
+}
