perf(forward): messages look only at endpoints that announced a rate

Change: answers that announce a rate, or end one, add their endpoint to a set, and messages look at that set. A rate of another entry finds its endpoint by hash and no longer by a search. The tests of announced rates (daemon::throttled) hold the behaviour.

--- a/bergamotshift-forward/src/control/rates.rs
+++ b/bergamotshift-forward/src/control/rates.rs
@@ -1,12 +1,10 @@
 //! Exchanges the rates that endpoints announce for themselves with other entries.
 
 use core::time::Duration;
-use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
 
 use super::inner::Inner;
-use crate::endpoint::Endpoint;
 use crate::peers::Rate;
 use crate::peers::State;
 use crate::view::Origin;
@@ -17,19 +15,21 @@
 
 impl Inner {
     /// Returns the rates that endpoints announced in answers to this entry.
-    pub(super) fn announced_rates(&self, now: Instant) -> Vec<Rate> {
-        let rate = |endpoint: &Arc<Endpoint>| {
+    pub(super) fn announced_rates(now: Instant, shared: &Shared) -> Vec<Rate> {
+        let view = shared.view.load();
+        shared.announcers.retain(|hash| {
+            let endpoint = view.endpoint(hash)?;
             let announced = endpoint.signals.throttle.direct_limit()?;
             let is_current = announced.rate.is_some() || now.since(announced.at) < WITHDRAWAL_ANNOUNCEMENT;
             is_current.then(|| Rate::new(endpoint, announced, now))
-        };
-        self.directory.endpoints().filter_map(rate).collect()
+        })
     }
 
     /// Applies the rates that endpoints announced in answers to another entry.
-    pub(super) fn apply_peer_rates(&self, now: Instant, shared: &Shared, state: &State) {
+    pub(super) fn apply_peer_rates(now: Instant, shared: &Shared, state: &State) {
+        let view = shared.view.load();
         for rate in &state.rates {
-            let Some(endpoint) = self.directory.by_hash(rate.endpoint) else {
+            let Some(endpoint) = view.endpoint(rate.endpoint) else {
                 continue;
             };
             shared.apply_rate(
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -94,7 +94,7 @@
             windows: shared.tally.windows(),
             reported: self.reported,
             suspicions: self.quarantine.suspicions(now),
-            rates: self.announced_rates(now),
+            rates: Self::announced_rates(now, shared),
             rollouts: self.announced_rollouts(now),
             evidence: shared.rollout_evidence.evidence(),
             zones,
@@ -204,7 +204,7 @@
             self.duty_holder = Some(holder);
         }
         self.reported = self.reported.max(state.reported);
-        self.apply_peer_rates(now, shared, &state);
+        Self::apply_peer_rates(now, shared, &state);
         self.apply_peer_rollouts(now, shared, &state);
         self.record_peer_document(now, shared, &state);
         // If the other entry has the same data and confirmed it more recently, its confirmation applies here too.
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -23,6 +23,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use self::rates::Announcers;
 pub use self::rates::Origin;
 use crate::choice::Index;
 use crate::dialect::Dialect;
@@ -196,6 +197,8 @@
     /// In-flight reports that the entries of the zone sent to this one as their keeper. Threads hold the lock for
     /// microseconds.
     pub ledger: Mutex<Ledger>,
+    /// Endpoints that announced a rate in an answer to this entry.
+    pub announcers: Announcers,
     /// Evidence from the answers of two versions during a rollout.
     pub rollout_evidence: Arc<Collector>,
     /// Wakes the task that reports changes of in-flight requests to the keeper.
@@ -239,6 +242,7 @@
             tally: Tally::new(clock, usage_window),
             cache_index: Mutex::default(),
             ledger: Mutex::default(),
+            announcers: Announcers::default(),
             rollout_evidence: Arc::default(),
             in_flight_changed: Notify::new(),
             notes,
