perf(forward): in a large fleet the keepers of zones read the store

Cause: an entry read for others if it had heard of no earlier one within 1.5 s. With hundreds of entries each hears a few dozen in that time, so dozens considered themselves first; and beyond the third in order all waited the same 450 ms, less than news of the first needs through four rounds of a zone.

Change: follow::Turn. In a fleet with keepers these read, in the order of their zones (a keeper that does not reach the store is passed over), and exchange states each round. The other entries are followers: they read after the rounds that news needs in a zone of their size, and then one after the other. The same order decides who watches the duties. Readers no longer pause for the whole fleet's sake after a failed call; at 986 entries that pause was 15 s.

Ruled out before (docs/decisions/size.md): only a longer wait, which does not change how many come first.

The alarm on old copies now begins at three seconds, beyond what a follower waits by itself.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -29,6 +29,7 @@
 use crate::endpoint::Event;
 use crate::follow::Alarm;
 use crate::follow::Checkpoint;
+use crate::follow::Turn;
 use crate::limits::Demand;
 use crate::limits::Keepers;
 use crate::limits::Policy;
@@ -182,13 +183,13 @@
         }
     }
 
-    /// Returns the number of entries that precede this one for tasks that only one entry performs. An entry that cannot
-    /// reach the store ranks last.
-    pub(super) fn rank(&self, now: Instant) -> usize {
+    /// Returns this entry's turn to read the store, and to watch the duties. An entry that cannot reach the store comes
+    /// last.
+    pub(super) fn turn(&self, now: Instant) -> Turn {
         if self.failed_calls.is_empty() {
-            self.members.rank(now)
+            self.members.turn(now)
         } else {
-            self.members.count()
+            Turn::Reader(self.members.count())
         }
     }
 
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -34,6 +34,7 @@
 use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Event;
+use crate::follow::Turn;
 use crate::limits::Keepers;
 use crate::observe::Topic;
 use crate::outside::Cursor;
@@ -109,11 +110,10 @@
         self.inbox.borrow_mut().take()
     }
 
-    /// Returns the number of recently heard entries that precede this one. The entry with rank 0 performs tasks that
-    /// are needed only once in the fleet.
-    pub fn rank(&self) -> usize {
+    /// Returns this entry's turn to read the store, and to perform tasks that are needed only once in the fleet.
+    pub fn turn(&self) -> Turn {
         let now = self.now();
-        self.inner.borrow().rank(now)
+        self.inner.borrow().turn(now)
     }
 
     /// Counts a call of the store, and logs when the call begins to fail or succeeds again.
@@ -152,7 +152,7 @@
     pub fn document_due(&self, interval: Duration) -> Duration {
         let now = self.now();
         let inner = self.inner.borrow();
-        inner.document_checkpoint.due(now, interval, inner.rank(now))
+        inner.document_checkpoint.due(now, interval, inner.turn(now))
     }
 
     /// Applies the document and the rollout orders that were read from the store; returns `false` if the answer is older
@@ -193,7 +193,7 @@
     pub fn registrations_due(&self, interval: Duration) -> Duration {
         let now = self.now();
         let inner = self.inner.borrow();
-        inner.registrations_checkpoint.due(now, interval, inner.rank(now))
+        inner.registrations_checkpoint.due(now, interval, inner.turn(now))
     }
 
     /// Applies registrations that were read from the store; returns `false` if they are older than what this entry knows
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -32,6 +32,7 @@
 use crate::capacity;
 use crate::capacity::Planner;
 use crate::control::Control;
+use crate::follow::Turn;
 use crate::observe::Topic;
 use crate::outside::Clients;
 use crate::outside::Duties;
@@ -182,7 +183,7 @@
         self.follow_era().await;
         // The holder of the duties announces itself to all entries. Only without a known holder, the first few entries
         // watch the lease.
-        if self.number.is_none() && (self.control.is_held_elsewhere() || self.control.rank() >= MAX_WATCHERS) {
+        if self.number.is_none() && (self.control.is_held_elsewhere() || !self.is_watcher()) {
             return;
         }
         let changes = self.lease.step().await;
@@ -201,6 +202,11 @@
         }
     }
 
+    /// Returns whether this entry watches a lease without a known holder. In a large fleet, only readers of the store do.
+    fn is_watcher(&self) -> bool {
+        matches!(self.control.turn(), Turn::Reader(before) if before < MAX_WATCHERS)
+    }
+
     fn apply(&mut self, changes: Vec<Change>) {
         let shared = std::sync::Arc::clone(self.control.shared());
         for change in changes {
--- a/bergamotshift-forward/src/follow/document.rs
+++ b/bergamotshift-forward/src/follow/document.rs
@@ -7,7 +7,7 @@
 use slog::info;
 use tokio::time::sleep;
 
-use super::knowledge::scale_pause;
+use super::knowledge::Turn;
 use crate::control::Control;
 use crate::observe::Topic;
 use crate::outside::Gap;
@@ -22,7 +22,7 @@
 /// force.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum age of the document's checkpoint before an entry reads the store itself. The first entry in rank always has
+/// Maximum age of the document's checkpoint before an entry reads the store itself. The first entry in order always has
 /// a long-poll call open, so its checkpoint is at most as old as that call.
 const POLL_INTERVAL: Duration = Duration::from_millis(800);
 
@@ -145,19 +145,19 @@
     /// Reads the store if that is due, and returns the delay before the next call.
     async fn poll_store(&mut self) -> Duration {
         let control = &self.control;
-        let rank = control.rank();
+        let turn = control.turn();
         let due = if control.document_lag().is_some() {
             control.document_due(RETRY_DELAY)
         } else {
             control.document_due(POLL_INTERVAL)
         };
-        if rank > 0 && !due.is_zero() {
+        if !turn.is_first() && !due.is_zero() {
             return due;
         }
         let after = control.document_cursor();
         let (is_full, result) = match after {
             Some(after) if !self.needs_full_read => {
-                let changes = self.operators.wait_for_change(after, watch_timeout(rank));
+                let changes = self.operators.wait_for_change(after, watch_timeout(turn));
                 (false, changes.await)
             }
             _ => (true, self.operators.read().await.map_err(Gap::Failed)),
@@ -177,7 +177,7 @@
             }
             Err(Gap::Failed(_)) => {}
         }
-        scale_pause(RETRY_DELAY, control.entry_count())
+        turn.scale_pause(RETRY_DELAY, control.entry_count())
     }
 
     fn now(&self) -> Instant {
@@ -206,9 +206,9 @@
     Fetched::Failed
 }
 
-/// Returns the time for which a call of the store may wait for a change. Only the first entry in rank waits.
-const fn watch_timeout(rank: usize) -> Duration {
-    if rank == 0 { WATCH_TIMEOUT } else { Duration::ZERO }
+/// Returns the time for which a call of the store may wait for a change. Only the first entry in order waits.
+const fn watch_timeout(turn: Turn) -> Duration {
+    if turn.is_first() { WATCH_TIMEOUT } else { Duration::ZERO }
 }
 
 /// Returns the error of a failed call; `None` for a truncated history, which is a valid answer of the store.
--- a/bergamotshift-forward/src/follow/knowledge.rs
+++ b/bergamotshift-forward/src/follow/knowledge.rs
@@ -6,19 +6,80 @@
 
 use crate::outside::Cursor;
 
-/// Additional delay of each entry compared to the previous one in rank, so that not all entries read the store at once
+/// Additional delay of each entry compared to the previous one in order, so that not all entries read the store at once
 /// when the first one fails.
-const RANK_DELAY: Duration = Duration::from_millis(150);
+const TURN_DELAY: Duration = Duration::from_millis(150);
 
-/// Maximum number of such delays, which bounds the age of a checkpoint regardless of the number of entries.
-const MAX_RANK_STEPS: u32 = 3;
+/// Maximum number of such delays among readers, which bounds the age of a checkpoint.
+const MAX_READER_STEPS: usize = 3;
+
+/// Maximum number of such delays among followers.
+const MAX_FOLLOWER_STEPS: usize = 4;
+
+/// Time in which news reaches the keepers of all zones from one of them, and then goes one round further in each zone.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Factor by which the entries of a zone that have some news grow in a round: each contacts three others, and about as
+/// many contact it.
+const ROUND_GROWTH: usize = 7;
 
 /// Maximum number of entries that may each call the store as often as a single entry would.
 const FULL_RATE_CALLERS: usize = 16;
 
-/// Maximum age of a checkpoint before the entry reports what it covers as outdated. Requests may go to endpoints that
-/// left that long ago, and operators expect a change to be in force by then.
-pub const MAX_AGE: Duration = Duration::from_secs(2);
+/// Maximum age of a checkpoint before the entry reports what it covers as outdated; longer than any entry waits before it
+/// reads the store itself.
+pub const MAX_AGE: Duration = Duration::from_secs(3);
+
+/// Place of an entry in the order in which entries read the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// The entry reads for others, after this many other readers.
+    Reader(usize),
+    /// The entry learns from the reader of its zone, and reads only if that takes too long.
+    Follower {
+        /// Number of entries of its zone that read before it.
+        place: usize,
+        /// Number of entries in its zone.
+        members: usize,
+    },
+}
+
+impl Turn {
+    /// Returns whether it is the first of all entries.
+    pub const fn is_first(self) -> bool {
+        matches!(self, Self::Reader(0))
+    }
+
+    /// Returns how much older than that of the first entry the checkpoint of this one may be.
+    fn delay(self) -> Duration {
+        match self {
+            Self::Reader(before) => TURN_DELAY * before.min(MAX_READER_STEPS) as u32,
+            Self::Follower { place, members } => {
+                ROUND * (1 + rounds_to_reach(members)) + TURN_DELAY * place.min(MAX_FOLLOWER_STEPS) as u32
+            }
+        }
+    }
+
+    /// Returns the pause between two calls of the store where a single entry would wait for `pause`, among `members`
+    /// entries in all. Readers do not slow down, as their number does not grow with the fleet.
+    pub fn scale_pause(self, pause: Duration, members: usize) -> Duration {
+        match self {
+            Self::Reader(before) if before < FULL_RATE_CALLERS => pause,
+            Self::Reader(_) | Self::Follower { .. } => scale_pause(pause, members),
+        }
+    }
+}
+
+/// Returns the number of rounds in which news of one entry reaches all `members` of its zone, with one to spare.
+fn rounds_to_reach(members: usize) -> u32 {
+    let mut rounds = 1;
+    let mut reached = 1;
+    while reached < members {
+        reached *= ROUND_GROWTH;
+        rounds += 1;
+    }
+    rounds
+}
 
 /// Returns the pause of one of `members` entries between two calls of the store, where a single entry would wait for
 /// `pause`.
@@ -61,12 +122,11 @@
     /// Returns the time until the entry has to read the store itself.
     ///
     /// If each entry read the store, the number of calls would grow with the number of entries. Therefore the first
-    /// entry in rank reads every `interval` and informs the others. The next ones read only if their checkpoint is
+    /// entry in order reads every `interval` and informs the others. The next ones read only if their checkpoint is
     /// older, because the first has failed or cannot reach the store. No leader is elected, so no failure of a leader
     /// has to be detected.
-    pub fn due(&self, now: Instant, interval: Duration, rank: usize) -> Duration {
-        let steps = u32::try_from(rank).unwrap_or(u32::MAX).min(MAX_RANK_STEPS);
-        let max_age = interval + RANK_DELAY * steps;
+    pub fn due(&self, now: Instant, interval: Duration, turn: Turn) -> Duration {
+        let max_age = interval + turn.delay();
         self.age(now).map_or(Duration::ZERO, |age| max_age.saturating_sub(age))
     }
 }
--- a/bergamotshift-forward/src/follow/mod.rs
+++ b/bergamotshift-forward/src/follow/mod.rs
@@ -11,6 +11,7 @@
 pub use self::knowledge::Checkpoint;
 pub use self::knowledge::MAX_AGE;
 pub use self::knowledge::Transition;
+pub use self::knowledge::Turn;
 pub use self::knowledge::scale_pause;
 pub use self::members::members;
 pub use self::notes::notes;
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use super::document::failure;
-use super::knowledge::scale_pause;
 use crate::control::Control;
 use crate::endpoint::Change;
 use crate::endpoint::Event;
@@ -54,7 +53,7 @@
 
 /// Waits before the next call after one that told nothing new.
 async fn pause(control: &Control) {
-    tokio::time::sleep(scale_pause(RETRY_DELAY, control.entry_count())).await;
+    tokio::time::sleep(control.turn().scale_pause(RETRY_DELAY, control.entry_count())).await;
 }
 
 /// Converts the result of a read to an event: all registrations as of one point in time, or the changes.
--- a/bergamotshift-forward/src/limits/keeper.rs
+++ b/bergamotshift-forward/src/limits/keeper.rs
@@ -139,12 +139,19 @@
     pub core_share: u16,
 }
 
-/// Returns the two candidates that come first, by the fraction of a core that they may use and then by hash; all
-/// entries with the same list get the same result.
+/// Returns whether a candidate comes before another one, by the fraction of a core that it may use and then by hash; all
+/// entries order the same candidates in the same way.
+pub fn precedes(one: Candidate<'_>, other: Candidate<'_>) -> bool {
+    position(one) > position(other)
+}
+
+fn position(candidate: Candidate<'_>) -> (u16, u64) {
+    (candidate.core_share, xxh3_64(candidate.entry.as_str().as_bytes()))
+}
+
+/// Returns the two candidates that come first.
 pub fn top_two<'a>(candidates: impl Iterator<Item = Candidate<'a>>) -> [Option<&'a name::Entry>; 2] {
-    let mut ranked: Vec<_> = candidates
-        .map(|one| ((one.core_share, xxh3_64(one.entry.as_str().as_bytes())), one.entry))
-        .collect();
+    let mut ranked: Vec<_> = candidates.map(|one| (position(one), one.entry)).collect();
     ranked.sort_by(|a, b| b.cmp(a));
     let mut entries = ranked.into_iter().map(|(_, entry)| entry);
     [entries.next(), entries.next()]
--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -125,7 +125,7 @@
         others.chain([&self.zone]).collect()
     }
 
-    fn candidates<'a>(&'a self, now: Instant, zone: &'a name::Zone) -> impl Iterator<Item = Candidate<'a>> {
+    pub(super) fn candidates<'a>(&'a self, now: Instant, zone: &'a name::Zone) -> impl Iterator<Item = Candidate<'a>> {
         let local = self.alive(now).filter(move |(_, peer)| peer.is_in(zone));
         local.map(|(entry, peer)| peer.candidate(entry))
     }
@@ -138,7 +138,7 @@
     }
 
     /// Returns the highest-ranked other entry of each of these zones.
-    fn keepers_of<'a>(
+    pub(super) fn keepers_of<'a>(
         &'a self,
         now: Instant,
         zones: impl Iterator<Item = &'a name::Zone>,
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -10,6 +10,7 @@
 use super::message::Member;
 use super::message::Stage;
 use super::message::State;
+use crate::follow::Turn;
 use crate::limits::Keeper;
 use crate::limits::keeper;
 use crate::limits::keeper::Candidate;
@@ -31,8 +32,8 @@
 /// In a large fleet this information is up to a second and a half old.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Time without a state from an entry after which it no longer counts in the ranking.
-const RANK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a state from an entry after which it no longer reads the store for others.
+const TURN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time after the start during which an entry sends all that it knows.
 const STARTUP_PERIOD: Duration = Duration::from_secs(3);
@@ -336,13 +337,40 @@
         recent.filter_map(|(entry, peer)| peer.last_state.as_ref().map(|(_, state)| (entry, state)))
     }
 
-    /// Returns this entry's rank: the number of entries before it by name that sent their state recently and reach the
-    /// store.
-    pub fn rank(&self, now: Instant) -> usize {
+    /// Returns this entry's turn to read the store.
+    ///
+    /// In a small fleet the entries that sent their state recently and reach the store read in the order of their names.
+    /// In a large one an entry hears only some of the others recently, so dozens would consider themselves the first.
+    /// There the keepers of the zones read, which exchange states each round, and their zones follow.
+    pub fn turn(&self, now: Instant) -> Turn {
+        if self.is_large() {
+            return self.turn_in_zones(now);
+        }
         let eligible = self
-            .recent_states(now, RANK_TIMEOUT)
+            .recent_states(now, TURN_TIMEOUT)
             .filter(|(_, state)| state.reaches_store);
-        eligible.filter(|(entry, _)| **entry < self.own).count()
+        Turn::Reader(eligible.filter(|(entry, _)| **entry < self.own).count())
+    }
+
+    fn turn_in_zones(&self, now: Instant) -> Turn {
+        let own = Candidate {
+            entry: &self.own,
+            core_share: self.core_share,
+        };
+        let local = self.candidates(now, &self.zone);
+        let place = local.filter(|other| keeper::precedes(*other, own)).count();
+        if place > 0 {
+            let is_local = |peer: &&Peer| peer.is_in(&self.zone);
+            let members = 1 + self.peers.values().filter(is_local).count();
+            return Turn::Follower { place, members };
+        }
+        let reaches_store = |peer: &Peer| {
+            let state = peer.last_state.as_ref().map(|(_, state)| state);
+            state.is_none_or(|state| state.reaches_store)
+        };
+        let earlier = self.zones().into_iter().filter(|zone| **zone < self.zone);
+        let keepers = self.keepers_of(now, earlier);
+        Turn::Reader(keepers.filter(|(_, peer)| reaches_store(peer)).count())
     }
 
     /// Returns the zones and the membership list that this entry sends to others.
--- a/bergamotshift-forward/tests/kernel/knowledge.rs
+++ b/bergamotshift-forward/tests/kernel/knowledge.rs
@@ -6,6 +6,7 @@
 use bergamotshift_forward::follow::Checkpoint;
 use bergamotshift_forward::follow::MAX_AGE;
 use bergamotshift_forward::follow::Transition;
+use bergamotshift_forward::follow::Turn;
 use bergamotshift_forward::follow::scale_pause;
 use bergamotshift_forward::outside::Cursor;
 
@@ -20,26 +21,64 @@
 
 #[test]
 fn an_entry_without_a_checkpoint_reads_at_once() {
-    assert_eq!(Checkpoint::default().due(at(0), INTERVAL, 3), Duration::ZERO);
+    assert_eq!(
+        Checkpoint::default().due(at(0), INTERVAL, Turn::Reader(3)),
+        Duration::ZERO
+    );
 }
 
 #[test]
-fn the_first_entry_in_rank_reads_before_the_others() {
+fn the_first_entry_in_order_reads_before_the_others() {
     let mut checkpoint = Checkpoint::default();
     checkpoint.confirm(at(0), cursor(7), Duration::ZERO);
-    assert_eq!(checkpoint.due(at(0), INTERVAL, 0), INTERVAL);
-    assert!(checkpoint.due(at(0), INTERVAL, 1) > INTERVAL);
-    assert_eq!(checkpoint.due(at(0), INTERVAL, 9), checkpoint.due(at(0), INTERVAL, 90));
+    assert_eq!(checkpoint.due(at(0), INTERVAL, Turn::Reader(0)), INTERVAL);
+    assert!(checkpoint.due(at(0), INTERVAL, Turn::Reader(1)) > INTERVAL);
+    assert_eq!(
+        checkpoint.due(at(0), INTERVAL, Turn::Reader(9)),
+        checkpoint.due(at(0), INTERVAL, Turn::Reader(90))
+    );
 }
 
-/// The first entry in rank has died, and this is not known yet. The others must read the store themselves well within
+/// The first entry in order has died, and this is not known yet. The others must read the store themselves well within
 /// the two seconds in which a change has to be in force.
 #[test]
 fn no_entry_waits_longer_than_a_second_and_a_half() {
     let mut checkpoint = Checkpoint::default();
     checkpoint.confirm(at(0), cursor(7), Duration::ZERO);
     let document = Duration::from_millis(800);
-    assert!(checkpoint.due(at(0), document, usize::MAX) <= Duration::from_millis(1_500));
+    assert!(checkpoint.due(at(0), document, Turn::Reader(usize::MAX)) <= Duration::from_millis(1_500));
+}
+
+/// Guards against followers that read the store although their keeper is about to inform them, and against followers that
+/// wait for it for so long that an endpoint which leaves is in use beyond the three seconds that operators of large fleets
+/// allow. Once one of them has read, its zone knows within another second.
+#[test]
+fn followers_wait_for_their_keeper_but_not_for_long() {
+    let mut checkpoint = Checkpoint::default();
+    checkpoint.confirm(at(0), cursor(7), Duration::ZERO);
+    for members in [4, 20, 50, 164, 328, 1_000] {
+        let due = |place| checkpoint.due(at(0), INTERVAL, Turn::Follower { place, members });
+        assert!(due(1) >= INTERVAL + Duration::from_millis(750));
+        assert!(due(2) > due(1));
+        assert!(
+            due(usize::MAX) <= Duration::from_millis(2_600),
+            "{members}: {:?}",
+            due(usize::MAX)
+        );
+    }
+    let bound = Duration::from_millis(2_000);
+    let due = checkpoint.due(at(0), INTERVAL, Turn::Follower { place: 1, members: 20 });
+    assert!(due <= bound, "{due:?}");
+}
+
+/// Guards against the first entries in order that pause for the whole fleet's sake after one call failed: at 986 entries
+/// they would not call the store for a quarter of a minute.
+#[test]
+fn readers_do_not_pause_longer_in_a_larger_fleet() {
+    let follower = Turn::Follower { place: 1, members: 164 };
+    assert_eq!(Turn::Reader(2).scale_pause(INTERVAL, 986), INTERVAL);
+    assert_eq!(follower.scale_pause(INTERVAL, 986), scale_pause(INTERVAL, 986));
+    assert_eq!(Turn::Reader(300).scale_pause(INTERVAL, 986), scale_pause(INTERVAL, 986));
 }
 
 #[test]
@@ -91,7 +130,7 @@
         let mut now = 10_000;
         let mut needs_full_read = false;
         while now < 10_000 + UNSETTLED_MS {
-            let due = checkpoint.due(at(now), INTERVAL, rank);
+            let due = checkpoint.due(at(now), INTERVAL, Turn::Reader(rank));
             now += due.as_millis() as u64;
             calls.push(now);
             now += CALL_MS;
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_forward::follow::Turn;
 use bergamotshift_forward::limits::Keeper;
 use bergamotshift_forward::limits::Keepers;
 use bergamotshift_forward::limits::keeper;
@@ -82,21 +83,67 @@
     keeper::top_two(candidates)[0].expect("there is one").to_string()
 }
 
-/// Guards against entries that wait for changes from the first in rank while that one cannot reach the store.
+/// Guards against entries that wait for changes from the first in order while that one cannot reach the store.
 #[test]
 fn entries_that_cannot_reach_the_store_do_not_rank() {
     let mut members = self::members("entry-2");
     members.record_state(at(0), state("entry-1", true));
-    assert_eq!(members.rank(at(100)), 1);
+    assert_eq!(members.turn(at(100)), Turn::Reader(1));
     members.record_state(at(200), state("entry-1", false));
-    assert_eq!(members.rank(at(300)), 0);
+    assert_eq!(members.turn(at(300)), Turn::Reader(0));
+}
+
+/// Guards against dozens of entries of a large fleet that each consider themselves the first to read the store, because
+/// each has heard only some of the others lately. The keepers read, in the order of their zones, and their zones follow.
+#[test]
+fn in_a_large_fleet_only_the_keepers_read_for_others() {
+    let mut turns = Vec::new();
+    for own in 0..40 {
+        let zone = |number: usize| -> name::Zone { if number < 20 { "one".into() } else { "two".into() } };
+        let mut members = Members::new(format!("entry-{own:02}").as_str().into(), zone(own), 120);
+        for number in (0..40).filter(|number| *number != own) {
+            let mut state = state(&format!("entry-{number:02}"), true);
+            state.zone = zone(number);
+            members.record_state(at(1_000), state);
+        }
+        // Most states are older than those by which small fleets order entries.
+        turns.push(members.turn(at(3_400)));
+    }
+    let readers: Vec<_> = turns.iter().filter(|turn| matches!(turn, Turn::Reader(_))).collect();
+    assert_eq!(readers, [&Turn::Reader(0), &Turn::Reader(1)]);
+    let places = |half: &[Turn]| {
+        let mut places: Vec<_> = half
+            .iter()
+            .filter_map(|turn| match turn {
+                Turn::Follower { place, members: 20 } => Some(*place),
+                _ => None,
+            })
+            .collect();
+        places.sort_unstable();
+        places
+    };
+    let expected: Vec<_> = (1..20).collect();
+    assert_eq!(places(&turns[..20]), expected);
+    assert_eq!(places(&turns[20..]), expected);
+}
+
+/// Guards against a zone whose keeper waits for that of an earlier zone, which does not reach the store.
+#[test]
+fn a_keeper_that_cannot_reach_the_store_is_not_waited_for() {
+    let mut members = Members::new("entry-33".into(), "two".into(), 500);
+    for number in (0..40).filter(|number| *number != 33) {
+        let mut state = state(&format!("entry-{number:02}"), number >= 20);
+        state.zone = if number < 20 { "one".into() } else { "two".into() };
+        members.record_state(at(1_000), state);
+    }
+    assert_eq!(members.turn(at(1_100)), Turn::Reader(0));
 }
 
 #[test]
 fn silent_entries_do_not_rank_and_finally_expire() {
     let mut members = self::members("entry-2");
     members.record_state(at(0), state("entry-1", true));
-    assert_eq!(members.rank(at(5_000)), 0);
+    assert_eq!(members.turn(at(5_000)), Turn::Reader(0));
     assert_eq!(members.count(), 2, "it may be restarted");
     assert_eq!(members.expire(at(60_000)), [name::Entry::new("entry-1")]);
     assert_eq!(members.count(), 1);
