perf(forward): entries that are a little behind get changes, not all registrations

Cause: whenever two entries had different registrations, the reply held all of them, about 70 bytes each: 210 kB for one endpoint that leaves, to each entry, over links of 20 Mbit/s. What one change costs grew with the fleet twice over.

Change: a directory keeps its last 256 changes by the digest before each, and tells an entry with a known digest what has changed since. Whole lists go to entries further behind, no more of them at a time than the link carries; who gets none asks again or elsewhere. A reply that makes progress is not given up any more, so a list of any length arrives. Changes confirm the requester's copy only once both digests are equal.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -10,6 +10,7 @@
 
 use bergamotshift_claim::lease::Notice;
 use bergamotshift_core::prelude::*;
+use bergamotshift_limit::bucket::Bucket;
 use bergamotshift_limit::quarantine;
 use bergamotshift_limit::quarantine::Quarantine;
 use bergamotshift_limit::retry;
@@ -57,6 +58,12 @@
 /// Number of usage windows that are kept of other entries.
 const USAGE_WINDOWS: u64 = 6;
 
+/// Number of registrations that an entry with a whole core sends per second in whole lists: about four megabytes.
+const UPLOADS_PER_CORE: f64 = 60_000.0;
+
+/// Smallest number of registrations that an entry sends per second in whole lists.
+const MIN_UPLOADS: f64 = 6_000.0;
+
 /// State of one service that outlives individual views.
 #[derive(Debug)]
 pub(super) struct ServiceState {
@@ -100,6 +107,8 @@
     pub(super) registrations_checkpoint: Checkpoint,
     /// Alarm on the age of the registrations.
     pub(super) registrations_alarm: Alarm,
+    /// Limit on the registrations that are sent in whole lists to other entries.
+    pub(super) uploads: Bucket,
     /// Limits and demand by organisation.
     pub(super) organisations: BTreeMap<name::Organisation, Organisation>,
     /// State by service.
@@ -160,6 +169,7 @@
             directory: Directory::default(),
             registrations_checkpoint: Checkpoint::default(),
             registrations_alarm: Alarm::default(),
+            uploads: upload_limit(shared),
             organisations: BTreeMap::new(),
             services: BTreeMap::new(),
             members,
@@ -367,6 +377,13 @@
     }
 }
 
+/// Returns the limit on the registrations that this entry sends in whole lists. The bandwidth of VMs grows with their
+/// share of a core.
+fn upload_limit(shared: &Shared) -> Bucket {
+    let rate = (UPLOADS_PER_CORE * shared.settings.core_share).max(MIN_UPLOADS);
+    Bucket::new(rate, rate)
+}
+
 /// Returns this entry's part of a service's retry budget. The ratio needs no division, as each entry counts its own
 /// requests.
 pub(super) fn retry_budget(shared: &Shared) -> Budget {
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -14,12 +14,17 @@
 use crate::observe::Topic;
 use crate::outside::Cursor;
 use crate::peers::Freshness;
+use crate::peers::Registrations;
 use crate::peers::Reply;
 use crate::peers::Stage;
 use crate::peers::State;
 use crate::peers::Usage;
 use crate::view::Shared;
 
+/// Maximum time in which the limit on uploads pays for those before, when another whole list is sent. A list of any length
+/// is sent after that time.
+const MAX_UPLOAD_DEBT: Duration = Duration::from_secs(1);
+
 /// Converts a checkpoint to the form in which it is sent to other entries.
 pub(super) fn freshness(checkpoint: &Checkpoint, now: Instant) -> Option<Freshness> {
     checkpoint.age(now).map(|age| Freshness {
@@ -102,8 +107,8 @@
         }
     }
 
-    /// Applies the state of another entry and returns the reply, which includes the registrations if the other entry's
-    /// are older.
+    /// Applies the state of another entry and returns the reply, which includes registrations if the other entry's are
+    /// older.
     pub(super) fn handle_state(&mut self, now: Instant, shared: &Shared, state: State) -> Reply {
         let peer = (state.endpoints, state.endpoints_freshness);
         let is_brief = state.is_brief();
@@ -112,24 +117,52 @@
         let is_newer = self.registrations_checkpoint.cursor() > cursor
             && self.directory.is_settled()
             && self.directory.digest() != peer.0;
+        let endpoints = if is_newer {
+            self.newer_registrations(now, shared, peer.0, cursor)
+        } else {
+            None
+        };
         let own = self.state(now, shared);
         Reply {
             state: if is_brief { own.brief() } else { own },
-            endpoints: is_newer.then(|| self.directory.registrations()),
+            endpoints,
         }
     }
 
+    /// Returns what an entry with an older digest lacks: the changes since then if they are known, or else all
+    /// registrations. Of the latter only so many are sent as the VM's link can carry; the requester asks again, or asks
+    /// another entry.
+    fn newer_registrations(&self, now: Instant, shared: &Shared, digest: u64, cursor: Cursor) -> Option<Registrations> {
+        let known = self.registrations_checkpoint.cursor();
+        let changes = self.directory.changes_since(digest).filter(|_| cursor.era == known.era);
+        if let Some(changes) = changes {
+            return Some(Registrations::changes(changes));
+        }
+        let registrations = self.directory.registrations();
+        let units = registrations.len() as u64;
+        if self.uploads.owed(now) > MAX_UPLOAD_DEBT {
+            shared.metrics.registrations_withheld.inc();
+            return None;
+        }
+        self.uploads.charge(now, units);
+        Some(Registrations::All(registrations))
+    }
+
     /// Applies another entry's reply, and its registrations if they are newer than this entry's.
     pub(super) fn handle_reply(&mut self, now: Instant, shared: &Shared, reply: Reply) {
         let Reply { state, endpoints } = reply;
         let from = state.entry.clone();
+        let known = self.registrations_checkpoint.cursor();
         if let Some(endpoints) = endpoints
             && state
                 .endpoints_freshness
-                .is_some_and(|known| known.cursor > self.registrations_checkpoint.cursor())
+                .is_some_and(|freshness| freshness.cursor > known)
         {
-            self.confirm_registrations(now, shared, state.endpoints_freshness);
-            self.apply_endpoints(now, shared, Event::Relayed(endpoints), from.as_str());
+            // Changes are confirmed below, once both entries have the same registrations.
+            if matches!(endpoints, Registrations::All(_)) {
+                self.confirm_registrations(now, shared, state.endpoints_freshness);
+            }
+            self.apply_endpoints(now, shared, endpoints.into_event(), from.as_str());
         }
         self.apply_state(now, shared, state);
     }
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -7,6 +7,7 @@
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
@@ -40,6 +41,16 @@
     },
 }
 
+impl Change {
+    /// Returns the identifier of the registration.
+    pub const fn id(&self) -> &SmolStr {
+        match self {
+            Self::Written(registration) => &registration.id,
+            Self::Removed(id) | Self::Unreadable { id, .. } => id,
+        }
+    }
+}
+
 /// Event that updates the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -73,6 +84,15 @@
 }
 
 impl Record {
+    /// Returns the registration as this entry knows it.
+    fn registration(&self) -> Registration {
+        Registration {
+            leaving: self.announced_leaving,
+            written: self.written,
+            ..self.endpoint.registration.clone()
+        }
+    }
+
     /// Returns this record's part of the digest.
     fn digest(&self) -> u64 {
         if self.gone_since.is_some() || self.lapsed_since.is_some() {
@@ -82,6 +102,37 @@
     }
 }
 
+/// Maximum number of changes that the journal holds. An entry that is further behind gets all registrations.
+const MAX_JOURNAL: usize = 256;
+
+/// Records that changed together.
+#[derive(Clone, Debug)]
+struct Step {
+    /// Digest before the change.
+    before: u64,
+    /// Identifiers of the records.
+    ids: Vec<SmolStr>,
+}
+
+/// Last changes of the records, by the digest before each.
+#[derive(Clone, Debug, Default)]
+struct Journal(VecDeque<Step>);
+
+impl Journal {
+    fn push(&mut self, step: Step) {
+        self.0.push_back(step);
+        while self.0.iter().map(|step| step.ids.len()).sum::<usize>() > MAX_JOURNAL {
+            self.0.pop_front();
+        }
+    }
+
+    /// Returns the identifiers that changed since the directory had a digest; `None` if that is not known.
+    fn since(&self, digest: u64) -> Option<BTreeSet<&SmolStr>> {
+        let first = self.0.iter().rposition(|step| step.before == digest)?;
+        Some(self.0.range(first..).flat_map(|step| &step.ids).collect())
+    }
+}
+
 /// Properties of all records together, which each message between entries contains.
 #[derive(Clone, Copy, Debug)]
 struct Summary {
@@ -95,6 +146,8 @@
     records: BTreeMap<SmolStr, Record>,
     /// Summary of the records; `None` after they changed.
     summary: Cell<Option<Summary>>,
+    /// Changes for entries that are a little behind.
+    journal: Journal,
     /// Time of the last failed call of the store, or of its last restore.
     store_failed_at: Option<Instant>,
 }
@@ -102,8 +155,17 @@
 impl Directory {
     /// Applies an event, and returns the endpoints that it removed from service.
     pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Arc<Endpoint>> {
+        let before = self.digest();
+        let parts = self.digest_parts(&event);
+        let mut leaving = self.apply_event(now, event);
+        let mut changed = self.changed(parts);
+        leaving.extend(self.settle_records(now, now, &mut changed));
+        self.record_step(before, changed);
+        leaving
+    }
+
+    fn apply_event(&mut self, now: Instant, event: Event) -> Vec<Arc<Endpoint>> {
         let mut leaving = Vec::new();
-        self.summary.set(None);
         match event {
             Event::StoreFailed => self.store_failed_at = Some(now),
             Event::Restored(cursor) => {
@@ -136,10 +198,48 @@
                 }
             }
         }
-        leaving.extend(self.settle(now, now));
         leaving
     }
 
+    /// Returns the identifiers of the records that an event may change, with their parts of the digest.
+    fn digest_parts(&self, event: &Event) -> Vec<(SmolStr, u64)> {
+        let part = |id: &SmolStr| (id.clone(), self.records.get(id).map_or(0, Record::digest));
+        match event {
+            Event::StoreFailed | Event::Restored(_) => Vec::new(),
+            Event::Listed(registrations) | Event::Relayed(registrations) => {
+                let added = registrations.iter().map(|one| &one.id);
+                let ids: BTreeSet<&SmolStr> = self.records.keys().chain(added).collect();
+                ids.into_iter().map(part).collect()
+            }
+            Event::Changed(changes) => changes.iter().map(|change| part(change.id())).collect(),
+        }
+    }
+
+    /// Returns the identifiers whose part of the digest is not the given one any more.
+    fn changed(&self, parts: Vec<(SmolStr, u64)>) -> Vec<SmolStr> {
+        let is_changed = |(id, part): &(SmolStr, u64)| self.records.get(id).map_or(0, Record::digest) != *part;
+        parts.into_iter().filter(is_changed).map(|(id, _)| id).collect()
+    }
+
+    /// Adds a change to the journal, unless nothing that the digest covers has changed.
+    fn record_step(&mut self, before: u64, ids: Vec<SmolStr>) {
+        self.summary.set(None);
+        if !ids.is_empty() {
+            self.journal.push(Step { before, ids });
+        }
+    }
+
+    /// Returns the changes since this directory had a digest, for an entry that has it; `None` if they are not known any
+    /// more.
+    pub fn changes_since(&self, digest: u64) -> Option<Vec<Change>> {
+        let ids = self.journal.since(digest)?;
+        let change = |id: &SmolStr| match self.records.get(id).filter(|record| record.gone_since.is_none()) {
+            Some(record) => Change::Written(record.registration()),
+            None => Change::Removed(id.clone()),
+        };
+        Some(ids.into_iter().map(change).collect())
+    }
+
     /// Returns the endpoints that are not removed.
     pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         let present = self.records.values().filter(|record| record.gone_since.is_none());
@@ -148,13 +248,8 @@
 
     /// Returns the registrations of all endpoints that are not removed, for entries whose registrations are older.
     pub fn registrations(&self) -> Vec<Registration> {
-        let registration = |record: &Record| Registration {
-            leaving: record.announced_leaving,
-            written: record.written,
-            ..record.endpoint.registration.clone()
-        };
         let present = self.records.values().filter(|record| record.gone_since.is_none());
-        present.map(registration).collect()
+        present.map(Record::registration).collect()
     }
 
     /// Returns whether no registration has lapsed without proof of removal. Until then this directory must not count as
@@ -260,14 +355,22 @@
     /// Removes lapsed endpoints if the registrations known as of `as_of` prove that they are gone, drops endpoints that
     /// were removed long ago, and returns the endpoints that stopped accepting requests.
     pub fn settle(&mut self, now: Instant, as_of: Instant) -> Vec<Arc<Endpoint>> {
+        let before = self.digest();
+        let mut changed = Vec::new();
+        let leaving = self.settle_records(now, as_of, &mut changed);
+        self.record_step(before, changed);
+        leaving
+    }
+
+    fn settle_records(&mut self, now: Instant, as_of: Instant, changed: &mut Vec<SmolStr>) -> Vec<Arc<Endpoint>> {
         let mut leaving = Vec::new();
-        self.summary.set(None);
         let is_conclusive = self
             .store_failed_at
             .is_none_or(|failed| as_of.since(failed) >= RENEWAL_GRACE);
-        for record in self.records.values_mut() {
+        for (id, record) in &mut self.records {
             if is_conclusive && record.lapsed_since.take().is_some() {
                 record.gone_since = Some(now);
+                changed.push(id.clone());
                 if record.endpoint.mark_leaving() {
                     leaving.push(Arc::clone(&record.endpoint));
                 }
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -94,6 +94,8 @@
     pub stranded: Gauge<i64, AtomicI64>,
     /// Number of registrations and rollout orders that could not be read.
     pub registrations_unread: Counter<u64, AtomicU64>,
+    /// Number of whole lists of registrations that were not sent to another entry, as the limit was reached.
+    pub registrations_withheld: Counter<u64, AtomicU64>,
     /// Number of times that this entry found the store restored from a copy.
     pub store_restores: Counter<u64, AtomicU64>,
     /// Number of the store's answers that were older than what this entry knew.
@@ -127,6 +129,7 @@
             permits_unanswered: Counter::default(),
             stranded: Gauge::default(),
             registrations_unread: Counter::default(),
+            registrations_withheld: Counter::default(),
             store_restores: Counter::default(),
             answers_dropped: Counter::default(),
         };
@@ -202,6 +205,8 @@
             "Registrations that could not be read",
             metrics.registrations_unread.clone(),
         );
+        let help = "Whole lists of registrations that another entry has to ask for again";
+        registry.register("registrations_withheld", help, metrics.registrations_withheld.clone());
         let help = "Times that the store was found restored from a copy";
         registry.register("store_restores", help, metrics.store_restores.clone());
         let help = "Answers of the store that were older than what was known";
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -10,10 +10,13 @@
 use bergamotshift_rollout as rollout;
 use serde::Deserialize;
 use serde::Serialize;
+use smol_str::SmolStr;
 
 use crate::choice::CachedPart;
 use crate::duty::Windows;
+use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Event;
 use crate::endpoint::Registration;
 use crate::outside::Cursor;
 
@@ -244,12 +247,52 @@
     }
 }
 
+/// Registrations for an entry whose own are older.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Registrations {
+    /// All registrations.
+    All(Vec<Registration>),
+    /// What changed since the requester's digest.
+    Changes {
+        /// Registrations that were written.
+        written: Vec<Registration>,
+        /// Identifiers of registrations that were removed.
+        removed: Vec<SmolStr>,
+    },
+}
+
+impl Registrations {
+    /// Creates a message from the changes since the requester's digest.
+    pub fn changes(changes: Vec<Change>) -> Self {
+        let (mut written, mut removed) = (Vec::new(), Vec::new());
+        for change in changes {
+            match change {
+                Change::Written(registration) => written.push(registration),
+                Change::Removed(id) | Change::Unreadable { id, .. } => removed.push(id),
+            }
+        }
+        Self::Changes { written, removed }
+    }
+
+    /// Converts the message to an event of the requester's directory.
+    pub fn into_event(self) -> Event {
+        match self {
+            Self::All(registrations) => Event::Relayed(registrations),
+            Self::Changes { written, removed } => {
+                let written = written.into_iter().map(Change::Written);
+                Event::Changed(written.chain(removed.into_iter().map(Change::Removed)).collect())
+            }
+        }
+    }
+}
+
 /// The reply to a [`State`].
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Reply {
     /// The replying entry's state.
     pub state: State,
-    /// All registrations that the replying entry knows, when they are newer than the requester's and differ from them.
-    pub endpoints: Option<Vec<Registration>>,
+    /// Registrations, when the replying entry's are newer than the requester's and differ from them.
+    pub endpoints: Option<Registrations>,
 }
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -28,6 +28,7 @@
 pub use self::message::Member;
 pub use self::message::Note;
 pub use self::message::Rate;
+pub use self::message::Registrations;
 pub use self::message::Reply;
 pub use self::message::Rollout;
 pub use self::message::Stage;
--- a/bergamotshift-forward/src/peers/network.rs
+++ b/bergamotshift-forward/src/peers/network.rs
@@ -6,11 +6,10 @@
 use core::time::Duration;
 use std::collections::HashMap;
 
+use bergamotshift_core::throughput::Throughput;
 use bergamotshift_platform::Future;
 use ntex::http::StatusCode;
 use thiserror::Error as ThisError;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 use super::message::Reply;
 use super::task::PATH;
@@ -20,6 +19,9 @@
 use crate::exchange::Connection;
 use crate::exchange::Failure;
 
+/// Number of bytes of a reply that must arrive within each timeout while it is incomplete.
+const MIN_PROGRESS_BYTES: usize = 16 * 1_024;
+
 /// Error of an exchange of states with another entry.
 #[derive(Debug)]
 #[derive(ThisError)]
@@ -27,12 +29,6 @@
     /// The connection failed.
     #[error(transparent)]
     Exchange(#[from] Failure),
-    /// The entry did not reply in time.
-    #[error("no whole answer in time: {received} bytes came")]
-    Timeout {
-        /// Number of bytes of the reply received so far.
-        received: usize,
-    },
     /// The reply is malformed.
     #[error("the answer cannot be decoded: {0}")]
     Decode(#[from] postcard::Error),
@@ -47,7 +43,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error`] when the entry does not reply within `timeout`, or not with a reply.
+    /// Returns [`Error`] when the entry does not reply, or stalls for `timeout`. A reply with many registrations may take
+    /// longer than that while it makes progress.
     fn exchange<'a>(
         &'a self,
         address: SocketAddr,
@@ -71,7 +68,6 @@
 
 impl Tcp {
     async fn exchange(&self, address: SocketAddr, state: &[u8], timeout: Duration) -> Result<Reply, Error> {
-        let deadline = Instant::now() + timeout;
         let idle = self
             .connections
             .borrow_mut()
@@ -81,11 +77,11 @@
             Some(connection) => connection,
             None => Connection::open(address, timeout).await?,
         };
-        let before = connection.bytes_received();
-        let call = timeout_at(deadline, exchange::call(&mut connection, address, PATH, state)).await;
-        let answer = call.map_err(|_elapsed| Error::Timeout {
-            received: connection.bytes_received() - before,
-        })??;
+        let throughput = Throughput {
+            bytes: MIN_PROGRESS_BYTES,
+            within: timeout,
+        };
+        let answer = exchange::download(&mut connection, address, PATH, state, throughput).await?;
         if answer.status != StatusCode::OK {
             return Err(Error::Status(answer.status.as_u16()));
         }
--- a/bergamotshift-forward/tests/fleet/main.rs
+++ b/bergamotshift-forward/tests/fleet/main.rs
@@ -6,4 +6,5 @@
 mod model;
 mod network;
 mod start;
+mod steady;
 mod store;
--- a/bergamotshift-forward/tests/fleet/model.rs
+++ b/bergamotshift-forward/tests/fleet/model.rs
@@ -90,6 +90,15 @@
             .is_some_and(|control| control.shared().view.load().is_complete())
     }
 
+    /// Returns whether the entry sends no more requests to an endpoint.
+    pub fn has_left(&self, hash: u64) -> bool {
+        let control = self.control();
+        control.is_some_and(|control| {
+            let view = control.shared().view.load();
+            view.endpoint(hash).is_none_or(|endpoint| endpoint.is_leaving())
+        })
+    }
+
     /// Returns the version of the document in force; 0 without one.
     pub fn document(&self) -> u64 {
         self.control().map_or(0, |control| control.document().version)
@@ -241,6 +250,33 @@
         }
     }
 
+    /// Returns the time that a condition takes to hold for each running entry, in ascending order; fails after `limit`.
+    pub async fn times_to(&self, limit: Duration, condition: impl Fn(&Node) -> bool) -> Vec<Duration> {
+        const POLL_INTERVAL: Duration = Duration::from_millis(10);
+        let began = Instant::now();
+        let mut waiting: Vec<_> = self
+            .nodes
+            .iter()
+            .filter(|node| node.control.borrow().is_some())
+            .collect();
+        let mut times = Vec::new();
+        while !waiting.is_empty() {
+            waiting.retain(|node| {
+                let holds = condition(node);
+                times.extend(holds.then(|| began.elapsed()));
+                !holds
+            });
+            assert!(
+                began.elapsed() < limit,
+                "{} of {} entries lack it",
+                waiting.len(),
+                self.nodes.len()
+            );
+            sleep(POLL_INTERVAL).await;
+        }
+        times
+    }
+
     /// Returns the number of calls of the store by purpose since a time, with the number of those that were refused.
     pub fn calls_since(&self, from: Instant) -> BTreeMap<Purpose, (usize, usize)> {
         let mut counts = BTreeMap::<_, (usize, usize)>::new();
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -304,3 +304,45 @@
     directory.settle(at(9_000), at(9_000));
     assert!(directory.is_settled());
 }
+
+/// Guards against lists of all registrations that are sent for each change: with 3,000 endpoints they filled the links of
+/// a whole zone whenever one endpoint left.
+#[test]
+fn an_entry_that_is_a_little_behind_needs_only_the_changes() {
+    let mut ahead = directory(at(0));
+    let mut behind = directory(at(0));
+    let leaving = Registration {
+        leaving: true,
+        ..registration("a", "one")
+    };
+    let steps = [
+        Change::Written(registration("c", "one")),
+        Change::Written(leaving),
+        Change::Written(registration("b", "two")),
+        Change::Removed("c".into()),
+        Change::Written(registration("d", "two")),
+    ];
+    for (number, step) in steps.into_iter().enumerate() {
+        ahead.apply(at(100 + number as u64), Event::Changed(vec![step]));
+    }
+    let changes = ahead.changes_since(behind.digest()).expect("they are known");
+    let mut ids: Vec<_> = changes.iter().map(|change| change.id().as_str()).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, ["a", "c", "d"], "a heartbeat is no change");
+    behind.apply(at(500), Event::Changed(changes));
+    assert_eq!(behind.digest(), ahead.digest());
+    assert_eq!(available(&behind), available(&ahead));
+    assert_eq!(ahead.changes_since(7), None, "nobody had that digest");
+}
+
+/// Guards against changes that are sent as a whole history, and so grow beyond the list that they save.
+#[test]
+fn an_entry_that_is_far_behind_needs_the_whole_list() {
+    let mut ahead = directory(at(0));
+    let digest = ahead.digest();
+    for number in 0..2_000 {
+        let registration = registration(&format!("n-{number}"), "one");
+        ahead.apply(at(100), Event::Changed(vec![Change::Written(registration)]));
+    }
+    assert_eq!(ahead.changes_since(digest), None);
+}
