perf(forward): a starting fleet reads the store through a few entries

Cause: each entry read the list of entries, the document and all registrations at its start, and wrote its row, at once. Nothing of that is wrong in a fleet of seven.

Change, in follow::FirstRead, Members::listed and follow::members: - entries that others contact first (seeds) and those with half a core or more read at once; the others take what entries give them, and read only what nobody provides, spread over a time that grows with the fleet, three seconds at the most; - an entry contacts those first whose last state shows that they are ahead of it, and one seed a round, not all; - membership lists are bounded: keepers, the 48 entries of the zone that were heard last, and now and then 64 others; entries of a large fleet expire by news of them, not by states that each has to receive itself; - first writes of rows are spread, and the interval of the next ones grows as entries become known; - an entry that just started leaves the watch of the duties, and the first turn, to others for a second; - whole lists of registrations take half of the link's bandwidth, which the settings name (link_mbps).

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -30,6 +30,7 @@
 use crate::endpoint::Event;
 use crate::follow::Alarm;
 use crate::follow::Checkpoint;
+use crate::follow::FirstRead;
 use crate::follow::Turn;
 use crate::limits::Demand;
 use crate::limits::Keepers;
@@ -38,6 +39,7 @@
 use crate::observe::Topic;
 use crate::outside::Cursor;
 use crate::peers::Members;
+use crate::peers::State;
 use crate::random;
 use crate::view::Shared;
 
@@ -58,11 +60,14 @@
 /// Number of usage windows that are kept of other entries.
 const USAGE_WINDOWS: u64 = 6;
 
-/// Number of registrations that an entry with a whole core sends per second in whole lists: about four megabytes.
-const UPLOADS_PER_CORE: f64 = 60_000.0;
+/// Share of a core from which on an entry reads the store at once after its start.
+const READER_CORE_SHARE: f64 = 0.5;
 
-/// Smallest number of registrations that an entry sends per second in whole lists.
-const MIN_UPLOADS: f64 = 6_000.0;
+/// Fraction of the link that whole lists of registrations for other entries may take.
+const UPLOAD_SHARE: f64 = 0.5;
+
+/// Size of a registration in a message, in bytes.
+const REGISTRATION_BYTES: f64 = 70.0;
 
 /// State of one service that outlives individual views.
 #[derive(Debug)]
@@ -95,6 +100,10 @@
     pub(super) document: Arc<Document>,
     /// Freshness of the document.
     pub(super) document_checkpoint: Checkpoint,
+    /// Start time of the process.
+    started: Instant,
+    /// Turn of this entry to read the store after its start.
+    first_read: FirstRead,
     /// Alarm on the age of the document.
     pub(super) document_alarm: Alarm,
     /// Time since which another entry is known to have a newer document; `None` if none has.
@@ -163,6 +172,8 @@
         Self {
             document: Arc::default(),
             document_checkpoint: Checkpoint::default(),
+            started: now,
+            first_read: first_read(shared),
             document_alarm: Alarm::default(),
             behind_since: None,
             updates: Cache::default(),
@@ -193,10 +204,11 @@
         }
     }
 
-    /// Returns this entry's turn to read the store, and to watch the duties. An entry that cannot reach the store comes
-    /// last.
+    /// Returns this entry's turn to read the store, and to watch the duties. An entry that cannot reach the store, or just
+    /// started, comes last.
     pub(super) fn turn(&self, now: Instant) -> Turn {
-        if self.failed_calls.is_empty() {
+        let is_deferring = self.first_read.is_deferring(now.since(self.started));
+        if self.failed_calls.is_empty() && !is_deferring {
             self.members.turn(now)
         } else {
             Turn::Reader(self.members.count())
@@ -367,6 +379,24 @@
             .is_some_and(|holder| holder.holds && now.since(holder.reported) < STATE_TTL)
     }
 
+    /// Returns the time until this entry, which has read nothing yet, has to read the store itself. `has_copy` tells
+    /// whether another entry's state shows that it could provide what is missing.
+    pub(super) fn first_read_due(&self, now: Instant, has_copy: impl Fn(&State) -> bool) -> Duration {
+        let mut states = self.members.recent_states(now, STATE_TTL);
+        let may_be_given = states.any(|(_, state)| has_copy(state));
+        self.first_read
+            .due(now.since(self.started), self.members.count(), may_be_given)
+    }
+
+    /// Returns whether another entry has newer registrations than this one.
+    pub(super) fn is_ahead(&self, state: &State) -> bool {
+        let known = self.registrations_checkpoint.cursor();
+        state.endpoints != self.directory.digest()
+            && state
+                .endpoints_freshness
+                .is_some_and(|freshness| freshness.cursor > known)
+    }
+
     /// Returns the time for which the state of another entry counts as current.
     fn state_ttl(&self) -> Duration {
         if self.members.is_large() {
@@ -377,10 +407,24 @@
     }
 }
 
-/// Returns the limit on the registrations that this entry sends in whole lists. The bandwidth of VMs grows with their
-/// share of a core.
+/// Returns the turn of this entry to read the store after its start. Entries that others contact first read for them, and
+/// so do those whose VMs can serve many others.
+fn first_read(shared: &Shared) -> FirstRead {
+    let settings = &shared.settings;
+    let seeds = &settings.peers.seeds;
+    let is_contacted_first = seeds.is_empty() || seeds.contains(&settings.listen.peers);
+    if is_contacted_first || settings.core_share >= READER_CORE_SHARE {
+        FirstRead::AtOnce
+    } else {
+        FirstRead::after(&settings.name)
+    }
+}
+
+/// Returns the limit on the registrations that this entry sends in whole lists.
 fn upload_limit(shared: &Shared) -> Bucket {
-    let rate = (UPLOADS_PER_CORE * shared.settings.core_share).max(MIN_UPLOADS);
+    const BYTES_PER_MEGABIT: f64 = 1e6 / 8.0;
+    let bytes_per_second = shared.settings.link_mbps * BYTES_PER_MEGABIT * UPLOAD_SHARE;
+    let rate = bytes_per_second / REGISTRATION_BYTES;
     Bucket::new(rate, rate)
 }
 
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -15,6 +15,7 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -152,6 +153,9 @@
     pub fn document_due(&self, interval: Duration) -> Duration {
         let now = self.now();
         let inner = self.inner.borrow();
+        if inner.document_checkpoint.age(now).is_none() {
+            return inner.first_read_due(now, |state| state.document > 0);
+        }
         inner.document_checkpoint.due(now, interval, inner.turn(now))
     }
 
@@ -193,6 +197,9 @@
     pub fn registrations_due(&self, interval: Duration) -> Duration {
         let now = self.now();
         let inner = self.inner.borrow();
+        if inner.registrations_checkpoint.age(now).is_none() {
+            return inner.first_read_due(now, |state| state.endpoints_freshness.is_some());
+        }
         inner.registrations_checkpoint.due(now, interval, inner.turn(now))
     }
 
@@ -309,10 +316,13 @@
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
         let holder = inner.duty_holder.as_ref().map(|holder| holder.entry.clone());
+        let states = inner.members.recent_states(now, inner::STATE_TTL);
+        let ahead = states.filter(|(_, state)| inner.is_ahead(state));
+        let ahead: BTreeSet<_> = ahead.map(|(entry, _)| entry.clone()).collect();
         inner
             .members
             .set_urgent(self.shared.rollout_evidence.take_canary_failed());
-        inner.members.due(now, limit, holder.as_ref())
+        inner.members.due(now, limit, holder.as_ref(), &ahead)
     }
 
     /// Returns the share of a CPU core that this entry may use, in thousandths.
--- a/bergamotshift-forward/src/follow/document.rs
+++ b/bergamotshift-forward/src/follow/document.rs
@@ -26,6 +26,9 @@
 /// a long-poll call open, so its checkpoint is at most as old as that call.
 const POLL_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Maximum time until an entry checks again whether it has to read the store, since news of other entries may change that.
+const MAX_SLEEP: Duration = Duration::from_millis(250);
+
 /// Delay after a call of the store that failed, or whose answer was older than what is known.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -151,10 +154,10 @@
         } else {
             control.document_due(POLL_INTERVAL)
         };
-        if !turn.is_first() && !due.is_zero() {
-            return due;
-        }
         let after = control.document_cursor();
+        if !due.is_zero() && (!turn.is_first() || after.is_none()) {
+            return due.min(MAX_SLEEP);
+        }
         let (is_full, result) = match after {
             Some(after) if !self.needs_full_read => {
                 let changes = self.operators.wait_for_change(after, watch_timeout(turn));
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use slog::info;
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::knowledge::scale_pause;
 use crate::control::Control;
@@ -27,6 +28,9 @@
 /// with 77 entries these writes were a quarter of all calls of the store.
 const WRITE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time over which the first writes of a small fleet are spread.
+const FIRST_WRITE_SPREAD: Duration = Duration::from_millis(300);
+
 /// Number of writes per read of the list. Entries inform each other of their members, so only an entry that knows no
 /// others depends on the list.
 const WRITES_PER_READ: u32 = 3;
@@ -73,17 +77,42 @@
         // The list is read before the first write, as this entry's row still contains the state of its previous
         // process.
         let read = round % WRITES_PER_READ != 0 || read(&control, &table).await;
+        if round == 0 {
+            wait_for_first_write(&control).await;
+        }
         let written = write(&control, &table).await;
         control.shared().metrics.count_call("entries", read && written);
         if read && written {
             round += 1;
-            tokio::time::sleep(scale_pause(WRITE_INTERVAL, control.entry_count())).await;
+            wait_for_next_write(&control).await;
         } else {
             tokio::time::sleep(scale_pause(RETRY_DELAY, control.entry_count())).await;
         }
     }
 }
 
+/// Waits for this entry's turn to write its row for the first time.
+///
+/// The rows share a partition, which takes some hundred writes a second. When all entries of a large fleet wrote theirs at
+/// their start, a third of the writes was refused. The fleet's size becomes known meanwhile, and extends the wait.
+async fn wait_for_first_write(control: &Control) {
+    const POLL_INTERVAL: Duration = Duration::from_millis(100);
+    let shared = control.shared();
+    let fraction = xxh3_64(shared.settings.name.as_str().as_bytes()) as f64 / u64::MAX as f64;
+    let wait = || scale_pause(FIRST_WRITE_SPREAD, control.entry_count()).mul_f64(fraction);
+    while shared.clock.now().since(shared.started) < wait() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits for the interval between two writes, which grows while entries become known.
+async fn wait_for_next_write(control: &Control) {
+    let written = control.shared().clock.now();
+    while control.shared().clock.now().since(written) < scale_pause(WRITE_INTERVAL, control.entry_count()) {
+        tokio::time::sleep(WRITE_INTERVAL).await;
+    }
+}
+
 /// Writes this entry's row; returns whether that succeeded.
 async fn write(control: &Control, table: &Rc<dyn Table>) -> bool {
     let settings = &control.shared().settings;
--- a/bergamotshift-forward/src/follow/mod.rs
+++ b/bergamotshift-forward/src/follow/mod.rs
@@ -9,6 +9,7 @@
 pub use self::document::document;
 pub use self::knowledge::Alarm;
 pub use self::knowledge::Checkpoint;
+pub use self::knowledge::FirstRead;
 pub use self::knowledge::MAX_AGE;
 pub use self::knowledge::Transition;
 pub use self::knowledge::Turn;
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -16,6 +16,9 @@
 /// receiving requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Maximum time until an entry checks again whether it has to read the store, since news of other entries may change that.
+const MAX_SLEEP: Duration = Duration::from_millis(250);
+
 /// Delay after a call of the store that failed, or whose answer was older than what is known.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -25,7 +28,7 @@
     loop {
         let due = control.registrations_due(POLL_INTERVAL);
         if !due.is_zero() {
-            tokio::time::sleep(due).await;
+            tokio::time::sleep(due.min(MAX_SLEEP)).await;
             continue;
         }
         let after = control.registrations_cursor();
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bergamotshift_core::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -19,6 +20,10 @@
 /// restarted is back within seconds, and entries behind a partition of up to this time lose nothing.
 const EXPIRY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time without any news of an entry of a large fleet after which it is removed. An entry of another zone is heard seldom,
+/// and nothing is divided among all entries there.
+const NEWS_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// Time after which an entry that has never sent its state is removed.
 const FIRST_STATE_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -44,6 +49,25 @@
 /// Backoff while this entry starts: the other one may start a moment later.
 const STARTUP_BACKOFF: Duration = Duration::from_millis(120);
 
+/// Maximum number of entries of its own zone that an entry of a large fleet lists in a message, without keepers.
+const MAX_LISTED: usize = 48;
+
+/// Maximum number of other entries that it lists now and then.
+const MAX_OTHERS_LISTED: usize = 64;
+
+/// Length of a round of exchanges, in milliseconds.
+const ROUND_MS: u64 = 250;
+
+/// Returns the part of all known entries that is listed in this round; the parts follow each other.
+fn window<'a>(now: Instant, known: &[(&'a name::Entry, &'a Peer)]) -> Vec<(&'a name::Entry, &'a Peer)> {
+    let round = (now.as_micros() / 1_000 / ROUND_MS) as usize;
+    // An entry that lists others in each sixteenth round only would always list the same ones of 512.
+    let part = round + round / 16;
+    let start = (part * MAX_OTHERS_LISTED) % known.len().max(1);
+    let from_start = known.iter().cycle().skip(start);
+    from_start.take(MAX_OTHERS_LISTED.min(known.len())).copied().collect()
+}
+
 /// Another entry of the fleet.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -239,7 +263,15 @@
     ///
     /// The holder of the duties needs the counters of every entry, so it is contacted every other second. The keepers
     /// of zones contact one another each round, because they divide the limits among the zones.
-    pub fn due(&mut self, now: Instant, limit: usize, holder: Option<&name::Entry>) -> Vec<(name::Entry, SocketAddr)> {
+    ///
+    /// Entries that are `ahead` of this one come first, since their replies contain what this one lacks.
+    pub fn due(
+        &mut self,
+        now: Instant,
+        limit: usize,
+        holder: Option<&name::Entry>,
+        ahead: &BTreeSet<name::Entry>,
+    ) -> Vec<(name::Entry, SocketAddr)> {
         let is_large = self.is_large();
         let mut due = Vec::new();
         let keeper = self.keeping(now).keeper;
@@ -277,9 +309,9 @@
             .filter(|(_, peer)| !peer.is_backing_off(now))
             .collect();
         // An entry that contacted this one recently has already sent its state.
-        available.sort_by_key(|(_, peer)| {
-            peer.last_contact
-                .max(peer.last_state.as_ref().map_or(Instant::ZERO, |(at, _)| *at))
+        available.sort_by_key(|(entry, peer)| {
+            let last_state = peer.last_state.as_ref().map_or(Instant::ZERO, |(at, _)| *at);
+            (!ahead.contains(*entry), peer.last_contact.max(last_state))
         });
         if is_large {
             let (mut local, remote): (Vec<_>, Vec<_>) = available.into_iter().partition(|(_, peer)| is_local(peer));
@@ -315,7 +347,9 @@
 
     /// Removes entries that are gone for good, and returns their names.
     pub fn expire(&mut self, now: Instant) -> Vec<name::Entry> {
+        let is_large = self.is_large();
         let is_gone = |peer: &Peer| match &peer.last_state {
+            _ if is_large && peer.last_heard > Instant::ZERO => now.since(peer.last_heard) >= NEWS_TIMEOUT,
             Some((at, _)) => now.since(*at) >= EXPIRY_TIMEOUT,
             None => now.since(peer.added) >= FIRST_STATE_TIMEOUT,
         };
@@ -359,7 +393,7 @@
         };
         let local = self.candidates(now, &self.zone);
         let place = local.filter(|other| keeper::precedes(*other, own)).count();
-        if place > 0 {
+        if place > 0 || self.is_starting(now) && self.keeping(now).keeper != Keeper::Own {
             let is_local = |peer: &&Peer| peer.is_in(&self.zone);
             let members = 1 + self.peers.values().filter(is_local).count();
             return Turn::Follower { place, members };
@@ -379,16 +413,7 @@
     /// other of one that is gone for good, and its share of each limit would stay unused.
     pub fn member_list(&self, now: Instant) -> (Vec<name::Zone>, Vec<Member>) {
         let zones: Vec<name::Zone> = self.zones().into_iter().cloned().collect();
-        let keepers = self.other_keepers(now);
-        let is_complete = !self.is_large() || self.is_starting(now) || self.lists_all_members(now);
-        let is_listed = |entry: &name::Entry, peer: &Peer| {
-            is_complete || peer.is_in(&self.zone) || keepers.iter().any(|(keeper, _)| keeper == entry)
-        };
-        let listed = self
-            .peers
-            .iter()
-            .filter(|(entry, peer)| peer.last_state.is_some() && is_listed(entry, peer));
-        let members = listed.map(|(entry, peer)| Member {
+        let members = self.listed(now).into_iter().map(|(entry, peer)| Member {
             entry: entry.clone(),
             address: peer.address,
             zone: zones
@@ -404,15 +429,37 @@
         (zones, members)
     }
 
-    /// Returns whether this round's membership list contains all entries, as one round's in sixteen does.
+    /// Returns the entries of the membership list: all of a small fleet, and a bounded number of a large one.
     ///
     /// With the whole list in every message, the exchanges of 300 entries took 600 kB a second and filled the links of
-    /// small VMs. Only the liveness of this zone's entries and the keepers of the other zones are needed at once; the
-    /// rest may arrive some seconds late.
-    fn lists_all_members(&self, now: Instant) -> bool {
+    /// small VMs. What is needed at once are the keepers, and which entries of this zone are alive. Each entry passes on
+    /// those that it heard last, so news of any of them reaches its zone within a few rounds, however large the zone is.
+    fn listed(&self, now: Instant) -> BTreeMap<&name::Entry, &Peer> {
+        let known = self.peers.iter().filter(|(_, peer)| peer.last_state.is_some());
+        if !self.is_large() {
+            return known.collect();
+        }
+        let mut local: Vec<_> = known.clone().filter(|(_, peer)| peer.is_in(&self.zone)).collect();
+        local.sort_by_key(|(_, peer)| core::cmp::Reverse(peer.last_heard));
+        local.truncate(MAX_LISTED);
+        let own_zone = keeper::top_two(self.candidates(now, &self.zone));
+        let other_zones = self.zones().into_iter().filter(|zone| **zone != self.zone);
+        let keepers = own_zone.into_iter().flatten();
+        let keepers = keepers.filter_map(|entry| self.peers.get_key_value(entry));
+        let mut listed: BTreeMap<_, _> = local.into_iter().chain(keepers).collect();
+        listed.extend(self.keepers_of(now, other_zones));
+        if self.is_starting(now) || self.lists_others(now) {
+            let others: Vec<_> = known.collect();
+            listed.extend(window(now, &others));
+        }
+        listed
+    }
+
+    /// Returns whether this round's membership list also contains entries of which no news is needed at once, as one
+    /// round's in sixteen does.
+    fn lists_others(&self, now: Instant) -> bool {
         const PERIOD_MS: u64 = 4_000;
-        const ROUND_MS: u64 = 250;
-        // Spreads the entries' whole lists over the period.
+        // Spreads the entries' longer lists over the period.
         let offset = xxh3_64(self.own.as_str().as_bytes()) % PERIOD_MS;
         (now.as_micros() / 1_000 + offset) % PERIOD_MS < ROUND_MS
     }
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -12,6 +12,7 @@
 use slog::info;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::message::State;
 use super::network::Network;
@@ -53,7 +54,7 @@
 /// Exchanges states with other entries until the process ends.
 pub async fn run(control: Control, network: Rc<dyn Network>) {
     let mut rounds = Rounds::default();
-    loop {
+    for number in 0.. {
         let is_discovering = control.keepers().keeper == Keeper::Unknown;
         let round = rounds.next(is_discovering || control.is_alone());
         tokio::time::sleep(round.delay).await;
@@ -64,13 +65,7 @@
             .map(|(entry, address)| (Some(entry), address))
             .collect();
         if control.is_alone() {
-            let settings = &control.shared().settings;
-            let others = settings
-                .peers
-                .seeds
-                .iter()
-                .filter(|seed| **seed != settings.listen.peers);
-            targets.extend(others.map(|seed| (None, *seed)));
+            targets.extend(seed(&control, number).map(|seed| (None, seed)));
         }
         let state = control.state();
         let (Ok(question), Ok(brief)) = (postcard::to_stdvec(&state), postcard::to_stdvec(&state.brief())) else {
@@ -85,6 +80,20 @@
     }
 }
 
+/// Returns the seed to contact in a round. Entries begin with different ones, and contact one at a time: when all entries of
+/// a large fleet start, each seed has to reply to hundreds of them.
+fn seed(control: &Control, round: usize) -> Option<SocketAddr> {
+    let settings = &control.shared().settings;
+    let seeds = settings
+        .peers
+        .seeds
+        .iter()
+        .filter(|seed| **seed != settings.listen.peers);
+    let seeds: Vec<_> = seeds.copied().collect();
+    let first = xxh3_64(settings.name.as_str().as_bytes()) as usize;
+    seeds.get(first.wrapping_add(round) % seeds.len().max(1)).copied()
+}
+
 async fn contact(
     control: &Control,
     network: &dyn Network,
--- a/bergamotshift-forward/src/settings/mod.rs
+++ b/bergamotshift-forward/src/settings/mod.rs
@@ -64,6 +64,9 @@
     /// of its zone.
     #[serde(default = "whole_core")]
     pub core_share: f64,
+    /// Bandwidth of the entry's link, in megabits per second.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Name of the platform adapter, which connects to the store and the cloud API.
     pub outside: SmolStr,
     /// Addresses on which the entry listens.
@@ -104,6 +107,11 @@
     1.0
 }
 
+/// Returns the default bandwidth of an entry's link, in megabits per second.
+const fn default_link_mbps() -> f64 {
+    100.0
+}
+
 /// Addresses on which an entry listens. Host names are not resolved.
 #[derive(Clone, Copy, Debug)]
 #[derive(Deserialize)]
--- a/bergamotshift-forward/tests/kernel/knowledge.rs
+++ b/bergamotshift-forward/tests/kernel/knowledge.rs
@@ -4,6 +4,7 @@
 
 use bergamotshift_forward::follow::Alarm;
 use bergamotshift_forward::follow::Checkpoint;
+use bergamotshift_forward::follow::FirstRead;
 use bergamotshift_forward::follow::MAX_AGE;
 use bergamotshift_forward::follow::Transition;
 use bergamotshift_forward::follow::Turn;
@@ -182,3 +183,25 @@
     );
     assert_eq!(alarm.update(at(5_000), Some(second)), None);
 }
+
+/// Guards against a start of all entries at which each reads the whole store: with 986 entries 12,700 calls in ten seconds.
+#[test]
+fn an_entry_that_starts_reads_only_what_no_other_one_provides() {
+    let after = |name: &str| FirstRead::after(&name.into());
+    let start = Duration::ZERO;
+    assert_eq!(FirstRead::AtOnce.due(start, 986, true), Duration::ZERO);
+    let names: Vec<String> = (0..986).map(|number| format!("entry-{number}")).collect();
+    let due = |members, is_given| -> Vec<Duration> {
+        names
+            .iter()
+            .map(|name| after(name).due(start, members, is_given))
+            .collect()
+    };
+    let in_first_second = due(986, false).iter().filter(|due| due.as_secs() < 1).count();
+    assert!(in_first_second <= 300, "{in_first_second} read within a second");
+    // Callers of a small fleet wait for 400 ms.
+    assert!(due(7, false).iter().all(|due| *due <= Duration::from_millis(400)));
+    // An entry that cannot get what others have reads it all the same.
+    assert!(due(986, true).iter().all(|due| *due == Duration::from_secs(3)));
+    assert_eq!(after("a").due(Duration::from_secs(3), 986, true), Duration::ZERO);
+}
