fix(forward): entries of a large fleet spread plain requests over all endpoints

Cause: of endpoints with the same cost the first in the list was chosen. With 986 entries of a request in five seconds each, nearly all endpoints are idle as far as an entry knows, so all entries of a zone chose the same one.

Change: endpoints of the same cost are ordered by a hash that differs between entries. An entry keeps its order, so it keeps its connections. Ruled out: a random choice, which opens connections to all endpoints from each entry.

The test names the pattern: many entries with few requests, a dozen endpoints in the zone.

--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 pub use self::cache_index::CachedPart;
@@ -101,6 +102,8 @@
     pub preferred_zone: Option<&'a name::Zone>,
     /// Endpoints that are left out since they had the request already, by their hashes.
     pub tried: &'a [u64],
+    /// Seed of the order among endpoints of the same cost, which differs between entries.
+    pub seed: u64,
     /// Endpoints that are not candidates, but from which cached parts of the prompt may be fetched.
     pub cache_sources: &'a [Arc<Endpoint>],
 }
@@ -112,6 +115,11 @@
     }
 }
 
+/// Returns the seed of an entry's order among endpoints of the same cost.
+pub fn seed(entry: &name::Entry) -> u64 {
+    xxh3_64(entry.as_str().as_bytes())
+}
+
 /// Chooses among a service's endpoints; returns `None` when none of them takes requests.
 ///
 /// An endpoint that could not be reached lately is chosen only when no other is left, as it may be back.
@@ -139,8 +147,12 @@
         .engine
         .map(|engine| Prompt::new(now, engine, endpoints, request, cache_index));
     let estimated = |endpoint: &Arc<Endpoint>| estimate(settings, endpoint, request, prompt.as_ref());
+    // To each of hundreds of entries, most endpoints of a plain service are idle. If all entries preferred the same one of
+    // them, it would get nearly all requests of its zone.
+    let order = |choice: &Choice| xxh3_64_with_seed(&choice.endpoint.hash.to_le_bytes(), request.seed);
     let best = |candidates: &mut dyn Iterator<Item = &Arc<Endpoint>>| {
-        candidates.map(estimated).min_by(|a, b| a.cost.total_cmp(&b.cost))
+        let by_cost = |a: &Choice, b: &Choice| a.cost.total_cmp(&b.cost).then_with(|| order(a).cmp(&order(b)));
+        candidates.map(estimated).min_by(by_cost)
     };
     let reachable = || available().filter(|endpoint| !endpoint.health.is_paused(now));
     let is_likely = |endpoint: &&Arc<Endpoint>| {
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -154,6 +154,7 @@
             own_zone: &self.shared.settings.zone,
             preferred_zone: None,
             tried: avoided,
+            seed: choice::seed(&self.shared.settings.name),
             cache_sources: &[],
         };
         if self.shared.is_stranded() {
--- a/bergamotshift-forward/tests/kernel/choice.rs
+++ b/bergamotshift-forward/tests/kernel/choice.rs
@@ -8,6 +8,7 @@
 use bergamotshift_forward::choice::Request;
 use bergamotshift_forward::choice::Settings;
 use bergamotshift_forward::choice::choose;
+use bergamotshift_forward::choice::seed;
 use bergamotshift_forward::dialect::Metadata;
 use bergamotshift_forward::dialect::Part;
 use bergamotshift_forward::dialect::Size;
@@ -49,6 +50,7 @@
         own_zone: &zone,
         preferred_zone: None,
         tried,
+        seed: 0,
         cache_sources: &[],
     };
     choose(&Settings::default(), at(1_000), endpoints, &request, cache_index)
@@ -201,3 +203,40 @@
     let chosen_then = chosen(&all, Some(ENGINE), &cache_index, &[]).expect("the far one");
     assert_eq!(chosen_then.endpoint.hash, far.hash);
 }
+
+/// Hundreds of entries with a request a second each, to a plain service of a dozen endpoints per zone. Guards against
+/// entries that all send to the same endpoint, since all endpoints are idle as far as each entry knows: two in three
+/// endpoints got no request in a day, and the busiest one nine times its share.
+#[test]
+fn many_entries_with_few_requests_use_all_endpoints_of_a_plain_service() {
+    let endpoints = endpoints(12);
+    let zone = name::Zone::new("one");
+    let ask = Metadata::default();
+    let mut counts = std::collections::BTreeMap::new();
+    const ENTRIES: usize = 164;
+    for number in 0..ENTRIES {
+        let request = Request {
+            ask: &ask,
+            engine: None,
+            own_zone: &zone,
+            preferred_zone: None,
+            tried: &[],
+            seed: seed(&format!("entry-{number:04}").as_str().into()),
+            cache_sources: &[],
+        };
+        let choose = || choose(&Settings::default(), at(1_000), &endpoints, &request, &Index::default());
+        let choice = choose().expect("all take requests");
+        let again = choose().expect("all take requests");
+        assert_eq!(
+            choice.endpoint.hash, again.endpoint.hash,
+            "an entry keeps to its connections"
+        );
+        *counts.entry(choice.endpoint.hash).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), endpoints.len());
+    let busiest = counts.values().max().copied().unwrap_or_default();
+    assert!(
+        busiest <= 2 * ENTRIES / endpoints.len(),
+        "{busiest} entries prefer one endpoint"
+    );
+}
