fix(forward): entries of a fleet about as large as its slack of retries may retry

Cause: the slack of 1,040 retries was divided by 986 entries and rounded down to one each, and a budget keeps one of its attempts. So it holds only while the slack is more than twice the number of entries.

Change: limits::retry_share is what an entry may really use; what does not divide evenly goes to some entries by the hash of their names, so that the sum is the slack at any size.

The test failed before for 986 and 2,000 entries: no budget gave a retry.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -36,6 +36,7 @@
 use crate::limits::Keepers;
 use crate::limits::Policy;
 use crate::limits::granter;
+use crate::limits::retry_share;
 use crate::observe::Topic;
 use crate::outside::Cursor;
 use crate::peers::Members;
@@ -309,9 +310,9 @@
         }
         // The retry budget of each entry shrinks as the fleet grows. Otherwise dozens of entries together would retry
         // more than the platform allows when endpoints fail, and overload the remaining endpoints.
-        let slack = retry_slack(shared, self.members.count());
+        let burst = retry_burst(shared, self.members.count());
         for service in self.services.values_mut() {
-            service.budget.set_burst(slack);
+            service.budget.set_burst(burst);
             service
                 .prompt_demand
                 .note(PROMPT_DEMAND_WINDOW, service.requested_tokens.swap(0, Relaxed), span);
@@ -432,18 +433,20 @@
 /// requests.
 pub(super) fn retry_budget(shared: &Shared) -> Budget {
     const RATIO_USED: f64 = 0.75;
-    let slack = retry_slack(shared, ASSUMED_ENTRIES);
+    let burst = retry_burst(shared, ASSUMED_ENTRIES);
     Budget::new(retry::Settings {
         ratio: shared.settings.retry.ratio * RATIO_USED,
-        reserve: slack,
-        burst: slack,
+        reserve: burst,
+        burst,
     })
 }
 
-/// Returns one entry's even share of the retries that all entries may make beyond the ratio. A small site uses the
-/// share for [`ASSUMED_ENTRIES`], so that the share does not change with every entry that joins or leaves.
-fn retry_slack(shared: &Shared, entries: usize) -> u32 {
-    (shared.settings.retry.slack / entries.max(ASSUMED_ENTRIES) as f64).max(1.0) as u32
+/// Returns the burst of this entry's retry budget. A small site uses the share for [`ASSUMED_ENTRIES`], so that the share
+/// does not change with every entry that joins or leaves.
+fn retry_burst(shared: &Shared, entries: usize) -> u32 {
+    let slack = shared.settings.retry.slack;
+    // A budget keeps one of its attempts.
+    retry_share(slack, entries.max(ASSUMED_ENTRIES), &shared.settings.name) + 1
 }
 
 /// Returns the share of a CPU core that this entry may use, in thousandths.
--- a/bergamotshift-forward/src/limits/mod.rs
+++ b/bergamotshift-forward/src/limits/mod.rs
@@ -8,6 +8,7 @@
 mod account;
 pub mod granter;
 pub mod keeper;
+mod retries;
 mod share;
 
 pub use self::account::Account;
@@ -16,6 +17,7 @@
 pub use self::account::Refused;
 pub use self::keeper::Keeper;
 pub use self::keeper::Keepers;
+pub use self::retries::retry_share;
 pub use self::share::Demand;
 pub use self::share::Policy;
 pub use self::share::Share;
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -15,6 +15,7 @@
 mod members;
 mod progress;
 mod reports;
+mod retries;
 mod rounds;
 mod routes;
 mod settings;
