style(forward): satisfy clippy in the model of fleets

An attempt's accepted exchange is boxed, as the clock in it is larger now; the metrics of copies are registered by a function of their own. No test changes but in form.

--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -159,20 +159,6 @@
             "Streams that went on elsewhere",
             metrics.resumed.clone(),
         );
-        registry.register(
-            "document_version",
-            "The document in force",
-            metrics.document_version.clone(),
-        );
-        registry.register(
-            "document_behind",
-            "Whether another entry has a newer document",
-            metrics.document_behind.clone(),
-        );
-        let help = "Time since the document was last known to be current";
-        registry.register("document_age_seconds", help, metrics.document_age.clone());
-        let help = "Time since the registrations were last known to be current";
-        registry.register("registrations_age_seconds", help, metrics.registrations_age.clone());
         registry.register("endpoints", "Endpoints that take work", metrics.endpoints.clone());
         registry.register("peers", "Other entries heard of lately", metrics.peers.clone());
         registry.register(
@@ -200,6 +186,28 @@
             "Whether this entry is cut off from endpoints that its callers need",
             metrics.stranded.clone(),
         );
+        metrics.register_copies();
+        metrics
+    }
+
+    /// Registers the metrics of this entry's copies of the store's contents.
+    fn register_copies(&mut self) {
+        let metrics = self;
+        let registry = &mut metrics.registry;
+        registry.register(
+            "document_version",
+            "The document in force",
+            metrics.document_version.clone(),
+        );
+        registry.register(
+            "document_behind",
+            "Whether another entry has a newer document",
+            metrics.document_behind.clone(),
+        );
+        let help = "Time since the document was last known to be current";
+        registry.register("document_age_seconds", help, metrics.document_age.clone());
+        let help = "Time since the registrations were last known to be current";
+        registry.register("registrations_age_seconds", help, metrics.registrations_age.clone());
         registry.register(
             "registrations_unread",
             "Registrations that could not be read",
@@ -211,7 +219,6 @@
         registry.register("store_restores", help, metrics.store_restores.clone());
         let help = "Answers of the store that were older than what was known";
         registry.register("store_answers_dropped", help, metrics.answers_dropped.clone());
-        metrics
     }
 
     /// Counts a completed request.
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -120,7 +120,7 @@
 /// Outcome of one attempt.
 enum Outcome {
     /// The response can be returned to the caller.
-    Accepted(Exchange),
+    Accepted(Box<Exchange>),
     /// Another attempt may follow; a server error is kept in case no other endpoint responds.
     Retry(Option<Box<Exchange>>),
     /// No further attempt is allowed.
@@ -142,7 +142,7 @@
         let mut fallback = None;
         loop {
             match self.attempt(job, history, last_event).await {
-                Outcome::Accepted(exchange) => return Ok(exchange),
+                Outcome::Accepted(exchange) => return Ok(*exchange),
                 Outcome::Retry(response) => fallback = response.or(fallback),
                 Outcome::Refused(refusal) => return fallback.map(|exchange| *exchange).ok_or(refusal),
             }
@@ -169,7 +169,7 @@
         }
         let sends = history.sends;
         let error = match self.send(job, &choice, history, last_event).await {
-            Ok(exchange) => return Outcome::Accepted(exchange),
+            Ok(exchange) => return Outcome::Accepted(Box::new(exchange)),
             Err(error) => error,
         };
         if is_retry && history.sends == sends {
@@ -181,7 +181,7 @@
         }
         let timed_out = job.deadline.since(self.shared.clock.now()) < MIN_TIME_LEFT;
         match fallback {
-            Some(exchange) => Outcome::Accepted(*exchange),
+            Some(exchange) => Outcome::Accepted(exchange),
             None => Outcome::Refused(history.refusal(timed_out)),
         }
     }
--- a/bergamotshift-forward/tests/daemon/restore.rs
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -154,11 +154,10 @@
         lock(&site.backend).register(one.registration("staff"));
     }
     let daemon = site.start();
-    {
-        let mut backend = lock(&site.backend);
-        backend.restore(copy);
-        backend.era = 0;
-    }
+    let mut backend = lock(&site.backend);
+    backend.restore(copy);
+    backend.era = 0;
+    drop(backend);
     let is_outdated = || {
         daemon
             .registrations_age()
--- a/bergamotshift-forward/tests/fleet/restore.rs
+++ b/bergamotshift-forward/tests/fleet/restore.rs
@@ -209,8 +209,7 @@
 }
 
 /// Plays steps on a fleet that has just started.
-fn play(steps: &[Step]) {
-    let steps = steps.to_vec();
+fn play(steps: Vec<Step>) {
     run(async move {
         let mut checker = Checker::new();
         checker.fleet.start().await;
@@ -228,7 +227,7 @@
 #[test]
 fn no_sequence_of_restores_and_other_trouble_undoes_what_is_known() {
     fn holds(steps: Vec<Step>) -> bool {
-        play(&steps);
+        play(steps);
         true
     }
     QuickCheck::new().tests(40).quickcheck(holds as fn(Vec<Step>) -> bool);
@@ -238,7 +237,7 @@
 /// ones.
 #[test]
 fn an_entry_that_is_cut_off_during_a_restore_learns_of_it_from_others() {
-    play(&[
+    play(vec![
         Step::Wait(1_000),
         Step::Cut(3, true),
         Step::Copy,
@@ -253,7 +252,7 @@
 /// Guards against a second restore that is taken for the first one.
 #[test]
 fn a_second_restore_soon_after_the_first_is_followed() {
-    play(&[
+    play(vec![
         Step::Wait(1_000),
         Step::Copy,
         Step::Leave(1),
@@ -286,7 +285,7 @@
         );
     });
     let holder = holder.get();
-    play(&[
+    play(vec![
         Step::Wait(8_000),
         Step::Copy,
         Step::Leave(1),
--- a/bergamotshift-forward/tests/fleet/start.rs
+++ b/bergamotshift-forward/tests/fleet/start.rs
@@ -6,6 +6,7 @@
 use tokio::time::sleep;
 
 use crate::model::Fleet;
+use crate::model::Node;
 use crate::model::Size;
 use crate::model::run;
 use crate::store::Purpose;
@@ -20,9 +21,7 @@
 async fn calls_of_start(fleet: &Fleet, purposes: &[Purpose]) -> usize {
     let from = Instant::now();
     fleet.start().await;
-    fleet
-        .wait_for_all("can serve", READY_WITHIN, |node| node.can_serve())
-        .await;
+    fleet.wait_for_all("can serve", READY_WITHIN, Node::can_serve).await;
     sleep(START.saturating_sub(from.elapsed())).await;
     let calls = fleet.calls_since(from);
     println!(
--- a/bergamotshift-forward/tests/fleet/steady.rs
+++ b/bergamotshift-forward/tests/fleet/steady.rs
@@ -114,7 +114,9 @@
         };
         let keepers: Vec<_> = fleet.nodes.iter().filter(|node| is_keeper(node)).collect();
         assert_eq!(keepers.len(), 6, "one in each zone");
-        keepers.into_iter().for_each(|node| fleet.kill(node));
+        for keeper in keepers {
+            fleet.kill(keeper);
+        }
         let times = leave(&fleet, 3).await;
         println!("known by all after {:?}", times.last());
     });
--- a/bergamotshift-forward/tests/kernel/choice.rs
+++ b/bergamotshift-forward/tests/kernel/choice.rs
@@ -209,11 +209,11 @@
 /// endpoints got no request in a day, and the busiest one nine times its share.
 #[test]
 fn many_entries_with_few_requests_use_all_endpoints_of_a_plain_service() {
+    const ENTRIES: usize = 164;
     let endpoints = endpoints(12);
     let zone = name::Zone::new("one");
     let ask = Metadata::default();
     let mut counts = std::collections::BTreeMap::new();
-    const ENTRIES: usize = 164;
     for number in 0..ENTRIES {
         let request = Request {
             ask: &ask,
--- a/bergamotshift-forward/tests/kernel/knowledge.rs
+++ b/bergamotshift-forward/tests/kernel/knowledge.rs
@@ -67,7 +67,7 @@
             due(usize::MAX)
         );
     }
-    let bound = Duration::from_millis(2_000);
+    let bound = Duration::from_secs(2);
     let due = checkpoint.due(at(0), INTERVAL, Turn::Follower { place: 1, members: 20 });
     assert!(due <= bound, "{due:?}");
 }
