test(forward): endpoints that tests expect to be chosen first are nearer than the others

Three daemon tests relied on the first endpoint of a list being chosen among idle ones, which is not so any more (leaving: an endpoint that announces its end gets one request; every kind of answer; throttled: a rate is one budget). Two tests of restores would have passed without their endpoint being preferred. The other endpoint of these tests now lies in another zone, so the endpoint under test gets the first request by the cost of a zone, whatever the order of equals. All assertions stay as they are.

--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -67,6 +67,7 @@
     /// Number of connections that the client closed.
     pub closed: Arc<Mutex<usize>>,
     id: String,
+    zone: &'static str,
 }
 
 impl Endpoint {
@@ -81,6 +82,7 @@
             requests: Arc::default(),
             closed: Arc::default(),
             id: id.to_owned(),
+            zone: "one",
         };
         let server = endpoint.clone();
         let script = Arc::new(script);
@@ -102,6 +104,11 @@
         })
     }
 
+    /// Returns the endpoint in another zone than the entries, so that they prefer each endpoint of their own.
+    pub fn in_other_zone(self) -> Self {
+        Self { zone: "two", ..self }
+    }
+
     /// Returns the endpoint's registration for a service.
     pub fn registration(&self, service: &str) -> Registration {
         Registration {
@@ -110,7 +117,7 @@
             version: "v1".into(),
             service: service.into(),
             address: self.address,
-            zone: "one".into(),
+            zone: self.zone.into(),
             slots: 8,
             leaving: false,
             market: Market::OnDemand,
--- a/bergamotshift-forward/tests/daemon/leaving.rs
+++ b/bergamotshift-forward/tests/daemon/leaving.rs
@@ -37,7 +37,10 @@
 /// Guards against requests to an endpoint that announced that it leaves, while the store cannot be read.
 #[test]
 fn an_endpoint_that_says_that_it_leaves_gets_no_further_request() {
-    let (one, two) = (announcing_departure("e1"), Endpoint::plain("e2", "done"));
+    let (one, two) = (
+        announcing_departure("e1"),
+        Endpoint::plain("e2", "done").in_other_zone(),
+    );
     let site = Site::new(&[&one, &two]);
     let daemon = site.start();
     lock(&site.backend).disconnected.push("entry-1".into());
@@ -120,6 +123,7 @@
             stream.write_all(request.answer("200 OK", "", "done").as_bytes())?;
             Ok(Connection::Keep)
         });
+        let two = two.in_other_zone();
         let site = Site::new(&[&one, &two]);
         let daemon = site.start();
         for number in 0..REQUESTS {
--- a/bergamotshift-forward/tests/daemon/restore.rs
+++ b/bergamotshift-forward/tests/daemon/restore.rs
@@ -32,7 +32,10 @@
 /// Guards against registrations that are dropped as older after a restore, so that a leaving endpoint stays in use.
 #[test]
 fn an_endpoint_that_leaves_after_a_restore_gets_no_further_requests() {
-    let (one, two) = (Endpoint::plain("e1", "done"), Endpoint::plain("e2", "done"));
+    let (one, two) = (
+        Endpoint::plain("e1", "done"),
+        Endpoint::plain("e2", "done").in_other_zone(),
+    );
     let site = Site::new(&[&one]);
     let daemon = site.start();
     let copy = lock(&site.backend).copy();
@@ -67,7 +70,10 @@
 /// Guards against requests to an endpoint that was removed before a restore, and is registered in the copy.
 #[test]
 fn a_restored_registration_brings_no_removed_endpoint_back() {
-    let (one, two) = (Endpoint::plain("e1", "done"), Endpoint::plain("e2", "done"));
+    let (one, two) = (
+        Endpoint::plain("e1", "done"),
+        Endpoint::plain("e2", "done").in_other_zone(),
+    );
     let site = Site::new(&[&one, &two]);
     let daemon = site.start();
     let copy = lock(&site.backend).copy();
--- a/bergamotshift-forward/tests/daemon/throttled.rs
+++ b/bergamotshift-forward/tests/daemon/throttled.rs
@@ -41,7 +41,7 @@
 /// it.
 #[test]
 fn the_rate_that_an_endpoint_names_is_one_budget_over_all_entries() {
-    let (one, two) = (rate_limited("e1"), Endpoint::plain("e2", "done"));
+    let (one, two) = (rate_limited("e1"), Endpoint::plain("e2", "done").in_other_zone());
     let site = Site::new(&[&two]);
     let daemons = start_fleet(&site, ENTRIES);
     for daemon in &daemons {
