fix(forward): usage windows shorter than a second and a bit are reported in large fleets

Cause, from the logs: entry-0 held the duties for 6 s, entry-8 for 8 s, without a failed call, and reported nothing but the first window. Windows of 1 s are reported while they are at most three windows old; in a fleet of more than 16 entries their counts are complete 3.5 s after their end. So a window was too old before it was complete.

Change: as many windows are kept as end in twice that time, at least three, by the entry, for other entries and in the reports.

Ruled out: the load, since no call was late; a lost lease, since each holder renewed it until it was killed.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -58,9 +58,6 @@
 /// Number of entries assumed until the list of entries has been read; more than a small site has.
 pub(super) const ASSUMED_ENTRIES: usize = 12;
 
-/// Number of usage windows that are kept of other entries.
-const USAGE_WINDOWS: u64 = 6;
-
 /// Share of a core from which on an entry reads the store at once after its start.
 const READER_CORE_SHARE: f64 = 0.5;
 
@@ -340,7 +337,7 @@
         self.apply_shares(now, shared);
         shared.ledger().expire(now);
         self.update_in_flight(now, shared);
-        let oldest = shared.tally.current().saturating_sub(USAGE_WINDOWS);
+        let oldest = shared.tally.oldest_kept();
         self.peer_usage.retain(|_, windows| {
             windows.retain(|window, _| *window >= oldest);
             !windows.is_empty()
--- a/bergamotshift-forward/src/duty/progress.rs
+++ b/bergamotshift-forward/src/duty/progress.rs
@@ -13,6 +13,17 @@
 /// Time before a window's report is due at which it is sent in any case: enough for a few slow calls.
 const REPORT_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Smallest number of windows before the current one whose counts are kept.
+const MIN_WINDOWS_KEPT: u64 = 3;
+
+/// Returns the number of windows of a length, before the current one, whose counts are kept: all that an entry which takes
+/// over the duties of a large fleet may still have to report, once all others had time to report to it.
+pub fn windows_kept(length: Duration) -> u64 {
+    const SPAN: Duration = SETTLE_DELAY_LARGE.saturating_mul(2);
+    let windows = SPAN.as_nanos().checked_div(length.as_nanos()).unwrap_or_default() + 1;
+    u64::try_from(windows).unwrap_or(u64::MAX).max(MIN_WINDOWS_KEPT)
+}
+
 /// Progress of collecting a window's counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
--- a/bergamotshift-forward/src/duty/reports.rs
+++ b/bergamotshift-forward/src/duty/reports.rs
@@ -1,22 +1,24 @@
 //! Tracks which usage windows were reported, and the counts that were stored for them.
 
 use core::ops::Range;
+use core::time::Duration;
 use std::collections::BTreeMap;
 
 use bergamotshift_core::name;
 
+use super::progress::windows_kept;
+
 /// Number of requests of each organisation in one window.
 pub type Counts = BTreeMap<name::Organisation, u64>;
 
-/// Age of the oldest window that is still reported, in windows before the current one.
-const MAX_WINDOW_AGE: u64 = 3;
-
 /// Usage windows that this entry reported or knows to be reported.
 ///
 /// Two reports of a window must not differ. Counts are therefore stored before they are sent, and a later holder sends
 /// the stored ones. When the store is restored from a copy, it may lack counts that were sent already.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Reports {
+    /// Age of the oldest window that is still reported, in windows before the current one.
+    max_age: u64,
     /// Last window that was reported.
     reported: u64,
     /// Counts that this entry stored, of the windows that are not too old.
@@ -26,9 +28,19 @@
 }
 
 impl Reports {
+    /// Creates a record without reports, for windows of a length.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            max_age: windows_kept(window),
+            reported: 0,
+            stored: BTreeMap::new(),
+            uncertain: 0,
+        }
+    }
+
     /// Returns the windows to report, before the window `current`.
     pub fn due(&self, current: u64) -> Range<u64> {
-        (self.reported + 1).max(current.saturating_sub(MAX_WINDOW_AGE))..current
+        (self.reported + 1).max(current.saturating_sub(self.max_age))..current
     }
 
     /// Returns the counts that this entry stored for a window.
@@ -50,7 +62,7 @@
     /// Records the counts that are stored for a window, and drops those of windows that are no longer reported.
     pub fn store(&mut self, window: u64, counts: Counts) {
         self.stored.insert(window, counts);
-        let oldest = window.saturating_sub(MAX_WINDOW_AGE);
+        let oldest = window.saturating_sub(self.max_age);
         self.stored = self.stored.split_off(&oldest);
     }
 
--- a/bergamotshift-forward/src/duty/tally.rs
+++ b/bergamotshift-forward/src/duty/tally.rs
@@ -6,11 +6,12 @@
 
 use bergamotshift_core::prelude::*;
 
+use super::progress::windows_kept;
 use super::reports::Counts;
 use crate::observe::Clock;
 
-/// Number of windows that are kept: a report is due two windows after its own, and a new holder catches up on one more.
-const MAX_WINDOWS: u64 = 5;
+/// Number of windows that are kept beyond those that may still be reported, as the clocks of entries differ.
+const SPARE_WINDOWS: u64 = 2;
 
 /// Number of requests of each organisation, by the number of the window.
 pub type Windows = BTreeMap<u64, Counts>;
@@ -45,6 +46,16 @@
         self.epoch + self.clock.now().since(Instant::ZERO)
     }
 
+    /// Returns the number of windows that are kept.
+    fn kept(&self) -> u64 {
+        windows_kept(self.window) + SPARE_WINDOWS
+    }
+
+    /// Returns the number of the oldest window that is kept.
+    pub fn oldest_kept(&self) -> u64 {
+        self.current().saturating_sub(self.kept())
+    }
+
     /// Returns the number of the current window.
     pub fn current(&self) -> u64 {
         let window = self.window.as_nanos();
@@ -72,14 +83,14 @@
             .or_default()
             .entry(organisation.clone())
             .or_default() += 1;
-        while windows.len() as u64 > MAX_WINDOWS {
+        while windows.len() as u64 > self.kept() {
             windows.pop_first();
         }
     }
 
     /// Returns the counts of the last windows.
     pub fn windows(&self) -> Windows {
-        let oldest = self.current().saturating_sub(MAX_WINDOWS);
+        let oldest = self.oldest_kept();
         let windows = self.windows.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         windows
             .range(oldest..)
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -99,7 +99,7 @@
         operators: clients.operators,
         rollouts: BTreeMap::new(),
         closed_rollouts: BTreeMap::new(),
-        reports: Reports::default(),
+        reports: Reports::new(Duration::from_secs_f64(shared.settings.duty.usage_window_s.max(0.0))),
         era: 0,
         number: None,
         held_since: Instant::ZERO,
--- a/bergamotshift-forward/tests/kernel/reports.rs
+++ b/bergamotshift-forward/tests/kernel/reports.rs
@@ -1,15 +1,21 @@
 //! Tests of which usage windows are reported, and with which counts.
 
+use core::time::Duration;
+
 use bergamotshift_forward::duty::Counts;
+use bergamotshift_forward::duty::Progress;
 use bergamotshift_forward::duty::Reports;
 
+/// Length of a window at most sites.
+const WINDOW: Duration = Duration::from_secs(5);
+
 fn counts(number: u64) -> Counts {
     Counts::from([("horeca".into(), number)])
 }
 
 #[test]
 fn windows_are_due_after_the_last_reported_one_while_they_are_young() {
-    let mut reports = Reports::default();
+    let mut reports = Reports::new(WINDOW);
     assert_eq!(reports.due(100), 97..100);
     reports.close(98);
     assert_eq!(reports.due(100), 99..100);
@@ -20,7 +26,7 @@
 /// Guards against two reports of a window: the former holder died, and the restored store lacks the counts it sent.
 #[test]
 fn a_window_that_a_lost_holder_may_have_reported_is_uncertain_after_a_restore() {
-    let mut reports = Reports::default();
+    let mut reports = Reports::new(WINDOW);
     reports.learn(96, false);
     reports.restored(98);
     assert!(reports.is_uncertain(97) && reports.is_uncertain(98));
@@ -30,7 +36,7 @@
 /// Guards against windows that nobody reports: the former holder gave up the duties and named its last report.
 #[test]
 fn a_former_holder_that_names_its_last_report_leaves_nothing_uncertain() {
-    let mut reports = Reports::default();
+    let mut reports = Reports::new(WINDOW);
     reports.restored(98);
     reports.learn(96, true);
     assert_eq!(reports.due(100), 97..100);
@@ -39,7 +45,7 @@
 
 #[test]
 fn counts_of_old_windows_are_dropped() {
-    let mut reports = Reports::default();
+    let mut reports = Reports::new(WINDOW);
     for window in 1..10 {
         reports.store(window, counts(window));
     }
@@ -47,3 +53,45 @@
     assert_eq!(windows, [6, 7, 8, 9]);
     assert_eq!(reports.stored(7), Some(&counts(7)));
 }
+
+/// Guards against windows that are too old to be reported before their counts are complete: in a large fleet that takes
+/// three and a half seconds, in which several short windows begin.
+#[test]
+fn windows_of_any_length_are_reported_in_a_fleet_of_any_size() {
+    const STEP: Duration = Duration::from_millis(250);
+    const DUE: Duration = Duration::from_secs(10);
+    for (millis, is_large) in [
+        (300, true),
+        (1_000, true),
+        (2_000, true),
+        (5_000, true),
+        (1_000, false),
+        (5_000, false),
+    ] {
+        let window = Duration::from_millis(millis);
+        let mut reports = Reports::new(window);
+        let mut reported = 0;
+        for step in 1..240 {
+            let held_for = STEP * step;
+            let time = Duration::from_secs(1_000) + held_for;
+            let current = (time.as_nanos() / window.as_nanos()) as u64;
+            for number in reports.due(current) {
+                let progress = Progress {
+                    since_end: time.saturating_sub(window * (number as u32 + 1)),
+                    held_for,
+                    is_large,
+                };
+                if !progress.is_settled(DUE) {
+                    break;
+                }
+                reports.close(number);
+                reported += 1;
+            }
+        }
+        let all = (STEP * 240).as_millis() as u64 / millis;
+        assert!(
+            reported + 15 >= all,
+            "{reported} of {all} windows of {millis} ms, large: {is_large}"
+        );
+    }
+}
