perf(forward): rows of a fleet with keepers are refreshed every half minute

Change: 30 s, times the growth with the fleet, where keepers divide limits; as before elsewhere. A row of a VM that is gone stands for longer; a starting entry drops what it does not hear of within eight seconds, and nothing is divided by rows.

--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -87,7 +87,7 @@
             document: self.document.version,
             document_freshness: freshness(&self.document_checkpoint, now),
             endpoints: self.directory.digest(),
-            // An unsettled directory is not sent as current. While the store was unreachable this entry is_keeper
+            // An unsettled directory is not sent as current. While the store was unreachable, this entry keeps
             // endpoints whose registrations are missing; another entry that adopted them as the newest state would send
             // requests to removed endpoints permanently.
             endpoints_freshness: freshness(&self.registrations_checkpoint, now).filter(|_| self.directory.is_settled()),
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -24,10 +24,17 @@
 /// Partition of the list in the table.
 const PARTITION: &str = "entry";
 
-/// Interval between two writes of this entry's row in a small fleet. In a large fleet each entry writes less often;
-/// with 77 entries these writes were a quarter of all calls of the store.
+/// Interval between two writes of this entry's row in a small fleet, whose entries also divide limits among them by what
+/// the rows say of organisations.
 const WRITE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Interval between two writes in a fleet with keepers, where rows only tell starting entries whom to contact. It grows
+/// with the fleet.
+const LARGE_FLEET_WRITE_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Interval at which an entry checks whether it has to write, since the fleet may have grown.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time over which the first writes of a small fleet are spread.
 const FIRST_WRITE_SPREAD: Duration = Duration::from_millis(300);
 
@@ -108,11 +115,21 @@
 /// Waits for the interval between two writes, which grows while entries become known.
 async fn wait_for_next_write(control: &Control) {
     let written = control.shared().clock.now();
-    while control.shared().clock.now().since(written) < scale_pause(WRITE_INTERVAL, control.entry_count()) {
-        tokio::time::sleep(WRITE_INTERVAL).await;
+    while control.shared().clock.now().since(written) < write_interval(control) {
+        tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
 
+/// Returns the interval between two writes of this entry's row.
+fn write_interval(control: &Control) -> Duration {
+    let interval = if control.is_large() {
+        LARGE_FLEET_WRITE_INTERVAL
+    } else {
+        WRITE_INTERVAL
+    };
+    scale_pause(interval, control.entry_count())
+}
+
 /// Writes this entry's row; returns whether that succeeded.
 async fn write(control: &Control, table: &Rc<dyn Table>) -> bool {
     let settings = &control.shared().settings;
@@ -121,7 +138,7 @@
         at: control.shared().tally.unix_time().as_secs(),
         zone: settings.zone.clone(),
         core_share: control.core_share(),
-        every: scale_pause(WRITE_INTERVAL, control.entry_count()).as_secs(),
+        every: write_interval(control).as_secs(),
         busy: control.busy_organisations(),
     };
     let Ok(body) = postcard::to_stdvec(&row) else {
