refactor(forward): turns, first reads, alarms and member lists stand in modules of their own

Moves only, but for one function that three places had: the fraction by which a name spreads entries (random::fraction_of).

--- a/bergamotshift-forward/src/follow/document.rs
+++ b/bergamotshift-forward/src/follow/document.rs
@@ -7,7 +7,7 @@
 use slog::info;
 use tokio::time::sleep;
 
-use super::knowledge::Turn;
+use super::turn::Turn;
 use crate::control::Control;
 use crate::observe::Topic;
 use crate::outside::Gap;
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -15,11 +15,11 @@
 use serde::Serialize;
 use slog::info;
 use smol_str::SmolStr;
-use xxhash_rust::xxh3::xxh3_64;
 
-use super::knowledge::scale_pause;
+use super::turn::scale_pause;
 use crate::control::Control;
 use crate::peers::Contact;
+use crate::random;
 
 /// Partition of the list in the table.
 const PARTITION: &str = "entry";
@@ -105,7 +105,7 @@
 async fn wait_for_first_write(control: &Control) {
     const POLL_INTERVAL: Duration = Duration::from_millis(100);
     let shared = control.shared();
-    let fraction = xxh3_64(shared.settings.name.as_str().as_bytes()) as f64 / u64::MAX as f64;
+    let fraction = random::fraction_of(&shared.settings.name);
     let wait = || scale_pause(FIRST_WRITE_SPREAD, control.entry_count()).mul_f64(fraction);
     while shared.clock.now().since(shared.started) < wait() {
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/bergamotshift-forward/src/follow/mod.rs
+++ b/bergamotshift-forward/src/follow/mod.rs
@@ -1,19 +1,22 @@
 //! Follows the contents of the store: the operators' document, the registrations and the list of entries.
 
+mod alarm;
+mod checkpoint;
 mod document;
-mod knowledge;
+mod first_read;
 mod members;
 mod notes;
 mod registrations;
+mod turn;
 
+pub use self::alarm::Alarm;
+pub use self::alarm::MAX_AGE;
+pub use self::alarm::Transition;
+pub use self::checkpoint::Checkpoint;
 pub use self::document::document;
-pub use self::knowledge::Alarm;
-pub use self::knowledge::Checkpoint;
-pub use self::knowledge::FirstRead;
-pub use self::knowledge::MAX_AGE;
-pub use self::knowledge::Transition;
-pub use self::knowledge::Turn;
-pub use self::knowledge::scale_pause;
+pub use self::first_read::FirstRead;
 pub use self::members::members;
 pub use self::notes::notes;
 pub use self::registrations::registrations;
+pub use self::turn::Turn;
+pub use self::turn::scale_pause;
--- a/bergamotshift-forward/src/limits/retries.rs
+++ b/bergamotshift-forward/src/limits/retries.rs
@@ -1,7 +1,8 @@
 //! Division of the retries that all entries may make together.
 
 use bergamotshift_core::prelude::*;
-use xxhash_rust::xxh3::xxh3_64;
+
+use crate::random;
 
 /// Fraction of the slack that is divided. The rest covers what hashes divide unevenly.
 const SLACK_USED: f64 = 0.9;
@@ -13,6 +14,5 @@
 /// would leave most of the slack unused, and none at all in a fleet with more entries than slack.
 pub fn retry_share(slack: f64, entries: usize, entry: &name::Entry) -> u32 {
     let share = slack * SLACK_USED / entries.max(1) as f64;
-    let position = xxh3_64(entry.as_str().as_bytes()) as f64 / u64::MAX as f64;
-    share as u32 + u32::from(position < share.fract())
+    share as u32 + u32::from(random::fraction_of(entry) < share.fract())
 }
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod holders;
 pub mod keep;
 mod keepers;
+mod listing;
 mod member;
 mod message;
 mod network;
@@ -14,6 +15,7 @@
 mod question;
 mod rounds;
 mod task;
+mod turns;
 pub mod update;
 
 pub use self::holders::Holder;
