perf(forward): usage counts go to the holder of the duties only, in a large fleet

Cause: each state carried the sender's counts by organisation of the last five windows, to every entry that it reached, about 24 a second each way; only the holder uses them, which each entry contacts every other second. Every entry also kept the counts of all others.

Change: control::Recipient says what another entry needs of a state: brief or whole, with usage or without. Each form is encoded once a round. In a small fleet everything is as before, since any entry may become the holder at once.

The test counts the usage of 40 entries in virtual time, also when the holder is killed: all of it is reported.

--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -31,6 +31,7 @@
 use self::inner::Inner;
 use self::inner::instance;
 pub use self::rollouts::Rollout;
+pub use self::talk::Recipient;
 use crate::document::Document;
 use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
@@ -351,10 +352,10 @@
         self.inner.borrow_mut().members.record_failure(now, entry, is_silent);
     }
 
-    /// Returns whether another entry receives the brief form of this entry's state.
-    pub fn is_brief(&self, entry: &name::Entry) -> bool {
+    /// Returns what another entry needs of this entry's state.
+    pub fn recipient(&self, entry: &name::Entry) -> Recipient {
         let now = self.now();
-        self.inner.borrow().members.is_brief(now, entry)
+        self.inner.borrow().recipient(now, entry)
     }
 
     /// Returns the state that this entry sends to others.
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -44,7 +44,40 @@
     Duration::from_millis(millis.into())
 }
 
+/// What the recipient of a state needs of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Recipient {
+    /// Whether it needs only the brief form.
+    pub is_brief: bool,
+    /// Whether it needs the counts of usage windows, as the holder of the duties does. In a small fleet any entry may
+    /// become the holder at once, and in a large one each entry contacts the holder every other second.
+    pub needs_usage: bool,
+}
+
+impl Recipient {
+    /// A seed, of which nothing is known but its address.
+    pub const SEED: Self = Self {
+        is_brief: false,
+        needs_usage: true,
+    };
+
+    /// Returns the part of a state that the recipient needs.
+    pub fn select(self, state: State) -> State {
+        let state = if self.is_brief { state.brief() } else { state };
+        if self.needs_usage { state } else { state.without_usage() }
+    }
+}
+
 impl Inner {
+    /// Returns what another entry needs of this entry's state.
+    pub(super) fn recipient(&self, now: Instant, entry: &name::Entry) -> Recipient {
+        let holder = self.duty_holder.as_ref().map(|holder| &holder.entry);
+        Recipient {
+            is_brief: self.members.is_brief(now, entry),
+            needs_usage: !self.members.is_large() || holder == Some(entry),
+        }
+    }
+
     /// Returns the state that this entry sends to others.
     pub(super) fn state(&self, now: Instant, shared: &Shared) -> State {
         let is_large = self.members.is_large();
@@ -110,7 +143,10 @@
     /// older.
     pub(super) fn handle_state(&mut self, now: Instant, shared: &Shared, state: State) -> Reply {
         let peer = (state.endpoints, state.endpoints_freshness);
-        let is_brief = state.is_brief();
+        let recipient = Recipient {
+            is_brief: state.is_brief(),
+            needs_usage: state.holds_duties || !self.members.is_large(),
+        };
         self.apply_state(now, shared, state);
         let cursor = peer.1.map_or(Cursor::default(), |known| known.cursor);
         let is_newer = self.registrations_checkpoint.cursor() > cursor
@@ -121,9 +157,8 @@
         } else {
             None
         };
-        let own = self.state(now, shared);
         Reply {
-            state: if is_brief { own.brief() } else { own },
+            state: recipient.select(self.state(now, shared)),
             endpoints,
         }
     }
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -241,6 +241,15 @@
         }
     }
 
+    /// Leaves out what only the holder of the duties needs.
+    #[must_use]
+    pub fn without_usage(self) -> Self {
+        Self {
+            windows: Windows::new(),
+            ..self
+        }
+    }
+
     /// Returns whether the state is brief; the reply to a brief state is brief too.
     pub const fn is_brief(&self) -> bool {
         self.zones.is_empty()
--- a/bergamotshift-forward/src/peers/task.rs
+++ b/bergamotshift-forward/src/peers/task.rs
@@ -2,6 +2,7 @@
 
 use core::net::SocketAddr;
 use core::time::Duration;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use bergamotshift_core::name;
@@ -20,6 +21,7 @@
 use super::rounds::Rounds;
 use crate::control::Control;
 use crate::control::Query;
+use crate::control::Recipient;
 use crate::limits::Keeper;
 use crate::observe::Topic;
 
@@ -67,16 +69,53 @@
         if control.is_alone() {
             targets.extend(seed(&control, number).map(|seed| (None, seed)));
         }
+        let questions = Questions::new(&control, targets);
+        let exchanges = questions
+            .targets
+            .iter()
+            .map(|target| contact(&control, &*network, target, questions.of(target), round.timeout));
+        join_all(exchanges).await;
+    }
+}
+
+/// Entry to contact in a round.
+struct Target {
+    /// The entry; `None` for a seed, which is known by its address only.
+    entry: Option<name::Entry>,
+    address: SocketAddr,
+    recipient: Recipient,
+}
+
+/// This entry's state for the targets of a round, encoded once for all that need the same of it.
+struct Questions {
+    targets: Vec<Target>,
+    encoded: HashMap<Recipient, Vec<u8>>,
+}
+
+impl Questions {
+    /// Encodes the state for these targets. Those that it cannot be encoded for are left out.
+    fn new(control: &Control, targets: Vec<(Option<name::Entry>, SocketAddr)>) -> Self {
         let state = control.state();
-        let (Ok(question), Ok(brief)) = (postcard::to_stdvec(&state), postcard::to_stdvec(&state.brief())) else {
-            continue;
-        };
-        let exchanges = targets.into_iter().map(|(entry, address)| {
-            let is_brief = entry.as_ref().is_some_and(|entry| control.is_brief(entry));
-            let question = if is_brief { &brief } else { &question };
-            contact(&control, &*network, entry, address, question, round.timeout)
+        let targets = targets.into_iter().map(|(entry, address)| Target {
+            recipient: entry.as_ref().map_or(Recipient::SEED, |entry| control.recipient(entry)),
+            entry,
+            address,
         });
-        join_all(exchanges).await;
+        let mut targets: Vec<_> = targets.collect();
+        let mut encoded = HashMap::new();
+        for recipient in targets.iter().map(|target| target.recipient) {
+            if !encoded.contains_key(&recipient)
+                && let Ok(question) = postcard::to_stdvec(&recipient.select(state.clone()))
+            {
+                encoded.insert(recipient, question);
+            }
+        }
+        targets.retain(|target| encoded.contains_key(&target.recipient));
+        Self { targets, encoded }
+    }
+
+    fn of(&self, target: &Target) -> &[u8] {
+        &self.encoded[&target.recipient]
     }
 }
 
@@ -94,16 +133,10 @@
     seeds.get(first.wrapping_add(round) % seeds.len().max(1)).copied()
 }
 
-async fn contact(
-    control: &Control,
-    network: &dyn Network,
-    entry: Option<name::Entry>,
-    address: SocketAddr,
-    question: &[u8],
-    timeout: Duration,
-) {
+async fn contact(control: &Control, network: &dyn Network, target: &Target, question: &[u8], timeout: Duration) {
+    let Target { entry, address, .. } = target;
     let began = control.shared().clock.now();
-    let result = network.exchange(address, question, timeout).await;
+    let result = network.exchange(*address, question, timeout).await;
     let now = control.shared().clock.now();
     let took = now.since(began);
     match result {
@@ -114,7 +147,7 @@
                     "ms" => took.as_millis() as u64, "left_out" => left_out);
             }
             if let Some(entry) = entry {
-                control.peer_failed(&entry, took >= TIMED_OUT_AFTER.min(timeout));
+                control.peer_failed(entry, took >= TIMED_OUT_AFTER.min(timeout));
             }
         }
     }
--- a/bergamotshift-forward/tests/fleet/main.rs
+++ b/bergamotshift-forward/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 //! Time advances only when all tasks wait, so a minute of a small fleet takes a second, and counts do not depend on the
 //! machine's speed.
 
+mod duties;
 mod model;
 mod network;
 mod restore;
