fix(forward): an entry of a small fleet writes its row at once

Entries without seeds find each other by the list alone. Each of three read it before the others had written, and took itself for the only one, with the whole burst, for a quarter of a minute.

Change: only an entry that finds a large fleet in the list waits with its row; there the keepers divide limits.

--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -84,7 +84,8 @@
         // The list is read before the first write, as this entry's row still contains the state of its previous
         // process.
         let read = round % WRITES_PER_READ != 0 || read(&control, &table).await;
-        if round == 0 {
+        // Entries that start later must find this one in the list, or each of a few would use organisations' whole bursts.
+        if round == 0 && control.is_large() {
             wait_for_first_write(&control).await;
         }
         let written = write(&control, &table).await;
@@ -98,7 +99,7 @@
     }
 }
 
-/// Waits for this entry's turn to write its row for the first time.
+/// Waits for this entry's turn to write its row for the first time, in a fleet that is known to be large.
 ///
 /// The rows share a partition, which takes some hundred writes a second. When all entries of a large fleet wrote theirs at
 /// their start, a third of the writes was refused. The fleet's size becomes known meanwhile, and extends the wait.
