fix(forward): what an entry lacks is found by its position, not by a digest it happened to have

Two entries that read the store at different moments pass through different digests, so while many endpoints change, as when 263 leave within six seconds, the changes are not found, and each gets whole lists again, no more of them than the links carry. An entry that the store had turned away, and that pauses for a quarter of a minute after a failed call, has nothing else.

Change: each record knows the position of its last change in the store's history, heartbeats aside, and an entry is told what changed after its own position, whoever read when. What a whole list may have left out is not told as changes. If the changes do not lead to the same registrations, the entry asks for all.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -114,6 +114,8 @@
     pub(super) registrations_checkpoint: Checkpoint,
     /// Alarm on the age of the registrations.
     pub(super) registrations_alarm: Alarm,
+    /// Whether changes of another entry did not lead to its registrations, so that this one needs all of them.
+    pub(super) has_diverged: bool,
     /// Limit on the registrations that are sent in whole lists to other entries.
     pub(super) uploads: Bucket,
     /// Limits and demand by organisation.
@@ -178,6 +180,7 @@
             directory: Directory::default(),
             registrations_checkpoint: Checkpoint::default(),
             registrations_alarm: Alarm::default(),
+            has_diverged: false,
             uploads: upload_limit(shared),
             organisations: BTreeMap::new(),
             services: BTreeMap::new(),
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -36,6 +36,7 @@
 use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Event;
+use crate::follow::MAX_AGE;
 use crate::follow::Turn;
 use crate::limits::Keepers;
 use crate::observe::Topic;
@@ -194,6 +195,13 @@
             .map(|_| inner.registrations_checkpoint.cursor())
     }
 
+    /// Returns whether the registrations are so old that requests may go to endpoints that left long ago.
+    pub fn has_outdated_registrations(&self) -> bool {
+        let now = self.now();
+        let age = self.inner.borrow().registrations_checkpoint.age(now);
+        age.is_none_or(|age| age > MAX_AGE)
+    }
+
     /// Returns the time until this entry has to read the registrations itself.
     pub fn registrations_due(&self, interval: Duration) -> Duration {
         let now = self.now();
@@ -216,6 +224,8 @@
             return false;
         }
         inner.advance_registrations(now, &self.shared, cursor, Duration::ZERO);
+        inner.directory.set_position(cursor);
+        inner.has_diverged = false;
         inner.apply_endpoints(now, &self.shared, event, "store");
         true
     }
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -123,7 +123,8 @@
             // An unsettled directory is not sent as current. While the store was unreachable, this entry keeps
             // endpoints whose registrations are missing; another entry that adopted them as the newest state would send
             // requests to removed endpoints permanently.
-            endpoints_freshness: freshness(&self.registrations_checkpoint, now).filter(|_| self.directory.is_settled()),
+            endpoints_freshness: freshness(&self.registrations_checkpoint, now)
+                .filter(|_| self.directory.is_settled() && !self.has_diverged),
             limit_usage: limit_usage.collect(),
             in_flight: in_flight.filter(|load| load.running > 0).collect(),
             prompt_rates: prompt_demand.filter(|(_, rate)| *rate > 0.0).collect(),
@@ -153,7 +154,7 @@
             && self.directory.is_settled()
             && self.directory.digest() != peer.0;
         let endpoints = if is_newer {
-            self.newer_registrations(now, shared, peer.0, cursor)
+            self.newer_registrations(now, shared, cursor)
         } else {
             None
         };
@@ -163,22 +164,19 @@
         }
     }
 
-    /// Returns what an entry with an older digest lacks: the changes since then if they are known, or else all
-    /// registrations. Of the latter only so many are sent as the VM's link can carry; the requester asks again, or asks
-    /// another entry.
-    fn newer_registrations(&self, now: Instant, shared: &Shared, digest: u64, cursor: Cursor) -> Option<Registrations> {
-        let known = self.registrations_checkpoint.cursor();
-        let changes = self.directory.changes_since(digest).filter(|_| cursor.era == known.era);
-        if let Some(changes) = changes {
+    /// Returns what an entry lacks whose registrations are known at an older position: the changes since then if they are
+    /// known, or else all registrations. Of the latter only so many are sent as the VM's link can carry; the requester asks
+    /// again, or asks another entry.
+    fn newer_registrations(&self, now: Instant, shared: &Shared, cursor: Cursor) -> Option<Registrations> {
+        if let Some(changes) = self.directory.changes_since(cursor) {
             return Some(Registrations::changes(changes));
         }
         let registrations = self.directory.registrations();
-        let units = registrations.len() as u64;
         if self.uploads.owed(now) > MAX_UPLOAD_DEBT {
             shared.metrics.registrations_withheld.inc();
             return None;
         }
-        self.uploads.charge(now, units);
+        self.uploads.charge(now, registrations.len() as u64);
         Some(Registrations::All(registrations))
     }
 
@@ -188,15 +186,16 @@
         let from = state.entry.clone();
         let known = self.registrations_checkpoint.cursor();
         if let Some(endpoints) = endpoints
-            && state
-                .endpoints_freshness
-                .is_some_and(|freshness| freshness.cursor > known)
+            && let Some(freshness) = state.endpoints_freshness.filter(|freshness| freshness.cursor > known)
         {
             // Changes are confirmed below, once both entries have the same registrations.
-            if matches!(endpoints, Registrations::All(_)) {
+            let is_whole = matches!(endpoints, Registrations::All(_));
+            if is_whole {
                 self.confirm_registrations(now, shared, state.endpoints_freshness);
             }
+            self.directory.set_position(freshness.cursor);
             self.apply_endpoints(now, shared, endpoints.into_event(), from.as_str());
+            self.has_diverged = !is_whole && self.directory.digest() != state.endpoints;
         }
         self.apply_state(now, shared, state);
     }
@@ -279,6 +278,7 @@
             confirm(&mut self.document_checkpoint, now, state.document_freshness);
         }
         if state.endpoints == self.directory.digest() {
+            self.has_diverged = false;
             self.confirm_registrations(now, shared, state.endpoints_freshness);
         }
         if !state.suspicions.is_empty() {
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -7,7 +7,6 @@
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
@@ -79,6 +78,8 @@
     copied_until: Option<Cursor>,
     /// Position of its last write in the store's history.
     written: Cursor,
+    /// Position of its last change, other than a heartbeat, in the store's history; a later one if it is not known.
+    changed: Cursor,
     /// Whether its registration announced that it is leaving; later registrations do not revoke this.
     announced_leaving: bool,
 }
@@ -102,37 +103,6 @@
     }
 }
 
-/// Maximum number of changes that the journal holds. An entry that is further behind gets all registrations.
-const MAX_JOURNAL: usize = 256;
-
-/// Records that changed together.
-#[derive(Clone, Debug)]
-struct Step {
-    /// Digest before the change.
-    before: u64,
-    /// Identifiers of the records.
-    ids: Vec<SmolStr>,
-}
-
-/// Last changes of the records, by the digest before each.
-#[derive(Clone, Debug, Default)]
-struct Journal(VecDeque<Step>);
-
-impl Journal {
-    fn push(&mut self, step: Step) {
-        self.0.push_back(step);
-        while self.0.iter().map(|step| step.ids.len()).sum::<usize>() > MAX_JOURNAL {
-            self.0.pop_front();
-        }
-    }
-
-    /// Returns the identifiers that changed since the directory had a digest; `None` if that is not known.
-    fn since(&self, digest: u64) -> Option<BTreeSet<&SmolStr>> {
-        let first = self.0.iter().rposition(|step| step.before == digest)?;
-        Some(self.0.range(first..).flat_map(|step| &step.ids).collect())
-    }
-}
-
 /// Properties of all records together, which each message between entries contains.
 #[derive(Clone, Copy, Debug)]
 struct Summary {
@@ -146,21 +116,27 @@
     records: BTreeMap<SmolStr, Record>,
     /// Summary of the records; `None` after they changed.
     summary: Cell<Option<Summary>>,
-    /// Changes for entries that are a little behind.
-    journal: Journal,
+    /// Position in the store's history that the records are known at.
+    position: Cursor,
+    /// Position up to which removals may be missing here: that of the last whole list, or of records dropped since.
+    listed: Cursor,
     /// Time of the last failed call of the store, or of its last restore.
     store_failed_at: Option<Instant>,
 }
 
 impl Directory {
+    /// Sets the position in the store's history that the next event leads to.
+    pub fn set_position(&mut self, position: Cursor) {
+        self.position = self.position.max(position);
+    }
+
     /// Applies an event, and returns the endpoints that it removed from service.
     pub fn apply(&mut self, now: Instant, event: Event) -> Vec<Arc<Endpoint>> {
-        let before = self.digest();
-        let parts = self.digest_parts(&event);
+        if matches!(event, Event::Listed(_) | Event::Relayed(_)) {
+            self.listed = self.position;
+        }
         let mut leaving = self.apply_event(now, event);
-        let mut changed = self.changed(parts);
-        leaving.extend(self.settle_records(now, now, &mut changed));
-        self.record_step(before, changed);
+        leaving.extend(self.settle(now, now));
         leaving
     }
 
@@ -201,43 +177,19 @@
         leaving
     }
 
-    /// Returns the identifiers of the records that an event may change, with their parts of the digest.
-    fn digest_parts(&self, event: &Event) -> Vec<(SmolStr, u64)> {
-        let part = |id: &SmolStr| (id.clone(), self.records.get(id).map_or(0, Record::digest));
-        match event {
-            Event::StoreFailed | Event::Restored(_) => Vec::new(),
-            Event::Listed(registrations) | Event::Relayed(registrations) => {
-                let added = registrations.iter().map(|one| &one.id);
-                let ids: BTreeSet<&SmolStr> = self.records.keys().chain(added).collect();
-                ids.into_iter().map(part).collect()
-            }
-            Event::Changed(changes) => changes.iter().map(|change| part(change.id())).collect(),
-        }
-    }
-
-    /// Returns the identifiers whose part of the digest is not the given one any more.
-    fn changed(&self, parts: Vec<(SmolStr, u64)>) -> Vec<SmolStr> {
-        let is_changed = |(id, part): &(SmolStr, u64)| self.records.get(id).map_or(0, Record::digest) != *part;
-        parts.into_iter().filter(is_changed).map(|(id, _)| id).collect()
-    }
-
-    /// Adds a change to the journal, unless nothing that the digest covers has changed.
-    fn record_step(&mut self, before: u64, ids: Vec<SmolStr>) {
-        self.summary.set(None);
-        if !ids.is_empty() {
-            self.journal.push(Step { before, ids });
+    /// Returns the changes after a position, for an entry whose registrations are known at that position; `None` if they
+    /// are not all known, or most records have changed.
+    pub fn changes_since(&self, position: Cursor) -> Option<Vec<Change>> {
+        if position < self.listed || position.era != self.position.era {
+            return None;
         }
-    }
-
-    /// Returns the changes since this directory had a digest, for an entry that has it; `None` if they are not known any
-    /// more.
-    pub fn changes_since(&self, digest: u64) -> Option<Vec<Change>> {
-        let ids = self.journal.since(digest)?;
-        let change = |id: &SmolStr| match self.records.get(id).filter(|record| record.gone_since.is_none()) {
-            Some(record) => Change::Written(record.registration()),
-            None => Change::Removed(id.clone()),
+        let changed = self.records.iter().filter(|(_, record)| record.changed > position);
+        let change = |(id, record): (&SmolStr, &Record)| match record.gone_since {
+            Some(_) => Change::Removed(id.clone()),
+            None => Change::Written(record.registration()),
         };
-        Some(ids.into_iter().map(change).collect())
+        let changes: Vec<_> = changed.map(change).collect();
+        (2 * changes.len() <= self.records.len()).then_some(changes)
     }
 
     /// Returns the endpoints that are not removed.
@@ -293,7 +245,8 @@
     /// incarnation replaces the earlier one. Delayed registrations of an earlier incarnation are ignored; otherwise
     /// they would hide the new one.
     fn upsert(&mut self, registration: Registration, leaving: &mut Vec<Arc<Endpoint>>) {
-        let is_leaving = registration.leaving;
+        let (is_leaving, written) = (registration.leaving, registration.written);
+        let digest = self.records.get(&registration.id).map_or(0, Record::digest);
         let previous = self.records.get(&registration.id);
         match previous.map(|record| record.endpoint.registration.born.cmp(&registration.born)) {
             Some(Ordering::Greater) => return,
@@ -313,6 +266,7 @@
             gone_since: None,
             copied_until: None,
             written: Cursor::default(),
+            changed: Cursor::default(),
             announced_leaving: is_leaving,
         });
         record.lapsed_since = None;
@@ -327,6 +281,9 @@
             // The registration was only missing because the endpoint or the store was cut off.
             record.endpoint = Arc::new(record.endpoint.reregistered(registration));
         }
+        if record.digest() != digest {
+            record.changed = written;
+        }
     }
 
     /// Handles a missing registration.
@@ -347,6 +304,7 @@
             return;
         }
         record.gone_since = Some(now);
+        record.changed = self.position;
         if record.endpoint.mark_leaving() {
             leaving.push(Arc::clone(&record.endpoint));
         }
@@ -355,29 +313,28 @@
     /// Removes lapsed endpoints if the registrations known as of `as_of` prove that they are gone, drops endpoints that
     /// were removed long ago, and returns the endpoints that stopped accepting requests.
     pub fn settle(&mut self, now: Instant, as_of: Instant) -> Vec<Arc<Endpoint>> {
-        let before = self.digest();
-        let mut changed = Vec::new();
-        let leaving = self.settle_records(now, as_of, &mut changed);
-        self.record_step(before, changed);
-        leaving
-    }
-
-    fn settle_records(&mut self, now: Instant, as_of: Instant, changed: &mut Vec<SmolStr>) -> Vec<Arc<Endpoint>> {
+        self.summary.set(None);
         let mut leaving = Vec::new();
         let is_conclusive = self
             .store_failed_at
             .is_none_or(|failed| as_of.since(failed) >= RENEWAL_GRACE);
-        for (id, record) in &mut self.records {
+        for record in self.records.values_mut() {
             if is_conclusive && record.lapsed_since.take().is_some() {
                 record.gone_since = Some(now);
-                changed.push(id.clone());
+                record.changed = self.position;
                 if record.endpoint.mark_leaving() {
                     leaving.push(Arc::clone(&record.endpoint));
                 }
             }
         }
-        self.records
-            .retain(|_, record| record.gone_since.is_none_or(|gone| now.since(gone) < REMOVED_RETENTION));
+        let listed = &mut self.listed;
+        self.records.retain(|_, record| {
+            let is_kept = record.gone_since.is_none_or(|gone| now.since(gone) < REMOVED_RETENTION);
+            if !is_kept {
+                *listed = record.changed.max(*listed);
+            }
+            is_kept
+        });
         leaving
     }
 }
--- a/bergamotshift-forward/src/follow/registrations.rs
+++ b/bergamotshift-forward/src/follow/registrations.rs
@@ -22,6 +22,9 @@
 /// Delay after a call of the store that failed, or whose answer was older than what is known.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Maximum delay after such a call while the registrations are outdated.
+const OUTDATED_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Keeps the registrations up to date for the lifetime of the process.
 pub async fn registrations(control: Control, registry: Rc<dyn Registry>) {
     let mut needs_full_read = true;
@@ -54,9 +57,16 @@
     }
 }
 
-/// Waits before the next call after one that told nothing new.
+/// Waits before the next call after one that told nothing new. An entry whose registrations are old, as others cannot give
+/// it theirs either, does not wait for the whole fleet's sake.
 async fn pause(control: &Control) {
-    tokio::time::sleep(control.turn().scale_pause(RETRY_DELAY, control.entry_count())).await;
+    let scaled = control.turn().scale_pause(RETRY_DELAY, control.entry_count());
+    let pause = if control.has_outdated_registrations() {
+        scaled.min(OUTDATED_RETRY_DELAY)
+    } else {
+        scaled
+    };
+    tokio::time::sleep(pause).await;
 }
 
 /// Converts the result of a read to an event: all registrations as of one point in time, or the changes.
--- a/bergamotshift-forward/tests/fleet/steady.rs
+++ b/bergamotshift-forward/tests/fleet/steady.rs
@@ -145,3 +145,38 @@
         });
     }
 }
+
+/// Guards against an entry that sends requests to endpoints which left seconds ago: the store turns a third of all entries
+/// away for long, and many endpoints leave, so that the entries that read the store know it at ever different positions.
+#[test]
+fn many_changes_reach_entries_that_the_store_turns_away() {
+    run(async {
+        // So many endpoints to an entry that a list of all of them takes a tenth of a second of a small VM's link.
+        let fleet = Fleet::new(Size {
+            endpoints: 3_000,
+            ..Size::of(100)
+        });
+        fleet.start().await;
+        sleep(START).await;
+        for node in fleet.nodes.iter().step_by(3) {
+            fleet.store.set_cut(&node.name, true);
+        }
+        sleep(START).await;
+        for node in fleet.nodes.iter().step_by(3) {
+            fleet.store.set_cut(&node.name, false);
+        }
+        let mut last = 0;
+        for endpoint in 0..200 {
+            let mut leaving = registration(endpoint);
+            leaving.leaving = true;
+            last = Endpoint::new(leaving.clone()).hash;
+            fleet.write(leaving);
+            sleep(Duration::from_millis(25)).await;
+        }
+        let times = fleet.times_to(CHANGE_WITHIN, |node| node.has_left(last)).await;
+        println!(
+            "known by the median after {:?}, by all after {:?}",
+            times[50], times[99]
+        );
+    });
+}
