--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -183,12 +183,12 @@
         if position < self.listed || position.era != self.position.era {
             return None;
         }
-        let changed = self.records.iter().filter(|(_, record)| record.changed > position);
+        let later = self.records.iter().filter(|(_, record)| record.changed > position);
         let change = |(id, record): (&SmolStr, &Record)| match record.gone_since {
             Some(_) => Change::Removed(id.clone()),
             None => Change::Written(record.registration()),
         };
-        let changes: Vec<_> = changed.map(change).collect();
+        let changes: Vec<_> = later.map(change).collect();
         (2 * changes.len() <= self.records.len()).then_some(changes)
     }
 
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -343,7 +343,7 @@
             ..written(id, "one", version)
         })
     };
-    let history = vec![
+    let history = [
         Change::Written(written("n-1", "one", 101)),
         leaving("e-3", 102),
         Change::Written(written("e-4", "one", 103)),
