feat(forward): log lines and metrics of requests that are suspected of crashing endpoints

The line of a death now has the request's deaths by attribution, and the line 'suspicion changed' says when a request is refused or admitted again, and by whose word. Behaviour is as before.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -126,6 +126,8 @@
     pub(super) members: Members,
     /// Requests suspected of crashing endpoints.
     pub(super) quarantine: Quarantine,
+    /// Requests that were refused as suspected ones at the last change.
+    pub(super) quarantined: BTreeSet<Fingerprint>,
     /// Usage counted by each process of each other entry.
     pub(super) peer_usage: BTreeMap<(name::Entry, u64), Windows>,
     /// Rollout state that determines which versions of each service may receive requests.
@@ -186,6 +188,7 @@
             services: BTreeMap::new(),
             members,
             quarantine: Quarantine::new(quarantine::Settings::default()),
+            quarantined: BTreeSet::new(),
             peer_usage: BTreeMap::new(),
             trackers: BTreeMap::new(),
             shares: BTreeMap::new(),
@@ -282,7 +285,7 @@
     /// Handles endpoints that stopped accepting requests.
     fn handle_leaving(&mut self, now: Instant, shared: &Shared, leaving: &[Arc<Endpoint>], from: &str) {
         for endpoint in leaving {
-            self.quarantine.announce(now, instance(endpoint));
+            self.announce_end(now, shared, instance(endpoint));
             if let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State) {
                 info!(logger, "endpoint leaves"; "endpoint" => endpoint.registration.id.as_str(),
                     "service" => endpoint.registration.service.as_str(),
@@ -350,6 +353,7 @@
             .peers
             .set(self.members.recent_states(now, STATE_TTL).count() as i64);
         self.quarantine.expire(now);
+        self.log_quarantined(now, shared, "time");
     }
 
     /// Returns the uncached prompt tokens per second in a service's requests to all entries.
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod publish;
 mod rates;
 mod rollouts;
+mod suspects;
 mod talk;
 mod zone;
 
@@ -21,7 +22,6 @@
 
 use bergamotshift_claim::lease::Notice;
 use bergamotshift_core::prelude::*;
-use bergamotshift_limit::quarantine;
 use slog::info;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
@@ -29,7 +29,6 @@
 use tokio::sync::oneshot;
 
 use self::inner::Inner;
-use self::inner::instance;
 pub use self::rollouts::Rollout;
 pub use self::talk::Recipient;
 use crate::document::Document;
@@ -275,18 +274,9 @@
     pub fn endpoint_died(&self, endpoint: u64, fingerprint: Fingerprint) {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
-        let Some(instance) = inner.directory.by_hash(endpoint).map(|endpoint| instance(endpoint)) else {
-            return;
-        };
-        info!(self.shared.log.always(), "endpoint ended with a request"; "endpoint" => instance.vm.as_str(),
-            "fingerprint" => format!("{:032x}", fingerprint.get()));
-        let death = quarantine::Death {
-            instance,
-            announced: false,
-            running: vec![fingerprint],
-        };
-        inner.quarantine.record_death(now, death);
-        inner.publish(&self.shared);
+        if let Some(endpoint) = inner.directory.by_hash(endpoint).cloned() {
+            inner.record_death(now, &self.shared, &endpoint, fingerprint);
+        }
     }
 
     /// Adds an entry that the list of entries contains.
--- /dev/null
+++ b/bergamotshift-forward/src/control/suspects.rs
@@ -0,0 +1,92 @@
+//! Requests that are suspected of crashing endpoints: deaths that this entry sees, and those that other entries know.
+
+use std::collections::BTreeSet;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_limit::quarantine::Death;
+use bergamotshift_limit::quarantine::Instance;
+use bergamotshift_limit::quarantine::Suspicion;
+use slog::info;
+
+use super::inner::Inner;
+use super::inner::instance;
+use crate::endpoint::Endpoint;
+use crate::observe::Topic;
+use crate::view::Shared;
+
+/// Returns a fingerprint as log lines show it.
+fn digits(fingerprint: Fingerprint) -> String {
+    format!("{:032x}", fingerprint.get())
+}
+
+impl Inner {
+    /// Records that an endpoint died while it was running a request of this entry.
+    pub(super) fn record_death(
+        &mut self,
+        now: Instant,
+        shared: &Shared,
+        endpoint: &Endpoint,
+        fingerprint: Fingerprint,
+    ) {
+        let instance = instance(endpoint);
+        let vm = instance.vm.clone();
+        self.quarantine.record_death(
+            now,
+            Death {
+                instance,
+                announced: false,
+                running: vec![fingerprint],
+            },
+        );
+        shared.metrics.endpoint_deaths.inc();
+        let tally = self.quarantine.tally(fingerprint);
+        info!(shared.log.always(), "endpoint ended with a request"; "endpoint" => vm.as_str(),
+            "fingerprint" => digits(fingerprint), "counted" => tally.counted, "correlated" => tally.correlated,
+            "forgiven" => tally.forgiven, "announced" => tally.announced);
+        self.publish_suspects(now, shared, "death");
+    }
+
+    /// Merges the suspicions of another entry.
+    pub(super) fn merge_suspicions(&mut self, now: Instant, shared: &Shared, suspicions: &[Suspicion], from: &str) {
+        if suspicions.is_empty() {
+            return;
+        }
+        self.quarantine.merge(now, suspicions);
+        self.publish_suspects(now, shared, from);
+    }
+
+    /// Records that the end of an endpoint was announced.
+    pub(super) fn announce_end(&mut self, now: Instant, shared: &Shared, instance: Instance) {
+        self.quarantine.announce(now, instance);
+        self.log_quarantined(now, shared, "announcement");
+    }
+
+    /// Publishes which requests are suspected, and logs which ones are refused since the last call, or no longer.
+    fn publish_suspects(&mut self, now: Instant, shared: &Shared, from: &str) {
+        self.log_quarantined(now, shared, from);
+        self.publish(shared);
+    }
+
+    /// Logs which requests are refused since the last call, or no longer.
+    pub(super) fn log_quarantined(&mut self, now: Instant, shared: &Shared, from: &str) {
+        let table = self.quarantine.table();
+        let refused: BTreeSet<Fingerprint> = table.refused(now).collect();
+        shared.metrics.suspected.set(table.len() as i64);
+        shared.metrics.quarantined.set(refused.len() as i64);
+        for fingerprint in refused.symmetric_difference(&self.quarantined) {
+            let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State) else {
+                continue;
+            };
+            let tally = self.quarantine.tally(*fingerprint);
+            let verdict = if refused.contains(fingerprint) {
+                "refused"
+            } else {
+                "admitted"
+            };
+            info!(logger, "suspicion changed"; "fingerprint" => digits(*fingerprint), "verdict" => verdict,
+                "from" => from, "counted" => tally.counted, "correlated" => tally.correlated,
+                "forgiven" => tally.forgiven, "announced" => tally.announced, "left_out" => left_out);
+        }
+        self.quarantined = refused;
+    }
+}
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -281,10 +281,7 @@
             self.has_diverged = false;
             self.confirm_registrations(now, shared, state.endpoints_freshness);
         }
-        if !state.suspicions.is_empty() {
-            self.quarantine.merge(now, &state.suspicions);
-            self.publish(shared);
-        }
+        self.merge_suspicions(now, shared, &state.suspicions, state.entry.as_str());
         let mut cache_index = shared.cache_index();
         for part in &state.cached_parts {
             cache_index.record(now, *part);
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -100,6 +100,12 @@
     pub store_restores: Counter<u64, AtomicU64>,
     /// Number of the store's answers that were older than what this entry knew.
     pub answers_dropped: Counter<u64, AtomicU64>,
+    /// Number of reports that an endpoint died while it ran a request of this entry.
+    pub endpoint_deaths: Counter<u64, AtomicU64>,
+    /// Number of requests that are suspected of crashing endpoints.
+    pub suspected: Gauge<i64, AtomicI64>,
+    /// Number of requests that are refused because they crash endpoints.
+    pub quarantined: Gauge<i64, AtomicI64>,
 }
 
 impl Metrics {
@@ -132,6 +138,9 @@
             registrations_withheld: Counter::default(),
             store_restores: Counter::default(),
             answers_dropped: Counter::default(),
+            endpoint_deaths: Counter::default(),
+            suspected: Gauge::default(),
+            quarantined: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by route and outcome", metrics.requests.clone());
@@ -187,9 +196,22 @@
             metrics.stranded.clone(),
         );
         metrics.register_copies();
+        metrics.register_suspicions();
         metrics
     }
 
+    /// Registers the metrics of requests that are suspected of crashing endpoints.
+    fn register_suspicions(&mut self) {
+        let metrics = self;
+        let registry = &mut metrics.registry;
+        let help = "Reports that an endpoint died while it ran a request of this entry";
+        registry.register("endpoint_deaths", help, metrics.endpoint_deaths.clone());
+        let help = "Requests that are suspected of crashing endpoints";
+        registry.register("suspected_requests", help, metrics.suspected.clone());
+        let help = "Requests that are refused because they crash endpoints";
+        registry.register("quarantined_requests", help, metrics.quarantined.clone());
+    }
+
     /// Registers the metrics of this entry's copies of the store's contents.
     fn register_copies(&mut self) {
         let metrics = self;
--- a/bergamotshift-limit/src/quarantine/mod.rs
+++ b/bergamotshift-limit/src/quarantine/mod.rs
@@ -38,6 +38,7 @@
 use self::record::Correlated;
 use self::record::Record;
 pub use self::record::Suspicion;
+pub use self::record::Tally;
 pub use self::table::Table;
 pub use self::table::Verdict;
 
@@ -195,6 +196,12 @@
         self.records.iter().map(export).collect()
     }
 
+    /// Returns the deaths in which a request was involved, by attribution.
+    pub fn tally(&self, fingerprint: Fingerprint) -> Tally {
+        let record = self.records.get(&fingerprint);
+        record.map_or_else(Tally::default, |record| record.tally(&self.correlated()))
+    }
+
     /// Returns the table for the workers.
     pub fn table(&self) -> Table {
         Table::new(&self.settings, &self.records, &self.correlated())
--- a/bergamotshift-limit/src/quarantine/record.rs
+++ b/bergamotshift-limit/src/quarantine/record.rs
@@ -37,6 +37,19 @@
     pub deaths: Vec<(Instance, Duration, Attribution)>,
 }
 
+/// Deaths in which one request was involved, by attribution.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Number of deaths that count, except for those that appear correlated so far.
+    pub counted: usize,
+    /// Number of deaths that appear correlated so far.
+    pub correlated: usize,
+    /// Number of deaths that were forgiven, as they were correlated.
+    pub forgiven: usize,
+    /// Number of deaths that were announced.
+    pub announced: usize,
+}
+
 /// Recent deaths that appear correlated so far.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Correlated {
@@ -66,6 +79,18 @@
         self.counted(correlated).filter(recent).count()
     }
 
+    /// Returns the number of deaths by attribution.
+    pub(super) fn tally(&self, correlated: &Correlated) -> Tally {
+        let all_counted = self.times(Attribution::Counted).count();
+        let counted = self.counted(correlated).count();
+        Tally {
+            counted,
+            correlated: all_counted - counted,
+            forgiven: self.times(Attribution::Forgiven).count(),
+            announced: self.times(Attribution::Announced).count(),
+        }
+    }
+
     /// Returns the time of the latest counted death.
     pub(super) fn latest_counted(&self, correlated: &Correlated) -> Option<Instant> {
         self.counted(correlated).max()
--- a/bergamotshift-limit/src/quarantine/table.rs
+++ b/bergamotshift-limit/src/quarantine/table.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Returns the requests that are refused.
+    pub fn refused(&self, now: Instant) -> impl Iterator<Item = Fingerprint> {
+        let is_refused = move |row: &Row| row.refused_until.is_some_and(|until| now < until);
+        let refused = self.rows.iter().filter(move |(_, row)| is_refused(row));
+        refused.map(|(fingerprint, _)| *fingerprint)
+    }
+
     /// Returns whether no request is suspected, in which case no fingerprint has to be computed early.
     pub const fn is_empty(&self) -> bool {
         self.rows.is_empty()
