--- /dev/null
+++ b/bergamotshift-forward/tests/daemon/crashing.rs
@@ -0,0 +1,71 @@
+//! Requests that crash each endpoint that runs them.
+
+use std::io::Write;
+
+use crate::endpoint::Connection;
+use crate::endpoint::Endpoint;
+use crate::site::Caller;
+use crate::site::Site;
+use crate::site::wait_until;
+
+/// Number of endpoints of a site.
+const ENDPOINTS: usize = 8;
+
+/// Number of times that a caller sends a crashing request again.
+const REPEATS: usize = 12;
+
+/// Starts endpoints that crash with a request whose body is `crash`, after the head of its answer if there is one.
+fn endpoints(head: Option<&'static str>) -> Vec<Endpoint> {
+    let start = |number| {
+        Endpoint::start(&format!("e{number}"), move |request, _, stream| {
+            if request.body != b"crash" {
+                stream.write_all(request.answer("200 OK", "", "done").as_bytes())?;
+                return Ok(Connection::Keep);
+            }
+            if let Some(head) = head {
+                stream.write_all(request.answer_head("200 OK", head).as_bytes())?;
+            }
+            Ok(Connection::Crash)
+        })
+    };
+    (0..ENDPOINTS).map(start).collect()
+}
+
+/// Sends a crashing request again and again, and returns the number of endpoints that it reached.
+fn crash_repeatedly(path: &str, head: Option<&'static str>) -> usize {
+    let endpoints = endpoints(head);
+    let all: Vec<_> = endpoints.iter().collect();
+    let site = Site::new(&all);
+    let daemon = site.start();
+    let reached = || endpoints.iter().map(Endpoint::count).sum::<usize>();
+    for repeat in 0..REPEATS {
+        let mut caller = Caller::new(&daemon);
+        caller.send("POST", path, &format!("r-{repeat}"), "", "crash");
+        let _ = caller.read_answer();
+        wait_until("the deaths are recorded", || daemon.death_count() == Some(reached()));
+    }
+    reached()
+}
+
+/// Guards against a request that crashes one engine after the other because only connections that broke before the head
+/// of an answer were reported; engines send it when they begin.
+#[test]
+fn a_request_that_crashes_endpoints_during_a_stream_is_refused() {
+    const HEAD: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+    let reached = crash_repeatedly("/draft/1", Some(HEAD));
+    assert!(reached <= 3, "it reached {reached} endpoints");
+}
+
+/// Guards against a request that crashes one plain endpoint after the other within the body of its answer.
+#[test]
+fn a_request_that_crashes_endpoints_during_a_body_is_refused() {
+    let reached = crash_repeatedly("/checkin/1", Some("content-length: 100\r\n"));
+    assert!(reached <= 3, "it reached {reached} endpoints");
+}
+
+/// Guards against a request that crashes one endpoint after the other before it gets an answer.
+#[test]
+fn a_request_that_crashes_endpoints_before_an_answer_is_refused() {
+    let reached = crash_repeatedly("/checkin/1", None);
+    assert!(reached <= 3, "it reached {reached} endpoints");
+}
--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -1,6 +1,9 @@
 //! Endpoints whose answers are scripted byte by byte.
 
+use core::mem;
 use core::net::SocketAddr;
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::Ordering;
 use std::io;
 use std::io::Read;
 use std::io::Write;
@@ -15,6 +18,7 @@
 use bergamotshift_forward::outside::Cursor;
 
 use crate::outside::lock;
+use crate::port;
 
 /// Request that an endpoint received.
 #[derive(Clone, Debug)]
@@ -57,6 +61,8 @@
 pub enum Connection {
     Keep,
     Close,
+    /// The endpoint crashes: it stops listening, and the connection ends afterwards.
+    Crash,
 }
 
 /// Endpoint that runs until the test process ends.
@@ -68,6 +74,7 @@
     pub closed: Arc<Mutex<usize>>,
     id: String,
     zone: &'static str,
+    crashed: Arc<AtomicBool>,
 }
 
 impl Endpoint {
@@ -83,11 +90,15 @@
             closed: Arc::default(),
             id: id.to_owned(),
             zone: "one",
+            crashed: Arc::default(),
         };
         let server = endpoint.clone();
         let script = Arc::new(script);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if server.crashed.load(Ordering::Acquire) {
+                    return;
+                }
                 let server = server.clone();
                 let script = Arc::clone(&script);
                 thread::spawn(move || server.serve(stream, &*script));
@@ -144,11 +155,20 @@
             };
             match script(&request, earlier, &mut stream) {
                 Ok(Connection::Keep) => {}
+                Ok(Connection::Crash) => return self.crash(),
                 Ok(Connection::Close) | Err(_) => return,
             }
         }
         *lock(&self.closed) += 1;
     }
+
+    /// Ends the listener; its port stays reserved.
+    fn crash(&self) {
+        self.crashed.store(true, Ordering::Release);
+        // Wakes the listener's thread.
+        let _ = TcpStream::connect(self.address);
+        mem::forget(port::Reservation::after_listener(self.address));
+    }
 }
 
 /// Reads one request; `None` when the connection has ended.
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod bad_input;
 mod callers;
+mod crashing;
 mod duties;
 mod endpoint;
 mod fleet;
--- a/bergamotshift-forward/tests/daemon/site.rs
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -97,6 +97,11 @@
         self.value("bergamotshift_forward_store_restores_total")
     }
 
+    /// Returns the number of deaths of endpoints that the daemon recorded while they ran requests of its own.
+    pub fn death_count(&self) -> Option<usize> {
+        self.value("bergamotshift_forward_endpoint_deaths_total")
+    }
+
     /// Returns the age of the daemon's registrations, in seconds.
     pub fn registrations_age(&self) -> Option<f64> {
         self.text_value("bergamotshift_forward_registrations_age_seconds")?
--- a/bergamotshift-forward/tests/fleet/main.rs
+++ b/bergamotshift-forward/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod model;
 mod network;
+mod quarantine;
 mod restore;
 mod start;
 mod steady;
--- a/bergamotshift-limit/tests/quarantine.rs
+++ b/bergamotshift-limit/tests/quarantine.rs
@@ -38,6 +38,16 @@
     matches!(verdict(quarantine, now, fingerprint), Verdict::Refused { .. })
 }
 
+/// Lets all entries tell each other their suspicions.
+fn exchange(now: Instant, entries: &mut [Quarantine]) {
+    let all: Vec<_> = entries.iter().map(|quarantine| quarantine.suspicions(now)).collect();
+    for quarantine in entries {
+        for suspicions in &all {
+            quarantine.merge(now, suspicions);
+        }
+    }
+}
+
 #[test]
 fn crashing_request_is_refused_after_two_endpoints() {
     // A request crashes vm-1, which also runs a harmless one; both are suspected and run alone. The caller sends the
@@ -163,6 +173,33 @@
     assert!(refused(&right, at(10_000) + hour, CRASHING));
 }
 
+/// Guards against a crashing request that goes on because each entry also sees harmless requests end on the same
+/// endpoints, takes the deaths for correlated ones, and tells the others of none.
+#[test]
+fn harmless_requests_on_the_same_endpoints_hide_no_crashing_one() {
+    let stable = Duration::from_secs(3);
+    let mut entries = vec![Quarantine::new(Settings::default()); 3];
+    let mut now = at(1_000);
+    for endpoint in 0..3_u8 {
+        for (entry, quarantine) in entries.iter_mut().enumerate() {
+            let harmless = Fingerprint::new(u128::from(10 * (endpoint + 1)) + entry as u128);
+            let running = if entry == usize::from(endpoint) {
+                CRASHING
+            } else {
+                harmless
+            };
+            quarantine.record_death(now, death(endpoint, &[running]));
+        }
+        now = now + Duration::from_millis(400);
+        exchange(now, &mut entries);
+    }
+    now = now + stable;
+    for quarantine in &mut entries {
+        quarantine.expire(now);
+        assert!(refused(quarantine, now, CRASHING));
+    }
+}
+
 #[test]
 fn old_suspicion_does_not_restore_an_expired_death() {
     let mut quarantine = Quarantine::new(Settings::default());
