fix(limit): deaths go on counting when the registration of a crashed endpoint is removed

Callers saw engines crash one after the other under a request that had been refused for a while: four seconds after a crash the registration of the endpoint lapses, and entries took its removal for an announcement that the endpoint leaves. Announced deaths do not count, so all deaths of the request were dropped and it was admitted again.

A removal is now kept apart from an announcement: deaths before it count, later ones do not, as an endpoint may be removed in order and end then. Announcements work backwards as before. The directory tells the two apart by what the registration said.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -285,11 +285,12 @@
     /// Handles endpoints that stopped accepting requests.
     fn handle_leaving(&mut self, now: Instant, shared: &Shared, leaving: &[Arc<Endpoint>], from: &str) {
         for endpoint in leaving {
-            self.announce_end(now, shared, instance(endpoint));
+            self.record_departure(now, shared, endpoint);
             if let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State) {
                 info!(logger, "endpoint leaves"; "endpoint" => endpoint.registration.id.as_str(),
                     "service" => endpoint.registration.service.as_str(),
                     "zone" => endpoint.registration.zone.as_str(), "from" => from,
+                    "announced" => self.directory.has_announced(endpoint),
                     "leaves_in_ms" => endpoint.registration.leaves_in.map(|left| left.as_millis() as u64),
                     "cursor" => %self.registrations_checkpoint.cursor(), "left_out" => left_out);
             }
--- a/bergamotshift-forward/src/control/suspects.rs
+++ b/bergamotshift-forward/src/control/suspects.rs
@@ -4,7 +4,6 @@
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::quarantine::Death;
-use bergamotshift_limit::quarantine::Instance;
 use bergamotshift_limit::quarantine::Suspicion;
 use slog::info;
 
@@ -55,10 +54,15 @@
         self.publish_suspects(now, shared, from);
     }
 
-    /// Records that the end of an endpoint was announced.
-    pub(super) fn announce_end(&mut self, now: Instant, shared: &Shared, instance: Instance) {
-        self.quarantine.announce(now, instance);
-        self.log_quarantined(now, shared, "announcement");
+    /// Records that an endpoint stopped accepting requests, by an announcement or because its registration was removed.
+    pub(super) fn record_departure(&mut self, now: Instant, shared: &Shared, endpoint: &Endpoint) {
+        let instance = instance(endpoint);
+        if self.directory.has_announced(endpoint) {
+            self.quarantine.announce(now, instance);
+            self.log_quarantined(now, shared, "announcement");
+        } else {
+            self.quarantine.record_removal(now, instance);
+        }
     }
 
     /// Publishes which requests are suspected, and logs which ones are refused since the last call, or no longer.
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -198,6 +198,13 @@
         present.map(|record| &record.endpoint)
     }
 
+    /// Returns whether an endpoint's registration announced that it leaves.
+    pub fn has_announced(&self, endpoint: &Endpoint) -> bool {
+        let Registration { id, born, .. } = &endpoint.registration;
+        let record = self.records.get(id);
+        record.is_some_and(|record| record.announced_leaving && record.endpoint.registration.born == *born)
+    }
+
     /// Returns the registrations of all endpoints that are not removed, for entries whose registrations are older.
     pub fn registrations(&self) -> Vec<Registration> {
         let present = self.records.values().filter(|record| record.gone_since.is_none());
--- a/bergamotshift-limit/src/quarantine/mod.rs
+++ b/bergamotshift-limit/src/quarantine/mod.rs
@@ -130,7 +130,22 @@
     settings: Settings,
     records: BTreeMap<Fingerprint, Record>,
     recent: Vec<RecentDeath>,
-    announced: BTreeMap<Instance, Instant>,
+    departures: BTreeMap<Instance, Departure>,
+}
+
+/// What is known of the end of an instance, apart from its death.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    at: Instant,
+    /// Whether the instance itself or the platform announced it, so that no death of it counts.
+    announced: bool,
+}
+
+impl Departure {
+    /// Returns whether a death at this time does not count.
+    fn explains(self, death: Instant) -> bool {
+        self.announced || death > self.at
+    }
 }
 
 impl Quarantine {
@@ -140,7 +155,7 @@
             settings,
             records: BTreeMap::new(),
             recent: Vec::new(),
-            announced: BTreeMap::new(),
+            departures: BTreeMap::new(),
         }
     }
 
@@ -157,7 +172,7 @@
             self.announce(now, death.instance);
             return;
         }
-        if self.announced.contains_key(&death.instance) {
+        if self.departures.contains_key(&death.instance) {
             return;
         }
         let running = death.running.into_iter().collect();
@@ -169,9 +184,25 @@
     ///
     /// The platform's list lags, so the notice may arrive after the connections broke.
     pub fn announce(&mut self, now: Instant, instance: Instance) {
-        self.mark_announced(&instance);
         self.recent.retain(|recent| recent.instance != instance);
-        self.announced.insert(instance, now);
+        let departure = Departure {
+            at: now,
+            announced: true,
+        };
+        self.departures.insert(instance, departure);
+        self.apply_departures();
+    }
+
+    /// Records that the registration of an instance was removed without an announcement. Deaths counted so far still
+    /// count, and later ones do not.
+    ///
+    /// The registration of an endpoint that crashed is removed because nobody renews it.
+    pub fn record_removal(&mut self, now: Instant, instance: Instance) {
+        let departure = Departure {
+            at: now,
+            announced: false,
+        };
+        self.departures.entry(instance).or_insert(departure);
     }
 
     /// Merges the suspicions of another entry.
@@ -181,11 +212,7 @@
             record.merge(now, suspicion, self.settings.lifetime());
         }
         self.expire(now);
-        for instance in self.announced.keys() {
-            for record in self.records.values_mut() {
-                record.mark_announced(instance);
-            }
-        }
+        self.apply_departures();
         self.evict();
     }
 
@@ -212,7 +239,8 @@
         let lifetime = self.settings.lifetime();
         self.records.retain(|_, record| record.expire(now, lifetime));
         self.forgive_settled(now);
-        self.announced.retain(|_, at| now.since(*at) <= lifetime);
+        self.departures
+            .retain(|_, departure| now.since(departure.at) <= lifetime);
     }
 
     /// Adds an unannounced death to the recent deaths and to the records of the requests that were running.
@@ -296,10 +324,10 @@
         }
     }
 
-    /// Marks the death of an instance as announced in all records.
-    fn mark_announced(&mut self, instance: &Instance) {
+    /// Marks the deaths that known departures explain as announced in all records.
+    fn apply_departures(&mut self) {
         for record in self.records.values_mut() {
-            record.mark_announced(instance);
+            record.apply_departures(&self.departures);
         }
     }
 
--- a/bergamotshift-limit/src/quarantine/record.rs
+++ b/bergamotshift-limit/src/quarantine/record.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Departure;
 use super::Instance;
 
 /// Attribution of a death to the requests that were running there.
@@ -127,9 +128,14 @@
         }
     }
 
-    /// Marks one death as announced.
-    pub(super) fn mark_announced(&mut self, instance: &Instance) {
-        self.raise(instance, Attribution::Announced);
+    /// Marks the deaths that departures explain as announced.
+    pub(super) fn apply_departures(&mut self, departures: &BTreeMap<Instance, Departure>) {
+        for (instance, (at, attribution)) in &mut self.deaths {
+            let departure = departures.get(instance);
+            if departure.is_some_and(|departure| departure.explains(*at)) {
+                *attribution = Attribution::Announced;
+            }
+        }
     }
 
     /// Merges the deaths that another entry knows of.
--- a/bergamotshift-limit/tests/quarantine.rs
+++ b/bergamotshift-limit/tests/quarantine.rs
@@ -138,6 +138,28 @@
     assert!(quarantine.table().is_empty());
 }
 
+/// Guards against deaths that stop counting when the registrations of crashed endpoints are removed, and against ones that
+/// count although their endpoints were removed in order before.
+#[test]
+fn removed_registrations_excuse_only_later_deaths() {
+    let mut quarantine = Quarantine::new(Settings::default());
+    quarantine.record_death(at(0), death(1, &[CRASHING]));
+    quarantine.record_death(at(500), death(2, &[CRASHING]));
+    for number in [1, 2] {
+        quarantine.record_removal(at(4_000), instance(number));
+    }
+    assert!(refused(&quarantine, at(4_000), CRASHING));
+
+    quarantine.record_removal(at(5_000), instance(3));
+    quarantine.record_death(at(6_000), death(3, &[HARMLESS]));
+    let learned = Suspicion {
+        fingerprint: HARMLESS,
+        deaths: vec![(instance(3), Duration::from_millis(100), Attribution::Counted)],
+    };
+    quarantine.merge(at(6_100), &[learned]);
+    assert_eq!(verdict(&quarantine, at(6_100), HARMLESS), Verdict::Clear);
+}
+
 #[test]
 fn crashing_requests_that_look_correlated_are_still_stopped() {
     // Two requests repeatedly crash two endpoints at the same time, which looks correlated and is forgiven. The number
