fix(forward): a death during an answer is recorded against the request that ran

Callers saw engines crash under one request although its entries had seen the deaths: only connections that broke before the head of an answer were reported to the control thread.

All three places where an exchange can break (head, whole body, stream) now report through one method. The probe that tells a crash from a lost connection is as before. bergamotshift-entry reports broken streams and bodies by the method that it uses before the head, and is not affected.

--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -20,6 +20,7 @@
 use crate::dialect::Envelope;
 use crate::dialect::Notice;
 use crate::document::Kind;
+use crate::endpoint::Endpoint;
 use crate::endpoint::Guard;
 use crate::exchange;
 use crate::exchange::Connection;
@@ -360,12 +361,7 @@
             }
             Error::Failed(failure) => {
                 endpoint.health.record_failure();
-                if matches!(failure, Failure::Broken(_)) {
-                    let _ = self.shared.notes.send(Note::ConnectionLost {
-                        endpoint: endpoint.hash,
-                        fingerprint: job.fingerprint,
-                    });
-                }
+                self.report_broken(job, endpoint, &failure);
                 failure.to_string()
             }
         };
@@ -378,6 +374,16 @@
         fallback
     }
 
+    /// Lets the control thread find out whether an endpoint died, if the connection with a request broke.
+    pub(super) fn report_broken(&self, job: &Job, endpoint: &Endpoint, failure: &Failure) {
+        if matches!(failure, Failure::Broken(_)) {
+            let _ = self.shared.notes.send(Note::ConnectionLost {
+                endpoint: endpoint.hash,
+                fingerprint: job.fingerprint,
+            });
+        }
+    }
+
     /// Returns the version of the document in force; 0 without a document.
     pub(super) fn document_version(&self) -> u64 {
         let view = self.shared.view.load();
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -123,6 +123,7 @@
                 Err(failure) => failure,
             };
             self.guard.record_failure();
+            self.forwarder.report_broken(&self.job, self.guard.endpoint(), &failure);
             self.resume(failure).await?;
         }
     }
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -113,6 +113,7 @@
             }
             Err(failure) => {
                 guard.record_failure();
+                self.report_broken(job, guard.endpoint(), &failure);
                 Err(failure)
             }
         }
