fix(limit): crashing requests are judged by the deaths that all entries know, and refused after three in any case

Callers saw a request crash engines although entries had recorded more than two deaths with it: harmless requests on the same engines report the same deaths from other entries. Two deaths without a suspected request in three seconds look correlated, and an entry looked only at the deaths that it had seen itself. It then neither counted the crashing request's deaths nor told other entries of them, for six seconds.

Suspicions are now exchanged at once, and an entry judges whether deaths are correlated by all that it knows: a death that one entry cannot explain is explained by the request that another entry sent there. A harmless request that moves from endpoint to endpoint in a zone that is lost may be refused after its third death, for ten minutes.

Test: harmless_requests_on_the_same_endpoints_hide_no_crashing_one failed before and passes. The tests of lost zones and of crashing requests that look correlated are unchanged and pass.

--- a/bergamotshift-limit/src/quarantine/mod.rs
+++ b/bergamotshift-limit/src/quarantine/mod.rs
@@ -3,7 +3,7 @@
 //! A request that was running on an endpoint when the endpoint died becomes suspected. Suspicions are kept by content
 //! fingerprint, so that requests sent again by the caller are recognised. Suspected requests run alone; after two
 //! distinct deaths they are refused for some time. Deaths with another explanation do not count: announced deaths, and
-//! correlated ones ([`Settings::correlated_deaths`]).
+//! correlated ones ([`Settings::correlated_deaths`]) up to a limit ([`Settings::max_deaths`]).
 //!
 //! The control thread records deaths in a [`Quarantine`] and publishes a [`Table`] for the workers. Entries exchange
 //! [`Suspicion`]s, whose merge is commutative and idempotent, so their order and repetition do not matter.
@@ -75,6 +75,8 @@
 pub struct Settings {
     /// Number of distinct deaths from which a request is refused.
     pub deaths: usize,
+    /// Number of distinct deaths from which a request is refused although they were correlated.
+    pub max_deaths: usize,
     /// Time for which a request is refused after its last death.
     pub hold: Duration,
     /// Time for which a death counts; a suspected request runs alone until then.
@@ -95,6 +97,7 @@
     fn default() -> Self {
         Self {
             deaths: 2,
+            max_deaths: 3,
             hold: Duration::from_mins(10),
             memory: Duration::from_mins(20),
             window: Duration::from_secs(3),
@@ -119,8 +122,6 @@
 struct RecentDeath {
     at: Instant,
     instance: Instance,
-    /// Whether a request that was already suspected was running on the instance.
-    explained: bool,
     running: BTreeSet<Fingerprint>,
 }
 
@@ -129,6 +130,7 @@
 pub struct Quarantine {
     settings: Settings,
     records: BTreeMap<Fingerprint, Record>,
+    /// Recent deaths that this entry or another one saw, in the order of their times.
     recent: Vec<RecentDeath>,
     departures: BTreeMap<Instance, Departure>,
 }
@@ -175,8 +177,11 @@
         if self.departures.contains_key(&death.instance) {
             return;
         }
+        for fingerprint in &death.running {
+            self.records.entry(*fingerprint).or_default().add(now, &death.instance);
+        }
         let running = death.running.into_iter().collect();
-        self.add_death(now, &death.instance, running);
+        self.add_recent(now, &death.instance, running);
         self.evict();
     }
 
@@ -210,6 +215,7 @@
         for suspicion in suspicions {
             let record = self.records.entry(suspicion.fingerprint).or_default();
             record.merge(now, suspicion, self.settings.lifetime());
+            self.add_recent_of(now, suspicion);
         }
         self.expire(now);
         self.apply_departures();
@@ -218,8 +224,7 @@
 
     /// Returns the suspicions to send to other entries.
     pub fn suspicions(&self, now: Instant) -> Vec<Suspicion> {
-        let correlated = self.correlated();
-        let export = |(fingerprint, record): (&Fingerprint, &Record)| record.export(*fingerprint, now, &correlated);
+        let export = |(fingerprint, record): (&Fingerprint, &Record)| record.export(*fingerprint, now);
         self.records.iter().map(export).collect()
     }
 
@@ -243,29 +248,43 @@
             .retain(|_, departure| now.since(departure.at) <= lifetime);
     }
 
-    /// Adds an unannounced death to the recent deaths and to the records of the requests that were running.
-    fn add_death(&mut self, now: Instant, instance: &Instance, running: BTreeSet<Fingerprint>) {
-        let explains = |fingerprint| {
-            let record = self.records.get(fingerprint);
-            record.is_some_and(|record| record.has_other_counted(instance))
-        };
-        let explained = running.iter().any(explains);
+    /// Adds the recent deaths of which another entry knows that they count.
+    fn add_recent_of(&mut self, now: Instant, suspicion: &Suspicion) {
+        let settled = self.settled();
+        for (instance, age, attribution) in &suspicion.deaths {
+            if *attribution == Attribution::Counted && *age <= settled && !self.departures.contains_key(instance) {
+                self.add_recent(now - *age, instance, BTreeSet::from([suspicion.fingerprint]));
+            }
+        }
+    }
+
+    /// Adds a death to the recent ones.
+    fn add_recent(&mut self, at: Instant, instance: &Instance, running: BTreeSet<Fingerprint>) {
         // Several threads and entries report the same death, once for each request that was running.
         if let Some(known) = self.recent.iter_mut().find(|recent| recent.instance == *instance) {
-            known.running.extend(running.iter().copied());
-            known.explained |= explained;
+            known.at = known.at.min(at);
+            known.running.extend(running);
         } else {
-            let running = running.clone();
             self.recent.push(RecentDeath {
-                at: now,
+                at,
                 instance: instance.clone(),
-                explained,
                 running,
             });
         }
-        for fingerprint in running {
-            self.records.entry(fingerprint).or_default().add(now, instance);
-        }
+        self.recent.sort_by_key(|recent| recent.at);
+    }
+
+    /// Returns whether a request that ran on an instance when it died had ended another one before.
+    fn is_explained(&self, recent: &RecentDeath) -> bool {
+        recent.running.iter().any(|fingerprint| {
+            let record = self.records.get(fingerprint);
+            record.is_some_and(|record| record.has_earlier_counted(recent.at, &recent.instance))
+        })
+    }
+
+    /// Returns the time after which no more reports of a death are expected.
+    fn settled(&self) -> Duration {
+        self.settings.window * 2
     }
 
     /// Returns the recent deaths that appear correlated so far.
@@ -273,8 +292,10 @@
     /// When a zone is lost without notice, each request there is involved in one death, or in two if it was moved
     /// within the zone, and would be refused although it is harmless. Endpoints that ran no suspected request cannot
     /// all have died because of one request, so two such deaths in a window indicate another cause. Two crashing
-    /// requests that start in the same window look alike; `max_forgiven` bounds the number of endpoints that they
-    /// crash.
+    /// requests that start in the same window look alike; `max_deaths` bounds the number of endpoints that they crash.
+    ///
+    /// Entries see different requests end on the same endpoint, so they tell each other deaths before these are settled,
+    /// and each one judges by all that it knows.
     ///
     /// This is provisional: if a harmless request reports the death of its endpoint before the crashing request that
     /// ran there too, the death first looks unexplained, and two of them look correlated. Deaths are forgiven
@@ -288,11 +309,12 @@
             ..
         } = self.settings;
         let mut instances = BTreeSet::new();
+        let explained: Vec<_> = self.recent.iter().map(|recent| self.is_explained(recent)).collect();
         let (mut first, mut marked, mut unexplained) = (0, 0, 0);
         for (index, last) in self.recent.iter().enumerate() {
-            unexplained += usize::from(!last.explained);
+            unexplained += usize::from(!explained[index]);
             while last.at.since(self.recent[first].at) > window {
-                unexplained -= usize::from(!self.recent[first].explained);
+                unexplained -= usize::from(!explained[first]);
                 first += 1;
             }
             if unexplained >= correlated_deaths {
@@ -309,7 +331,7 @@
 
     /// Forgives deaths permanently that still appear correlated when no more reports of them are expected.
     fn forgive_settled(&mut self, now: Instant) {
-        let settled = self.settings.window * 2;
+        let settled = self.settled();
         if self.recent.iter().all(|recent| now.since(recent.at) <= settled) {
             return;
         }
--- a/bergamotshift-limit/src/quarantine/record.rs
+++ b/bergamotshift-limit/src/quarantine/record.rs
@@ -97,10 +97,22 @@
         self.counted(correlated).max()
     }
 
-    /// Returns whether the death of another instance counts.
-    pub(super) fn has_other_counted(&self, instance: &Instance) -> bool {
-        let counts = |(other, (_, attribution)): (&Instance, &(Instant, Attribution))| {
-            other != instance && *attribution == Attribution::Counted
+    /// Returns the number of unannounced deaths within `memory` of the latest one, including correlated ones.
+    pub(super) fn unannounced(&self, memory: Duration) -> usize {
+        let latest = self.latest_unannounced().unwrap_or_default();
+        let recent = |at: &Instant| latest.since(*at) <= memory;
+        self.unannounced_times().filter(recent).count()
+    }
+
+    /// Returns the time of the latest unannounced death.
+    pub(super) fn latest_unannounced(&self) -> Option<Instant> {
+        self.unannounced_times().max()
+    }
+
+    /// Returns whether another instance died before, and that death counts.
+    pub(super) fn has_earlier_counted(&self, at: Instant, instance: &Instance) -> bool {
+        let counts = |(other, (died, attribution)): (&Instance, &(Instant, Attribution))| {
+            other != instance && *died < at && *attribution == Attribution::Counted
         };
         self.deaths.iter().any(counts)
     }
@@ -153,14 +165,11 @@
     }
 
     /// Returns the suspicion to send to other entries.
-    pub(super) fn export(&self, fingerprint: Fingerprint, now: Instant, correlated: &Correlated) -> Suspicion {
-        // The attribution of correlated deaths is settled within seconds; one announced as forgiven could not be
-        // revoked.
-        let settled = |(instance, _): &(&Instance, &(Instant, Attribution))| !correlated.instances.contains(instance);
+    pub(super) fn export(&self, fingerprint: Fingerprint, now: Instant) -> Suspicion {
         let death = |(instance, (at, attribution)): (&Instance, &(Instant, Attribution))| {
             (instance.clone(), now.since(*at), *attribution)
         };
-        let deaths = self.deaths.iter().filter(settled).map(death).collect();
+        let deaths = self.deaths.iter().map(death).collect();
         Suspicion { fingerprint, deaths }
     }
 
@@ -177,6 +186,12 @@
         }
     }
 
+    /// Returns the times of the deaths that were not announced.
+    fn unannounced_times(&self) -> impl Iterator<Item = Instant> {
+        let deaths = self.deaths.values();
+        deaths.filter_map(|(at, attribution)| (*attribution != Attribution::Announced).then_some(*at))
+    }
+
     /// Returns the times of the deaths with an attribution.
     fn times(&self, wanted: Attribution) -> impl Iterator<Item = Instant> {
         let matching = move |(at, attribution): &(Instant, Attribution)| (*attribution == wanted).then_some(*at);
--- a/bergamotshift-limit/src/quarantine/table.rs
+++ b/bergamotshift-limit/src/quarantine/table.rs
@@ -39,8 +39,13 @@
 impl Table {
     pub(super) fn new(settings: &Settings, records: &BTreeMap<Fingerprint, Record>, correlated: &Correlated) -> Self {
         let row = |(fingerprint, record): (&Fingerprint, &Record)| {
-            let latest = record.latest_counted(correlated)?;
-            let is_refused = record.count(settings.memory, correlated) >= settings.deaths;
+            let is_repeated = record.unannounced(settings.memory) >= settings.max_deaths;
+            let latest = if is_repeated {
+                record.latest_unannounced()?
+            } else {
+                record.latest_counted(correlated)?
+            };
+            let is_refused = is_repeated || record.count(settings.memory, correlated) >= settings.deaths;
             let refused_until = is_refused.then(|| latest + settings.hold);
             let alone_until = latest + settings.memory;
             Some((
