--- a/bergamotshift-forward/tests/daemon/outside.rs
+++ b/bergamotshift-forward/tests/daemon/outside.rs
@@ -1,5 +1,6 @@
 //! Store and cloud in memory, with fault injection.
 
+use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -63,6 +64,8 @@
     pub orders: Vec<(FencingToken, Order)>,
     /// Names of the entries whose calls to the store fail; the name follows the `@` in the store's address.
     pub disconnected: Vec<SmolStr>,
+    /// Addresses by which an entry knows an endpoint, in place of the registered ones.
+    pub paths: BTreeMap<(SmolStr, SmolStr), SocketAddr>,
     changes: u64,
     /// Number of times that a copy was restored.
     pub era: u64,
@@ -234,7 +237,14 @@
     fn registrations(&self) -> Future<'_, Result<(Vec<Change>, Cursor), Error>> {
         let list = |mut backend: MutexGuard<'_, Backend>| {
             backend.reads.0 += 1;
-            let all = backend.registrations.values().cloned().map(Change::Written).collect();
+            let seen = |registration: &Registration| {
+                let path = (self.entry.clone(), registration.id.clone());
+                Change::Written(Registration {
+                    address: backend.paths.get(&path).copied().unwrap_or(registration.address),
+                    ..registration.clone()
+                })
+            };
+            let all = backend.registrations.values().map(seen).collect();
             (all, backend.cursor())
         };
         Box::pin(async move {
--- a/bergamotshift-forward/tests/daemon/port.rs
+++ b/bergamotshift-forward/tests/daemon/port.rs
@@ -21,7 +21,7 @@
 pub struct Reservation {
     pub address: SocketAddr,
     /// Bound socket that does not listen.
-    _socket: Socket,
+    socket: Socket,
 }
 
 impl Reservation {
@@ -40,6 +40,12 @@
         reserved.expect("it was reserved")
     }
 
+    /// Listens on the port.
+    pub fn listen(self, backlog: i32) -> TcpListener {
+        self.socket.listen(backlog).expect("a bound socket listens");
+        self.socket.into()
+    }
+
     fn new(address: SocketAddr) -> Option<Self> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         // Connections of the listener before may still be closing.
@@ -48,10 +54,7 @@
         // With the option, another socket could be bound to the port.
         socket.set_reuse_address(false).expect("a socket takes the option");
         let address = socket.local_addr().ok()?.as_socket()?;
-        Some(Self {
-            address,
-            _socket: socket,
-        })
+        Some(Self { address, socket })
     }
 }
 
--- a/bergamotshift-forward/tests/daemon/site.rs
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -110,7 +110,7 @@
     }
 
     /// Reads a whole number from the daemon's metrics.
-    fn value(&self, name: &str) -> Option<usize> {
+    pub fn value(&self, name: &str) -> Option<usize> {
         self.text_value(name)?.parse().ok()
     }
 
@@ -184,6 +184,7 @@
             ready = "127.0.0.1:0"
             peers = "127.0.0.1:0"
             metrics = "127.0.0.1:0"
+            relay = "127.0.0.1:0"
             [store]
             address = "{backend}@{name}"
             [cloud]
