feat(forward): a request passes through another entry if its own reaches no endpoint

The entry did not know that it was cut off, as it heard of all other entries, and had no other way than its own connections.

- Evidence: three endpoints of a service to which no new connection could be opened, with none opened in between (relay::Reach).
Kept connections say nothing, as they may live on while new ones are refused.
- The entry then opens connections to endpoints through another entry, which copies bytes both ways.
It checks keys, charges quotas and counts retries as before, and the other entry only opens connections to registered endpoints, by the endpoint's hash, and none while it is cut off itself: one hop, never two.
Closes and resets travel through at once.
- Entries say in their states where they open connections for others; the one with the fewest open tunnels is taken, with an advantage for the own availability zone, and each opens 256 at most.
- While cut off, one endpoint of each service is probed four times a second; the first connection ends the relaying.
- Without any entry that passes requests on, the entry is not ready and refuses at once.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -338,6 +338,7 @@
         self.update_keepers(now, shared);
         self.update_granters(now, shared);
         self.update_stranded(now, shared);
+        self.update_relays(now, shared);
         self.update_lag(now, shared);
         self.update_ages(now, shared);
         self.update_quotas(now, shared);
@@ -404,7 +405,7 @@
     }
 
     /// Returns the time for which the state of another entry counts as current.
-    fn state_ttl(&self) -> Duration {
+    pub(super) fn state_ttl(&self) -> Duration {
         if self.members.is_large() {
             LARGE_FLEET_STATE_TTL
         } else {
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod copies;
 mod inner;
 mod organisation;
+mod paths;
 mod publish;
 mod rates;
 mod rollouts;
--- a/bergamotshift-forward/src/daemon/mod.rs
+++ b/bergamotshift-forward/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::io;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -27,6 +28,7 @@
 use crate::peers;
 use crate::peers::Network;
 use crate::peers::Tcp;
+use crate::relay;
 use crate::settings::Listen;
 use crate::settings::Settings;
 use crate::view::Shared;
@@ -102,7 +104,8 @@
             .filter(|address| !address.is_empty()),
     };
     let outside = (kind.connect)(addresses).await?;
-    let listeners = server::Listeners::bind(&mut settings.listen)?;
+    let mut listeners = server::Listeners::bind(&mut settings.listen)?;
+    let relay = listeners.relay.take();
     let (notes, inbox) = mpsc::unbounded_channel();
     let dialect = (kind.dialect)();
     let shared = Arc::new(Shared::new(settings, dialect, Clock::Boot, logger, notes));
@@ -111,12 +114,16 @@
     let Settings { name, zone, listen, .. } = &shared.settings;
     info!(shared.log.always(), "started"; "entry" => name.as_str(), "zone" => zone.as_str(),
         "callers" => %listen.callers, "ready" => %listen.ready, "peers" => %listen.peers,
-        "metrics" => %listen.metrics, "store" => shared.settings.store.address.as_str());
+        "metrics" => %listen.metrics, "relay" => listen.relay.map(|relay| relay.to_string()), "store" => shared.settings.store.address.as_str());
     if let Some(started) = signals.started.take() {
         // An error means that the receiver was dropped and the addresses are not needed.
         let _ = started.send(*listen);
     }
     let mut tasks = vec![ntex::rt::spawn(follow::notes(control.clone(), inbox))];
+    tasks.push(ntex::rt::spawn(relay::probe(Arc::clone(&shared))));
+    if let Some(listener) = relay {
+        tasks.push(ntex::rt::spawn(open_tunnels(Arc::clone(&shared), listener)));
+    }
     let control_tasks = control_tasks(&control, &outside, &(Rc::new(Tcp::default()) as _));
     tasks.extend(control_tasks.into_iter().map(ntex::rt::spawn));
     wait_for_stop(&shared, &mut signals).await;
@@ -132,6 +139,13 @@
     Ok(cut)
 }
 
+/// Opens tunnels for other entries until the process ends.
+async fn open_tunnels(shared: Arc<Shared>, listener: TcpListener) {
+    if let Err(error) = relay::serve(Arc::clone(&shared), listener).await {
+        info!(shared.log.always(), "no tunnels opened"; "cause" => %error);
+    }
+}
+
 /// Returns the tasks of the control thread that follow the store and the other entries, and perform the duties.
 pub fn control_tasks(control: &Control, outside: &Clients, network: &Rc<dyn Network>) -> [Future<'static, ()>; 6] {
     let operators = Rc::clone(&outside.operators);
--- a/bergamotshift-forward/src/daemon/server.rs
+++ b/bergamotshift-forward/src/daemon/server.rs
@@ -52,6 +52,7 @@
     ready: TcpListener,
     peers: TcpListener,
     metrics: TcpListener,
+    pub(super) relay: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -62,6 +63,7 @@
             ready: bind(&mut listen.ready)?,
             peers: bind(&mut listen.peers)?,
             metrics: bind(&mut listen.metrics)?,
+            relay: listen.relay.as_mut().map(bind).transpose()?,
         })
     }
 }
--- a/bergamotshift-forward/src/endpoint/health.rs
+++ b/bergamotshift-forward/src/endpoint/health.rs
@@ -57,6 +57,14 @@
         self.paused_until.set(now + backoff);
     }
 
+    /// Forgets that the endpoint could not be reached, which was no fault of its own.
+    pub fn forget_unreachable(&self) {
+        if self.consecutive_unreachable.swap(0, Relaxed) > 0 {
+            self.paused_until.set(Instant::ZERO);
+            self.failure_rate.store(0, Relaxed);
+        }
+    }
+
     /// Returns whether the endpoint is in backoff.
     pub fn is_paused(&self, now: Instant) -> bool {
         self.paused_until.after(now).is_some()
--- a/bergamotshift-forward/src/exchange/connection.rs
+++ b/bergamotshift-forward/src/exchange/connection.rs
@@ -1,8 +1,11 @@
 //! Connection to an endpoint or another entry.
 
 use core::net::SocketAddr;
+use core::sync::atomic::AtomicUsize;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::io;
+use std::sync::Arc;
 
 use bergamotshift_platform::socket::reset_on_close;
 use bytes::Buf;
@@ -36,6 +39,18 @@
     total_received: usize,
     /// Whether it cannot carry another exchange.
     unusable: bool,
+    /// Counts it as a tunnel through another entry.
+    tunnel: Option<Tunnel>,
+}
+
+/// Guard that counts a connection through another entry until it is dropped.
+#[derive(Debug)]
+struct Tunnel(Arc<AtomicUsize>);
+
+impl Drop for Tunnel {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Connection {
@@ -63,9 +78,25 @@
             received: BytesMut::new(),
             total_received: 0,
             unusable: false,
+            tunnel: None,
         })
     }
 
+    /// Marks it as a tunnel through another entry, and counts it there while it is open.
+    #[must_use]
+    pub fn through(self, open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self {
+            tunnel: Some(Tunnel(Arc::clone(open))),
+            ..self
+        }
+    }
+
+    /// Returns whether it is a tunnel through another entry.
+    pub const fn is_tunnel(&self) -> bool {
+        self.tunnel.is_some()
+    }
+
     /// Returns whether the operating system closes the connection on its own when the peer is silent.
     ///
     /// # Errors
--- a/bergamotshift-forward/src/lib.rs
+++ b/bergamotshift-forward/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A request passes these stages: [`serve`] reads it, finds its route ([`routes`]) and checks its organisation's limit
 //! ([`limits`]); [`choice`] selects the endpoint that is expected to respond first; and [`exchange`] sends the request
-//! there and returns the response. All stages read one immutable [`view::View`].
+//! there and returns the response; [`relay`] passes it through another entry if this one reaches no endpoint. All stages
+//! read one immutable [`view::View`].
 //!
 //! One control thread ([`control::Control`]) builds those views from the changes in the store ([`follow`]), the states
 //! of other entries ([`peers`]) and the failures of requests. It also performs the duties that one entry has for the
@@ -26,6 +27,7 @@
 pub mod peers;
 pub mod prelude;
 pub mod random;
+pub mod relay;
 pub mod rollouts;
 pub mod routes;
 pub mod serve;
--- a/bergamotshift-forward/src/observe/log.rs
+++ b/bergamotshift-forward/src/observe/log.rs
@@ -29,10 +29,12 @@
     Limit,
     /// Failed exchanges between entries, and transfers of the document.
     Peers,
+    /// Connections to endpoints through other entries.
+    Relay,
 }
 
 /// Number of topics.
-const TOPICS: usize = 6;
+const TOPICS: usize = 7;
 
 /// Logger that limits the rate of each topic's lines and counts the omitted ones.
 #[derive(Debug)]
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -44,7 +44,7 @@
     service: String,
 }
 
-/// Label of a permit to send a request to an endpoint with a rate limit.
+/// Label of a permit to send a request to an endpoint with a rate limit, and of a tunnel through another entry.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct Permit {
@@ -58,6 +58,7 @@
     calls: Family<Call, Counter>,
     canaries: Family<Canary, Gauge>,
     permits: Family<Permit, Counter>,
+    tunnels: Family<Permit, Counter>,
     /// Time to the first event of a stream, or to the head of an answer that is no stream, in seconds.
     pub latency: Histogram,
     /// Time until a request was refused, in seconds.
@@ -106,6 +107,12 @@
     pub suspected: Gauge<i64, AtomicI64>,
     /// Number of requests that are refused because they crash endpoints.
     pub quarantined: Gauge<i64, AtomicI64>,
+    /// Number of services whose endpoints this entry does not reach.
+    pub cut_off: Gauge<i64, AtomicI64>,
+    /// Number of tunnels to endpoints that were opened for other entries.
+    pub relays: Counter<u64, AtomicU64>,
+    /// Time to open a tunnel through another entry, in seconds.
+    pub relay_latency: Histogram,
 }
 
 impl Metrics {
@@ -117,6 +124,7 @@
             calls: Family::default(),
             canaries: Family::default(),
             permits: Family::default(),
+            tunnels: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             refusal: Histogram::new(LATENCY_BUCKETS),
             active: Gauge::default(),
@@ -141,6 +149,9 @@
             endpoint_deaths: Counter::default(),
             suspected: Gauge::default(),
             quarantined: Gauge::default(),
+            cut_off: Gauge::default(),
+            relays: Counter::default(),
+            relay_latency: Histogram::new(LATENCY_BUCKETS),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by route and outcome", metrics.requests.clone());
@@ -197,6 +208,7 @@
         );
         metrics.register_copies();
         metrics.register_suspicions();
+        metrics.register_paths();
         metrics
     }
 
@@ -212,6 +224,20 @@
         registry.register("quarantined_requests", help, metrics.quarantined.clone());
     }
 
+    /// Registers the metrics of paths to endpoints, directly and through other entries.
+    fn register_paths(&mut self) {
+        let metrics = self;
+        let registry = &mut metrics.registry;
+        let help = "Services whose endpoints this entry does not reach";
+        registry.register("cut_off", help, metrics.cut_off.clone());
+        let help = "Tunnels to endpoints that were opened for other entries";
+        registry.register("relays", help, metrics.relays.clone());
+        let help = "Tunnels through other entries, by outcome";
+        registry.register("tunnels", help, metrics.tunnels.clone());
+        let help = "Time to open a tunnel through another entry";
+        registry.register("relay_latency_seconds", help, metrics.relay_latency.clone());
+    }
+
     /// Registers the metrics of this entry's copies of the store's contents.
     fn register_copies(&mut self) {
         let metrics = self;
@@ -263,6 +289,11 @@
         self.permits.get_or_create(&Permit { outcome }).inc();
     }
 
+    /// Counts a request for a tunnel through another entry.
+    pub fn count_tunnel(&self, outcome: &'static str) {
+        self.tunnels.get_or_create(&Permit { outcome }).inc();
+    }
+
     /// Sets the share of a service's requests that goes to its canary version, in thousandths.
     pub fn set_canary_share(&self, service: &name::Service, share: u16) {
         let service = service.as_str().to_owned();
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -170,6 +170,8 @@
     pub incarnation: u64,
     /// The address at which other entries reach the sender.
     pub address: SocketAddr,
+    /// The address at which the sender opens connections to endpoints for other entries; `None` while it does not.
+    pub relay: Option<SocketAddr>,
     /// The sender's availability zone.
     pub zone: name::Zone,
     /// The share of a CPU core that the sender may use, in thousandths.
--- /dev/null
+++ b/bergamotshift-forward/src/relay/reach.rs
@@ -0,0 +1,113 @@
+//! Evidence of whether this entry reaches the endpoints of a service.
+
+use core::sync::atomic::AtomicUsize;
+use core::sync::atomic::Ordering;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use bergamotshift_core::prelude::*;
+
+/// Number of endpoints of a service that refuse connections, with none that accepts one in between, from which this entry
+/// counts as cut off from the service.
+const MIN_UNREACHED: usize = 3;
+
+/// Endpoints of one service to which no connection was opened since the last one that was.
+#[derive(Clone, Debug, Default)]
+struct Attempts {
+    unreached: BTreeSet<u64>,
+    is_cut_off: bool,
+}
+
+/// Outcomes of opening connections to endpoints, by service.
+///
+/// Only new connections count, as established ones may live on while new ones are refused.
+///
+/// ```
+/// use bergamotshift_core::prelude::*;
+/// use bergamotshift_forward::relay::Reach;
+///
+/// let (reach, planner) = (Reach::default(), name::Service::new("planner"));
+/// for endpoint in 1..=3 {
+///     reach.record_unreached(&planner, endpoint, 12);
+/// }
+/// assert!(reach.is_cut_off(&planner));
+/// reach.record_reached(&planner);
+/// assert!(!reach.is_cut_off(&planner));
+/// ```
+#[derive(Debug, Default)]
+pub struct Reach {
+    services: Mutex<HashMap<name::Service, Attempts>>,
+    /// Number of services that this entry is cut off from.
+    cut_off: AtomicUsize,
+}
+
+impl Reach {
+    /// Returns whether this entry is cut off from any service.
+    pub fn is_any_cut_off(&self) -> bool {
+        self.cut_off.load(Ordering::Acquire) > 0
+    }
+
+    /// Returns the number of services that this entry is cut off from.
+    pub fn count(&self) -> usize {
+        self.cut_off.load(Ordering::Acquire)
+    }
+
+    /// Returns whether this entry is cut off from the endpoints of a service.
+    pub fn is_cut_off(&self, service: &name::Service) -> bool {
+        self.is_any_cut_off() && self.lock().get(service).is_some_and(|attempts| attempts.is_cut_off)
+    }
+
+    /// Returns the services that this entry is cut off from.
+    pub fn services(&self) -> Vec<name::Service> {
+        if !self.is_any_cut_off() {
+            return Vec::new();
+        }
+        let services = self.lock();
+        let cut_off = services.iter().filter(|(_, attempts)| attempts.is_cut_off);
+        cut_off.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Records that a connection to an endpoint of a service was opened; returns whether this entry was cut off from the
+    /// service until now.
+    pub fn record_reached(&self, service: &name::Service) -> bool {
+        let Some(attempts) = self.lock().remove(service) else {
+            return false;
+        };
+        if attempts.is_cut_off {
+            self.cut_off.fetch_sub(1, Ordering::AcqRel);
+        }
+        attempts.is_cut_off
+    }
+
+    /// Records that no connection to an endpoint was opened; returns whether this entry is cut off from the service since.
+    ///
+    /// `known` is the number of the service's endpoints. An entry that is cut off from another service needs no further
+    /// evidence.
+    pub fn record_unreached(&self, service: &name::Service, endpoint: u64, known: usize) -> bool {
+        let least = if self.is_any_cut_off() { 1 } else { MIN_UNREACHED };
+        let mut services = self.lock();
+        let attempts = services.entry(service.clone()).or_default();
+        attempts.unreached.insert(endpoint);
+        if attempts.is_cut_off || attempts.unreached.len() < least.min(known.max(1)) {
+            return false;
+        }
+        attempts.is_cut_off = true;
+        self.cut_off.fetch_add(1, Ordering::AcqRel);
+        true
+    }
+
+    /// Forgets services that are not in use any more.
+    pub fn retain(&self, is_in_use: impl Fn(&name::Service) -> bool) {
+        let mut services = self.lock();
+        let gone = services.extract_if(|service, _| !is_in_use(service));
+        let cut_off = gone.filter(|(_, attempts)| attempts.is_cut_off).count();
+        self.cut_off.fetch_sub(cut_off, Ordering::AcqRel);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<name::Service, Attempts>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/bergamotshift-forward/src/serve/active.rs
+++ b/bergamotshift-forward/src/serve/active.rs
@@ -8,7 +8,7 @@
 
 /// Guard that counts one request as in flight until it is dropped.
 #[derive(Debug)]
-pub(super) struct Active {
+pub(crate) struct Active {
     shared: Arc<Shared>,
     /// Keeps the caller's connection from being closed as idle.
     _connection: Option<Guard>,
@@ -16,7 +16,7 @@
 
 impl Active {
     /// Counts a request as in flight.
-    pub(super) fn new(shared: &Arc<Shared>, connection: Option<Guard>) -> Self {
+    pub(crate) fn new(shared: &Arc<Shared>, connection: Option<Guard>) -> Self {
         shared.active.fetch_add(1, Ordering::AcqRel);
         shared.metrics.active.inc();
         Self {
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -30,9 +30,6 @@
 use crate::peers::Note;
 use crate::rollouts::Observer;
 
-/// Timeout for opening a connection: ten times the round trip between zones.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Maximum number of attempts that end before a request is sent. Unreachable endpoints are skipped after their first
 /// failure.
 const MAX_UNSENT_ATTEMPTS: usize = 4;
@@ -54,6 +51,8 @@
     not_run: u32,
     /// Number of attempts that ended before it was sent.
     unsent: usize,
+    /// Whether no entry passes requests on to endpoints that this one does not reach.
+    lacks_path: bool,
     /// Estimate for the last send.
     pub(super) estimate: Option<Estimate>,
     /// Timing of the events of its response.
@@ -87,6 +86,7 @@
             (true, false) => Reason::Broken,
             (false, true) => Reason::Unsent,
             (false, false) if self.sends > 0 => Reason::Unrun,
+            (false, false) if self.lacks_path => Reason::Stranded,
             (false, false) => Reason::NoEndpoint,
         };
         reason.into()
@@ -102,7 +102,7 @@
 }
 
 /// Error of an attempt without an acceptable response.
-enum Error {
+pub(super) enum Error {
     /// The endpoint proved that it did not run the request.
     NotRun,
     /// The endpoint proved that it did not run the request, and named a time for which it accepts none.
@@ -114,6 +114,8 @@
     Status(Box<Exchange>),
     /// No connection was opened in time.
     Unreachable,
+    /// This entry does not reach the endpoint, and no other one passes requests on.
+    NoPath,
     /// The exchange failed.
     Failed(Failure),
 }
@@ -196,20 +198,10 @@
         last_event: Option<u64>,
     ) -> Result<Exchange, Error> {
         let endpoint = &choice.endpoint;
-        let address = endpoint.registration.address;
         let estimate = Estimate::new(choice);
         let mut guard = Guard::take(Arc::clone(endpoint), choice.unread);
         history.tried.push(endpoint.hash);
-        let now = self.shared.clock.now();
-        let idle = self.pool.borrow_mut().take(now, address);
-        let mut connection = if let Some(connection) = idle {
-            connection
-        } else {
-            self.shared.metrics.connections.inc();
-            let connect_timeout = CONNECT_TIMEOUT.min(job.deadline.since(now));
-            let opened = Connection::open(address, connect_timeout).await;
-            opened.map_err(|_unreachable| Error::Unreachable)?
-        };
+        let mut connection = self.connect(job, endpoint).await?;
         let now = self.shared.clock.now();
         let time_left = job.deadline.since(now);
         if time_left < MIN_TIME_LEFT {
@@ -354,6 +346,11 @@
                 endpoint.health.record_unreachable(now);
                 "the endpoint cannot be reached".to_owned()
             }
+            Error::NoPath => {
+                history.unsent = MAX_UNSENT_ATTEMPTS;
+                history.lacks_path = true;
+                "no entry reaches the endpoint".to_owned()
+            }
             Error::Status(exchange) => {
                 let cause = format!("the endpoint answered {}", exchange.head.status.as_u16());
                 fallback = Some(exchange);
--- a/bergamotshift-forward/src/serve/callers.rs
+++ b/bergamotshift-forward/src/serve/callers.rs
@@ -12,7 +12,7 @@
 
 /// Guard that counts one request as in flight on a connection until it is dropped.
 #[derive(Debug)]
-pub(super) struct Guard {
+pub(crate) struct Guard {
     callers: Callers,
     connection: IoRef,
 }
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -76,6 +76,8 @@
 pub struct Forwarder {
     pub(super) shared: Arc<Shared>,
     pub(super) pool: RefCell<Pool>,
+    /// Connections to endpoints through other entries, by the address of the endpoint.
+    pub(super) tunnels: RefCell<Pool>,
     pub(super) choice_settings: choice::Settings,
     pub(super) permits: Permits,
     callers: Callers,
@@ -92,6 +94,7 @@
             permits: Permits::new(Arc::clone(&shared)),
             shared,
             pool: RefCell::default(),
+            tunnels: RefCell::default(),
             choice_settings: choice::Settings::default(),
             callers: Callers::default(),
             keeper_backoff: Cell::default(),
@@ -452,9 +455,9 @@
             addresses.push(address);
         }
         let now = self.shared.clock.now();
-        self.pool
-            .borrow_mut()
-            .sweep(now, |address| addresses.contains(&address));
+        for pool in [&self.pool, &self.tunnels] {
+            pool.borrow_mut().sweep(now, |address| addresses.contains(&address));
+        }
     }
 }
 
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod charge;
 mod choose;
+mod connect;
 mod cut;
 mod forwarder;
 mod job;
@@ -15,6 +16,7 @@
 mod stream;
 mod whole;
 
+pub(crate) use self::active::Active;
 pub use self::cut::flush_and_terminate;
 pub use self::forwarder::Forwarder;
 pub use self::refusal::Reason;
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -189,14 +189,9 @@
     /// Records a complete stream and returns the connection to the pool.
     fn finish(&mut self) {
         self.guard.record_success();
-        let endpoint = self.guard.endpoint();
         if let Some(connection) = self.connection.take() {
-            let address = endpoint.registration.address;
-            let now = self.forwarder.shared.clock.now();
-            self.forwarder
-                .pool
-                .borrow_mut()
-                .put(now, address, connection, &self.headers);
+            let endpoint = self.guard.endpoint();
+            self.forwarder.keep_connection(endpoint, connection, &self.headers);
         }
     }
 
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -102,9 +102,7 @@
                 if !head.status.is_server_error() {
                     guard.record_success();
                 }
-                let address = guard.endpoint().registration.address;
-                let now = self.shared.clock.now();
-                self.pool.borrow_mut().put(now, address, connection, &head.headers);
+                self.keep_connection(guard.endpoint(), connection, &head.headers);
                 Ok(Reply {
                     status: head.status,
                     headers: head.headers,
--- a/bergamotshift-forward/src/settings/mod.rs
+++ b/bergamotshift-forward/src/settings/mod.rs
@@ -124,6 +124,9 @@
     pub peers: SocketAddr,
     /// Address for metrics collectors.
     pub metrics: SocketAddr,
+    /// Address for requests of other entries to open connections to endpoints; without one, it opens none for them.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
 }
 
 /// Address of the store.
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -1,5 +1,6 @@
 //! The immutable view that requests are served from, and the state shared by all threads that outlives each view.
 
+mod paths;
 mod rates;
 
 use core::sync::atomic::AtomicBool;
@@ -38,6 +39,8 @@
 use crate::observe::Log;
 use crate::observe::Metrics;
 use crate::peers::Note;
+use crate::relay::Candidates;
+use crate::relay::Reach;
 use crate::rollouts::Collector;
 use crate::routes::Table;
 use crate::settings::Settings;
@@ -213,6 +216,10 @@
     pub closed: AtomicBool,
     /// Whether the entry is cut off from endpoints that its callers need.
     pub stranded: AtomicBool,
+    /// Evidence of whether the entry reaches endpoints.
+    pub reach: Reach,
+    /// Entries that pass requests to endpoints that this one does not reach.
+    pub relays: Candidates,
     /// Newest version of the document that any entry is known to have.
     pub newest_document: AtomicU64,
     /// Whether this entry has lacked that version for too long.
@@ -250,6 +257,8 @@
             stop: Notify::new(),
             closed: AtomicBool::new(false),
             stranded: AtomicBool::new(false),
+            reach: Reach::default(),
+            relays: Candidates::default(),
             newest_document: AtomicU64::new(0),
             late: AtomicBool::new(false),
             active: AtomicUsize::new(0),
@@ -272,11 +281,13 @@
     /// An entry is not ready while its zone is cut off and lacks endpoints of some service. Its callers would wait for
     /// connections to other zones and be refused; entries in other zones can serve them.
     ///
+    /// An entry that reaches no endpoint of some service stays ready while another entry can pass requests on.
+    ///
     /// An entry is also not ready while it cannot get the newest document although others have it, since it would
     /// handle callers by outdated configuration. If most entries are late, the load balancer uses all of them.
     pub fn is_ready(&self) -> bool {
         let view = self.view.load();
-        view.can_serve() && !self.is_stopping() && !self.is_stranded() && !self.is_late()
+        view.can_serve() && !self.is_stopping() && !self.is_stranded() && !self.is_late() && !self.lacks_paths()
     }
 
     /// Returns whether another entry has a newer document than `view`.
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -22,6 +22,7 @@
         entry: entry.into(),
         incarnation: 1,
         address: "127.0.0.1:9".parse().expect("an address"),
+        relay: None,
         zone: "one".into(),
         core_share: 120,
         stage: Stage::Serves,
