fix(forward): a restore under the next holder lets no window be reported with other counts

The order of events: the holder stores and reports a window, and dies before others hear of the report; the next one begins and waits for the counts of all entries; the store is restored from a copy without the stored row. An entry marked windows that a former holder may have reported as uncertain only if it did not hold the duties when the store was restored. The next holder stored its own counts and reported them.

An entry now remembers up to which window a former holder may have reported when it begins, and takes these as uncertain after a restore: they are reported with stored counts or left out, as by an entry that begins after the restore.

--- a/bergamotshift-forward/src/duty/reports.rs
+++ b/bergamotshift-forward/src/duty/reports.rs
@@ -25,6 +25,8 @@
     stored: BTreeMap<u64, Counts>,
     /// Last window that a former holder may have reported under counts that the store has lost; 0 without one.
     uncertain: u64,
+    /// Last window that a former holder may have reported before this entry began; 0 if it is known which ones it did.
+    former: u64,
 }
 
 impl Reports {
@@ -35,6 +37,7 @@
             reported: 0,
             stored: BTreeMap::new(),
             uncertain: 0,
+            former: 0,
         }
     }
 
@@ -77,12 +80,25 @@
         self.uncertain = self.uncertain.max(settled);
     }
 
+    /// Records that this entry begins to report, at a time when a former holder may have reported the windows up to
+    /// `settled`.
+    pub fn begin(&mut self, settled: u64) {
+        self.former = settled;
+    }
+
+    /// Records that the store was restored from a copy while this entry reports: counts that a former holder stored may be
+    /// lost.
+    pub fn restored_while_held(&mut self) {
+        self.restored(self.former);
+    }
+
     /// Records that others have reported all windows up to `reported`. `is_final` tells whether the former holder itself
     /// said so after it gave the duty up, so that no later window was reported.
     pub fn learn(&mut self, reported: u64, is_final: bool) {
         self.close(reported);
         if is_final {
             self.uncertain = 0;
+            self.former = 0;
         }
     }
 }
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -216,6 +216,9 @@
                 Change::Ended => None,
             };
             // A holder that got another number, as the store was restored, goes on as before.
+            if !was_held && self.number.is_some() {
+                self.reports.begin(shared.tally.current().saturating_sub(1));
+            }
             if !was_held || self.number.is_none() {
                 self.held_since = shared.clock.now();
                 self.planners.clear();
@@ -352,6 +355,7 @@
             self.reports.restored(current.saturating_sub(1));
             return;
         }
+        self.reports.restored_while_held();
         let writes: Vec<Write> = self
             .reports
             .all_stored()
--- a/bergamotshift-forward/tests/fleet/duties.rs
+++ b/bergamotshift-forward/tests/fleet/duties.rs
@@ -1,6 +1,7 @@
 //! Duties that one entry performs for the whole fleet.
 
 use core::time::Duration;
+use std::collections::BTreeMap;
 
 use bergamotshift_core::prelude::*;
 use tokio::time::sleep;
@@ -53,3 +54,66 @@
         );
     });
 }
+
+fn holder(fleet: &Fleet) -> Option<&Node> {
+    let is_holder = |node: &&Node| {
+        node.control()
+            .is_some_and(|one| one.shared().metrics.duty_holder.get() == 1)
+    };
+    fleet.nodes.iter().find(is_holder)
+}
+
+/// Waits until a condition holds.
+async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    const LIMIT: Duration = Duration::from_secs(30);
+    const POLL_INTERVAL: Duration = Duration::from_millis(10);
+    let began = tokio::time::Instant::now();
+    while !condition() {
+        assert!(began.elapsed() < LIMIT, "it did not come about: {what}");
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against a window that is reported twice with other counts: its holder dies right after the report, and the store
+/// is restored from a copy without the reported counts when the next holder has begun but not reported yet.
+#[test]
+fn a_restore_after_a_takeover_lets_no_window_be_reported_with_other_counts() {
+    // Which entry follows, and when, differs between fleets.
+    for _ in 0..6 {
+        run(take_over_and_restore());
+    }
+}
+
+async fn take_over_and_restore() {
+    let fleet = Fleet::new(Size::of(20));
+    fleet.start().await;
+    sleep(3 * WINDOW).await;
+    let organisation = name::Organisation::new("organisation-1");
+    for node in &fleet.nodes {
+        let control = node.control().expect("it runs");
+        control.shared().tally.count(&organisation);
+    }
+    let copy = fleet.store.copy();
+    let is_reported = || {
+        let reports = fleet.store.reports();
+        reports
+            .iter()
+            .any(|(_, usage)| usage.counts.contains_key(&organisation))
+    };
+    wait_until("the window is reported", is_reported).await;
+    let first = holder(&fleet).expect("one holds the duties");
+    fleet.kill(first);
+    wait_until("another entry takes over", || holder(&fleet).is_some()).await;
+    fleet.store.restore(copy);
+    fleet.write_all();
+    sleep(4 * WINDOW).await;
+    let mut counts = BTreeMap::new();
+    for (_, usage) in fleet.store.reports() {
+        let before = counts.insert(usage.window, usage.counts.clone());
+        assert!(
+            before.is_none_or(|before| before == usage.counts),
+            "window {} has other counts in its second report",
+            usage.window
+        );
+    }
+}
--- a/bergamotshift-forward/tests/kernel/reports.rs
+++ b/bergamotshift-forward/tests/kernel/reports.rs
@@ -33,6 +33,20 @@
     assert!(!reports.is_uncertain(99));
 }
 
+/// Guards against two reports of a window: the former holder reported it just before it died, and the store is restored
+/// when this entry has begun.
+#[test]
+fn a_window_that_a_former_holder_may_have_reported_is_uncertain_after_a_restore_under_the_next_one() {
+    let mut reports = Reports::new(WINDOW);
+    reports.learn(96, false);
+    reports.begin(98);
+    reports.store(97, counts(7));
+    reports.restored_while_held();
+    assert!(reports.is_uncertain(97) && reports.is_uncertain(98));
+    assert!(!reports.is_uncertain(99));
+    assert_eq!(reports.stored(97), Some(&counts(7)));
+}
+
 /// Guards against windows that nobody reports: the former holder gave up the duties and named its last report.
 #[test]
 fn a_former_holder_that_names_its_last_report_leaves_nothing_uncertain() {
