--- a/bergamotshift-forward/tests/daemon/cut_off.rs
+++ b/bergamotshift-forward/tests/daemon/cut_off.rs
@@ -224,3 +224,16 @@
         );
     }
 }
+
+/// Guards against callers who pass for an entry and get a connection to an endpoint.
+#[test]
+fn a_caller_cannot_ask_for_a_tunnel() {
+    let cut = Cut::new(plain_endpoints());
+    let hash = bergamotshift_forward::endpoint::Endpoint::new(cut.endpoints[0].registration("staff")).hash;
+    for path in [format!("/{hash:016x}"), cut.endpoints[0].address.to_string()] {
+        let mut caller = Caller::new(cut.first());
+        caller.send("CONNECT", &path, "r-1", "", "");
+        assert!(caller.read_answer().is_none_or(|answer| answer.status >= 400), "{path}");
+    }
+    assert_eq!(cut.runs(), 0);
+}
