fix(forward): entries that are cut off begin with different other entries

All entries took the first of the others in the order of a list when none had tunnels yet, so the ones that were cut off at the same time passed their first requests through one entry. The order now begins at a place that differs between entries.

--- a/bergamotshift-forward/src/relay/candidate.rs
+++ b/bergamotshift-forward/src/relay/candidate.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use bergamotshift_core::clock::Expiry;
 use bergamotshift_core::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which an entry that opened no tunnel is asked for none.
 const BACKOFF: Duration = Duration::from_millis(500);
@@ -55,12 +56,22 @@
 }
 
 /// Entries that can open tunnels for this one; the control thread replaces them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Candidates {
     list: ArcSwap<Vec<Arc<Candidate>>>,
+    /// Decides between equals; differs between entries, which would otherwise all take the same one first.
+    turn: AtomicUsize,
 }
 
 impl Candidates {
+    /// Creates a list without entries for the entry of this name.
+    pub fn new(own: &name::Entry) -> Self {
+        Self {
+            list: ArcSwap::default(),
+            turn: AtomicUsize::new(xxh3_64(own.as_str().as_bytes()) as usize),
+        }
+    }
+
     /// Replaces the entries; what is known of one that stays is kept.
     pub fn replace(&self, entries: impl Iterator<Item = (name::Entry, SocketAddr, bool)>) {
         let before = self.list.load_full();
@@ -85,10 +96,10 @@
         self.list.load().is_empty()
     }
 
-    /// Returns the entry with the fewest open tunnels, of those that do not back off. `seed` decides between equals.
-    pub fn least_loaded(&self, now: Instant, seed: usize) -> Option<Arc<Candidate>> {
+    /// Returns the entry with the fewest open tunnels, of those that do not back off.
+    pub fn least_loaded(&self, now: Instant) -> Option<Arc<Candidate>> {
         let list = self.list.load();
-        let start = seed % list.len().max(1);
+        let start = self.turn.fetch_add(1, Ordering::Relaxed) % list.len().max(1);
         let (before, from) = list.split_at(start);
         let available = from.iter().chain(before);
         // Of equals, the first one is taken.
--- a/bergamotshift-forward/src/relay/open.rs
+++ b/bergamotshift-forward/src/relay/open.rs
@@ -1,6 +1,5 @@
 //! Opens connections to endpoints through another entry.
 
-use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::sync::Arc;
@@ -55,12 +54,10 @@
     request: &str,
     time_left: Duration,
 ) -> Result<Connection, Error> {
-    static SEED: AtomicUsize = AtomicUsize::new(0);
     let deadline = shared.clock.now() + time_left.min(OPEN_TIMEOUT);
     for _ in 0..MAX_ENTRIES {
         let now = shared.clock.now();
-        let seed = SEED.fetch_add(1, Ordering::Relaxed);
-        let Some(candidate) = shared.relays.least_loaded(now, seed).filter(|_| now < deadline) else {
+        let Some(candidate) = shared.relays.least_loaded(now).filter(|_| now < deadline) else {
             return Err(Error::NoEntry);
         };
         let opening = ask(&candidate, endpoint, request);
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -258,7 +258,7 @@
             closed: AtomicBool::new(false),
             stranded: AtomicBool::new(false),
             reach: Reach::default(),
-            relays: Candidates::default(),
+            relays: Candidates::new(&settings.name),
             newest_document: AtomicU64::new(0),
             late: AtomicBool::new(false),
             active: AtomicUsize::new(0),
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod members;
 mod progress;
+mod relay;
 mod reports;
 mod retries;
 mod rounds;
