feat(forward): endpoints reject no more requests than they announce to tolerate

Nothing read the header; an endpoint that tolerated 4 got 6,546 rejections within a second from two entries whose callers came back at once.

- limit::tolerance: each client keeps to a part by itself, as clients may not hear each other and know the load late.
While an endpoint is less than half full, all together send half of its slots and half of the tolerated rejections within the time that news takes; then half of the rejections.
After a rejection a client sends nothing for 1.3 s.
Where a part is less than one request (dozens of entries, few slots), clients take turns of two seconds by their rank.
- Entries tell each other of tolerances and of the time for which they hold back, so the first rejection of one entry holds back all that hear of it.
- What does not fit waits at the entry as for other closed endpoints (an eighth of its objective), or is refused with the time of the next chance.
A notice that ends, or is not repeated for five seconds, ends its effects.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -339,6 +339,7 @@
         self.update_granters(now, shared);
         self.update_stranded(now, shared);
         self.update_relays(now, shared);
+        self.update_tolerances(now, shared);
         self.update_lag(now, shared);
         self.update_ages(now, shared);
         self.update_quotas(now, shared);
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod rollouts;
 mod suspects;
 mod talk;
+mod tolerances;
 mod zone;
 
 use core::cell::RefCell;
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -134,6 +134,7 @@
             reported: self.reported,
             suspicions: self.quarantine.suspicions(now),
             rates: Self::announced_rates(now, shared),
+            tolerances: self.tolerances(now),
             rollouts: self.announced_rollouts(now),
             evidence: shared.rollout_evidence.evidence(),
             zones,
@@ -272,6 +273,7 @@
         }
         self.reported = self.reported.max(state.reported);
         Self::apply_peer_rates(now, shared, &state);
+        Self::apply_tolerances(now, shared, &state);
         self.apply_peer_rollouts(now, shared, &state);
         self.record_peer_document(now, shared, &state);
         // If the other entry has the same data and confirmed it more recently, its confirmation applies here too.
--- a/bergamotshift-forward/src/dialect/mod.rs
+++ b/bergamotshift-forward/src/dialect/mod.rs
@@ -44,6 +44,8 @@
     pub rate: HeaderName,
     /// The flag of a response of an endpoint that is leaving.
     pub leaving: HeaderName,
+    /// The number of rejections per second for want of room, to all entries together, beyond which an endpoint fails.
+    pub tolerance: HeaderName,
     /// The number of tokens of the prompt and the maximum number to generate, comma-separated.
     pub size: HeaderName,
     /// The parts of the prompt in order, as comma-separated `ID:TOKENS` with hexadecimal identifiers.
@@ -73,6 +75,7 @@
             load: header_name("bergamotshift-load"),
             rate: header_name("bergamotshift-limit"),
             leaving: header_name("bergamotshift-leaving"),
+            tolerance: header_name("bergamotshift-tolerance"),
             size: header_name("bergamotshift-size"),
             prompt: header_name("bergamotshift-prompt"),
             urgency: header_name("bergamotshift-priority"),
--- a/bergamotshift-forward/src/dialect/notice.rs
+++ b/bergamotshift-forward/src/dialect/notice.rs
@@ -17,6 +17,9 @@
     /// The rate limit for requests from all entries together, in requests per second; `None` when the endpoint
     /// announces none.
     pub rate: Option<f64>,
+    /// The number of rejections per second, to all entries together, beyond which the endpoint fails; `None` when it
+    /// announces none.
+    pub tolerance: Option<f64>,
     /// Whether the endpoint is leaving.
     pub is_leaving: bool,
     /// The time for which the endpoint wants no requests from this entry; `None` unless it rejected the request and
@@ -31,6 +34,7 @@
         let pause = text(&header::RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
         Self {
             rate: text(&dialect.rate).and_then(non_negative),
+            tolerance: text(&dialect.tolerance).and_then(non_negative),
             is_leaving: text(&dialect.leaving).is_some_and(|value| value != CLEARED),
             retry_after: pause
                 .and_then(non_negative)
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -4,6 +4,7 @@
 mod health;
 mod ledger;
 mod signals;
+mod unanswered;
 
 use core::net::SocketAddr;
 use core::sync::atomic::AtomicBool;
@@ -14,6 +15,7 @@
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_limit::tolerance::Room;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -25,6 +27,7 @@
 pub use self::health::Health;
 pub use self::ledger::Ledger;
 pub use self::signals::Signals;
+pub use self::unanswered::Unanswered;
 use crate::outside::Cursor;
 use crate::peers::InFlight;
 use crate::rollouts::Observer;
@@ -146,9 +149,19 @@
 
     /// Returns the time until which this entry sends it no requests; `None` if it may send requests now.
     pub fn closed_until(&self, now: Instant) -> Option<Instant> {
-        self.signals
-            .paused_until(now)
-            .max(self.signals.throttle.paused_until(now))
+        let Signals {
+            throttle, tolerance, ..
+        } = &*self.signals;
+        let paused = self.signals.paused_until(now).max(throttle.paused_until(now));
+        paused.max(tolerance.closed_until(now, self.room()))
+    }
+
+    /// Returns the requests in flight there and its slots.
+    pub fn room(&self) -> Room {
+        Room {
+            running: self.running(),
+            slots: self.registration.slots,
+        }
     }
 
     /// Marks it as leaving according to its registration; returns whether it was not marked before.
--- a/bergamotshift-forward/src/endpoint/signals.rs
+++ b/bergamotshift-forward/src/endpoint/signals.rs
@@ -6,12 +6,15 @@
 use bergamotshift_core::clock::Expiry;
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::throttle::Throttle;
+use bergamotshift_limit::tolerance::Tolerance;
 
 /// Signals from the answers of one incarnation of an endpoint; registrations do not override them.
 #[derive(Debug, Default)]
 pub struct Signals {
     /// Rate that it announces.
     pub throttle: Throttle,
+    /// Rejections that it tolerates.
+    pub tolerance: Tolerance,
     /// Whether it announced that it is leaving.
     leaving: AtomicBool,
     /// Time until which it accepts no requests from this entry.
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -372,4 +372,10 @@
     pub fn count(&self) -> usize {
         self.peers.len() + 1
     }
+
+    /// Returns the number of entries whose names are before this one's, and the number of all entries.
+    pub fn position(&self) -> (usize, usize) {
+        let before = self.peers.keys().filter(|entry| **entry < self.own).count();
+        (before, self.count())
+    }
 }
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -123,6 +123,20 @@
     }
 }
 
+/// The rejections that an endpoint tolerates, as entries pass it on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Tolerance {
+    /// The endpoint, by its hash.
+    pub endpoint: u64,
+    /// Rejections per second, to all entries together.
+    pub rejections: f64,
+    /// The age of this information, in milliseconds.
+    pub age_ms: u32,
+    /// The time for which the sender sends nothing there after a rejection, in milliseconds.
+    pub held_ms: u32,
+}
+
 /// The last change of the store that a copy of its data includes, and how long ago the copy was known to be current.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -221,6 +235,8 @@
     pub rollouts: Vec<Rollout>,
     /// The rate limits that endpoints announced or lifted in answers to the sender.
     pub rates: Vec<Rate>,
+    /// The rejections that endpoints tolerate.
+    pub tolerances: Vec<Tolerance>,
     /// The outcomes of requests to both versions that the sender observed during each rollout.
     pub evidence: Vec<(name::Service, rollout::Evidence)>,
     /// The availability zones of the entries that the sender knows; empty in a brief state.
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -35,6 +35,7 @@
 pub use self::message::Rollout;
 pub use self::message::Stage;
 pub use self::message::State;
+pub use self::message::Tolerance;
 pub use self::message::Usage;
 pub use self::network::Error;
 pub use self::network::Network;
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -22,6 +22,7 @@
 use crate::document::Kind;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Guard;
+use crate::endpoint::Unanswered;
 use crate::exchange;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
@@ -207,9 +208,12 @@
         if time_left < MIN_TIME_LEFT {
             return Err(Error::Unreachable);
         }
-        if endpoint.is_leaving() || endpoint.signals.paused_until(now).is_some() {
+        let is_closed = endpoint.signals.paused_until(now).is_some()
+            || endpoint.signals.tolerance.closed_until(now, endpoint.room()).is_some();
+        if endpoint.is_leaving() || is_closed {
             return Err(Error::Unavailable);
         }
+        let mut unanswered = Unanswered::begin(endpoint, self.shared.clock, now);
         history.sends += 1;
         history.estimate = Some(estimate);
         self.shared.metrics.sends.inc();
@@ -246,6 +250,10 @@
             }
         };
         let notice = self.apply_notice(job, choice, now, &head);
+        if head.status == StatusCode::SERVICE_UNAVAILABLE && self.shared.dialect.says_not_run(&head.headers) {
+            unanswered.reject();
+        }
+        drop(unanswered);
         let exchange = Exchange {
             head,
             connection,
--- a/bergamotshift-forward/src/serve/notice.rs
+++ b/bergamotshift-forward/src/serve/notice.rs
@@ -9,6 +9,7 @@
 use super::job::Job;
 use crate::choice::Choice;
 use crate::dialect::Notice;
+use crate::endpoint::Endpoint;
 use crate::exchange::Head;
 use crate::observe::Topic;
 use crate::view::Origin;
@@ -28,6 +29,10 @@
             let source = Origin::Answer(&job.metadata.id);
             self.shared.apply_rate(now, &choice.endpoint, limit, source);
         }
+        let tolerance = notice.tolerance.map(|rejections| RateLimit::named(rejections, now));
+        if let Some(announced) = tolerance.or(removed) {
+            self.apply_tolerance(now, job, &choice.endpoint, announced);
+        }
         let is_new = notice.is_leaving && choice.endpoint.signals.mark_leaving();
         if let Some(pause) = notice.retry_after {
             choice.endpoint.signals.pause_until(now + pause);
@@ -38,6 +43,17 @@
         notice
     }
 
+    /// Applies the number of rejections per second that an endpoint tolerates, or that it announces none any more.
+    fn apply_tolerance(&self, now: Instant, job: &Job, endpoint: &Endpoint, announced: RateLimit) {
+        if !endpoint.signals.tolerance.update(announced) {
+            return;
+        }
+        if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::State) {
+            info!(logger, "endpoint tolerates rejections"; "endpoint" => endpoint.registration.id.as_str(),
+                "request" => job.metadata.id.as_str(), "per_second" => announced.rate, "left_out" => left_out);
+        }
+    }
+
     fn log_notice(&self, now: Instant, job: &Job, choice: &Choice, status: StatusCode, notice: Notice) {
         let endpoint = &choice.endpoint;
         if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::State) {
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -24,3 +24,4 @@
 mod stop;
 mod streams;
 mod throttled;
+mod tolerance;
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -42,6 +42,7 @@
         reported: 0,
         suspicions: Vec::new(),
         rates: Vec::new(),
+        tolerances: Vec::new(),
         rollouts: Vec::new(),
         evidence: Vec::new(),
         zones: Vec::new(),
--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod retry;
 pub mod share;
 pub mod throttle;
+pub mod tolerance;
