--- a/bergamotshift-soak/src/caller.rs
+++ b/bergamotshift-soak/src/caller.rs
@@ -1,5 +1,6 @@
 //! Callers that keep their connections until the other side ends them.
 
+use core::ops::Range;
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
@@ -38,6 +39,9 @@
 /// The longest pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: u64 = 40;
 
+/// The pause between two requests that crash endpoints, in milliseconds.
+const CRASH_PAUSE_MS: Range<u64> = 100..300;
+
 /// Which entry a connection goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Door {
@@ -104,6 +108,18 @@
         }
     }
 
+    /// Sends the request that crashes endpoints again and again, until told to stop.
+    pub fn crash_repeatedly(mut self, doors: &Doors, stop: &AtomicBool) {
+        while !stop.load(Ordering::Relaxed) {
+            if let Some(door) = self.door(doors) {
+                self.ask_at(door, Kind::Crash, Tenant::Free);
+            }
+            thread::sleep(Duration::from_millis(
+                CRASH_PAUSE_MS.start + self.below(CRASH_PAUSE_MS.end),
+            ));
+        }
+    }
+
     /// Sends one request to one entry; returns how it ended.
     pub fn ask_at(&mut self, door: Door, kind: Kind, tenant: Tenant) -> Outcome {
         self.connection = open(door).ok();
@@ -119,12 +135,18 @@
     }
 
     fn connect(&mut self, doors: &Doors) -> Option<(Door, BufReader<TcpStream>)> {
+        let door = self.door(doors)?;
+        open(door).ok()
+    }
+
+    /// Draws an entry that callers may go to.
+    fn door(&mut self, doors: &Doors) -> Option<Door> {
         let open_doors = doors.open();
         if open_doors.is_empty() {
             return None;
         }
         let place = self.below(open_doors.len() as u64) as usize;
-        open(open_doors[place]).ok()
+        Some(open_doors[place])
     }
 
     fn ask(&mut self, kind: Kind, tenant: Tenant) -> Outcome {
@@ -165,8 +187,9 @@
             key_scheme,
             ..
         } = &self.dialect;
+        let own = if kind == Kind::Crash { "" } else { id };
         format!(
-            "POST {}{id} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: {key_scheme} {}\r\n{request}: {id}\r\n\
+            "POST {}{own} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: {key_scheme} {}\r\n{request}: {id}\r\n\
              {time_left}: {}\r\ncontent-length: 2\r\n\r\n{{}}",
             kind.prefix(),
             tenant.key(),
@@ -186,7 +209,7 @@
         }
         let expected = match kind {
             Kind::Draft => (1..=EVENTS).map(|number| endpoint::event(id, number)).collect(),
-            Kind::Checkin | Kind::Confirm | Kind::Moving => endpoint::body(id),
+            Kind::Checkin | Kind::Confirm | Kind::Moving | Kind::Crash => endpoint::body(id),
         };
         if answer.body == expected.as_bytes() {
             Outcome::Answered(200)
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::thread;
 
@@ -102,6 +103,8 @@
     habit: AtomicU8,
     notice: Mutex<Notice>,
     is_gone: AtomicBool,
+    /// What all entries' connections go through.
+    proxy: OnceLock<Proxy>,
     /// The connections that stand, by the port at the other side.
     streams: Mutex<BTreeMap<u16, TcpStream>>,
 }
@@ -132,8 +135,10 @@
             habit: AtomicU8::new(0),
             notice: Mutex::default(),
             is_gone: AtomicBool::new(false),
+            proxy: OnceLock::new(),
             streams: Mutex::default(),
         });
+        let proxy = Proxy::start(address)?;
         let served = Arc::clone(&shared);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -145,11 +150,8 @@
                 thread::spawn(move || drop(served.keep(stream)));
             }
         });
-        Ok(Self {
-            shared,
-            address,
-            proxy: Proxy::start(address)?,
-        })
+        let proxy = shared.proxy.get_or_init(|| proxy).clone();
+        Ok(Self { shared, address, proxy })
     }
 
     /// Returns its incarnation's name.
@@ -189,15 +191,14 @@
         *self.shared.notice()
     }
 
+    /// Returns whether it ended by itself, with a request that crashed it.
+    pub fn has_crashed(&self) -> bool {
+        self.shared.is_gone.load(Ordering::Relaxed)
+    }
+
     /// Ends it at once, with all that it has under way.
     pub fn crash(&self) {
-        self.shared.is_gone.store(true, Ordering::Relaxed);
-        self.proxy.close();
-        let mut streams = self.shared.streams();
-        for stream in mem::take(&mut *streams).values() {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        drop(streams);
+        self.shared.end(&self.proxy);
         // The listener ends with the next connection.
         let _ = TcpStream::connect(self.address);
     }
@@ -212,6 +213,26 @@
         self.notice.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Ends all connections, and takes no further ones.
+    fn end(&self, proxy: &Proxy) {
+        self.is_gone.store(true, Ordering::Relaxed);
+        proxy.close();
+        for stream in mem::take(&mut *self.streams()).values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Ends with a request, in one of two cases after the head of its answer.
+    fn crash_with(&self, stream: &mut TcpStream, id: &str, said: Notice) -> io::Result<()> {
+        if id.ends_with(['0', '2', '4', '6', '8']) {
+            stream.write_all(self.head("200 OK", id, said, "content-length: 100\r\n").as_bytes())?;
+        }
+        if let Some(proxy) = self.proxy.get() {
+            self.end(proxy);
+        }
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
     /// Serves a connection, and keeps it meanwhile, so that a crash can end it.
     fn keep(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
@@ -238,6 +259,9 @@
                 continue;
             }
             thread::sleep(WORK);
+            if call.request_line.contains(Kind::Crash.prefix()) {
+                return self.crash_with(&mut stream, &id, said);
+            }
             if call.request_line.contains(Kind::Draft.prefix()) {
                 self.stream(&mut stream, &call, &id, said, habit)?;
             } else {
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -124,6 +124,11 @@
                 Later::Rewrite => self.rewrite(),
             }
         }
+        for place in 0..self.endpoints.len() {
+            if self.endpoints[place].has_crashed() {
+                self.crash(place)?;
+            }
+        }
         for number in 0..self.entries.len() {
             self.watch(number)?;
         }
--- a/bergamotshift-soak/src/lib.rs
+++ b/bergamotshift-soak/src/lib.rs
@@ -7,6 +7,7 @@
 //! against it.
 
 pub mod caller;
+pub mod crash;
 pub mod endpoint;
 pub mod fleet;
 pub mod ledger;
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -54,6 +54,8 @@
     notices: bool,
     #[options(help = "restore the store from copies", no_short)]
     restores: bool,
+    #[options(help = "send a request that crashes endpoints again and again", no_short)]
+    crashes: bool,
 }
 
 fn main() -> ExitCode {
@@ -92,6 +94,7 @@
     };
     settings.notices = arguments.notices;
     settings.restores = arguments.restores;
+    settings.crashes = arguments.crashes;
     settings.size.entries = arguments.entries;
     settings.size.span = Duration::from_secs(arguments.seconds);
     if arguments.unbalanced {
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::caller;
 use crate::caller::Caller;
 use crate::caller::Door;
+use crate::crash;
 use crate::fleet::Fleet;
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
@@ -36,6 +37,9 @@
 /// The number of the first caller that checks the recovery; those of the run have lower ones.
 const CHECKER: u64 = 1_000_000;
 
+/// The number of the caller whose requests crash endpoints.
+const CRASHER: u64 = 2_000_000;
+
 /// What a run is made of.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -56,6 +60,8 @@
     pub notices: bool,
     /// Whether the store is restored from copies.
     pub restores: bool,
+    /// Whether a caller sends a request that crashes endpoints.
+    pub crashes: bool,
 }
 
 impl Default for Settings {
@@ -73,6 +79,7 @@
             connects: Duration::from_millis(2_500),
             notices: false,
             restores: false,
+            crashes: false,
         }
     }
 }
@@ -131,7 +138,14 @@
             thread::spawn(move || caller.run(&doors, &stop))
         })
         .collect();
+    let calm = Arc::new(AtomicBool::new(!settings.crashes));
+    let crasher = Caller::new(CRASHER, settings.seed, Arc::clone(&ledger));
+    let (doors, ended) = (Arc::clone(&fleet.doors), Arc::clone(&calm));
+    let crasher = thread::spawn(move || crasher.crash_repeatedly(&doors, &ended));
     follow(&mut fleet, &plan, settings.size.span)?;
+    calm.store(true, Ordering::Relaxed);
+    // It has said so if it panicked.
+    let _ = crasher.join();
     fleet.heal()?;
     late.extend(recover(&mut fleet, &ledger, CHECKER + 1)?);
     fleet.finish();
@@ -144,6 +158,7 @@
     let reports = fleet.store.state().reports.clone();
     let mut broken = promise::check(&ledger, &book, &reports);
     broken.extend(notice::check(&book));
+    broken.extend(crash::check(&book));
     broken.extend(late);
     let served = |outcome: &Outcome| *outcome == Outcome::Answered(200);
     Ok(Report {
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -29,6 +29,9 @@
 /// What it may send beyond that at once.
 pub const BURST: f64 = 15.0;
 
+/// The path of the requests that crash endpoints.
+const CRASH_PATH: &str = "/checkin/crash";
+
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -40,10 +43,12 @@
     Draft,
     /// As a checkin, on the route that the operators move.
     Moving,
+    /// As a checkin, with the same content each time; it crashes each endpoint that runs it.
+    Crash,
 }
 
 impl Kind {
-    /// All kinds.
+    /// All kinds that a route of its own leads to.
     pub const ALL: [Self; 4] = [Self::Checkin, Self::Confirm, Self::Draft, Self::Moving];
 
     /// Returns what the paths of its route begin with.
@@ -53,6 +58,7 @@
             Self::Confirm => "/confirm/",
             Self::Draft => "/draft/",
             Self::Moving => "/moving/",
+            Self::Crash => CRASH_PATH,
         }
     }
 }
@@ -128,7 +134,7 @@
 
 fn route(kind: Kind, moving: &str) -> Route {
     let (repeat, resumable) = match kind {
-        Kind::Checkin | Kind::Moving => (Repeat::Idempotent, false),
+        Kind::Checkin | Kind::Moving | Kind::Crash => (Repeat::Idempotent, false),
         Kind::Confirm => (Repeat::Once, false),
         Kind::Draft => (Repeat::Stream, true),
     };
--- a/bergamotshift/tests/soak.rs
+++ b/bergamotshift/tests/soak.rs
@@ -65,3 +65,13 @@
         ..Settings::default()
     });
 }
+
+/// Guards against a request that crashes one endpoint after the other while entries are killed, stopped and cut off.
+#[test]
+fn a_crashing_request_is_stopped_while_everything_is_harmed() {
+    soak(&Settings {
+        seed: 53,
+        crashes: true,
+        ..Settings::default()
+    });
+}
