--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -20,6 +20,7 @@
 mod restore;
 mod rollouts;
 mod site;
+mod sockets;
 mod start;
 mod stop;
 mod streams;
