test(forward): a second of silence of one endpoint, and of a third of them, ends no stream

Streams that may not go on elsewhere wait and are sent once; those that may are sent again in half of the cases at most; no death is recorded.

--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -19,6 +19,7 @@
 mod port;
 mod restore;
 mod rollouts;
+mod silence;
 mod site;
 mod sockets;
 mod start;
