fix(forward): entries stay ready when no entry reaches a service

An entry that was cut off from a service left the balancer when no other one passed requests on. Where the endpoints of one service are down, that holds of all entries, so all of them would have left, with the other services that they serve. An entry now stays ready, and passes requests of a service on unless it is cut off from all services itself.

Test: entries_stay_ready_when_nobody_reaches_a_service failed before and passes.

--- a/bergamotshift-forward/src/control/paths.rs
+++ b/bergamotshift-forward/src/control/paths.rs
@@ -9,9 +9,9 @@
 
 impl Inner {
     /// Returns the address at which this entry opens connections to endpoints for other entries; `None` while it stops, or
-    /// is cut off itself.
-    pub(super) fn relay_address(shared: &Shared) -> Option<SocketAddr> {
-        let is_able = !shared.is_stopping() && !shared.reach.is_any_cut_off();
+    /// is cut off from all services itself.
+    pub(super) fn relay_address(&self, shared: &Shared) -> Option<SocketAddr> {
+        let is_able = !shared.is_stopping() && shared.reach.count() < self.document.services.len();
         shared.settings.listen.relay.filter(|_| is_able)
     }
 
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -103,7 +103,7 @@
             entry: shared.settings.name.clone(),
             incarnation: self.incarnation,
             address: shared.settings.listen.peers,
-            relay: Self::relay_address(shared),
+            relay: self.relay_address(shared),
             zone: shared.settings.zone.clone(),
             core_share: core_share(shared),
             stage: match is_keeper {
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -281,13 +281,14 @@
     /// An entry is not ready while its zone is cut off and lacks endpoints of some service. Its callers would wait for
     /// connections to other zones and be refused; entries in other zones can serve them.
     ///
-    /// An entry that reaches no endpoint of some service stays ready while another entry can pass requests on.
+    /// An entry that reaches no endpoint of some service stays ready: another entry passes its requests on, or nobody reaches
+    /// the service.
     ///
     /// An entry is also not ready while it cannot get the newest document although others have it, since it would
     /// handle callers by outdated configuration. If most entries are late, the load balancer uses all of them.
     pub fn is_ready(&self) -> bool {
         let view = self.view.load();
-        view.can_serve() && !self.is_stopping() && !self.is_stranded() && !self.is_late() && !self.lacks_paths()
+        view.can_serve() && !self.is_stopping() && !self.is_stranded() && !self.is_late()
     }
 
     /// Returns whether another entry has a newer document than `view`.
--- a/bergamotshift-forward/src/view/paths.rs
+++ b/bergamotshift-forward/src/view/paths.rs
@@ -7,11 +7,6 @@
 use crate::endpoint::Endpoint;
 
 impl Shared {
-    /// Returns whether the entry is cut off from the endpoints of a service and no other entry can pass requests on.
-    pub fn lacks_paths(&self) -> bool {
-        self.reach.is_any_cut_off() && self.relays.is_empty()
-    }
-
     /// Records that a connection to an endpoint of a service was opened.
     pub fn record_reached(&self, service: &name::Service) {
         if self.reach.record_reached(service) {
--- a/bergamotshift-forward/tests/daemon/cut_off.rs
+++ b/bergamotshift-forward/tests/daemon/cut_off.rs
@@ -1,6 +1,7 @@
 //! Entries that are cut off from all endpoints, while callers, the store and the other entries reach them.
 
 use std::io::Write;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +17,9 @@
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
 
+/// Interval at which entries tell each other their states.
+const ROUND: Duration = Duration::from_millis(250);
+
 /// Time after which a fleet counts as stable, for operators.
 const STABLE: Duration = Duration::from_secs(3);
 
@@ -225,6 +229,30 @@
     }
 }
 
+/// Guards against entries that all leave the balancer because the endpoints of one service are down, although they serve the
+/// other services.
+#[test]
+fn entries_stay_ready_when_nobody_reaches_a_service() {
+    let cut = Cut::new(plain_endpoints());
+    for entry in &cut.entries {
+        assert_eq!(Caller::new(entry).ask("POST", "/checkin/1", "r-1", "x").status, 200);
+    }
+    cut.set(State::Refusing);
+    cut.endpoints.iter().for_each(Endpoint::crash);
+    let is_cut_off = |entry: &Daemon| entry.value("bergamotshift_forward_cut_off") == Some(1);
+    for number in 0.. {
+        if cut.entries.iter().all(is_cut_off) {
+            break;
+        }
+        assert!(number < 1_000, "no entry knows that it reaches no endpoint");
+        for entry in &cut.entries {
+            Caller::new(entry).ask("POST", "/checkin/1", &format!("a-{number}"), "x");
+        }
+    }
+    thread::sleep(2 * ROUND);
+    assert!(cut.entries.iter().all(Daemon::is_ready));
+}
+
 /// Guards against callers who pass for an entry and get a connection to an endpoint.
 #[test]
 fn a_caller_cannot_ask_for_a_tunnel() {
--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -163,7 +163,7 @@
     }
 
     /// Ends the listener; its port stays reserved.
-    fn crash(&self) {
+    pub fn crash(&self) {
         self.crashed.store(true, Ordering::Release);
         // Wakes the listener's thread.
         let _ = TcpStream::connect(self.address);
--- a/bergamotshift-forward/tests/daemon/port.rs
+++ b/bergamotshift-forward/tests/daemon/port.rs
@@ -42,6 +42,8 @@
 
     /// Listens on the port.
     pub fn listen(self, backlog: i32) -> TcpListener {
+        // Connections that it accepts may outlive the listener, and must not keep the port from being reserved again.
+        self.socket.set_reuse_address(true).expect("a socket takes the option");
         self.socket.listen(backlog).expect("a bound socket listens");
         self.socket.into()
     }
