fix(forward): endpoints whose connections broke are probed side by side

A death was recorded late where many connections broke at once: the entry probed one endpoint after the other, and each one that gave no answer took 0.3 s, or more with the confirmation by another entry. With 15 silent endpoints the death of the sixteenth was recorded after 4.5 s; a crashing request may go on that long, and the users' bound counts from three seconds. Notes that have arrived are now grouped by endpoint, and their endpoints probed side by side.

Test: endpoints_that_give_no_answer_do_not_delay_the_record_of_a_death failed before (4.52 s) and passes.

--- a/bergamotshift-forward/src/follow/notes.rs
+++ b/bergamotshift-forward/src/follow/notes.rs
@@ -1,7 +1,10 @@
 //! Processes notes from requests to the control thread.
 
 use core::time::Duration;
+use std::collections::BTreeMap;
 
+use bergamotshift_core::prelude::*;
+use futures_util::future::join_all;
 use tokio::sync::mpsc;
 
 use crate::control::Control;
@@ -22,16 +25,29 @@
 ///
 /// A broken connection does not imply that the endpoint died. The endpoint counts as dead only if it accepts no
 /// connection right afterwards; otherwise a request that merely lost its answer would be suspected of crashing
-/// endpoints.
+/// endpoints. Endpoints are probed side by side, as some may give no answer.
 pub async fn notes(control: Control, mut inbox: mpsc::UnboundedReceiver<Note>) {
-    while let Some(note) = inbox.recv().await {
-        let Note::ConnectionLost { endpoint, fingerprint } = note;
-        let endpoints = control.endpoints();
-        let Some(found) = endpoints.iter().find(|one| one.hash == endpoint) else {
-            continue;
-        };
-        if is_dead(control.shared(), found).await {
-            control.endpoint_died(endpoint, fingerprint);
+    while let Some(first) = inbox.recv().await {
+        let mut lost: BTreeMap<u64, Vec<Fingerprint>> = BTreeMap::new();
+        let mut next = Some(first);
+        while let Some(Note::ConnectionLost { endpoint, fingerprint }) = next {
+            lost.entry(endpoint).or_default().push(fingerprint);
+            next = inbox.try_recv().ok();
+        }
+        let probes = lost.into_iter().map(|(hash, running)| probe(&control, hash, running));
+        join_all(probes).await;
+    }
+}
+
+/// Records the death of an endpoint with these requests if it is dead.
+async fn probe(control: &Control, hash: u64, running: Vec<Fingerprint>) {
+    let endpoints = control.endpoints();
+    let Some(endpoint) = endpoints.iter().find(|endpoint| endpoint.hash == hash) else {
+        return;
+    };
+    if is_dead(control.shared(), endpoint).await {
+        for fingerprint in running {
+            control.endpoint_died(hash, fingerprint);
         }
     }
 }
--- a/bergamotshift-forward/tests/daemon/cut_off.rs
+++ b/bergamotshift-forward/tests/daemon/cut_off.rs
@@ -179,6 +179,40 @@
     assert_eq!(cut.first().death_count(), Some(0));
 }
 
+/// Guards against a death that is recorded late, since the entry first finds out about many endpoints whose connections broke
+/// too and that give no answer.
+#[test]
+fn endpoints_that_give_no_answer_do_not_delay_the_record_of_a_death() {
+    const ENDPOINTS: usize = 16;
+    let endpoint = |number| {
+        Endpoint::start(&format!("e{number}"), |request, _, stream| {
+            stream.write_all(request.answer_head("200 OK", EVENT_STREAM).as_bytes())?;
+            stream.write_all(b"b\r\nid: 1\ndata\n\r\n")?;
+            Ok(Connection::Keep)
+        })
+    };
+    let cut = Cut::new((0..ENDPOINTS).map(endpoint).collect());
+    let mut callers: Vec<_> = (0..ENDPOINTS).map(|_| Caller::new(cut.first())).collect();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.send("POST", "/chat/1", &format!("r-{number}"), "", &format!("{number}"));
+    }
+    wait_until("each endpoint has a stream", || {
+        cut.endpoints.iter().all(|endpoint| endpoint.count() == 1)
+    });
+    let (dead, others) = cut.gates.split_last().expect("there are some");
+    for gate in others {
+        gate.set(State::Silent);
+    }
+    for gate in others {
+        gate.end_connections();
+    }
+    cut.endpoints[ENDPOINTS - 1].crash();
+    dead.set(State::Refusing);
+    let began = Instant::now();
+    wait_until("the death is recorded", || cut.first().death_count() == Some(1));
+    assert!(began.elapsed() < STABLE, "it took {:?}", began.elapsed());
+}
+
 /// Guards against an entry that goes on through another one after its paths are back.
 #[test]
 fn an_entry_that_reaches_endpoints_again_passes_nothing_through_others() {
--- a/bergamotshift-forward/tests/daemon/gate.rs
+++ b/bergamotshift-forward/tests/daemon/gate.rs
@@ -116,7 +116,8 @@
         core::mem::forget::<TcpListener>(listener);
     }
 
-    fn end_connections(&self) {
+    /// Ends the open connections.
+    pub fn end_connections(&self) {
         for connection in lock(&self.shared.connections).drain(..) {
             // It may have ended by itself.
             let _ = connection.shutdown(Shutdown::Both);
