fix(forward): a holder's handover is known by its fencing number, not by the entry's name

Cause: an entry took the first state of the new process, which holds nothing, for the word of the former holder that it had given the duties up, since it compared the entry's name. That word ends the uncertainty after a restore. Two more ways to the same were open in it: a holder whose lease lapsed, or whose last report had no answer, says that it does not hold the duties too; and another entry may have held them after the one that gave them up.

A holder that gives the duties up in order now says so by a handover: its fencing number, the last window that it reported or left out, and those that are uncertain to itself. The next holder takes it over only if its own number follows it, so nobody held the duties in between. A number of a later era of the store follows none. Handovers are passed on by all entries. Windows that are left out are announced like reported ones; before, a later holder could report them. Everything that was keyed by name and incarnation is keyed by one type, and a late state of an ended process is dropped but for what stays true.

The tests of Reports that passed is_final are replaced by those of handovers, which check the same windows and more.

Given up: if the holder gives the duties up and the store is restored before the next one begins, windows that are not known to be reported, and whose counts are not in the store, are left out. A missing window costs less than one that is billed twice.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -24,6 +24,7 @@
 use super::organisation::Organisation;
 use crate::document::Difference;
 use crate::document::Document;
+use crate::duty::Handover;
 use crate::duty::Windows;
 use crate::endpoint::Directory;
 use crate::endpoint::Endpoint;
@@ -40,6 +41,7 @@
 use crate::observe::Topic;
 use crate::outside::Cursor;
 use crate::peers::Members;
+use crate::peers::Process;
 use crate::peers::State;
 use crate::random;
 use crate::view::Shared;
@@ -83,11 +85,11 @@
 /// Another entry that holds the duties or held them before.
 #[derive(Clone, Debug)]
 pub(super) struct Holder {
-    /// Name of the entry.
-    pub(super) entry: name::Entry,
+    /// Process of the entry.
+    pub(super) process: Process,
     /// Time at which this was last reported.
     pub(super) reported: Instant,
-    /// Whether it holds the duties; an entry that stops reports that it no longer does.
+    /// Whether it holds the duties; an entry that stops reports that it no longer does, and so does one that started again.
     pub(super) holds: bool,
 }
 
@@ -129,13 +131,13 @@
     /// Requests that were refused as suspected ones at the last change.
     pub(super) quarantined: BTreeSet<Fingerprint>,
     /// Usage counted by each process of each other entry.
-    pub(super) peer_usage: BTreeMap<(name::Entry, u64), Windows>,
+    pub(super) peer_usage: BTreeMap<Process, Windows>,
     /// Rollout state that determines which versions of each service may receive requests.
     pub(super) trackers: BTreeMap<name::Service, Tracker>,
     /// Share of requests for each service's new version in the last view, in thousandths.
     pub(super) shares: BTreeMap<name::Service, u16>,
     /// Evidence on old and new versions collected by each process of each other entry.
-    pub(super) peer_evidence: BTreeMap<(name::Entry, u64), Vec<(name::Service, Evidence)>>,
+    pub(super) peer_evidence: BTreeMap<Process, Vec<(name::Service, Evidence)>>,
     /// Whether this entry holds the duties.
     pub(super) holds_duties: bool,
     /// Notice about the duties' lease that this entry sends to others.
@@ -144,7 +146,9 @@
     pub(super) peer_lease_notice: Option<(Notice, Instant)>,
     /// Other entry that was last known to hold the duties, or to have released them.
     pub(super) duty_holder: Option<Holder>,
-    /// Last usage window that is known to be reported.
+    /// Newest handover of the duties, by this entry or another one.
+    pub(super) handover: Option<Handover>,
+    /// Last usage window that is known to be reported or left out.
     pub(super) reported: u64,
     /// Whether the list of entries has been read.
     pub(super) entries_listed: bool,
@@ -197,6 +201,7 @@
             lease_notice: None,
             peer_lease_notice: None,
             duty_holder: None,
+            handover: None,
             reported: 0,
             entries_listed: false,
             busy_before_start: None,
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -34,6 +34,7 @@
 pub use self::rollouts::Rollout;
 pub use self::talk::Recipient;
 use crate::document::Document;
+use crate::duty::Handover;
 use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Event;
@@ -318,7 +319,7 @@
     pub fn due_peers(&self, limit: usize) -> Vec<(name::Entry, SocketAddr)> {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
-        let holder = inner.duty_holder.as_ref().map(|holder| holder.entry.clone());
+        let holder = inner.duty_holder.as_ref().map(|holder| holder.process.entry.clone());
         let states = inner.members.recent_states(now, inner::STATE_TTL);
         let ahead = states.filter(|(_, state)| inner.is_ahead(state));
         let ahead: BTreeSet<_> = ahead.map(|(entry, _)| entry.clone()).collect();
@@ -402,18 +403,26 @@
         Some(notice.aged(now.since(received)))
     }
 
-    /// Records the last usage window that this entry reported, for the other entries.
+    /// Records what this entry leaves to the next holder of the duties.
+    pub fn set_handover(&self, handover: Handover) {
+        let mut inner = self.inner.borrow_mut();
+        inner.learn_handover(&self.shared, handover, "own");
+    }
+
+    /// Returns the newest handover of the duties that is known.
+    pub fn handover(&self) -> Option<Handover> {
+        self.inner.borrow().handover
+    }
+
+    /// Records the last usage window that this entry reported or left out, for the other entries.
     pub fn set_reported(&self, window: u64) {
         let mut inner = self.inner.borrow_mut();
         inner.reported = inner.reported.max(window);
     }
 
-    /// Returns the last usage window that is known to be reported, and whether the former holder of the duties said so
-    /// after it gave them up.
-    pub fn reported(&self) -> (u64, bool) {
-        let inner = self.inner.borrow();
-        let is_final = inner.duty_holder.as_ref().is_some_and(|holder| !holder.holds);
-        (inner.reported, is_final)
+    /// Returns the last usage window that is known to be reported or left out.
+    pub fn reported(&self) -> u64 {
+        self.inner.borrow().reported
     }
 
     /// Returns the era of the store that this entry, or another one that it heard from, knows.
--- a/bergamotshift-forward/src/control/rollouts.rs
+++ b/bergamotshift-forward/src/control/rollouts.rs
@@ -129,7 +129,7 @@
             let order = rollout.order.clone();
             self.apply_rollout(now, shared, order, age, rollout.directive, state.entry.as_str());
         }
-        let key = (state.entry.clone(), state.incarnation);
+        let key = state.process();
         // Only the holder of the duties needs the evidence. Entries send their full sums, so a successor misses
         // nothing.
         if self.holds_duties && !state.evidence.is_empty() {
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -8,6 +8,7 @@
 use super::inner::Holder;
 use super::inner::Inner;
 use super::inner::core_share;
+use crate::duty::Handover;
 use crate::follow::Checkpoint;
 use crate::limits::Keeper;
 use crate::observe::Topic;
@@ -71,7 +72,7 @@
 impl Inner {
     /// Returns what another entry needs of this entry's state.
     pub(super) fn recipient(&self, now: Instant, entry: &name::Entry) -> Recipient {
-        let holder = self.duty_holder.as_ref().map(|holder| &holder.entry);
+        let holder = self.duty_holder.as_ref().map(|holder| &holder.process.entry);
         Recipient {
             is_brief: self.members.is_brief(now, entry),
             needs_usage: !self.members.is_large() || holder == Some(entry),
@@ -115,8 +116,9 @@
             lease: self.lease_notice,
             holder: self.duty_holder.as_ref().filter(|holder| holder.holds).map(|holder| {
                 let age = now.since(holder.reported).as_millis();
-                (holder.entry.clone(), u32::try_from(age).unwrap_or(u32::MAX))
+                (holder.process.clone(), u32::try_from(age).unwrap_or(u32::MAX))
             }),
+            handover: self.handover,
             reaches_store: self.failed_calls.is_empty(),
             document: self.document.version,
             document_freshness: freshness(&self.document_checkpoint, now),
@@ -231,13 +233,8 @@
         }
     }
 
-    /// Applies the state of another entry.
-    fn apply_state(&mut self, now: Instant, shared: &Shared, state: State) {
-        if state.entry == shared.settings.name {
-            return;
-        }
-        self.members.merge_members(now, &state.zones, &state.members);
-        self.apply_limit_usage(now, shared, &state);
+    /// Applies the parts of another entry's state that stay true when its process has ended.
+    fn apply_lasting(&mut self, now: Instant, shared: &Shared, state: &State) {
         let before = self.peer_lease_notice.map(|(notice, _)| notice);
         if let Some(notice) = state
             .lease
@@ -245,25 +242,50 @@
         {
             self.peer_lease_notice = Some((notice, now));
         }
+        if let Some(handover) = state.handover {
+            self.learn_handover(shared, handover, state.entry.as_str());
+        }
+        self.reported = self.reported.max(state.reported);
+        self.merge_suspicions(now, shared, &state.suspicions, state.entry.as_str());
+        let peer_usage = self.peer_usage.entry(state.process()).or_default();
+        for (window, counts) in &state.windows {
+            peer_usage.insert(*window, counts.clone());
+        }
+    }
+
+    /// Records a handover of the duties if it is the newest one.
+    pub(super) fn learn_handover(&mut self, shared: &Shared, handover: Handover, from: &str) {
+        if self.handover.is_some_and(|known| known.number >= handover.number) {
+            return;
+        }
+        info!(shared.log.always(), "duties handed over"; "number" => handover.number, "reported" => handover.reported,
+            "uncertain" => handover.uncertain, "former" => handover.former, "from" => from);
+        self.handover = Some(handover);
+    }
+
+    /// Updates who holds the duties from another entry's state.
+    fn apply_holder(&mut self, now: Instant, shared: &Shared, state: &State) {
+        // A holder that started again does not hold the duties any more, so they can be watched at once.
         let was_holder = self
             .duty_holder
             .as_ref()
-            .is_some_and(|holder| holder.entry == state.entry);
+            .is_some_and(|holder| holder.process.entry == state.entry);
         let holder = if state.holds_duties || was_holder {
             Some(Holder {
-                entry: state.entry.clone(),
+                process: state.process(),
                 reported: now,
                 holds: state.holds_duties,
             })
         } else {
             let relayed = state.holder.clone();
-            relayed.map(|(entry, age)| Holder {
-                entry,
+            let relayed = relayed.filter(|(process, _)| !self.members.is_superseded(now, process));
+            relayed.map(|(process, age)| Holder {
+                process,
                 reported: now - Duration::from_millis(age.into()),
                 holds: true,
             })
         };
-        if let Some(holder) = holder.filter(|holder| holder.entry != shared.settings.name)
+        if let Some(holder) = holder.filter(|holder| holder.process.entry != shared.settings.name)
             && self
                 .duty_holder
                 .as_ref()
@@ -271,7 +293,24 @@
         {
             self.duty_holder = Some(holder);
         }
-        self.reported = self.reported.max(state.reported);
+    }
+
+    /// Applies the state of another entry.
+    fn apply_state(&mut self, now: Instant, shared: &Shared, state: State) {
+        if state.entry == shared.settings.name {
+            return;
+        }
+        self.apply_lasting(now, shared, &state);
+        if self.members.is_superseded(now, &state.process()) {
+            if let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State) {
+                info!(logger, "late state of an earlier process dropped"; "process" => %state.process(),
+                    "left_out" => left_out);
+            }
+            return;
+        }
+        self.members.merge_members(now, &state.zones, &state.members);
+        self.apply_limit_usage(now, shared, &state);
+        self.apply_holder(now, shared, &state);
         Self::apply_peer_rates(now, shared, &state);
         Self::apply_tolerances(now, shared, &state);
         self.apply_peer_rollouts(now, shared, &state);
@@ -284,24 +323,16 @@
             self.has_diverged = false;
             self.confirm_registrations(now, shared, state.endpoints_freshness);
         }
-        self.merge_suspicions(now, shared, &state.suspicions, state.entry.as_str());
         let mut cache_index = shared.cache_index();
         for part in &state.cached_parts {
             cache_index.record(now, *part);
         }
         drop(cache_index);
-        let peer_usage = self
-            .peer_usage
-            .entry((state.entry.clone(), state.incarnation))
-            .or_default();
-        for (window, counts) in &state.windows {
-            peer_usage.insert(*window, counts.clone());
-        }
-        let entry = state.entry.clone();
+        let process = state.process();
         if self.members.record_state(now, state)
             && let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State)
         {
-            info!(logger, "entry heard"; "entry" => entry.as_str(), "members" => self.members.count(),
+            info!(logger, "entry heard"; "entry" => process.entry.as_str(), "process" => %process, "members" => self.members.count(),
                 "left_out" => left_out);
         }
     }
--- a/bergamotshift-forward/src/duty/mod.rs
+++ b/bergamotshift-forward/src/duty/mod.rs
@@ -4,6 +4,7 @@
 //! still valid, so a holder that was suspended makes no call.
 
 mod clock;
+mod handover;
 mod lease;
 mod progress;
 mod reports;
@@ -12,6 +13,7 @@
 mod task;
 
 pub use self::clock::Clock;
+pub use self::handover::Handover;
 pub use self::lease::Change;
 pub use self::lease::Lease;
 pub use self::progress::Progress;
--- a/bergamotshift-forward/src/duty/reports.rs
+++ b/bergamotshift-forward/src/duty/reports.rs
@@ -6,6 +6,7 @@
 
 use bergamotshift_core::name;
 
+use super::handover::Handover;
 use super::progress::windows_kept;
 
 /// Number of requests of each organisation in one window.
@@ -27,6 +28,11 @@
     uncertain: u64,
     /// Last window that a former holder may have reported before this entry began; 0 if it is known which ones it did.
     former: u64,
+    /// Fencing number under which this entry began to report; 0 before, and once the former holder's handover is taken
+    /// over.
+    number: u64,
+    /// Whether the store was restored since this entry began to report.
+    was_restored: bool,
 }
 
 impl Reports {
@@ -38,9 +44,16 @@
             stored: BTreeMap::new(),
             uncertain: 0,
             former: 0,
+            number: 0,
+            was_restored: false,
         }
     }
 
+    /// Returns the last window that may have been reported under counts that the store has lost; 0 without one.
+    pub const fn uncertain(&self) -> u64 {
+        self.uncertain
+    }
+
     /// Returns the windows to report, before the window `current`.
     pub fn due(&self, current: u64) -> Range<u64> {
         (self.reported + 1).max(current.saturating_sub(self.max_age))..current
@@ -80,25 +93,53 @@
         self.uncertain = self.uncertain.max(settled);
     }
 
-    /// Records that this entry begins to report, at a time when a former holder may have reported the windows up to
-    /// `settled`.
-    pub fn begin(&mut self, settled: u64) {
+    /// Returns whether a former holder may have reported a window.
+    pub const fn may_be_reported(&self, window: u64) -> bool {
+        window <= self.former
+    }
+
+    /// Records that this entry begins to report under a fencing number, at a time when a former holder may have reported
+    /// the windows up to `settled`.
+    pub const fn begin(&mut self, settled: u64, number: u64) {
         self.former = settled;
+        self.number = number;
+        self.was_restored = false;
     }
 
     /// Records that the store was restored from a copy while this entry reports: counts that a former holder stored may be
     /// lost.
     pub fn restored_while_held(&mut self) {
+        self.was_restored = true;
         self.restored(self.former);
     }
 
-    /// Records that others have reported all windows up to `reported`. `is_final` tells whether the former holder itself
-    /// said so after it gave the duty up, so that no later window was reported.
-    pub fn learn(&mut self, reported: u64, is_final: bool) {
-        self.close(reported);
-        if is_final {
-            self.uncertain = 0;
-            self.former = 0;
+    /// Takes over what the former holder left, once, if nobody held the duties in between: no window was reported after
+    /// those that it names. Returns whether it was taken over.
+    pub fn take_over(&mut self, handover: &Handover) -> bool {
+        if !handover.precedes(self.number) {
+            return false;
+        }
+        self.number = 0;
+        self.close(handover.reported);
+        self.former = handover.former;
+        self.uncertain = handover.uncertain;
+        if self.was_restored {
+            self.restored(self.former);
+        }
+        true
+    }
+
+    /// Returns what this entry leaves to the next holder when it gives the duties up under a fencing number.
+    ///
+    /// Windows whose counts this entry stored may have been reported although no answer arrived.
+    pub fn hand_over(&self, number: u64) -> Handover {
+        let stored = self.stored.last_key_value().map(|(window, _)| *window);
+        let unanswered = stored.filter(|window| *window > self.reported);
+        Handover {
+            number,
+            reported: self.reported,
+            uncertain: self.uncertain.max(unanswered.unwrap_or_default()),
+            former: self.former,
         }
     }
 }
--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -216,8 +216,8 @@
                 Change::Ended => None,
             };
             // A holder that got another number, as the store was restored, goes on as before.
-            if !was_held && self.number.is_some() {
-                self.reports.begin(shared.tally.current().saturating_sub(1));
+            if let Some(number) = self.number.filter(|_| !was_held) {
+                self.reports.begin(shared.tally.current().saturating_sub(1), number);
             }
             if !was_held || self.number.is_none() {
                 self.held_since = shared.clock.now();
@@ -247,6 +247,7 @@
         }
         info!(self.control.shared().log.always(), "duties given up"; "number" => number,
             "left_ms" => remaining.as_millis() as u64, "cause" => self.lease.failure().map(ToString::to_string));
+        self.announce_handover(number);
         let changes = self.lease.give_up().await;
         self.apply(changes);
     }
@@ -272,6 +273,9 @@
     /// or order endpoints for ten seconds, as in a large fleet it takes seconds until another one watches the lease. A
     /// lease under which the last call had no answer has to expire all the same, since that call may still be executed.
     async fn release(&mut self) {
+        if let Some(number) = self.number.filter(|_| self.is_answered) {
+            self.announce_handover(number);
+        }
         let number = self.number.take();
         // The store may not answer. An entry that receives this notice need not wait until the lease has expired.
         let notice = number
@@ -288,6 +292,12 @@
             "given_back" => self.is_answered);
     }
 
+    /// Tells the next holder which windows were reported under a fencing number.
+    fn announce_handover(&mut self, number: u64) {
+        self.enter_era();
+        self.control.set_handover(self.reports.hand_over(number));
+    }
+
     /// Records the outcome of a call under the duties.
     fn record_call(&mut self, call: &'static str, outcome: &Result<(), Error>) {
         self.is_answered = matches!(outcome, Ok(()) | Err(Error::NoCapacity | Error::Refused(_)));
@@ -309,8 +319,8 @@
         if shared.settings.duty.usage_window_s <= 0.0 {
             return;
         }
-        let (reported, is_final) = self.control.reported();
-        self.reports.learn(reported, is_final);
+        self.reports.close(self.control.reported());
+        self.take_over();
         for window in self.reports.due(shared.tally.current()) {
             if !self.is_settled(window) {
                 return;
@@ -321,6 +331,7 @@
                     info!(shared.log.always(), "usage not reported"; "window" => window, "era" => self.era,
                         "cause" => "another entry may have reported it under counts that a restored store lost");
                     self.reports.close(window);
+                    self.control.set_reported(window);
                     continue;
                 }
                 None => return,
@@ -343,19 +354,40 @@
         }
     }
 
-    /// Stores counts again that the store may have lost in a restore, or records that another entry's may be lost.
-    async fn follow_era(&mut self) {
+    /// Takes over what the former holder left, if nobody held the duties in between.
+    fn take_over(&mut self) {
+        let Some(handover) = self.control.handover() else {
+            return;
+        };
+        if self.reports.take_over(&handover) {
+            info!(self.control.shared().log.always(), "usage reports taken over"; "number" => handover.number,
+                "reported" => handover.reported, "uncertain" => handover.uncertain, "former" => handover.former);
+        }
+    }
+
+    /// Records that windows are uncertain if the store was restored since the last call. Returns whether it was.
+    fn enter_era(&mut self) -> bool {
         let era = self.table.era().max(self.control.store_era());
         if era <= self.era {
-            return;
+            return false;
         }
-        self.era = era;
+        let before = core::mem::replace(&mut self.era, era);
         if self.number.is_none() {
             let current = self.control.shared().tally.current();
             self.reports.restored(current.saturating_sub(1));
+        } else {
+            self.reports.restored_while_held();
+        }
+        info!(self.control.shared().log.always(), "usage windows uncertain"; "up_to" => self.reports.uncertain(),
+            "era" => era, "before" => before, "number" => self.number);
+        true
+    }
+
+    /// Stores counts again that the store may have lost in a restore, or records that another entry's may be lost.
+    async fn follow_era(&mut self) {
+        if !self.enter_era() || self.number.is_none() {
             return;
         }
-        self.reports.restored_while_held();
         let writes: Vec<Write> = self
             .reports
             .all_stored()
@@ -366,7 +398,7 @@
             // A row that the copy contains stays as it is, and ends the write with a conflict.
             let ending = self.table.transact(vec![write]).await;
             info!(self.control.shared().log.always(), "usage stored again"; "window" => row.as_str(),
-                "era" => era, "ending" => ?ending);
+                "era" => self.era, "ending" => ?ending);
         }
     }
 
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -10,6 +10,7 @@
 use super::message::Member;
 use super::message::Stage;
 use super::message::State;
+use super::process::Process;
 use crate::limits::Keeper;
 use crate::limits::keeper;
 use crate::limits::keeper::Candidate;
@@ -38,6 +39,10 @@
 /// Time after the start during which an entry sends all that it knows.
 const STARTUP_PERIOD: Duration = Duration::from_secs(3);
 
+/// Maximum time by which a message of an ended process arrives late. The order of two processes is known only by which one
+/// was heard first, so a wrong order is not believed for longer.
+const MAX_LATENESS: Duration = Duration::from_secs(3);
+
 /// Backoff after a failed call to an entry.
 const BACKOFF: Duration = Duration::from_millis(500);
 
@@ -51,6 +56,8 @@
     pub address: SocketAddr,
     /// The last state that it sent, and when it arrived.
     pub last_state: Option<(Instant, State)>,
+    /// The incarnation of its process before the last one, and the time at which the last one was first heard.
+    former: Option<(u64, Instant)>,
     /// Its availability zone, if known.
     pub(super) zone: Option<name::Zone>,
     /// The share of a CPU core that it may use, in thousandths.
@@ -166,6 +173,7 @@
         let peer = self.peers.entry(entry.clone()).or_insert_with(|| Peer {
             address,
             last_state: None,
+            former: None,
             zone: None,
             core_share: 0,
             is_stopping: false,
@@ -212,11 +220,20 @@
         peer.core_share = state.core_share;
         peer.is_stopping = state.stage == Stage::Stops;
         peer.last_heard = now;
+        let last = peer.last_state.as_ref().map(|(_, last)| last.incarnation);
+        let former = last.filter(|last| *last != state.incarnation);
+        peer.former = former.map(|former| (former, now)).or(peer.former);
         peer.last_state = Some((now, state));
         peer.backoff_until = Instant::ZERO;
         is_new
     }
 
+    /// Returns whether a process has ended, as its entry started again a moment ago.
+    pub fn is_superseded(&self, now: Instant, process: &Process) -> bool {
+        let former = self.peers.get(&process.entry).and_then(|peer| peer.former);
+        former.is_some_and(|(former, since)| former == process.incarnation && now.since(since) < MAX_LATENESS)
+    }
+
     /// Records a failed call to an entry, and whether it timed out rather than being refused.
     pub fn record_failure(&mut self, now: Instant, entry: &name::Entry, timed_out: bool) {
         let backoff = if self.is_starting(now) {
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -12,7 +12,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use super::process::Process;
 use crate::choice::CachedPart;
+use crate::duty::Handover;
 use crate::duty::Windows;
 use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
@@ -197,9 +199,11 @@
     pub holds_duties: bool,
     /// The state of the duties' lease, when the sender holds it or released it.
     pub lease: Option<lease::Notice>,
-    /// The other entry that holds the duties as far as the sender knows, and the time since that entry confirmed it, in
-    /// milliseconds.
-    pub holder: Option<(name::Entry, u32)>,
+    /// The process of another entry that holds the duties as far as the sender knows, and the time since it confirmed
+    /// that, in milliseconds.
+    pub holder: Option<(Process, u32)>,
+    /// The newest handover of the duties that the sender knows.
+    pub handover: Option<Handover>,
     /// Whether the store answered the sender's last calls.
     pub reaches_store: bool,
     /// The version of the sender's document; 0 without one.
@@ -227,7 +231,7 @@
     pub cached_parts: Vec<CachedPart>,
     /// Requests by usage window, as the sender counted them.
     pub windows: Windows,
-    /// The last usage window that was reported, as far as the sender knows.
+    /// The last usage window that was reported or left out, as far as the sender knows.
     pub reported: u64,
     /// Requests that the sender suspects of crashing endpoints.
     pub suspicions: Vec<Suspicion>,
@@ -246,6 +250,14 @@
 }
 
 impl State {
+    /// Returns the process that sent the state.
+    pub fn process(&self) -> Process {
+        Process {
+            entry: self.entry.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// Leaves out the parts that only entries of the same zone and the keepers of other zones need.
     #[must_use]
     pub fn brief(self) -> Self {
--- a/bergamotshift-forward/tests/fleet/duties.rs
+++ b/bergamotshift-forward/tests/fleet/duties.rs
@@ -7,7 +7,6 @@
 use tokio::time::sleep;
 
 use crate::model::Fleet;
-use crate::model::Node;
 use crate::model::Size;
 use crate::model::run;
 
@@ -24,11 +23,7 @@
         fleet.start().await;
         sleep(3 * WINDOW).await;
         let organisation = name::Organisation::new("organisation-1");
-        let is_holder = |node: &&Node| {
-            node.control()
-                .is_some_and(|one| one.shared().metrics.duty_holder.get() == 1)
-        };
-        let holder = fleet.nodes.iter().find(is_holder).expect("one holds the duties");
+        let holder = fleet.holder().expect("one holds the duties");
         for node in &fleet.nodes {
             let control = node.control().expect("it runs");
             (0..REQUESTS).for_each(|_| control.shared().tally.count(&organisation));
@@ -55,14 +50,6 @@
     });
 }
 
-fn holder(fleet: &Fleet) -> Option<&Node> {
-    let is_holder = |node: &&Node| {
-        node.control()
-            .is_some_and(|one| one.shared().metrics.duty_holder.get() == 1)
-    };
-    fleet.nodes.iter().find(is_holder)
-}
-
 /// Waits until a condition holds.
 async fn wait_until(what: &str, condition: impl Fn() -> bool) {
     const LIMIT: Duration = Duration::from_secs(30);
@@ -101,9 +88,9 @@
             .any(|(_, usage)| usage.counts.contains_key(&organisation))
     };
     wait_until("the window is reported", is_reported).await;
-    let first = holder(&fleet).expect("one holds the duties");
+    let first = fleet.holder().expect("one holds the duties");
     fleet.kill(first);
-    wait_until("another entry takes over", || holder(&fleet).is_some()).await;
+    wait_until("another entry takes over", || fleet.holder().is_some()).await;
     fleet.store.restore(copy);
     fleet.write_all();
     sleep(4 * WINDOW).await;
--- a/bergamotshift-forward/tests/fleet/main.rs
+++ b/bergamotshift-forward/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 //! machine's speed.
 
 mod duties;
+mod incarnations;
 mod model;
 mod network;
 mod quarantine;
--- a/bergamotshift-forward/tests/fleet/model.rs
+++ b/bergamotshift-forward/tests/fleet/model.rs
@@ -2,6 +2,7 @@
 
 use core::cell::RefCell;
 use core::net::SocketAddr;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -86,6 +87,13 @@
         self.control.borrow().clone()
     }
 
+    /// Asks the entry to stop in order; it gives up the duties and goes on answering others until it is killed.
+    pub fn stop(&self) {
+        if let Some(control) = self.control() {
+            control.shared().stopping.store(true, Ordering::Release);
+        }
+    }
+
     /// Returns the share of a core that the entry's VM has, and the bandwidth of its link in megabits per second. One VM in
     /// sixteen of each zone is large.
     const fn vm(&self) -> (f64, f64) {
@@ -128,6 +136,8 @@
     endpoints: Endpoints,
     pub switch: Rc<Switch>,
     pub nodes: Vec<Node>,
+    /// Length of a usage window.
+    pub usage_window: Duration,
     clock: Clock,
 }
 
@@ -167,6 +177,7 @@
             endpoints,
             switch: Rc::default(),
             nodes: nodes.collect(),
+            usage_window: Duration::from_secs(5),
             clock: Clock::Runtime(Instant::now()),
         }
     }
@@ -197,6 +208,15 @@
         *node.control.borrow_mut() = Some(control);
     }
 
+    /// Returns the entry that holds the duties.
+    pub fn holder(&self) -> Option<&Node> {
+        let is_holder = |node: &&Node| {
+            node.control()
+                .is_some_and(|one| one.shared().metrics.duty_holder.get() == 1)
+        };
+        self.nodes.iter().find(is_holder)
+    }
+
     /// Kills one entry.
     pub fn kill(&self, node: &Node) {
         self.switch.disconnect(node.address);
@@ -233,7 +253,7 @@
             grace_s = 8.0
             [duty]
             lease_ms = 3000
-            usage_window_s = 5.0
+            usage_window_s = {usage_window_s:.1}
             usage_due_s = 10.0
             [limit]
             slack = 190000.0
@@ -244,6 +264,7 @@
             mbps = node.vm().1,
             address = node.address,
             seeds = seeds.join(","),
+            usage_window_s = self.usage_window.as_secs_f64(),
         );
         Settings::parse(&text).expect("the settings are in order")
     }
--- a/bergamotshift-forward/tests/fleet/network.rs
+++ b/bergamotshift-forward/tests/fleet/network.rs
@@ -1,9 +1,11 @@
 //! Network between entries, with latency and bandwidth, that counts messages and bytes.
 
 use core::cell::RefCell;
+use core::future::pending;
 use core::net::SocketAddr;
 use core::time::Duration;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use bergamotshift_forward::control::Query;
@@ -15,9 +17,12 @@
 use bergamotshift_forward::peers::update;
 use bergamotshift_forward::peers::update::Download;
 use bergamotshift_platform::Future;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 
 /// Latency in one way within a zone and between zones.
@@ -48,10 +53,23 @@
     traffic: Traffic,
 }
 
+/// Trouble of a network: messages are lost, or arrive late and out of order.
+#[derive(Debug)]
+pub struct Trouble {
+    /// Share of the messages that are lost, in percent.
+    pub loss_percent: u32,
+    /// Maximum time by which a message is late.
+    pub max_delay: Duration,
+    pub generator: Pcg64Mcg,
+}
+
 /// Network of all entries.
 #[derive(Debug, Default)]
 pub struct Switch {
     ports: RefCell<HashMap<SocketAddr, Port>>,
+    trouble: RefCell<Option<Trouble>>,
+    /// Entries whose messages are lost in both ways.
+    cut: RefCell<HashSet<SocketAddr>>,
 }
 
 impl Switch {
@@ -68,6 +86,36 @@
         port.queries = Some(queries);
     }
 
+    /// Begins trouble, or ends it.
+    pub fn set_trouble(&self, trouble: Option<Trouble>) {
+        *self.trouble.borrow_mut() = trouble;
+    }
+
+    /// Cuts an entry off from all others, or connects it again.
+    pub fn set_cut(&self, address: SocketAddr, is_cut: bool) {
+        let mut cut = self.cut.borrow_mut();
+        if is_cut {
+            cut.insert(address);
+        } else {
+            cut.remove(&address);
+        }
+    }
+
+    /// Returns by how much a message is late; `None` if it is lost.
+    fn draw_delay(&self, from: SocketAddr, to: SocketAddr) -> Option<Duration> {
+        let cut = self.cut.borrow();
+        if cut.contains(&from) || cut.contains(&to) {
+            return None;
+        }
+        let mut trouble = self.trouble.borrow_mut();
+        let Some(trouble) = trouble.as_mut() else {
+            return Some(Duration::ZERO);
+        };
+        let is_lost = trouble.generator.next_u32() % 100 < trouble.loss_percent;
+        let late = trouble.max_delay * (trouble.generator.next_u32() % 1_000) / 1_000;
+        (!is_lost).then_some(late)
+    }
+
     /// Disconnects an entry; its VM refuses connections.
     pub fn disconnect(&self, address: SocketAddr) {
         if let Some(port) = self.ports.borrow_mut().get_mut(&address) {
@@ -105,6 +153,11 @@
         let bytes = bytes + HEAD_BYTES;
         sleep_until(self.occupy(from, bytes)? + latency).await;
         sleep_until(self.occupy(to, bytes)?).await;
+        match self.draw_delay(from, to) {
+            Some(delay) => sleep(delay).await,
+            // The sender waits until it gives up.
+            None => pending::<()>().await,
+        }
         Some(())
     }
 
--- a/bergamotshift-forward/tests/kernel/members.rs
+++ b/bergamotshift-forward/tests/kernel/members.rs
@@ -29,6 +29,7 @@
         holds_duties: false,
         lease: None,
         holder: None,
+        handover: None,
         reaches_store,
         document: 0,
         document_freshness: None,
@@ -470,3 +471,21 @@
     members.set_stopping();
     assert_eq!(members.granters(at(300), true).len(), 1);
 }
+
+/// Guards against the last words of an ended process that arrive late and are taken for those of its successor.
+#[test]
+fn a_process_is_superseded_for_a_while_once_its_entry_started_again() {
+    let mut members = Members::new("own".into(), "one".into(), 120);
+    let former = state("other", true);
+    let later = State {
+        incarnation: 2,
+        ..state("other", true)
+    };
+    members.record_state(at(1_000), former.clone());
+    assert!(!members.is_superseded(at(1_000), &former.process()));
+    members.record_state(at(2_000), later.clone());
+    assert!(members.is_superseded(at(2_100), &former.process()));
+    assert!(!members.is_superseded(at(2_100), &later.process()));
+    // Which one came first is known by arrival only, so a wrong order does not last.
+    assert!(!members.is_superseded(at(6_000), &former.process()));
+}
--- a/bergamotshift-forward/tests/kernel/reports.rs
+++ b/bergamotshift-forward/tests/kernel/reports.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use bergamotshift_forward::duty::Counts;
+use bergamotshift_forward::duty::Handover;
 use bergamotshift_forward::duty::Progress;
 use bergamotshift_forward::duty::Reports;
 
@@ -19,7 +20,7 @@
     assert_eq!(reports.due(100), 97..100);
     reports.close(98);
     assert_eq!(reports.due(100), 99..100);
-    reports.learn(97, false);
+    reports.close(97);
     assert_eq!(reports.due(100), 99..100);
 }
 
@@ -27,7 +28,7 @@
 #[test]
 fn a_window_that_a_lost_holder_may_have_reported_is_uncertain_after_a_restore() {
     let mut reports = Reports::new(WINDOW);
-    reports.learn(96, false);
+    reports.close(96);
     reports.restored(98);
     assert!(reports.is_uncertain(97) && reports.is_uncertain(98));
     assert!(!reports.is_uncertain(99));
@@ -38,8 +39,8 @@
 #[test]
 fn a_window_that_a_former_holder_may_have_reported_is_uncertain_after_a_restore_under_the_next_one() {
     let mut reports = Reports::new(WINDOW);
-    reports.learn(96, false);
-    reports.begin(98);
+    reports.close(96);
+    reports.begin(98, 7);
     reports.store(97, counts(7));
     reports.restored_while_held();
     assert!(reports.is_uncertain(97) && reports.is_uncertain(98));
@@ -47,14 +48,62 @@
     assert_eq!(reports.stored(97), Some(&counts(7)));
 }
 
+fn handover(number: u64) -> Handover {
+    Handover {
+        number,
+        reported: 96,
+        uncertain: 0,
+        former: 0,
+    }
+}
+
 /// Guards against windows that nobody reports: the former holder gave up the duties and named its last report.
 #[test]
 fn a_former_holder_that_names_its_last_report_leaves_nothing_uncertain() {
     let mut reports = Reports::new(WINDOW);
     reports.restored(98);
-    reports.learn(96, true);
+    reports.begin(99, 7);
+    assert!(reports.take_over(&handover(6)));
     assert_eq!(reports.due(100), 97..100);
-    assert!(!reports.is_uncertain(97));
+    assert!(!reports.is_uncertain(97) && !reports.may_be_reported(97));
+}
+
+/// Guards against two reports of a window: somebody may have held the duties after the holder that gave them up.
+#[test]
+fn a_handover_under_another_number_than_the_one_before_leaves_windows_uncertain() {
+    for number in [4, 5, 7, 8] {
+        let mut reports = Reports::new(WINDOW);
+        reports.restored(98);
+        reports.begin(99, 7);
+        assert!(!reports.take_over(&handover(number)), "number {number}");
+        assert!(reports.is_uncertain(97), "number {number}");
+    }
+}
+
+/// Guards against two reports of a window: the handover arrives after a restore that lost the counts of an earlier holder.
+#[test]
+fn a_handover_after_a_restore_keeps_the_windows_of_earlier_holders_uncertain() {
+    let mut reports = Reports::new(WINDOW);
+    reports.begin(99, 7);
+    reports.restored_while_held();
+    let handover = Handover {
+        former: 97,
+        ..handover(6)
+    };
+    assert!(reports.take_over(&handover));
+    assert!(reports.is_uncertain(97) && !reports.is_uncertain(98));
+    assert!(!reports.take_over(&handover), "it is taken over once");
+}
+
+/// Guards against two reports of a window: the former holder sent counts, and nobody knows whether they arrived.
+#[test]
+fn a_handover_names_windows_that_may_have_been_reported_without_an_answer() {
+    let mut reports = Reports::new(WINDOW);
+    reports.begin(95, 6);
+    reports.close(96);
+    reports.store(97, counts(7));
+    let handover = reports.hand_over(6);
+    assert_eq!((handover.reported, handover.uncertain, handover.former), (96, 97, 95));
 }
 
 #[test]
