fix(forward): counts that were stored while the store was restored are not sent

The next holder stores its counts of a window that the former holder may have reported. If the store is restored between the holder's last answered call and this write, the former holder's row is gone, the write is applied, and the counts are sent before the holder records the restore.

Cause: whether a window is uncertain was decided by the era known before the write, not by the era in which the write was answered. The model's store told entries of a restore at once, so no test could show it; its clients now learn the era from answers, as real ones do.

If the answer to such a write tells of a restore, and a former holder may have reported the window, the window is left out and the row is removed. The restore is also recorded between the renewal of the lease and the reports.

Left: if the holder is killed between the write and the removal, the row stays, and a later holder may send it.

--- a/bergamotshift-forward/src/duty/task.rs
+++ b/bergamotshift-forward/src/duty/task.rs
@@ -197,6 +197,8 @@
         if self.fencing_token().is_some() {
             self.direct_rollouts().await;
         }
+        // The calls above may have been the first ones that a restored store answered.
+        self.follow_era().await;
         if self.fencing_token().is_some() {
             self.report_usage().await;
         }
@@ -367,7 +369,7 @@
 
     /// Records that windows are uncertain if the store was restored since the last call. Returns whether it was.
     fn enter_era(&mut self) -> bool {
-        let era = self.table.era().max(self.control.store_era());
+        let era = self.newest_era();
         if era <= self.era {
             return false;
         }
@@ -428,9 +430,14 @@
             };
             return self.keep_counts(window, &row);
         }
+        let is_new = known.is_none();
         let counts = known.unwrap_or_else(|| self.control.usage(window));
         let write = write_of(window, &counts)?;
         if self.table.transact(vec![write]).await == Ending::Applied {
+            if is_new && self.reports.may_be_reported(window) && self.newest_era() > self.era {
+                self.remove_counts(window).await;
+                return Some(Stored::Lost);
+            }
             self.reports.store(window, counts.clone());
             return Some(Stored::Counts(counts));
         }
@@ -438,6 +445,23 @@
         self.keep_counts(window, &row)
     }
 
+    /// Returns the newest known era of the store. If it is later than the recorded one, rows may have been lost since.
+    fn newest_era(&self) -> u64 {
+        self.table.era().max(self.control.store_era())
+    }
+
+    /// Removes the counts of a window that a former holder may have reported with others, so that no later holder sends
+    /// them.
+    async fn remove_counts(&self, window: u64) {
+        let removal = Write {
+            key: row_of(window),
+            condition: Condition::Any,
+            change: TableChange::Delete,
+        };
+        let ending = self.table.transact(vec![removal]).await;
+        info!(self.control.shared().log.always(), "usage counts removed"; "window" => window, "ending" => ?ending);
+    }
+
     /// Reads the row of a window's counts; `None` when the read failed.
     async fn read_counts(&self, window: u64) -> Option<Option<Row>> {
         match self.table.get(vec![row_of(window)]).await {
--- a/bergamotshift-forward/tests/fleet/incarnations.rs
+++ b/bergamotshift-forward/tests/fleet/incarnations.rs
@@ -17,6 +17,7 @@
 use crate::model::run;
 use crate::network::Trouble;
 use crate::store::Copy;
+use crate::store::Purpose;
 
 /// Length of a usage window: short, so that several of them are due at any time.
 const WINDOW: Duration = Duration::from_secs(1);
@@ -122,6 +123,41 @@
     }
 }
 
+/// Guards against a window that is reported with two counts: the store is restored while the next holder stores its counts,
+/// before any answer tells it of the restore.
+#[test]
+fn a_restore_during_the_write_of_counts_lets_no_window_be_reported_with_other_counts() {
+    for entries in [4, 20, 66] {
+        run(async move {
+            let fleet = new_fleet(entries);
+            fleet.start().await;
+            sleep(START).await;
+            let holder = fleet.holder().expect("one holds the duties");
+            let silent = fleet.nodes.iter().find(|node| node.name != holder.name);
+            let silent = silent.expect("there are several entries").address;
+            fleet.switch.set_cut(silent, true);
+            sleep(SILENCE).await;
+            let copy = fleet.store.copy();
+            wait_for_report(&fleet).await;
+            fleet.kill(holder);
+            fleet.switch.set_cut(silent, false);
+            let killed = Instant::now();
+            let writes_counts = || {
+                let calls = fleet.store.calls_since(killed);
+                calls.iter().any(|call| call.purpose == Purpose::Usage)
+            };
+            while !writes_counts() {
+                assert!(killed.elapsed() < CALM, "no entry takes over");
+                sleep(Duration::from_millis(1)).await;
+            }
+            fleet.store.restore(copy);
+            fleet.write_all();
+            sleep(CALM).await;
+            assert_eq!(contradicted(&fleet), BTreeSet::new(), "{entries} entries");
+        });
+    }
+}
+
 /// Guards against windows that nobody reports although their holder gave up the duties in order.
 #[test]
 fn all_windows_are_reported_if_the_holder_stops_in_order_and_starts_again() {
--- a/bergamotshift-forward/tests/fleet/store.rs
+++ b/bergamotshift-forward/tests/fleet/store.rs
@@ -1,5 +1,6 @@
 //! Store in memory that counts its calls by purpose.
 
+use core::cell::Cell;
 use core::cell::RefCell;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -205,6 +206,7 @@
         let client = Rc::new(Client {
             store: self.clone(),
             entry: entry.into(),
+            era: Cell::new(0),
         });
         Clients {
             operators: Rc::clone(&client) as _,
@@ -268,6 +270,8 @@
 struct Client {
     store: Store,
     entry: SmolStr,
+    /// Era in which the store last answered the entry.
+    era: Cell<u64>,
 }
 
 impl Client {
@@ -287,9 +291,15 @@
         if is_refused {
             return Err(Error::Refused("cut off".to_owned()));
         }
+        self.learn_era();
         Ok(())
     }
 
+    /// Learns the era from an answer.
+    fn learn_era(&self) {
+        self.era.set(self.store.contents.borrow().era);
+    }
+
     /// Waits for the turn of a transaction in its partition, and returns whether there was room in the queue.
     async fn queue(&self, partition: &SmolStr) -> bool {
         let now = Instant::now();
@@ -423,12 +433,14 @@
             if !self.queue(&partition).await {
                 return Ending::Refused;
             }
-            self.store.contents.borrow_mut().apply(writes)
+            let ending = self.store.contents.borrow_mut().apply(writes);
+            self.learn_era();
+            ending
         })
     }
 
     fn era(&self) -> u64 {
-        self.store.contents.borrow().era
+        self.era.get()
     }
 
     fn get(&self, keys: Vec<Key>) -> Future<'_, Result<Vec<Option<Row>>, Error>> {
