--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod lines;
 pub mod links;
 pub mod names;
+pub mod repeat;
 pub mod steps;
 pub mod walk;
