test(soak): services that tolerate few rejections; test(entry): configuration between two entries in virtual time

--tolerances draws services whose endpoints announce for some seconds how many rejections a second they tolerate, and run one request at a time meanwhile. The promise is the stated one: from three seconds on, endpoints reject more than that at most twice and once for every ten of them. Its test finds it broken.

--- a/bergamotshift-entry/tests/configuration/main.rs
+++ b/bergamotshift-entry/tests/configuration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a configuration change, from the operator to the entries, against stand-ins of the platform.
 
+mod gossip;
 mod site;
 
 use std::time::Duration;
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -3,6 +3,7 @@
 use core::mem;
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU8;
+use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -36,6 +37,9 @@
 /// How long a request takes, and how far apart the events of a stream are.
 const WORK: Duration = Duration::from_millis(8);
 
+/// How many requests an endpoint runs at a time while it tolerates few rejections.
+const SCARCE_ROOM: usize = 1;
+
 /// How an endpoint answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Habit {
@@ -80,6 +84,8 @@
     Leaves,
     /// It turns requests away, and wants nothing from that entry for so long.
     Pause(Duration),
+    /// How many requests it may reject in a second, from all entries together; it has little room meanwhile.
+    Tolerates(u32),
 }
 
 impl Notice {
@@ -90,10 +96,27 @@
             Self::Rate(minute) => format!("{}: {:.3}\r\n", dialect.rate, f64::from(minute) / 60.0),
             Self::Leaves => format!("{}: 1\r\n", dialect.leaving),
             Self::Pause(pause) => format!("retry-after: {:.3}\r\n", pause.as_secs_f64()),
+            Self::Tolerates(rejections) => format!("{}: {rejections}\r\n", dialect.tolerance),
         }
     }
 }
 
+/// A request that an endpoint runs.
+struct Run<'a>(&'a AtomicUsize);
+
+impl<'a> Run<'a> {
+    fn begin(running: &'a AtomicUsize) -> Self {
+        running.fetch_add(1, Ordering::Relaxed);
+        Self(running)
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     id: SmolStr,
@@ -102,6 +125,8 @@
     ledger: Arc<Ledger>,
     habit: AtomicU8,
     notice: Mutex<Notice>,
+    /// The requests that it runs.
+    running: AtomicUsize,
     is_gone: AtomicBool,
     /// What all entries' connections go through.
     proxy: OnceLock<Proxy>,
@@ -134,6 +159,7 @@
             ledger,
             habit: AtomicU8::new(0),
             notice: Mutex::default(),
+            running: AtomicUsize::new(0),
             is_gone: AtomicBool::new(false),
             proxy: OnceLock::new(),
             streams: Mutex::default(),
@@ -249,8 +275,9 @@
             let id: SmolStr = call.header(self.dialect.request.as_str()).unwrap_or_default().into();
             let is_meant = call.header(self.dialect.expected.as_str()) == Some(self.id.as_str());
             let said = *self.notice();
-            let refuses = habit == Habit::Refuses || matches!(said, Notice::Pause(_));
+            let refuses = habit == Habit::Refuses || matches!(said, Notice::Pause(_)) || !self.has_room(said);
             let runs = is_meant && !refuses;
+            let _run = runs.then(|| Run::begin(&self.running));
             self.note(&call, id.clone(), runs, said);
             if !runs {
                 let status = if is_meant { "503 Full" } else { "421 Another" };
@@ -271,6 +298,10 @@
         Ok(())
     }
 
+    fn has_room(&self, said: Notice) -> bool {
+        !matches!(said, Notice::Tolerates(_)) || self.running.load(Ordering::Relaxed) < SCARCE_ROOM
+    }
+
     fn note(&self, call: &Call, id: SmolStr, ran: bool, said: Notice) {
         let organisation = call.header(self.dialect.organisation.as_str());
         let at = self.ledger.now();
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -54,6 +54,8 @@
     notices: bool,
     #[options(help = "restore the store from copies", no_short)]
     restores: bool,
+    #[options(help = "let services tolerate few rejections at times", no_short)]
+    tolerances: bool,
     #[options(help = "send a request that crashes endpoints again and again", no_short)]
     crashes: bool,
 }
@@ -94,6 +96,7 @@
     };
     settings.notices = arguments.notices;
     settings.restores = arguments.restores;
+    settings.tolerances = arguments.tolerances;
     settings.crashes = arguments.crashes;
     settings.size.entries = arguments.entries;
     settings.size.span = Duration::from_secs(arguments.seconds);
--- a/bergamotshift-soak/src/notice.rs
+++ b/bergamotshift-soak/src/notice.rs
@@ -16,6 +16,16 @@
 use crate::promise::Broken;
 use crate::promise::most_within;
 
+/// How often endpoints may reject more than they tolerate in one time in which their service announces that: for each of
+/// them, and beyond that.
+const FALLS: (f64, f64) = (0.1, 2.0);
+
+/// The time within which all endpoints of a service begin to announce the same.
+const SAME_STEP: Duration = Duration::from_millis(500);
+
+/// The span in which an endpoint's rejections are counted.
+const REJECTION_WINDOW: Duration = Duration::from_secs(1);
+
 /// How long after an entry has passed on an answer that says that its endpoint leaves a request may still be sent there.
 const DRAINED: Duration = Duration::from_secs(2);
 
@@ -83,6 +93,7 @@
         let sights = endpoints.get(&saying.endpoint).map_or(&[][..], Vec::as_slice);
         broken.extend(beyond_rate(book, saying, sights));
     }
+    broken.extend(beyond_tolerance(book));
     broken
 }
 
@@ -134,6 +145,58 @@
     })
 }
 
+/// Finds times in which the endpoints of a service rejected more requests in a second than they announced to tolerate, more
+/// often than is allowed.
+fn beyond_tolerance(book: &Book) -> Vec<Broken> {
+    let tolerant = book.sayings.iter().filter_map(|saying| match saying.notice {
+        Notice::Tolerates(tolerated) => Some((saying, tolerated as usize)),
+        _ => None,
+    });
+    let mut episodes: BTreeMap<&str, Vec<Vec<(&Saying, usize)>>> = BTreeMap::new();
+    for (saying, tolerated) in tolerant {
+        let service = saying.endpoint.split('-').next().unwrap_or_default();
+        let episodes = episodes.entry(service).or_default();
+        let last = episodes.last_mut();
+        match last.filter(|last| last[0].0.from + SAME_STEP > saying.from) {
+            Some(last) => last.push((saying, tolerated)),
+            None => episodes.push(vec![(saying, tolerated)]),
+        }
+    }
+    let broken = episodes.into_values().flatten().filter_map(|sayings| {
+        let falls = sayings
+            .iter()
+            .flat_map(|(saying, tolerated)| falls(book, saying, *tolerated));
+        let falls: Vec<_> = falls.collect();
+        let (share, more) = FALLS;
+        let most = sayings.len() as f64 * share + more;
+        (falls.len() as f64 > most).then(|| Broken {
+            promise: "endpoints reject no more requests than they announce to tolerate",
+            what: format!("{} times of {} tolerated: {falls:?}", falls.len(), sayings[0].1),
+        })
+    });
+    broken.collect()
+}
+
+/// Returns the seconds in which an endpoint rejected more than it tolerates, none of which overlap.
+fn falls(book: &Book, saying: &Saying, tolerated: usize) -> Vec<(SmolStr, Duration)> {
+    let span = saying.from + SETTLED..saying.until.unwrap_or(Duration::MAX);
+    let rejected = book
+        .arrivals
+        .iter()
+        .filter(|arrival| arrival.endpoint == saying.endpoint && !arrival.ran && span.contains(&arrival.at));
+    let mut times: Vec<Duration> = rejected.map(|arrival| arrival.at).collect();
+    times.sort_unstable();
+    let mut falls = Vec::new();
+    let mut from = Duration::ZERO;
+    for window in times.windows(tolerated + 1) {
+        if window[0] >= from && window[tolerated] < window[0] + REJECTION_WINDOW {
+            falls.push((saying.endpoint.clone(), window[0]));
+            from = window[0] + REJECTION_WINDOW;
+        }
+    }
+    falls
+}
+
 fn beyond_rate(book: &Book, saying: &Saying, sights: &[Sight<'_>]) -> Option<Broken> {
     let Notice::Rate(minute) = saying.notice else {
         return None;
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -11,6 +11,7 @@
 use crate::endpoint::Notice;
 use crate::proxy::Mode;
 use crate::proxy::Way;
+use crate::site::SERVICES;
 
 /// One thing that the soak does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,6 +93,12 @@
 /// How long they say so, in milliseconds: also longer than a window in which their requests are counted.
 const NOTICE_MS: Range<u64> = 2_000..10_000;
 
+/// Mean time between two services whose endpoints tolerate few rejections, in milliseconds.
+const TOLERANCE_GAP_MS: u64 = 2_000;
+
+/// How long they do, in milliseconds: longer than it takes until all entries know it.
+const TOLERANCE_MS: Range<u64> = 5_000..9_000;
+
 /// Mean time between two copies of the store that are restored, in milliseconds.
 const RESTORE_GAP_MS: u64 = 5_000;
 
@@ -139,6 +146,21 @@
         self
     }
 
+    /// Draws services whose endpoints tolerate few rejections, and adds them; the other steps stay as they are.
+    #[must_use]
+    pub fn with_tolerances(mut self, seed: u64, size: Size) -> Self {
+        // Other numbers than those of the steps before.
+        let mut draw = Draw::new(seed, size, 4);
+        let mut at = CALM + Duration::from_millis(draw.below(TOLERANCE_GAP_MS));
+        while at < size.span {
+            at = draw.tolerance(at);
+            at += Duration::from_millis(draw.below(2 * TOLERANCE_GAP_MS));
+        }
+        self.steps.extend(draw.steps);
+        self.steps.sort_by_key(|(at, _)| *at);
+        self
+    }
+
     /// Draws what endpoints say of themselves, and adds it; the other steps stay as they are.
     #[must_use]
     pub fn with_notices(mut self, seed: u64, size: Size) -> Self {
@@ -188,7 +210,7 @@
     }
 
     fn endpoint(&mut self) -> usize {
-        self.below((self.size.endpoints * crate::site::SERVICES.len()) as u64) as usize
+        self.below((self.size.endpoints * SERVICES.len()) as u64) as usize
     }
 
     fn way(&mut self) -> Way {
@@ -273,7 +295,6 @@
         }
     }
 
-    /// Draws what an endpoint says of itself from a time on. One that says that it leaves registers that at the end.
     /// Draws a copy of the store and its restore, and returns the time of the restore.
     fn restore(&mut self, at: Duration) -> Duration {
         let restored = at + self.duration(COPY_AGE_MS);
@@ -283,6 +304,20 @@
         restored
     }
 
+    /// Draws a service whose endpoints all tolerate few rejections for a while, and returns the end of that time.
+    fn tolerance(&mut self, at: Duration) -> Duration {
+        const REJECTIONS: Range<u64> = 2..12;
+        let service = self.below(SERVICES.len() as u64) as usize;
+        let rejections = (REJECTIONS.start + self.below(REJECTIONS.end - REJECTIONS.start)) as u32;
+        let end = at + self.within(TOLERANCE_MS);
+        for place in (service..self.size.endpoints * SERVICES.len()).step_by(SERVICES.len()) {
+            self.push(at, Step::Notice(place, Notice::Tolerates(rejections)));
+            self.push(end, Step::Notice(place, Notice::Quiet));
+        }
+        end
+    }
+
+    /// Draws what an endpoint says of itself from a time on. One that says that it leaves registers that at the end.
     fn notice(&mut self, at: Duration) {
         const PAUSE_MS: Range<u64> = 1_000..4_000;
         const RATES: Range<u64> = 0..180;
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -41,6 +41,7 @@
 const CRASHER: u64 = 2_000_000;
 
 /// What a run is made of.
+#[expect(clippy::struct_excessive_bools, reason = "each is a switch of its own")]
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// The program.
@@ -60,6 +61,8 @@
     pub notices: bool,
     /// Whether the store is restored from copies.
     pub restores: bool,
+    /// Whether services at times tolerate few rejections, and have little room.
+    pub tolerances: bool,
     /// Whether a caller sends a request that crashes endpoints.
     pub crashes: bool,
 }
@@ -79,6 +82,7 @@
             connects: Duration::from_millis(2_500),
             notices: false,
             restores: false,
+            tolerances: false,
             crashes: false,
         }
     }
@@ -127,6 +131,9 @@
     if settings.restores {
         plan = plan.with_restores(settings.seed, settings.size);
     }
+    if settings.tolerances {
+        plan = plan.with_tolerances(settings.seed, settings.size);
+    }
     let ledger = Arc::new(Ledger::default());
     let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
     let mut late = recover(&mut fleet, &ledger, CHECKER)?;
--- a/bergamotshift-soak/tests/notice.rs
+++ b/bergamotshift-soak/tests/notice.rs
@@ -91,3 +91,29 @@
     assert_eq!(asked(300), 1, "13 or more in four seconds");
     assert_eq!(asked(400), 0, "10 in four seconds");
 }
+
+#[test]
+fn more_rejections_than_endpoints_tolerate_are_found() {
+    let tolerates = Notice::Tolerates(4);
+    let rejected = |bursts: u64, size: u64, begins: u64| {
+        let mut book = Book::default();
+        for number in 0..bursts * size {
+            let millis = begins + number / size * 1_500 + number % size * 10;
+            ask(&mut book, 1, millis, tolerates);
+            book.arrivals.last_mut().expect("it was noted").ran = false;
+        }
+        for endpoint in ["alpha-1", "alpha-2"] {
+            book.sayings.push(Saying {
+                endpoint: endpoint.into(),
+                notice: tolerates,
+                from: at(0),
+                until: None,
+            });
+        }
+        notice::check(&book).len()
+    };
+    assert_eq!(rejected(3, 5, 3_100), 1, "more than tolerated, three times");
+    assert_eq!(rejected(2, 5, 3_100), 0, "as often as is allowed");
+    assert_eq!(rejected(9, 4, 3_100), 0, "as many as are tolerated");
+    assert_eq!(rejected(2, 9, 0), 0, "before all entries know");
+}
