fix(forward): connections that are accepted and reset do not show that endpoints are reached

Cause: a connection counted as evidence of a path once it was opened. Each one that was reset afterwards ended what the entry knew of being cut off, and so did each probe, so requests went directly and broke. Logs: 677 times 'it ended before the answer', no line 'paths to endpoints'.

A new connection counts once its endpoint has answered on it, and a probe once its connection stays open for 100 ms. New connections that break without an answer count as evidence of a cut; as endpoints that end break theirs too, half of a service's endpoints have to break in a row, three at least and eight at most. No probe and no connection is added.

Test: callers_of_an_entry_whose_connections_are_reset_are_served failed before (502) and passes, with all others of cut_off; a kernel test of the evidence.

Ruled out: silence as evidence, as a busy endpoint is silent too.

--- a/bergamotshift-forward/src/relay/probe.rs
+++ b/bergamotshift-forward/src/relay/probe.rs
@@ -16,6 +16,9 @@
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a connection has to stay open to count: something on the path may accept it and reset it at once.
+const STAY: Duration = Duration::from_millis(100);
+
 /// Opens a connection to one endpoint after the other of each service that this entry is cut off from, until the process
 /// ends.
 pub async fn probe(shared: Arc<Shared>) {
@@ -31,8 +34,11 @@
     let Some(endpoint) = endpoint(shared, service, number) else {
         return;
     };
-    let address = endpoint.registration.address;
-    if Connection::open(address, CONNECT_TIMEOUT).await.is_ok() {
+    let Ok(connection) = Connection::open(endpoint.registration.address, CONNECT_TIMEOUT).await else {
+        return;
+    };
+    tokio::time::sleep(STAY).await;
+    if connection.is_reusable() {
         shared.record_reached(service);
     }
 }
--- a/bergamotshift-forward/src/relay/reach.rs
+++ b/bergamotshift-forward/src/relay/reach.rs
@@ -14,16 +14,25 @@
 /// counts as cut off from the service.
 const MIN_UNREACHED: usize = 3;
 
-/// Endpoints of one service to which no connection was opened since the last one that was.
+/// Maximum number of endpoints of a service whose connections have to break without an answer, with no answer in between,
+/// until this entry counts as cut off from the service. Half of the service's endpoints suffice, as the end of an
+/// availability zone breaks the connections to fewer.
+const MAX_BROKEN: usize = 8;
+
+/// Endpoints of one service that were not reached since the last answer on a new connection.
 #[derive(Clone, Debug, Default)]
 struct Attempts {
+    /// Endpoints to which no connection was opened.
     unreached: BTreeSet<u64>,
+    /// Endpoints whose connections were opened and broke without an answer.
+    broken: BTreeSet<u64>,
     is_cut_off: bool,
 }
 
-/// Outcomes of opening connections to endpoints, by service.
+/// Evidence from new connections to endpoints, by service.
 ///
-/// Only new connections count, as established ones may live on while new ones are refused.
+/// Only new connections count, as established ones may live on while new ones are refused. One that was opened counts once
+/// its endpoint has answered, as something on the path may accept and reset it.
 ///
 /// ```
 /// use bergamotshift_core::prelude::*;
@@ -70,7 +79,7 @@
         cut_off.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Records that a connection to an endpoint of a service was opened; returns whether this entry was cut off from the
+    /// Records that an endpoint of a service answered on a new connection; returns whether this entry was cut off from the
     /// service until now.
     pub fn record_reached(&self, service: &name::Service) -> bool {
         let Some(attempts) = self.lock().remove(service) else {
@@ -91,7 +100,27 @@
         let mut services = self.lock();
         let attempts = services.entry(service.clone()).or_default();
         attempts.unreached.insert(endpoint);
-        if attempts.is_cut_off || attempts.unreached.len() < least.min(known.max(1)) {
+        let is_enough = attempts.unreached.len() >= least.min(known.max(1));
+        is_enough && self.cut_off(attempts)
+    }
+
+    /// Records that a new connection to an endpoint broke without an answer; returns whether this entry is cut off from the
+    /// service since.
+    ///
+    /// `known` is the number of the service's endpoints. An endpoint that ends breaks its connections too, so this needs more
+    /// evidence than connections that are not opened.
+    pub fn record_broken(&self, service: &name::Service, endpoint: u64, known: usize) -> bool {
+        let least = (known / 2).clamp(MIN_UNREACHED, MAX_BROKEN);
+        let mut services = self.lock();
+        let attempts = services.entry(service.clone()).or_default();
+        attempts.broken.insert(endpoint);
+        let is_enough = attempts.unreached.union(&attempts.broken).count() >= least.min(known.max(1));
+        is_enough && self.cut_off(attempts)
+    }
+
+    /// Records that this entry is cut off from a service; returns whether it was not before.
+    fn cut_off(&self, attempts: &mut Attempts) -> bool {
+        if attempts.is_cut_off {
             return false;
         }
         attempts.is_cut_off = true;
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -238,10 +238,14 @@
             .response_timeout()
             .filter(|_| can_repeat)
             .map_or(time_left, |limit| limit.min(time_left));
+        let is_new_path = !connection.is_tunnel() && connection.bytes_received() == 0;
         let exchange = connection.send(&request, &job.method, is_expected);
         let exchanged = timeout(response_timeout, exchange)
             .await
             .unwrap_or(Err(Failure::Silent));
+        if is_new_path {
+            self.record_path(endpoint, &connection, exchanged.as_ref().err());
+        }
         let head = match exchanged {
             Ok(head) => head,
             Err(failure) => {
--- a/bergamotshift-forward/src/serve/connect.rs
+++ b/bergamotshift-forward/src/serve/connect.rs
@@ -9,6 +9,7 @@
 use super::job::Job;
 use crate::endpoint::Endpoint;
 use crate::exchange::Connection;
+use crate::exchange::Failure;
 use crate::relay;
 
 /// Timeout for opening a connection: ten times the round trip between zones.
@@ -48,9 +49,17 @@
         }
         self.shared.metrics.connections.inc();
         let connect_timeout = CONNECT_TIMEOUT.min(job.deadline.since(now));
-        let connection = Connection::open(address, connect_timeout).await.ok()?;
-        self.shared.record_reached(&endpoint.registration.service);
-        Some(connection)
+        Connection::open(address, connect_timeout).await.ok()
+    }
+
+    /// Records what the first exchange on a new connection shows of this entry's path to the endpoint; `failure` is that of
+    /// the exchange. An endpoint that has sent nothing yet may be busy.
+    pub(super) fn record_path(&self, endpoint: &Endpoint, connection: &Connection, failure: Option<&Failure>) {
+        if connection.bytes_received() > 0 {
+            self.shared.record_reached(&endpoint.registration.service);
+        } else if let Some(Failure::Broken(_)) = failure {
+            self.shared.record_broken(endpoint);
+        }
     }
 
     /// Keeps a connection to an endpoint for further requests; `headers` are those of the last response.
--- a/bergamotshift-forward/src/view/paths.rs
+++ b/bergamotshift-forward/src/view/paths.rs
@@ -5,9 +5,10 @@
 
 use super::Shared;
 use crate::endpoint::Endpoint;
+use crate::relay::Reach;
 
 impl Shared {
-    /// Records that a connection to an endpoint of a service was opened.
+    /// Records that an endpoint of a service answered on a new connection.
     pub fn record_reached(&self, service: &name::Service) {
         if self.reach.record_reached(service) {
             self.report_paths(service, false);
@@ -16,13 +17,26 @@
 
     /// Records that no connection to an endpoint was opened; returns whether the entry is cut off from the service since.
     pub fn record_unreached(&self, endpoint: &Endpoint) -> bool {
+        self.record_failed_path(endpoint, Reach::record_unreached)
+    }
+
+    /// Records that a new connection to an endpoint broke without an answer.
+    pub fn record_broken(&self, endpoint: &Endpoint) {
+        self.record_failed_path(endpoint, Reach::record_broken);
+    }
+
+    fn record_failed_path(
+        &self,
+        endpoint: &Endpoint,
+        record: impl Fn(&Reach, &name::Service, u64, usize) -> bool,
+    ) -> bool {
         let service = &endpoint.registration.service;
         let view = self.view.load();
         let Some(known) = view.services.get(service) else {
             return false;
         };
         let count = known.all_endpoints().filter(|endpoint| !endpoint.is_leaving()).count();
-        let is_cut_off = self.reach.record_unreached(service, endpoint.hash, count);
+        let is_cut_off = record(&self.reach, service, endpoint.hash, count);
         if is_cut_off {
             for endpoint in known.all_endpoints() {
                 endpoint.health.forget_unreachable();
--- a/bergamotshift-forward/tests/daemon/cut_off.rs
+++ b/bergamotshift-forward/tests/daemon/cut_off.rs
@@ -102,6 +102,27 @@
     }
 }
 
+/// Guards against callers who are not served by an entry whose connections to all endpoints are accepted on the way and reset
+/// before any answer.
+#[test]
+fn callers_of_an_entry_whose_connections_are_reset_are_served() {
+    let cut = Cut::new(plain_endpoints());
+    assert_eq!(cut.ask("/checkin/1", 0, 6), [200; 6]);
+    cut.set(State::Resetting);
+    // The first requests show that no endpoint answers.
+    cut.ask("/checkin/1", 100, 6);
+    let began = Instant::now();
+    let mut number = 200;
+    while began.elapsed() < STABLE {
+        assert_eq!(cut.ask("/confirm/1", number, 1), [200]);
+        number += 1;
+    }
+    cut.set(State::Open);
+    wait_until("it uses its own paths again", || {
+        cut.first().value("bergamotshift_forward_cut_off") == Some(0)
+    });
+}
+
 /// Guards against callers who are refused by an entry whose connections to all endpoints get no answer.
 #[test]
 fn callers_of_an_entry_whose_paths_are_silent_are_served() {
--- a/bergamotshift-forward/tests/daemon/gate.rs
+++ b/bergamotshift-forward/tests/daemon/gate.rs
@@ -20,6 +20,8 @@
     Refusing,
     /// New connections are refused, and open ones stay.
     RefusingNew,
+    /// New connections are accepted and reset at once, as are open ones.
+    Resetting,
     /// New connections and open ones get no answer.
     Silent,
 }
@@ -65,12 +67,12 @@
     pub fn set(&self, state: State) {
         let before = core::mem::replace(&mut *lock(&self.shared.state), state);
         assert_ne!(before, State::Silent, "a silent path stays so");
-        if state == State::Refusing {
+        if matches!(state, State::Refusing | State::Resetting) {
             self.end_connections();
         }
-        let was_open = before == State::Open;
+        let was_open = matches!(before, State::Open | State::Resetting);
         match state {
-            State::Open if !was_open => self.listen(),
+            State::Open | State::Resetting if !was_open => self.listen(),
             State::Refusing | State::RefusingNew if was_open => self.stop_listening(),
             State::Silent => self.fall_silent(was_open),
             _ => {}
@@ -83,8 +85,10 @@
         let shared = Arc::clone(&self.shared);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if *lock(&shared.state) != State::Open {
-                    return;
+                match *lock(&shared.state) {
+                    State::Open => {}
+                    State::Resetting => continue,
+                    _ => return,
                 }
                 let shared = Arc::clone(&shared);
                 // A broken connection affects only its two ends.
--- a/bergamotshift-forward/tests/kernel/relay.rs
+++ b/bergamotshift-forward/tests/kernel/relay.rs
@@ -169,3 +169,27 @@
     assert!(candidates.least_loaded(at(400)).is_none());
     assert!(candidates.least_loaded(at(600)).is_some());
 }
+
+/// Guards against an entry that counts as cut off since some endpoints ended, whose connections broke.
+#[test]
+fn broken_connections_need_more_evidence_than_refused_ones() {
+    let (reach, planner) = (Reach::default(), name::Service::new("planner"));
+    for endpoint in 1..6 {
+        assert!(!reach.record_broken(&planner, endpoint, 12), "{endpoint} of 12");
+    }
+    reach.record_reached(&planner);
+    for endpoint in 1..6 {
+        assert!(
+            !reach.record_broken(&planner, endpoint, 12),
+            "{endpoint} of 12, after an answer"
+        );
+    }
+    assert!(reach.record_broken(&planner, 6, 12));
+    reach.record_reached(&planner);
+    // In a large service, and in a small one.
+    assert!((1..8).all(|endpoint| !reach.record_broken(&planner, endpoint, 600)));
+    assert!(reach.record_broken(&planner, 8, 600));
+    reach.record_reached(&planner);
+    assert!(!reach.record_broken(&planner, 1, 2));
+    assert!(reach.record_broken(&planner, 2, 2));
+}
