test(soak): entries that are cut off from all endpoints

--cuts cuts a quarter of the entries off from all endpoints for six to nine seconds: their connections hang, are reset, or live on while new ones are reset. All entries reach an endpoint through one proxy, which finds out by the system's table of sockets which process a connection belongs to.

--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -38,6 +38,11 @@
         self.named += 1;
         let id = format_smolstr!("{service}-{}", self.named);
         let endpoint = Endpoint::start(id, service, Arc::clone(&self.ledger))?;
+        for entry in &self.entries {
+            if let (Some(process), Some(cut)) = (&entry.process, entry.cut) {
+                endpoint.proxy.set_cut(process.id(), Some(cut));
+            }
+        }
         self.store.register(&endpoint.registration("one", false));
         Ok(endpoint)
     }
--- a/bergamotshift-soak/src/fleet/entries.rs
+++ b/bergamotshift-soak/src/fleet/entries.rs
@@ -12,9 +12,11 @@
 
 use super::Fleet;
 use crate::caller::Door;
+use crate::cut::CUT_OFF;
 use crate::ledger::Place;
 use crate::process;
 use crate::process::Process;
+use crate::proxy::Cut;
 use crate::proxy::Proxy;
 
 /// How long a stop may take.
@@ -31,6 +33,8 @@
     pub(super) link: Proxy,
     pub(super) settings: PathBuf,
     pub(super) is_frozen: bool,
+    /// How it is cut off from all endpoints.
+    pub(super) cut: Option<Cut>,
     /// When it was asked to stop; a freeze puts it off.
     pub(super) stopping: Option<Instant>,
 }
@@ -79,10 +83,27 @@
         entry.process = Some(process);
         entry.life = life;
         entry.stopping = None;
+        self.cut_off(number, self.entries[number].cut);
         self.doors.set(number, Some(door));
         Ok(())
     }
 
+    /// Cuts an entry off from all endpoints, or connects it again.
+    pub(super) fn cut_off(&mut self, number: usize, cut: Option<Cut>) {
+        let entry = &mut self.entries[number];
+        if cut.is_some() && entry.cut.is_none() {
+            self.ledger.begin(Place::Entry(number), CUT_OFF, false);
+        } else if cut.is_none() {
+            self.ledger.end(Place::Entry(number), CUT_OFF);
+        }
+        entry.cut = cut;
+        if let Some(process) = &entry.process {
+            for endpoint in &self.endpoints {
+                endpoint.proxy.set_cut(process.id(), cut);
+            }
+        }
+    }
+
     pub(super) fn freeze(&mut self, number: usize) {
         let entry = &mut self.entries[number];
         if let Some(process) = entry.process.as_ref().filter(|_| !entry.is_frozen) {
@@ -164,6 +185,7 @@
 callers = "127.0.0.1:0"
 ready = "127.0.0.1:0"
 peers = "127.0.0.1:0"
+relay = "127.0.0.1:0"
 metrics = "127.0.0.1:0"
 [store]
 address = "{store}"
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -101,6 +101,7 @@
                 link,
                 settings,
                 is_frozen: false,
+                cut: None,
                 stopping: None,
             });
             fleet.run(number)?;
@@ -182,6 +183,7 @@
                 self.ledger.note(Place::Endpoint(place), "reset", false);
                 self.endpoints[place].proxy.reset();
             }
+            Step::CutOff(entry, cut) => self.cut_off(entry, cut),
             Step::Move => self.document(),
         }
         Ok(())
@@ -203,6 +205,7 @@
             self.carry_out(Step::Reach(place, Mode::Pass))?;
         }
         for entry in 0..self.entries.len() {
+            self.carry_out(Step::CutOff(entry, None))?;
             self.carry_out(Step::Link(entry, Mode::Pass))?;
             self.thaw(entry);
             if self.entries[entry].stopping.is_none() {
--- a/bergamotshift-soak/src/lib.rs
+++ b/bergamotshift-soak/src/lib.rs
@@ -8,10 +8,12 @@
 
 pub mod caller;
 pub mod crash;
+pub mod cut;
 pub mod endpoint;
 pub mod fleet;
 pub mod ledger;
 pub mod notice;
+pub mod owner;
 pub mod plan;
 pub mod process;
 pub mod promise;
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -54,6 +54,8 @@
     notices: bool,
     #[options(help = "restore the store from copies", no_short)]
     restores: bool,
+    #[options(help = "cut entries off from all endpoints at times", no_short)]
+    cuts: bool,
     #[options(help = "let services tolerate few rejections at times", no_short)]
     tolerances: bool,
     #[options(help = "send a request that crashes endpoints again and again", no_short)]
@@ -96,6 +98,7 @@
     };
     settings.notices = arguments.notices;
     settings.restores = arguments.restores;
+    settings.cuts = arguments.cuts;
     settings.tolerances = arguments.tolerances;
     settings.crashes = arguments.crashes;
     settings.size.entries = arguments.entries;
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -9,6 +9,7 @@
 
 use crate::endpoint::Habit;
 use crate::endpoint::Notice;
+use crate::proxy::Cut;
 use crate::proxy::Mode;
 use crate::proxy::Way;
 use crate::site::SERVICES;
@@ -52,6 +53,8 @@
     Reach(usize, Mode),
     /// Resets all connections to an endpoint.
     ResetReach(usize),
+    /// Cuts an entry off from all endpoints, or connects it again.
+    CutOff(usize, Option<Cut>),
     /// Moves the moving route to another service.
     Move,
 }
@@ -93,6 +96,12 @@
 /// How long they say so, in milliseconds: also longer than a window in which their requests are counted.
 const NOTICE_MS: Range<u64> = 2_000..10_000;
 
+/// Mean time between two times in which entries are cut off, in milliseconds.
+const CUT_GAP_MS: u64 = 2_000;
+
+/// How long they are, in milliseconds: longer than it takes until they pass their requests through others.
+const CUT_MS: Range<u64> = 6_000..9_000;
+
 /// Mean time between two services whose endpoints tolerate few rejections, in milliseconds.
 const TOLERANCE_GAP_MS: u64 = 2_000;
 
@@ -146,6 +155,21 @@
         self
     }
 
+    /// Draws entries that are cut off from all endpoints, and adds them; the other steps stay as they are.
+    #[must_use]
+    pub fn with_cuts(mut self, seed: u64, size: Size) -> Self {
+        // Other numbers than those of the steps before.
+        let mut draw = Draw::new(seed, size, 5);
+        let mut at = CALM + Duration::from_millis(draw.below(CUT_GAP_MS));
+        while at < size.span {
+            at = draw.cut(at);
+            at += Duration::from_millis(draw.below(2 * CUT_GAP_MS));
+        }
+        self.steps.extend(draw.steps);
+        self.steps.sort_by_key(|(at, _)| *at);
+        self
+    }
+
     /// Draws services whose endpoints tolerate few rejections, and adds them; the other steps stay as they are.
     #[must_use]
     pub fn with_tolerances(mut self, seed: u64, size: Size) -> Self {
@@ -304,6 +328,19 @@
         restored
     }
 
+    /// Draws a quarter of the entries that are cut off from all endpoints for a while, and returns the end of that time.
+    fn cut(&mut self, at: Duration) -> Duration {
+        let cut = Cut::ALL[self.below(Cut::ALL.len() as u64) as usize];
+        let first = self.entry();
+        let end = at + self.within(CUT_MS);
+        for number in 0..self.size.entries.div_ceil(4) {
+            let entry = (first + number) % self.size.entries;
+            self.push(at, Step::CutOff(entry, Some(cut)));
+            self.push(end, Step::CutOff(entry, None));
+        }
+        end
+    }
+
     /// Draws a service whose endpoints all tolerate few rejections for a while, and returns the end of that time.
     fn tolerance(&mut self, at: Duration) -> Duration {
         const REJECTIONS: Range<u64> = 2..12;
--- a/bergamotshift-soak/src/process.rs
+++ b/bergamotshift-soak/src/process.rs
@@ -85,6 +85,11 @@
         let _ = kill_process(Pid::from_child(&self.child), signal);
     }
 
+    /// Returns its identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns how it ended, if it did.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
--- a/bergamotshift-soak/src/proxy.rs
+++ b/bergamotshift-soak/src/proxy.rs
@@ -19,6 +19,8 @@
 
 use socket2::SockRef;
 
+use crate::owner;
+
 /// Which bytes a proxy holds back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -42,15 +44,50 @@
     Hold(Way),
 }
 
+/// How a process is cut off from a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Its connections hang, and new ones too.
+    Hang,
+    /// Its connections are reset, and new ones too.
+    Reset,
+    /// Its connections live on, and new ones are reset.
+    RefuseNew,
+}
+
+impl Cut {
+    /// All ways.
+    pub const ALL: [Self; 3] = [Self::Hang, Self::Reset, Self::RefuseNew];
+}
+
 #[derive(Debug, Default)]
 struct State {
     mode: Mode,
+    /// Processes that are cut off.
+    cuts: BTreeMap<u32, Cut>,
+    /// Connections of processes that are cut off.
+    owners: BTreeMap<u64, u32>,
     /// Both ends of each connection that stands.
     streams: BTreeMap<u64, [TcpStream; 2]>,
     opened: u64,
     is_closed: bool,
 }
 
+impl State {
+    /// Returns whether a connection's process is cut off so that it hangs.
+    fn hangs(&self, place: u64) -> bool {
+        let owner = self.owners.get(&place);
+        owner.is_some_and(|owner| self.cuts.get(owner) == Some(&Cut::Hang))
+    }
+
+    /// Returns the process that is cut off and has a connection, by the connection's port there.
+    fn cut_owner(&self, port: u16) -> Option<(u32, Cut)> {
+        let cuts = self.cuts.iter().map(|(process, cut)| (*process, *cut));
+        cuts.into_iter()
+            .find(|(process, _)| owner::ports(*process).contains(&port))
+    }
+}
+
 #[derive(Debug, Default)]
 struct Link {
     state: Mutex<State>,
@@ -71,9 +108,12 @@
         place
     }
 
-    /// Waits until bytes of one way may pass.
-    fn pass(&self, way: Way) {
-        let held = |state: &mut State| matches!(state.mode, Mode::Hold(held) if held == way || held == Way::Both);
+    /// Waits until bytes of one way of a connection may pass.
+    fn pass(&self, way: Way, place: u64) {
+        let held = |state: &mut State| {
+            let is_held = matches!(state.mode, Mode::Hold(held) if held == way || held == Way::Both);
+            is_held || state.hangs(place)
+        };
         let state = self.changed.wait_while(self.state(), held);
         let mode = state.unwrap_or_else(PoisonError::into_inner).mode;
         if let Mode::Delay(span) = mode {
@@ -120,14 +160,33 @@
         self.link.changed.notify_all();
     }
 
+    /// Cuts a process off from the target, or connects it again.
+    pub fn set_cut(&self, process: u32, cut: Option<Cut>) {
+        let mut state = self.link.state();
+        if let Some(cut) = cut {
+            state.cuts.insert(process, cut);
+            let ports = owner::ports(process);
+            let is_own = |[near, _]: &[TcpStream; 2]| near.peer_addr().is_ok_and(|peer| ports.contains(&peer.port()));
+            let own = state.streams.iter().filter(|(_, ends)| is_own(ends));
+            let own: Vec<u64> = own.map(|(place, _)| *place).collect();
+            for place in own {
+                state.owners.insert(place, process);
+                if let Some(ends) = state.streams.get(&place).filter(|_| cut == Cut::Reset) {
+                    ends.iter().for_each(reset);
+                }
+            }
+        } else {
+            state.cuts.remove(&process);
+            state.owners.retain(|_, owner| *owner != process);
+        }
+        drop(state);
+        self.link.changed.notify_all();
+    }
+
     /// Resets all connections.
     pub fn reset(&self) {
         let streams = mem::take(&mut self.link.state().streams);
-        for stream in streams.values().flatten() {
-            // One that is gone needs no reset.
-            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        streams.values().flatten().for_each(reset);
     }
 
     /// Resets all connections and takes no others.
@@ -140,7 +199,32 @@
     }
 }
 
+/// Resets a connection; one that is gone needs no reset.
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Waits until a new connection may go on; returns false if it was reset.
+fn admit(link: &Link, near: &TcpStream) -> io::Result<bool> {
+    let port = near.peer_addr()?.port();
+    let owner = link.state().cut_owner(port);
+    let Some((process, cut)) = owner else {
+        return Ok(true);
+    };
+    if cut != Cut::Hang {
+        reset(near);
+        return Ok(false);
+    }
+    let hangs = |state: &mut State| state.cuts.get(&process) == Some(&Cut::Hang) && !state.is_closed;
+    drop(link.changed.wait_while(link.state(), hangs));
+    Ok(true)
+}
+
 fn carry(link: &Arc<Link>, near: &TcpStream, target: SocketAddr) -> io::Result<()> {
+    if !admit(link, near)? {
+        return Ok(());
+    }
     let far = TcpStream::connect(target)?;
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
@@ -148,9 +232,9 @@
     let (from, to) = (far.try_clone()?, near.try_clone()?);
     let back = {
         let link = Arc::clone(link);
-        thread::spawn(move || copy(&link, Way::Back, from, to))
+        thread::spawn(move || copy(&link, place, Way::Back, from, to))
     };
-    copy(link, Way::Forth, near.try_clone()?, far);
+    copy(link, place, Way::Forth, near.try_clone()?, far);
     // The other way ends with its own connection; a panic there was printed.
     let _ = back.join();
     link.state().streams.remove(&place);
@@ -158,11 +242,11 @@
 }
 
 /// Copies until one side ends; a half that ends tells the other so.
-fn copy(link: &Link, way: Way, mut from: TcpStream, mut to: TcpStream) {
+fn copy(link: &Link, place: u64, way: Way, mut from: TcpStream, mut to: TcpStream) {
     let mut piece = [0; 8 * 1024];
     loop {
         let length = from.read(&mut piece).unwrap_or(0);
-        link.pass(way);
+        link.pass(way, place);
         if length == 0 || to.write_all(&piece[..length]).is_err() {
             let _ = to.shutdown(Shutdown::Write);
             return;
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -16,6 +16,7 @@
 use crate::caller::Caller;
 use crate::caller::Door;
 use crate::crash;
+use crate::cut;
 use crate::fleet::Fleet;
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
@@ -61,6 +62,8 @@
     pub notices: bool,
     /// Whether the store is restored from copies.
     pub restores: bool,
+    /// Whether entries are cut off from all endpoints at times.
+    pub cuts: bool,
     /// Whether services at times tolerate few rejections, and have little room.
     pub tolerances: bool,
     /// Whether a caller sends a request that crashes endpoints.
@@ -82,6 +85,7 @@
             connects: Duration::from_millis(2_500),
             notices: false,
             restores: false,
+            cuts: false,
             tolerances: false,
             crashes: false,
         }
@@ -131,6 +135,9 @@
     if settings.restores {
         plan = plan.with_restores(settings.seed, settings.size);
     }
+    if settings.cuts {
+        plan = plan.with_cuts(settings.seed, settings.size);
+    }
     if settings.tolerances {
         plan = plan.with_tolerances(settings.seed, settings.size);
     }
@@ -166,6 +173,7 @@
     let mut broken = promise::check(&ledger, &book, &reports);
     broken.extend(notice::check(&book));
     broken.extend(crash::check(&book));
+    broken.extend(cut::check(&book));
     broken.extend(late);
     let served = |outcome: &Outcome| *outcome == Outcome::Answered(200);
     Ok(Report {
--- a/bergamotshift-soak/tests/proxy.rs
+++ b/bergamotshift-soak/tests/proxy.rs
@@ -7,6 +7,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 
+use bergamotshift_soak::proxy::Cut;
 use bergamotshift_soak::proxy::Mode;
 use bergamotshift_soak::proxy::Proxy;
 use bergamotshift_soak::proxy::Way;
@@ -84,3 +85,32 @@
         assert!(matches!(end.read(&mut [0; 4]), Ok(0) | Err(_)));
     }
 }
+
+#[test]
+fn a_process_that_is_cut_off_sends_nothing_until_the_cut_ends() {
+    let Path { proxy, near, far } = &mut Path::new();
+    passes(near, far);
+    proxy.set_cut(std::process::id(), Some(Cut::Hang));
+    is_held(near, far);
+    proxy.set_cut(std::process::id(), None);
+    let mut got = [0; 4];
+    far.read_exact(&mut got).expect("what was held comes");
+    assert_eq!(&got, b"ping");
+}
+
+#[test]
+fn a_process_that_is_refused_keeps_its_connections_and_gets_no_new_ones() {
+    let Path { proxy, near, far } = &mut Path::new();
+    proxy.set_cut(std::process::id(), Some(Cut::RefuseNew));
+    passes(near, far);
+    let mut refused = TcpStream::connect(proxy.address).expect("the proxy listens");
+    assert_eq!(refused.read(&mut [0; 4]).unwrap_or_default(), 0);
+}
+
+#[test]
+fn the_connections_of_a_process_are_reset() {
+    let Path { proxy, near, far } = &mut Path::new();
+    passes(near, far);
+    proxy.set_cut(std::process::id(), Some(Cut::Reset));
+    assert_eq!(near.read(&mut [0; 4]).unwrap_or_default(), 0);
+}
