--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -332,8 +332,8 @@
         if self.members.record_state(now, state)
             && let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State)
         {
-            info!(logger, "entry heard"; "entry" => process.entry.as_str(), "process" => %process, "members" => self.members.count(),
-                "left_out" => left_out);
+            info!(logger, "entry heard"; "entry" => process.entry.as_str(), "process" => %process,
+                "members" => self.members.count(), "left_out" => left_out);
         }
     }
 }
--- a/bergamotshift-forward/src/duty/mod.rs
+++ b/bergamotshift-forward/src/duty/mod.rs
@@ -11,6 +11,7 @@
 mod rollouts;
 mod tally;
 mod task;
+mod usage;
 
 pub use self::clock::Clock;
 pub use self::handover::Handover;
