fix(soak): proxies look for the connections of running processes only, and not under their lock

The proxies kept the cut of each process that had ended, and read the system's table of sockets for each new connection and each of those cuts, under the lock that all connections of the proxy wait for.

A cut ends with its process, a process without sockets is passed over, and the table is read without the lock.

--- a/bergamotshift-soak/src/fleet/entries.rs
+++ b/bergamotshift-soak/src/fleet/entries.rs
@@ -13,6 +13,7 @@
 use super::Fleet;
 use crate::caller::Door;
 use crate::cut::CUT_OFF;
+use crate::endpoint::Endpoint;
 use crate::ledger::Place;
 use crate::process;
 use crate::process::Process;
@@ -46,6 +47,7 @@
             return;
         };
         self.ledger.begin(Place::Entry(number), "killed", false);
+        connect_again(&self.endpoints, &process);
         process.kill();
         entry.is_frozen = false;
         entry.stopping = None;
@@ -168,6 +170,7 @@
                 .faults
                 .push(format!("entry {number}, start {life}: {fault}"));
         }
+        connect_again(&self.endpoints, process);
         entry.process = None;
         entry.stopping = None;
         self.doors.set(number, None);
@@ -175,6 +178,13 @@
     }
 }
 
+/// Ends the cut of a process that ends, so that no proxy looks for its connections any more.
+fn connect_again(endpoints: &[Endpoint], process: &Process) {
+    for endpoint in endpoints {
+        endpoint.proxy.set_cut(process.id(), None);
+    }
+}
+
 /// Returns the settings of an entry.
 pub(super) fn configuration(number: usize, store: SocketAddr) -> String {
     format!(
--- a/bergamotshift-soak/src/owner.rs
+++ b/bergamotshift-soak/src/owner.rs
@@ -6,6 +6,9 @@
 /// Returns the local TCP ports of a process; none if it has ended.
 pub fn ports(process: u32) -> BTreeSet<u16> {
     let sockets = sockets(process);
+    if sockets.is_empty() {
+        return BTreeSet::new();
+    }
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let own = table.lines().skip(1).filter_map(|line| {
         let fields: Vec<&str> = line.split_whitespace().collect();
--- a/bergamotshift-soak/src/proxy.rs
+++ b/bergamotshift-soak/src/proxy.rs
@@ -79,13 +79,6 @@
         let owner = self.owners.get(&place);
         owner.is_some_and(|owner| self.cuts.get(owner) == Some(&Cut::Hang))
     }
-
-    /// Returns the process that is cut off and has a connection, by the connection's port there.
-    fn cut_owner(&self, port: u16) -> Option<(u32, Cut)> {
-        let cuts = self.cuts.iter().map(|(process, cut)| (*process, *cut));
-        cuts.into_iter()
-            .find(|(process, _)| owner::ports(*process).contains(&port))
-    }
 }
 
 #[derive(Debug, Default)]
@@ -162,10 +155,12 @@
 
     /// Cuts a process off from the target, or connects it again.
     pub fn set_cut(&self, process: u32, cut: Option<Cut>) {
+        if let Some(cut) = cut {
+            self.link.state().cuts.insert(process, cut);
+        }
+        let ports = cut.map(|_| owner::ports(process)).unwrap_or_default();
         let mut state = self.link.state();
         if let Some(cut) = cut {
-            state.cuts.insert(process, cut);
-            let ports = owner::ports(process);
             let is_own = |[near, _]: &[TcpStream; 2]| near.peer_addr().is_ok_and(|peer| ports.contains(&peer.port()));
             let own = state.streams.iter().filter(|(_, ends)| is_own(ends));
             let own: Vec<u64> = own.map(|(place, _)| *place).collect();
@@ -208,7 +203,11 @@
 /// Waits until a new connection may go on; returns false if it was reset.
 fn admit(link: &Link, near: &TcpStream) -> io::Result<bool> {
     let port = near.peer_addr()?.port();
-    let owner = link.state().cut_owner(port);
+    let cuts = link.state().cuts.clone();
+    // Reading the system's table takes milliseconds, in which other connections go on.
+    let owner = cuts
+        .into_iter()
+        .find(|(process, _)| owner::ports(*process).contains(&port));
     let Some((process, cut)) = owner else {
         return Ok(true);
     };
