test(entry): the work of a job outlasts its test on a busy machine too

The test's premise is an entry that dies while the endpoint works; the work lasts 60 s now, which the test does not wait for (1.0 s alone). Same assertions.

--- a/bergamotshift-entry/tests/entry/jobs.rs
+++ b/bergamotshift-entry/tests/entry/jobs.rs
@@ -18,6 +18,9 @@
 /// How often a job is fetched before the test gives up on it.
 const LOOKS: u32 = 2_000;
 
+/// Work of an endpoint that does not end while a test runs, however busy the machine is, in milliseconds.
+const WORK_BEYOND_THE_TEST_MS: u64 = 60_000;
+
 /// Two entries before one endpoint and one table.
 struct Pair {
     first: Site,
@@ -139,7 +142,7 @@
     // A billed split is handed in, and its entry dies while the endpoint works on it. The next entry finds the claim,
     // does not send again, and the caller is told that the outcome is unknown. The same key without deferral finds
     // the same claim.
-    let pair = Pair::start(300).await;
+    let pair = Pair::start(WORK_BEYOND_THE_TEST_MS).await;
     let authorization = format!("Bearer {KEY}");
     let headers = [
         ("authorization", &*authorization),
