--- a/bergamotshift-forward/tests/fleet/quarantine.rs
+++ b/bergamotshift-forward/tests/fleet/quarantine.rs
@@ -22,6 +22,9 @@
 /// after which a fleet is stable.
 const REFUSED_WITHIN: Duration = Duration::from_secs(3);
 
+/// Time within which all entries learn of a change of a registration.
+const LEARNED_WITHIN: Duration = Duration::from_secs(10);
+
 fn refuses(node: &Node) -> bool {
     node.control().is_some_and(|control| {
         let view = control.shared().view.load();
@@ -63,3 +66,32 @@
         });
     }
 }
+
+/// Guards against a crashing request that goes on because its endpoints' registrations had lapsed for a time before, behind a
+/// cut from the store: a removal that was undone still excused every death.
+#[test]
+fn a_crashing_request_is_refused_although_the_registrations_of_its_endpoints_lapsed_before() {
+    for entries in [4, 20, 66] {
+        run(async move {
+            let fleet = Fleet::new(Size::of(entries));
+            fleet.start().await;
+            sleep(START).await;
+            for endpoint in 0..3 {
+                fleet.remove(&registration(endpoint).id);
+            }
+            let lapsed = |node: &Node| (0..3).all(|endpoint| node.has_left(Endpoint::new(registration(endpoint)).hash));
+            fleet.wait_for_all("the lapse", LEARNED_WITHIN, lapsed).await;
+            for endpoint in 0..3 {
+                fleet.write(registration(endpoint));
+            }
+            let returned =
+                |node: &Node| !(0..3).any(|endpoint| node.has_left(Endpoint::new(registration(endpoint)).hash));
+            fleet.wait_for_all("the return", LEARNED_WITHIN, returned).await;
+            for endpoint in 0..3 {
+                crash(&fleet, endpoint % entries, endpoint);
+                sleep(Duration::from_millis(300)).await;
+            }
+            fleet.wait_for_all("the refusal", REFUSED_WITHIN, refuses).await;
+        });
+    }
+}
