test(forward): the deaths of a service's only endpoint are not recorded

Fails on the current code: an entry that reaches no endpoint of a service takes itself for cut off, and records no death then.

--- a/bergamotshift-forward/tests/daemon/crashing.rs
+++ b/bergamotshift-forward/tests/daemon/crashing.rs
@@ -4,6 +4,7 @@
 
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
+use crate::outside::lock;
 use crate::site::Caller;
 use crate::site::Site;
 use crate::site::wait_until;
@@ -69,3 +70,29 @@
     let reached = crash_repeatedly("/checkin/1", None);
     assert!(reached <= 3, "it reached {reached} endpoints");
 }
+
+/// Guards against a request that crashes the only endpoint of a service each time that it is back, because an entry that
+/// reaches no endpoint of the service takes itself for cut off and recorded no death.
+#[test]
+fn a_request_that_crashes_the_only_endpoint_of_a_service_is_refused() {
+    let endpoints = endpoints(None);
+    let site = Site::new(&[&endpoints[0]]);
+    let daemon = site.start();
+    let reached = || endpoints.iter().map(Endpoint::count).sum::<usize>();
+    for (number, endpoint) in endpoints.iter().enumerate() {
+        if number > 0 {
+            lock(&site.backend).remove(&endpoints[number - 1].registration("staff").id);
+            lock(&site.backend).register(endpoint.registration("staff"));
+        }
+        let mut attempt = 0;
+        wait_until("it is refused, or reaches the endpoint", || {
+            let mut caller = Caller::new(&daemon);
+            caller.send("POST", "/checkin/1", &format!("r-{number}-{attempt}"), "", "crash");
+            attempt += 1;
+            let answer = caller.read_answer();
+            endpoint.count() > 0 || answer.is_some_and(|answer| answer.text().contains("suspected"))
+        });
+        wait_until("the deaths are recorded", || daemon.death_count() == Some(reached()));
+    }
+    assert!(reached() <= 3, "it reached {} endpoints", reached());
+}
