fix(limit): a removal that was undone excuses no death

Cause: registrations lapse while endpoints are cut off from the store. An entry that had not heard of the return marked deaths as announced, which overrules what other entries know.

Change: removals are kept apart from announcements, are judged when a verdict is made and by each entry for itself, and end when the registration returns. The line of a death says how many do not count for that reason.

Ruled out: excusing nothing after a removal; an endpoint that leaves without an announcement ends then with its last requests, which are harmless.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -275,6 +275,7 @@
     pub(super) fn apply_endpoints(&mut self, now: Instant, shared: &Shared, event: Event, from: &str) {
         let (before, digest) = (self.directory.endpoints().count(), self.directory.digest());
         let leaving = self.directory.apply(now, event);
+        self.record_returns(now, shared);
         self.handle_leaving(now, shared, &leaving, from);
         if digest == self.directory.digest() && shared.view.load().knows_endpoints {
             return;
--- a/bergamotshift-forward/src/control/suspects.rs
+++ b/bergamotshift-forward/src/control/suspects.rs
@@ -41,7 +41,7 @@
         let tally = self.quarantine.tally(fingerprint);
         info!(shared.log.always(), "endpoint ended with a request"; "endpoint" => vm.as_str(),
             "fingerprint" => digits(fingerprint), "counted" => tally.counted, "correlated" => tally.correlated,
-            "forgiven" => tally.forgiven, "announced" => tally.announced);
+            "forgiven" => tally.forgiven, "announced" => tally.announced, "removed" => tally.removed);
         self.publish_suspects(now, shared, "death");
     }
 
@@ -65,6 +65,17 @@
         }
     }
 
+    /// Records that endpoints have registered again, so that their deaths count.
+    pub(super) fn record_returns(&mut self, now: Instant, shared: &Shared) {
+        for endpoint in self.directory.take_returned() {
+            self.quarantine.record_return(&instance(&endpoint));
+            if let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State) {
+                info!(logger, "endpoint returns"; "endpoint" => endpoint.registration.id.as_str(),
+                    "service" => endpoint.registration.service.as_str(), "left_out" => left_out);
+            }
+        }
+    }
+
     /// Publishes which requests are suspected, and logs which ones are refused since the last call, or no longer.
     fn publish_suspects(&mut self, now: Instant, shared: &Shared, from: &str) {
         self.log_quarantined(now, shared, from);
@@ -89,7 +100,8 @@
             };
             info!(logger, "suspicion changed"; "fingerprint" => digits(*fingerprint), "verdict" => verdict,
                 "from" => from, "counted" => tally.counted, "correlated" => tally.correlated,
-                "forgiven" => tally.forgiven, "announced" => tally.announced, "left_out" => left_out);
+                "forgiven" => tally.forgiven, "announced" => tally.announced, "removed" => tally.removed,
+                "left_out" => left_out);
         }
         self.quarantined = refused;
     }
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -122,6 +122,8 @@
     listed: Cursor,
     /// Time of the last failed call of the store, or of its last restore.
     store_failed_at: Option<Instant>,
+    /// Endpoints whose removed registrations returned since they were last taken.
+    returned: Vec<Arc<Endpoint>>,
 }
 
 impl Directory {
@@ -140,6 +142,11 @@
         leaving
     }
 
+    /// Takes the endpoints whose registrations were removed, and returned since the last call.
+    pub fn take_returned(&mut self) -> Vec<Arc<Endpoint>> {
+        core::mem::take(&mut self.returned)
+    }
+
     fn apply_event(&mut self, now: Instant, event: Event) -> Vec<Arc<Endpoint>> {
         let mut leaving = Vec::new();
         match event {
@@ -287,6 +294,7 @@
         } else if !may_be_copied && record.gone_since.take().is_some() {
             // The registration was only missing because the endpoint or the store was cut off.
             record.endpoint = Arc::new(record.endpoint.reregistered(registration));
+            self.returned.push(Arc::clone(&record.endpoint));
         }
         if record.digest() != digest {
             record.changed = written;
--- a/bergamotshift-limit/src/quarantine/mod.rs
+++ b/bergamotshift-limit/src/quarantine/mod.rs
@@ -35,10 +35,11 @@
 use serde::Serialize;
 
 pub use self::record::Attribution;
-use self::record::Correlated;
+use self::record::Excuses;
 use self::record::Record;
 pub use self::record::Suspicion;
 pub use self::record::Tally;
+use self::record::is_removed_before;
 pub use self::table::Table;
 pub use self::table::Verdict;
 
@@ -132,22 +133,10 @@
     records: BTreeMap<Fingerprint, Record>,
     /// Recent deaths that this entry or another one saw, in the order of their times.
     recent: Vec<RecentDeath>,
-    departures: BTreeMap<Instance, Departure>,
-}
-
-/// What is known of the end of an instance, apart from its death.
-#[derive(Clone, Copy, Debug)]
-struct Departure {
-    at: Instant,
-    /// Whether the instance itself or the platform announced it, so that no death of it counts.
-    announced: bool,
-}
-
-impl Departure {
-    /// Returns whether a death at this time does not count.
-    fn explains(self, death: Instant) -> bool {
-        self.announced || death > self.at
-    }
+    /// Times at which the ends of instances were announced; no death of them counts.
+    announcements: BTreeMap<Instance, Instant>,
+    /// Times at which registrations were removed without an announcement; later deaths do not count.
+    removals: BTreeMap<Instance, Instant>,
 }
 
 impl Quarantine {
@@ -157,7 +146,8 @@
             settings,
             records: BTreeMap::new(),
             recent: Vec::new(),
-            departures: BTreeMap::new(),
+            announcements: BTreeMap::new(),
+            removals: BTreeMap::new(),
         }
     }
 
@@ -174,7 +164,7 @@
             self.announce(now, death.instance);
             return;
         }
-        if self.departures.contains_key(&death.instance) {
+        if self.announcements.contains_key(&death.instance) {
             return;
         }
         for fingerprint in &death.running {
@@ -190,24 +180,23 @@
     /// The platform's list lags, so the notice may arrive after the connections broke.
     pub fn announce(&mut self, now: Instant, instance: Instance) {
         self.recent.retain(|recent| recent.instance != instance);
-        let departure = Departure {
-            at: now,
-            announced: true,
-        };
-        self.departures.insert(instance, departure);
-        self.apply_departures();
+        self.announcements.insert(instance, now);
+        self.apply_announcements();
     }
 
     /// Records that the registration of an instance was removed without an announcement. Deaths counted so far still
-    /// count, and later ones do not.
+    /// count, and later ones do not until it returns ([`record_return`](Self::record_return)).
     ///
     /// The registration of an endpoint that crashed is removed because nobody renews it.
     pub fn record_removal(&mut self, now: Instant, instance: Instance) {
-        let departure = Departure {
-            at: now,
-            announced: false,
-        };
-        self.departures.entry(instance).or_insert(departure);
+        self.removals.entry(instance).or_insert(now);
+    }
+
+    /// Records that an instance whose registration was removed has registered again; its deaths count again.
+    ///
+    /// Registrations lapse while an endpoint or the store is cut off.
+    pub fn record_return(&mut self, instance: &Instance) {
+        self.removals.remove(instance);
     }
 
     /// Merges the suspicions of another entry.
@@ -218,7 +207,7 @@
             self.add_recent_of(now, suspicion);
         }
         self.expire(now);
-        self.apply_departures();
+        self.apply_announcements();
         self.evict();
     }
 
@@ -231,12 +220,12 @@
     /// Returns the deaths in which a request was involved, by attribution.
     pub fn tally(&self, fingerprint: Fingerprint) -> Tally {
         let record = self.records.get(&fingerprint);
-        record.map_or_else(Tally::default, |record| record.tally(&self.correlated()))
+        record.map_or_else(Tally::default, |record| record.tally(&self.excuses()))
     }
 
     /// Returns the table for the workers.
     pub fn table(&self) -> Table {
-        Table::new(&self.settings, &self.records, &self.correlated())
+        Table::new(&self.settings, &self.records, &self.excuses())
     }
 
     /// Removes state that no verdict depends on any more.
@@ -244,15 +233,16 @@
         let lifetime = self.settings.lifetime();
         self.records.retain(|_, record| record.expire(now, lifetime));
         self.forgive_settled(now);
-        self.departures
-            .retain(|_, departure| now.since(departure.at) <= lifetime);
+        self.announcements.retain(|_, at| now.since(*at) <= lifetime);
+        self.removals.retain(|_, at| now.since(*at) <= lifetime);
     }
 
     /// Adds the recent deaths of which another entry knows that they count.
     fn add_recent_of(&mut self, now: Instant, suspicion: &Suspicion) {
         let settled = self.settled();
         for (instance, age, attribution) in &suspicion.deaths {
-            if *attribution == Attribution::Counted && *age <= settled && !self.departures.contains_key(instance) {
+            let is_announced = self.announcements.contains_key(instance);
+            if *attribution == Attribution::Counted && *age <= settled && !is_announced {
                 self.add_recent(now - *age, instance, BTreeSet::from([suspicion.fingerprint]));
             }
         }
@@ -260,6 +250,9 @@
 
     /// Adds a death to the recent ones.
     fn add_recent(&mut self, at: Instant, instance: &Instance, running: BTreeSet<Fingerprint>) {
+        if is_removed_before(&self.removals, instance, at) {
+            return;
+        }
         // Several threads and entries report the same death, once for each request that was running.
         if let Some(known) = self.recent.iter_mut().find(|recent| recent.instance == *instance) {
             known.at = known.at.min(at);
@@ -278,7 +271,7 @@
     fn is_explained(&self, recent: &RecentDeath) -> bool {
         recent.running.iter().any(|fingerprint| {
             let record = self.records.get(fingerprint);
-            record.is_some_and(|record| record.has_earlier_counted(recent.at, &recent.instance))
+            record.is_some_and(|record| record.has_earlier_counted(recent.at, &recent.instance, &self.removals))
         })
     }
 
@@ -287,7 +280,16 @@
         self.settings.window * 2
     }
 
-    /// Returns the recent deaths that appear correlated so far.
+    /// Returns the reasons for which deaths do not count at present.
+    fn excuses(&self) -> Excuses<'_> {
+        Excuses {
+            correlated: self.correlated(),
+            max_forgiven: self.settings.max_forgiven,
+            removals: &self.removals,
+        }
+    }
+
+    /// Returns the instances whose recent deaths appear correlated so far.
     ///
     /// When a zone is lost without notice, each request there is involved in one death, or in two if it was moved
     /// within the zone, and would be refused although it is harmless. Endpoints that ran no suspected request cannot
@@ -301,11 +303,10 @@
     /// ran there too, the death first looks unexplained, and two of them look correlated. Deaths are forgiven
     /// permanently only when all their reports must have arrived; otherwise the crashing request would bring down a
     /// third endpoint.
-    fn correlated(&self) -> Correlated {
+    fn correlated(&self) -> BTreeSet<Instance> {
         let Settings {
             window,
             correlated_deaths,
-            max_forgiven,
             ..
         } = self.settings;
         let mut instances = BTreeSet::new();
@@ -323,10 +324,7 @@
                 marked = index + 1;
             }
         }
-        Correlated {
-            instances,
-            max_forgiven,
-        }
+        instances
     }
 
     /// Forgives deaths permanently that still appear correlated when no more reports of them are expected.
@@ -337,7 +335,7 @@
         }
         let correlated = self.correlated();
         let old = self.recent.extract_if(.., |recent| now.since(recent.at) > settled);
-        for recent in old.filter(|recent| correlated.instances.contains(&recent.instance)) {
+        for recent in old.filter(|recent| correlated.contains(&recent.instance)) {
             for fingerprint in &recent.running {
                 if let Some(record) = self.records.get_mut(fingerprint) {
                     record.forgive(&recent.instance, self.settings.max_forgiven);
@@ -346,10 +344,10 @@
         }
     }
 
-    /// Marks the deaths that known departures explain as announced in all records.
-    fn apply_departures(&mut self) {
+    /// Marks the deaths of instances whose end was announced in all records.
+    fn apply_announcements(&mut self) {
         for record in self.records.values_mut() {
-            record.apply_departures(&self.departures);
+            record.apply_announcements(&self.announcements);
         }
     }
 
--- a/bergamotshift-limit/src/quarantine/record.rs
+++ b/bergamotshift-limit/src/quarantine/record.rs
@@ -8,7 +8,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Departure;
 use super::Instance;
 
 /// Attribution of a death to the requests that were running there.
@@ -49,14 +48,26 @@
     pub forgiven: usize,
     /// Number of deaths that were announced.
     pub announced: usize,
+    /// Number of deaths of instances whose registrations had been removed before, as far as this entry knows.
+    pub removed: usize,
 }
 
-/// Recent deaths that appear correlated so far.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Correlated {
-    pub(super) instances: BTreeSet<Instance>,
+/// Reasons for which deaths do not count at present.
+///
+/// Entries do not exchange them, as each of them may end: registrations return, and deaths turn out to be unrelated.
+#[derive(Clone, Debug)]
+pub(super) struct Excuses<'a> {
+    /// Instances whose deaths appear correlated so far.
+    pub(super) correlated: BTreeSet<Instance>,
     /// Maximum number of deaths forgiven to one request.
     pub(super) max_forgiven: usize,
+    /// Times at which registrations were removed without an announcement.
+    pub(super) removals: &'a BTreeMap<Instance, Instant>,
+}
+
+/// Returns whether the registration of an instance was removed before a time.
+pub(super) fn is_removed_before(removals: &BTreeMap<Instance, Instant>, instance: &Instance, at: Instant) -> bool {
+    removals.get(instance).is_some_and(|removed| at > *removed)
 }
 
 /// Deaths in which one request was involved.
@@ -74,58 +85,75 @@
     }
 
     /// Returns the number of counted deaths within `memory` of the latest one.
-    pub(super) fn count(&self, memory: Duration, correlated: &Correlated) -> usize {
-        let latest = self.latest_counted(correlated).unwrap_or_default();
+    pub(super) fn count(&self, memory: Duration, excuses: &Excuses<'_>) -> usize {
+        let latest = self.latest_counted(excuses).unwrap_or_default();
         let recent = |at: &Instant| latest.since(*at) <= memory;
-        self.counted(correlated).filter(recent).count()
+        self.counted(excuses).filter(recent).count()
     }
 
     /// Returns the number of deaths by attribution.
-    pub(super) fn tally(&self, correlated: &Correlated) -> Tally {
-        let all_counted = self.times(Attribution::Counted).count();
-        let counted = self.counted(correlated).count();
+    pub(super) fn tally(&self, excuses: &Excuses<'_>) -> Tally {
+        let present = self.present(excuses.removals);
+        let all_counted = present.filter(|(_, _, attribution)| *attribution == Attribution::Counted);
+        let all_counted = all_counted.count();
+        let counted = self.counted(excuses).count();
+        let unannounced = self.deaths.len() - self.times(Attribution::Announced).count();
         Tally {
             counted,
             correlated: all_counted - counted,
             forgiven: self.times(Attribution::Forgiven).count(),
             announced: self.times(Attribution::Announced).count(),
+            removed: unannounced - self.unannounced_times(excuses.removals).count(),
         }
     }
 
     /// Returns the time of the latest counted death.
-    pub(super) fn latest_counted(&self, correlated: &Correlated) -> Option<Instant> {
-        self.counted(correlated).max()
+    pub(super) fn latest_counted(&self, excuses: &Excuses<'_>) -> Option<Instant> {
+        self.counted(excuses).max()
     }
 
     /// Returns the number of unannounced deaths within `memory` of the latest one, including correlated ones.
-    pub(super) fn unannounced(&self, memory: Duration) -> usize {
-        let latest = self.latest_unannounced().unwrap_or_default();
+    pub(super) fn unannounced(&self, memory: Duration, excuses: &Excuses<'_>) -> usize {
+        let latest = self.latest_unannounced(excuses).unwrap_or_default();
         let recent = |at: &Instant| latest.since(*at) <= memory;
-        self.unannounced_times().filter(recent).count()
+        self.unannounced_times(excuses.removals).filter(recent).count()
     }
 
     /// Returns the time of the latest unannounced death.
-    pub(super) fn latest_unannounced(&self) -> Option<Instant> {
-        self.unannounced_times().max()
+    pub(super) fn latest_unannounced(&self, excuses: &Excuses<'_>) -> Option<Instant> {
+        self.unannounced_times(excuses.removals).max()
     }
 
     /// Returns whether another instance died before, and that death counts.
-    pub(super) fn has_earlier_counted(&self, at: Instant, instance: &Instance) -> bool {
-        let counts = |(other, (died, attribution)): (&Instance, &(Instant, Attribution))| {
-            other != instance && *died < at && *attribution == Attribution::Counted
-        };
-        self.deaths.iter().any(counts)
+    pub(super) fn has_earlier_counted(
+        &self,
+        at: Instant,
+        instance: &Instance,
+        removals: &BTreeMap<Instance, Instant>,
+    ) -> bool {
+        let mut present = self.present(removals);
+        present.any(|(other, died, attribution)| other != instance && died < at && attribution == Attribution::Counted)
     }
 
     /// Returns the times of the counted deaths.
-    fn counted(&self, correlated: &Correlated) -> impl Iterator<Item = Instant> {
+    fn counted(&self, excuses: &Excuses<'_>) -> impl Iterator<Item = Instant> {
         // The limit of forgiven deaths also applies to those that may still be forgiven.
-        let may_forgive = self.times(Attribution::Forgiven).count() < correlated.max_forgiven;
-        let deaths = self.deaths.iter();
-        let counted = deaths.filter(move |(instance, (_, attribution))| {
-            *attribution == Attribution::Counted && !(may_forgive && correlated.instances.contains(instance))
+        let may_forgive = self.times(Attribution::Forgiven).count() < excuses.max_forgiven;
+        let present = self.present(excuses.removals);
+        let counted = present.filter(move |(instance, _, attribution)| {
+            *attribution == Attribution::Counted && !(may_forgive && excuses.correlated.contains(*instance))
         });
-        counted.map(|(_, (at, _))| *at)
+        counted.map(|(_, at, _)| at)
+    }
+
+    /// Returns the deaths of instances whose registrations had not been removed before.
+    fn present(
+        &self,
+        removals: &BTreeMap<Instance, Instant>,
+    ) -> impl Iterator<Item = (&Instance, Instant, Attribution)> {
+        let deaths = self.deaths.iter();
+        let deaths = deaths.map(|(instance, (at, attribution))| (instance, *at, *attribution));
+        deaths.filter(|(instance, at, _)| !is_removed_before(removals, instance, *at))
     }
 
     /// Returns the time of the latest death.
@@ -140,11 +168,10 @@
         }
     }
 
-    /// Marks the deaths that departures explain as announced.
-    pub(super) fn apply_departures(&mut self, departures: &BTreeMap<Instance, Departure>) {
-        for (instance, (at, attribution)) in &mut self.deaths {
-            let departure = departures.get(instance);
-            if departure.is_some_and(|departure| departure.explains(*at)) {
+    /// Marks the deaths of instances whose end was announced.
+    pub(super) fn apply_announcements(&mut self, announcements: &BTreeMap<Instance, Instant>) {
+        for (instance, (_, attribution)) in &mut self.deaths {
+            if announcements.contains_key(instance) {
                 *attribution = Attribution::Announced;
             }
         }
@@ -186,10 +213,10 @@
         }
     }
 
-    /// Returns the times of the deaths that were not announced.
-    fn unannounced_times(&self) -> impl Iterator<Item = Instant> {
-        let deaths = self.deaths.values();
-        deaths.filter_map(|(at, attribution)| (*attribution != Attribution::Announced).then_some(*at))
+    /// Returns the times of the deaths that were not announced, of instances that had not been removed before.
+    fn unannounced_times(&self, removals: &BTreeMap<Instance, Instant>) -> impl Iterator<Item = Instant> {
+        let present = self.present(removals);
+        present.filter_map(|(_, at, attribution)| (attribution != Attribution::Announced).then_some(at))
     }
 
     /// Returns the times of the deaths with an attribution.
--- a/bergamotshift-limit/src/quarantine/table.rs
+++ b/bergamotshift-limit/src/quarantine/table.rs
@@ -6,7 +6,7 @@
 use bergamotshift_core::prelude::*;
 
 use super::Settings;
-use super::record::Correlated;
+use super::record::Excuses;
 use super::record::Record;
 
 /// Restrictions on how a request may run.
@@ -37,15 +37,15 @@
 }
 
 impl Table {
-    pub(super) fn new(settings: &Settings, records: &BTreeMap<Fingerprint, Record>, correlated: &Correlated) -> Self {
+    pub(super) fn new(settings: &Settings, records: &BTreeMap<Fingerprint, Record>, excuses: &Excuses<'_>) -> Self {
         let row = |(fingerprint, record): (&Fingerprint, &Record)| {
-            let is_repeated = record.unannounced(settings.memory) >= settings.max_deaths;
+            let is_repeated = record.unannounced(settings.memory, excuses) >= settings.max_deaths;
             let latest = if is_repeated {
-                record.latest_unannounced()?
+                record.latest_unannounced(excuses)?
             } else {
-                record.latest_counted(correlated)?
+                record.latest_counted(excuses)?
             };
-            let is_refused = is_repeated || record.count(settings.memory, correlated) >= settings.deaths;
+            let is_refused = is_repeated || record.count(settings.memory, excuses) >= settings.deaths;
             let refused_until = is_refused.then(|| latest + settings.hold);
             let alone_until = latest + settings.memory;
             Some((
--- a/bergamotshift-limit/tests/quarantine.rs
+++ b/bergamotshift-limit/tests/quarantine.rs
@@ -160,6 +160,33 @@
     assert_eq!(verdict(&quarantine, at(6_100), HARMLESS), Verdict::Clear);
 }
 
+/// Guards against deaths that do not count because the registrations of their endpoints had lapsed and returned before, and
+/// against an entry that does not know of the return and overrules the others.
+#[test]
+fn removals_that_were_undone_excuse_no_death() {
+    let mut entries = vec![Quarantine::new(Settings::default()); 2];
+    for quarantine in &mut entries {
+        for number in [1, 2] {
+            quarantine.record_removal(at(0), instance(number));
+        }
+    }
+    for number in [1, 2] {
+        entries[0].record_return(&instance(number));
+    }
+    for number in [1, 2] {
+        let now = at(500 * u64::from(number));
+        entries[usize::from(number - 1)].record_death(now, death(number, &[CRASHING]));
+    }
+    exchange(at(1_100), &mut entries);
+    exchange(at(1_200), &mut entries);
+    assert!(refused(&entries[0], at(1_200), CRASHING));
+    assert_eq!(entries[1].tally(CRASHING).removed, 2);
+    for number in [1, 2] {
+        entries[1].record_return(&instance(number));
+    }
+    assert!(refused(&entries[1], at(1_300), CRASHING));
+}
+
 #[test]
 fn crashing_requests_that_look_correlated_are_still_stopped() {
     // Two requests repeatedly crash two endpoints at the same time, which looks correlated and is forgiven. The number
--- a/bergamotshift-limit/tests/quarantine_fleet.rs
+++ b/bergamotshift-limit/tests/quarantine_fleet.rs
@@ -41,6 +41,8 @@
     Report { entry: usize, death: Death },
     /// An entry learns that the registration of an endpoint was removed.
     Removal { entry: usize, instance: Instance },
+    /// An entry learns that an endpoint has registered again.
+    Return { entry: usize, instance: Instance },
     /// An entry learns that an endpoint leaves.
     Announcement { entry: usize, instance: Instance },
     /// An entry tells another one what it knows.
@@ -81,6 +83,8 @@
     late: usize,
     /// Harmless requests that were in lost zones.
     lost: Vec<Fingerprint>,
+    /// Endpoints that have registered again after their registrations lapsed.
+    returned: Vec<Instance>,
 }
 
 impl Fleet {
@@ -104,6 +108,7 @@
             crashes: Vec::new(),
             late: 0,
             lost: Vec::new(),
+            returned: Vec::new(),
         };
         fleet.plan();
         fleet
@@ -123,6 +128,9 @@
             let at = self.pick(0..SPAN_MS);
             self.schedule(at, Event::Leaving);
         }
+        if self.pick(0..2) == 0 {
+            self.cut_endpoints();
+        }
         if self.pick(0..2) == 0 {
             let (at, entry) = (self.pick(0..SPAN_MS), self.any_entry());
             self.schedule(at, Event::Restart { entry });
@@ -194,6 +202,26 @@
         }
     }
 
+    /// Lets the registrations of some endpoints lapse and return; entries learn of both at different times.
+    fn cut_endpoints(&mut self) {
+        for _ in 0..self.pick(2..8) {
+            let instance = self.new_instance();
+            for entry in 0..self.entries.len() {
+                let (removed, returned) = (self.pick(0..500), self.pick(3_000..3_500));
+                let (lapsed, back) = (instance.clone(), instance.clone());
+                self.schedule(
+                    removed,
+                    Event::Removal {
+                        entry,
+                        instance: lapsed,
+                    },
+                );
+                self.schedule(returned, Event::Return { entry, instance: back });
+            }
+            self.returned.push(instance);
+        }
+    }
+
     /// Lets the crashing request arrive at an entry; admitted, it crashes an endpoint that also runs harmless requests.
     fn arrive(&mut self, entry: usize) {
         if self.now < SPAN_MS {
@@ -207,7 +235,11 @@
         let third = self.crashes.get(2).copied();
         let is_late = third.is_some_and(|third| self.now > third + STABLE.as_millis() as u64);
         self.late += usize::from(is_calm && is_late);
-        let instance = self.new_instance();
+        let instance = if self.returned.is_empty() || self.pick(0..2) == 0 {
+            self.new_instance()
+        } else {
+            self.returned.remove(0)
+        };
         let run = self.pick(10..400);
         self.crashes.push(self.now + run);
         self.report(run, entry, &instance, CRASHING);
@@ -279,6 +311,7 @@
             Event::Arrival { entry } => self.arrive(entry),
             Event::Report { entry, death } => self.entries[entry].quarantine.record_death(now, death),
             Event::Removal { entry, instance } => self.entries[entry].quarantine.record_removal(now, instance),
+            Event::Return { entry, instance } => self.entries[entry].quarantine.record_return(&instance),
             Event::Announcement { entry, instance } => self.entries[entry].quarantine.announce(now, instance),
             Event::Round { entry } => self.round(entry),
             Event::Message { entry, suspicions } => self.entries[entry].quarantine.merge(now, &suspicions),
