test(forward): streams go on at another version of the software

Both fail on the current code: a caller takes a stream up at another entry, and an endpoint breaks a stream off within one answer.

--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -74,6 +74,7 @@
     pub closed: Arc<Mutex<usize>>,
     id: String,
     zone: &'static str,
+    version: &'static str,
     crashed: Arc<AtomicBool>,
 }
 
@@ -90,6 +91,7 @@
             closed: Arc::default(),
             id: id.to_owned(),
             zone: "one",
+            version: "v1",
             crashed: Arc::default(),
         };
         let server = endpoint.clone();
@@ -120,12 +122,17 @@
         Self { zone: "two", ..self }
     }
 
+    /// Returns the endpoint with another version of its software; its registrations name it from then on.
+    pub fn with_version(self, version: &'static str) -> Self {
+        Self { version, ..self }
+    }
+
     /// Returns the endpoint's registration for a service.
     pub fn registration(&self, service: &str) -> Registration {
         Registration {
             id: self.id.as_str().into(),
             born: 0,
-            version: "v1".into(),
+            version: self.version.into(),
             service: service.into(),
             address: self.address,
             zone: self.zone.into(),
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -27,3 +27,4 @@
 mod streams;
 mod throttled;
 mod tolerance;
+mod versions;
--- /dev/null
+++ b/bergamotshift-forward/tests/daemon/versions.rs
@@ -0,0 +1,145 @@
+//! Streams beside endpoints of several versions, whose output does not fit together.
+
+use std::collections::BTreeSet;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
+use crate::endpoint::Connection;
+use crate::endpoint::Endpoint;
+use crate::endpoint::Request;
+use crate::site::Answer;
+use crate::site::Caller;
+use crate::site::Daemon;
+use crate::site::Site;
+use crate::site::wait_until;
+
+const EVENT_STREAM: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+
+/// Number of events of a stream.
+const EVENTS: u32 = 4;
+
+/// Number of events after which a stream that is not taken up stops.
+const FIRST_EVENTS: u32 = 2;
+
+/// Number of streams.
+const STREAMS: usize = 12;
+
+/// What an endpoint does after the first events of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum After {
+    /// It sends nothing more until the caller leaves.
+    Wait,
+    /// It breaks the connection.
+    Break,
+}
+
+/// Starts an endpoint whose events name its version.
+fn endpoint(id: &str, version: &'static str, after: After) -> Endpoint {
+    let endpoint = Endpoint::start(id, move |request, _, stream| answer(request, version, after, stream));
+    endpoint.with_version(version)
+}
+
+fn answer(request: &Request, version: &str, after: After, stream: &mut TcpStream) -> std::io::Result<Connection> {
+    let last = request.header("last-event-id").and_then(|last| last.parse().ok());
+    let until = if last.is_some() { EVENTS } else { FIRST_EVENTS };
+    stream.write_all(request.answer_head("200 OK", EVENT_STREAM).as_bytes())?;
+    for number in last.unwrap_or(0) + 1..=until {
+        let text = format!("id: {number}\ndata: {version}\n\n");
+        write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
+    }
+    if until == EVENTS {
+        stream.write_all(b"0\r\n\r\n")?;
+        return Ok(Connection::Keep);
+    }
+    if after == After::Wait {
+        let _ = stream.read(&mut [0]);
+    }
+    Ok(Connection::Close)
+}
+
+/// Starts three endpoints of each of two versions.
+fn endpoints(after: After) -> Vec<Endpoint> {
+    let start = |number| {
+        let version = if number % 2 == 0 { "v1" } else { "v2" };
+        endpoint(&format!("e{number}"), version, after)
+    };
+    (0..6).map(start).collect()
+}
+
+fn versions(text: &str) -> Vec<String> {
+    let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    data.map(ToOwned::to_owned).collect()
+}
+
+/// Begins streams that stay open after their first events, and returns the version that began each of them.
+fn begin(daemon: &Daemon, streams: usize) -> Vec<String> {
+    let mut callers: Vec<_> = (0..streams).map(|_| Caller::new(daemon)).collect();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.send("POST", "/draft/1", &format!("first-{number}"), "", &format!("{number}"));
+    }
+    let read = |caller: &mut Caller| {
+        let mut text = String::new();
+        while versions(&text).len() < FIRST_EVENTS as usize {
+            let mut bytes = [0; 1_024];
+            let count = caller.0.read(&mut bytes).expect("events come");
+            assert!(count > 0, "the stream ended: {text}");
+            text.push_str(&String::from_utf8_lossy(&bytes[..count]));
+        }
+        versions(&text).remove(0)
+    };
+    callers.iter_mut().map(read).collect()
+}
+
+/// Takes up a stream that began as the attempt with this identifier.
+fn take_up(daemon: &Daemon, first: &str, id: &str) -> Option<Answer> {
+    let mut caller = Caller::new(daemon);
+    let extra = format!("last-event-id: {FIRST_EVENTS}\r\nbergamotshift-resumes: {first}\r\n");
+    caller.send("POST", "/draft/1", id, &extra, "x");
+    caller.read_answer()
+}
+
+/// Guards against streams that go on at another version when their callers take them up at another entry.
+#[test]
+fn a_stream_that_its_caller_takes_up_goes_on_at_the_version_that_began_it() {
+    let endpoints = endpoints(After::Wait);
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let first = site.start();
+    let second = site.launch("entry-2", &[first.listen.peers]);
+    wait_until("the entries know each other", || {
+        [&first, &second]
+            .iter()
+            .all(|entry| entry.peer_count() == Some(1) && entry.is_ready())
+    });
+    let begun = begin(&first, STREAMS);
+    assert_eq!(begun.iter().collect::<BTreeSet<_>>().len(), 2, "both versions serve");
+    let mut served = 0;
+    for (number, version) in begun.iter().enumerate() {
+        let answer = take_up(&second, &format!("first-{number}"), &format!("second-{number}")).expect("an answer");
+        if answer.status == 200 {
+            served += 1;
+            let went_on = versions(&answer.text());
+            assert!(
+                went_on.iter().all(|other| other == version),
+                "{version}, then {went_on:?}"
+            );
+        }
+    }
+    assert_eq!(served, STREAMS);
+}
+
+/// Guards against streams that go on at another version when their endpoint breaks them off.
+#[test]
+fn a_stream_that_its_endpoint_breaks_off_goes_on_at_its_version() {
+    let endpoints = endpoints(After::Break);
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let daemon = site.start();
+    for number in 0..STREAMS {
+        let mut caller = Caller::new(&daemon);
+        let answer = caller.ask("POST", "/draft/1", &format!("r-{number}"), &format!("{number}"));
+        assert!(answer.is_complete);
+        let versions = versions(&answer.text());
+        assert_eq!(versions.len(), EVENTS as usize);
+        assert!(versions.iter().all(|version| *version == versions[0]), "{versions:?}");
+    }
+}
