fix(forward): a stream goes on at the version that began it

Cause: an entry that was asked for the rest of a stream knew the number of the last event only, and chose among all endpoints; so did an entry that resumed a stream within one answer.

Change: each stream is bound to the version that sent its first event. The entry records it under the service, the organisation and the attempt's identifier, and tells three other entries by rendezvous hash within some 10 ms while several versions may serve. An entry that is asked for the rest looks in its own table, goes to the only version that can have begun the stream, or asks the three holders; otherwise it refuses at once, unrun. Versions count as possible for twice the longest timeout of a stream after their last endpoint has gone; an entry that starts learns them from the rows of the entries in the store. With registrations that are not current, no version counts as the only one.

The first test of breaks within an answer raises its retry budget: after four retries its premise did not hold.

Ruled out: telling all entries (bytes grow with entries times streams); the states that entries exchange four times a second (a killed entry's streams of the last quarter of a second would be unknown); a version that follows from the identifier by hash (changes with the set of versions, and spreads load evenly over uneven versions).

--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -102,6 +102,8 @@
     pub preferred_zone: Option<&'a name::Zone>,
     /// Endpoints that are left out since they had the request already, by their hashes.
     pub tried: &'a [u64],
+    /// Version that began the stream, at which alone it may go on; `None` for a request that may go to any version.
+    pub version: Option<&'a str>,
     /// Seed of the order among endpoints of the same cost, which differs between entries.
     pub seed: u64,
     /// Endpoints that are not candidates, but from which cached parts of the prompt may be fetched.
@@ -141,7 +143,7 @@
         let open = endpoints
             .iter()
             .filter(|endpoint| !endpoint.is_leaving() && endpoint.closed_until(now).is_none());
-        open.filter(|endpoint| !request.tried.contains(&endpoint.hash))
+        open.filter(|endpoint| !request.tried.contains(&endpoint.hash) && endpoint.has_version(request.version))
     };
     let prompt = request
         .engine
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -22,6 +22,7 @@
 
 use super::copies::Cache;
 use super::organisation::Organisation;
+use super::versions::Versions;
 use crate::document::Difference;
 use crate::document::Document;
 use crate::duty::Handover;
@@ -124,6 +125,8 @@
     pub(super) organisations: BTreeMap<name::Organisation, Organisation>,
     /// State by service.
     pub(super) services: BTreeMap<name::Service, ServiceState>,
+    /// Versions that serve, or served within the lifetime of streams.
+    pub(super) versions: Versions,
     /// Other entries.
     pub(super) members: Members,
     /// Requests suspected of crashing endpoints.
@@ -190,6 +193,7 @@
             uploads: upload_limit(shared),
             organisations: BTreeMap::new(),
             services: BTreeMap::new(),
+            versions: Versions::default(),
             members,
             quarantine: Quarantine::new(quarantine::Settings::default()),
             quarantined: BTreeSet::new(),
@@ -262,6 +266,7 @@
         let is_first = self.registrations_checkpoint.age(now).is_none();
         let known = self.registrations_checkpoint.cursor();
         self.registrations_checkpoint.confirm(now, cursor, age);
+        self.update_current(now, shared);
         if is_first || cursor.era <= known.era {
             return;
         }
@@ -348,6 +353,7 @@
         self.update_tolerances(now, shared);
         self.update_lag(now, shared);
         self.update_ages(now, shared);
+        self.update_origins(now, shared);
         self.update_quotas(now, shared);
         self.apply_shares(now, shared);
         shared.ledger().expire(now);
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod suspects;
 mod talk;
 mod tolerances;
+mod versions;
 mod zone;
 
 use core::cell::RefCell;
@@ -25,6 +26,7 @@
 use bergamotshift_claim::lease::Notice;
 use bergamotshift_core::prelude::*;
 use slog::info;
+use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
@@ -309,6 +311,17 @@
         }
     }
 
+    /// Adds versions of services that served before, as another entry stored them.
+    pub fn add_versions(&self, versions: Vec<(name::Service, SmolStr)>) {
+        let now = self.now();
+        self.inner.borrow_mut().add_versions(now, versions);
+    }
+
+    /// Returns the versions of services that serve, or served within the lifetime of streams.
+    pub fn versions(&self) -> Vec<(name::Service, SmolStr)> {
+        self.inner.borrow().all_versions()
+    }
+
     /// Returns the organisations whose recent demand was a large part of their limits.
     pub fn busy_organisations(&self) -> Vec<name::Organisation> {
         let now = self.now();
--- a/bergamotshift-forward/src/control/publish.rs
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -40,6 +40,7 @@
             }
         }
         let now = shared.clock.now();
+        self.update_versions(now);
         let by_hash = self.directory.endpoints();
         let by_hash = by_hash.map(|endpoint| (endpoint.hash, Arc::clone(endpoint))).collect();
         let open = endpoints.values().flatten().filter(|endpoint| !endpoint.is_leaving());
@@ -63,6 +64,7 @@
                 budget: Arc::clone(&state.budget),
                 requested_tokens: Arc::clone(&state.requested_tokens),
                 typical_prompt: Arc::clone(&state.typical_prompt),
+                versions: self.versions.of(&service.name),
             };
             let canary = self.canary(now, &service.name);
             services.insert(service.name.clone(), Service { canary, ..snapshot });
--- a/bergamotshift-forward/src/daemon/server.rs
+++ b/bergamotshift-forward/src/daemon/server.rs
@@ -84,6 +84,8 @@
             ntex::rt::spawn(sweep(Rc::clone(&forwarder)));
             ntex::rt::spawn(close_idle(Rc::clone(&forwarder)));
             ntex::rt::spawn(Rc::clone(&forwarder).report_in_flight());
+            let telling = Rc::clone(&forwarder);
+            ntex::rt::spawn(async move { telling.tell_origins().await });
             HttpService::new(fn_service(move |request: Request| {
                 let forwarder = Rc::clone(&forwarder);
                 async move { Ok::<_, io::Error>(forwarder.serve(request).await) }
@@ -126,6 +128,7 @@
                     let response = match request.path() {
                         peers::KEEP_PATH => peers::answer_keep(&permits, request).await,
                         peers::PERMIT_PATH => peers::answer_permit(permits.shared(), request).await,
+                        peers::ORIGINS_PATH => peers::answer_origins(permits.shared(), request).await,
                         peers::DOCUMENT_PATH => peers::answer_document(&queries, request).await,
                         _ => peers::answer_exchange(&queries, request).await,
                     };
--- a/bergamotshift-forward/src/dialect/metadata.rs
+++ b/bergamotshift-forward/src/dialect/metadata.rs
@@ -49,6 +49,8 @@
     pub parts: Vec<Part>,
     /// The number of the last event of the stream that the caller received.
     pub last_event: Option<u64>,
+    /// The identifier of the attempt that brought the stream's first event, if the caller takes a stream up.
+    pub resumes: Option<SmolStr>,
 }
 
 impl Metadata {
@@ -63,6 +65,7 @@
             size: text(&dialect.size).and_then(size),
             parts: text(&dialect.prompt).map(parts).unwrap_or_default(),
             last_event: text(&LAST_EVENT).and_then(|text| text.trim().parse().ok()),
+            resumes: text(&dialect.resumes).map(SmolStr::new),
         }
     }
 
--- a/bergamotshift-forward/src/dialect/mod.rs
+++ b/bergamotshift-forward/src/dialect/mod.rs
@@ -24,6 +24,8 @@
 pub struct Dialect {
     /// The identifier of a caller's attempt; endpoints echo it.
     pub request: HeaderName,
+    /// The identifier of the attempt that brought a stream's first event, from a caller that takes the stream up.
+    pub resumes: HeaderName,
     /// The time for which the sender still waits, in milliseconds.
     pub time_left: HeaderName,
     /// The authentication scheme before the key in `Authorization`.
@@ -65,6 +67,7 @@
         }
         Self {
             request: header_name("bergamotshift-request"),
+            resumes: header_name("bergamotshift-resumes"),
             time_left: header_name("bergamotshift-deadline-ms"),
             key_scheme: SmolStr::new_static("Bearer"),
             organisation: header_name("bergamotshift-organisation"),
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Returns whether it runs a version; any one will do if none is given.
+    pub fn has_version(&self, version: Option<&str>) -> bool {
+        version.is_none_or(|version| self.registration.version == version)
+    }
+
     /// Sets whether its zone sent no recent update.
     pub fn set_silent(&self, silent: bool) {
         self.silent.store(silent, Relaxed);
--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -69,6 +69,8 @@
     every: u64,
     /// Organisations whose recent demand was a large part of their limits.
     busy: Vec<name::Organisation>,
+    /// Versions of services that serve, or served within the lifetime of streams.
+    versions: Vec<(name::Service, SmolStr)>,
 }
 
 /// Returns the maximum age of a row whose writer writes every `every` seconds.
@@ -141,6 +143,7 @@
         core_share: control.core_share(),
         every: write_interval(control).as_secs(),
         busy: control.busy_organisations(),
+        versions: control.versions(),
     };
     let Ok(body) = postcard::to_stdvec(&row) else {
         return false;
@@ -175,6 +178,7 @@
             match postcard::from_bytes::<Row>(&row.body) {
                 Ok(row) if unix_time.saturating_sub(Duration::from_secs(row.at)) < max_row_age(row.every) => {
                     busy.extend(row.busy);
+                    control.add_versions(row.versions);
                     let is_own = *name == control.shared().settings.name.as_str();
                     has_own_row |= is_own;
                     others += usize::from(!is_own);
--- a/bergamotshift-forward/src/lib.rs
+++ b/bergamotshift-forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod follow;
 pub mod limits;
 pub mod observe;
+pub mod origins;
 pub mod outside;
 pub mod peers;
 pub mod prelude;
--- a/bergamotshift-forward/src/limits/granter.rs
+++ b/bergamotshift-forward/src/limits/granter.rs
@@ -27,11 +27,17 @@
     pub address: Option<SocketAddr>,
 }
 
-/// Returns the two candidates that come first for an endpoint; all entries with the same list get the same result.
-pub fn top_two(endpoint: u64, candidates: &[Candidate]) -> [Option<Candidate>; 2] {
-    let rank = |candidate: &Candidate| xxh3_64_with_seed(&candidate.hash.to_le_bytes(), endpoint);
-    let first = candidates.iter().max_by_key(|candidate| rank(candidate)).copied();
-    let others = candidates.iter().filter(|candidate| Some(**candidate) != first);
-    let second = others.max_by_key(|candidate| rank(candidate)).copied();
-    [first, second]
+/// Returns the candidates that come first for a key; all entries with the same list get the same result.
+pub fn top<const COUNT: usize>(key: u64, candidates: &[Candidate]) -> [Option<Candidate>; COUNT] {
+    let mut first = [None; COUNT];
+    for candidate in candidates {
+        let rank = xxh3_64_with_seed(&candidate.hash.to_le_bytes(), key);
+        let mut next = Some((rank, *candidate));
+        for slot in &mut first {
+            if *slot < next {
+                core::mem::swap(slot, &mut next);
+            }
+        }
+    }
+    first.map(|slot| slot.map(|(_, candidate)| candidate))
 }
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -51,6 +51,13 @@
     outcome: &'static str,
 }
 
+/// Labels of a stream that its caller took up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Source {
+    source: &'static str,
+}
+
 /// All metrics of one entry.
 pub struct Metrics {
     registry: Registry,
@@ -59,6 +66,7 @@
     canaries: Family<Canary, Gauge>,
     permits: Family<Permit, Counter>,
     tunnels: Family<Permit, Counter>,
+    origins: Family<Source, Counter>,
     /// Time to the first event of a stream, or to the head of an answer that is no stream, in seconds.
     pub latency: Histogram,
     /// Time until a request was refused, in seconds.
@@ -125,6 +133,7 @@
             canaries: Family::default(),
             permits: Family::default(),
             tunnels: Family::default(),
+            origins: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             refusal: Histogram::new(LATENCY_BUCKETS),
             active: Gauge::default(),
@@ -206,6 +215,8 @@
             "Whether this entry is cut off from endpoints that its callers need",
             metrics.stranded.clone(),
         );
+        let help = "Streams that their callers took up, by where the version was known from";
+        registry.register("streams_taken_up", help, metrics.origins.clone());
         metrics.register_copies();
         metrics.register_suspicions();
         metrics.register_paths();
@@ -289,6 +300,11 @@
         self.permits.get_or_create(&Permit { outcome }).inc();
     }
 
+    /// Counts a stream that its caller took up, by where its version was known from.
+    pub fn count_origin(&self, source: &'static str) {
+        self.origins.get_or_create(&Source { source }).inc();
+    }
+
     /// Counts a request for a tunnel through another entry.
     pub fn count_tunnel(&self, outcome: &'static str) {
         self.tunnels.get_or_create(&Permit { outcome }).inc();
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -146,6 +146,7 @@
         own_zone: &shared.settings.zone,
         preferred_zone: None,
         tried: &generation.avoided,
+        version: None,
         seed: choice::seed(&shared.settings.name),
         cache_sources: &[],
     };
--- a/bergamotshift-forward/src/peers/keepers.rs
+++ b/bergamotshift-forward/src/peers/keepers.rs
@@ -24,6 +24,14 @@
 /// at once keeps working.
 const QUORUM_DIVISOR: usize = 4;
 
+/// Returns an entry as a candidate by rendezvous hash; `address` is `None` for this entry itself.
+fn candidate(entry: &name::Entry, address: Option<SocketAddr>) -> granter::Candidate {
+    granter::Candidate {
+        hash: xxh3_64(entry.as_str().as_bytes()),
+        address,
+    }
+}
+
 impl Members {
     /// Returns whether this entry is partitioned from all other zones: it received nothing from them recently, and
     /// calls to some of their entries timed out.
@@ -88,10 +96,6 @@
     /// The result is empty while a process starts, has received no state, and may not be alone. Otherwise each of
     /// several starting entries would grant a full burst.
     pub fn granters(&self, now: Instant, has_read_list: bool) -> Vec<granter::Candidate> {
-        let candidate = |entry: &name::Entry, address| granter::Candidate {
-            hash: xxh3_64(entry.as_str().as_bytes()),
-            address,
-        };
         let is_large = self.is_large();
         let keeps = is_large && self.keeping(now).keeper == Keeper::Own;
         let mut granters: Vec<_> = if is_large {
@@ -102,10 +106,7 @@
                 .map(|(entry, peer)| candidate(entry, Some(peer.address)))
                 .collect()
         } else {
-            let alive = self.alive(now);
-            alive
-                .map(|(entry, peer)| candidate(entry, Some(peer.address)))
-                .collect()
+            self.others(now)
         };
         let may_have_peers = !self.peers.is_empty() || !has_read_list;
         if granters.is_empty() && may_have_peers && self.is_starting(now) {
@@ -119,6 +120,14 @@
         granters
     }
 
+    /// Returns the other entries that are alive and not stopping.
+    pub fn others(&self, now: Instant) -> Vec<granter::Candidate> {
+        let others = self.alive(now);
+        others
+            .map(|(entry, peer)| candidate(entry, Some(peer.address)))
+            .collect()
+    }
+
     /// Returns the availability zones that have entries, including this entry's.
     pub fn zones(&self) -> BTreeSet<&name::Zone> {
         let others = self.peers.values().filter_map(|peer| peer.zone.as_ref());
--- a/bergamotshift-forward/src/peers/permit.rs
+++ b/bergamotshift-forward/src/peers/permit.rs
@@ -89,7 +89,8 @@
             return true;
         };
         let granters = Arc::clone(&self.shared.view.load().granters);
-        let ranked = granter::top_two(endpoint.hash, &granters).into_iter().flatten();
+        let ranked: [_; 2] = granter::top(endpoint.hash, &granters);
+        let ranked = ranked.into_iter().flatten();
         for (candidate, cost) in ranked.zip([1, throttle::DEPUTY_COST]) {
             let verdict = match candidate.address {
                 None => Some(grant(self.shared.clock.now(), endpoint, cost)),
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -7,6 +7,7 @@
 use ntex::http::StatusCode;
 use ntex::http::header;
 use slog::info;
+use smol_str::SmolStr;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -58,9 +59,16 @@
     pub(super) estimate: Option<Estimate>,
     /// Timing of the events of its response.
     pub(super) pace: Pace,
+    /// Version that began its stream, at which alone it may go on; `None` before the first event.
+    pub(super) version: Option<SmolStr>,
 }
 
 impl History {
+    /// Returns the version at which alone the request may go on.
+    pub(super) fn version(&self) -> Option<&str> {
+        self.version.as_deref()
+    }
+
     /// Returns whether an endpoint may have run the request.
     pub(super) const fn may_have_run(&self) -> bool {
         self.sends > self.not_run
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -47,7 +47,7 @@
     let endpoint = service
         .all_endpoints()
         .find(|endpoint| endpoint.hash == placement.endpoint)?;
-    if endpoint.is_leaving() || endpoint.health.is_paused(now) {
+    if endpoint.is_leaving() || endpoint.health.is_paused(now) || !endpoint.has_version(history.version()) {
         return None;
     }
     if !placement.is_granted && endpoint.closed_until(now).is_some() {
@@ -96,28 +96,32 @@
             }
             refused += 1;
             if refused == MAX_REFUSED_PERMITS {
-                let limited = self.available_endpoints(service);
+                let limited = self.available_endpoints(service, history);
                 let limited = limited.filter(|endpoint| endpoint.signals.throttle.rate().is_some());
                 avoided.extend(limited.map(|endpoint| endpoint.hash));
             }
         }
     }
 
-    /// Returns the endpoints of a service that can be reached and are not leaving.
-    fn available_endpoints<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Arc<Endpoint>> {
+    /// Returns the endpoints of a service that can be reached, are not leaving, and may get the request by their version.
+    fn available_endpoints<'a>(
+        &'a self,
+        service: &'a Service,
+        history: &'a History,
+    ) -> impl Iterator<Item = &'a Arc<Endpoint>> {
         let is_stranded = self.shared.is_stranded();
         let zone = &self.shared.settings.zone;
         let reached = service
             .all_endpoints()
             .filter(move |endpoint| !is_stranded || endpoint.registration.zone == *zone);
-        reached.filter(|endpoint| !endpoint.is_leaving())
+        reached.filter(|endpoint| !endpoint.is_leaving() && endpoint.has_version(history.version()))
     }
 
     /// Returns the earliest time at which a closed endpoint that was not tried opens; `None` if no such endpoint is
     /// closed.
     fn next_opening(&self, now: Instant, service: &Service, history: &History) -> Option<Instant> {
         let open = self
-            .available_endpoints(service)
+            .available_endpoints(service, history)
             .filter(|endpoint| !history.tried.contains(&endpoint.hash));
         open.filter_map(|endpoint| endpoint.closed_until(now)).min()
     }
@@ -129,7 +133,7 @@
             let is_limited = endpoint.signals.throttle.rate().is_some();
             endpoint.closed_until(now).or_else(|| is_limited.then_some(now))
         };
-        let all_closed: Option<Vec<Instant>> = self.available_endpoints(service).map(opens).collect();
+        let all_closed: Option<Vec<Instant>> = self.available_endpoints(service, history).map(opens).collect();
         match all_closed.and_then(|opens| opens.into_iter().min()) {
             Some(opens) if !history.may_have_run() => Refusal {
                 reason: Reason::Throttled,
@@ -154,6 +158,7 @@
             own_zone: &self.shared.settings.zone,
             preferred_zone: None,
             tried: avoided,
+            version: history.version(),
             seed: choice::seed(&self.shared.settings.name),
             cache_sources: &[],
         };
@@ -165,8 +170,11 @@
             });
         }
         let placed = placed_candidate(job, service, history, now);
-        // Retries go to the version in force.
-        let canary = service.canary_for(job.is_canary && history.tried.is_empty());
+        let canary = match history.version() {
+            Some(_) => service.canary.as_ref(),
+            // Retries go to the version in force.
+            None => service.canary_for(job.is_canary && history.tried.is_empty()),
+        };
         let candidate = placed.or_else(|| {
             let cache_index = self.shared.cache_index();
             let choice =
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -35,6 +35,7 @@
 use crate::exchange::Pool;
 use crate::limits::Keeper;
 use crate::observe::Topic;
+use crate::peers::Origins;
 use crate::peers::Permits;
 use crate::routes::Table;
 use crate::view::Shared;
@@ -80,6 +81,7 @@
     pub(super) tunnels: RefCell<Pool>,
     pub(super) choice_settings: choice::Settings,
     pub(super) permits: Permits,
+    pub(super) origins: Origins,
     callers: Callers,
     /// Keeper of the zone that recently did not answer.
     pub(super) keeper_backoff: Cell<Backoff>,
@@ -92,6 +94,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             permits: Permits::new(Arc::clone(&shared)),
+            origins: Origins::new(Arc::clone(&shared)),
             shared,
             pool: RefCell::default(),
             tunnels: RefCell::default(),
@@ -149,7 +152,9 @@
             route: route.name.clone(),
             refusal,
         };
-        let service = route.service(xxh3_64(metadata.id.as_bytes())).cloned();
+        // A stream that is taken up goes to the service that began it.
+        let attempt = metadata.resumes.as_ref().unwrap_or(&metadata.id);
+        let service = route.service(xxh3_64(attempt.as_bytes())).cloned();
         let service = service.ok_or_else(|| reject(Reason::NoEndpoint.into()))?;
         let path = request
             .uri()
@@ -341,6 +346,7 @@
         caller: Option<IoRef>,
         active: Active,
     ) -> Result<Response, Refusal> {
+        history.version = self.find_origin(job).await?;
         let exchange = self.send_with_retries(job, history, job.metadata.last_event).await?;
         if exchange.head.status.is_success() && exchange.head.is_event_stream() {
             let attempts = history.clone();
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -11,6 +11,7 @@
 mod job;
 mod keeper;
 mod notice;
+mod origin;
 mod pace;
 mod refusal;
 mod stream;
--- /dev/null
+++ b/bergamotshift-forward/src/serve/origin.rs
@@ -0,0 +1,69 @@
+//! Finds the version at which a stream goes on, and records the one that began it.
+
+use slog::info;
+use smol_str::SmolStr;
+
+use super::Forwarder;
+use super::job::Job;
+use super::refusal::Reason;
+use crate::document::Kind;
+use crate::observe::Topic;
+use crate::origins::Key;
+
+impl Forwarder {
+    /// Returns the version at which a stream that its caller takes up has to go on; `None` for any other request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for a refusal if the version is not known: what another one writes would not fit.
+    pub(super) async fn find_origin(&self, job: &Job) -> Result<Option<SmolStr>, Reason> {
+        let has_events = job.metadata.last_event.is_some_and(|last| last > 0) || job.metadata.resumes.is_some();
+        if job.route.kind != Kind::Stream || !has_events {
+            return Ok(None);
+        }
+        let attempt = job.metadata.resumes.as_ref();
+        let key = attempt.map(|attempt| Key::new(&job.service, job.organisation.as_ref(), attempt));
+        let (version, source) = self.look_up(job, key).await;
+        self.shared.metrics.count_origin(source);
+        if let Some((logger, left_out)) = self.shared.log.rate_limited(self.shared.clock.now(), Topic::Attempt) {
+            info!(logger, "stream taken up"; "request" => job.metadata.id.as_str(),
+                "began_as" => attempt.map(SmolStr::as_str), "route" => job.route.name.as_str(),
+                "last_event" => job.metadata.last_event, "version" => version.as_ref().map(SmolStr::as_str),
+                "known_from" => source, "document" => self.document_version(), "left_out" => left_out);
+        }
+        version.map(Some).ok_or(Reason::UnknownOrigin)
+    }
+
+    /// Returns the version that began a stream, if it is known, and where from.
+    async fn look_up(&self, job: &Job, key: Option<Key>) -> (Option<SmolStr>, &'static str) {
+        let now = self.shared.clock.now();
+        if let Some(version) = key.and_then(|key| self.shared.origins.table().get(now, key)) {
+            return (Some(version), "own");
+        }
+        if let Some(version) = self.shared.sole_version(&job.service) {
+            return (Some(version), "sole_version");
+        }
+        let told = match key {
+            Some(key) => self.origins.ask(key).await,
+            None => None,
+        };
+        let source = if told.is_some() { "entry" } else { "unknown" };
+        (told, source)
+    }
+
+    /// Records the version that sent a stream's first event, for a caller that takes the stream up.
+    pub(super) fn record_origin(&self, job: &Job, version: &SmolStr) {
+        if !job.route.resumable {
+            return;
+        }
+        let key = Key::new(&job.service, job.organisation.as_ref(), &job.metadata.id);
+        let is_told = self.shared.sole_version(&job.service).is_none();
+        let now = self.shared.clock.now();
+        self.shared.origins.record(now, key, version.clone(), is_told);
+    }
+
+    /// Tells other entries which versions began streams here, until the process ends.
+    pub async fn tell_origins(&self) {
+        self.origins.tell().await;
+    }
+}
--- a/bergamotshift-forward/src/serve/refusal.rs
+++ b/bergamotshift-forward/src/serve/refusal.rs
@@ -59,6 +59,9 @@
     /// The request is suspected of crashing endpoints.
     #[error("the request is suspected of ending endpoints")]
     Suspect,
+    /// The caller takes up a stream, and it is not known at which version it began.
+    #[error("it is not known which version began the stream")]
+    UnknownOrigin,
     /// The entry would stop before the request ends.
     #[error("the entry ends before the request could")]
     Stopping,
@@ -90,6 +93,7 @@
             Self::Throttled => "throttled",
             Self::Unrun => "unrun",
             Self::Suspect => "suspect",
+            Self::UnknownOrigin => "unknown_origin",
             Self::Stopping => "stopping",
             Self::Unsent => "unsent",
             Self::TimedOut => "timed_out",
@@ -113,6 +117,7 @@
             | Self::Throttled
             | Self::Unrun
             | Self::Suspect
+            | Self::UnknownOrigin
             | Self::Stopping
             | Self::Unsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -139,6 +144,7 @@
             | Reason::Overloaded
             | Reason::Throttled
             | Reason::Unrun
+            | Reason::UnknownOrigin
             | Reason::Unsent => Some(RETRY_SOON),
             // Another entry accepts the request at once.
             Reason::Stopping => Some(Duration::ZERO),
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -113,6 +113,7 @@
                         self.forwarder.shared.in_flight_changed.notify_one();
                     }
                     self.history.pace.record(self.forwarder.shared.clock.now());
+                    self.bind_version();
                     return Ok(Some(events));
                 }
                 Ok(None) if self.events.is_at_boundary() => {
@@ -128,6 +129,16 @@
         }
     }
 
+    /// Binds the stream to the version that sent its first event.
+    fn bind_version(&mut self) {
+        if self.history.version.is_some() {
+            return;
+        }
+        let version = self.guard.endpoint().registration.version.clone();
+        self.forwarder.record_origin(&self.job, &version);
+        self.history.version = Some(version);
+    }
+
     /// Reads until at least one event is complete; returns `None` at the end of the stream.
     async fn read_events(&mut self) -> Result<Option<Bytes>, Failure> {
         let Some(connection) = &mut self.connection else {
@@ -201,7 +212,8 @@
         if let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::Attempt) {
             info!(logger, "stream broke"; "request" => self.job.metadata.id.as_str(),
                 "route" => self.job.route.name.as_str(),
-                "endpoint" => self.guard.endpoint().registration.id.as_str(), "cause" => %failure,
+                "endpoint" => self.guard.endpoint().registration.id.as_str(),
+                "version" => self.history.version(), "cause" => %failure,
                 "last_event" => self.events.last_id(), "sends" => self.history.sends,
                 "resumable" => self.job.route.resumable, "document" => self.forwarder.document_version(),
                 "left_out" => left_out);
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -20,6 +20,7 @@
 use bergamotshift_limit::retry::Budget;
 use bergamotshift_rollout::directive::FULL_SHARE;
 use slog::Logger;
+use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -38,6 +39,7 @@
 use crate::observe::Clock;
 use crate::observe::Log;
 use crate::observe::Metrics;
+use crate::origins::Origins;
 use crate::peers::Note;
 use crate::relay::Candidates;
 use crate::relay::Reach;
@@ -60,6 +62,8 @@
     pub requested_tokens: Arc<AtomicU64>,
     /// Moving average of prompt sizes, in tokens; outlives views.
     pub typical_prompt: Arc<AtomicU64>,
+    /// Versions of its endpoints, of those that are present and of those that served within the lifetime of streams.
+    pub versions: Vec<SmolStr>,
 }
 
 impl Service {
@@ -220,6 +224,8 @@
     pub reach: Reach,
     /// Entries that pass requests to endpoints that this one does not reach.
     pub relays: Candidates,
+    /// Versions at which streams began.
+    pub origins: Origins,
     /// Requests that completed at this entry.
     pub completed: quarantine::Completed,
     /// Newest version of the document that any entry is known to have.
@@ -261,6 +267,7 @@
             stranded: AtomicBool::new(false),
             reach: Reach::default(),
             relays: Candidates::new(&settings.name),
+            origins: Origins::default(),
             completed: quarantine::Completed::default(),
             newest_document: AtomicU64::new(0),
             late: AtomicBool::new(false),
@@ -294,6 +301,15 @@
         view.can_serve() && !self.is_stopping() && !self.is_stranded() && !self.is_late()
     }
 
+    /// Returns the version of a service's endpoints if no other version can have begun any stream that goes on now.
+    pub fn sole_version(&self, service: &name::Service) -> Option<SmolStr> {
+        let view = self.view.load();
+        let [version] = view.services.get(service)?.versions.as_slice() else {
+            return None;
+        };
+        (view.knows_entries && self.origins.is_current(self.clock.now())).then(|| version.clone())
+    }
+
     /// Returns whether another entry has a newer document than `view`.
     pub fn is_behind(&self, view: &View) -> bool {
         let version = view.table.as_ref().map_or(0, |table| table.document().version);
--- a/bergamotshift-forward/tests/daemon/versions.rs
+++ b/bergamotshift-forward/tests/daemon/versions.rs
@@ -8,6 +8,7 @@
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Request;
+use crate::outside::lock;
 use crate::site::Answer;
 use crate::site::Caller;
 use crate::site::Daemon;
@@ -91,6 +92,20 @@
     callers.iter_mut().map(read).collect()
 }
 
+/// Starts entries that know each other.
+fn start(site: &Site, count: usize) -> Vec<Daemon> {
+    let mut entries = vec![site.start()];
+    for number in 1..count {
+        let seed = entries[0].listen.peers;
+        entries.push(site.launch(&format!("entry-{}", number + 1), &[seed]));
+    }
+    wait_until("the entries know each other", || {
+        let mut all = entries.iter();
+        all.all(|entry| entry.peer_count() == Some(count - 1) && entry.is_ready())
+    });
+    entries
+}
+
 /// Takes up a stream that began as the attempt with this identifier.
 fn take_up(daemon: &Daemon, first: &str, id: &str) -> Option<Answer> {
     let mut caller = Caller::new(daemon);
@@ -104,18 +119,12 @@
 fn a_stream_that_its_caller_takes_up_goes_on_at_the_version_that_began_it() {
     let endpoints = endpoints(After::Wait);
     let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
-    let first = site.start();
-    let second = site.launch("entry-2", &[first.listen.peers]);
-    wait_until("the entries know each other", || {
-        [&first, &second]
-            .iter()
-            .all(|entry| entry.peer_count() == Some(1) && entry.is_ready())
-    });
-    let begun = begin(&first, STREAMS);
+    let entries = start(&site, 2);
+    let begun = begin(&entries[0], STREAMS);
     assert_eq!(begun.iter().collect::<BTreeSet<_>>().len(), 2, "both versions serve");
     let mut served = 0;
     for (number, version) in begun.iter().enumerate() {
-        let answer = take_up(&second, &format!("first-{number}"), &format!("second-{number}")).expect("an answer");
+        let answer = take_up(&entries[1], &format!("first-{number}"), &format!("second-{number}")).expect("an answer");
         if answer.status == 200 {
             served += 1;
             let went_on = versions(&answer.text());
@@ -133,13 +142,88 @@
 fn a_stream_that_its_endpoint_breaks_off_goes_on_at_its_version() {
     let endpoints = endpoints(After::Break);
     let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
-    let daemon = site.start();
+    // Each stream needs a retry.
+    let daemon = site.launch_with("entry-1", &[], "[retry]\nratio = 0.2\nslack = 1000.0");
+    wait_until("it is ready", || daemon.is_ready());
     for number in 0..STREAMS {
         let mut caller = Caller::new(&daemon);
         let answer = caller.ask("POST", "/draft/1", &format!("r-{number}"), &format!("{number}"));
-        assert!(answer.is_complete);
+        assert!(answer.is_complete, "stream {number}: {}", answer.text());
         let versions = versions(&answer.text());
         assert_eq!(versions.len(), EVENTS as usize);
         assert!(versions.iter().all(|version| *version == versions[0]), "{versions:?}");
     }
 }
+
+/// Guards against streams that cannot go on once the entry that began them has ended, as no other one knows their versions.
+#[test]
+fn a_stream_goes_on_after_the_entry_that_began_it_has_ended() {
+    let endpoints = endpoints(After::Wait);
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let mut entries = start(&site, 5);
+    let begun = begin(&entries[0], STREAMS);
+    // The entry stops in order; what it knows goes with it.
+    let first = entries.remove(0);
+    first.stop();
+    first.join();
+    for (number, version) in begun.iter().enumerate() {
+        let entry = &entries[number % entries.len()];
+        let answer = take_up(entry, &format!("first-{number}"), &format!("second-{number}")).expect("an answer");
+        assert_eq!(answer.status, 200, "stream {number}: {}", answer.text());
+        assert!(versions(&answer.text()).iter().all(|other| other == version));
+    }
+}
+
+/// Guards against streams of an unknown version that go on anywhere: the earlier attempt is unknown, the same one, or not
+/// named.
+#[test]
+fn a_stream_of_an_unknown_version_is_refused_unrun() {
+    let endpoints = endpoints(After::Wait);
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let entries = start(&site, 2);
+    let runs = || endpoints.iter().map(Endpoint::count).sum::<usize>();
+    for (first, id) in [("unknown", "r-1"), ("r-2", "r-2"), ("", "r-3")] {
+        let answer = take_up(&entries[0], first, id).expect("an answer");
+        assert_eq!(answer.status, 503, "{}", answer.text());
+        assert!(answer.header("retry-after").is_some());
+    }
+    let mut caller = Caller::new(&entries[0]);
+    caller.send("POST", "/draft/1", "r-4", "last-event-id: 2\r\n", "x");
+    assert_eq!(caller.read_answer().map(|answer| answer.status), Some(503));
+    assert_eq!(runs(), 0);
+}
+
+/// Guards against streams that are refused although only one version can have begun them.
+#[test]
+fn a_stream_goes_on_at_the_only_version_that_served() {
+    let endpoints: Vec<_> = (0..3)
+        .map(|number| endpoint(&format!("e{number}"), "v1", After::Wait))
+        .collect();
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let entries = start(&site, 1);
+    let answer = take_up(&entries[0], "unknown", "r-1").expect("an answer");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
+/// Guards against an entry that starts after the last endpoint of a version has gone, and takes the other version for the
+/// only one that can have begun a stream.
+#[test]
+fn an_entry_that_starts_knows_the_versions_that_served_before() {
+    let endpoints = endpoints(After::Wait);
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let first = site.start();
+    wait_until("the entry has stored what it knows", || {
+        let backend = lock(&site.backend);
+        let mut rows = backend.rows.values();
+        rows.any(|row| row.body.windows(2).any(|bytes| bytes == b"v2"))
+    });
+    first.stop();
+    first.join();
+    for endpoint in endpoints.iter().skip(1).step_by(2) {
+        lock(&site.backend).remove(&endpoint.registration("staff").id);
+    }
+    let second = site.launch("entry-2", &[]);
+    wait_until("it is ready", || second.is_ready());
+    let answer = take_up(&second, "unknown", "r-1").expect("an answer");
+    assert_eq!(answer.status, 503, "{}", answer.text());
+}
--- a/bergamotshift-forward/tests/kernel/choice.rs
+++ b/bergamotshift-forward/tests/kernel/choice.rs
@@ -50,6 +50,7 @@
         own_zone: &zone,
         preferred_zone: None,
         tried,
+        version: None,
         seed: 0,
         cache_sources: &[],
     };
@@ -221,6 +222,7 @@
             own_zone: &zone,
             preferred_zone: None,
             tried: &[],
+            version: None,
             seed: seed(&format!("entry-{number:04}").as_str().into()),
             cache_sources: &[],
         };
--- a/bergamotshift-forward/tests/kernel/granter.rs
+++ b/bergamotshift-forward/tests/kernel/granter.rs
@@ -1,7 +1,7 @@
 //! Selection of the entry that grants requests to an endpoint with a rate limit.
 
 use bergamotshift_forward::limits::granter::Candidate;
-use bergamotshift_forward::limits::granter::top_two;
+use bergamotshift_forward::limits::granter::top;
 
 fn candidates(own: u64) -> Vec<Candidate> {
     let candidate = |hash| Candidate {
@@ -19,10 +19,10 @@
 #[test]
 fn all_entries_agree_on_the_granter() {
     for endpoint in 0..200 {
-        let one = hashes(top_two(endpoint, &candidates(1)));
+        let one = hashes(top(endpoint, &candidates(1)));
         let mut rotated = candidates(5);
         rotated.rotate_left(3);
-        assert_eq!(one, hashes(top_two(endpoint, &rotated)));
+        assert_eq!(one, hashes(top(endpoint, &rotated)));
     }
 }
 
@@ -31,10 +31,10 @@
 fn the_second_follows_the_first_and_nothing_else_moves() {
     for endpoint in 0..200 {
         let all = candidates(1);
-        let [first, second] = top_two(endpoint, &all);
+        let [first, second] = top(endpoint, &all);
         for gone in &all {
             let left: Vec<_> = all.iter().filter(|candidate| *candidate != gone).copied().collect();
-            let [next, _] = top_two(endpoint, &left);
+            let [next, _] = top(endpoint, &left);
             let expected = if Some(*gone) == first { second } else { first };
             assert_eq!(next, expected);
         }
@@ -47,7 +47,7 @@
     let all = candidates(1);
     let mut counts = [0; 8];
     for endpoint in 0..800_u64 {
-        let [first, _] = hashes(top_two(endpoint, &all));
+        let [first, _] = hashes(top(endpoint, &all));
         counts[usize::try_from(first.expect("there is one")).expect("it is small")] += 1;
     }
     assert!(counts.iter().all(|count| (60..=140).contains(count)), "{counts:?}");
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -13,6 +13,7 @@
 mod ledger;
 mod limits;
 mod members;
+mod origins;
 mod progress;
 mod relay;
 mod reports;
--- /dev/null
+++ b/bergamotshift-forward/tests/kernel/origins.rs
@@ -0,0 +1,95 @@
+//! Versions of the endpoints that began streams.
+
+use core::time::Duration;
+
+use bergamotshift_core::prelude::*;
+use bergamotshift_forward::limits::granter;
+use bergamotshift_forward::limits::granter::Candidate;
+use bergamotshift_forward::origins::Key;
+use bergamotshift_forward::origins::Table;
+use quickcheck::quickcheck;
+
+const CAPACITY: usize = 100;
+
+fn key(service: &str, organisation: &str, attempt: &str) -> Key {
+    let organisation = name::Organisation::new(organisation);
+    Key::new(&name::Service::new(service), Some(&organisation), attempt)
+}
+
+/// Guards against a caller who learns of, or takes up, a stream of another organisation or service.
+#[test]
+fn a_stream_is_found_by_its_own_service_and_organisation_only() {
+    let mut table = Table::new(CAPACITY);
+    table.record(Instant::ZERO, key("planner", "horeca", "a"), "v1".into());
+    for other in [
+        key("staff", "horeca", "a"),
+        key("planner", "hotel", "a"),
+        key("planner", "horec", "aa"),
+    ] {
+        assert_eq!(table.get(Instant::ZERO, other), None);
+    }
+    assert_eq!(
+        table.get(Instant::ZERO, key("planner", "horeca", "a")).as_deref(),
+        Some("v1")
+    );
+}
+
+/// Guards against a wrong version where a caller used an identifier twice.
+#[test]
+fn a_key_of_two_versions_is_of_none() {
+    let mut table = Table::new(CAPACITY);
+    let key = key("planner", "horeca", "a");
+    for version in ["v1", "v1", "v2", "v1"] {
+        table.record(Instant::ZERO, key, version.into());
+    }
+    assert_eq!(table.get(Instant::ZERO, key), None);
+}
+
+#[test]
+fn what_no_other_entry_was_told_is_taken_once() {
+    let mut table = Table::new(CAPACITY);
+    table.set_lifetime(Duration::from_secs(10));
+    table.record(Instant::ZERO, key("planner", "horeca", "told"), "v1".into());
+    table.record_own(Instant::ZERO, key("planner", "horeca", "old"), "v1".into());
+    table.record_own(Instant::from_secs(8), key("planner", "horeca", "new"), "v1".into());
+    let now = Instant::from_secs(12);
+    assert_eq!(table.take_untold(now), [(key("planner", "horeca", "new"), "v1".into())]);
+    assert_eq!(table.take_untold(now), []);
+}
+
+quickcheck! {
+    fn memory_is_bounded_by_streams_and_time(steps: Vec<(u16, u8, bool)>) -> bool {
+        let mut table = Table::new(CAPACITY);
+        table.set_lifetime(Duration::from_secs(20));
+        let mut now = Instant::ZERO;
+        steps.into_iter().all(|(attempt, pause, is_own)| {
+            now = now + Duration::from_millis(u64::from(pause) * 20);
+            let key = key("planner", "horeca", &attempt.to_string());
+            if is_own {
+                table.record_own(now, key, "v1".into());
+            } else {
+                table.record(now, key, "v1".into());
+            }
+            table.len() <= CAPACITY && table.get(now, key).is_some()
+        })
+    }
+
+    /// Guards against streams that no entry knows after entries have ended: whoever asks shares an entry with whoever told, of
+    /// those that are left.
+    fn an_entry_that_is_left_is_asked(attempt: u64, entries: u8, gone: Vec<u8>) -> bool {
+        let hash = |number: u64| number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let address = |number: u16| std::net::SocketAddr::from(([127, 0, 0, 1], number));
+        let all: Vec<_> = (0..u16::from(entries % 60) + 6)
+            .map(|number| Candidate { hash: hash(number.into()), address: Some(address(number)) })
+            .collect();
+        let (teller, asker) = (all[0], all[1]);
+        let is_gone = |candidate: &Candidate| {
+            gone.iter().take(2).any(|gone| usize::from(*gone) % all.len() == candidate.address.map_or(0, |at| at.port().into()))
+        };
+        let told: [_; 3] = granter::top(attempt, &all[1..]);
+        let left: Vec<_> = all.iter().filter(|one| **one != asker && **one != teller && !is_gone(one)).copied().collect();
+        let asked: [_; 3] = granter::top(attempt, &left);
+        let told: Vec<_> = told.into_iter().flatten().filter(|one| !is_gone(one)).collect();
+        told.contains(&asker) || told.iter().any(|one| asked.contains(&Some(*one)))
+    }
+}
