--- a/bergamotshift-forward/tests/daemon/cut_off.rs
+++ b/bergamotshift-forward/tests/daemon/cut_off.rs
@@ -234,6 +234,24 @@
     assert!(began.elapsed() < STABLE, "it took {:?}", began.elapsed());
 }
 
+/// Guards against deaths that are not recorded because something on the path to the endpoint accepts connections and ends them
+/// at once.
+#[test]
+fn a_death_behind_a_path_that_accepts_connections_is_recorded() {
+    let crashing = |number| {
+        Endpoint::start(&format!("e{number}"), |request, _, stream| {
+            if request.body == b"x" {
+                return Ok(Connection::Crash);
+            }
+            stream.write_all(request.answer("200 OK", "", "done").as_bytes())?;
+            Ok(Connection::Keep)
+        })
+    };
+    let cut = Cut::new((0..6).map(crashing).collect());
+    cut.ask("/confirm/1", 0, 1);
+    wait_until("the death is recorded", || cut.first().death_count() == Some(1));
+}
+
 /// Guards against an entry that goes on through another one after its paths are back.
 #[test]
 fn an_entry_that_reaches_endpoints_again_passes_nothing_through_others() {
