fix(forward): an endpoint lives if a connection to it stays open

What callers saw: an endpoint that a request crashed was taken for alive where something on the path accepts connections and ends them at once, and the death was not recorded.

Cause: the entry counted an endpoint as alive as soon as it accepted a connection, directly or through another entry. The probe of an entry that is cut off already waits whether the connection stays open.

Change: both use that check; a line of the log says what became of each endpoint whose connection broke.

--- a/bergamotshift-forward/src/follow/notes.rs
+++ b/bergamotshift-forward/src/follow/notes.rs
@@ -5,19 +5,16 @@
 
 use bergamotshift_core::prelude::*;
 use futures_util::future::join_all;
+use slog::info;
 use tokio::sync::mpsc;
 
 use crate::control::Control;
 use crate::endpoint::Endpoint;
-use crate::exchange::Connection;
-use crate::exchange::Failure;
+use crate::observe::Topic;
 use crate::peers::Note;
 use crate::relay;
 use crate::view::Shared;
 
-/// Time within which an endpoint has to accept a connection; otherwise it counts as down.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time within which another entry has to confirm that an endpoint is down.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -40,6 +37,7 @@
 }
 
 /// What became of an endpoint whose connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
     Lives,
     Died,
@@ -47,34 +45,50 @@
     Unknown,
 }
 
+impl Fate {
+    /// Returns its name in the log.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Lives => "lives",
+            Self::Died => "died",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Finds out what became of an endpoint, and records its death with these requests.
 async fn probe(control: &Control, hash: u64, running: Vec<Fingerprint>) {
+    let shared = control.shared();
     let endpoints = control.endpoints();
     let Some(endpoint) = endpoints.iter().find(|endpoint| endpoint.hash == hash) else {
         return;
     };
-    let is_confirmed = match fate(control.shared(), endpoint).await {
-        Fate::Lives => return,
-        Fate::Died => true,
-        Fate::Unknown => false,
-    };
+    let fate = fate(shared, endpoint).await;
+    if let Some((logger, left_out)) = shared.log.rate_limited(shared.clock.now(), Topic::Relay) {
+        info!(logger, "broken connection examined"; "endpoint" => endpoint.registration.id.as_str(),
+            "requests" => running.len(), "fate" => fate.as_str(), "left_out" => left_out);
+    }
+    if fate == Fate::Lives {
+        return;
+    }
+    let is_confirmed = fate == Fate::Died;
     // What completed before crashes no endpoints.
-    let is_suspect = |fingerprint: &Fingerprint| is_confirmed || !control.shared().completed.contains(*fingerprint);
+    let is_suspect = |fingerprint: &Fingerprint| is_confirmed || !shared.completed.contains(*fingerprint);
     for fingerprint in running.into_iter().filter(is_suspect) {
         control.endpoint_died(hash, fingerprint, is_confirmed);
     }
 }
 
-/// Returns what became of an endpoint: it lives if it accepts a connection from this entry or another one, which may reach it
-/// while this one is cut off.
+/// Returns what became of an endpoint: it lives if a connection to it stays open, from this entry or from another one, which may
+/// reach it while this one is cut off.
 async fn fate(shared: &Shared, endpoint: &Endpoint) -> Fate {
-    let address = endpoint.registration.address;
-    let Err(Failure::Connect(_)) = Connection::open(address, CONNECT_TIMEOUT).await else {
+    if relay::is_reached(endpoint.registration.address).await {
         return Fate::Lives;
-    };
+    }
     match relay::open(shared, endpoint, "", CONFIRM_TIMEOUT).await {
-        Ok(_) => Fate::Lives,
+        Ok(tunnel) if relay::stays_open(&tunnel).await => Fate::Lives,
         Err(relay::Error::NoEntry) if shared.reach.is_cut_off(&endpoint.registration.service) => Fate::Unknown,
+        Ok(_) => Fate::Unknown,
         Err(relay::Error::Unreached | relay::Error::NoEntry) => Fate::Died,
     }
 }
--- a/bergamotshift-forward/src/relay/mod.rs
+++ b/bergamotshift-forward/src/relay/mod.rs
@@ -16,6 +16,8 @@
 pub use self::candidate::Candidates;
 pub use self::open::Error;
 pub use self::open::open;
+pub use self::probe::is_reached;
 pub use self::probe::probe;
+pub use self::probe::stays_open;
 pub use self::reach::Reach;
 pub use self::serve::serve;
--- a/bergamotshift-forward/src/relay/probe.rs
+++ b/bergamotshift-forward/src/relay/probe.rs
@@ -1,5 +1,6 @@
 //! Finds out when an entry that is cut off reaches endpoints again.
 
+use core::net::SocketAddr;
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -34,15 +35,25 @@
     let Some(endpoint) = endpoint(shared, service, number) else {
         return;
     };
-    let Ok(connection) = Connection::open(endpoint.registration.address, CONNECT_TIMEOUT).await else {
-        return;
-    };
-    tokio::time::sleep(STAY).await;
-    if connection.is_reusable() {
+    if is_reached(endpoint.registration.address).await {
         shared.record_reached(service);
     }
 }
 
+/// Returns whether an endpoint accepts a connection from here, and the connection stays open.
+pub async fn is_reached(endpoint: SocketAddr) -> bool {
+    match Connection::open(endpoint, CONNECT_TIMEOUT).await {
+        Ok(connection) => stays_open(&connection).await,
+        Err(_) => false,
+    }
+}
+
+/// Returns whether a new connection to an endpoint stays open.
+pub async fn stays_open(connection: &Connection) -> bool {
+    tokio::time::sleep(STAY).await;
+    connection.is_reusable()
+}
+
 /// Returns the endpoint that a probe goes to.
 fn endpoint(shared: &Shared, service: &name::Service, number: usize) -> Option<Arc<Endpoint>> {
     let view = shared.view.load();
