fix(forward): entries beyond the holders are asked for the version of a stream

What callers saw: nothing yet; found while the search for a stream's version was reviewed. If the three entries that were told of a stream have started again, or are not reached, an entry asked those alone and refused the stream, although the one that began it knows its version.

Change: if the holders do not know it, sixteen others are asked, which are all others in a small fleet.

Test: versions::a_stream_goes_on_after_the_entries_that_were_told_have_started_again failed without the second question (stream 2 of 40 refused), and passes.

--- a/bergamotshift-forward/src/origins/mod.rs
+++ b/bergamotshift-forward/src/origins/mod.rs
@@ -8,6 +8,7 @@
 
 mod table;
 
+use core::net::SocketAddr;
 use core::time::Duration;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -24,9 +25,12 @@
 use crate::limits::granter;
 use crate::limits::granter::Candidate;
 
-/// Number of other entries that are told the version of a stream.
+/// Number of other entries that are told the version of a stream, and asked first.
 const HOLDERS: usize = 3;
 
+/// Number of other entries that are asked if the holders do not know it; all of them in a small fleet.
+const OTHERS: usize = 16;
+
 /// Number of streams whose versions an entry keeps, of its own and of others.
 const CAPACITY: usize = 1 << 16;
 
@@ -53,6 +57,11 @@
     }
 }
 
+fn addresses(candidates: &[Option<Candidate>]) -> Vec<SocketAddr> {
+    let candidates = candidates.iter().flatten();
+    candidates.filter_map(|candidate| candidate.address).collect()
+}
+
 impl Origins {
     /// Locks the versions that this entry knows.
     pub fn table(&self) -> MutexGuard<'_, Table> {
@@ -74,10 +83,17 @@
         }
     }
 
-    /// Returns the entries that are told the version of a stream, or asked for it.
-    pub fn holders(&self, key: Key) -> impl Iterator<Item = Candidate> + use<> {
+    /// Returns the addresses of the entries that are told the version of a stream.
+    pub fn holders(&self, key: Key) -> Vec<SocketAddr> {
         let holders: [_; HOLDERS] = granter::top(key.get(), &self.entries.load());
-        holders.into_iter().flatten()
+        addresses(&holders)
+    }
+
+    /// Returns the addresses of the entries that are asked for the version of a stream after its holders: one that knows it may
+    /// not reach those.
+    pub fn others(&self, key: Key) -> Vec<SocketAddr> {
+        let ranked: [_; HOLDERS + OTHERS] = granter::top(key.get(), &self.entries.load());
+        addresses(&ranked[HOLDERS..])
     }
 
     /// Sets the time until which the known registrations count as current.
--- a/bergamotshift-forward/src/peers/origins.rs
+++ b/bergamotshift-forward/src/peers/origins.rs
@@ -76,10 +76,16 @@
 
     /// Asks other entries which version began a stream; returns the first answer that names one.
     pub async fn ask(&self, key: Key) -> Option<SmolStr> {
+        let origins = &self.shared.origins;
+        match self.ask_all(&origins.holders(key), key).await {
+            Some(version) => Some(version),
+            None => self.ask_all(&origins.others(key), key).await,
+        }
+    }
+
+    async fn ask_all(&self, entries: &[SocketAddr], key: Key) -> Option<SmolStr> {
         let question = Question::Ask(key);
-        let addresses = self.shared.origins.holders(key);
-        let addresses = addresses.filter_map(|holder| holder.address);
-        let mut answers: FuturesUnordered<_> = addresses.map(|address| self.send(address, &question)).collect();
+        let mut answers: FuturesUnordered<_> = entries.iter().map(|entry| self.send(*entry, &question)).collect();
         let first = async {
             while let Some(answer) = answers.next().await {
                 if let Some(version) = answer.ok().flatten() {
@@ -108,8 +114,7 @@
     async fn tell_holders(&self, streams: &[(Key, SmolStr)]) {
         let mut messages: HashMap<SocketAddr, Vec<(Key, SmolStr)>> = HashMap::new();
         for (key, version) in streams {
-            let holders = self.shared.origins.holders(*key);
-            for address in holders.filter_map(|holder| holder.address) {
+            for address in self.shared.origins.holders(*key) {
                 messages.entry(address).or_default().push((*key, version.clone()));
             }
         }
--- a/bergamotshift-forward/tests/daemon/versions.rs
+++ b/bergamotshift-forward/tests/daemon/versions.rs
@@ -174,6 +174,36 @@
     }
 }
 
+/// Guards against streams that cannot go on as the entries that were told of them have started again, although the one that
+/// began them knows them.
+#[test]
+fn a_stream_goes_on_after_the_entries_that_were_told_have_started_again() {
+    const MANY: usize = 40;
+    let endpoints = endpoints(After::Wait);
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let mut entries = start(&site, 5);
+    let begun = begin(&entries[0], MANY);
+    let told: Vec<_> = entries.drain(1..4).collect();
+    told.iter().for_each(Daemon::stop);
+    for entry in told {
+        entry.join();
+    }
+    let seed = entries[0].listen.peers;
+    for number in 2..5 {
+        entries.push(site.launch(&format!("entry-{number}"), &[seed]));
+    }
+    wait_until("the entries know each other", || {
+        entries
+            .iter()
+            .all(|entry| entry.peer_count() == Some(4) && entry.is_ready())
+    });
+    for (number, version) in begun.iter().enumerate() {
+        let answer = take_up(&entries[1], &format!("first-{number}"), &format!("second-{number}")).expect("an answer");
+        assert_eq!(answer.status, 200, "stream {number}: {}", answer.text());
+        assert!(versions(&answer.text()).iter().all(|other| other == version));
+    }
+}
+
 /// Guards against streams of an unknown version that go on anywhere: the earlier attempt is unknown, the same one, or not
 /// named.
 #[test]
