fix(entry): a request is suspected where connections to its endpoints are cut

A request that ends endpoints ran on all eight, if connections to an endpoint that has ended are accepted and cut.

Cause: a probe whose connection breaks was taken for an endpoint that does not answer, and no death was recorded.

Change: such a probe records an unconfirmed death, three of which refuse the request for a minute.

Test: poison::a_request_stops_although_connections_to_its_endpoints_are_accepted_and_cut failed before (8 endpoints) and passes. The stand-in's engines learn to cut connections from a marked call on.

Left: that daemon does not remember which requests completed, so a harmless one that is on three endpoints whose paths are cut is refused for that minute.

--- a/bergamotshift-entry/src/control/death.rs
+++ b/bergamotshift-entry/src/control/death.rs
@@ -64,13 +64,16 @@
             Err(Failure::Connect(_)) => self.handle_death(endpoint, fingerprint),
             // An invalid answer still shows that the endpoint is alive; it may not support load reports.
             Err(Failure::Malformed(_) | Failure::Mismatch) => self.mark_reachable(endpoint),
-            // The endpoint accepts connections but does not answer: it is not dead, but gets no requests until it
-            // answers again.
-            Err(_) => {
+            // The endpoint accepts connections but does not answer: it may live, but gets no requests until it answers
+            // again.
+            Err(failure) => {
                 if self.fleet.mark_unreachable(endpoint) {
                     warn!(self.shared.settings.logger, "endpoint does not answer"; &**endpoint);
                     self.schedule(Due::Now);
                 }
+                if matches!(failure, Failure::Broken(_)) {
+                    self.record_unconfirmed_death(endpoint, fingerprint);
+                }
             }
         }
         self.publish();
@@ -155,6 +158,20 @@
         }
     }
 
+    /// Records that an endpoint may have died with a request: connections to it are accepted and cut, which something on the path
+    /// may do.
+    fn record_unconfirmed_death(&mut self, endpoint: &Endpoint, fingerprint: Option<Fingerprint>) {
+        let instance = self.fleet.find(endpoint).map(|record| record.instance());
+        let (Some(instance), Some(fingerprint)) = (instance, fingerprint) else {
+            return;
+        };
+        let now = self.shared.now();
+        self.quarantine.record_unconfirmed(now, &instance, &[fingerprint]);
+        self.log_verdict(endpoint, Some(fingerprint));
+        self.share_suspicions();
+        self.schedule(Due::Now);
+    }
+
     /// Logs the quarantine's verdict on the request that ran at a dead endpoint.
     fn log_verdict(&self, endpoint: &Endpoint, fingerprint: Option<Fingerprint>) {
         let Some(fingerprint) = fingerprint else { return };
--- a/bergamotshift-entry/tests/entry/poison.rs
+++ b/bergamotshift-entry/tests/entry/poison.rs
@@ -42,6 +42,28 @@
     assert_eq!(reply.json()["choices"][0]["message"]["content"], expected);
 }
 
+/// Guards against a request that ends one endpoint after the other where connections to an endpoint that has ended are accepted
+/// and cut, so that the endpoint was taken for one that does not answer.
+#[ntex::test]
+async fn a_request_stops_although_connections_to_its_endpoints_are_accepted_and_cut() {
+    let site = Site::start(Layout {
+        engines: 8,
+        plains: 0,
+        ..Layout::default()
+    })
+    .await;
+    for engine in &site.engines {
+        engine.fault(Fault::ResetOn {
+            marker: "poison".to_owned(),
+        });
+    }
+    let poison = json!({"model": "tiny", "messages": [{"role": "user", "content": "poison"}]});
+    for _ in 0..4 {
+        site.chat(&poison).await;
+    }
+    assert!(site.runs() <= 3, "{} endpoints", site.runs());
+}
+
 #[ntex::test]
 async fn a_lost_zone_condemns_no_request() {
     // Three of six engines, those of one zone, die at once without notice, with streams on all of them. Every caller
--- a/bergamotshift-standin/src/fault/board.rs
+++ b/bergamotshift-standin/src/fault/board.rs
@@ -53,6 +53,7 @@
     late_count: u32,
     crossed: u32,
     marker: Option<String>,
+    reset_marker: Option<String>,
     short_body: u32,
     missing_end: u32,
     partial_event: u32,
@@ -75,6 +76,7 @@
             // Both calls of a pair draw one.
             Fault::Crossed { count } => self.crossed = count.saturating_mul(2),
             Fault::CrashOn { marker } => self.marker = Some(marker.clone()),
+            Fault::ResetOn { marker } => self.reset_marker = Some(marker.clone()),
             Fault::ShortBody { count } => self.short_body = *count,
             Fault::MissingEnd { count } => self.missing_end = *count,
             Fault::PartialEvent { count } => self.partial_event = *count,
@@ -92,19 +94,23 @@
 
     /// Draws the faults of one call with this body; `stream` tells whether the answer is a stream of events.
     pub(crate) fn draw(&mut self, body: &[u8], stream: bool) -> Plan {
+        let holds = |marker: &Option<String>| {
+            let marker = marker.as_ref();
+            marker.is_some_and(|marker| contains(body, marker.as_bytes()))
+        };
+        let reset = self.reset;
+        let ends = !reset && holds(&self.reset_marker);
+        self.reset |= ends;
         Plan {
-            reset: self.reset,
-            crash: self
-                .marker
-                .as_ref()
-                .is_some_and(|marker| contains(body, marker.as_bytes())),
+            reset,
+            crash: holds(&self.marker),
             before: self.slow,
             after: if draw_one(&mut self.late_count) {
                 self.late
             } else {
                 Duration::ZERO
             },
-            lose: draw_one(&mut self.lose),
+            lose: draw_one(&mut self.lose) || ends,
             crossed: draw_one(&mut self.crossed),
             refuse: !draw_one(&mut self.refuse_after) && draw_one(&mut self.refuse),
             ending: self.draw_ending(stream),
--- a/bergamotshift-standin/src/fault/mod.rs
+++ b/bergamotshift-standin/src/fault/mod.rs
@@ -56,6 +56,11 @@
         /// The text looked for.
         marker: String,
     },
+    /// Cuts each connection, as `Reset` does, from the first call on whose body holds the marker; that call takes effect.
+    ResetOn {
+        /// The text looked for.
+        marker: String,
+    },
     /// Accepts connections and requests and lets nothing happen until `Resume`.
     Pause,
     /// Ends `Pause`.
