fix(forward): entries write their rows again after a restore

Cause: the rows of a restored store name the addresses of former processes. Entries that start then do not find the others, nor those them, until rows are written (5 s) and the list is read (15 s) again; each group divides the limits among its own.

Change: an entry that finds the store restored writes its row at once, and reads the list a second later.

Test: restore::entries_find_each_other_although_a_restored_list_names_former_addresses failed before and passes.

--- a/bergamotshift-forward/src/follow/members.rs
+++ b/bergamotshift-forward/src/follow/members.rs
@@ -32,8 +32,11 @@
 /// with the fleet.
 const LARGE_FLEET_WRITE_INTERVAL: Duration = Duration::from_secs(30);
 
-/// Interval at which an entry checks whether it has to write, since the fleet may have grown.
-const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval at which an entry checks whether it has to write, since the fleet may have grown, or the store been restored.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time within which the entries of a small fleet find the store restored and write their rows again.
+const REWRITE_TIME: Duration = Duration::from_secs(1);
 
 /// Time over which the first writes of a small fleet are spread.
 const FIRST_WRITE_SPREAD: Duration = Duration::from_millis(300);
@@ -83,6 +86,7 @@
 pub async fn members(control: Control, table: Rc<dyn Table>) {
     let mut round = 0;
     loop {
+        let era = control.store_era();
         // The list is read before the first write, as this entry's row still contains the state of its previous
         // process.
         let read = round % WRITES_PER_READ != 0 || read(&control, &table).await;
@@ -92,11 +96,17 @@
         }
         let written = write(&control, &table).await;
         control.shared().metrics.count_call("entries", read && written);
-        if read && written {
-            round += 1;
-            wait_for_next_write(&control).await;
-        } else {
+        if !(read && written) {
             tokio::time::sleep(scale_pause(RETRY_DELAY, control.entry_count())).await;
+            continue;
+        }
+        round += 1;
+        wait_for_next_write(&control, era).await;
+        if control.store_era() > era {
+            // The rows of the others may name addresses of their former processes, until they have written again too.
+            write(&control, &table).await;
+            tokio::time::sleep(scale_pause(REWRITE_TIME, control.entry_count())).await;
+            round = round.next_multiple_of(WRITES_PER_READ);
         }
     }
 }
@@ -115,10 +125,12 @@
     }
 }
 
-/// Waits for the interval between two writes, which grows while entries become known.
-async fn wait_for_next_write(control: &Control) {
+/// Waits for the interval between two writes, which grows while entries become known, or until the store is found restored
+/// since `era`.
+async fn wait_for_next_write(control: &Control, era: u64) {
     let written = control.shared().clock.now();
-    while control.shared().clock.now().since(written) < write_interval(control) {
+    let is_due = || control.shared().clock.now().since(written) >= write_interval(control);
+    while !is_due() && control.store_era() == era {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
--- a/bergamotshift-forward/tests/fleet/incarnations.rs
+++ b/bergamotshift-forward/tests/fleet/incarnations.rs
@@ -100,7 +100,7 @@
                 sleep(START).await;
                 let holder = fleet.holder().expect("one holds the duties");
                 let silent = fleet.nodes.iter().find(|node| node.name != holder.name);
-                let silent = silent.expect("there are several entries").address;
+                let silent = silent.expect("there are several entries").address();
                 // The holder's report lacks the counts of an entry from which the next holder has them.
                 fleet.switch.set_cut(silent, true);
                 sleep(SILENCE).await;
@@ -134,7 +134,7 @@
             sleep(START).await;
             let holder = fleet.holder().expect("one holds the duties");
             let silent = fleet.nodes.iter().find(|node| node.name != holder.name);
-            let silent = silent.expect("there are several entries").address;
+            let silent = silent.expect("there are several entries").address();
             fleet.switch.set_cut(silent, true);
             sleep(SILENCE).await;
             let copy = fleet.store.copy();
@@ -241,7 +241,7 @@
     /// Cuts an entry off from all others for some seconds, so that sums lack its counts.
     fn cut(&mut self) {
         let number = self.below(self.fleet.nodes.len() as u32) as usize;
-        let address = self.fleet.nodes[number].address;
+        let address = self.fleet.nodes[number].address();
         self.fleet.switch.set_cut(address, true);
         let duration = Duration::from_millis(u64::from(1_000 + self.below(9_000)));
         let fleet = Rc::clone(&self.fleet);
--- a/bergamotshift-forward/tests/fleet/model.rs
+++ b/bergamotshift-forward/tests/fleet/model.rs
@@ -1,5 +1,6 @@
 //! Fleet of entries in virtual time.
 
+use core::cell::Cell;
 use core::cell::RefCell;
 use core::net::SocketAddr;
 use core::sync::atomic::Ordering;
@@ -75,13 +76,26 @@
 pub struct Node {
     pub name: String,
     number: usize,
-    pub address: SocketAddr,
+    /// Address of its last start; the others know that of its first one as a seed.
+    address: Cell<SocketAddr>,
     zone: usize,
     control: RefCell<Option<Control>>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
 impl Node {
+    /// Returns the address at which other entries reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    /// Gives the entry another address, from its next start on.
+    pub fn move_away(&self) {
+        let mut address = self.address();
+        address.set_port(address.port() + 1);
+        self.address.set(address);
+    }
+
     /// Returns the entry's control; `None` while it is down.
     pub fn control(&self) -> Option<Control> {
         self.control.borrow().clone()
@@ -166,7 +180,7 @@
         let nodes = (0..size.entries).map(|number| Node {
             name: format!("entry-{}-{number:04}", ZONES[number % ZONES.len()]),
             number,
-            address: address(number),
+            address: Cell::new(address(number)),
             zone: number % ZONES.len(),
             control: RefCell::default(),
             tasks: RefCell::default(),
@@ -198,10 +212,10 @@
         let shared = Shared::new(self.settings(node), Dialect::default(), self.clock, logger, notes);
         let control = Control::new(Arc::new(shared));
         let queries = control.query_sender();
-        self.switch.connect(node.address, node.zone, node.vm().1, queries);
+        self.switch.connect(node.address(), node.zone, node.vm().1, queries);
         let network = Rc::new(Interface {
             switch: Rc::clone(&self.switch),
-            address: node.address,
+            address: node.address(),
         });
         let tasks = control_tasks(&control, &self.store.clients(&node.name), &(network as _));
         *node.tasks.borrow_mut() = tasks.into_iter().map(tokio::task::spawn_local).collect();
@@ -219,7 +233,7 @@
 
     /// Kills one entry.
     pub fn kill(&self, node: &Node) {
-        self.switch.disconnect(node.address);
+        self.switch.disconnect(node.address());
         for task in node.tasks.borrow_mut().drain(..) {
             task.abort();
         }
@@ -231,7 +245,7 @@
             .nodes
             .iter()
             .take(3)
-            .map(|seed| format!("\"{}\"", seed.address))
+            .map(|seed| format!("\"{}\"", address(seed.number)))
             .collect();
         let text = format!(
             r#"
@@ -262,7 +276,7 @@
             zone = ZONES[node.zone],
             core_share = node.vm().0,
             mbps = node.vm().1,
-            address = node.address,
+            address = node.address(),
             seeds = seeds.join(","),
             usage_window_s = self.usage_window.as_secs_f64(),
         );
@@ -363,7 +377,7 @@
         let mut traffic: Vec<_> = self
             .nodes
             .iter()
-            .map(|node| self.switch.take_traffic(node.address))
+            .map(|node| self.switch.take_traffic(node.address()))
             .collect();
         traffic.sort_by_key(|one| one.bytes);
         traffic
--- a/bergamotshift-forward/tests/fleet/restore.rs
+++ b/bergamotshift-forward/tests/fleet/restore.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::model::Fleet;
+use crate::model::Node;
 use crate::model::Size;
 use crate::model::document;
 use crate::model::registration;
@@ -299,3 +300,32 @@
         Step::Wait(4_000),
     ]);
 }
+
+/// Guards against entries that do not find each other, and use the whole of a limit in each of two groups, because the rows of
+/// a restored store name the addresses of former processes.
+#[test]
+fn entries_find_each_other_although_a_restored_list_names_former_addresses() {
+    /// Time within which all entries have to know each other: that in which they read the store again.
+    const FOUND_WITHIN: Duration = Duration::from_secs(4);
+    run(async {
+        let fleet = Checker::new().fleet;
+        fleet.start().await;
+        sleep(CALM).await;
+        let copy = fleet.store.copy();
+        let start_again = |node: &Node| {
+            fleet.kill(node);
+            node.move_away();
+            fleet.start_node(node);
+        };
+        fleet.nodes.iter().for_each(start_again);
+        sleep(Duration::from_secs(2)).await;
+        fleet.store.restore(copy);
+        fleet.write_all();
+        fleet.nodes[..ENTRIES / 2].iter().for_each(start_again);
+        let knows_all = |node: &Node| {
+            let control = node.control();
+            control.is_some_and(|control| control.shared().metrics.peers.get() == ENTRIES as i64 - 1)
+        };
+        fleet.wait_for_all("the other entries", FOUND_WITHIN, knows_all).await;
+    });
+}
--- a/bergamotshift-soak/src/caller.rs
+++ b/bergamotshift-soak/src/caller.rs
@@ -16,6 +16,7 @@
 use std::time::Instant;
 
 use bergamotshift_forward::dialect::Dialect;
+use bergamotshift_forward::dialect::LAST_EVENT;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
@@ -32,6 +33,7 @@
 use crate::site::Kind;
 use crate::site::PATIENCE;
 use crate::site::Tenant;
+use crate::site::VERSIONS;
 
 /// How long after its own time limit a caller still listens.
 const BEYOND: Duration = Duration::from_secs(1);
@@ -64,16 +66,32 @@
     connection: Option<(Door, BufReader<TcpStream>)>,
     /// Whether nothing was sent on the connection yet.
     is_fresh: bool,
+    /// Whether it takes up streams that broke off.
+    takes_up: bool,
+    /// The stream that broke off last.
+    part: Option<Part>,
 }
 
 /// What is read of an answer.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Answer {
     status: u16,
     head: String,
     body: Vec<u8>,
 }
 
+/// The events that came of a stream.
+#[derive(Clone, Debug)]
+struct Part {
+    /// The attempt that brought the first one.
+    id: SmolStr,
+    tenant: Tenant,
+    /// The number of the last one.
+    last: u64,
+    /// The version that wrote them.
+    version: &'static str,
+}
+
 impl Caller {
     /// Makes a caller; its number makes its requests its own.
     pub fn new(number: u64, seed: u64, ledger: Arc<Ledger>) -> Self {
@@ -85,9 +103,18 @@
             ledger,
             connection: None,
             is_fresh: true,
+            takes_up: false,
+            part: None,
         }
     }
 
+    /// Sets whether it takes up streams that broke off.
+    #[must_use]
+    pub const fn taking_up(mut self, takes_up: bool) -> Self {
+        self.takes_up = takes_up;
+        self
+    }
+
     /// Sends requests until told to stop.
     pub fn run(mut self, doors: &Doors, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
@@ -102,8 +129,9 @@
                     1..=8 => Tenant::Limited,
                     _ => Tenant::Free,
                 };
-                self.ask(kind, tenant);
+                self.ask(kind, tenant, None);
             }
+            self.take_up(doors);
             thread::sleep(Duration::from_millis(self.below(PAUSE_MS)));
         }
     }
@@ -127,7 +155,19 @@
         if self.connection.is_none() {
             return Outcome::Cut;
         }
-        self.ask(kind, tenant)
+        self.ask(kind, tenant, None)
+    }
+
+    /// Asks an entry for the rest of the stream that broke off, if one did.
+    fn take_up(&mut self, doors: &Doors) {
+        let Some(part) = self.part.take().filter(|_| self.takes_up) else {
+            return;
+        };
+        if let Some(connection) = self.connect(doors) {
+            self.connection = Some(connection);
+            self.is_fresh = true;
+            self.ask(Kind::Draft, part.tenant, Some(&part));
+        }
     }
 
     fn below(&mut self, bound: u64) -> u64 {
@@ -149,19 +189,25 @@
         Some(open_doors[place])
     }
 
-    fn ask(&mut self, kind: Kind, tenant: Tenant) -> Outcome {
+    fn ask(&mut self, kind: Kind, tenant: Tenant, part: Option<&Part>) -> Outcome {
         let Some((door, mut stream)) = self.connection.take() else {
             return Outcome::Cut;
         };
         self.sent += 1;
         let id = format_smolstr!("c{}-{}", self.number, self.sent);
         let sent = self.ledger.now();
-        let asked = stream.get_mut().write_all(self.request(&id, kind, tenant).as_bytes());
-        let answer = asked.and_then(|()| read(&mut stream));
-        let outcome = match &answer {
-            Ok(answer) => self.judge(answer, &id, kind),
+        let asked = stream
+            .get_mut()
+            .write_all(self.request(&id, kind, tenant, part).as_bytes());
+        let mut answer = Answer::default();
+        let read = asked.and_then(|()| read(&mut stream, &mut answer));
+        let outcome = match &read {
+            Ok(()) => self.judge(&answer, &id, kind, part),
             Err(error) => failed(error),
         };
+        if outcome == Outcome::Cut && kind == Kind::Draft && part.is_none() {
+            self.part = began(&answer, &id, tenant);
+        }
         self.ledger.book().exchanges.push(Exchange {
             id,
             entry: door.entry,
@@ -173,24 +219,28 @@
             ended: self.ledger.now(),
             outcome: outcome.clone(),
         });
-        let stays = answer.is_ok_and(|answer| header(&answer.head, "connection") != Some("close"));
+        let stays = read.is_ok() && header(&answer.head, "connection") != Some("close");
         if stays {
             self.connection = Some((door, stream));
         }
         outcome
     }
 
-    fn request(&self, id: &str, kind: Kind, tenant: Tenant) -> String {
+    fn request(&self, id: &str, kind: Kind, tenant: Tenant, part: Option<&Part>) -> String {
         let Dialect {
             request,
+            resumes,
             time_left,
             key_scheme,
             ..
         } = &self.dialect;
         let own = if kind == Kind::Crash { "" } else { id };
+        let rest = part.map_or_else(String::new, |part| {
+            format!("{LAST_EVENT}: {}\r\n{resumes}: {}\r\n", part.last, part.id)
+        });
         format!(
             "POST {}{own} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: {key_scheme} {}\r\n{request}: {id}\r\n\
-             {time_left}: {}\r\ncontent-length: 2\r\n\r\n{{}}",
+             {time_left}: {}\r\n{rest}content-length: 2\r\n\r\n{{}}",
             kind.prefix(),
             tenant.key(),
             PATIENCE.as_millis(),
@@ -198,7 +248,7 @@
     }
 
     /// Returns whether an answer is whole and belongs to the request.
-    fn judge(&self, answer: &Answer, id: &str, kind: Kind) -> Outcome {
+    fn judge(&self, answer: &Answer, id: &str, kind: Kind, part: Option<&Part>) -> Outcome {
         if answer.status != 200 {
             return Outcome::Answered(answer.status);
         }
@@ -207,11 +257,16 @@
         if header(&answer.head, request) != Some(id) || !seal.ends_with(&format!(".{id}")) {
             return Outcome::Wrong("it belongs to another request".to_owned());
         }
-        let expected = match kind {
-            Kind::Draft => (1..=EVENTS).map(|number| endpoint::event(id, number)).collect(),
-            Kind::Checkin | Kind::Confirm | Kind::Moving | Kind::Crash => endpoint::body(id),
+        let is_expected = match (kind, part) {
+            (Kind::Draft, None) => VERSIONS
+                .iter()
+                .any(|version| answer.body == events(id, 0, version).as_bytes()),
+            (Kind::Draft, Some(part)) => answer.body == events(id, part.last, part.version).as_bytes(),
+            (Kind::Checkin | Kind::Confirm | Kind::Moving | Kind::Crash, _) => {
+                answer.body == endpoint::body(id).as_bytes()
+            }
         };
-        if answer.body == expected.as_bytes() {
+        if is_expected {
             Outcome::Answered(200)
         } else {
             Outcome::Wrong(String::from_utf8_lossy(&answer.body).into_owned())
@@ -219,21 +274,43 @@
     }
 }
 
-fn read(stream: &mut BufReader<TcpStream>) -> io::Result<Answer> {
+/// Returns the events of a stream after the last one that came before, as a version writes them.
+fn events(id: &str, last: u64, version: &str) -> String {
+    (last + 1..=EVENTS)
+        .map(|number| endpoint::event(id, number, version))
+        .collect()
+}
+
+/// Returns what came of a stream that broke off; `None` if no event did.
+fn began(answer: &Answer, id: &SmolStr, tenant: Tenant) -> Option<Part> {
+    let text = String::from_utf8_lossy(&answer.body);
+    let whole = text.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n"));
+    let last = whole.clone().count() as u64;
+    let data = whole.last()?.trim_end();
+    Some(Part {
+        id: id.clone(),
+        tenant,
+        last,
+        version: VERSIONS.into_iter().find(|version| data.ends_with(version))?,
+    })
+}
+
+/// Reads an answer; what came of its body stays in it if it breaks off.
+fn read(stream: &mut BufReader<TcpStream>, answer: &mut Answer) -> io::Result<()> {
     let until = Instant::now() + PATIENCE + BEYOND;
-    let mut head = String::new();
+    let head = &mut answer.head;
     while !head.ends_with("\r\n\r\n") {
-        if line(stream, &mut head, until)? == 0 {
+        if line(stream, head, until)? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
     let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
-    let status = status.ok_or(io::ErrorKind::InvalidData)?;
-    let body = match header(&head, "content-length") {
-        Some(length) => sized(stream, number(length, 10)?)?,
-        None => chunked(stream, until)?,
-    };
-    Ok(Answer { status, head, body })
+    answer.status = status.ok_or(io::ErrorKind::InvalidData)?;
+    match header(head, "content-length") {
+        Some(length) => answer.body = sized(stream, number(length, 10)?)?,
+        None => chunked(stream, until, &mut answer.body)?,
+    }
+    Ok(())
 }
 
 fn number(text: &str, radix: u32) -> io::Result<usize> {
@@ -275,8 +352,7 @@
     Ok(body)
 }
 
-fn chunked(stream: &mut BufReader<TcpStream>, until: Instant) -> io::Result<Vec<u8>> {
-    let mut body = Vec::new();
+fn chunked(stream: &mut BufReader<TcpStream>, until: Instant, body: &mut Vec<u8>) -> io::Result<()> {
     loop {
         let mut size = String::new();
         if line(stream, &mut size, until)? == 0 {
@@ -285,7 +361,7 @@
         let size = number(size.trim(), 16)?;
         let mut piece = sized(stream, size + 2)?;
         if size == 0 {
-            return Ok(body);
+            return Ok(());
         }
         piece.truncate(size);
         body.extend(piece);
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -121,6 +121,7 @@
 struct Shared {
     id: SmolStr,
     service: &'static str,
+    version: &'static str,
     dialect: Dialect,
     ledger: Arc<Ledger>,
     habit: AtomicU8,
@@ -149,12 +150,13 @@
     /// # Errors
     ///
     /// Returns what the system says when no port is free.
-    pub fn start(id: SmolStr, service: &'static str, ledger: Arc<Ledger>) -> io::Result<Self> {
+    pub fn start(id: SmolStr, service: &'static str, version: &'static str, ledger: Arc<Ledger>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             id,
             service,
+            version,
             dialect: bergamotshift_metadata::dialect(),
             ledger,
             habit: AtomicU8::new(0),
@@ -190,7 +192,7 @@
         Registration {
             id: self.shared.id.clone(),
             born: 0,
-            version: "v1".into(),
+            version: self.shared.version.into(),
             service: self.shared.service.into(),
             address: self.proxy.address,
             zone: zone.into(),
@@ -349,7 +351,7 @@
         let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
         stream.write_all(self.head("200 OK", id, said, framing).as_bytes())?;
         for number in last.unwrap_or(0) + 1..=EVENTS {
-            let event = event(id, number);
+            let event = event(id, number, self.version);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if number == EVENTS / 2 && habit == Habit::Breaks {
                 stream.write_all(&chunk.as_bytes()[..chunk.len() / 2])?;
@@ -370,7 +372,7 @@
     format!("the answer to {id}, and to nobody else")
 }
 
-/// Returns an event of a stream.
-pub fn event(id: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {id} {number}\n\n")
+/// Returns an event of a stream, as endpoints of a version write it.
+pub fn event(id: &str, number: u64, version: &str) -> String {
+    format!("id: {number}\ndata: {id} {number} {version}\n\n")
 }
--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -15,6 +15,7 @@
 use crate::ledger::Place;
 use crate::ledger::Saying;
 use crate::site::SERVICES;
+use crate::site::VERSIONS;
 
 /// How long an endpoint that leaves goes on serving.
 const LEAVING: Duration = Duration::from_secs(3);
@@ -37,7 +38,12 @@
     pub(super) fn endpoint(&mut self, service: &'static str) -> io::Result<Endpoint> {
         self.named += 1;
         let id = format_smolstr!("{service}-{}", self.named);
-        let endpoint = Endpoint::start(id, service, Arc::clone(&self.ledger))?;
+        let version = if self.has_versions {
+            VERSIONS[self.named as usize / SERVICES.len() % VERSIONS.len()]
+        } else {
+            VERSIONS[0]
+        };
+        let endpoint = Endpoint::start(id, service, version, Arc::clone(&self.ledger))?;
         for entry in &self.entries {
             if let (Some(process), Some(cut)) = (&entry.process, entry.cut) {
                 endpoint.proxy.set_cut(process.id(), Some(cut));
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -55,6 +55,8 @@
     copy: Option<Copy>,
     /// How long after the request to stop callers still connect to an entry.
     connects: Duration,
+    /// Whether endpoints of two versions serve side by side.
+    has_versions: bool,
 }
 
 impl Fleet {
@@ -85,6 +87,7 @@
             later: Vec::new(),
             copy: None,
             connects: settings.connects,
+            has_versions: settings.versions,
         };
         fleet.document();
         for number in 0..size.endpoints * SERVICES.len() {
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -60,6 +60,11 @@
     tolerances: bool,
     #[options(help = "send a request that crashes endpoints again and again", no_short)]
     crashes: bool,
+    #[options(
+        help = "let endpoints of two versions serve, and callers take up streams that broke off",
+        no_short
+    )]
+    versions: bool,
 }
 
 fn main() -> ExitCode {
@@ -101,6 +106,7 @@
     settings.cuts = arguments.cuts;
     settings.tolerances = arguments.tolerances;
     settings.crashes = arguments.crashes;
+    settings.versions = arguments.versions;
     settings.size.entries = arguments.entries;
     settings.size.span = Duration::from_secs(arguments.seconds);
     if arguments.unbalanced {
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -68,6 +68,8 @@
     pub tolerances: bool,
     /// Whether a caller sends a request that crashes endpoints.
     pub crashes: bool,
+    /// Whether endpoints of two versions serve side by side, and callers take up streams that broke off.
+    pub versions: bool,
 }
 
 impl Default for Settings {
@@ -88,6 +90,7 @@
             cuts: false,
             tolerances: false,
             crashes: false,
+            versions: false,
         }
     }
 }
@@ -147,7 +150,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..settings.callers)
         .map(|number| {
-            let caller = Caller::new(number, settings.seed, Arc::clone(&ledger));
+            let caller = Caller::new(number, settings.seed, Arc::clone(&ledger)).taking_up(settings.versions);
             let (doors, stop) = (Arc::clone(&fleet.doors), Arc::clone(&stop));
             thread::spawn(move || caller.run(&doors, &stop))
         })
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -20,6 +20,9 @@
 /// The services; the moving route goes from one to the next.
 pub const SERVICES: [&str; 3] = ["alpha", "beta", "gamma"];
 
+/// The versions of endpoints' software, whose events do not fit together.
+pub const VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// The longest time that a caller waits.
 pub const PATIENCE: Duration = Duration::from_secs(4);
 
