--- a/bergamotshift-forward/src/follow/notes.rs
+++ b/bergamotshift-forward/src/follow/notes.rs
@@ -20,8 +20,8 @@
 
 /// Processes notes for the lifetime of the process.
 ///
-/// A broken connection does not imply that the endpoint died. The endpoint counts as dead only if it accepts no
-/// connection right afterwards; otherwise a request that merely lost its answer would be suspected of crashing
+/// A broken connection does not imply that the endpoint died. The endpoint counts as dead only if no connection to it
+/// stays open right afterwards; otherwise a request that merely lost its answer would be suspected of crashing
 /// endpoints. Endpoints are probed side by side, as some may give no answer.
 pub async fn notes(control: Control, mut inbox: mpsc::UnboundedReceiver<Note>) {
     while let Some(first) = inbox.recv().await {
--- a/bergamotshift-forward/src/lib.rs
+++ b/bergamotshift-forward/src/lib.rs
@@ -5,6 +5,8 @@
 //! there and returns the response; [`relay`] passes it through another entry if this one reaches no endpoint. All stages
 //! read one immutable [`view::View`].
 //!
+//! A stream that broke off goes on at the version of the software that began it ([`origins`]).
+//!
 //! One control thread ([`control::Control`]) builds those views from the changes in the store ([`follow`]), the states
 //! of other entries ([`peers`]) and the failures of requests. It also performs the duties that one entry has for the
 //! whole fleet ([`duty`]), such as ordering endpoints ([`capacity`]).
