feat(forward): logs name the parts of prompts at a death, and whether the answer had begun

Each lost connection now has a line with the request's identifier, the parts of its prompt, what became of the endpoint and whether it had begun to answer, and the line of a served request names its parts. Rate limited by a topic of its own. No logic is changed.

--- a/bergamotshift-forward/src/dialect/metadata.rs
+++ b/bergamotshift-forward/src/dialect/metadata.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Returns the identifiers of the first parts, comma-separated, for the log.
+    pub fn part_ids(parts: &[Part]) -> String {
+        const MAX_LOGGED: usize = 16;
+        let ids = parts.iter().take(MAX_LOGGED).map(|part| format!("{:x}", part.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the last part that other requests may share: the one before the final part, which is specific to the
     /// request. A single part is returned itself.
     pub fn shared_part(&self) -> Option<Part> {
--- a/bergamotshift-forward/src/follow/notes.rs
+++ b/bergamotshift-forward/src/follow/notes.rs
@@ -9,8 +9,10 @@
 use tokio::sync::mpsc;
 
 use crate::control::Control;
+use crate::dialect::Metadata;
 use crate::endpoint::Endpoint;
 use crate::observe::Topic;
+use crate::peers::Loss;
 use crate::peers::Note;
 use crate::relay;
 use crate::view::Shared;
@@ -25,13 +27,13 @@
 /// endpoints. Endpoints are probed side by side, as some may give no answer.
 pub async fn notes(control: Control, mut inbox: mpsc::UnboundedReceiver<Note>) {
     while let Some(first) = inbox.recv().await {
-        let mut lost: BTreeMap<u64, Vec<Fingerprint>> = BTreeMap::new();
+        let mut lost: BTreeMap<u64, Vec<Loss>> = BTreeMap::new();
         let mut next = Some(first);
-        while let Some(Note::ConnectionLost { endpoint, fingerprint }) = next {
-            lost.entry(endpoint).or_default().push(fingerprint);
+        while let Some(Note::ConnectionLost(loss)) = next {
+            lost.entry(loss.endpoint).or_default().push(loss);
             next = inbox.try_recv().ok();
         }
-        let probes = lost.into_iter().map(|(hash, running)| probe(&control, hash, running));
+        let probes = lost.into_iter().map(|(hash, losses)| probe(&control, hash, losses));
         join_all(probes).await;
     }
 }
@@ -57,7 +59,7 @@
 }
 
 /// Finds out what became of an endpoint, and records its death with these requests.
-async fn probe(control: &Control, hash: u64, running: Vec<Fingerprint>) {
+async fn probe(control: &Control, hash: u64, losses: Vec<Loss>) {
     let shared = control.shared();
     let endpoints = control.endpoints();
     let Some(endpoint) = endpoints.iter().find(|endpoint| endpoint.hash == hash) else {
@@ -66,7 +68,10 @@
     let fate = fate(shared, endpoint).await;
     if let Some((logger, left_out)) = shared.log.rate_limited(shared.clock.now(), Topic::Relay) {
         info!(logger, "broken connection examined"; "endpoint" => endpoint.registration.id.as_str(),
-            "requests" => running.len(), "fate" => fate.as_str(), "left_out" => left_out);
+            "requests" => losses.len(), "fate" => fate.as_str(), "left_out" => left_out);
+    }
+    for loss in &losses {
+        log_loss(shared, endpoint, loss, fate);
     }
     if fate == Fate::Lives {
         return;
@@ -74,11 +79,22 @@
     let is_confirmed = fate == Fate::Died;
     // What completed before crashes no endpoints.
     let is_suspect = |fingerprint: &Fingerprint| is_confirmed || !shared.completed.contains(*fingerprint);
-    for fingerprint in running.into_iter().filter(is_suspect) {
+    let running = losses.iter().map(|loss| loss.fingerprint);
+    for fingerprint in running.filter(is_suspect) {
         control.endpoint_died(hash, fingerprint, is_confirmed);
     }
 }
 
+/// Logs a request whose connection broke, and what became of the endpoint.
+fn log_loss(shared: &Shared, endpoint: &Endpoint, loss: &Loss, fate: Fate) {
+    if let Some((logger, left_out)) = shared.log.rate_limited(shared.clock.now(), Topic::Loss) {
+        info!(logger, "connection lost with a request"; "request" => loss.request.as_str(),
+            "endpoint" => endpoint.registration.id.as_str(), "fate" => fate.as_str(),
+            "fingerprint" => format!("{:032x}", loss.fingerprint.get()), "parts" => Metadata::part_ids(&loss.parts),
+            "begun" => loss.has_begun, "left_out" => left_out);
+    }
+}
+
 /// Returns what became of an endpoint: it lives if a connection to it stays open, from this entry or from another one, which may
 /// reach it while this one is cut off.
 async fn fate(shared: &Shared, endpoint: &Endpoint) -> Fate {
--- a/bergamotshift-forward/src/observe/log.rs
+++ b/bergamotshift-forward/src/observe/log.rs
@@ -31,10 +31,12 @@
     Peers,
     /// Connections to endpoints through other entries.
     Relay,
+    /// Requests whose connections to endpoints broke.
+    Loss,
 }
 
 /// Number of topics.
-const TOPICS: usize = 7;
+const TOPICS: usize = 8;
 
 /// Logger that limits the rate of each topic's lines and counts the omitted ones.
 #[derive(Debug)]
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -14,6 +14,7 @@
 
 use super::process::Process;
 use crate::choice::CachedPart;
+use crate::dialect::Part;
 use crate::duty::Handover;
 use crate::duty::Windows;
 use crate::endpoint::Change;
@@ -22,16 +23,26 @@
 use crate::endpoint::Registration;
 use crate::outside::Cursor;
 
+/// A request whose connection to an endpoint broke.
+#[derive(Clone, Debug)]
+pub struct Loss {
+    /// The endpoint, by its hash.
+    pub endpoint: u64,
+    /// The identifier of the caller's attempt.
+    pub request: SmolStr,
+    /// The fingerprint of the request's content.
+    pub fingerprint: Fingerprint,
+    /// The parts of its prompt, in order.
+    pub parts: Vec<Part>,
+    /// Whether the endpoint had begun to answer.
+    pub has_begun: bool,
+}
+
 /// An event that a request reports to the control thread.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub enum Note {
     /// A connection broke while an endpoint was processing a request.
-    ConnectionLost {
-        /// The endpoint, by its hash.
-        endpoint: u64,
-        /// The request.
-        fingerprint: Fingerprint,
-    },
+    ConnectionLost(Loss),
 }
 
 /// An entry of the fleet, as another entry knows it.
--- a/bergamotshift-forward/src/peers/mod.rs
+++ b/bergamotshift-forward/src/peers/mod.rs
@@ -29,6 +29,7 @@
 pub use self::member::Peer;
 pub use self::message::Freshness;
 pub use self::message::InFlight;
+pub use self::message::Loss;
 pub use self::message::Member;
 pub use self::message::Note;
 pub use self::message::Rate;
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -21,7 +21,6 @@
 use crate::dialect::Envelope;
 use crate::dialect::Notice;
 use crate::document::Kind;
-use crate::endpoint::Endpoint;
 use crate::endpoint::Guard;
 use crate::endpoint::Unanswered;
 use crate::exchange;
@@ -29,7 +28,6 @@
 use crate::exchange::Failure;
 use crate::exchange::Head;
 use crate::observe::Topic;
-use crate::peers::Note;
 use crate::rollouts::Observer;
 
 /// Maximum number of attempts that end before a request is sent. Unreachable endpoints are skipped after their first
@@ -378,7 +376,7 @@
             }
             Error::Failed(failure) => {
                 endpoint.health.record_failure();
-                self.report_broken(job, endpoint, &failure);
+                self.report_broken(job, endpoint, &failure, false);
                 failure.to_string()
             }
         };
@@ -391,16 +389,6 @@
         fallback
     }
 
-    /// Lets the control thread find out whether an endpoint died, if the connection with a request broke.
-    pub(super) fn report_broken(&self, job: &Job, endpoint: &Endpoint, failure: &Failure) {
-        if matches!(failure, Failure::Broken(_)) {
-            let _ = self.shared.notes.send(Note::ConnectionLost {
-                endpoint: endpoint.hash,
-                fingerprint: job.fingerprint,
-            });
-        }
-    }
-
     /// Returns the version of the document in force; 0 without a document.
     pub(super) fn document_version(&self) -> u64 {
         let view = self.shared.view.load();
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -387,6 +387,7 @@
                 "service" => job.service.as_str(), "status" => status.as_u16(), "outcome" => outcome,
                 "sends" => history.sends, "ms" => now.since(job.arrived).as_millis() as u64,
                 "first_ms" => history.pace.first_ms(job.arrived), "pause_ms" => history.pace.pause_ms(),
+                "parts" => Metadata::part_ids(&job.metadata.parts),
                 "endpoint" => history.estimate.as_ref().map(|estimate| estimate.endpoint.as_str()),
                 "expected_ms" => history.estimate.as_ref().map(|estimate| estimate.expected_ms),
                 "running" => history.estimate.as_ref().map(|estimate| estimate.running),
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -10,6 +10,7 @@
 mod forwarder;
 mod job;
 mod keeper;
+mod loss;
 mod notice;
 mod origin;
 mod pace;
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -50,6 +50,8 @@
     headers: HeaderMap,
     guard: Guard,
     events: Events,
+    /// Whether the current endpoint has sent an event.
+    has_begun: bool,
     /// Counts the request as in flight until the relay is dropped.
     _active: Active,
     status: StatusCode,
@@ -83,6 +85,7 @@
             headers: head.headers,
             guard,
             events,
+            has_begun: false,
             _active: active,
             status: head.status,
         };
@@ -112,6 +115,7 @@
                     if self.guard.mark_prompt_read() {
                         self.forwarder.shared.in_flight_changed.notify_one();
                     }
+                    self.has_begun = true;
                     self.history.pace.record(self.forwarder.shared.clock.now());
                     self.bind_version();
                     return Ok(Some(events));
@@ -124,7 +128,8 @@
                 Err(failure) => failure,
             };
             self.guard.record_failure();
-            self.forwarder.report_broken(&self.job, self.guard.endpoint(), &failure);
+            self.forwarder
+                .report_broken(&self.job, self.guard.endpoint(), &failure, self.has_begun);
             self.resume(failure).await?;
         }
     }
@@ -194,6 +199,7 @@
         self.framing = exchange.head.framing;
         self.connection = Some(exchange.connection);
         self.guard = exchange.guard;
+        self.has_begun = false;
         Ok(())
     }
 
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -111,7 +111,7 @@
             }
             Err(failure) => {
                 guard.record_failure();
-                self.report_broken(job, guard.endpoint(), &failure);
+                self.report_broken(job, guard.endpoint(), &failure, false);
                 Err(failure)
             }
         }
