--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -35,6 +35,11 @@
         header(&self.head, name)
     }
 
+    /// Returns the path.
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or_default()
+    }
+
     /// Returns an answer that echoes the request's identifier and carries the seal header.
     pub fn answer(&self, status: &str, extra: &str, body: &str) -> String {
         let length = format!("content-length: {}\r\n", body.len());
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod link;
 mod outside;
+mod parts;
 mod port;
 mod restore;
 mod rollouts;
