--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -28,4 +28,5 @@
 mod streams;
 mod throttled;
 mod tolerance;
+mod unframed;
 mod versions;
--- /dev/null
+++ b/bergamotshift-forward/tests/daemon/unframed.rs
@@ -0,0 +1,147 @@
+//! Answers without a length or chunks, which end with their connection.
+
+use std::io::Write;
+
+use crate::endpoint::Connection;
+use crate::endpoint::Endpoint;
+use crate::endpoint::Request;
+use crate::site::Caller;
+use crate::site::Site;
+use crate::site::wait_until;
+
+const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
+
+/// Returns an answer without framing.
+fn unframed(request: &Request, extra: &str, body: &str) -> String {
+    request.answer_head("200 OK", extra) + body
+}
+
+fn events(numbers: core::ops::RangeInclusive<u32>) -> String {
+    numbers
+        .map(|number| format!("id: {number}\ndata: {number}\n\n"))
+        .collect()
+}
+
+/// Starts an endpoint that answers without framing and closes the connection.
+fn closing(id: &str, extra: &'static str, body: String) -> Endpoint {
+    Endpoint::start(id, move |request, _, stream| {
+        stream.write_all(unframed(request, extra, &body).as_bytes())?;
+        Ok(Connection::Close)
+    })
+}
+
+/// Starts an endpoint that crashes within its first answer.
+fn crashing(id: &str, extra: &'static str, body: String) -> Endpoint {
+    Endpoint::start(id, move |request, _, stream| {
+        stream.write_all(unframed(request, extra, &body).as_bytes())?;
+        Ok(Connection::Crash)
+    })
+}
+
+#[test]
+fn answers_without_framing_arrive_whole_and_keep_their_callers_connections() {
+    let long = "x".repeat(300_000);
+    for body in [String::new(), "short".to_owned(), long] {
+        let endpoint = closing("e1", "", body.clone());
+        let site = Site::new(&[&endpoint]);
+        let daemon = site.start();
+        let mut caller = Caller::new(&daemon);
+        for number in 0..3 {
+            let answer = caller.ask("POST", "/checkin/1", &format!("r-{number}"), "x");
+            assert_eq!((answer.status, answer.text() == body), (200, true));
+        }
+    }
+}
+
+#[test]
+fn answers_that_have_no_body_need_no_framing() {
+    for (method, status) in [
+        ("HEAD", "200 OK"),
+        ("POST", "204 No Content"),
+        ("POST", "304 Not Modified"),
+    ] {
+        let endpoint = Endpoint::start("e1", move |request, _, stream| {
+            stream.write_all(request.answer_head(status, "").as_bytes())?;
+            Ok(Connection::Keep)
+        });
+        let site = Site::new(&[&endpoint]);
+        let daemon = site.start();
+        for number in 0..3 {
+            let mut caller = Caller::new(&daemon);
+            caller.send(method, "/checkin/1", &format!("r-{number}"), "", "");
+            let answer = caller.read_answer().expect("an answer comes");
+            assert!(
+                status.starts_with(&answer.status.to_string()),
+                "{status}: {}",
+                answer.status
+            );
+        }
+    }
+}
+
+#[test]
+fn a_stream_without_framing_is_complete_at_the_end_of_an_event_only() {
+    for (body, is_complete) in [(events(1..=5), true), (events(1..=5) + "id: 6\nda", false)] {
+        let endpoint = closing("e1", EVENT_STREAM, body);
+        let site = Site::new(&[&endpoint]);
+        let daemon = site.start();
+        let answer = Caller::new(&daemon).ask("POST", "/chat/1", "r-1", "x");
+        assert_eq!((answer.status, answer.is_complete), (200, is_complete));
+        assert_eq!(answer.text(), events(1..=5));
+    }
+}
+
+/// Guards against a part of an answer that looks complete, because the crash of its endpoint ended the connection like a
+/// complete answer without framing does.
+#[test]
+fn what_a_crash_leaves_of_an_answer_is_not_given_out_as_whole() {
+    let one = crashing("e1", "", "ha".to_owned());
+    let two = closing("e2", "", "whole".to_owned()).in_other_zone();
+    let site = Site::new(&[&one, &two]);
+    let daemon = site.start();
+    let answer = Caller::new(&daemon).ask("POST", "/checkin/1", "r-1", "x");
+    assert_eq!((answer.status, answer.text().as_str()), (200, "whole"));
+    assert_eq!((one.count(), two.count()), (1, 1));
+
+    let one = crashing("e1", "", "ha".to_owned());
+    let site = Site::new(&[&one]);
+    let daemon = site.start();
+    assert_eq!(Caller::new(&daemon).ask("POST", "/confirm/1", "r-1", "x").status, 502);
+}
+
+/// Guards against a stream that a crash ends between two events and that looks complete.
+#[test]
+fn what_a_crash_leaves_of_a_stream_is_not_given_out_as_whole() {
+    let one = crashing("e1", EVENT_STREAM, events(1..=2));
+    let two = closing("e2", EVENT_STREAM, events(3..=5)).in_other_zone();
+    let site = Site::new(&[&one, &two]);
+    let daemon = site.start();
+    let answer = Caller::new(&daemon).ask("POST", "/draft/1", "r-1", "x");
+    assert!(answer.is_complete);
+    assert_eq!(answer.text(), events(1..=5));
+
+    let one = crashing("e1", EVENT_STREAM, events(1..=2));
+    let site = Site::new(&[&one]);
+    let daemon = site.start();
+    let answer = Caller::new(&daemon).ask("POST", "/chat/1", "r-1", "x");
+    assert!(!answer.is_complete);
+}
+
+/// Guards against a request that crashes one endpoint after the other within answers without framing, because what arrived
+/// of them counted as complete and as a sign that the request is sound.
+#[test]
+fn a_request_that_crashes_endpoints_within_answers_without_framing_is_refused() {
+    const ENDPOINTS: usize = 8;
+    let endpoints: Vec<_> = (0..ENDPOINTS)
+        .map(|number| crashing(&format!("e{number}"), "", "ha".to_owned()))
+        .collect();
+    let all: Vec<_> = endpoints.iter().collect();
+    let site = Site::new(&all);
+    let daemon = site.start();
+    let reached = || endpoints.iter().map(Endpoint::count).sum::<usize>();
+    for repeat in 0..ENDPOINTS {
+        let _ = Caller::new(&daemon).ask("POST", "/confirm/1", &format!("r-{repeat}"), "crash");
+        wait_until("the deaths are recorded", || daemon.death_count() == Some(reached()));
+    }
+    assert!(reached() <= 3, "it reached {} endpoints", reached());
+}
