fix(forward): what a crash leaves of an answer without framing is not complete

What callers saw: an answer with neither a length nor chunks was given out as whole, with what had arrived of it, if its endpoint crashed; so was a stream that broke off between two events.

Cause: the end of the connection is the only mark of the end, and a crash ends it too. Change: after such an answer the entry opens the connection that the next request needs anyway. If the endpoint refuses it, the answer broke off: repeated elsewhere where that is allowed, and the death is recorded. An endpoint that leaves or gives no sign is believed, as nothing tells. Costs a round trip for answers without framing only. Class: a failure that looks like success.

--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod stream;
 mod suspect;
+mod unframed;
 mod whole;
 
 pub(crate) use self::active::Active;
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -48,6 +48,8 @@
     history: History,
     connection: Option<Connection>,
     framing: exchange::Framing,
+    /// Whether the end of the answer is marked other than by the end of its connection.
+    is_framed: bool,
     headers: HeaderMap,
     guard: Guard,
     events: Events,
@@ -85,6 +87,7 @@
             history,
             connection: Some(connection),
             framing: head.framing,
+            is_framed: head.framing.is_framed(),
             headers: head.headers,
             guard,
             events,
@@ -123,11 +126,13 @@
                     self.bind_version();
                     return Ok(Some(events));
                 }
-                Ok(None) if self.events.is_at_boundary() => {
-                    self.finish();
-                    return Ok(None);
-                }
-                Ok(None) => Failure::Broken("it ended within an event".to_owned()),
+                Ok(None) => match self.check_end().await {
+                    Ok(()) => {
+                        self.finish();
+                        return Ok(None);
+                    }
+                    Err(failure) => failure,
+                },
                 Err(failure) => failure,
             };
             self.guard.record_failure();
@@ -137,6 +142,20 @@
         }
     }
 
+    /// Checks that the stream is complete at its end.
+    async fn check_end(&self) -> Result<(), Failure> {
+        if !self.events.is_at_boundary() {
+            return Err(Failure::Broken("it ended within an event".to_owned()));
+        }
+        match &self.connection {
+            Some(connection) if !self.is_framed => {
+                let endpoint = self.guard.endpoint();
+                self.forwarder.check_end(&self.job, endpoint, connection).await
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Records that events arrived.
     fn record_events(&mut self) {
         let now = self.forwarder.shared.clock.now();
@@ -211,6 +230,7 @@
         }
         forwarder.shared.metrics.resumed.inc();
         self.framing = exchange.head.framing;
+        self.is_framed = self.framing.is_framed();
         self.connection = Some(exchange.connection);
         self.guard = exchange.guard;
         self.begun_at = None;
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -95,7 +95,10 @@
             }
             Ok(())
         };
-        let read = timeout(time_left, reading).await.unwrap_or(Err(Failure::Silent));
+        let mut read = timeout(time_left, reading).await.unwrap_or(Err(Failure::Silent));
+        if read.is_ok() && !head.framing.is_framed() {
+            read = self.check_end(job, guard.endpoint(), &connection).await;
+        }
         match read {
             Ok(()) => {
                 guard.record_start();
--- a/bergamotshift-forward/tests/daemon/unframed.rs
+++ b/bergamotshift-forward/tests/daemon/unframed.rs
@@ -17,9 +17,10 @@
 }
 
 fn events(numbers: core::ops::RangeInclusive<u32>) -> String {
-    numbers
+    let events: Vec<_> = numbers
         .map(|number| format!("id: {number}\ndata: {number}\n\n"))
-        .collect()
+        .collect();
+    events.concat()
 }
 
 /// Starts an endpoint that answers without framing and closes the connection.
