fix(limit): a part that was refused is refused again after one further death

Two crashing parts at once take turns in the explanation of the deaths: whichever covers more frees the other, which then needed three further deaths.

--- a/bergamotshift-forward/tests/fleet/main.rs
+++ b/bergamotshift-forward/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod incarnations;
 mod model;
 mod network;
+mod parts;
 mod quarantine;
 mod restore;
 mod start;
--- a/bergamotshift-limit/src/quarantine/part/accusation.rs
+++ b/bergamotshift-limit/src/quarantine/part/accusation.rs
@@ -31,7 +31,8 @@
 /// Returns the parts that explain the deaths, each with at least [`DEATHS`] that those before it do not explain.
 ///
 /// Parts without any answer come first, as the deaths beside them accuse sound parts too. Of several that are always
-/// together, the deepest comes first: refusing it affects the fewest requests.
+/// together, the deepest comes first: refusing it affects the fewest requests. One further death is enough for a part
+/// that was refused before, as the explanation that replaced it does not hold.
 pub(super) fn accuse(evidence: &BTreeMap<Fingerprint, Evidence>, removals: &Removals) -> Vec<Accused> {
     let mut accused: Vec<Accused> = Vec::new();
     let mut explained = BTreeSet::new();
@@ -43,7 +44,8 @@
             let count = moments(&one.unexplained(removals, &explained)).len();
             let is_unanswered = one.answered().is_none();
             let rank = (is_unanswered, count, Reverse(one.answered()), one.depth(), *fingerprint);
-            (count >= DEATHS).then_some((rank, one))
+            let least = if one.was_refused() { 1 } else { DEATHS };
+            (count >= least).then_some((rank, one))
         });
         let Some(((.., fingerprint), one)) = suspects.max_by_key(|(rank, _)| *rank) else {
             return accused;
--- a/bergamotshift-limit/src/quarantine/part/evidence.rs
+++ b/bergamotshift-limit/src/quarantine/part/evidence.rs
@@ -32,6 +32,8 @@
     pub depth: u8,
     /// Time since the last answer with the part; `None` if none is known.
     pub answered: Option<Duration>,
+    /// Whether the part was refused since then.
+    pub was_refused: bool,
     /// Instances that died with requests that hold the part, with the age and the attribution of each death.
     pub deaths: Vec<(Instance, Duration, Attribution)>,
 }
@@ -50,6 +52,8 @@
     deaths: Record,
     depth: u8,
     answered: Option<Instant>,
+    /// Whether it was refused since the last answer.
+    was_refused: bool,
     /// Time at which it was found to be cleared of all deaths.
     cleared_at: Option<Instant>,
 }
@@ -65,6 +69,19 @@
     /// Records that an answer with the part had begun.
     pub(super) fn clear(&mut self, at: Instant) {
         self.answered = self.answered.max(Some(at));
+        if self.latest() < self.answered {
+            self.was_refused = false;
+        }
+    }
+
+    /// Records that the part is refused.
+    pub(super) const fn mark_refused(&mut self) {
+        self.was_refused = true;
+    }
+
+    /// Returns whether the part was refused since the last answer.
+    pub(super) const fn was_refused(&self) -> bool {
+        self.was_refused
     }
 
     /// Returns the largest number of parts before it.
@@ -134,6 +151,7 @@
         self.deaths.merge(now, &deaths, memory);
         self.deaths.keep_newest(MAX_DEATHS);
         self.depth = self.depth.max(other.depth);
+        self.was_refused |= other.was_refused;
         if let Some(age) = other.answered {
             self.clear(now - age);
         }
@@ -148,6 +166,7 @@
             fingerprint,
             depth: self.depth,
             answered: self.answered.map(|at| now.since(at)),
+            was_refused: self.was_refused,
             deaths,
         }
     }
--- a/bergamotshift-limit/src/quarantine/part/mod.rs
+++ b/bergamotshift-limit/src/quarantine/part/mod.rs
@@ -193,6 +193,11 @@
         let accused = accusation::accuse(&self.evidence, removals);
         let is_accused = |fingerprint: &Fingerprint| accused.iter().any(|one| one.fingerprint == *fingerprint);
         self.trials.retain(|fingerprint, _| is_accused(fingerprint));
+        for accused in &accused {
+            if let Some(evidence) = self.evidence.get_mut(&accused.fingerprint) {
+                evidence.mark_refused();
+            }
+        }
         let rows = accused.into_iter().map(|accused| {
             let trial = Arc::clone(self.trials.entry(accused.fingerprint).or_default());
             (accused, trial)
--- a/bergamotshift-limit/src/quarantine/part/table.rs
+++ b/bergamotshift-limit/src/quarantine/part/table.rs
@@ -72,12 +72,14 @@
     }
 
     /// Returns whether an entry may try the part in a turn. The first turn admits half an entry on average, so that seldom
-    /// several try at once, and each turn twice as many as the one before.
+    /// several try at once, and each turn more than the one before.
     fn admits(&self, turn: u64, entry: Entry) -> bool {
+        /// Factor by which each turn admits more entries.
+        const GROWTH: f64 = 1.5;
         let digits = self.fingerprint.get() as u64 ^ entry.hash;
         // The multiplication spreads the digits (Fibonacci hashing).
         let rank = (digits.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as f64 / f64::from(u32::MAX);
-        rank * entry.count as f64 <= 2_f64.powi(turn.min(32) as i32 - 1)
+        rank * entry.count as f64 <= 0.5 * GROWTH.powi(turn.min(64) as i32)
     }
 
     fn verdict(&self, now: Instant, entry: Entry) -> Verdict {
