test: a part of prompts in the soak, and most new connections at one entry

A daemon test opens 240 connections at a time at one of two entries, and at the other one once the first is out: all served, kept connections too.

--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -28,5 +28,6 @@
 mod streams;
 mod throttled;
 mod tolerance;
+mod uneven;
 mod unframed;
 mod versions;
--- a/bergamotshift-soak/src/caller.rs
+++ b/bergamotshift-soak/src/caller.rs
@@ -28,10 +28,12 @@
 use crate::ledger::Exchange;
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
+use crate::site::CRASHING_PART;
 use crate::site::EVENTS;
 use crate::site::HOST;
 use crate::site::Kind;
 use crate::site::PATIENCE;
+use crate::site::SHARED_PART;
 use crate::site::Tenant;
 use crate::site::VERSIONS;
 
@@ -136,11 +138,11 @@
         }
     }
 
-    /// Sends the request that crashes endpoints again and again, until told to stop.
-    pub fn crash_repeatedly(mut self, doors: &Doors, stop: &AtomicBool) {
+    /// Sends requests of a kind that crashes endpoints again and again, until told to stop.
+    pub fn crash_repeatedly(mut self, kind: Kind, doors: &Doors, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
             if let Some(door) = self.door(doors) {
-                self.ask_at(door, Kind::Crash, Tenant::Free);
+                self.ask_at(door, kind, Tenant::Free);
             }
             thread::sleep(Duration::from_millis(
                 CRASH_PAUSE_MS.start + self.below(CRASH_PAUSE_MS.end),
@@ -240,13 +242,24 @@
         });
         format!(
             "POST {}{own} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: {key_scheme} {}\r\n{request}: {id}\r\n\
-             {time_left}: {}\r\n{rest}content-length: 2\r\n\r\n{{}}",
+             {time_left}: {}\r\n{rest}{}content-length: 2\r\n\r\n{{}}",
             kind.prefix(),
             tenant.key(),
             PATIENCE.as_millis(),
+            self.prompt(kind, tenant),
         )
     }
 
+    /// Returns the header line with the parts of the prompt.
+    fn prompt(&self, kind: Kind, tenant: Tenant) -> String {
+        let shared = match (kind, tenant) {
+            (Kind::Part, _) => format!("{SHARED_PART},{CRASHING_PART},"),
+            (_, Tenant::Free) => format!("{SHARED_PART},"),
+            _ => return String::new(),
+        };
+        format!("{}: {shared}{:x}:10\r\n", self.dialect.prompt, self.sent)
+    }
+
     /// Returns whether an answer is whole and belongs to the request.
     fn judge(&self, answer: &Answer, id: &str, kind: Kind, part: Option<&Part>) -> Outcome {
         if answer.status != 200 {
@@ -262,7 +275,7 @@
                 .iter()
                 .any(|version| answer.body == events(id, 0, version).as_bytes()),
             (Kind::Draft, Some(part)) => answer.body == events(id, part.last, part.version).as_bytes(),
-            (Kind::Checkin | Kind::Confirm | Kind::Moving | Kind::Crash, _) => {
+            (Kind::Checkin | Kind::Confirm | Kind::Moving | Kind::Crash | Kind::Part, _) => {
                 answer.body == endpoint::body(id).as_bytes()
             }
         };
--- a/bergamotshift-soak/src/crash.rs
+++ b/bergamotshift-soak/src/crash.rs
@@ -12,15 +12,28 @@
 use crate::promise::Broken;
 use crate::site::Kind;
 
-/// How long after the third crash all entries know of it.
+/// How long after the last crash that is allowed all entries know of it.
 const KNOWN: Duration = Duration::from_secs(4);
 
 /// How often the request may go on after that.
 const MOST: usize = 3;
 
-/// Returns the promise that was broken, if it was.
-pub fn check(book: &Book) -> Option<Broken> {
-    let crashing = book.exchanges.iter().filter(|one| one.kind == Kind::Crash);
+/// Returns the promises that were broken.
+pub fn check(book: &Book) -> Vec<Broken> {
+    let whole = check_kind(book, Kind::Crash, 3).map(|what| Broken {
+        promise: "a request that crashed three endpoints goes on at most three times",
+        what,
+    });
+    let part = check_kind(book, Kind::Part, 5).map(|what| Broken {
+        promise: "requests with a part that crashed five endpoints go on at most three times",
+        what,
+    });
+    whole.into_iter().chain(part).collect()
+}
+
+/// Returns how often requests of a kind went on too long after so many crashes, if that was too often.
+fn check_kind(book: &Book, kind: Kind, crashes: usize) -> Option<String> {
+    let crashing = book.exchanges.iter().filter(|one| one.kind == kind);
     let ids: BTreeSet<&SmolStr> = crashing.map(|one| &one.id).collect();
     let arrivals: Vec<&Arrival> = book
         .arrivals
@@ -36,18 +49,15 @@
             .filter(|at| (from..until).contains(at));
         let mut times: Vec<Duration> = times.collect();
         times.sort_unstable();
-        let late = |third: &Duration| {
+        let late = |last: &Duration| {
             times
                 .iter()
-                .filter(|at| **at > *third + KNOWN && is_calm(book, **at))
+                .filter(|at| **at > *last + KNOWN && is_calm(book, **at))
                 .count()
         };
-        let late = times.get(2).map_or(0, late);
+        let late = times.get(crashes - 1).map_or(0, late);
         if late > MOST {
-            return Some(Broken {
-                promise: "a request that crashed three endpoints goes on at most three times",
-                what: format!("{late} times since {from:?}: {times:?}"),
-            });
+            return Some(format!("{late} times since {from:?}: {times:?}"));
         }
         from = until;
     }
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -31,6 +31,7 @@
 use crate::ledger::Arrival;
 use crate::ledger::Ledger;
 use crate::proxy::Proxy;
+use crate::site::CRASHING_PART;
 use crate::site::EVENTS;
 use crate::site::Kind;
 
@@ -288,7 +289,8 @@
                 continue;
             }
             thread::sleep(WORK);
-            if call.request_line.contains(Kind::Crash.prefix()) {
+            let prompt = call.header(self.dialect.prompt.as_str()).unwrap_or_default();
+            if call.request_line.contains(Kind::Crash.prefix()) || prompt.contains(CRASHING_PART) {
                 return self.crash_with(&mut stream, &id, said);
             }
             if call.request_line.contains(Kind::Draft.prefix()) {
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -60,6 +60,8 @@
     tolerances: bool,
     #[options(help = "send a request that crashes endpoints again and again", no_short)]
     crashes: bool,
+    #[options(help = "send requests with a part of their prompts that crashes endpoints", no_short)]
+    parts: bool,
     #[options(
         help = "let endpoints of two versions serve, and callers take up streams that broke off",
         no_short
@@ -106,6 +108,7 @@
     settings.cuts = arguments.cuts;
     settings.tolerances = arguments.tolerances;
     settings.crashes = arguments.crashes;
+    settings.parts = arguments.parts;
     settings.versions = arguments.versions;
     settings.size.entries = arguments.entries;
     settings.size.span = Duration::from_secs(arguments.seconds);
--- a/bergamotshift-soak/src/promise.rs
+++ b/bergamotshift-soak/src/promise.rs
@@ -116,7 +116,7 @@
 
     /// Checks what each caller got.
     fn answers(&mut self) {
-        for exchange in self.book.exchanges.iter().filter(|one| one.kind != Kind::Crash) {
+        for exchange in self.book.exchanges.iter().filter(|one| !one.kind.is_crashing()) {
             let ran = self.runs.get(&exchange.id).map_or(0, Vec::len);
             let promise = match (&exchange.outcome, exchange.tenant) {
                 (Outcome::Wrong(_), _) => "an answer is whole and its caller's own",
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -38,7 +38,7 @@
 /// The number of the first caller that checks the recovery; those of the run have lower ones.
 const CHECKER: u64 = 1_000_000;
 
-/// The number of the caller whose requests crash endpoints.
+/// The number of the first caller whose requests crash endpoints.
 const CRASHER: u64 = 2_000_000;
 
 /// What a run is made of.
@@ -68,6 +68,8 @@
     pub tolerances: bool,
     /// Whether a caller sends a request that crashes endpoints.
     pub crashes: bool,
+    /// Whether a caller sends requests of which no two are alike, with a part of their prompts that crashes endpoints.
+    pub parts: bool,
     /// Whether endpoints of two versions serve side by side, and callers take up streams that broke off.
     pub versions: bool,
 }
@@ -90,6 +92,7 @@
             cuts: false,
             tolerances: false,
             crashes: false,
+            parts: false,
             versions: false,
         }
     }
@@ -155,14 +158,25 @@
             thread::spawn(move || caller.run(&doors, &stop))
         })
         .collect();
-    let calm = Arc::new(AtomicBool::new(!settings.crashes));
-    let crasher = Caller::new(CRASHER, settings.seed, Arc::clone(&ledger));
-    let (doors, ended) = (Arc::clone(&fleet.doors), Arc::clone(&calm));
-    let crasher = thread::spawn(move || crasher.crash_repeatedly(&doors, &ended));
+    let calm = Arc::new(AtomicBool::new(false));
+    let crashers = [
+        (settings.crashes, Kind::Crash, CRASHER),
+        (settings.parts, Kind::Part, CRASHER + 1),
+    ];
+    let crashers = crashers.into_iter().filter(|(is_wanted, ..)| *is_wanted);
+    let crashers: Vec<_> = crashers
+        .map(|(_, kind, number)| {
+            let crasher = Caller::new(number, settings.seed, Arc::clone(&ledger));
+            let (doors, ended) = (Arc::clone(&fleet.doors), Arc::clone(&calm));
+            thread::spawn(move || crasher.crash_repeatedly(kind, &doors, &ended))
+        })
+        .collect();
     follow(&mut fleet, &plan, settings.size.span)?;
     calm.store(true, Ordering::Relaxed);
-    // It has said so if it panicked.
-    let _ = crasher.join();
+    for crasher in crashers {
+        // It has said so if it panicked.
+        let _ = crasher.join();
+    }
     fleet.heal()?;
     late.extend(recover(&mut fleet, &ledger, CHECKER + 1)?);
     fleet.finish();
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -35,6 +35,12 @@
 /// The path of the requests that crash endpoints.
 const CRASH_PATH: &str = "/checkin/crash";
 
+/// The part of prompts that all requests of the organisation without a limit share.
+pub const SHARED_PART: &str = "aa:100";
+
+/// The part of prompts that crashes endpoints.
+pub const CRASHING_PART: &str = "bad:50";
+
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -48,9 +54,16 @@
     Moving,
     /// As a checkin, with the same content each time; it crashes each endpoint that runs it.
     Crash,
+    /// As a checkin, no two alike; a part of its prompt crashes each endpoint that runs it.
+    Part,
 }
 
 impl Kind {
+    /// Returns whether it crashes endpoints.
+    pub const fn is_crashing(self) -> bool {
+        matches!(self, Self::Crash | Self::Part)
+    }
+
     /// All kinds that a route of its own leads to.
     pub const ALL: [Self; 4] = [Self::Checkin, Self::Confirm, Self::Draft, Self::Moving];
 
@@ -62,6 +75,7 @@
             Self::Draft => "/draft/",
             Self::Moving => "/moving/",
             Self::Crash => CRASH_PATH,
+            Self::Part => "/checkin/part-",
         }
     }
 }
@@ -137,7 +151,7 @@
 
 fn route(kind: Kind, moving: &str) -> Route {
     let (repeat, resumable) = match kind {
-        Kind::Checkin | Kind::Moving | Kind::Crash => (Repeat::Idempotent, false),
+        Kind::Checkin | Kind::Moving | Kind::Crash | Kind::Part => (Repeat::Idempotent, false),
         Kind::Confirm => (Repeat::Once, false),
         Kind::Draft => (Repeat::Stream, true),
     };
--- a/bergamotshift-soak/tests/promise.rs
+++ b/bergamotshift-soak/tests/promise.rs
@@ -337,14 +337,12 @@
     assert_eq!(broken(&book), ["a daemon ends when it is asked to, and only then"]);
 }
 
-/// A book in which a request crashes an endpoint at each of these times, in milliseconds.
-fn crashes(times: &[u64]) -> Book {
+/// A book in which a request of a kind crashes an endpoint at each of these times, in milliseconds.
+fn crashes_of(kind: Kind, times: &[u64]) -> Book {
     let mut crashing = book();
     for (number, millis) in times.iter().enumerate() {
         let id = format!("crash-{number}");
-        crashing
-            .exchanges
-            .push(exchange(&id, Kind::Crash, *millis, Outcome::Cut));
+        crashing.exchanges.push(exchange(&id, kind, *millis, Outcome::Cut));
         crashing
             .arrivals
             .push(arrival(&id, &format!("alpha-{number}"), "alpha", *millis + 5));
@@ -352,9 +350,22 @@
     crashing
 }
 
+fn crashes(times: &[u64]) -> Book {
+    crashes_of(Kind::Crash, times)
+}
+
+#[test]
+fn a_crashing_part_that_goes_on_is_found() {
+    let found = |times: &[u64]| !bergamotshift_soak::crash::check(&crashes_of(Kind::Part, times)).is_empty();
+    let mut times = vec![1_000, 1_100, 1_200, 1_300, 2_000, 6_500, 7_000, 8_000];
+    assert!(!found(&times));
+    times.push(9_000);
+    assert!(found(&times));
+}
+
 #[test]
 fn a_crashing_request_that_goes_on_is_found() {
-    let found = |book: &Book| bergamotshift_soak::crash::check(book).is_some();
+    let found = |book: &Book| !bergamotshift_soak::crash::check(book).is_empty();
     let mut times = vec![1_000, 1_100, 1_200, 1_300, 2_000, 3_000];
     assert!(!found(&crashes(&times)), "entries may not know of it yet");
     times.extend([6_000, 7_000, 8_000]);
@@ -366,8 +377,8 @@
 #[test]
 fn a_crashing_request_is_excused_by_the_end_of_all_who_knew_it() {
     let mut book = crashes(&[1_000, 1_100, 1_200, 20_000, 20_100, 20_200, 20_300]);
-    assert!(bergamotshift_soak::crash::check(&book).is_some());
+    assert!(!bergamotshift_soak::crash::check(&book).is_empty());
     book.disruptions
         .push(disruption(Place::Entry(0), "killed", false, 10_000, 11_000));
-    assert_eq!(bergamotshift_soak::crash::check(&book), None);
+    assert_eq!(bergamotshift_soak::crash::check(&book), []);
 }
--- a/bergamotshift/tests/soak.rs
+++ b/bergamotshift/tests/soak.rs
@@ -75,3 +75,13 @@
         ..Settings::default()
     });
 }
+
+/// Guards against a part of prompts that crashes one endpoint after the other while entries are killed, stopped and cut off.
+#[test]
+fn a_crashing_part_is_stopped_while_everything_is_harmed() {
+    soak(&Settings {
+        seed: 54,
+        parts: true,
+        ..Settings::default()
+    });
+}
