fix(route): a long prompt without any endpoint does not panic

What callers saw: the worker thread of an entry ended, and with it the requests of its callers, when a prompt of a kilobyte or more came while no endpoint was known. Cause: the home of a prompt was looked up in an arena without slots. The new test of all policies failed before (index out of bounds) and passes now. Ruled out elsewhere by reading: find and index_of check the bounds. The forwarding daemon does not use this code.

--- a/bergamotshift-route/src/view/mod.rs
+++ b/bergamotshift-route/src/view/mod.rs
@@ -190,7 +190,7 @@
         (0..TRIES).find_map(|attempt| {
             let mixed = (block ^ attempt.wrapping_mul(0x9E37_79B9_7F4A_7C15)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
             let slot = ((u128::from(mixed) * u128::from(slots)) >> 64) as usize;
-            let index = self.index_by_slot[slot];
+            let index = *self.index_by_slot.get(slot)?;
             let row = self.rows.get(usize::from(index))?;
             (row.endpoint.service == request.service && self.allows(index, request)).then_some(index)
         })
--- a/bergamotshift-route/tests/policy.rs
+++ b/bergamotshift-route/tests/policy.rs
@@ -84,6 +84,21 @@
     }
 }
 
+/// Guards against a panic of a worker thread that looks for the home of a long prompt while there is no endpoint at all.
+#[test]
+fn every_policy_refuses_a_long_prompt_when_there_is_no_endpoint() {
+    let view = Registry::default().publish(Instant::ZERO);
+    let request = Request {
+        prefix: &[1, 2, 3],
+        ..request()
+    };
+    for name in policy::names() {
+        let policy = policy::build(name).expect("it is registered");
+        let refused = policy.choose(&view, &request, &mut Pcg64Mcg::new(7));
+        assert_eq!(refused.err(), Some(Refusal::NoEndpoint), "{name}");
+    }
+}
+
 #[test]
 fn late_reports_and_updates_do_not_clear_the_leaving_flag() {
     // A report and an update that were sent before a VM's reclaim notice arrive after it and show the VM as live. If
