fix(entry): a beginning of prompts that crashes engines is refused

What callers saw: prompts of which no two are alike, with their first kilobytes in common, ended 12 of 12 engines, and sound prompts got 503. Now a death accuses the beginnings of its prompt of 1, 2, 4, 8 and so on blocks, an answer that goes on for a quarter of a second clears them, and entries announce the evidence by notes of a topic of their own. The kernel is the one of the forwarding daemon (quarantine::part).

--- a/bergamotshift-entry/src/control/death.rs
+++ b/bergamotshift-entry/src/control/death.rs
@@ -51,9 +51,9 @@
         report: &Result<load::Report, Failure>,
         waiter: Option<Waiter>,
     ) {
-        let (fingerprint, answer) = match waiter {
-            Some(waiter) => (Some(waiter.fingerprint), Some(waiter.answer)),
-            None => (None, None),
+        let (fingerprint, parts, answer) = match waiter {
+            Some(waiter) => (Some(waiter.fingerprint), waiter.parts, Some(waiter.answer)),
+            None => (None, Vec::new(), None),
         };
         if let Some(record) = self.fleet.find(endpoint) {
             record.is_probing = false;
@@ -61,7 +61,10 @@
         let dead = matches!(report, Err(Failure::Connect(_)));
         match report {
             Ok(report) => self.handle_report(endpoint, *report),
-            Err(Failure::Connect(_)) => self.handle_death(endpoint, fingerprint),
+            Err(Failure::Connect(_)) => {
+                self.handle_death(endpoint, fingerprint);
+                self.record_lost_parts(endpoint, &parts, true);
+            }
             // An invalid answer still shows that the endpoint is alive; it may not support load reports.
             Err(Failure::Malformed(_) | Failure::Mismatch) => self.mark_reachable(endpoint),
             // The endpoint accepts connections but does not answer: it may live, but gets no requests until it answers
@@ -73,6 +76,7 @@
                 }
                 if matches!(failure, Failure::Broken(_)) {
                     self.record_unconfirmed_death(endpoint, fingerprint);
+                    self.record_lost_parts(endpoint, &parts, false);
                 }
             }
         }
--- a/bergamotshift-entry/src/control/mod.rs
+++ b/bergamotshift-entry/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod fleet;
 mod listing;
+mod parts;
 mod peers;
 mod publish;
 mod state;
@@ -15,6 +16,7 @@
 use std::time;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_limit::quarantine::part;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -43,6 +45,8 @@
         connected: bool,
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
+        /// Parts of its prompt, if its answer had not begun.
+        parts: Vec<part::Part>,
         /// Receiver of the verdict.
         answer: oneshot::Sender<Verdict>,
     },
--- a/bergamotshift-entry/src/control/peers.rs
+++ b/bergamotshift-entry/src/control/peers.rs
@@ -73,6 +73,10 @@
 
     /// Merges another entry's suspicions; notes on other topics are ignored.
     fn handle_note(&mut self, note: &note::Note) {
+        if note.topic == note::Topic::PARTS {
+            self.handle_part_note(note);
+            return;
+        }
         if note.topic != note::Topic::QUARANTINE {
             return;
         }
@@ -132,6 +136,7 @@
     /// Handles the platform's VM list and announces it to the other entries.
     pub(super) fn handle_list(&mut self, listings: &[Listing]) {
         self.announce_list(listings);
+        self.entry_count = listings.iter().filter(|vm| vm.role == Role::Entry).count();
         for vm in listings {
             self.handle_listing(vm);
         }
--- a/bergamotshift-entry/src/control/publish.rs
+++ b/bergamotshift-entry/src/control/publish.rs
@@ -27,6 +27,7 @@
         self.due = Due::Never;
         self.number += 1;
         let services = self.services();
+        let parts = self.part_table();
         let zones = self.organisation_zones();
         let snapshot = Snapshot {
             number: self.number,
@@ -36,6 +37,7 @@
             services,
             zones,
             quarantine: self.quarantine.table(),
+            parts,
             sharing: self.sharing.update_config(self.shared.now(), &self.config),
             ready: self.is_configured(),
         };
--- a/bergamotshift-entry/src/control/state.rs
+++ b/bergamotshift-entry/src/control/state.rs
@@ -20,6 +20,7 @@
 use super::Request;
 use super::Sender;
 use super::fleet::Fleet;
+use super::parts::Announcer;
 use crate::admin::status;
 use crate::admin::status::Status;
 use crate::observe::metrics::Census;
@@ -53,6 +54,10 @@
     pub(super) version: Option<Version>,
     pub(super) fleet: Fleet,
     pub(super) quarantine: Quarantine,
+    /// Announcements of evidence on parts of prompts.
+    pub(super) announcer: Announcer,
+    /// Number of entries that the platform lists.
+    pub(super) entry_count: usize,
     /// Endpoints whose load this entry probes for the other entries.
     pub(super) watched: BTreeSet<bergamotshift_fleet::endpoint::Id>,
     pub(super) sharing: sharing::Control,
@@ -79,6 +84,8 @@
             version: None,
             fleet,
             quarantine,
+            announcer: Announcer::default(),
+            entry_count: 1,
             sharing: sharing::Control::new(Vec::new()),
             watched: BTreeSet::new(),
             budgets: BTreeMap::new(),
@@ -96,8 +103,16 @@
                 endpoint,
                 connected,
                 fingerprint,
+                parts,
                 answer,
-            }) => self.handle_failed_attempt(endpoint, connected, Waiter { fingerprint, answer }),
+            }) => {
+                let waiter = Waiter {
+                    fingerprint,
+                    parts,
+                    answer,
+                };
+                self.handle_failed_attempt(endpoint, connected, waiter);
+            }
             Message::Request(Request::Status(answer)) => {
                 // The status shows the published snapshot, so urgent changes by earlier messages are published first.
                 self.publish();
@@ -161,7 +176,8 @@
         for endpoint in endpoints {
             self.probe(endpoint, None);
         }
-        if self.due == Due::Tick {
+        self.update_parts();
+        if self.due >= Due::Tick {
             self.publish_now();
         }
         self.sharing.tick(now, &self.shared.publisher.current());
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -130,6 +130,7 @@
             recordings: AtomicU64::new(0),
             publisher: Publisher::new(Snapshot::empty(&config)),
             control: sender,
+            answered: bergamotshift_limit::quarantine::Completed::default(),
             metrics: Metrics::new(),
             reports: Reports::default(),
             peers: OnceLock::new(),
--- a/bergamotshift-entry/src/exchange/attempts.rs
+++ b/bergamotshift-entry/src/exchange/attempts.rs
@@ -58,6 +58,10 @@
     pub(super) tried: Vec<key::Endpoint>,
     pub(super) started: u32,
     outcome: Outcome,
+    /// Whether the answer showed that the prompt crashes no endpoint at its beginning.
+    pub(super) is_settled: bool,
+    /// Whether it runs to find out whether a refused part of its prompt crashes endpoints.
+    pub(super) is_trial: bool,
     /// Number of polls without any endpoint.
     pub(super) endpoint_polls: u32,
     /// Number of polls for an endpoint that runs no other suspected request.
@@ -87,6 +91,8 @@
             tried: Vec::new(),
             started: 0,
             outcome: Outcome::NotRun,
+            is_settled: false,
+            is_trial: false,
             endpoint_polls: 0,
             isolation_polls: 0,
             trace: Trace::default(),
@@ -169,6 +175,7 @@
             let snapshot = self.worker.snapshot();
             let service = snapshot.services.get(&self.call.service).ok_or(Error::NoService)?;
             self.admit(&snapshot)?;
+            self.admit_parts(&snapshot)?;
             queue.get_or_insert_with(|| self.trace.span(Hop::Queue));
             let Some(mut running) = self.choose(&snapshot, service).await? else {
                 continue;
@@ -179,6 +186,7 @@
                 Outgoing::Streamed(payload) => call::Body::Streamed(payload.take()),
             };
             self.started += 1;
+            self.is_settled = false;
             queue = None;
             running.span = self.span(&running);
             service.metrics.attempts.inc();
--- a/bergamotshift-entry/src/exchange/events.rs
+++ b/bergamotshift-entry/src/exchange/events.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use bergamotshift_core::prelude::*;
 use bergamotshift_endpoint::adapter::Adapter;
 use bergamotshift_endpoint::answer::Failure;
 use bergamotshift_endpoint::engine::event::Event;
@@ -9,6 +10,7 @@
 use bergamotshift_endpoint::engine::progress::Progress;
 use bergamotshift_endpoint::engine::resume;
 use bergamotshift_endpoint::engine::resume::Resumption;
+use bergamotshift_limit::quarantine::part;
 use ntex::http::Payload;
 use ntex::util::Bytes;
 
@@ -37,6 +39,8 @@
     progress: Progress,
     /// Number of tokens that the current endpoint received in its prompt and did not generate.
     carried_tokens: u32,
+    /// Time of the first event from the current endpoint.
+    begun_at: Option<Instant>,
     resumed: bool,
     done: bool,
 }
@@ -53,6 +57,7 @@
             splitter: Splitter::default(),
             progress: Progress::default(),
             carried_tokens: 0,
+            begun_at: None,
             resumed: false,
             done: false,
         }
@@ -129,12 +134,18 @@
         self.progress.record(&event);
         // Engines send one token per event, except in the first and the last.
         self.attempts.count_tokens(1);
+        let now = self.attempts.worker().shared.now();
+        let begun_at = *self.begun_at.get_or_insert(now);
+        if now.since(begun_at) >= part::SETTLED_AFTER {
+            self.attempts.record_answered();
+        }
         events.push(event);
     }
 
     /// Records the end of the completion and ends the attempt.
     fn finish(&mut self) {
         self.done = true;
+        self.attempts.record_answered();
         self.attempts.mark_ran();
         self.attempts.record().answered();
         self.running = None;
@@ -159,6 +170,7 @@
                 continue;
             }
             self.body = open.answer.body;
+            self.begun_at = None;
             if self.has_started() {
                 self.resumed = true;
                 self.carried_tokens = self.progress.tokens();
--- a/bergamotshift-entry/src/exchange/mod.rs
+++ b/bergamotshift-entry/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 mod choose;
 pub mod copy;
 pub mod events;
+mod part;
 mod send;
 pub mod stream;
 pub mod whole;
--- a/bergamotshift-entry/src/exchange/send.rs
+++ b/bergamotshift-entry/src/exchange/send.rs
@@ -75,6 +75,7 @@
             endpoint: Arc::clone(&running.endpoint),
             connected: !matches!(failure, Failure::Connect(_)),
             fingerprint: self.call.fingerprint,
+            parts: self.suspects(),
             answer,
         });
         match tokio::time::timeout(VERDICT_TIMEOUT, verdict).await {
--- a/bergamotshift-entry/src/snapshot/mod.rs
+++ b/bergamotshift-entry/src/snapshot/mod.rs
@@ -75,6 +75,8 @@
     pub zones: BTreeMap<name::Organisation, Set>,
     /// Requests suspected of killing endpoints.
     pub quarantine: quarantine::Table,
+    /// Parts of prompts that are refused as they crash endpoints.
+    pub parts: quarantine::part::Table,
     /// Limits and shares of organisations, and load of services.
     pub sharing: sharing::Table,
     /// Whether endpoints have been looked up at least once, so that callers can be served.
@@ -92,6 +94,7 @@
             services: BTreeMap::new(),
             zones: BTreeMap::new(),
             quarantine: quarantine::Table::default(),
+            parts: quarantine::part::Table::default(),
             sharing: sharing::Table::default(),
             ready: false,
         }
--- a/bergamotshift-entry/src/watch/mod.rs
+++ b/bergamotshift-entry/src/watch/mod.rs
@@ -13,6 +13,7 @@
 use bergamotshift_core::vm::Listing;
 use bergamotshift_endpoint::adapter::Adapter;
 use bergamotshift_endpoint::answer::Failure;
+use bergamotshift_limit::quarantine::part;
 use bergamotshift_platform::vms::Notice;
 use tokio::sync::oneshot;
 
@@ -30,6 +31,8 @@
 pub struct Waiter {
     /// Fingerprint of the request whose attempt at the endpoint failed.
     pub fingerprint: Fingerprint,
+    /// Parts of its prompt, if its answer had not begun.
+    pub parts: Vec<part::Part>,
     /// Channel for the verdict.
     pub answer: oneshot::Sender<Verdict>,
 }
--- a/bergamotshift-entry/src/worker/mod.rs
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -19,6 +19,7 @@
 use bergamotshift_endpoint::client;
 use bergamotshift_endpoint::client::Client;
 pub(crate) use bergamotshift_forward::random::generator;
+use bergamotshift_limit::quarantine;
 use bergamotshift_route::Policy;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -52,6 +53,8 @@
     pub windows: Windows,
     /// Number of claims whose outcome is not recorded yet.
     pub recordings: AtomicU64,
+    /// Parts of prompts whose requests endpoints began to answer.
+    pub answered: quarantine::Completed,
     /// Metrics of the entry.
     pub metrics: Metrics,
     /// Reports of the entry's parts for its status page.
--- a/bergamotshift-entry/tests/entry/poison.rs
+++ b/bergamotshift-entry/tests/entry/poison.rs
@@ -125,3 +125,37 @@
     let reply = site.send(Method::PUT, "/app/plan", &[], upload("harmless")).await;
     assert_eq!(reply.status.as_u16(), 200, "{}", reply.text());
 }
+
+/// Guards against a beginning of many prompts that ends one endpoint after the other, because the deaths of requests of which no
+/// two are alike counted for each of them alone.
+#[ntex::test]
+async fn requests_that_share_a_poisonous_beginning_stop_after_few_endpoints() {
+    const ENGINES: usize = 12;
+    let site = Site::start(Layout {
+        engines: ENGINES,
+        plains: 0,
+        engine: engine::Settings {
+            first_token: Duration::from_millis(250),
+            ..engine::Settings::default()
+        },
+        ..Layout::default()
+    })
+    .await;
+    for engine in &site.engines {
+        engine.fault(Fault::CrashOn {
+            marker: "poison".to_owned(),
+        });
+    }
+    let beginning = format!("poison {}", "x".repeat(3_000));
+    let chat =
+        |content: String| json!({"model": "tiny", "messages": [{"role": "user", "content": content}], "max_tokens": 3});
+    let mut crashed = 0;
+    for number in 0..ENGINES {
+        let before = site.runs();
+        site.chat(&chat(format!("{beginning} {number}"))).await;
+        crashed += site.runs() - before;
+        let sound = site.chat(&chat(format!("hello {number}"))).await;
+        assert_eq!(sound.status, 200, "after {crashed} crashes");
+    }
+    assert!(crashed <= 6, "{crashed} endpoints");
+}
--- a/bergamotshift-fleet/src/note/mod.rs
+++ b/bergamotshift-fleet/src/note/mod.rs
@@ -23,6 +23,8 @@
     pub const CONFIG: Self = Self(1);
     /// Deaths of endpoints while they processed a request; removed after [`Table::RETENTION`].
     pub const QUARANTINE: Self = Self(2);
+    /// Evidence on parts of prompts that crash endpoints; removed after [`Table::RETENTION`].
+    pub const PARTS: Self = Self(3);
 
     /// Returns whether notes of this topic are never removed.
     const fn is_permanent(self) -> bool {
