--- a/bergamotshift-entry/src/control/parts.rs
+++ b/bergamotshift-entry/src/control/parts.rs
@@ -55,8 +55,12 @@
 
     /// Merges another entry's evidence on a part.
     pub(super) fn handle_part_note(&mut self, note: &note::Note) {
-        let Ok(mut suspicion) = postcard::from_bytes::<part::Suspicion>(&note.body) else {
-            return;
+        let mut suspicion = match postcard::from_bytes::<part::Suspicion>(&note.body) {
+            Ok(suspicion) => suspicion,
+            Err(error) => {
+                warn!(self.shared.settings.logger, "evidence on a part cannot be decoded"; "error" => %error);
+                return;
+            }
         };
         let age = Duration::from_secs(u64::from(note.age_s));
         for (_, died, _) in &mut suspicion.deaths {
@@ -100,15 +104,15 @@
         self.announcer.last = self.shared.now();
         let Some(peers) = self.shared.peers.get() else { return };
         let now = self.shared.now();
-        let announce = |key, version, suspicion: &part::Suspicion| {
-            if let Ok(body) = postcard::to_stdvec(suspicion) {
-                peers.send(Request::NotePublished {
-                    topic: note::Topic::PARTS,
-                    key,
-                    version,
-                    body,
-                });
-            }
+        let logger = &self.shared.settings.logger;
+        let announce = |key, version, suspicion: &part::Suspicion| match postcard::to_stdvec(suspicion) {
+            Ok(body) => peers.send(Request::NotePublished {
+                topic: note::Topic::PARTS,
+                key,
+                version,
+                body,
+            }),
+            Err(error) => warn!(logger, "evidence on a part cannot be encoded"; "error" => %error),
         };
         for mut suspicion in self.quarantine.part_suspicions(now) {
             let digits = suspicion.fingerprint.get();
--- a/bergamotshift-forward/src/peers/origins.rs
+++ b/bergamotshift-forward/src/peers/origins.rs
@@ -85,11 +85,15 @@
 
     async fn ask_all(&self, entries: &[SocketAddr], key: Key) -> Option<SmolStr> {
         let question = Question::Ask(key);
-        let mut answers: FuturesUnordered<_> = entries.iter().map(|entry| self.send(*entry, &question)).collect();
+        let question = &question;
+        let ask = async |entry: SocketAddr| (entry, self.send(entry, question).await);
+        let mut answers: FuturesUnordered<_> = entries.iter().map(|entry| ask(*entry)).collect();
         let first = async {
-            while let Some(answer) = answers.next().await {
-                if let Some(version) = answer.ok().flatten() {
-                    return Some(version);
+            while let Some((entry, answer)) = answers.next().await {
+                match answer {
+                    Ok(Some(version)) => return Some(version),
+                    Ok(None) => {}
+                    Err(cause) => self.log_unanswered(entry, &cause),
                 }
             }
             None
@@ -97,6 +101,14 @@
         timeout(ASK_TIMEOUT, first).await.ok().flatten()
     }
 
+    /// Logs that another entry did not answer which version began a stream.
+    fn log_unanswered(&self, address: SocketAddr, cause: &str) {
+        if let Some((logger, left_out)) = self.shared.log.rate_limited(self.shared.clock.now(), Topic::Peers) {
+            info!(logger, "version of a stream not answered"; "address" => %address, "cause" => cause,
+                "left_out" => left_out);
+        }
+    }
+
     /// Tells other entries which versions began streams here, until the process ends.
     pub async fn tell(&self) {
         loop {
