fix(soak): ports of ended endpoints stay reserved

Traced by one request in two logs within 0.1 ms: entry-3 sent-95 to alpha-16, which had crashed five seconds before and stood in the restored list, and entry-2, which had just started, answered it with no_key. Its listener had got the endpoint's port. A closed proxy now holds its port until the run ends.

--- a/bergamotshift-soak/src/proxy.rs
+++ b/bergamotshift-soak/src/proxy.rs
@@ -17,7 +17,10 @@
 use std::sync::PoisonError;
 use std::thread;
 
+use socket2::Domain;
 use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
 
 use crate::owner;
 
@@ -71,6 +74,8 @@
     streams: BTreeMap<u64, [TcpStream; 2]>,
     opened: u64,
     is_closed: bool,
+    /// Socket that holds the port of a closed proxy, so that no other process gets it.
+    reservation: Option<Socket>,
 }
 
 impl State {
@@ -137,12 +142,15 @@
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 if served.state().is_closed {
-                    return;
+                    break;
                 }
                 let link = Arc::clone(&served);
                 // A connection that breaks concerns its two ends alone.
                 thread::spawn(move || drop(carry(&link, &near, target)));
             }
+            drop(listener);
+            // Without a reservation, the run goes on as before.
+            served.state().reservation = reserve(address).ok();
         });
         Ok(Self { address, link })
     }
@@ -184,6 +192,11 @@
         streams.values().flatten().for_each(reset);
     }
 
+    /// Returns whether it is closed and holds its port.
+    pub fn is_reserved(&self) -> bool {
+        self.link.state().reservation.is_some()
+    }
+
     /// Resets all connections and takes no others.
     pub fn close(&self) {
         self.link.state().is_closed = true;
@@ -194,6 +207,17 @@
     }
 }
 
+/// Binds a port that no other process is to get, without listening on it.
+fn reserve(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    // Connections of the listener before may still be closing.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    // With the option, another socket could be bound to the port.
+    socket.set_reuse_address(false)?;
+    Ok(socket)
+}
+
 /// Resets a connection; one that is gone needs no reset.
 fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
--- a/bergamotshift-soak/tests/proxy.rs
+++ b/bergamotshift-soak/tests/proxy.rs
@@ -114,3 +114,16 @@
     proxy.set_cut(std::process::id(), Some(Cut::Reset));
     assert_eq!(near.read(&mut [0; 4]).unwrap_or_default(), 0);
 }
+
+/// Guards against an entry that gets the port of an endpoint that ended, and with it the requests of entries that still know
+/// the endpoint.
+#[test]
+fn the_port_of_a_closed_proxy_stays_reserved() {
+    let Path { proxy, .. } = Path::new();
+    let address = proxy.address;
+    proxy.close();
+    while TcpStream::connect(address).is_ok() {}
+    while !proxy.is_reserved() {}
+    TcpListener::bind(address).expect_err("the port is held");
+    TcpStream::connect(address).expect_err("nobody listens");
+}
