--- a/bergamotshift-forward/tests/daemon/parts.rs
+++ b/bergamotshift-forward/tests/daemon/parts.rs
@@ -91,6 +91,14 @@
     send(daemon, path, parts, number).read_answer()
 }
 
+/// Sends a request with the part, and waits until its death is recorded if it crashed an engine.
+fn crash(daemon: &Daemon, engines: &[Endpoint], number: usize) {
+    let _ = ask(daemon, "/chat/1", "c1:100,bad:50", number);
+    wait_until("the deaths are recorded", || {
+        daemon.death_count() == Some(crashes(engines))
+    });
+}
+
 fn start(engines: &[Endpoint]) -> Daemon {
     let all: Vec<_> = engines.iter().collect();
     let site = Site::new(&all);
@@ -104,10 +112,7 @@
     let engines = engines();
     let daemon = start(&engines);
     for number in 0..REQUESTS {
-        let _ = ask(&daemon, "/chat/1", "c1:100,bad:50", number);
-        wait_until("the deaths are recorded", || {
-            daemon.death_count() == Some(crashes(&engines))
-        });
+        crash(&daemon, &engines, number);
     }
     let crashes = crashes(&engines);
     assert!(crashes <= MAX_CRASHES, "{crashes} engines crashed");
@@ -119,10 +124,7 @@
     let engines = engines();
     let daemon = start(&engines);
     for number in 0..REQUESTS {
-        let _ = ask(&daemon, "/chat/1", "c1:100,bad:50", number);
-        wait_until("the deaths are recorded", || {
-            daemon.death_count() == Some(crashes(&engines))
-        });
+        crash(&daemon, &engines, number);
         let sound = ask(&daemon, "/chat/1", "c1:100,d1:50", number);
         assert_eq!(sound.map(|answer| answer.status), Some(200), "after request {number}");
     }
