--- a/bergamotshift-soak/src/caller.rs
+++ b/bergamotshift-soak/src/caller.rs
@@ -21,13 +21,13 @@
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
-use smol_str::format_smolstr;
 
 use crate::endpoint;
 use crate::fleet::Doors;
 use crate::ledger::Exchange;
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
+use crate::site;
 use crate::site::CRASHING_PART;
 use crate::site::EVENTS;
 use crate::site::HOST;
@@ -60,6 +60,7 @@
 /// One caller.
 #[derive(Debug)]
 pub struct Caller {
+    seed: u64,
     number: u64,
     sent: u64,
     generator: Pcg64Mcg,
@@ -98,6 +99,7 @@
     /// Makes a caller; its number makes its requests its own.
     pub fn new(number: u64, seed: u64, ledger: Arc<Ledger>) -> Self {
         Self {
+            seed,
             number,
             sent: 0,
             generator: Pcg64Mcg::new(u128::from(seed) << 64 | u128::from(number) << 1 | 1),
@@ -196,7 +198,7 @@
             return Outcome::Cut;
         };
         self.sent += 1;
-        let id = format_smolstr!("c{}-{}", self.number, self.sent);
+        let id = site::request_id(self.seed, self.number, self.sent);
         let sent = self.ledger.now();
         let asked = stream
             .get_mut()
--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 
 use super::Fleet;
 use crate::endpoint::Endpoint;
@@ -14,6 +13,7 @@
 use crate::ledger::Leave;
 use crate::ledger::Place;
 use crate::ledger::Saying;
+use crate::site;
 use crate::site::SERVICES;
 use crate::site::VERSIONS;
 
@@ -37,7 +37,7 @@
 impl Fleet {
     pub(super) fn endpoint(&mut self, service: &'static str) -> io::Result<Endpoint> {
         self.named += 1;
-        let id = format_smolstr!("{service}-{}", self.named);
+        let id = site::endpoint_id(self.seed, service, self.named);
         let version = if self.has_versions {
             VERSIONS[self.named as usize / SERVICES.len() % VERSIONS.len()]
         } else {
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -48,6 +48,8 @@
     pub store: Store,
     entries: Vec<Entry>,
     endpoints: Vec<Endpoint>,
+    /// Seed of the run.
+    seed: u64,
     named: u64,
     version: u64,
     later: Vec<(Instant, Later)>,
@@ -82,6 +84,7 @@
             store,
             entries: Vec::new(),
             endpoints: Vec::new(),
+            seed: settings.seed,
             named: 0,
             version: 0,
             later: Vec::new(),
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -149,7 +149,7 @@
     }
     let ledger = Arc::new(Ledger::default());
     let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
-    let mut late = recover(&mut fleet, &ledger, CHECKER)?;
+    let mut late = recover(&mut fleet, &ledger, settings.seed, CHECKER)?;
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..settings.callers)
         .map(|number| {
@@ -178,7 +178,7 @@
         let _ = crasher.join();
     }
     fleet.heal()?;
-    late.extend(recover(&mut fleet, &ledger, CHECKER + 1)?);
+    late.extend(recover(&mut fleet, &ledger, settings.seed, CHECKER + 1)?);
     fleet.finish();
     stop.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -222,9 +222,9 @@
 }
 
 /// Waits until every entry takes callers and serves them; returns what does not come about in time.
-fn recover(fleet: &mut Fleet, ledger: &Arc<Ledger>, number: u64) -> Result<Vec<Broken>, process::Error> {
+fn recover(fleet: &mut Fleet, ledger: &Arc<Ledger>, seed: u64, number: u64) -> Result<Vec<Broken>, process::Error> {
     let start = Instant::now();
-    let mut checker = Caller::new(number, 0, Arc::clone(ledger));
+    let mut checker = Caller::new(number, seed, Arc::clone(ledger));
     loop {
         fleet.look()?;
         let unready = unready(fleet);
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -10,6 +10,8 @@
 use bergamotshift_forward::document::Service;
 use bergamotshift_forward::document::Split;
 use bergamotshift_forward::document::Unit;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
 
 /// The host that all routes answer for.
 pub const HOST: &str = "staff.example";
@@ -111,6 +113,16 @@
     }
 }
 
+/// Returns the identifier of a caller's request, which no other run has.
+pub fn request_id(seed: u64, caller: u64, number: u64) -> SmolStr {
+    format_smolstr!("s{seed}-c{caller}-{number}")
+}
+
+/// Returns the name of an endpoint, which no other run has.
+pub fn endpoint_id(seed: u64, service: &str, number: u64) -> SmolStr {
+    format_smolstr!("{service}-s{seed}-{number}")
+}
+
 /// Returns the operators' document under a version, in which the moving route goes to `service`.
 pub fn document(version: u64, service: &str) -> Document {
     Document {
--- a/bergamotshift-soak/tests/plan.rs
+++ b/bergamotshift-soak/tests/plan.rs
@@ -7,6 +7,8 @@
 use bergamotshift_soak::plan::Plan;
 use bergamotshift_soak::plan::Size;
 use bergamotshift_soak::plan::Step;
+use bergamotshift_soak::site::endpoint_id;
+use bergamotshift_soak::site::request_id;
 
 const SIZE: Size = Size {
     entries: 4,
@@ -77,3 +79,11 @@
         assert!(added.is_multiple_of(2));
     }
 }
+
+/// Guards against runs side by side that take each other's requests for their own, as an entry of one reaches a port that
+/// an endpoint of the other has got.
+#[test]
+fn runs_share_no_identifiers() {
+    assert_ne!(request_id(1, 2, 3), request_id(2, 2, 3));
+    assert_ne!(endpoint_id(1, "alpha", 3), endpoint_id(2, "alpha", 3));
+}
