refactor(forward): a death's parts are recorded at once, and small changes of a refusal's end are not published

The parts of all requests that were lost with an endpoint are recorded in one step: each step computes the explanation anew. Ages from other entries vary by the time that messages take, so the time until which a part is refused changed by milliseconds with each message, and each change was published and logged; changes below a second are not any more. What identifies a request's content is called Content, as most requests are no suspects. No decision changes.

--- a/bergamotshift-forward/src/control/parts.rs
+++ b/bergamotshift-forward/src/control/parts.rs
@@ -1,6 +1,7 @@
 //! Parts of prompts that are suspected of crashing endpoints: those lost with endpoints here, and those that other entries
 //! know.
 
+use core::time::Duration;
 use std::collections::BTreeMap;
 
 use bergamotshift_core::prelude::*;
@@ -15,8 +16,12 @@
 use crate::observe::Topic;
 use crate::view::Shared;
 
+/// Change of the time until which a part is refused that is not worth publishing: ages from other entries vary by the time
+/// that their messages take.
+const TOLERANCE: Duration = Duration::from_secs(1);
+
 impl Control {
-    /// Records that an endpoint died at `at` with a request that holds these parts and whose answer had not begun;
+    /// Records that an endpoint died at `at` with requests that hold these parts and whose answers had not begun;
     /// `is_confirmed` is whether that cannot be a cut.
     pub fn parts_lost(&self, endpoint: u64, at: Instant, parts: &[part::Part], is_confirmed: bool) {
         if parts.is_empty() {
@@ -67,20 +72,25 @@
         let refused: BTreeMap<Fingerprint, Instant> = self.part_table(shared).refused().collect();
         shared.metrics.suspected_parts.set(self.quarantine.part_count() as i64);
         shared.metrics.refused_parts.set(refused.len() as i64);
-        if refused == self.refused_parts {
+        let is_published = |part: &Fingerprint, until: Instant| {
+            let before = self.refused_parts.get(part);
+            before.is_some_and(|before| until.since(*before).max(before.since(until)) < TOLERANCE)
+        };
+        let mut changed = refused.clone();
+        changed.retain(|part, until| !is_published(part, *until));
+        let mut admitted = self.refused_parts.clone();
+        admitted.retain(|part, _| !refused.contains_key(part));
+        if changed.is_empty() && admitted.is_empty() {
             return;
         }
-        for (fingerprint, until) in &refused {
-            if self.refused_parts.get(fingerprint) != Some(until) {
-                self.log_part(now, shared, *fingerprint, Some(*until), from);
-            }
+        for (part, until) in &changed {
+            self.log_part(now, shared, *part, Some(*until), from);
         }
-        for fingerprint in self.refused_parts.keys() {
-            if !refused.contains_key(fingerprint) {
-                self.log_part(now, shared, *fingerprint, None, from);
-            }
+        for part in admitted.keys() {
+            self.log_part(now, shared, *part, None, from);
+            self.refused_parts.remove(part);
         }
-        self.refused_parts = refused;
+        self.refused_parts.extend(changed);
         self.publish(shared);
     }
 
--- a/bergamotshift-forward/src/follow/notes.rs
+++ b/bergamotshift-forward/src/follow/notes.rs
@@ -83,8 +83,10 @@
     for fingerprint in running.filter(is_suspect) {
         control.endpoint_died(hash, fingerprint, is_confirmed);
     }
-    for loss in losses.iter().filter(|loss| !loss.has_begun) {
-        control.parts_lost(hash, loss.at, &loss.suspects, is_confirmed);
+    let waiting = losses.iter().filter(|loss| !loss.has_begun);
+    let parts: Vec<_> = waiting.clone().flat_map(|loss| loss.suspects.iter().copied()).collect();
+    if let Some(at) = waiting.map(|loss| loss.at).min() {
+        control.parts_lost(hash, at, &parts, is_confirmed);
     }
 }
 
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -26,7 +26,7 @@
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::stream::Relay;
-use super::suspect::Suspect;
+use super::suspect::Content;
 use crate::choice;
 use crate::dialect::Metadata;
 use crate::document::Bounds;
@@ -164,8 +164,8 @@
             .to_owned();
         let caller = organisation.map_or("", |organisation| organisation.name.as_str());
         let fingerprint = Fingerprint::of(caller, request.method().as_str(), &path, &body);
-        let mut suspect = Suspect::new(&service, fingerprint, &metadata);
-        self.admit_suspect(&view, &mut suspect, &metadata).map_err(reject)?;
+        let mut content = Content::new(&service, fingerprint, &metadata);
+        self.admit_suspect(&view, &mut content, &metadata).map_err(reject)?;
         let prompt = metadata.size.map(|size| size.prompt);
         let service_view = view.services.get(&service);
         if let (Some(service_view), Some(prompt)) = (service_view, prompt) {
@@ -198,7 +198,7 @@
             charge: admission.charge,
             placement: admission.placement,
             is_canary,
-            suspect,
+            content,
             metadata,
         })
     }
@@ -377,7 +377,7 @@
         let outcome = if status.is_success() {
             self.shared
                 .completed
-                .record(self.shared.clock.now(), job.suspect.fingerprint);
+                .record(self.shared.clock.now(), job.content.fingerprint);
             self.record_answered(job);
             "served"
         } else {
--- a/bergamotshift-forward/src/serve/job.rs
+++ b/bergamotshift-forward/src/serve/job.rs
@@ -8,7 +8,7 @@
 use ntex::http::HeaderMap;
 use ntex::http::Method;
 
-use super::suspect::Suspect;
+use super::suspect::Content;
 use crate::dialect::Metadata;
 use crate::document::Kind;
 use crate::document::Route;
@@ -68,7 +68,7 @@
     /// Whether it belongs to the share of requests that a new version gets.
     pub(super) is_canary: bool,
     /// Content by which it may be suspected of crashing endpoints.
-    pub(super) suspect: Suspect,
+    pub(super) content: Content,
 }
 
 /// Units that a request took from an account.
--- a/bergamotshift-forward/src/serve/loss.rs
+++ b/bergamotshift-forward/src/serve/loss.rs
@@ -17,9 +17,9 @@
         let _ = self.shared.notes.send(Note::ConnectionLost(Loss {
             endpoint: endpoint.hash,
             request: job.metadata.id.clone(),
-            fingerprint: job.suspect.fingerprint,
+            fingerprint: job.content.fingerprint,
             parts: job.metadata.parts.clone(),
-            suspects: job.suspect.parts.clone(),
+            suspects: job.content.parts.clone(),
             has_begun,
             at: self.shared.clock.now(),
         }));
--- a/bergamotshift-forward/src/serve/suspect.rs
+++ b/bergamotshift-forward/src/serve/suspect.rs
@@ -19,7 +19,7 @@
 
 /// Content of a request by which it may be suspected of crashing endpoints.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Suspect {
+pub(super) struct Content {
     /// Fingerprint of the whole request, by which a repetition by the caller is recognised.
     pub(super) fingerprint: Fingerprint,
     /// Parts of its prompt that other requests may share.
@@ -28,7 +28,7 @@
     pub(super) is_trial: bool,
 }
 
-impl Suspect {
+impl Content {
     /// Creates the content of a request to a service. The last part of a prompt is the request's own.
     pub(super) fn new(service: &name::Service, fingerprint: Fingerprint, metadata: &Metadata) -> Self {
         let shared = metadata.parts.len().saturating_sub(1).min(MAX_PARTS);
@@ -62,28 +62,28 @@
     /// # Errors
     ///
     /// Returns the refusal, with the time until the request may be tried again.
-    pub(super) fn admit_suspect(&self, view: &View, suspect: &mut Suspect, metadata: &Metadata) -> Result<(), Refusal> {
+    pub(super) fn admit_suspect(&self, view: &View, content: &mut Content, metadata: &Metadata) -> Result<(), Refusal> {
         let now = self.shared.clock.now();
-        let whole = view.suspects.verdict(now, suspect.fingerprint);
+        let whole = view.suspects.verdict(now, content.fingerprint);
         if let quarantine::Verdict::Refused { retry_after } = whole {
             return Err(refusal(retry_after));
         }
         if view.suspect_parts.is_empty() {
             return Ok(());
         }
-        let parts = suspect.part_fingerprints();
+        let parts = content.part_fingerprints();
         let verdict = view.suspect_parts.verdict(now, &parts);
         let retry_after = match verdict {
             part::Verdict::Clear => return Ok(()),
             part::Verdict::Refused { retry_after } => Some(retry_after),
             part::Verdict::Trial { retry_after } => {
-                suspect.is_trial = view.suspect_parts.claim_trial(now, &parts);
-                (!suspect.is_trial).then_some(retry_after)
+                content.is_trial = view.suspect_parts.claim_trial(now, &parts);
+                (!content.is_trial).then_some(retry_after)
             }
         };
         if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::Loss) {
             info!(logger, "request holds a suspected part"; "request" => metadata.id.as_str(),
-                "parts" => Metadata::part_ids(&metadata.parts), "trial" => suspect.is_trial,
+                "parts" => Metadata::part_ids(&metadata.parts), "trial" => content.is_trial,
                 "retry_after_ms" => retry_after.map(|after| after.as_millis() as u64), "left_out" => left_out);
         }
         retry_after.map_or(Ok(()), |after| Err(refusal(after)))
@@ -95,13 +95,13 @@
             return None;
         }
         let now = self.shared.clock.now();
-        let Suspect {
+        let Content {
             fingerprint, is_trial, ..
-        } = job.suspect;
+        } = job.content;
         let retry_after = match view.suspects.verdict(now, fingerprint) {
             quarantine::Verdict::Refused { retry_after } => retry_after,
             _ if is_trial && history.sends == 0 => return None,
-            _ => match view.suspect_parts.verdict(now, &job.suspect.part_fingerprints()) {
+            _ => match view.suspect_parts.verdict(now, &job.content.part_fingerprints()) {
                 part::Verdict::Clear => return None,
                 part::Verdict::Trial { retry_after } | part::Verdict::Refused { retry_after } => retry_after,
             },
@@ -120,7 +120,7 @@
     /// Records that an endpoint's answer to a request went on long enough to show that its parts crash no endpoint.
     pub(super) fn record_answered(&self, job: &Job) {
         let now = self.shared.clock.now();
-        for part in &job.suspect.parts {
+        for part in &job.content.parts {
             self.shared.answered.record(now, part.fingerprint);
         }
     }
