feat(route,forward): figures of speed, and frames that both versions read

Change: `bergamotshift_route::speed` holds learned figures of services and incarnations as atomics. `Choice` states the wait and the read time separately from its cost, by learned figures where a service has them. The former path adds up the same terms in the same order. Questions and answers of a keeper end with a group of fields that the previous version ignores and whose absence means defaults; nothing is added to a frame while all of them have their defaults. Nothing records measurements yet.

Ruled out: fields inside `Placement` and `Generation`, which stand in the middle of their frames; a version number in each frame, which readers of the previous version would not expect; dropping trailing zero bytes, which would also drop fields that the previous version needs.

--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -7,10 +7,12 @@
 mod cache_index;
 
 use core::net::SocketAddr;
+use core::time::Duration;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_route::speed::Typical;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -85,8 +87,17 @@
     pub unread: u64,
     /// Address of another endpoint, from which it fetches cached parts of the prompt that it does not hold.
     pub source: Option<SocketAddr>,
-    /// Expected time to its answer, in milliseconds.
+    /// Expected time to its answer, with penalties, in milliseconds.
     pub cost: f64,
+    /// Expected time for the work ahead of the request, without penalties.
+    pub wait: Duration,
+    /// Expected time for the request's own unread tokens, for a transfer of cached parts, and to the first event beside
+    /// reading, without penalties.
+    pub read: Duration,
+    /// Prompt tokens of other requests that the endpoint has to read first.
+    pub ahead: u64,
+    /// Number of other requests in flight there.
+    pub running: u32,
 }
 
 /// Request that needs an endpoint.
@@ -108,6 +119,8 @@
     pub seed: u64,
     /// Endpoints that are not candidates, but from which cached parts of the prompt may be fetched.
     pub cache_sources: &'a [Arc<Endpoint>],
+    /// Learned figures of the service; `None` if the fixed ones of [`Settings`] apply.
+    pub typical: Option<&'a Typical>,
 }
 
 impl Request<'_> {
@@ -148,7 +161,7 @@
     let prompt = request
         .engine
         .map(|engine| Prompt::new(now, engine, endpoints, request, cache_index));
-    let estimated = |endpoint: &Arc<Endpoint>| estimate(settings, endpoint, request, prompt.as_ref());
+    let estimated = |endpoint: &Arc<Endpoint>| estimate(settings, now, endpoint, request, prompt.as_ref());
     // To each of hundreds of entries, most endpoints of a plain service are idle. If all entries preferred the same one of
     // them, it would get nearly all requests of its zone.
     let order = |choice: &Choice| xxh3_64_with_seed(&choice.endpoint.hash.to_le_bytes(), request.seed);
@@ -247,11 +260,13 @@
 /// Estimates the time to an endpoint's answer, with penalties in milliseconds.
 fn estimate(
     settings: &Settings,
+    now: Instant,
     endpoint: &Arc<Endpoint>,
     request: &Request<'_>,
     prompt: Option<&Prompt<'_>>,
 ) -> Choice {
-    let running = f64::from(endpoint.running());
+    let in_flight = endpoint.running();
+    let running = f64::from(in_flight);
     let slots = f64::from(endpoint.registration.slots.max(1));
     let zone_penalty = match request.preferred_zone {
         _ if endpoint.registration.zone == *request.own_zone => 0.0,
@@ -275,53 +290,96 @@
         unread: 0,
         source: None,
         cost: health_penalty + zone_penalty + queue_time,
+        wait: Duration::ZERO,
+        read: Duration::ZERO,
+        ahead: 0,
+        running: in_flight,
     };
-    match prompt {
-        Some(prompt) => {
-            choice.cost += prompt.estimate(settings, &mut choice.unread, &mut choice.source, endpoint);
-            choice.cost += running * settings.request_overhead;
-        }
-        None => choice.cost += running / slots * settings.plain_request_time,
+    let Some(prompt) = prompt else {
+        let share = running / slots * settings.plain_request_time;
+        choice.cost += share;
+        choice.wait = millis(queue_time + share);
+        return choice;
+    };
+    let transfer = prompt.plan(settings, endpoint);
+    let ahead = endpoint.unread();
+    let share = running * settings.request_overhead;
+    choice.unread = transfer.unread;
+    choice.source = transfer.source;
+    choice.ahead = ahead;
+    if let Some(typical) = request.typical {
+        let pace = endpoint.speed.pace(now);
+        let token_time = typical.token_time() * pace;
+        let wait = ahead as f64 * token_time + (queue_time + share) * pace;
+        let read = typical.overhead() + transfer.unread as f64 * token_time + transfer.time;
+        choice.cost = health_penalty + zone_penalty + wait + read + transfer.penalty;
+        choice.wait = millis(wait);
+        choice.read = millis(read);
+    } else {
+        choice.cost += transfer.time_and_penalty + (ahead + transfer.unread) as f64 / settings.prefill_rate;
+        choice.cost += share;
+        choice.wait = millis(queue_time + ahead as f64 / settings.prefill_rate + share);
+        choice.read = millis(transfer.time + transfer.unread as f64 / settings.prefill_rate);
     }
     choice
 }
 
+/// Returns a time in milliseconds as a duration.
+fn millis(time: f64) -> Duration {
+    Duration::try_from_secs_f64(time / 1e3).unwrap_or(Duration::MAX)
+}
+
+/// What an endpoint does with a prompt.
+struct Plan {
+    /// Tokens that it prefills.
+    unread: u64,
+    /// Endpoint from which it fetches cached parts.
+    source: Option<SocketAddr>,
+    /// Time for fetching them, in milliseconds.
+    time: f64,
+    /// Penalties for fetching, for prefilling what others hold, and for another endpoint than the home, in milliseconds.
+    penalty: f64,
+    /// Sum of the two, added up in the order that decisions without learned speeds have always had.
+    time_and_penalty: f64,
+}
+
 impl Prompt<'_> {
     /// Returns the number of tokens at the beginning of the prompt that an endpoint holds.
     fn held(&self, endpoint: &Endpoint) -> u64 {
         self.held.get(&endpoint.hash).copied().unwrap_or_default()
     }
 
-    /// Returns the expected time until an endpoint has prefilled the prompt, in milliseconds.
-    ///
-    /// Sets `unread` to the tokens that it prefills, and `source` to the endpoint from which it fetches cached parts.
-    fn estimate(
-        &self,
-        settings: &Settings,
-        unread: &mut u64,
-        source: &mut Option<SocketAddr>,
-        endpoint: &Endpoint,
-    ) -> f64 {
+    /// Returns what an endpoint prefills of the prompt and what it fetches from another one.
+    fn plan(&self, settings: &Settings, endpoint: &Endpoint) -> Plan {
         let held = self.held(endpoint);
         let total = u64::from(self.metadata.size.unwrap_or_default().prompt);
         let elsewhere = self.holder.filter(|(holder, _)| holder.hash != endpoint.hash);
         let held_elsewhere = elsewhere.map_or(0, |(_, tokens)| tokens.saturating_sub(held));
-        let mut time = 0.0;
+        let mut transfer_time = 0.0;
+        let mut time_and_penalty = 0.0;
         let mut transferred = 0;
+        let mut source = None;
         if let (Some((holder, _)), Some(per_token)) = (elsewhere, self.engine.transfer)
             && held_elsewhere >= settings.min_transfer
         {
             transferred = held_elsewhere;
-            time += settings.transfer_setup + held_elsewhere as f64 * (per_token + settings.transfer_cost);
-            *source = Some(holder.registration.address);
+            transfer_time = settings.transfer_setup + held_elsewhere as f64 * per_token;
+            time_and_penalty += settings.transfer_setup + held_elsewhere as f64 * (per_token + settings.transfer_cost);
+            source = Some(holder.registration.address);
         }
-        time += (held_elsewhere - transferred) as f64 * settings.recompute_cost;
-        *unread = total.saturating_sub(held + transferred);
+        time_and_penalty += (held_elsewhere - transferred) as f64 * settings.recompute_cost;
         let home_penalty = if self.home.is_some_and(|home| home != endpoint.hash) {
             settings.home_penalty
         } else {
             0.0
         };
-        time + home_penalty + (endpoint.unread() + *unread) as f64 / settings.prefill_rate
+        time_and_penalty += home_penalty;
+        Plan {
+            unread: total.saturating_sub(held + transferred),
+            source,
+            time: transfer_time,
+            penalty: time_and_penalty - transfer_time,
+            time_and_penalty,
+        }
     }
 }
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -17,6 +17,7 @@
 use bergamotshift_limit::retry::Budget;
 use bergamotshift_rollout::Evidence;
 use bergamotshift_rollout::Tracker;
+use bergamotshift_route::speed::Typical;
 use rand::Rng;
 use slog::info;
 
@@ -81,6 +82,8 @@
     pub(super) prompt_demand: Demand,
     /// Moving average of prompt sizes, in tokens.
     pub(super) typical_prompt: Arc<AtomicU64>,
+    /// Learned figures of speed.
+    pub(super) typical: Arc<Typical>,
 }
 
 /// Another entry that holds the duties or held them before.
--- a/bergamotshift-forward/src/control/publish.rs
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -6,11 +6,14 @@
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_rollout::tracker::Admission;
+use bergamotshift_route::speed;
+use bergamotshift_route::speed::Typical;
 
 use super::inner::Inner;
 use super::inner::ServiceState;
 use super::inner::retry_budget;
 use super::organisation::Organisation;
+use crate::document::Route;
 use crate::endpoint::Endpoint;
 use crate::limits::Demand;
 use crate::routes::Table;
@@ -56,6 +59,7 @@
                     requested_tokens: Arc::new(AtomicU64::new(0)),
                     prompt_demand: Demand::default(),
                     typical_prompt: Arc::default(),
+                    typical: Arc::new(Typical::new(speed::Settings::default())),
                 });
             let snapshot = Service {
                 canary: None,
@@ -65,6 +69,14 @@
                 requested_tokens: Arc::clone(&state.requested_tokens),
                 typical_prompt: Arc::clone(&state.typical_prompt),
                 versions: self.versions.of(&service.name),
+                objectives: document
+                    .routes
+                    .iter()
+                    .filter(|route| route.reaches(&service.name))
+                    .map(Route::objective)
+                    .collect(),
+                typical: Arc::clone(&state.typical),
+                learn: shared.settings.speed.learn,
             };
             let canary = self.canary(now, &service.name);
             services.insert(service.name.clone(), Service { canary, ..snapshot });
--- a/bergamotshift-forward/src/dialect/mod.rs
+++ b/bergamotshift-forward/src/dialect/mod.rs
@@ -40,7 +40,7 @@
     pub not_run: HeaderName,
     /// The flag of a response that an endpoint itself created.
     pub seal: HeaderName,
-    /// An endpoint's load: running, waiting and slots, comma-separated.
+    /// An endpoint's load: running, waiting and slots, and with some services its pace, comma-separated.
     pub load: HeaderName,
     /// An endpoint's rate limit for requests from all entries together, in requests per second as a decimal number.
     pub rate: HeaderName,
@@ -89,7 +89,7 @@
 }
 
 /// An endpoint's load, from a header of one of its responses.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// The number of running requests.
     pub running: u32,
@@ -97,6 +97,9 @@
     pub waiting: u32,
     /// The number of slots for running requests.
     pub slots: u32,
+    /// The time that work currently takes there, in percent of the usual time, as it was stated; not a number if it is
+    /// none, and `None` if it was not stated.
+    pub pace: Option<f64>,
 }
 
 /// The metadata of a request that the system itself sends to an endpoint.
@@ -183,11 +186,13 @@
     /// Returns the load in the headers of a response.
     pub fn load(&self, headers: &HeaderMap) -> Option<Load> {
         let text = headers.get(&self.load)?.to_str().ok()?;
-        let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+        let mut figures = text.split(',').map(str::trim);
+        let mut number = || figures.next()?.parse().ok();
         Some(Load {
-            running: numbers.next()??,
-            waiting: numbers.next()??,
-            slots: numbers.next()??,
+            running: number()?,
+            waiting: number()?,
+            slots: number()?,
+            pace: figures.next().map(|pace| pace.parse().unwrap_or(f64::NAN)),
         })
     }
 }
--- a/bergamotshift-forward/src/document/mod.rs
+++ b/bergamotshift-forward/src/document/mod.rs
@@ -14,6 +14,7 @@
 pub use self::organisation::Organisation;
 pub use self::organisation::Unit;
 pub use self::route::Kind;
+pub use self::route::Objective;
 pub use self::route::Route;
 pub use self::route::Split;
 pub use self::service::Engine;
--- a/bergamotshift-forward/src/document/route.rs
+++ b/bergamotshift-forward/src/document/route.rs
@@ -30,6 +30,27 @@
     pub weight: u32,
 }
 
+/// What a route asks of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Objective {
+    /// The priority, 0 first.
+    pub urgency: u8,
+    /// The target time for a response, or for the first event of a stream.
+    pub time: Duration,
+}
+
+impl Objective {
+    /// Returns whether objectives compete: one is at least twice as long as a more urgent one, so the requests that it
+    /// admits fill the queue beyond what the more urgent ones tolerate.
+    pub fn compete(objectives: &[Self]) -> bool {
+        let is_crowded = |urgent: &Self| {
+            let crowds = |other: &Self| other.urgency > urgent.urgency && other.time >= urgent.time * 2;
+            objectives.iter().any(crowds)
+        };
+        objectives.iter().any(is_crowded)
+    }
+}
+
 /// A route from a host and a path prefix to services.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -70,6 +91,20 @@
         }
     }
 
+    /// Returns what it asks of its services.
+    pub const fn objective(&self) -> Objective {
+        Objective {
+            urgency: self.urgency,
+            time: self.objective,
+        }
+    }
+
+    /// Returns whether a service receives some of its requests.
+    pub fn reaches(&self, service: &name::Service) -> bool {
+        let mut splits = self.splits.iter();
+        splits.any(|split| split.service == *service && split.weight > 0)
+    }
+
     /// Chooses a service for a request in proportion to the weights, by the hash of the request's identifier. Returns
     /// `None` when all weights are 0.
     pub fn service(&self, hash: u64) -> Option<&name::Service> {
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -16,6 +16,7 @@
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::tolerance::Room;
+use bergamotshift_route::speed::Speed;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -96,6 +97,8 @@
     pub health: Health,
     /// Signals from its answers; kept while it is temporarily not registered.
     pub signals: Arc<Signals>,
+    /// Its learned speed; kept like its signals.
+    pub speed: Arc<Speed>,
     /// Whether its registration is leaving or gone.
     leaving: AtomicBool,
     /// Whether its zone sent no recent update.
@@ -114,15 +117,18 @@
             placed: Load::default(),
             health: Health::default(),
             signals: Arc::default(),
+            speed: Arc::default(),
             silent: AtomicBool::new(false),
         }
     }
 
-    /// Creates it anew for the same incarnation after its registration was missing; its signals are kept.
+    /// Creates it anew for the same incarnation after its registration was missing; its signals and its speed are
+    /// kept.
     #[must_use]
     pub fn reregistered(&self, registration: Registration) -> Self {
         Self {
             signals: Arc::clone(&self.signals),
+            speed: Arc::clone(&self.speed),
             ..Self::new(registration)
         }
     }
--- a/bergamotshift-forward/src/limits/keeper.rs
+++ b/bergamotshift-forward/src/limits/keeper.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::tail;
 use crate::dialect::Part;
 use crate::peers::InFlight;
 
@@ -63,7 +64,7 @@
 }
 
 /// Question of an entry to its zone's keeper.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Question {
     /// The asking entry.
@@ -77,8 +78,44 @@
     /// All requests that the entry has in flight.
     #[serde(rename = "flown")]
     pub in_flight: Vec<InFlight>,
+    /// Fields that readers of the previous version ignore.
+    #[serde(default, deserialize_with = "tail::read", skip_serializing_if = "tail::is_default")]
+    pub context: Context,
+}
+
+/// Further fields of a question, at the end of its frame.
+///
+/// New fields are added at the end, each read by [`tail::read`].
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Context {
+    /// Measurements of first events since the entry's last question, the newest ones.
+    #[serde(deserialize_with = "tail::read")]
+    pub samples: Vec<Sample>,
 }
 
+/// Measurement of one first event.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Sample {
+    /// Hash of the endpoint's incarnation.
+    pub endpoint: u64,
+    /// Prompt tokens that had to be read before it.
+    pub tokens: u64,
+    /// Time from sending the request to the event, in milliseconds; 0 if only the pace counts.
+    pub elapsed_ms: u32,
+    /// Pace that the answer stated, in percent of the usual time.
+    pub pace: Option<f64>,
+    /// Time since the event, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Maximum number of samples in a question.
+pub const MAX_SAMPLES: usize = 32;
+
+/// Age from which on a sample is ignored.
+pub const MAX_SAMPLE_AGE: Duration = Duration::from_secs(5);
+
 /// Endpoint that a keeper chose.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -93,6 +130,24 @@
     pub cost: f64,
     /// Whether the endpoint has a rate limit and the request was granted.
     pub is_granted: bool,
+    /// Estimate for it, if speeds are learned for the service. It is sent in [`Detail`], since readers of the previous
+    /// version expect no further fields here.
+    #[serde(skip)]
+    pub estimate: Option<Estimate>,
+}
+
+/// Estimate for an endpoint that a keeper chose.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Estimate {
+    /// Expected time for the work ahead of the request, in milliseconds.
+    pub wait_ms: u32,
+    /// Expected time for the request's own tokens and to the first event beside reading, in milliseconds.
+    pub read_ms: u32,
+    /// Prompt tokens of other requests that the endpoint has to read first.
+    pub ahead: u64,
+    /// Number of other requests in flight there.
+    pub running: u32,
 }
 
 /// Answer of a keeper.
@@ -103,6 +158,39 @@
     pub retry_after_ms: Option<u64>,
     /// Endpoint that was chosen, if any.
     pub placement: Option<Placement>,
+    /// Fields that readers of the previous version ignore.
+    #[serde(default, deserialize_with = "tail::read", skip_serializing_if = "tail::is_default")]
+    pub detail: Detail,
+}
+
+/// Further fields of an answer, at the end of its frame.
+///
+/// New fields are added at the end, each read by [`tail::read`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Detail {
+    /// Estimate for the placement.
+    #[serde(deserialize_with = "tail::read")]
+    pub estimate: Option<Estimate>,
+}
+
+impl Answer {
+    /// Creates the answer to a question whose units are granted.
+    pub fn granted(placement: Option<Placement>) -> Self {
+        Self {
+            retry_after_ms: None,
+            placement,
+            detail: Detail {
+                estimate: placement.and_then(|placement| placement.estimate),
+            },
+        }
+    }
+
+    /// Returns the placement with the estimate for it.
+    pub fn placement(&self) -> Option<Placement> {
+        let estimate = self.detail.estimate;
+        self.placement.map(|placement| Placement { estimate, ..placement })
+    }
 }
 
 /// Keeper of an entry's zone.
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -1,5 +1,7 @@
 //! Request handling of a zone's keeper, which grants units of limits and chooses endpoints for the entries of its zone.
 
+use core::time::Duration;
+
 use bergamotshift_core::prelude::*;
 use ntex::http::Request;
 use ntex::http::Response;
@@ -15,10 +17,12 @@
 use crate::limits::Keeper;
 use crate::limits::Refused;
 use crate::limits::keeper::Answer;
+use crate::limits::keeper::Estimate;
 use crate::limits::keeper::Generation;
 use crate::limits::keeper::Placement;
 use crate::limits::keeper::Question;
 use crate::limits::keeper::Units;
+use crate::view::Service;
 use crate::view::Shared;
 use crate::view::View;
 
@@ -70,17 +74,14 @@
     if let Err(refused) = granted {
         return Answer {
             retry_after_ms: Some(refused.retry_after.as_millis() as u64),
-            placement: None,
+            ..Answer::default()
         };
     }
     let placement = match &question.generation {
         Some(generation) => place(permits, view, generation).await,
         None => None,
     };
-    Answer {
-        retry_after_ms: None,
-        placement,
-    }
+    Answer::granted(placement)
 }
 
 /// Records the work that an entry of the zone has in flight, and updates the sums of the endpoints concerned.
@@ -108,8 +109,9 @@
 /// Chooses an endpoint for a generation, and acquires a permit for it if the endpoint is rate-limited. Returns `None`
 /// when no endpoint accepts the generation.
 pub async fn place(permits: &Permits, view: &View, generation: &Generation) -> Option<Placement> {
+    let service = view.services.get(&generation.service)?;
     for _ in 0..MAX_PLACEMENT_ATTEMPTS {
-        let choice = choose(permits.shared(), view, generation)?;
+        let choice = choose(permits.shared(), service, generation)?;
         let is_limited = choice.endpoint.signals.throttle.rate().is_some();
         if is_limited && !permits.acquire(&choice.endpoint, "").await {
             continue;
@@ -125,13 +127,23 @@
             source: choice.source,
             cost: choice.cost,
             is_granted: is_limited,
+            estimate: service.learns_speeds().then(|| Estimate {
+                wait_ms: millis(choice.wait),
+                read_ms: millis(choice.read),
+                ahead: choice.ahead,
+                running: choice.running,
+            }),
         });
     }
     None
 }
 
-fn choose(shared: &Shared, view: &View, generation: &Generation) -> Option<Choice> {
-    let service = view.services.get(&generation.service)?;
+/// Returns a duration in whole milliseconds.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn choose(shared: &Shared, service: &Service, generation: &Generation) -> Option<Choice> {
     let metadata = Metadata {
         size: Some(Size {
             prompt: generation.prompt,
@@ -149,6 +161,7 @@
         version: None,
         seed: choice::seed(&shared.settings.name),
         cache_sources: &[],
+        typical: service.learned(),
     };
     let canary = service.canary_for(generation.is_canary);
     let recall = shared.cache_index();
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -15,6 +15,7 @@
 use crate::choice;
 use crate::choice::Choice;
 use crate::endpoint::Endpoint;
+use crate::limits::keeper::Estimate;
 use crate::observe::Topic;
 use crate::view::Service;
 
@@ -53,12 +54,19 @@
     if !placement.is_granted && endpoint.closed_until(now).is_some() {
         return None;
     }
+    let estimate = placement.estimate;
+    let estimated =
+        |time: fn(&Estimate) -> u32| estimate.map_or(Duration::ZERO, |one| Duration::from_millis(time(&one).into()));
     Some(Candidate {
         choice: Choice {
             endpoint: Arc::clone(endpoint),
             unread: placement.unread,
             source: placement.source,
             cost: placement.cost,
+            wait: estimated(|estimate| estimate.wait_ms),
+            read: estimated(|estimate| estimate.read_ms),
+            ahead: estimate.map_or_else(|| endpoint.unread(), |estimate| estimate.ahead),
+            running: estimate.map_or_else(|| endpoint.running(), |estimate| estimate.running),
         },
         is_granted: placement.is_granted,
     })
@@ -161,6 +169,7 @@
             version: history.version(),
             seed: choice::seed(&self.shared.settings.name),
             cache_sources: &[],
+            typical: service.learned(),
         };
         if self.shared.is_stranded() {
             let choice = self.choose_in_own_zone(now, service, &request, history)?;
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -15,6 +15,7 @@
 use crate::limits::Refused;
 use crate::limits::keeper;
 use crate::limits::keeper::Answer;
+use crate::limits::keeper::Context;
 use crate::limits::keeper::Generation;
 use crate::limits::keeper::Placement;
 use crate::limits::keeper::Question;
@@ -75,7 +76,7 @@
                     Some(millis) => Err(Refused {
                         retry_after: Duration::from_millis(millis),
                     }),
-                    None => Ok(answer.placement),
+                    None => Ok(answer.placement()),
                 };
             }
             if question.units.is_none() {
@@ -151,6 +152,7 @@
             units,
             generation,
             in_flight: self.in_flight(),
+            context: Context::default(),
         }
     }
 
--- a/bergamotshift-forward/src/settings/mod.rs
+++ b/bergamotshift-forward/src/settings/mod.rs
@@ -100,6 +100,9 @@
     /// Limits of a rollout of a new version.
     #[serde(default)]
     pub rollout: rollout::Settings,
+    /// Learned speeds of endpoints.
+    #[serde(default)]
+    pub speed: Speed,
 }
 
 /// Returns the default share of a CPU core: all of it.
@@ -249,6 +252,29 @@
     pub slack: f64,
 }
 
+/// Learned speeds of endpoints.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
+pub struct Speed {
+    /// When speeds are learned.
+    #[serde(default)]
+    pub learn: Learn,
+}
+
+/// When the speeds of a service's model engines are learned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Learn {
+    /// As soon as an engine states its pace, and if the objectives of the service's routes compete.
+    #[default]
+    Auto,
+    /// Always.
+    Always,
+    /// Never.
+    Never,
+}
+
 impl Settings {
     /// Reads settings from a file.
     ///
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -19,6 +19,7 @@
 use bergamotshift_limit::quarantine;
 use bergamotshift_limit::retry::Budget;
 use bergamotshift_rollout::directive::FULL_SHARE;
+use bergamotshift_route::speed::Typical;
 use slog::Logger;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
@@ -30,6 +31,7 @@
 use crate::choice::Index;
 use crate::dialect::Dialect;
 use crate::document::Engine;
+use crate::document::Objective;
 use crate::duty::Tally;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Ledger;
@@ -45,6 +47,7 @@
 use crate::relay::Reach;
 use crate::rollouts::Collector;
 use crate::routes::Table;
+use crate::settings::Learn;
 use crate::settings::Settings;
 
 /// A service as seen by requests.
@@ -64,9 +67,30 @@
     pub typical_prompt: Arc<AtomicU64>,
     /// Versions of its endpoints, of those that are present and of those that served within the lifetime of streams.
     pub versions: Vec<SmolStr>,
+    /// What its routes ask of it.
+    pub objectives: Arc<[Objective]>,
+    /// Figures of speed that its endpoints have in common; outlive views.
+    pub typical: Arc<Typical>,
+    /// When speeds are learned.
+    pub learn: Learn,
 }
 
 impl Service {
+    /// Returns whether the speeds of its endpoints are learned and decide where requests go.
+    pub fn learns_speeds(&self) -> bool {
+        let is_needed = match self.learn {
+            Learn::Auto => self.typical.is_paced() || Objective::compete(&self.objectives),
+            Learn::Always => true,
+            Learn::Never => false,
+        };
+        is_needed && self.engine.is_some()
+    }
+
+    /// Returns the learned figures of the service, if speeds are learned for it.
+    pub fn learned(&self) -> Option<&Typical> {
+        self.learns_speeds().then_some(&*self.typical)
+    }
+
     /// Returns the endpoints of all versions that receive requests, including leaving ones.
     pub fn all_endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         let canary = self.canary.iter().flat_map(|canary| canary.endpoints.iter());
--- a/bergamotshift-forward/tests/daemon/large.rs
+++ b/bergamotshift-forward/tests/daemon/large.rs
@@ -127,6 +127,7 @@
             avoided: avoided.to_vec(),
         }),
         in_flight: Vec::new(),
+        context: keeper::Context::default(),
     };
     let body = postcard::to_stdvec(&question).expect("it is encoded");
     let mut connection = Caller(TcpStream::connect(keeper.listen.peers).expect("the keeper listens"));
--- a/bergamotshift-forward/tests/kernel/choice.rs
+++ b/bergamotshift-forward/tests/kernel/choice.rs
@@ -53,6 +53,7 @@
         version: None,
         seed: 0,
         cache_sources: &[],
+        typical: None,
     };
     choose(&Settings::default(), at(1_000), endpoints, &request, cache_index)
 }
@@ -225,6 +226,7 @@
             version: None,
             seed: seed(&format!("entry-{number:04}").as_str().into()),
             cache_sources: &[],
+            typical: None,
         };
         let choose = || choose(&Settings::default(), at(1_000), &endpoints, &request, &Index::default());
         let choice = choose().expect("all take requests");
--- a/bergamotshift-forward/tests/kernel/dialect.rs
+++ b/bergamotshift-forward/tests/kernel/dialect.rs
@@ -100,14 +100,18 @@
 }
 
 #[test]
-fn a_load_is_three_numbers() {
+fn a_load_is_three_numbers_and_maybe_a_pace() {
     let dialect = Dialect::default();
     let load = |text| dialect.load(&headers(&[("bergamotshift-load", text)]));
     let expected = Load {
         running: 3,
         waiting: 0,
         slots: 8,
+        pace: None,
     };
     assert_eq!(load("3,0,8"), Some(expected));
     assert_eq!(load("3,0"), None);
+    let pace = |text| load(text).and_then(|load| load.pace);
+    assert_eq!(pace("3,0,8,137"), Some(137.0));
+    assert!(pace("3,0,8,fast").is_some_and(f64::is_nan));
 }
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -6,6 +6,7 @@
 mod difference;
 mod directory;
 mod events;
+mod frames;
 mod granter;
 mod growing;
 mod holders;
--- a/bergamotshift-route/src/lib.rs
+++ b/bergamotshift-route/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod registry;
 pub mod request;
 pub mod set;
+pub mod speed;
 pub mod view;
 
 pub use choice::Choice;
