feat(route,forward): speeds of endpoints are learned from paces and first events

Cause: engines differ by factors of 1.3 to 2.2, and those of one deployment are slower by 2.5 for 0.6 s at a time. They state it in the fourth figure of their load header, which nothing read.

Change: an entry applies the stated pace of each answer, and measures the time to the first event of each stream against the tokens that had to be read. It sends these samples to its keeper with the next question. The choice uses the learned figures for services of engines that state a pace, or whose routes have competing objectives; `[speed] learn` overrides that. Elsewhere nothing is measured, sent or decided differently.

The error of a sample is divided among overhead and reading by their parts of the expected time, so small and large prompts tell them apart. The usual pace is the median of the lowest values of four windows of 600 ms.

Ruled out: a median of the last stated values, as several answers of one slow phase make it slow; an average of them, which a slow phase shifts for seconds; learning the time per token through the corrections, as both drift together and a new incarnation, whose correction is 1, starts from a wrong figure; samples of requests that waited for a slot or fetched cached parts, as their times contain more than reading.

--- a/bergamotshift-forward/src/choice/mod.rs
+++ b/bergamotshift-forward/src/choice/mod.rs
@@ -94,10 +94,13 @@
     /// Expected time for the request's own unread tokens, for a transfer of cached parts, and to the first event beside
     /// reading, without penalties.
     pub read: Duration,
-    /// Prompt tokens of other requests that the endpoint has to read first.
-    pub ahead: u64,
+    /// Prompt tokens of other requests that the endpoint has to read first; `None` if they are not known, as the entry
+    /// that chose it did not state them.
+    pub ahead: Option<u64>,
     /// Number of other requests in flight there.
     pub running: u32,
+    /// Whether the times are those by learned speeds.
+    pub is_learned: bool,
 }
 
 /// Request that needs an endpoint.
@@ -292,8 +295,9 @@
         cost: health_penalty + zone_penalty + queue_time,
         wait: Duration::ZERO,
         read: Duration::ZERO,
-        ahead: 0,
+        ahead: None,
         running: in_flight,
+        is_learned: false,
     };
     let Some(prompt) = prompt else {
         let share = running / slots * settings.plain_request_time;
@@ -306,7 +310,7 @@
     let share = running * settings.request_overhead;
     choice.unread = transfer.unread;
     choice.source = transfer.source;
-    choice.ahead = ahead;
+    choice.ahead = Some(ahead);
     if let Some(typical) = request.typical {
         let pace = endpoint.speed.pace(now);
         let token_time = typical.token_time() * pace;
@@ -315,6 +319,7 @@
         choice.cost = health_penalty + zone_penalty + wait + read + transfer.penalty;
         choice.wait = millis(wait);
         choice.read = millis(read);
+        choice.is_learned = true;
     } else {
         choice.cost += transfer.time_and_penalty + (ahead + transfer.unread) as f64 / settings.prefill_rate;
         choice.cost += share;
--- a/bergamotshift-forward/src/limits/keeper.rs
+++ b/bergamotshift-forward/src/limits/keeper.rs
@@ -12,6 +12,7 @@
 use core::time::Duration;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_route::speed;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
@@ -110,6 +111,33 @@
     pub age_ms: u32,
 }
 
+impl Sample {
+    /// Creates a sample of an endpoint, made now.
+    pub fn new(endpoint: u64, sample: &speed::Sample) -> Self {
+        Self {
+            endpoint,
+            tokens: sample.tokens,
+            elapsed_ms: u32::try_from(sample.elapsed.as_millis()).unwrap_or(u32::MAX),
+            pace: sample.pace,
+            age_ms: 0,
+        }
+    }
+
+    /// Returns its age; `None` if it is too old to be used.
+    pub fn age(&self) -> Option<Duration> {
+        Some(Duration::from_millis(self.age_ms.into())).filter(|age| *age <= MAX_SAMPLE_AGE)
+    }
+
+    /// Returns what was measured.
+    pub fn measured(&self) -> speed::Sample {
+        speed::Sample {
+            tokens: self.tokens,
+            elapsed: Duration::from_millis(self.elapsed_ms.into()),
+            pace: self.pace,
+        }
+    }
+}
+
 /// Maximum number of samples in a question.
 pub const MAX_SAMPLES: usize = 32;
 
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -13,6 +13,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::Speeds;
+
 /// Upper bounds of the latency buckets, in seconds; they are finer around the objectives of 0.1 to 1.2 s that operators
 /// set.
 const LATENCY_BUCKETS: [f64; 14] = [
@@ -67,6 +69,8 @@
     permits: Family<Permit, Counter>,
     tunnels: Family<Permit, Counter>,
     origins: Family<Source, Counter>,
+    /// Metrics of learned speeds.
+    pub speeds: Speeds,
     /// Time to the first event of a stream, or to the head of an answer that is no stream, in seconds.
     pub latency: Histogram,
     /// Time until a request was refused, in seconds.
@@ -138,6 +142,7 @@
             permits: Family::default(),
             tunnels: Family::default(),
             origins: Family::default(),
+            speeds: Speeds::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             refusal: Histogram::new(LATENCY_BUCKETS),
             active: Gauge::default(),
@@ -223,6 +228,7 @@
         );
         let help = "Streams that their callers took up, by where the version was known from";
         registry.register("streams_taken_up", help, metrics.origins.clone());
+        metrics.speeds.register(registry);
         metrics.register_copies();
         metrics.register_suspicions();
         metrics.register_paths();
--- a/bergamotshift-forward/src/observe/mod.rs
+++ b/bergamotshift-forward/src/observe/mod.rs
@@ -3,9 +3,11 @@
 mod clock;
 mod log;
 mod metrics;
+mod speeds;
 
 pub use self::clock::Clock;
 pub use self::log::Log;
 pub use self::log::Topic;
 pub use self::metrics::Metrics;
 pub use self::metrics::Outcome;
+pub use self::speeds::Speeds;
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -53,6 +53,7 @@
     }
     let now = shared.clock.now();
     record_in_flight(shared, &view, now, &question.entry, &question.in_flight);
+    shared.record_samples(now, &view, &question.context.samples);
     let answer = decide(permits, &view, &question).await;
     if let Some(placement) = answer.placement {
         let mut ledger = shared.ledger();
@@ -127,10 +128,10 @@
             source: choice.source,
             cost: choice.cost,
             is_granted: is_limited,
-            estimate: service.learns_speeds().then(|| Estimate {
+            estimate: choice.is_learned.then(|| Estimate {
                 wait_ms: millis(choice.wait),
                 read_ms: millis(choice.read),
-                ahead: choice.ahead,
+                ahead: choice.ahead.unwrap_or_default(),
                 running: choice.running,
             }),
         });
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -224,7 +224,7 @@
         }
         let mut unanswered = Unanswered::begin(endpoint, self.shared.clock, now);
         history.sends += 1;
-        history.estimate = Some(estimate);
+        history.estimate = Some(Estimate { sent: now, ..estimate });
         self.shared.metrics.sends.inc();
         self.shared
             .cache_index()
@@ -263,6 +263,9 @@
             }
         };
         let notice = self.apply_notice(job, choice, now, &head);
+        if let Some(estimate) = &mut history.estimate {
+            estimate.pace = self.apply_load(job, endpoint, &head);
+        }
         if head.status == StatusCode::SERVICE_UNAVAILABLE && self.shared.dialect.says_not_run(&head.headers) {
             unanswered.reject();
         }
@@ -290,7 +293,9 @@
         } else {
             Group::canary(endpoint)
         };
-        let expected = if service.engine.is_some() {
+        let expected = if choice.is_learned {
+            choice.cost
+        } else if service.engine.is_some() {
             choice.cost + OVERHEAD_MS
         } else {
             job.route.objective.as_secs_f64() * 1e3 * PLAIN_SHARE
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -65,8 +65,9 @@
             cost: placement.cost,
             wait: estimated(|estimate| estimate.wait_ms),
             read: estimated(|estimate| estimate.read_ms),
-            ahead: estimate.map_or_else(|| endpoint.unread(), |estimate| estimate.ahead),
+            ahead: estimate.map(|estimate| estimate.ahead),
             running: estimate.map_or_else(|| endpoint.running(), |estimate| estimate.running),
+            is_learned: estimate.is_some(),
         },
         is_granted: placement.is_granted,
     })
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -25,6 +25,7 @@
 use super::keeper::Backoff;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::speed::Samples;
 use super::stream::Relay;
 use super::suspect::Content;
 use crate::choice;
@@ -88,6 +89,8 @@
     pub(super) keeper_backoff: Cell<Backoff>,
     /// Time of the last report of in-flight requests to the keeper.
     pub(super) last_report: Cell<Instant>,
+    /// Measurements for the keeper of the zone.
+    pub(super) samples: Samples,
 }
 
 impl Forwarder {
@@ -103,6 +106,7 @@
             callers: Callers::default(),
             keeper_backoff: Cell::default(),
             last_report: Cell::default(),
+            samples: Samples::default(),
         }
     }
 
@@ -396,6 +400,9 @@
                 "running" => history.estimate.as_ref().map(|estimate| estimate.running),
                 "unread" => history.estimate.as_ref().map(|estimate| estimate.unread),
                 "to_read" => history.estimate.as_ref().map(|estimate| estimate.to_read),
+                "wait_ms" => history.estimate.as_ref().and_then(|estimate| estimate.learned).map(|times| times.0),
+                "read_ms" => history.estimate.as_ref().and_then(|estimate| estimate.learned).map(|times| times.1),
+                "pace" => history.estimate.as_ref().and_then(|estimate| estimate.pace),
                 "document" => self.document_version(), "left_out" => left_out);
         }
     }
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -152,7 +152,9 @@
             units,
             generation,
             in_flight: self.in_flight(),
-            context: Context::default(),
+            context: Context {
+                samples: self.samples.take(self.shared.clock.now()),
+            },
         }
     }
 
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -15,6 +15,7 @@
 mod origin;
 mod pace;
 mod refusal;
+mod speed;
 mod stream;
 mod suspect;
 mod unframed;
--- a/bergamotshift-forward/src/serve/pace.rs
+++ b/bergamotshift-forward/src/serve/pace.rs
@@ -50,17 +50,37 @@
     pub(super) unread: u64,
     /// Prompt tokens of this request that the endpoint was expected to read.
     pub(super) to_read: u64,
+    /// Time of the send.
+    pub(super) sent: Instant,
+    /// Prompt tokens ahead of the request, as counted when the endpoint was chosen; `None` if they are not known.
+    pub(super) ahead: Option<u64>,
+    /// Number of requests there, as counted when the endpoint was chosen.
+    pub(super) ahead_running: u32,
+    /// Expected time for the work ahead and for the request itself, in milliseconds, by learned speeds.
+    pub(super) learned: Option<(u64, u64)>,
+    /// Whether the time to the first event measures the speed of reading.
+    pub(super) is_measurable: bool,
+    /// Pace that the answer stated.
+    pub(super) pace: Option<f64>,
 }
 
 impl Estimate {
     /// Creates the estimate of a choice, before the request counts as in flight there.
     pub(super) fn new(choice: &Choice) -> Self {
+        let (wait, read) = (choice.wait.as_millis() as u64, choice.read.as_millis() as u64);
+        let has_slot = choice.running < choice.endpoint.registration.slots;
         Self {
             endpoint: choice.endpoint.registration.id.clone(),
             expected_ms: choice.cost as u64,
             running: choice.endpoint.running(),
             unread: choice.endpoint.unread(),
             to_read: choice.unread,
+            sent: Instant::ZERO,
+            ahead: choice.ahead,
+            ahead_running: choice.running,
+            learned: choice.is_learned.then_some((wait, read)),
+            is_measurable: choice.ahead.is_some() && choice.source.is_none() && has_slot,
+            pace: None,
         }
     }
 }
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -160,6 +160,11 @@
     fn record_events(&mut self) {
         let now = self.forwarder.shared.clock.now();
         self.history.pace.record(now);
+        if self.begun_at.is_none() {
+            let endpoint = self.guard.endpoint();
+            self.forwarder
+                .record_first_event(&self.job, &self.history, endpoint, now);
+        }
         let begun_at = *self.begun_at.get_or_insert(now);
         if !self.is_settled && now.since(begun_at) >= part::SETTLED_AFTER {
             self.is_settled = true;
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -2,6 +2,7 @@
 
 mod paths;
 mod rates;
+mod speeds;
 
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU64;
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -22,5 +22,6 @@
 mod rounds;
 mod routes;
 mod settings;
+mod speeds;
 mod support;
 mod view;
--- a/bergamotshift-forward/tests/kernel/settings.rs
+++ b/bergamotshift-forward/tests/kernel/settings.rs
@@ -1,8 +1,9 @@
 //! Settings file.
 
+use bergamotshift_forward::settings::Learn;
 use bergamotshift_forward::settings::Settings;
 
-const MINIMAL: &str = r#"
+pub const MINIMAL: &str = r#"
 name = "entry-1"
 zone = "one"
 outside = "memory"
@@ -22,6 +23,7 @@
     assert!(settings.cloud.is_none());
     assert!(settings.peers.seeds.is_empty());
     assert_eq!(settings.duty.lease_ms, 3_000);
+    assert_eq!(settings.speed.learn, Learn::Auto);
 }
 
 #[test]
@@ -39,3 +41,11 @@
     assert!(error.contains("somewhere"), "{error}");
     assert_eq!(error.lines().count(), 1);
 }
+
+#[test]
+fn learning_of_speeds_is_set_by_a_word() {
+    let with = |word| Settings::parse(&format!("{MINIMAL}[speed]\nlearn = \"{word}\"\n"));
+    assert_eq!(with("never").expect("it is a word").speed.learn, Learn::Never);
+    let error = with("sometimes").expect_err("it is none").to_string();
+    assert!(error.contains("sometimes"), "{error}");
+}
