fix(forward): objectives compete only where the least urgent one is the longest by a factor of 2

Cause: the first rule also held where a route of middle urgency is the patient one; the existing rule serves such a service, and it is to be served as before. Change: the least urgent objective must be twice as long as every other.

--- a/bergamotshift-forward/src/document/route.rs
+++ b/bergamotshift-forward/src/document/route.rs
@@ -40,14 +40,17 @@
 }
 
 impl Objective {
-    /// Returns whether objectives compete: one is at least twice as long as a more urgent one, so the requests that it
-    /// admits fill the queue beyond what the more urgent ones tolerate.
+    /// Returns whether objectives compete: the least urgent one is at least twice as long as every other, so the requests
+    /// that it admits fill the queue beyond what all more urgent ones tolerate.
     pub fn compete(objectives: &[Self]) -> bool {
-        let is_crowded = |urgent: &Self| {
-            let crowds = |other: &Self| other.urgency > urgent.urgency && other.time >= urgent.time * 2;
-            objectives.iter().any(crowds)
+        let Some(last) = objectives.iter().map(|one| one.urgency).max() else {
+            return false;
         };
-        objectives.iter().any(is_crowded)
+        let least_urgent = objectives.iter().filter(|one| one.urgency == last);
+        let most_urgent = objectives.iter().filter(|one| one.urgency < last);
+        let shortest = least_urgent.map(|one| one.time).min();
+        let longest = most_urgent.map(|one| one.time).max();
+        shortest.zip(longest).is_some_and(|(last, other)| last >= other * 2)
     }
 }
 
