feat(limit): admission in a shortage, and times to return

A request was admitted if it was expected to begin before its caller left. In a shortage the queue settled at that length: all requests were late and none was refused. `admission::shortage::Gate` refuses a request before it makes requests that are at least as urgent late, and, once a wait passes 40 percent of that limit, the requests of organisations beyond their max-min share (`share::divide`) of the admitted work. `returns::Book` promises each refused caller a slot of predicted capacity. `shortage::Controller` combines both.

Ruled out: slots for organisations beyond their share, which would take the reserved half of the capacity from the others; a cache of shares, which is wrong for the first requests of a window; an own row for each organisation beyond the table's bound: these are refused by the wait only.

--- a/bergamotshift-limit/src/admission/mod.rs
+++ b/bergamotshift-limit/src/admission/mod.rs
@@ -22,6 +22,7 @@
 
 mod forecast;
 mod gate;
+pub mod shortage;
 
 use core::time::Duration;
 
--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod retry;
+pub mod returns;
 pub mod share;
 pub mod throttle;
 pub mod tolerance;
