feat(forward): admission in a shortage and times to return

A generation was refused only if it was expected to begin after its caller had left, so in a shortage all were late and none was refused. Where speeds are learned, or the routes of a service compete (`[admission] shortage`), the keeper of the zone now decides when it places a generation, and refunds the units of one that it refuses. Without a keeper, or while it is not reached, the entry decides with the same code (`Shared::judge`). Refused callers get 503 (`Reason::Overloaded`) and the time to return. Retries and resumed streams are not judged.

The objectives of a service's routes are collected once per view without duplicates: thousands of routes have few, and each request's decision reads them.

Ruled out: to judge at the keeper before the limit is charged, as requests over their limit would then count as work that was admitted; to judge by a placement without an estimate, which a keeper of the previous version sends: there the previous rule stays.

Tests: a refused request does not run and uses no units; a keeper and its successor stop with promises out.

--- a/bergamotshift-forward/src/control/publish.rs
+++ b/bergamotshift-forward/src/control/publish.rs
@@ -13,7 +13,6 @@
 use super::inner::ServiceState;
 use super::inner::retry_budget;
 use super::organisation::Organisation;
-use crate::document::Route;
 use crate::endpoint::Endpoint;
 use crate::limits::Demand;
 use crate::routes::Table;
@@ -49,6 +48,7 @@
         let open = endpoints.values().flatten().filter(|endpoint| !endpoint.is_leaving());
         shared.metrics.endpoints.set(open.count() as i64);
         let document = Arc::clone(&self.document);
+        let mut objectives = document.objectives();
         let mut services = HashMap::new();
         for service in &document.services {
             let state = self
@@ -69,12 +69,7 @@
                 requested_tokens: Arc::clone(&state.requested_tokens),
                 typical_prompt: Arc::clone(&state.typical_prompt),
                 versions: self.versions.of(&service.name),
-                objectives: document
-                    .routes
-                    .iter()
-                    .filter(|route| route.reaches(&service.name))
-                    .map(Route::objective)
-                    .collect(),
+                objectives: objectives.remove(&service.name).unwrap_or_default().into(),
                 typical: Arc::clone(&state.typical),
                 learn: shared.settings.speed.learn,
             };
--- a/bergamotshift-forward/src/document/mod.rs
+++ b/bergamotshift-forward/src/document/mod.rs
@@ -5,6 +5,9 @@
 mod route;
 mod service;
 
+use std::collections::HashMap;
+
+use bergamotshift_core::name;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -37,6 +40,27 @@
     pub bounds: Bounds,
 }
 
+impl Document {
+    /// Returns the different objectives of each service's routes.
+    ///
+    /// Thousands of routes have a few different objectives, and each request's decisions read them.
+    pub fn objectives(&self) -> HashMap<name::Service, Vec<Objective>> {
+        let mut objectives: HashMap<_, Vec<Objective>> = HashMap::new();
+        for route in &self.routes {
+            for split in route.splits.iter().filter(|split| split.weight > 0) {
+                if !objectives.contains_key(&split.service) {
+                    objectives.insert(split.service.clone(), Vec::new());
+                }
+                let known = objectives.get_mut(&split.service);
+                if let Some(known) = known.filter(|known| !known.contains(&route.objective())) {
+                    known.push(route.objective());
+                }
+            }
+        }
+        objectives
+    }
+}
+
 /// Limits on the size of requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/bergamotshift-forward/src/limits/keeper.rs
+++ b/bergamotshift-forward/src/limits/keeper.rs
@@ -16,6 +16,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::shortage::Judgement;
+use super::shortage::Terms;
 use super::tail;
 use crate::dialect::Part;
 use crate::peers::InFlight;
@@ -92,6 +94,9 @@
     /// Measurements of first events since the entry's last question, the newest ones.
     #[serde(deserialize_with = "tail::read")]
     pub samples: Vec<Sample>,
+    /// Terms of the generation's admission in a shortage; `None` where the rules for one do not apply.
+    #[serde(deserialize_with = "tail::read")]
+    pub terms: Option<Terms>,
 }
 
 /// Measurement of one first event.
@@ -172,6 +177,10 @@
     /// Estimate for the placement.
     #[serde(deserialize_with = "tail::read")]
     pub estimate: Option<Estimate>,
+    /// Judgement on the generation by the rules for a shortage; `None` where they do not apply, and if no endpoint
+    /// accepts it.
+    #[serde(deserialize_with = "tail::read")]
+    pub judgement: Option<Judgement>,
 }
 
 impl Answer {
@@ -182,6 +191,7 @@
             placement,
             detail: Detail {
                 estimate: placement.and_then(|placement| placement.estimate),
+                ..Detail::default()
             },
         }
     }
--- a/bergamotshift-forward/src/limits/mod.rs
+++ b/bergamotshift-forward/src/limits/mod.rs
@@ -10,6 +10,7 @@
 pub mod keeper;
 mod retries;
 mod share;
+pub mod shortage;
 pub mod tail;
 
 pub use self::account::Account;
--- a/bergamotshift-forward/src/observe/log.rs
+++ b/bergamotshift-forward/src/observe/log.rs
@@ -33,10 +33,12 @@
     Relay,
     /// Requests whose connections to endpoints broke.
     Loss,
+    /// Requests that were refused in a shortage.
+    Shortage,
 }
 
 /// Number of topics.
-const TOPICS: usize = 8;
+const TOPICS: usize = 9;
 
 /// Logger that limits the rate of each topic's lines and counts the omitted ones.
 #[derive(Debug)]
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -44,7 +44,8 @@
     service: String,
 }
 
-/// Label of a permit to send a request to an endpoint with a rate limit, and of a tunnel through another entry.
+/// Label of a permit to send a request to an endpoint with a rate limit, of a tunnel through another entry, and of
+/// decisions in a shortage and what became of promises.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct Permit {
@@ -67,6 +68,8 @@
     permits: Family<Permit, Counter>,
     tunnels: Family<Permit, Counter>,
     origins: Family<Source, Counter>,
+    shortage: Family<Permit, Counter>,
+    promises: Family<Permit, Counter>,
     /// Time to the first event of a stream, or to the head of an answer that is no stream, in seconds.
     pub latency: Histogram,
     /// Time until a request was refused, in seconds.
@@ -138,6 +141,8 @@
             permits: Family::default(),
             tunnels: Family::default(),
             origins: Family::default(),
+            shortage: Family::default(),
+            promises: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             refusal: Histogram::new(LATENCY_BUCKETS),
             active: Gauge::default(),
@@ -223,12 +228,23 @@
         );
         let help = "Streams that their callers took up, by where the version was known from";
         registry.register("streams_taken_up", help, metrics.origins.clone());
+        metrics.register_shortage();
         metrics.register_copies();
         metrics.register_suspicions();
         metrics.register_paths();
         metrics
     }
 
+    /// Registers the metrics of admission in a shortage.
+    fn register_shortage(&mut self) {
+        let metrics = self;
+        let registry = &mut metrics.registry;
+        let help = "Decisions on requests where the rules for a shortage apply";
+        registry.register("shortage_decisions", help, metrics.shortage.clone());
+        let help = "Promises to refused callers, by what became of them";
+        registry.register("promises", help, metrics.promises.clone());
+    }
+
     /// Registers the metrics of requests that are suspected of crashing endpoints.
     fn register_suspicions(&mut self) {
         let metrics = self;
@@ -315,6 +331,18 @@
         self.origins.get_or_create(&Source { source }).inc();
     }
 
+    /// Counts a decision on a request where the rules for a shortage apply.
+    pub fn count_shortage(&self, outcome: &'static str) {
+        self.shortage.get_or_create(&Permit { outcome }).inc();
+    }
+
+    /// Counts promises to refused callers by what became of them.
+    pub fn count_promises(&self, outcome: &'static str, count: u64) {
+        if count > 0 {
+            self.promises.get_or_create(&Permit { outcome }).inc_by(count);
+        }
+    }
+
     /// Counts a request for a tunnel through another entry.
     pub fn count_tunnel(&self, outcome: &'static str) {
         self.tunnels.get_or_create(&Permit { outcome }).inc();
--- a/bergamotshift-forward/src/peers/keep.rs
+++ b/bergamotshift-forward/src/peers/keep.rs
@@ -22,6 +22,10 @@
 use crate::limits::keeper::Placement;
 use crate::limits::keeper::Question;
 use crate::limits::keeper::Units;
+use crate::limits::shortage::Judgement;
+use crate::limits::shortage::Terms;
+use crate::view;
+use crate::view::Scope;
 use crate::view::Service;
 use crate::view::Shared;
 use crate::view::View;
@@ -77,11 +81,18 @@
             ..Answer::default()
         };
     }
-    let placement = match &question.generation {
-        Some(generation) => place(permits, view, generation).await,
-        None => None,
+    let placed = match &question.generation {
+        Some(generation) => place(permits, view, generation, question.context.terms.as_ref(), "").await,
+        None => Placed::default(),
     };
-    Answer::granted(placement)
+    if let Some(Judgement::Refused { .. }) = placed.judgement
+        && let Some(units) = &question.units
+    {
+        refund(view, units);
+    }
+    let mut answer = Answer::granted(placed.placement);
+    answer.detail.judgement = placed.judgement;
+    answer
 }
 
 /// Records the work that an entry of the zone has in flight, and updates the sums of the endpoints concerned.
@@ -106,22 +117,59 @@
     accounts.zone.take(now, units.count)
 }
 
-/// Chooses an endpoint for a generation, and acquires a permit for it if the endpoint is rate-limited. Returns `None`
-/// when no endpoint accepts the generation.
-pub async fn place(permits: &Permits, view: &View, generation: &Generation) -> Option<Placement> {
-    let service = view.services.get(&generation.service)?;
+/// Refunds granted units of a request that did not run.
+fn refund(view: &View, units: &Units) {
+    if let Some(accounts) = view.accounts.get(&units.organisation) {
+        accounts.zone.refund(units.count);
+    }
+}
+
+/// Outcome of the choice of an endpoint for a generation.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Placed {
+    /// Endpoint that was chosen; `None` if none accepts the generation, or if it is refused.
+    pub placement: Option<Placement>,
+    /// Judgement by the rules for a shortage; `None` where they do not apply, and if no endpoint accepts the generation.
+    pub judgement: Option<Judgement>,
+}
+
+/// Decides by the rules for a shortage whether a generation is admitted, chooses an endpoint for it, and acquires a
+/// permit if the endpoint is rate-limited.
+pub async fn place(
+    permits: &Permits,
+    view: &View,
+    generation: &Generation,
+    terms: Option<&Terms>,
+    request: &str,
+) -> Placed {
+    let mut placed = Placed::default();
+    let Some(service) = view.services.get(&generation.service) else {
+        return placed;
+    };
+    let shared = permits.shared();
     for _ in 0..MAX_PLACEMENT_ATTEMPTS {
-        let choice = choose(permits.shared(), service, generation)?;
+        let Some(choice) = choose(shared, service, generation) else {
+            break;
+        };
+        if let (None, Some(terms)) = (placed.judgement, terms) {
+            let estimate = view::Estimate {
+                wait: choice.wait,
+                read: choice.read,
+            };
+            placed.judgement = shared.judge(service, &generation.service, terms, estimate, Scope::Zone, request);
+            if let Some(Judgement::Refused { .. }) = placed.judgement {
+                break;
+            }
+        }
         let is_limited = choice.endpoint.signals.throttle.rate().is_some();
         if is_limited && !permits.acquire(&choice.endpoint, "").await {
             continue;
         }
-        let shared = permits.shared();
         let endpoint = choice.endpoint.hash;
         shared
             .cache_index()
             .record_choice(shared.clock.now(), endpoint, &generation.parts);
-        return Some(Placement {
+        placed.placement = Some(Placement {
             endpoint,
             unread: choice.unread,
             source: choice.source,
@@ -134,8 +182,9 @@
                 running: choice.running,
             }),
         });
+        break;
     }
-    None
+    placed
 }
 
 /// Returns a duration in whole milliseconds.
--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -9,6 +9,7 @@
 
 use super::Forwarder;
 use super::attempt::History;
+use super::charge::overloaded;
 use super::job::Job;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -16,7 +17,10 @@
 use crate::choice::Choice;
 use crate::endpoint::Endpoint;
 use crate::limits::keeper::Estimate;
+use crate::limits::shortage::Judgement;
 use crate::observe::Topic;
+use crate::view;
+use crate::view::Scope;
 use crate::view::Service;
 
 /// Time added to the expected duration of an overload in the retry time, so that a caller that retries finds capacity.
@@ -85,6 +89,10 @@
             let now = self.shared.clock.now();
             let candidate = match self.candidate(now, service, job, history, &avoided) {
                 Ok(candidate) => candidate,
+                // A request that yields to others is refused at once.
+                Err(refusal) if refusal.reason == Reason::Overloaded && self.shared.has_shortage_rules(service) => {
+                    return Err(refusal);
+                }
                 Err(refusal) => match self.next_opening(now, service, history) {
                     Some(opens) if opens <= until => {
                         tokio::time::sleep(opens.since(now)).await;
@@ -173,12 +181,17 @@
         };
         if self.shared.is_stranded() {
             let choice = self.choose_in_own_zone(now, service, &request, history)?;
+            if self.shared.has_shortage_rules(service) {
+                self.judge(now, service, job, history, &choice, true)?;
+            }
             return Ok(Candidate {
                 choice,
                 is_granted: false,
             });
         }
         let placed = placed_candidate(job, service, history, now);
+        // A keeper of an older version gives no estimate for its choice.
+        let is_estimated = placed.is_none() || job.placement.is_some_and(|placement| placement.estimate.is_some());
         let canary = match history.version() {
             Some(_) => service.canary.as_ref(),
             // Retries go to the version in force.
@@ -194,7 +207,45 @@
             })
         });
         let candidate = candidate.ok_or_else(|| self.closed_refusal(now, service, history))?;
-        let choice = &candidate.choice;
+        self.judge(now, service, job, history, &candidate.choice, is_estimated)?;
+        Ok(candidate)
+    }
+
+    /// Refuses a request that has to yield to others in a shortage, or that cannot be answered in time.
+    ///
+    /// Where the rules for a shortage apply, only the first send of a request is judged, and only once: by the keeper of
+    /// the zone, or by this entry if there is none or it was not reached.
+    fn judge(
+        &self,
+        now: Instant,
+        service: &Service,
+        job: &Job,
+        history: &History,
+        choice: &Choice,
+        is_estimated: bool,
+    ) -> Result<(), Refusal> {
+        if self.shared.has_shortage_rules(service) {
+            let is_first = history.tried.is_empty() && history.sends == 0;
+            if job.is_admitted.get() || !is_first || job.is_resumed() {
+                return Ok(());
+            }
+            if let (true, Some(terms)) = (is_estimated, &job.terms) {
+                let terms = terms.after(now.since(job.arrived));
+                let estimate = view::Estimate {
+                    wait: choice.wait,
+                    read: choice.read,
+                };
+                let id = &job.metadata.id;
+                let judgement = self
+                    .shared
+                    .judge(service, &job.service, &terms, estimate, Scope::Entry, id);
+                if let Some(retry_after) = judgement.and_then(Judgement::retry_after) {
+                    return Err(overloaded(retry_after));
+                }
+                job.is_admitted.set(true);
+                return Ok(());
+            }
+        }
         let respond_by = (job.arrived + job.start_timeout()).min(job.deadline);
         let time_left = respond_by.since(now).as_secs_f64() * 1e3;
         if service.engine.is_some() && choice.cost > time_left {
@@ -209,7 +260,7 @@
                 history.refusal(false)
             });
         }
-        Ok(candidate)
+        Ok(())
     }
 
     /// Chooses an endpoint of the own zone, since other zones cannot be reached and connections to them would time out.
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -21,6 +21,7 @@
 use super::active::Active;
 use super::attempt::History;
 use super::callers::Callers;
+use super::charge::Applicant;
 use super::job::Job;
 use super::keeper::Backoff;
 use super::refusal::Reason;
@@ -173,17 +174,27 @@
         }
         let canary = service_view.and_then(|service| service.canary.as_ref());
         let is_canary = canary.is_some_and(|canary| canary.accepts(&metadata.id, prompt));
-        let admission = self
-            .charge(&view, organisation, &service, &metadata, is_canary, arrived)
-            .await
-            .map_err(|refusal| {
-                self.log_over_limit(organisation, &metadata, refusal, table.document().version);
-                reject(refusal)
-            })?;
         let max_wait = metadata.time_left.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let urgency = organisation
             .and_then(|organisation| organisation.urgency)
             .unwrap_or(route.urgency);
+        let applicant = Applicant {
+            organisation,
+            route,
+            service: &service,
+            metadata: &metadata,
+            fingerprint,
+            urgency,
+            is_canary,
+            arrived,
+            deadline: arrived + max_wait,
+        };
+        let admission = self.charge(&view, &applicant).await.map_err(|refusal| {
+            if refusal.reason == Reason::OverLimit {
+                self.log_over_limit(organisation, &metadata, refusal, table.document().version);
+            }
+            reject(refusal)
+        })?;
         Ok(Job {
             method: request.method().clone(),
             path,
@@ -197,6 +208,8 @@
             deadline: arrived + max_wait,
             charge: admission.charge,
             placement: admission.placement,
+            terms: admission.terms,
+            is_admitted: Cell::new(admission.is_admitted),
             is_canary,
             content,
             metadata,
@@ -456,6 +469,9 @@
         let view = self.shared.view.load();
         let is_known = |hash| view.endpoint(hash).is_some();
         self.shared.cache_index().expire(self.shared.clock.now(), is_known);
+        self.shared
+            .controllers
+            .retain(|service| view.services.contains_key(service));
         let endpoints = view.by_hash.values();
         let mut addresses: Vec<_> = endpoints
             .filter(|endpoint| !endpoint.is_leaving())
--- a/bergamotshift-forward/src/serve/job.rs
+++ b/bergamotshift-forward/src/serve/job.rs
@@ -1,5 +1,6 @@
 //! Request that was read completely and matched to its route.
 
+use core::cell::Cell;
 use core::time::Duration;
 use std::sync::Arc;
 
@@ -14,6 +15,7 @@
 use crate::document::Route;
 use crate::limits::Account;
 use crate::limits::keeper::Placement;
+use crate::limits::shortage::Terms;
 
 /// Multiple of its objective after which an idempotent request is sent to another endpoint.
 const RESPONSE_TIMEOUT_FACTOR: f64 = 1.5;
@@ -65,6 +67,10 @@
     pub(super) charge: Option<Charge>,
     /// Endpoint that the zone's keeper chose.
     pub(super) placement: Option<Placement>,
+    /// Terms of its admission in a shortage when it arrived; `None` where the rules for one did not apply.
+    pub(super) terms: Option<Terms>,
+    /// Whether the zone's keeper or this entry admitted it by the rules for a shortage.
+    pub(super) is_admitted: Cell<bool>,
     /// Whether it belongs to the share of requests that a new version gets.
     pub(super) is_canary: bool,
     /// Content by which it may be suspected of crashing endpoints.
@@ -109,11 +115,12 @@
     /// overload would begin after its caller has left: endpoints would read prompts for nobody, and nobody would be
     /// served. A request that cannot begin in time is refused at once, and its caller may retry when there is capacity.
     pub(super) fn start_timeout(&self) -> Duration {
-        if self.route.kind != Kind::Stream {
-            return self.route.timeout;
-        }
-        let timeout = (self.route.objective * START_TIMEOUT_OBJECTIVES).max(self.route.pause * START_TIMEOUT_PAUSES);
-        timeout.max(MIN_START_TIMEOUT).mul_f64(START_TIMEOUT_SHARE)
+        start_timeout(&self.route)
+    }
+
+    /// Returns whether the caller takes up a stream that began before.
+    pub(super) const fn is_resumed(&self) -> bool {
+        is_resumed(&self.metadata)
     }
 
     /// Returns the time until the deadline, in milliseconds.
@@ -121,3 +128,17 @@
         u64::try_from(self.deadline.since(now).as_millis()).unwrap_or(u64::MAX)
     }
 }
+
+/// Returns the time after arrival within which the response to a request of a route has to begin.
+pub(super) fn start_timeout(route: &Route) -> Duration {
+    if route.kind != Kind::Stream {
+        return route.timeout;
+    }
+    let timeout = (route.objective * START_TIMEOUT_OBJECTIVES).max(route.pause * START_TIMEOUT_PAUSES);
+    timeout.max(MIN_START_TIMEOUT).mul_f64(START_TIMEOUT_SHARE)
+}
+
+/// Returns whether a caller takes up a stream that began before.
+pub(super) const fn is_resumed(metadata: &Metadata) -> bool {
+    metadata.resumes.is_some() || metadata.last_event.is_some()
+}
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -17,9 +17,9 @@
 use crate::limits::keeper::Answer;
 use crate::limits::keeper::Context;
 use crate::limits::keeper::Generation;
-use crate::limits::keeper::Placement;
 use crate::limits::keeper::Question;
 use crate::limits::keeper::Units;
+use crate::limits::shortage::Terms;
 use crate::observe::Topic;
 use crate::peers;
 
@@ -64,11 +64,13 @@
         &self,
         units: Option<Units>,
         generation: Option<Generation>,
-    ) -> Result<Option<Placement>, Refused> {
+        terms: Option<Terms>,
+    ) -> Result<Answer, Refused> {
         if units.is_none() && generation.is_none() {
-            return Ok(None);
+            return Ok(Answer::default());
         }
         let mut question = self.question(units, generation);
+        question.context.terms = terms.filter(|_| question.generation.is_some());
         let began = self.shared.clock.now();
         loop {
             if let Some(answer) = self.ask_once(&mut question).await {
@@ -76,12 +78,12 @@
                     Some(millis) => Err(Refused {
                         retry_after: Duration::from_millis(millis),
                     }),
-                    None => Ok(answer.placement()),
+                    None => Ok(answer),
                 };
             }
             if question.units.is_none() {
                 // Without a limit, this entry chooses an endpoint itself.
-                return Ok(None);
+                return Ok(Answer::default());
             }
             if self.shared.clock.now().since(began) >= DECISION_TIMEOUT {
                 self.restore_unreported(question.units.as_ref());
--- a/bergamotshift-forward/src/settings/mod.rs
+++ b/bergamotshift-forward/src/settings/mod.rs
@@ -28,6 +28,7 @@
 use std::path::PathBuf;
 
 use bergamotshift_core::name;
+use bergamotshift_limit::admission::shortage;
 use bergamotshift_rollout as rollout;
 use serde::Deserialize;
 use smol_str::SmolStr;
@@ -97,6 +98,9 @@
     /// Planning of the number of endpoints.
     #[serde(default)]
     pub capacity: capacity::Settings,
+    /// Admission in a shortage.
+    #[serde(default)]
+    pub admission: Admission,
     /// Limits of a rollout of a new version.
     #[serde(default)]
     pub rollout: rollout::Settings,
@@ -275,6 +279,15 @@
     Never,
 }
 
+/// Admission of requests to model engines.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
+pub struct Admission {
+    /// Services to which admission in a shortage applies.
+    #[serde(default)]
+    pub shortage: shortage::Mode,
+}
+
 impl Settings {
     /// Reads settings from a file.
     ///
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -2,6 +2,7 @@
 
 mod paths;
 mod rates;
+mod shortage;
 
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU64;
@@ -28,6 +29,9 @@
 
 pub use self::rates::Announcers;
 pub use self::rates::Origin;
+pub use self::shortage::Controllers;
+pub use self::shortage::Estimate;
+pub use self::shortage::Scope;
 use crate::choice::Index;
 use crate::dialect::Dialect;
 use crate::document::Engine;
@@ -230,6 +234,8 @@
     /// In-flight reports that the entries of the zone sent to this one as their keeper. Threads hold the lock for
     /// microseconds.
     pub ledger: Mutex<Ledger>,
+    /// Admission in a shortage, by service.
+    pub controllers: Controllers,
     /// Endpoints that announced a rate in an answer to this entry.
     pub announcers: Announcers,
     /// Evidence from the answers of two versions during a rollout.
@@ -285,6 +291,7 @@
             tally: Tally::new(clock, usage_window),
             cache_index: Mutex::default(),
             ledger: Mutex::default(),
+            controllers: Controllers::default(),
             announcers: Announcers::default(),
             rollout_evidence: Arc::default(),
             in_flight_changed: Notify::new(),
--- a/bergamotshift-forward/tests/daemon/large.rs
+++ b/bergamotshift-forward/tests/daemon/large.rs
@@ -21,10 +21,10 @@
 use crate::site::wait_until;
 
 /// Smallest number of entries with which a fleet has keepers.
-const ENTRIES: usize = keeper::MAX_WITHOUT_KEEPER + 1;
+pub const ENTRIES: usize = keeper::MAX_WITHOUT_KEEPER + 1;
 
 /// Engine of the endpoints in tests with generations.
-const ENGINE: Engine = Engine {
+pub const ENGINE: Engine = Engine {
     slots: 8,
     memory: 500_000,
     transfer: None,
@@ -33,7 +33,7 @@
 /// Units that a request without a size counts.
 const UNITS_WITHOUT_SIZE: u32 = 10;
 
-fn entry_name(number: usize) -> name::Entry {
+pub fn entry_name(number: usize) -> name::Entry {
     name::Entry::new(format!("entry-{number:02}"))
 }
 
@@ -157,7 +157,7 @@
 }
 
 /// Returns the index of the entry that is the keeper while all entries are alive.
-fn keeper_index() -> usize {
+pub fn keeper_index() -> usize {
     let names: Vec<_> = (0..ENTRIES).map(entry_name).collect();
     let candidates = names.iter().map(|entry| Candidate {
         entry,
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -20,6 +20,7 @@
 mod port;
 mod restore;
 mod rollouts;
+mod shortage;
 mod silence;
 mod site;
 mod sockets;
--- a/bergamotshift-forward/tests/kernel/frames.rs
+++ b/bergamotshift-forward/tests/kernel/frames.rs
@@ -14,6 +14,8 @@
 use bergamotshift_forward::limits::keeper::Question;
 use bergamotshift_forward::limits::keeper::Sample;
 use bergamotshift_forward::limits::keeper::Units;
+use bergamotshift_forward::limits::shortage::Judgement;
+use bergamotshift_forward::limits::shortage::Terms;
 use bergamotshift_forward::peers::InFlight;
 use serde::Deserialize;
 use serde::Serialize;
@@ -70,6 +72,16 @@
                 pace: Some(137.0),
                 age_ms: 4,
             }],
+            terms: Some(Terms {
+                organisation: Some("horeca".into()),
+                weight: 90.0,
+                urgency: 1,
+                objective_ms: 800,
+                objective_left_ms: 790,
+                latest_ms: 4_790,
+                time_left_ms: 11_990,
+                key: Fingerprint::new(u128::MAX),
+            }),
         },
     }
 }
@@ -101,11 +113,20 @@
         ahead: 20_000,
         running: 3,
     };
-    let answer = encode(&Answer::granted(Some(placement(Some(estimate)))));
+    let mut answer = Answer::granted(Some(placement(Some(estimate))));
+    answer.detail.judgement = Some(Judgement::Refused {
+        is_share: true,
+        retry_after_ms: 300,
+    });
+    let judgement = answer.detail.judgement;
+    let answer = encode(&answer);
     let old: OldAnswer = postcard::from_bytes(&answer).expect("it is readable");
     assert_eq!(old.placement.map(|placement| placement.cost), Some(90.0));
     let new: Answer = postcard::from_bytes(&answer).expect("it is readable");
     assert_eq!(new.placement(), Some(placement(Some(estimate))));
+    assert_eq!(new.detail.judgement, judgement);
+    let new: Question = postcard::from_bytes(&encode(&question)).expect("it is readable");
+    assert_eq!(new, question);
 }
 
 #[test]
@@ -153,6 +174,10 @@
     let mut frame = encode(&question());
     frame.pop();
     let new: Question = postcard::from_bytes(&frame).expect("it is readable");
-    assert_eq!(new.context, Context::default());
+    let context = Context {
+        terms: None,
+        ..question().context
+    };
+    assert_eq!(new.context, context);
     assert_eq!(new.generation, question().generation);
 }
--- a/bergamotshift-forward/tests/kernel/settings.rs
+++ b/bergamotshift-forward/tests/kernel/settings.rs
@@ -1,6 +1,7 @@
 //! Settings file.
 
 use bergamotshift_forward::settings::Settings;
+use bergamotshift_limit::admission::shortage::Mode;
 
 const MINIMAL: &str = r#"
 name = "entry-1"
@@ -22,6 +23,9 @@
     assert!(settings.cloud.is_none());
     assert!(settings.peers.seeds.is_empty());
     assert_eq!(settings.duty.lease_ms, 3_000);
+    assert_eq!(settings.admission.shortage, Mode::Auto);
+    let never = Settings::parse(&format!("{MINIMAL}[admission]\nshortage = \"never\"\n")).expect("it is whole");
+    assert_eq!(never.admission.shortage, Mode::Never);
 }
 
 #[test]
--- a/bergamotshift-limit/src/admission/shortage/bound.rs
+++ b/bergamotshift-limit/src/admission/shortage/bound.rs
@@ -6,10 +6,6 @@
 /// less often than a less urgent one.
 const RANK_FACTOR: f64 = 0.85;
 
-/// Factor between the objectives of two routes from which the less urgent one would fill the queue beyond what the
-/// other one can tolerate.
-const OBJECTIVE_FACTOR: u32 = 2;
-
 /// Longest wait of a request by the objectives of the routes that are at least as urgent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Bound {
@@ -40,14 +36,3 @@
         self.wait
     }
 }
-
-/// Returns whether a less urgent route has at least twice the objective of a more urgent one.
-pub fn differs(routes: &[(u8, Duration)]) -> bool {
-    let is_longer = |(urgency, objective): &(u8, Duration)| {
-        let more_urgent = routes.iter().filter(|(other, _)| other < urgency);
-        more_urgent
-            .into_iter()
-            .any(|(_, shorter)| *objective >= shorter.saturating_mul(OBJECTIVE_FACTOR))
-    };
-    routes.iter().any(is_longer)
-}
--- a/bergamotshift-limit/src/admission/shortage/mod.rs
+++ b/bergamotshift-limit/src/admission/shortage/mod.rs
@@ -34,7 +34,6 @@
 mod settings;
 
 pub use self::bound::Bound;
-pub use self::bound::differs;
 pub use self::controller::Asked;
 pub use self::controller::Controller;
 pub use self::controller::Outcome;
--- a/bergamotshift-limit/src/admission/shortage/settings.rs
+++ b/bergamotshift-limit/src/admission/shortage/settings.rs
@@ -18,20 +18,6 @@
     Never,
 }
 
-impl Mode {
-    /// Returns whether admission in a shortage applies to a service of model engines.
-    ///
-    /// `is_learned` states whether the speeds of its engines are learned, and `differs` whether its routes differ as
-    /// [`super::differs`] says.
-    pub const fn applies(self, is_learned: bool, differs: bool) -> bool {
-        match self {
-            Self::Auto => is_learned || differs,
-            Self::Always => true,
-            Self::Never => false,
-        }
-    }
-}
-
 /// Parameters of admission in a shortage.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
--- a/bergamotshift-limit/tests/shortage/unit.rs
+++ b/bergamotshift-limit/tests/shortage/unit.rs
@@ -9,7 +9,6 @@
 use bergamotshift_limit::admission::shortage::Reason;
 use bergamotshift_limit::admission::shortage::Request;
 use bergamotshift_limit::admission::shortage::Settings;
-use bergamotshift_limit::admission::shortage::differs;
 use bergamotshift_limit::returns;
 use bergamotshift_limit::returns::Asked;
 use bergamotshift_limit::returns::Book;
@@ -59,7 +58,6 @@
     assert_eq!(bound(4), Some(ms(600).mul_f64(0.85)));
     assert_eq!(bound(255), Some(ms(600).mul_f64(0.85_f64.powi(3))));
     assert_eq!(Bound::of(routes.into_iter().skip(1), 0).wait(), None);
-    assert!(differs(&routes) && !differs(&[(0, ms(1_000)), (1, ms(1_200)), (2, ms(800))]));
 }
 
 /// Guards against a share that refuses the only organisation with load, and against a table that grows without bound.
