--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -13,6 +13,9 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::Shortage;
+use super::Speeds;
+
 /// Upper bounds of the latency buckets, in seconds; they are finer around the objectives of 0.1 to 1.2 s that operators
 /// set.
 const LATENCY_BUCKETS: [f64; 14] = [
@@ -44,8 +47,7 @@
     service: String,
 }
 
-/// Label of a permit to send a request to an endpoint with a rate limit, of a tunnel through another entry, and of
-/// decisions in a shortage and what became of promises.
+/// Label of a permit to send a request to an endpoint with a rate limit, and of a tunnel through another entry.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct Permit {
@@ -68,8 +70,10 @@
     permits: Family<Permit, Counter>,
     tunnels: Family<Permit, Counter>,
     origins: Family<Source, Counter>,
-    shortage: Family<Permit, Counter>,
-    promises: Family<Permit, Counter>,
+    /// Metrics of admission in a shortage.
+    pub shortage: Shortage,
+    /// Metrics of learned speeds.
+    pub speeds: Speeds,
     /// Time to the first event of a stream, or to the head of an answer that is no stream, in seconds.
     pub latency: Histogram,
     /// Time until a request was refused, in seconds.
@@ -141,8 +145,8 @@
             permits: Family::default(),
             tunnels: Family::default(),
             origins: Family::default(),
-            shortage: Family::default(),
-            promises: Family::default(),
+            shortage: Shortage::default(),
+            speeds: Speeds::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             refusal: Histogram::new(LATENCY_BUCKETS),
             active: Gauge::default(),
@@ -228,21 +232,17 @@
         );
         let help = "Streams that their callers took up, by where the version was known from";
         registry.register("streams_taken_up", help, metrics.origins.clone());
-        metrics.register_shortage();
+        metrics.register_engines();
         metrics.register_copies();
         metrics.register_suspicions();
         metrics.register_paths();
         metrics
     }
 
-    /// Registers the metrics of admission in a shortage.
-    fn register_shortage(&mut self) {
-        let metrics = self;
-        let registry = &mut metrics.registry;
-        let help = "Decisions on requests where the rules for a shortage apply";
-        registry.register("shortage_decisions", help, metrics.shortage.clone());
-        let help = "Promises to refused callers, by what became of them";
-        registry.register("promises", help, metrics.promises.clone());
+    /// Registers the metrics of decisions about model engines.
+    fn register_engines(&mut self) {
+        self.speeds.register(&mut self.registry);
+        self.shortage.register(&mut self.registry);
     }
 
     /// Registers the metrics of requests that are suspected of crashing endpoints.
@@ -331,18 +331,6 @@
         self.origins.get_or_create(&Source { source }).inc();
     }
 
-    /// Counts a decision on a request where the rules for a shortage apply.
-    pub fn count_shortage(&self, outcome: &'static str) {
-        self.shortage.get_or_create(&Permit { outcome }).inc();
-    }
-
-    /// Counts promises to refused callers by what became of them.
-    pub fn count_promises(&self, outcome: &'static str, count: u64) {
-        if count > 0 {
-            self.promises.get_or_create(&Permit { outcome }).inc_by(count);
-        }
-    }
-
     /// Counts a request for a tunnel through another entry.
     pub fn count_tunnel(&self, outcome: &'static str) {
         self.tunnels.get_or_create(&Permit { outcome }).inc();
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -154,7 +154,10 @@
             units,
             generation,
             in_flight: self.in_flight(),
-            context: Context::default(),
+            context: Context {
+                samples: self.samples.take(self.shared.clock.now()),
+                terms: None,
+            },
         }
     }
 
--- a/bergamotshift-forward/src/view/mod.rs
+++ b/bergamotshift-forward/src/view/mod.rs
@@ -3,6 +3,7 @@
 mod paths;
 mod rates;
 mod shortage;
+mod speeds;
 
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::AtomicU64;
--- a/bergamotshift-forward/src/view/shortage.rs
+++ b/bergamotshift-forward/src/view/shortage.rs
@@ -127,17 +127,17 @@
             let controller = controllers.get_mut(name)?;
             (controller.decide(now, &request, &asked), controller.take_lapsed())
         };
-        self.metrics.count_promises("lapsed", lapsed);
+        self.metrics.shortage.count_promises("lapsed", lapsed);
         match outcome.returned {
-            Returned::Kept => self.metrics.count_promises("kept", 1),
-            Returned::Early { .. } => self.metrics.count_promises("early", 1),
+            Returned::Kept => self.metrics.shortage.count_promises("kept", 1),
+            Returned::Early { .. } => self.metrics.shortage.count_promises("early", 1),
             Returned::Unknown => {}
         }
         let Verdict::Refused(refusal) = outcome.verdict else {
-            self.metrics.count_shortage("admitted");
+            self.metrics.shortage.count_decision("admitted");
             return Some(Judgement::Admitted);
         };
-        self.metrics.count_shortage(refusal.reason.as_str());
+        self.metrics.shortage.count_decision(refusal.reason.as_str());
         // A caller that is told less than its time would return before its slot; whole milliseconds are sent.
         let rounded_up = refusal.retry_after + Duration::from_micros(999);
         let retry_after_ms = whole_millis(rounded_up).min(whole_millis(asked.longest));
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -22,5 +22,7 @@
 mod rounds;
 mod routes;
 mod settings;
+mod shortage;
+mod speeds;
 mod support;
 mod view;
