--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -24,6 +24,7 @@
 mod silence;
 mod site;
 mod sockets;
+mod speeds;
 mod start;
 mod stop;
 mod streams;
