--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::Shortage;
 use super::Speeds;
 
 /// Upper bounds of the latency buckets, in seconds; they are finer around the objectives of 0.1 to 1.2 s that operators
@@ -69,6 +70,8 @@
     permits: Family<Permit, Counter>,
     tunnels: Family<Permit, Counter>,
     origins: Family<Source, Counter>,
+    /// Metrics of admission in a shortage.
+    pub shortage: Shortage,
     /// Metrics of learned speeds.
     pub speeds: Speeds,
     /// Time to the first event of a stream, or to the head of an answer that is no stream, in seconds.
@@ -142,6 +145,7 @@
             permits: Family::default(),
             tunnels: Family::default(),
             origins: Family::default(),
+            shortage: Shortage::default(),
             speeds: Speeds::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             refusal: Histogram::new(LATENCY_BUCKETS),
@@ -228,13 +232,19 @@
         );
         let help = "Streams that their callers took up, by where the version was known from";
         registry.register("streams_taken_up", help, metrics.origins.clone());
-        metrics.speeds.register(registry);
+        metrics.register_engines();
         metrics.register_copies();
         metrics.register_suspicions();
         metrics.register_paths();
         metrics
     }
 
+    /// Registers the metrics of decisions about model engines.
+    fn register_engines(&mut self) {
+        self.speeds.register(&mut self.registry);
+        self.shortage.register(&mut self.registry);
+    }
+
     /// Registers the metrics of requests that are suspected of crashing endpoints.
     fn register_suspicions(&mut self) {
         let metrics = self;
--- a/bergamotshift-forward/src/observe/mod.rs
+++ b/bergamotshift-forward/src/observe/mod.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod log;
 mod metrics;
+mod shortage;
 mod speeds;
 
 pub use self::clock::Clock;
@@ -10,4 +11,5 @@
 pub use self::log::Topic;
 pub use self::metrics::Metrics;
 pub use self::metrics::Outcome;
+pub use self::shortage::Shortage;
 pub use self::speeds::Speeds;
--- a/bergamotshift-forward/tests/kernel/speeds.rs
+++ b/bergamotshift-forward/tests/kernel/speeds.rs
@@ -37,12 +37,12 @@
     transfer: None,
 };
 
-fn endpoints(count: usize) -> Vec<Arc<Endpoint>> {
+pub fn endpoints(count: usize) -> Vec<Arc<Endpoint>> {
     let endpoint = |number| Arc::new(Endpoint::new(registration(&format!("e{number}"), "one")));
     (0..count).map(endpoint).collect()
 }
 
-fn service(endpoints: &[Arc<Endpoint>], learn: Learn, objectives: &[(u8, u64)]) -> Service {
+pub fn service(endpoints: &[Arc<Endpoint>], learn: Learn, objectives: &[(u8, u64)]) -> Service {
     let objective = |(urgency, millis): &(u8, u64)| Objective {
         urgency: *urgency,
         time: Duration::from_millis(*millis),
@@ -61,7 +61,7 @@
     }
 }
 
-fn shared() -> Shared {
+pub fn shared() -> Shared {
     let settings = Settings::parse(MINIMAL).expect("it is whole");
     let (notes, _) = tokio::sync::mpsc::unbounded_channel();
     let logger = slog::Logger::root(slog::Discard, slog::o!());
