fix(entry): an answer that arrives whole clears the parts of its prompt

Cause: only the reader of event streams recorded that the parts of a prompt were answered. Answers that are read whole (requests that may run once, tools, several choices, jobs) cleared nothing, so a sound beginning of prompts was refused after three deaths of other requests that share it, although it was answered after each.

Change: a complete answer with a success status clears the parts, as decided in docs/decisions/crashing-parts.md and as the forwarding daemon does. An answer with another status says nothing of the prompt and clears nothing.

Ruled out: that the whole request was suspected. No two requests of the test are alike, and the refused ones had never been sent.

Test: poison::a_beginning_that_is_answered_whole_is_not_refused.

--- a/bergamotshift-entry/src/exchange/whole.rs
+++ b/bergamotshift-entry/src/exchange/whole.rs
@@ -77,18 +77,14 @@
                     attempts.handle_failure(running, failure).await?;
                     return Ok(None);
                 }
-                attempts.record().answered();
-                return Ok(Some(whole(status, headers, chunk)));
+                return Ok(Some(complete(attempts, status, headers, chunk)));
             }
             Ok(Some(chunk)) if collected.len() + chunk.len() > MAX_BODY => {
                 attempts.mark_ran();
                 return Err(Error::TooLarge);
             }
             Ok(Some(chunk)) => collected.extend_from_slice(&chunk),
-            Ok(None) => {
-                attempts.record().answered();
-                return Ok(Some(whole(status, headers, collected.freeze())));
-            }
+            Ok(None) => return Ok(Some(complete(attempts, status, headers, collected.freeze()))),
             Err(failure) => {
                 drop(body);
                 attempts.handle_failure(running, failure).await?;
@@ -128,6 +124,11 @@
     headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-const fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Whole {
+/// Records a complete answer and returns it. A successful one shows that the prompt crashes no endpoint.
+fn complete(attempts: &mut Attempts, status: StatusCode, headers: HeaderMap, body: Bytes) -> Whole {
+    attempts.record().answered();
+    if status.is_success() {
+        attempts.record_answered();
+    }
     Whole { status, headers, body }
 }
--- a/bergamotshift-entry/tests/entry/poison.rs
+++ b/bergamotshift-entry/tests/entry/poison.rs
@@ -159,3 +159,42 @@
     }
     assert!(crashed <= 6, "{crashed} endpoints");
 }
+
+/// Guards against a sound beginning that is refused with those of crashing requests, because answers that arrive whole did not
+/// clear the beginnings of their prompts.
+#[ntex::test]
+async fn a_beginning_that_is_answered_whole_is_not_refused() {
+    const DEATHS: usize = 6;
+    let site = Site::start(Layout {
+        engines: DEATHS + 2,
+        plains: 0,
+        engine: engine::Settings {
+            first_token: Duration::from_millis(250),
+            ..engine::Settings::default()
+        },
+        more: "[[route]]\nservice = \"llm\"\nmethod = \"POST\"\npath = \"/v1/completions\"\nrepeatable = false\n",
+        ..Layout::default()
+    })
+    .await;
+    for engine in &site.engines {
+        engine.fault(Fault::CrashOn {
+            marker: "poison".to_owned(),
+        });
+    }
+    let beginning = "x".repeat(3_000);
+    for number in 0..DEATHS {
+        // A request that may run once only ends one engine.
+        let poison = json!({"model": "tiny", "prompt": format!("{beginning} poison {number}"), "max_tokens": 3});
+        let key = number.to_string();
+        let headers = [("content-type", "application/json"), ("idempotency-key", &*key)];
+        site.send(Method::POST, "/v1/completions", &headers, poison.to_string())
+            .await;
+        let sound = json!({"model": "tiny", "prompt": format!("{beginning} hello {number}"), "max_tokens": 3});
+        let key = format!("sound {number}");
+        let headers = [("content-type", "application/json"), ("idempotency-key", &*key)];
+        let reply = site
+            .send(Method::POST, "/v1/completions", &headers, sound.to_string())
+            .await;
+        assert_eq!(reply.status, 200, "after {} deaths: {}", number + 1, reply.text());
+    }
+}
