fix(entry): deferred jobs carry the parts of their prompts

Cause: a job's call was rebuilt from its record without the hashes of its prompt's blocks. A job's death accused no part, and a job whose prompt begins with a refused part was sent. Only whole requests were suspected, so jobs of which no two are alike ended one engine after the other.

Change: the hashes are computed from the stored body, in the same way as for requests that are not deferred. A job that is refused for a part did not run, so it is postponed and tried again as before. The estimates of tokens are still left out of jobs: they would change what limits count for jobs, which is another matter.

Ruled out: the gate on parts itself. It stands in Attempts::open, which jobs pass too, with an empty list.

Test: jobs::jobs_that_share_a_poisonous_beginning_stop_after_few_endpoints.

--- a/bergamotshift-entry/src/api/openai/complete.rs
+++ b/bergamotshift-entry/src/api/openai/complete.rs
@@ -64,6 +64,13 @@
     prompt: Option<&'a RawValue>,
 }
 
+impl<'a> Completion<'a> {
+    /// Returns the JSON text of the prompt.
+    fn prompt(&self) -> &'a str {
+        self.messages.or(self.prompt).map_or("", RawValue::get)
+    }
+}
+
 /// Handles a completion request.
 pub(super) async fn complete(
     worker: &Rc<Worker>,
@@ -190,22 +197,34 @@
     })
 }
 
-/// Estimates the size of a completion and hashes its prompt in blocks, to find engines with a cached prefix.
-fn estimate_work(completion: &Completion<'_>) -> Work {
-    let prompt = completion.messages.or(completion.prompt).map_or("", RawValue::get);
+/// Returns the cumulative hashes of the blocks of a completion request's prompt.
+///
+/// # Errors
+///
+/// Returns an error if the body is no completion request.
+pub fn hash_prompt(body: &[u8]) -> Result<Vec<u64>, serde_json::Error> {
+    let completion: Completion<'_> = serde_json::from_slice(body)?;
+    Ok(hash_blocks(completion.prompt()))
+}
+
+/// Returns the cumulative hashes of a prompt's blocks, to find engines with a cached prefix and parts that crash engines.
+fn hash_blocks(prompt: &str) -> Vec<u64> {
     let mut hasher = Xxh3::new();
-    let prefix = prompt
-        .as_bytes()
-        .chunks_exact(BLOCK_BYTES)
-        .map(|block| {
-            hasher.update(block);
-            hasher.digest()
-        })
-        .collect();
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES);
+    let hash = |block| {
+        hasher.update(block);
+        hasher.digest()
+    };
+    blocks.map(hash).collect()
+}
+
+/// Estimates the size of a completion and hashes its prompt in blocks.
+fn estimate_work(completion: &Completion<'_>) -> Work {
+    let prompt = completion.prompt();
     let bound = completion.max_completion_tokens.or(completion.max_tokens);
     Work {
         prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
         answer_tokens: bound.unwrap_or(DEFAULT_ANSWER_TOKENS),
-        prefix,
+        prefix: hash_blocks(prompt),
     }
 }
--- a/bergamotshift-entry/src/api/openai/mod.rs
+++ b/bergamotshift-entry/src/api/openai/mod.rs
@@ -20,6 +20,7 @@
 use serde_json::json;
 
 use self::complete::complete;
+pub use self::complete::hash_prompt;
 use super::error::Error;
 use super::error::Reason;
 use super::reply::Active;
--- a/bergamotshift-entry/src/jobs/run.rs
+++ b/bergamotshift-entry/src/jobs/run.rs
@@ -10,6 +10,7 @@
 use bergamotshift_claim::job::Completion;
 use bergamotshift_claim::job::Event;
 use bergamotshift_claim::job::Runner;
+use bergamotshift_config::config::Kind;
 use bergamotshift_core::prelude::*;
 use bergamotshift_core::table::Key;
 use ntex::http::HeaderMap;
@@ -17,10 +18,12 @@
 use ntex::http::uri::PathAndQuery;
 use ntex::rt::JoinHandle;
 use ntex::util::Bytes;
+use slog::warn;
 use smol_str::format_smolstr;
 use tokio::sync::mpsc;
 
 use super::scan::Running;
+use crate::api::openai;
 use crate::api::request;
 use crate::claims;
 use crate::claims::Store;
@@ -204,6 +207,10 @@
     };
     let (method, path) = (&record.request.method, &record.request.path);
     let handling = snapshot.config.handling(service, method, path);
+    let prefix = match service.kind {
+        Kind::Model => hash_prompt(worker, record.id, &body),
+        Kind::Plain => Vec::new(),
+    };
     let times = request::times(&HeaderMap::new(), &handling, service, worker.shared.now()).ok()?;
     Some(Rc::new(Call {
         id: worker.generate_id(),
@@ -218,6 +225,17 @@
         repeatable: record.repeatable,
         urgency: handling.urgency,
         times,
-        work: Work::default(),
+        work: Work {
+            prefix,
+            ..Work::default()
+        },
     }))
 }
+
+/// Returns the cumulative hashes of the blocks of a job's prompt, by which its parts are known.
+fn hash_prompt(worker: &Worker, id: job::Id, body: &[u8]) -> Vec<u64> {
+    openai::hash_prompt(body).unwrap_or_else(|error| {
+        warn!(worker.shared.settings.logger, "the prompt of a job cannot be read"; "job" => %id, "error" => %error);
+        Vec::new()
+    })
+}
--- a/bergamotshift-entry/tests/entry/jobs.rs
+++ b/bergamotshift-entry/tests/entry/jobs.rs
@@ -4,8 +4,11 @@
 
 use bergamotshift_claim::job;
 use bergamotshift_entry::jobs::Settings;
+use bergamotshift_standin::engine;
+use bergamotshift_standin::fault::Fault;
 use bergamotshift_standin::plain;
 use ntex::http::Method;
+use serde_json::json;
 
 use crate::site::KEY;
 use crate::site::Layout;
@@ -215,3 +218,42 @@
     let job = location(&hand_in(&pair.second, Method::PUT, "k", "map").await);
     assert_eq!(ended(&pair.second, &job).await.json()["run"], 1);
 }
+
+/// Guards against a beginning of many deferred prompts that ends one endpoint after the other, because jobs carried no parts of
+/// their prompts: their deaths accused none, and none was refused.
+#[ntex::test]
+async fn jobs_that_share_a_poisonous_beginning_stop_after_few_endpoints() {
+    const ENGINES: usize = 12;
+    let mut layout = Layout {
+        engines: ENGINES,
+        plains: 0,
+        llm: "deferrable = true",
+        engine: engine::Settings {
+            first_token: Duration::from_millis(250),
+            ..engine::Settings::default()
+        },
+        ..layout(0, Duration::from_secs(30))
+    };
+    layout.settings.jobs.runner.max_runs = 1;
+    let site = Site::start(layout).await;
+    for engine in &site.engines {
+        engine.fault(Fault::CrashOn {
+            marker: "poison".to_owned(),
+        });
+    }
+    let beginning = "poison ".repeat(500);
+    let hand_in = async |content: String| {
+        let chat = json!({"model": "tiny", "messages": [{"role": "user", "content": content}], "max_tokens": 3});
+        let headers = [("content-type", "application/json"), ("prefer", "respond-async")];
+        let reply = site.send(Method::POST, "/v1/chat/completions", &headers, chat.to_string());
+        location(&reply.await)
+    };
+    for number in 0..ENGINES {
+        hand_in(format!("{beginning} {number}")).await;
+        let sound = hand_in(format!("hello {number}")).await;
+        let reply = ended(&site, &sound).await;
+        let crashed = site.runs() - (number + 1);
+        assert_eq!(reply.status, 200, "after {crashed} crashes: {}", reply.text());
+        assert!(crashed <= 6, "{crashed} endpoints");
+    }
+}
