fix(forward): the log says why another entry gave no answer

Cause: three questions between entries dropped the reason. The question for a stream's version logged failures since, but not an entry that gave no answer before the timeout for all of them, so only 'known_from: unknown' was left. A permit was 'nobody grants a permit' whatever the answers were. A keeper was 'keeper not reached' without a cause, and an answer without a decision, and the deputy's, left no line.

Change: each unanswered question is logged through the rate-limited log with its cause: 'version of a stream not answered', 'permit not answered', 'keeper not reached' and 'keeper gave no decision'. No decision changes.

Test: unanswered::an_entry_that_does_not_answer_in_time_for_a_streams_version_is_logged. The lines of permits and keepers have no test of their own.

--- a/bergamotshift-forward/src/peers/origins.rs
+++ b/bergamotshift-forward/src/peers/origins.rs
@@ -3,6 +3,7 @@
 use core::cell::RefCell;
 use core::net::SocketAddr;
 use core::time::Duration;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -45,6 +46,9 @@
 /// Timeout for the answers of the entries that are asked for a version.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Cause in the log if an entry has not answered within the timeout.
+const NOT_IN_TIME: &str = "no answer in time";
+
 /// Message to another entry about the versions of streams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -88,8 +92,10 @@
         let question = &question;
         let ask = async |entry: SocketAddr| (entry, self.send(entry, question).await);
         let mut answers: FuturesUnordered<_> = entries.iter().map(|entry| ask(*entry)).collect();
+        let mut unanswered: BTreeSet<SocketAddr> = entries.iter().copied().collect();
         let first = async {
             while let Some((entry, answer)) = answers.next().await {
+                unanswered.remove(&entry);
                 match answer {
                     Ok(Some(version)) => return Some(version),
                     Ok(None) => {}
@@ -98,7 +104,13 @@
             }
             None
         };
-        timeout(ASK_TIMEOUT, first).await.ok().flatten()
+        if let Ok(version) = timeout(ASK_TIMEOUT, first).await {
+            return version;
+        }
+        for entry in unanswered {
+            self.log_unanswered(entry, NOT_IN_TIME);
+        }
+        None
     }
 
     /// Logs that another entry did not answer which version began a stream.
@@ -139,7 +151,7 @@
         let cause = match told {
             Ok(Ok(_)) => return,
             Ok(Err(cause)) => cause,
-            Err(_) => "no answer in time".to_owned(),
+            Err(_) => NOT_IN_TIME.to_owned(),
         };
         if let Some((logger, left_out)) = self.shared.log.rate_limited(self.shared.clock.now(), Topic::Peers) {
             info!(logger, "versions of streams not told"; "address" => %address, "cause" => cause,
--- a/bergamotshift-forward/src/peers/permit.rs
+++ b/bergamotshift-forward/src/peers/permit.rs
@@ -137,25 +137,36 @@
         let entry = self.shared.settings.name.clone();
         let question = Question { entry, rate, cost };
         let reply = timeout(granter::ANSWER_TIMEOUT, self.exchange(address, &question)).await;
-        let verdict = reply.ok().flatten();
+        let verdict = reply.unwrap_or_else(|_| Err("no answer in time".to_owned()));
         let now = self.shared.clock.now();
         let mut backoffs = self.backoffs.borrow_mut();
-        if verdict.is_none() {
+        if let Err(cause) = &verdict {
             backoffs.insert(address, now + granter::BACKOFF);
             self.shared.metrics.permits_unanswered.inc();
+            if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::Limit) {
+                info!(logger, "permit not answered"; "address" => %address, "cause" => cause,
+                    "endpoint" => endpoint.registration.id.as_str(),
+                    "pause_ms" => granter::BACKOFF.as_millis() as u64, "left_out" => left_out);
+            }
         }
         backoffs.retain(|_, until| now < *until);
-        verdict
+        verdict.ok()
     }
 
-    async fn exchange(&self, address: SocketAddr, question: &Question) -> Option<Verdict> {
-        let question = postcard::to_stdvec(question).ok()?;
+    /// Sends a question to another entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why there is no verdict.
+    async fn exchange(&self, address: SocketAddr, question: &Question) -> Result<Verdict, String> {
+        let question = postcard::to_stdvec(question).map_err(|error| error.to_string())?;
         let clock = self.shared.clock;
         let call = exchange::call_pooled(&self.pool, clock, address, granter::ANSWER_TIMEOUT, PATH, &question);
-        let answer = call.await.ok()?;
-        (answer.status == StatusCode::OK)
-            .then(|| postcard::from_bytes(&answer.body).ok())
-            .flatten()
+        let answer = call.await.map_err(|failure| failure.to_string())?;
+        if answer.status != StatusCode::OK {
+            return Err(format!("status {}", answer.status.as_u16()));
+        }
+        postcard::from_bytes(&answer.body).map_err(|error| error.to_string())
     }
 
     fn log(&self, endpoint: &Endpoint, request: &str, rate: f64, granter: granter::Candidate, verdict: Verdict) {
--- a/bergamotshift-forward/src/serve/keeper.rs
+++ b/bergamotshift-forward/src/serve/keeper.rs
@@ -40,12 +40,12 @@
 pub(super) type Backoff = Option<(SocketAddr, Instant)>;
 
 /// Error of a question to a keeper.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Error {
-    /// The keeper did not answer.
-    Unreachable,
+    /// The keeper did not answer, for this reason.
+    Unreachable(String),
     /// The answer contains no decision, such as that of an entry which is not the keeper.
-    NoDecision,
+    NoDecision(String),
 }
 
 impl Forwarder {
@@ -110,14 +110,21 @@
                 question.deputy = false;
                 match self.ask(address, question).await {
                     Ok(answer) => return Some(answer),
-                    Err(Error::Unreachable) => self.record_unreachable(address),
-                    Err(Error::NoDecision) => {}
+                    Err(Error::Unreachable(cause)) => self.record_unreachable(address, &cause),
+                    Err(Error::NoDecision(cause)) => self.log_undecided(address, &cause),
                 }
             }
             Keeper::Other(_) | Keeper::Nobody | Keeper::Unknown => {}
         }
         question.deputy = true;
-        self.ask(view.keepers.deputy?, question).await.ok()
+        let deputy = view.keepers.deputy?;
+        match self.ask(deputy, question).await {
+            Ok(answer) => Some(answer),
+            Err(Error::Unreachable(cause) | Error::NoDecision(cause)) => {
+                self.log_undecided(deputy, &cause);
+                None
+            }
+        }
     }
 
     /// Reports the in-flight requests to the keeper shortly after they change, for the lifetime of the process.
@@ -139,7 +146,9 @@
             }
             let question = self.question(None, None);
             // If this report fails, the next question contains the same information.
-            let _ = self.ask(address, &question).await;
+            if let Err(Error::Unreachable(cause) | Error::NoDecision(cause)) = self.ask(address, &question).await {
+                self.log_undecided(address, &cause);
+            }
         }
     }
 
@@ -165,12 +174,13 @@
     async fn ask(&self, address: SocketAddr, question: &Question) -> Result<Answer, Error> {
         self.last_report.set(self.shared.clock.now());
         let asked = timeout(keeper::ANSWER_TIMEOUT, self.call(address, question)).await;
-        asked.unwrap_or(Err(Error::Unreachable))
+        asked.unwrap_or_else(|_| Err(Error::Unreachable("no answer in time".to_owned())))
     }
 
     /// Sends a question and decodes the answer.
     async fn call(&self, address: SocketAddr, question: &Question) -> Result<Answer, Error> {
-        let question = postcard::to_stdvec(question).or(Err(Error::NoDecision))?;
+        let no_decision = |error: postcard::Error| Error::NoDecision(error.to_string());
+        let question = postcard::to_stdvec(question).map_err(no_decision)?;
         let clock = self.shared.clock;
         let asked = exchange::call_pooled(
             &self.pool,
@@ -180,11 +190,12 @@
             peers::KEEP_PATH,
             &question,
         );
-        let answer = asked.await.or(Err(Error::Unreachable))?;
+        let unreachable = |failure: exchange::Failure| Error::Unreachable(failure.to_string());
+        let answer = asked.await.map_err(unreachable)?;
         if answer.status != StatusCode::OK {
-            return Err(Error::NoDecision);
+            return Err(Error::NoDecision(format!("status {}", answer.status.as_u16())));
         }
-        postcard::from_bytes(&answer.body).or(Err(Error::NoDecision))
+        postcard::from_bytes(&answer.body).map_err(no_decision)
     }
 
     /// Returns whether a keeper recently did not answer and is not asked for now.
@@ -196,13 +207,20 @@
     }
 
     /// Records that a keeper did not answer, so that the next requests do not wait for it too.
-    fn record_unreachable(&self, address: SocketAddr) {
+    fn record_unreachable(&self, address: SocketAddr, cause: &str) {
         let now = self.shared.clock.now();
         self.keeper_backoff.set(Some((address, now + keeper::BACKOFF)));
         self.shared.metrics.keeper_unanswered.inc();
         if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::State) {
-            info!(logger, "keeper not reached"; "keeper" => %address,
+            info!(logger, "keeper not reached"; "keeper" => %address, "cause" => cause,
                 "pause_ms" => keeper::BACKOFF.as_millis() as u64, "left_out" => left_out);
         }
     }
+
+    /// Logs that a keeper or a deputy gave no decision.
+    fn log_undecided(&self, address: SocketAddr, cause: &str) {
+        if let Some((logger, left_out)) = self.shared.log.rate_limited(self.shared.clock.now(), Topic::Peers) {
+            info!(logger, "keeper gave no decision"; "keeper" => %address, "cause" => cause, "left_out" => left_out);
+        }
+    }
 }
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -28,6 +28,7 @@
 mod streams;
 mod throttled;
 mod tolerance;
+mod unanswered;
 mod uneven;
 mod unframed;
 mod versions;
