test(soak): model engines under hard load, and organisations that overload them

The soak had neither model engines nor callers that return, so nothing checked on whole daemons that an organisation which sends six times its usual load starves no other one, that a refused stream did not run, and that Retry-After leaves the caller time to be served.

The steps are drawn from numbers of their own; without the flag the document, the endpoints and the callers are as before.

Ruled out: engines among the services of every run, as the plans of kept seeds would change; slow phases as disruptions in the book, as they would excuse the other promises most of the time.

--- a/bergamotshift-soak/src/caller.rs
+++ b/bergamotshift-soak/src/caller.rs
@@ -1,5 +1,7 @@
 //! Callers that keep their connections until the other side ends them.
 
+mod demand;
+
 use core::ops::Range;
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::Ordering;
@@ -194,26 +196,42 @@
     }
 
     fn ask(&mut self, kind: Kind, tenant: Tenant, part: Option<&Part>) -> Outcome {
+        let id = self.next_id();
+        let text = self.request(&id, kind, tenant, part);
+        self.exchange(&id, &text, kind, tenant, part).0
+    }
+
+    /// Returns the identifier of the next attempt.
+    fn next_id(&mut self) -> SmolStr {
+        self.sent += 1;
+        site::request_id(self.seed, self.number, self.sent)
+    }
+
+    /// Sends an attempt; returns how it ended, and the head of the answer.
+    fn exchange(
+        &mut self,
+        id: &SmolStr,
+        text: &str,
+        kind: Kind,
+        tenant: Tenant,
+        part: Option<&Part>,
+    ) -> (Outcome, String) {
         let Some((door, mut stream)) = self.connection.take() else {
-            return Outcome::Cut;
+            return (Outcome::Cut, String::new());
         };
-        self.sent += 1;
-        let id = site::request_id(self.seed, self.number, self.sent);
         let sent = self.ledger.now();
-        let asked = stream
-            .get_mut()
-            .write_all(self.request(&id, kind, tenant, part).as_bytes());
+        let asked = stream.get_mut().write_all(text.as_bytes());
         let mut answer = Answer::default();
         let read = asked.and_then(|()| read(&mut stream, &mut answer));
         let outcome = match &read {
-            Ok(()) => self.judge(&answer, &id, kind, part),
+            Ok(()) => self.judge(&answer, id, kind, part),
             Err(error) => failed(error),
         };
         if outcome == Outcome::Cut && kind == Kind::Draft && part.is_none() {
-            self.part = began(&answer, &id, tenant);
+            self.part = began(&answer, id, tenant);
         }
         self.ledger.book().exchanges.push(Exchange {
-            id,
+            id: id.clone(),
             entry: door.entry,
             life: door.life,
             kind,
@@ -227,7 +245,7 @@
         if stays {
             self.connection = Some((door, stream));
         }
-        outcome
+        (outcome, answer.head)
     }
 
     fn request(&self, id: &str, kind: Kind, tenant: Tenant, part: Option<&Part>) -> String {
@@ -273,7 +291,7 @@
             return Outcome::Wrong("it belongs to another request".to_owned());
         }
         let is_expected = match (kind, part) {
-            (Kind::Draft, None) => VERSIONS
+            (Kind::Draft, None) | (Kind::Generate, _) => VERSIONS
                 .iter()
                 .any(|version| answer.body == events(id, 0, version).as_bytes()),
             (Kind::Draft, Some(part)) => answer.body == events(id, part.last, part.version).as_bytes(),
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -28,6 +28,7 @@
 use bergamotshift_metadata_standin::Call;
 use smol_str::SmolStr;
 
+use crate::engine::Engine;
 use crate::ledger::Arrival;
 use crate::ledger::Ledger;
 use crate::proxy::Proxy;
@@ -38,6 +39,9 @@
 /// How long a request takes, and how far apart the events of a stream are.
 const WORK: Duration = Duration::from_millis(8);
 
+/// How many requests an endpoint has room for, as it registers that.
+pub const SLOTS: u32 = 64;
+
 /// How many requests an endpoint runs at a time while it tolerates few rejections.
 const SCARCE_ROOM: usize = 1;
 
@@ -123,6 +127,8 @@
     id: SmolStr,
     service: &'static str,
     version: &'static str,
+    /// What makes it a model engine; `None` for an endpoint of a plain service.
+    engine: Option<Engine>,
     dialect: Dialect,
     ledger: Arc<Ledger>,
     habit: AtomicU8,
@@ -146,18 +152,25 @@
 }
 
 impl Endpoint {
-    /// Starts an endpoint.
+    /// Starts an endpoint, which is a model engine if it has a usual pace.
     ///
     /// # Errors
     ///
     /// Returns what the system says when no port is free.
-    pub fn start(id: SmolStr, service: &'static str, version: &'static str, ledger: Arc<Ledger>) -> io::Result<Self> {
+    pub fn start(
+        id: SmolStr,
+        service: &'static str,
+        version: &'static str,
+        usual_pace: Option<u32>,
+        ledger: Arc<Ledger>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             id,
             service,
             version,
+            engine: usual_pace.map(Engine::new),
             dialect: bergamotshift_metadata::dialect(),
             ledger,
             habit: AtomicU8::new(0),
@@ -188,6 +201,16 @@
         &self.shared.id
     }
 
+    /// Returns its service.
+    pub fn service(&self) -> &'static str {
+        self.shared.service
+    }
+
+    /// Returns what makes it a model engine.
+    pub fn engine(&self) -> Option<&Engine> {
+        self.shared.engine.as_ref()
+    }
+
     /// Returns what it registers.
     pub fn registration(&self, zone: &str, leaving: bool) -> Registration {
         Registration {
@@ -197,7 +220,7 @@
             service: self.shared.service.into(),
             address: self.proxy.address,
             zone: zone.into(),
-            slots: 64,
+            slots: SLOTS,
             leaving,
             market: Market::OnDemand,
             leaves_in: None,
@@ -288,6 +311,16 @@
                 stream.write_all(self.head(status, &id, said, &not_run).as_bytes())?;
                 continue;
             }
+            if let Some(engine) = &self.engine {
+                let size = call.header(self.dialect.size.as_str()).unwrap_or_default();
+                let tokens = size.split(',').next().and_then(|text| text.parse().ok());
+                // The connection of a caller that has left is closed.
+                if !engine.read(tokens.unwrap_or(0), || is_open(&stream)) {
+                    return Ok(());
+                }
+                self.stream(&mut stream, &call, &id, said, habit)?;
+                continue;
+            }
             thread::sleep(WORK);
             let prompt = call.header(self.dialect.prompt.as_str()).unwrap_or_default();
             if call.request_line.contains(Kind::Crash.prefix()) || prompt.contains(CRASHING_PART) {
@@ -323,9 +356,14 @@
 
     fn head(&self, status: &str, id: &str, said: Notice, extra: &str) -> String {
         let said = said.lines(&self.dialect);
-        let Dialect { request, seal, .. } = &self.dialect;
+        let Dialect {
+            request, seal, load, ..
+        } = &self.dialect;
+        let loaded = self.engine.as_ref().map_or_else(String::new, |engine| {
+            format!("{load}: {}\r\n", engine.load(self.running.load(Ordering::Relaxed)))
+        });
         format!(
-            "HTTP/1.1 {status}\r\n{request}: {id}\r\n{seal}: {}.{id}\r\n{said}{extra}\r\n",
+            "HTTP/1.1 {status}\r\n{request}: {id}\r\n{seal}: {}.{id}\r\n{loaded}{said}{extra}\r\n",
             self.id
         )
     }
@@ -352,6 +390,7 @@
         let last = call.header(LAST_EVENT.as_str()).and_then(|text| text.parse().ok());
         let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
         stream.write_all(self.head("200 OK", id, said, framing).as_bytes())?;
+        let step = || self.engine.as_ref().map_or(WORK, |engine| engine.time(WORK));
         for number in last.unwrap_or(0) + 1..=EVENTS {
             let event = event(id, number, self.version);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
@@ -363,12 +402,26 @@
                 thread::sleep(Duration::from_secs(2));
             }
             stream.write_all(chunk.as_bytes())?;
-            thread::sleep(WORK);
+            thread::sleep(step());
         }
         stream.write_all(b"0\r\n\r\n")
     }
 }
 
+/// Returns whether the other side of a connection still waits.
+fn is_open(stream: &TcpStream) -> bool {
+    let peek = || {
+        stream.set_nonblocking(true)?;
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false)?;
+        peeked
+    };
+    match peek() {
+        Ok(length) => length > 0,
+        Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Returns the body of a whole answer.
 pub fn body(id: &str) -> String {
     format!("the answer to {id}, and to nobody else")
--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -35,7 +35,8 @@
 }
 
 impl Fleet {
-    pub(super) fn endpoint(&mut self, service: &'static str) -> io::Result<Endpoint> {
+    /// Starts an endpoint of a service and registers it.
+    pub(super) fn endpoint(&mut self, service: &'static str, usual_pace: Option<u32>) -> io::Result<Endpoint> {
         self.named += 1;
         let id = site::endpoint_id(self.seed, service, self.named);
         let version = if self.has_versions {
@@ -43,7 +44,7 @@
         } else {
             VERSIONS[0]
         };
-        let endpoint = Endpoint::start(id, service, version, Arc::clone(&self.ledger))?;
+        let endpoint = Endpoint::start(id, service, version, usual_pace, Arc::clone(&self.ledger))?;
         for entry in &self.entries {
             if let (Some(process), Some(cut)) = (&entry.process, entry.cut) {
                 endpoint.proxy.set_cut(process.id(), Some(cut));
@@ -54,7 +55,9 @@
     }
 
     pub(super) fn replace(&mut self, place: usize) -> io::Result<Endpoint> {
-        let next = self.endpoint(SERVICES[place % SERVICES.len()])?;
+        let old = &self.endpoints[place];
+        let (service, usual_pace) = (old.service(), old.engine().map(|engine| engine.usual));
+        let next = self.endpoint(service, usual_pace)?;
         Ok(core::mem::replace(&mut self.endpoints[place], next))
     }
 
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -22,10 +22,13 @@
 use self::endpoints::Later;
 use self::entries::Entry;
 use self::entries::configuration;
+use crate::demand::Demand;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Habit;
 use crate::endpoint::Notice;
+use crate::engine::PACES;
 use crate::ledger::Ledger;
+use crate::ledger::Overload;
 use crate::ledger::Place;
 use crate::ledger::Version;
 use crate::plan::Step;
@@ -34,7 +37,9 @@
 use crate::proxy::Proxy;
 use crate::run::Settings;
 use crate::site;
+use crate::site::ENGINES;
 use crate::site::SERVICES;
+use crate::site::Tenant;
 
 /// All that runs.
 #[derive(Debug)]
@@ -44,6 +49,8 @@
     ledger: Arc<Ledger>,
     /// Where callers come in.
     pub doors: Arc<Doors>,
+    /// Which organisation overloads the model engines.
+    pub demand: Arc<Demand>,
     /// The store and the cloud API.
     pub store: Store,
     entries: Vec<Entry>,
@@ -59,6 +66,8 @@
     connects: Duration,
     /// Whether endpoints of two versions serve side by side.
     has_versions: bool,
+    /// Whether there are model engines.
+    has_engines: bool,
 }
 
 impl Fleet {
@@ -81,6 +90,7 @@
             folder: folder.clone(),
             ledger,
             doors: Arc::default(),
+            demand: Arc::default(),
             store,
             entries: Vec::new(),
             endpoints: Vec::new(),
@@ -91,12 +101,17 @@
             copy: None,
             connects: settings.connects,
             has_versions: settings.versions,
+            has_engines: settings.hard_load,
         };
         fleet.document();
         for number in 0..size.endpoints * SERVICES.len() {
-            let endpoint = fleet.endpoint(SERVICES[number % SERVICES.len()])?;
+            let endpoint = fleet.endpoint(SERVICES[number % SERVICES.len()], None)?;
             fleet.endpoints.push(endpoint);
         }
+        for pace in PACES.into_iter().filter(|_| settings.hard_load) {
+            let engine = fleet.endpoint(ENGINES, Some(pace))?;
+            fleet.endpoints.push(engine);
+        }
         for number in 0..size.entries {
             let link = Proxy::start(fleet.store.address)?;
             let settings = folder.join(format!("entry-{number}.toml"));
@@ -190,6 +205,12 @@
                 self.endpoints[place].proxy.reset();
             }
             Step::CutOff(entry, cut) => self.cut_off(entry, cut),
+            Step::Slow(place, is_slow) => {
+                if let Some(engine) = self.endpoints[place].engine() {
+                    engine.set_slow(is_slow);
+                }
+            }
+            Step::Overload(team) => self.overload(team),
             Step::Move => self.document(),
         }
         Ok(())
@@ -209,7 +230,9 @@
             }
             self.carry_out(Step::Notice(place, Notice::Quiet))?;
             self.carry_out(Step::Reach(place, Mode::Pass))?;
+            self.carry_out(Step::Slow(place, false))?;
         }
+        self.overload(None);
         for entry in 0..self.entries.len() {
             self.carry_out(Step::CutOff(entry, None))?;
             self.carry_out(Step::Link(entry, Mode::Pass))?;
@@ -246,6 +269,21 @@
         self.store.state().disruption = Some(Disruption::new(fault, Instant::now() + span, spared));
     }
 
+    /// Lets an organisation overload the model engines from now on, or none.
+    fn overload(&mut self, team: Option<usize>) {
+        self.demand.set_overload(team);
+        let now = self.ledger.now();
+        let mut book = self.ledger.book();
+        for overload in book.overloads.iter_mut().filter(|overload| overload.until.is_none()) {
+            overload.until = Some(now);
+        }
+        book.overloads.extend(team.map(|team| Overload {
+            tenant: Tenant::Team(team),
+            from: now,
+            until: None,
+        }));
+    }
+
     /// Writes the next document: the moving route goes to the next service.
     fn document(&mut self) {
         self.version += 1;
@@ -264,7 +302,8 @@
 impl Fleet {
     /// Writes the newest document, in which the moving route goes to `service`.
     fn write_document(&self, service: &'static str) {
-        self.store.put_document(&site::document(self.version, service));
+        self.store
+            .put_document(&site::document(self.version, service, self.has_engines));
     }
 }
 
--- a/bergamotshift-soak/src/ledger.rs
+++ b/bergamotshift-soak/src/ledger.rs
@@ -69,6 +69,30 @@
     pub outcome: Outcome,
 }
 
+/// What else is known of an exchange that asked model engines.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The exchange's identifier.
+    pub id: SmolStr,
+    /// The identifier of the caller's first attempt at the same request.
+    pub request: SmolStr,
+    /// How long the caller still waited when it sent it.
+    pub left: Duration,
+    /// When the caller was told to return.
+    pub retry_after: Option<Duration>,
+}
+
+/// A time in which an organisation overloaded the model engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Overload {
+    /// Whose requests there were too many of.
+    pub tenant: Tenant,
+    /// When it began.
+    pub from: Duration,
+    /// When it was over; `None` while it lasts.
+    pub until: Option<Duration>,
+}
+
 /// What was harmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -135,6 +159,10 @@
     pub arrivals: Vec<Arrival>,
     /// Callers' attempts, in the order in which they ended.
     pub exchanges: Vec<Exchange>,
+    /// What else is known of those that asked model engines.
+    pub attempts: Vec<Attempt>,
+    /// Times in which an organisation overloaded the model engines.
+    pub overloads: Vec<Overload>,
     /// What the soak did.
     pub disruptions: Vec<Disruption>,
     /// The documents, oldest first.
--- a/bergamotshift-soak/src/lib.rs
+++ b/bergamotshift-soak/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod caller;
 pub mod crash;
 pub mod cut;
+pub mod demand;
 pub mod endpoint;
+pub mod engine;
 pub mod fleet;
 pub mod ledger;
 pub mod notice;
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -67,6 +67,11 @@
         no_short
     )]
     versions: bool,
+    #[options(
+        help = "let organisations overload model engines whose speeds differ and change",
+        no_short
+    )]
+    hard_load: bool,
 }
 
 fn main() -> ExitCode {
@@ -110,6 +115,7 @@
     settings.crashes = arguments.crashes;
     settings.parts = arguments.parts;
     settings.versions = arguments.versions;
+    settings.hard_load = arguments.hard_load;
     settings.size.entries = arguments.entries;
     settings.size.span = Duration::from_secs(arguments.seconds);
     if arguments.unbalanced {
@@ -134,6 +140,7 @@
         arrivals,
         steps,
         reports,
+        engines,
         broken,
     } = report;
     let verdict = if broken.is_empty() { "kept" } else { "BROKEN" };
@@ -141,6 +148,9 @@
         "seed {seed}: {verdict}; {steps} steps, {exchanges} requests, {served} served, {arrivals} at endpoints, \
          {reports} usage reports"
     );
+    if engines.attempts > 0 {
+        println!("seed {seed}: {engines:?}");
+    }
     for broken in broken {
         println!(
             "seed {seed}:   {}: {} (logs: {})",
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -9,10 +9,12 @@
 
 use crate::endpoint::Habit;
 use crate::endpoint::Notice;
+use crate::engine::PACES;
 use crate::proxy::Cut;
 use crate::proxy::Mode;
 use crate::proxy::Way;
 use crate::site::SERVICES;
+use crate::site::TEAMS;
 
 /// One thing that the soak does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +57,10 @@
     ResetReach(usize),
     /// Cuts an entry off from all endpoints, or connects it again.
     CutOff(usize, Option<Cut>),
+    /// Sets whether a model engine is slower than usual.
+    Slow(usize, bool),
+    /// Lets an organisation overload the model engines, or none.
+    Overload(Option<usize>),
     /// Moves the moving route to another service.
     Move,
 }
@@ -117,6 +123,21 @@
 /// Time after a restore until operators and endpoints write again, in milliseconds: at most a heartbeat.
 const REWRITE_MS: Range<u64> = 50..1_200;
 
+/// Mean time between the end of an engine's slow phase and the next one, in milliseconds: an engine is slow 15 % of the time.
+const SLOW_GAP_MS: u64 = 3_400;
+
+/// How long a slow phase lasts.
+const SLOW_SPAN: Duration = Duration::from_millis(600);
+
+/// Time from the end of an overload to the next one, in milliseconds: long enough for its queue to be worked off.
+const OVERLOAD_GAP_MS: Range<u64> = 2_000..4_000;
+
+/// How long an organisation overloads the engines, in milliseconds.
+const OVERLOAD_MS: Range<u64> = 4_000..6_000;
+
+/// Mean time between two engines that crash, in milliseconds.
+const ENGINE_CRASH_GAP_MS: u64 = 8_000;
+
 /// How long callers are left alone at the start.
 const CALM: Duration = Duration::from_millis(1_500);
 
@@ -185,6 +206,18 @@
         self
     }
 
+    /// Draws slow phases and crashes of model engines and organisations that overload them, and adds them; the other steps
+    /// stay as they are.
+    #[must_use]
+    pub fn with_hard_load(mut self, seed: u64, size: Size) -> Self {
+        // Other numbers than those of the steps before.
+        let mut draw = Draw::new(seed, size, 6);
+        draw.hard_load();
+        self.steps.extend(draw.steps);
+        self.steps.sort_by_key(|(at, _)| *at);
+        self
+    }
+
     /// Draws what endpoints say of themselves, and adds it; the other steps stay as they are.
     #[must_use]
     pub fn with_notices(mut self, seed: u64, size: Size) -> Self {
@@ -319,6 +352,34 @@
         }
     }
 
+    /// Draws slow phases and crashes of model engines, and organisations that overload them.
+    fn hard_load(&mut self) {
+        let first = self.size.endpoints * SERVICES.len();
+        for engine in first..first + PACES.len() {
+            let mut at = Duration::from_millis(self.below(2 * SLOW_GAP_MS));
+            while at < self.size.span {
+                self.push(at, Step::Slow(engine, true));
+                at += SLOW_SPAN;
+                self.push(at, Step::Slow(engine, false));
+                at += Duration::from_millis(self.below(2 * SLOW_GAP_MS));
+            }
+        }
+        let mut at = self.within(OVERLOAD_GAP_MS);
+        while at < self.size.span {
+            let team = self.below(TEAMS.len() as u64) as usize;
+            self.push(at, Step::Overload(Some(team)));
+            at += self.within(OVERLOAD_MS);
+            self.push(at, Step::Overload(None));
+            at += self.within(OVERLOAD_GAP_MS);
+        }
+        let mut at = CALM + Duration::from_millis(self.below(2 * ENGINE_CRASH_GAP_MS));
+        while at < self.size.span {
+            let engine = first + self.below(PACES.len() as u64) as usize;
+            self.push(at, Step::Crash(engine));
+            at += Duration::from_millis(self.below(2 * ENGINE_CRASH_GAP_MS));
+        }
+    }
+
     /// Draws a copy of the store and its restore, and returns the time of the restore.
     fn restore(&mut self, at: Duration) -> Duration {
         let restored = at + self.duration(COPY_AGE_MS);
--- a/bergamotshift-soak/src/promise.rs
+++ b/bergamotshift-soak/src/promise.rs
@@ -100,6 +100,16 @@
     seen.broken
 }
 
+/// Returns whether the status of a refusal says for requests of a kind that they did not run; others may be sent again.
+const fn is_refused_unrun(kind: Kind) -> bool {
+    matches!(kind, Kind::Confirm | Kind::Generate)
+}
+
+/// Returns whether engines were short of capacity for a request, as they are in calm times too.
+const fn is_short(exchange: &Exchange) -> bool {
+    matches!(exchange.kind, Kind::Generate) && matches!(exchange.outcome, Outcome::Answered(503 | 504))
+}
+
 fn is_unplanned(disruption: &Disruption) -> bool {
     !disruption.is_planned
 }
@@ -121,13 +131,14 @@
             let promise = match (&exchange.outcome, exchange.tenant) {
                 (Outcome::Wrong(_), _) => "an answer is whole and its caller's own",
                 (Outcome::Answered(200), Tenant::Stranger) => "an unknown key gets nothing",
-                (Outcome::Answered(401 | 403 | 404), Tenant::Free | Tenant::Limited) => {
+                (Outcome::Answered(401 | 403 | 404), Tenant::Free | Tenant::Limited | Tenant::Team(_)) => {
                     "what every document allows is not denied"
                 }
-                (Outcome::Answered(408 | 421 | 429 | 503), _) if exchange.kind == Kind::Confirm && ran > 0 => {
+                (Outcome::Answered(408 | 421 | 429 | 503), _) if is_refused_unrun(exchange.kind) && ran > 0 => {
                     "what was refused did not run"
                 }
                 (Outcome::Answered(200 | 401), _) | (Outcome::Answered(429), Tenant::Limited) => continue,
+                _ if is_short(exchange) => continue,
                 _ if self.is_calm(exchange, |_| true) => "in calm times requests are served",
                 (Outcome::Silent | Outcome::Cut, _) if self.is_lost(exchange) => "planned work cuts no request",
                 _ => continue,
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Instant;
 
 use thiserror::Error as ThisError;
@@ -17,6 +18,7 @@
 use crate::caller::Door;
 use crate::crash;
 use crate::cut;
+use crate::demand;
 use crate::fleet::Fleet;
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
@@ -27,6 +29,7 @@
 use crate::promise;
 use crate::promise::Broken;
 use crate::site::Kind;
+use crate::site::TEAMS;
 use crate::site::Tenant;
 
 /// How often the plan and the processes are looked at.
@@ -41,6 +44,9 @@
 /// The number of the first caller whose requests crash endpoints.
 const CRASHER: u64 = 2_000_000;
 
+/// The number of the first caller that asks model engines.
+const ENGINE_CALLER: u64 = 3_000_000;
+
 /// What a run is made of.
 #[expect(clippy::struct_excessive_bools, reason = "each is a switch of its own")]
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,6 +78,8 @@
     pub parts: bool,
     /// Whether endpoints of two versions serve side by side, and callers take up streams that broke off.
     pub versions: bool,
+    /// Whether there are model engines whose speeds differ and change, and organisations that overload them.
+    pub hard_load: bool,
 }
 
 impl Default for Settings {
@@ -94,6 +102,7 @@
             crashes: false,
             parts: false,
             versions: false,
+            hard_load: false,
         }
     }
 }
@@ -123,6 +132,8 @@
     pub steps: usize,
     /// Usage reports.
     pub reports: usize,
+    /// What became of the attempts at model engines.
+    pub engines: demand::Summary,
     /// The promises that were broken.
     pub broken: Vec<Broken>,
 }
@@ -147,17 +158,23 @@
     if settings.tolerances {
         plan = plan.with_tolerances(settings.seed, settings.size);
     }
+    if settings.hard_load {
+        plan = plan.with_hard_load(settings.seed, settings.size);
+    }
     let ledger = Arc::new(Ledger::default());
     let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
     let mut late = recover(&mut fleet, &ledger, settings.seed, CHECKER)?;
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..settings.callers)
+    let mut callers: Vec<_> = (0..settings.callers)
         .map(|number| {
             let caller = Caller::new(number, settings.seed, Arc::clone(&ledger)).taking_up(settings.versions);
             let (doors, stop) = (Arc::clone(&fleet.doors), Arc::clone(&stop));
             thread::spawn(move || caller.run(&doors, &stop))
         })
         .collect();
+    if settings.hard_load {
+        callers.extend(demand(&fleet, &ledger, settings.seed, &stop));
+    }
     let calm = Arc::new(AtomicBool::new(false));
     let crashers = [
         (settings.crashes, Kind::Crash, CRASHER),
@@ -191,6 +208,7 @@
     broken.extend(notice::check(&book));
     broken.extend(crash::check(&book));
     broken.extend(cut::check(&book));
+    broken.extend(demand::check(&book));
     broken.extend(late);
     let served = |outcome: &Outcome| *outcome == Outcome::Answered(200);
     Ok(Report {
@@ -203,10 +221,24 @@
         arrivals: book.arrivals.len(),
         steps: plan.steps.len(),
         reports: reports.len(),
+        engines: demand::Summary::of(&book),
         broken,
     })
 }
 
+/// Starts the callers of model engines: those of each organisation, and those of the one that overloads the engines.
+fn demand(fleet: &Fleet, ledger: &Arc<Ledger>, seed: u64, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+    let usual = (0..TEAMS.len()).flat_map(|team| [Some(team); demand::CALLERS]);
+    let teams = usual.chain([None; demand::CALLERS * (demand::TIMES - 1)]);
+    let numbered = (ENGINE_CALLER..).zip(teams);
+    let started = numbered.map(|(number, team)| {
+        let caller = Caller::new(number, seed, Arc::clone(ledger));
+        let (demand, doors, stop) = (Arc::clone(&fleet.demand), Arc::clone(&fleet.doors), Arc::clone(stop));
+        thread::spawn(move || caller.demand(team, &demand, &doors, &stop))
+    });
+    started.collect()
+}
+
 /// Carries a plan out.
 fn follow(fleet: &mut Fleet, plan: &Plan, span: Duration) -> Result<(), process::Error> {
     let start = Instant::now();
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use bergamotshift_forward::document::Document;
+use bergamotshift_forward::document::Engine;
 use bergamotshift_forward::document::Kind as Repeat;
 use bergamotshift_forward::document::Limit;
 use bergamotshift_forward::document::Organisation;
@@ -13,6 +14,8 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
+use crate::endpoint::SLOTS;
+
 /// The host that all routes answer for.
 pub const HOST: &str = "staff.example";
 
@@ -22,6 +25,17 @@
 /// The services; the moving route goes from one to the next.
 pub const SERVICES: [&str; 3] = ["alpha", "beta", "gamma"];
 
+/// The service of model engines.
+pub const ENGINES: &str = "engines";
+
+/// The organisations whose callers ask model engines, with their keys.
+pub const TEAMS: [(&str, &str); 4] = [
+    ("kitchen", "key-kitchen"),
+    ("floor", "key-floor"),
+    ("bar", "key-bar"),
+    ("banquets", "key-banquets"),
+];
+
 /// The versions of endpoints' software, whose events do not fit together.
 pub const VERSIONS: [&str; 2] = ["v1", "v2"];
 
@@ -54,6 +68,8 @@
     Draft,
     /// As a checkin, on the route that the operators move.
     Moving,
+    /// A stream of a model engine.
+    Generate,
     /// As a checkin, with the same content each time; it crashes each endpoint that runs it.
     Crash,
     /// As a checkin, no two alike; a part of its prompt crashes each endpoint that runs it.
@@ -66,7 +82,7 @@
         matches!(self, Self::Crash | Self::Part)
     }
 
-    /// All kinds that a route of its own leads to.
+    /// All kinds that a route of its own leads to in every run.
     pub const ALL: [Self; 4] = [Self::Checkin, Self::Confirm, Self::Draft, Self::Moving];
 
     /// Returns what the paths of its route begin with.
@@ -76,6 +92,7 @@
             Self::Confirm => "/confirm/",
             Self::Draft => "/draft/",
             Self::Moving => "/moving/",
+            Self::Generate => "/generate/",
             Self::Crash => CRASH_PATH,
             Self::Part => "/checkin/part-",
         }
@@ -89,6 +106,8 @@
     Free,
     /// An organisation with a limit that its callers exceed.
     Limited,
+    /// One of the organisations whose callers ask model engines; none has a limit.
+    Team(usize),
     /// Nobody: its key is unknown.
     Stranger,
 }
@@ -99,6 +118,7 @@
         match self {
             Self::Free => Some("horeca"),
             Self::Limited => Some("events"),
+            Self::Team(number) => Some(TEAMS[number].0),
             Self::Stranger => None,
         }
     }
@@ -108,6 +128,7 @@
         match self {
             Self::Free => "key-horeca",
             Self::Limited => "key-events",
+            Self::Team(number) => TEAMS[number].1,
             Self::Stranger => "key-nobody",
         }
     }
@@ -124,8 +145,8 @@
 }
 
 /// Returns the operators' document under a version, in which the moving route goes to `service`.
-pub fn document(version: u64, service: &str) -> Document {
-    Document {
+pub fn document(version: u64, service: &str, has_engines: bool) -> Document {
+    let mut document = Document {
         version,
         routes: Kind::ALL.map(|kind| route(kind, service)).to_vec(),
         services: SERVICES.map(self::service).to_vec(),
@@ -134,9 +155,25 @@
             organisation(Tenant::Limited, Some(LIMIT)),
         ],
         ..Document::default()
+    };
+    if has_engines {
+        document.routes.push(route(Kind::Generate, service));
+        document.services.push(Service {
+            engine: Some(ENGINE),
+            ..self::service(ENGINES)
+        });
+        let teams = (0..TEAMS.len()).map(|number| organisation(Tenant::Team(number), None));
+        document.organisations.extend(teams);
     }
+    document
 }
 
+const ENGINE: Engine = Engine {
+    slots: SLOTS,
+    memory: 4_000_000,
+    transfer: None,
+};
+
 const LIMIT: Limit = Limit {
     rate: RATE,
     burst: BURST,
@@ -165,16 +202,22 @@
     let (repeat, resumable) = match kind {
         Kind::Checkin | Kind::Moving | Kind::Crash | Kind::Part => (Repeat::Idempotent, false),
         Kind::Confirm => (Repeat::Once, false),
-        Kind::Draft => (Repeat::Stream, true),
+        Kind::Draft | Kind::Generate => (Repeat::Stream, true),
+    };
+    let service = match kind {
+        Kind::Moving => moving,
+        Kind::Generate => ENGINES,
+        _ => SERVICES[0],
     };
-    let service = if kind == Kind::Moving { moving } else { SERVICES[0] };
+    // Reading a prompt alone takes up to 400 ms at the usual pace.
+    let objective = Duration::from_millis(if kind == Kind::Generate { 1_000 } else { 500 });
     Route {
         name: kind.prefix().into(),
         host: HOST.into(),
         prefix: kind.prefix().into(),
         kind: repeat,
         timeout: PATIENCE,
-        objective: Duration::from_millis(500),
+        objective,
         pause: Duration::from_millis(500),
         urgency: 2,
         splits: vec![Split {
--- a/bergamotshift-soak/tests/plan.rs
+++ b/bergamotshift-soak/tests/plan.rs
@@ -4,6 +4,7 @@
 use core::time::Duration;
 use std::collections::HashSet;
 
+use bergamotshift_soak::engine::PACES;
 use bergamotshift_soak::plan::Plan;
 use bergamotshift_soak::plan::Size;
 use bergamotshift_soak::plan::Step;
@@ -80,6 +81,30 @@
     }
 }
 
+/// Guards against kept seeds that mean something else, and against engines that stay slow or overloaded.
+#[test]
+fn hard_load_is_added_and_changes_nothing_else() {
+    let first = 3 * SIZE.endpoints;
+    for seed in 1..=50 {
+        let plain = Plan::draw(seed, SIZE);
+        let added = Plan::default().with_hard_load(seed, SIZE).steps;
+        let mut loaded = plain.clone().with_hard_load(seed, SIZE);
+        loaded.steps.retain(|step| !added.contains(step));
+        assert_eq!(loaded, plain);
+        let count = |wanted: fn(&Step) -> bool| added.iter().filter(|(_, step)| wanted(step)).count();
+        let is_begun = |step: &Step| matches!(step, Step::Slow(_, true) | Step::Overload(Some(_)));
+        let is_over = |step: &Step| matches!(step, Step::Slow(_, false) | Step::Overload(None));
+        assert!(count(is_begun) > 0);
+        assert_eq!(count(is_begun), count(is_over));
+        assert!(count(|step| matches!(step, Step::Overload(Some(_)))) > 0);
+        for (_, step) in added {
+            if let Step::Slow(engine, _) | Step::Crash(engine) = step {
+                assert!((first..first + PACES.len()).contains(&engine));
+            }
+        }
+    }
+}
+
 /// Guards against runs side by side that take each other's requests for their own, as an entry of one reaches a port that
 /// an endpoint of the other has got.
 #[test]
