--- a/bergamotshift-soak/src/caller/demand.rs
+++ b/bergamotshift-soak/src/caller/demand.rs
@@ -24,11 +24,15 @@
 use crate::site::PATIENCE;
 use crate::site::Tenant;
 
-/// The mean time between two requests of a caller, in milliseconds; most requests end within it.
-const PERIOD_MS: u64 = 2_000;
+/// The mean time between two requests of a caller, in milliseconds: a request lasts no longer unless it is sent again, so that
+/// slow answers do not lower the demand.
+const PERIOD_MS: u64 = 4_000;
+
+/// How often a caller looks whether it is to stop.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// Tokens of a prompt.
-const TOKENS: Range<u64> = 2_000..8_000;
+const TOKENS: Range<u64> = 1_000..4_000;
 
 /// Of so many callers one ignores the time to return, and comes back at once.
 const IGNORING: u64 = 8;
@@ -38,7 +42,11 @@
     pub fn demand(mut self, team: Option<usize>, demand: &Demand, doors: &Doors, stop: &AtomicBool) {
         let mut due = Instant::now() + Duration::from_millis(self.below(PERIOD_MS));
         while !stop.load(Ordering::Relaxed) {
-            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let wait = due.saturating_duration_since(Instant::now());
+            thread::sleep(wait.min(LOOK));
+            if wait > LOOK {
+                continue;
+            }
             if let Some(team) = team.or_else(|| demand.overload()) {
                 self.generate(Tenant::Team(team), doors);
             }
--- a/bergamotshift-soak/src/demand.rs
+++ b/bergamotshift-soak/src/demand.rs
@@ -19,8 +19,8 @@
 use crate::site::TEAMS;
 use crate::site::Tenant;
 
-/// The callers of an organisation in usual times. All together ask for about two thirds of what the engines can do.
-pub const CALLERS: usize = 11;
+/// The callers of an organisation in usual times. All together ask for about 70 % of what the engines can do.
+pub const CALLERS: usize = 26;
 
 /// How many times its usual requests an overloading organisation sends.
 pub const TIMES: usize = 6;
@@ -31,7 +31,7 @@
 /// How often an organisation with normal load is served, as a share of how often the overloading one is.
 const SHARE: f64 = 0.75;
 
-/// How many more of a single organisation's requests may fail by chance: it sends about 25 in one overload.
+/// How many more of a single organisation's requests may fail by chance: it sends about 30 in one overload.
 const UNSERVED: f64 = 5.0;
 
 /// How long after an entry started or was harmed its callers are left out.
--- a/bergamotshift-soak/src/engine.rs
+++ b/bergamotshift-soak/src/engine.rs
@@ -21,7 +21,7 @@
 const SLOW: u32 = 250;
 
 /// Usual paces of the engines of a service, in percent: a quarter of them is twice as fast.
-pub const PACES: [u32; 8] = [100, 50, 100, 100, 100, 50, 100, 100];
+pub const PACES: [u32; 4] = [100, 50, 100, 100];
 
 /// What an endpoint needs to be a model engine.
 #[derive(Debug)]
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -42,6 +42,13 @@
 /// The longest time that a caller waits.
 pub const PATIENCE: Duration = Duration::from_secs(4);
 
+/// The target time for an answer.
+const OBJECTIVE: Duration = Duration::from_millis(500);
+
+/// The longest pause of engines' streams that is on time; with a longer one, entries would admit streams that are expected to
+/// begin when most of a caller's patience is over.
+const ENGINE_PAUSE: Duration = Duration::from_millis(250);
+
 /// The requests a second that the limited organisation may send, over all entries together.
 pub const RATE: f64 = 30.0;
 
@@ -209,16 +216,19 @@
         Kind::Generate => ENGINES,
         _ => SERVICES[0],
     };
-    // Reading a prompt alone takes up to 400 ms at the usual pace.
-    let objective = Duration::from_millis(if kind == Kind::Generate { 1_000 } else { 500 });
+    let pause = if kind == Kind::Generate {
+        ENGINE_PAUSE
+    } else {
+        OBJECTIVE
+    };
     Route {
         name: kind.prefix().into(),
         host: HOST.into(),
         prefix: kind.prefix().into(),
         kind: repeat,
         timeout: PATIENCE,
-        objective,
-        pause: Duration::from_millis(500),
+        objective: OBJECTIVE,
+        pause,
         urgency: 2,
         splits: vec![Split {
             service: service.into(),
