--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -11,6 +11,7 @@
 
 use bergamotshift_soak::Report;
 use bergamotshift_soak::Settings;
+use bergamotshift_soak::demand::Summary;
 use bergamotshift_soak::run;
 use gumdrop::Options;
 
@@ -149,7 +150,15 @@
          {reports} usage reports"
     );
     if engines.attempts > 0 {
-        println!("seed {seed}: {engines:?}");
+        let Summary {
+            attempts,
+            returns,
+            served,
+            refused,
+        } = engines;
+        println!(
+            "seed {seed}: engines: {attempts} attempts, {returns} of them returns; {served} served, {refused} refused"
+        );
     }
     for broken in broken {
         println!(
--- a/bergamotshift-soak/tests/demand.rs
+++ b/bergamotshift-soak/tests/demand.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 
 use bergamotshift_soak::demand;
+use bergamotshift_soak::demand::Summary;
 use bergamotshift_soak::endpoint::Notice;
 use bergamotshift_soak::engine::Engine;
 use bergamotshift_soak::ledger::Arrival;
@@ -133,6 +134,13 @@
     let mut book = overload([40, 10, 10, 9]);
     push(&mut book, ("again", "t3-19"), 3, 3_500, 200, None);
     assert_eq!(broken(&book), [""; 0]);
+    let summary = Summary {
+        attempts: 121,
+        returns: 1,
+        served: 70,
+        refused: 51,
+    };
+    assert_eq!(Summary::of(&book), summary);
 }
 
 /// Guards against callers that are told to return when too little time is left to serve them.
