test(limit,forward): admission in a shortage, shorter and without dependence on the state of a starting limit

The daemon's test of refunds failed in 1 of 2 runs beside other tests, with 429: it assumed that four tenths of a burst count as used up after a start. The debt is up to 1.25 bursts until the list of entries is read.

A caller that is refused for its organisation's share before its promised time is told the remaining time too, and an entry with a part of an engine reckons with that part.

--- a/bergamotshift-forward/tests/daemon/shortage.rs
+++ b/bergamotshift-forward/tests/daemon/shortage.rs
@@ -27,6 +27,9 @@
 /// Tokens that the engine reads for longer than other callers can wait.
 const LARGE_PROMPT: u64 = 200_000;
 
+/// Number of refused requests at a daemon alone.
+const REFUSED: usize = 60;
+
 /// Longest time that a caller of [`Caller::send`] may be told, in seconds: a third of its four seconds.
 const LONGEST_RETURN: f64 = 4.0 / 3.0;
 
@@ -71,10 +74,11 @@
     caller
 }
 
-/// Sends a small generation; all have the same content.
-fn ask(daemon: &Daemon, id: &str) -> Answer {
+/// Sends a generation with a prompt of `tokens` tokens; all have the same content.
+fn ask(daemon: &Daemon, id: &str, tokens: u64) -> Answer {
     let mut caller = Caller::new(daemon);
-    caller.send("POST", "/confirm/1", id, "bergamotshift-size: 100,10\r\n", "x");
+    let size = format!("bergamotshift-size: {tokens},10\r\n");
+    caller.send("POST", "/confirm/1", id, &size, "x");
     caller.read_answer().expect("an answer comes")
 }
 
@@ -100,23 +104,33 @@
 #[test]
 fn a_refused_request_does_not_run_and_uses_no_units() {
     let (endpoint, release) = engine();
-    // Four tenths of the burst count as used after a start. The large request leaves fewer units than one small one has.
+    // The refused requests have several times as many units as the burst, which counts as used up after a start.
     let limit = Limit {
-        rate: 1.0,
-        burst: (LARGE_PROMPT + 60) as f64 / 0.6,
+        rate: 1e6,
+        burst: 3e6,
         unit: Unit::Tokens { plain: 1 },
     };
     let site = site(&endpoint, Some(limit));
     let daemon = site.launch_with("entry-1", &[], SETTINGS);
     wait_until("the daemon is ready", || daemon.is_ready());
+    wait_until("the daemon serves", || ask(&daemon, "first", 100).status == 200);
+    let before = endpoint.count();
     let mut held = hold(&daemon, &endpoint);
-    for number in 0..5 {
-        assert!(is_refused(&ask(&daemon, &format!("r-{number}"))), "request {number}");
+    wait_until("the limit has room", || ask(&daemon, "r", LARGE_PROMPT).status == 503);
+    let refused = refusal_count(&daemon);
+    for number in 0..REFUSED {
+        assert!(
+            is_refused(&ask(&daemon, &format!("r-{number}"), LARGE_PROMPT)),
+            "request {number}"
+        );
     }
-    assert_eq!((endpoint.count(), refusal_count(&daemon)), (1, 5));
+    assert_eq!(
+        (endpoint.count(), refusal_count(&daemon)),
+        (before + 1, refused + REFUSED)
+    );
     release.send(()).expect("the engine waits");
     assert_eq!(held.read_answer().map(|answer| answer.status), Some(200));
-    assert!(!is_refused(&ask(&daemon, "r-5")));
+    assert!(!is_refused(&ask(&daemon, "last", 100)));
 }
 
 /// Guards against callers that are not answered, or told too long a time, when the keeper that promised them capacity
@@ -133,26 +147,26 @@
     wait_until("the keeper knows the fleet", || daemons[keeper_index()].is_keeper());
     for daemon in &daemons {
         wait_until("an entry knows the fleet", || daemon.peer_count() == Some(ENTRIES - 1));
-        wait_until("an entry serves", || ask(daemon, "first").status == 200);
+        wait_until("an entry serves", || ask(daemon, "first", 100).status == 200);
     }
     let keeper = daemons.remove(keeper_index());
     let mut held = hold(&daemons[0], &endpoint);
-    wait_until("the keeper refuses", || is_refused(&ask(&daemons[1], "r")));
+    wait_until("the keeper refuses", || is_refused(&ask(&daemons[1], "r", 100)));
     assert!(refusal_count(&keeper) > 0, "the keeper decides");
     keeper.stop();
     for daemon in &daemons {
-        is_refused(&ask(daemon, "r-stopping"));
+        is_refused(&ask(daemon, "r-stopping", 100));
     }
     keeper.join();
-    wait_until("the deputy decides", || is_refused(&ask(&daemons[1], "r")));
+    wait_until("the deputy decides", || is_refused(&ask(&daemons[1], "r", 100)));
     let successor = daemons.iter().position(Daemon::is_keeper);
     if let Some(successor) = successor.filter(|index| *index > 0) {
         daemons.remove(successor).stop();
     }
     for daemon in &daemons {
-        is_refused(&ask(daemon, "r-again"));
+        is_refused(&ask(daemon, "r-again", 100));
     }
     release.send(()).expect("the engine waits");
     assert_eq!(held.read_answer().map(|answer| answer.status), Some(200));
-    wait_until("callers are served again", || !is_refused(&ask(&daemons[1], "r")));
+    wait_until("callers are served again", || !is_refused(&ask(&daemons[1], "r", 100)));
 }
--- a/bergamotshift-forward/tests/kernel/frames.rs
+++ b/bergamotshift-forward/tests/kernel/frames.rs
@@ -72,20 +72,24 @@
                 pace: Some(137.0),
                 age_ms: 4,
             }],
-            terms: Some(Terms {
-                organisation: Some("horeca".into()),
-                weight: 90.0,
-                urgency: 1,
-                objective_ms: 800,
-                objective_left_ms: 790,
-                latest_ms: 4_790,
-                time_left_ms: 11_990,
-                key: Fingerprint::new(u128::MAX),
-            }),
+            terms: Some(terms()),
         },
     }
 }
 
+pub fn terms() -> Terms {
+    Terms {
+        organisation: Some("horeca".into()),
+        weight: 90.0,
+        urgency: 0,
+        objective_ms: 800,
+        objective_left_ms: 790,
+        latest_ms: 4_790,
+        time_left_ms: 11_990,
+        key: Fingerprint::new(u128::MAX),
+    }
+}
+
 fn placement(estimate: Option<Estimate>) -> keeper::Placement {
     keeper::Placement {
         endpoint: 7,
--- a/bergamotshift-forward/tests/kernel/shortage.rs
+++ b/bergamotshift-forward/tests/kernel/shortage.rs
@@ -21,6 +21,7 @@
 use bergamotshift_forward::view::View;
 use futures_util::FutureExt;
 
+use crate::frames::terms;
 use crate::speeds::endpoints;
 use crate::speeds::service;
 use crate::speeds::shared;
@@ -29,21 +30,23 @@
 const SIZE: u64 = 900;
 
 fn question(terms: Option<Terms>) -> Question {
+    let units = Units {
+        organisation: "horeca".into(),
+        count: SIZE,
+        unreported: 0,
+    };
+    let generation = Generation {
+        service: "planner".into(),
+        prompt: 1_000,
+        parts: Vec::new(),
+        is_canary: false,
+        avoided: Vec::new(),
+    };
     Question {
         entry: "entry-2".into(),
         deputy: false,
-        units: Some(Units {
-            organisation: "horeca".into(),
-            count: SIZE,
-            unreported: 0,
-        }),
-        generation: Some(Generation {
-            service: "planner".into(),
-            prompt: 1_000,
-            parts: Vec::new(),
-            is_canary: false,
-            avoided: Vec::new(),
-        }),
+        units: Some(units),
+        generation: Some(generation),
         in_flight: Vec::new(),
         context: Context {
             terms,
@@ -52,19 +55,6 @@
     }
 }
 
-fn terms() -> Terms {
-    Terms {
-        organisation: Some("horeca".into()),
-        weight: 1.0,
-        urgency: 0,
-        objective_ms: 800,
-        objective_left_ms: 790,
-        latest_ms: 4_790,
-        time_left_ms: 11_990,
-        key: Fingerprint::new(7),
-    }
-}
-
 /// Guards against units of a limit that are spent for generations which a keeper refuses, and against terms that are
 /// judged where they are not sent.
 #[test]
@@ -100,7 +90,7 @@
         assert_eq!((answer.retry_after_ms, answer.placement), (None, None));
         let after = answer.detail.judgement.and_then(Judgement::retry_after);
         assert!(
-            after.is_some_and(|after| after <= Duration::from_millis(11_990) / 3),
+            after.is_some_and(|after| after <= Duration::from_millis(terms().time_left_ms.into()) / 3),
             "{after:?}"
         );
     }
--- a/bergamotshift-limit/src/admission/shortage/controller.rs
+++ b/bergamotshift-limit/src/admission/shortage/controller.rs
@@ -13,6 +13,10 @@
 use crate::returns::Book;
 use crate::returns::Returned;
 
+/// Least number of engines that is reckoned with. An entry of a small fleet has a part of the engines, which may be less
+/// than one.
+const LEAST_ENGINES: f64 = 0.01;
+
 /// Properties of a request that determine when its caller may return.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Asked {
@@ -81,7 +85,7 @@
         // Promises that fall due before the request would be served come first.
         let within = request.wait.saturating_add(request.read);
         let due = self.book.due(now, within, asked.urgency);
-        let due = due.div_f64(asked.engines.max(1.0));
+        let due = due.div_f64(asked.engines.max(LEAST_ENGINES));
         let request = &Request {
             due,
             is_return: returned == Returned::Kept,
@@ -95,8 +99,9 @@
                 Verdict::Admitted
             }
             Decision::Refuse { reason, excess } => {
-                let retry_after = match reason {
-                    Reason::Wait => self.book.promise(
+                let retry_after = match (reason, returned) {
+                    (Reason::Share, Returned::Early { left }) => left.min(asked.longest),
+                    (Reason::Wait, _) => self.book.promise(
                         now,
                         &returns::Asked {
                             key: asked.key,
@@ -108,7 +113,7 @@
                         },
                     ),
                     // A slot for an organisation beyond its share would be taken from the others.
-                    Reason::Share => asked.longest,
+                    (Reason::Share, _) => asked.longest,
                 };
                 Verdict::Refused(Refusal { reason, retry_after })
             }
--- a/bergamotshift-limit/tests/shortage/main.rs
+++ b/bergamotshift-limit/tests/shortage/main.rs
@@ -21,6 +21,7 @@
 /// Load of all organisations together at which engines serve everyone.
 const NORMAL: f64 = 0.8;
 const ORGANISATIONS: usize = 16;
+const HALF_SECOND: Duration = Duration::from_millis(500);
 
 /// Returns the arrivals of all organisations, each with its own factor on its load for each kind.
 fn demand(factor: impl Fn(usize, usize) -> f64) -> Vec<Caller> {
@@ -33,17 +34,12 @@
 
 /// Checks that no kind is served less often than a less urgent one by over 5 in 100.
 fn check_order(name: &str, callers: &[Caller]) {
-    let served = [0, 1, 2].map(|kind| {
-        fraction(callers.iter().filter(|caller| caller.kind == kind), |caller| {
-            caller.began.is_some()
-        })
-    });
+    let of_kind = |kind| callers.iter().filter(move |caller| caller.kind == kind);
+    let served = [0, 1, 2].map(|kind| fraction(of_kind(kind), |caller| caller.began.is_some()));
     println!("{name}: served by urgency {served:?}");
-    assert!(
-        served[0] >= served[1] - 0.05 && served[0] >= served[2] - 0.05,
-        "{name}: {served:?}"
-    );
-    assert!(served[1] >= served[2] - 0.05, "{name}: {served:?}");
+    for (urgent, less_urgent) in [(0, 1), (0, 2), (1, 2)] {
+        assert!(served[urgent] >= served[less_urgent] - 0.05, "{name}: {served:?}");
+    }
 }
 
 /// Plays the same arrivals by both rules, and checks that the value is not lower than with the present one.
@@ -56,13 +52,9 @@
         let callers = site.play(callers.to_vec());
         (site.value(&callers), callers)
     });
-    println!(
-        "{name}: value {} (present rule {}), {} callers",
-        shortage.0,
-        present.0,
-        callers.len()
-    );
-    assert!(shortage.0 >= present.0, "{name}: {} is below {}", shortage.0, present.0);
+    let (now, before) = (shortage.0, present.0);
+    println!("{name}: value {now} (present rule {before}), {} callers", callers.len());
+    assert!(now >= before, "{name}: {now} is below {before}");
     shortage.1
 }
 
@@ -72,9 +64,7 @@
     for (name, kinds) in [("A", A), ("B", B)] {
         let on_time = |callers: &[Caller]| {
             let others = callers.iter().filter(|caller| caller.organisation > 0);
-            fraction(others, |caller| {
-                caller.began.is_some_and(|began| began <= kinds[caller.kind].objective)
-            })
+            fraction(others, |caller| caller.is_on_time(&kinds))
         };
         let alone = Site::new(kinds, Rule::Shortage).play(demand(|one, _| f64::from(u8::from(one > 0))));
         let callers = demand(|one, _| if one == 0 { 6.0 } else { 1.0 });
@@ -110,62 +100,46 @@
 #[test]
 fn demand_of_one_and_a_half_in_one_of_four_zones() {
     for (name, kinds) in [("A", A), ("B", B)] {
-        for (zone, factor) in [1.5, 1.0, 1.0, 1.0].into_iter().enumerate() {
-            let name = format!("{name}, zone {zone}");
+        // The three zones with normal load are alike, as no zone uses the engines of another one.
+        for factor in [1.5, 1.0] {
+            let name = format!("{name}, {factor} times the load");
             let callers = demand(|_, _| factor);
             check_order(&name, &compare(&name, kinds, &callers, None));
         }
     }
 }
 
-/// Returns three hundred callers who arrive within a second, beside half of the normal load.
-fn crowd() -> Vec<Caller> {
-    let mut callers = demand(|_, _| 0.5);
-    let crowd = (0..3).flat_map(|kind| arrivals(ORGANISATIONS, kind, 1.5, 20.0, 21.0));
-    callers.extend(crowd);
-    callers
-}
-
 /// Guards against refused callers who all return at the same time and are refused for the second time.
 #[test]
 fn two_hundred_callers_refused_within_a_second_return() {
-    let callers = compare("crowd", A, &crowd(), None);
+    let mut callers = demand(|_, _| 0.5);
+    callers.extend((0..3).flat_map(|kind| arrivals(ORGANISATIONS, kind, 1.5, 20.0, 21.0)));
+    let callers = compare("crowd", A, &callers, None);
+    let longest = |caller: &Caller| A[caller.kind].timeout / 3;
     let refused: Vec<_> = callers.iter().filter(|caller| caller.told.is_some()).collect();
-    let told = refused.iter().filter_map(|caller| caller.told);
+    assert!(refused.len() >= 200, "the crowd is refused: {}", refused.len());
+    assert!(refused.iter().all(|caller| caller.told <= Some(longest(caller))));
     // Whoever is told a third of its time has no slot.
-    let slots = refused
-        .iter()
-        .filter(|caller| caller.told < Some(A[caller.kind].timeout / 3));
-    let twice = slots.clone().filter(|caller| caller.refusals > 1).count();
-    let mut times: Vec<_> = slots
-        .clone()
-        .map(|caller| caller.arrives + caller.told.unwrap_or_default())
-        .collect();
-    times.sort();
-    let densest = times
-        .iter()
-        .map(|from| {
-            times
-                .iter()
-                .filter(|at| **at >= *from && at.since(*from) < Duration::from_millis(500))
-                .count()
-        })
-        .max();
+    let slots = refused.iter().filter(|caller| caller.told < Some(longest(caller)));
+    let slots: Vec<_> = slots.collect();
+    let twice = slots.iter().filter(|caller| caller.refusals > 1).count();
+    let returns = slots.iter().map(|one| one.arrives + one.told.unwrap_or_default());
+    let within = |from: Instant| {
+        returns
+            .clone()
+            .filter(|at| *at >= from && at.since(from) < HALF_SECOND)
+            .count()
+    };
+    let densest = returns.clone().map(within).max().unwrap_or_default();
     println!(
-        "{} refused, {} with slots, {twice} twice, densest half second {densest:?}",
+        "{} refused, {} with slots, {twice} twice, {densest} in half a second",
         refused.len(),
-        times.len()
+        slots.len()
     );
-    assert!(refused.len() >= 200, "the crowd is refused: {}", refused.len());
-    assert!(times.len() >= 50, "slots are promised: {}", times.len());
-    assert_eq!(twice, 0, "a promise is kept");
-    // Half of the capacity of the engines reads 17 prompts in half a second for each of three urgencies.
-    assert!(densest <= Some(3 * 17 + 6), "return times are spread: {densest:?}");
-    for caller in &callers {
-        assert!(
-            told.clone().all(|told| told <= Duration::from_secs(4)) && caller.told <= Some(A[caller.kind].timeout / 3)
-        );
-    }
+    assert!(slots.len() >= 50, "slots are promised: {}", slots.len());
+    assert_eq!(twice, 0, "promises are kept");
+    // Half of the engines read 17 prompts in half a second, for each of three urgencies.
+    assert!(densest <= 3 * 17 + 6, "return times are spread: {densest}");
 }
 
 /// Guards against callers who come back at once and are served before those who return at the time that they were told.
@@ -193,18 +167,15 @@
 fn the_successor_of_a_keeper_starts_with_empty_shares() {
     let callers = demand(|one, _| if one == 0 { 6.0 } else { 1.0 });
     let at = Instant::from_secs(30);
-    let site = |successor| Site {
-        successor,
-        ..Site::new(A, Rule::Shortage)
-    };
     let on_time = |successor| {
-        let callers = site(successor).play(callers.clone());
-        let after = callers.iter().filter(|caller| {
-            caller.organisation > 0 && caller.arrives >= at && caller.arrives < at + Duration::from_secs(5)
-        });
-        fraction(after, |caller| {
-            caller.began.is_some_and(|began| began <= A[caller.kind].objective)
-        })
+        let site = Site {
+            successor,
+            ..Site::new(A, Rule::Shortage)
+        };
+        let callers = site.play(callers.clone());
+        let others = callers.iter().filter(|caller| caller.organisation > 0);
+        let after = others.filter(|caller| (at..at + Duration::from_secs(5)).contains(&caller.arrives));
+        fraction(after, |caller| caller.is_on_time(&A))
     };
     let (kept, replaced) = (on_time(None), on_time(Some(at)));
     println!("on time in the five seconds after a successor: {replaced} (without one {kept})");
--- a/bergamotshift-limit/tests/shortage/model.rs
+++ b/bergamotshift-limit/tests/shortage/model.rs
@@ -71,6 +71,12 @@
     pub began: Option<Duration>,
 }
 
+impl Caller {
+    pub fn is_on_time(&self, kinds: &[Kind; 3]) -> bool {
+        self.began.is_some_and(|began| began <= kinds[self.kind].objective)
+    }
+}
+
 /// Returns the arrivals of one organisation's requests of one kind, at a load in multiples of all engines' capacity.
 pub fn arrivals(organisation: usize, kind: usize, load: f64, from: f64, to: f64) -> Vec<Caller> {
     let mut random = Pcg64Mcg::seed_from_u64((organisation * 10 + kind) as u64);
@@ -191,9 +197,8 @@
             let late = (wait + caller.read).checked_sub(latest).filter(|late| !late.is_zero());
             return late.map(|late| (late + Duration::from_millis(400)).min(Duration::from_secs(2)));
         }
-        let organisation = name::Organisation::new(format!("{}", caller.organisation));
-        let routes = self.kinds.iter().enumerate();
-        let routes = routes.map(|(urgency, kind)| (urgency as u8, kind.objective));
+        let organisation = name::Organisation::new(caller.organisation.to_string());
+        let routes = (0..).zip(self.kinds.iter().map(|kind| kind.objective));
         let request = Request {
             organisation: Some(&organisation),
             weight: 1.0,
@@ -220,12 +225,9 @@
 
     /// Returns the total value of the requests: 1 within the objective, a tenth later.
     pub fn value(&self, callers: &[Caller]) -> f64 {
-        let value = |caller: &Caller| match caller.began {
-            Some(began) if began <= self.kinds[caller.kind].objective => 1.0,
-            Some(_) => 0.1,
-            None => 0.0,
-        };
-        callers.iter().map(value).sum()
+        let on_time = callers.iter().filter(|caller| caller.is_on_time(&self.kinds)).count();
+        let begun = callers.iter().filter(|caller| caller.began.is_some()).count();
+        on_time as f64 + 0.1 * (begun - on_time) as f64
     }
 }
 
@@ -235,8 +237,6 @@
 
 /// Returns the fraction of the callers for which a condition holds.
 pub fn fraction<'a>(callers: impl Iterator<Item = &'a Caller>, holds: impl Fn(&Caller) -> bool) -> f64 {
-    let (count, held) = callers.fold((0, 0), |(count, held), caller| {
-        (count + 1, held + u32::from(holds(caller)))
-    });
-    f64::from(held) / f64::from(count.max(1))
+    let held: Vec<_> = callers.map(|caller| f64::from(u8::from(holds(caller)))).collect();
+    held.iter().sum::<f64>() / held.len().max(1) as f64
 }
