--- a/bergamotshift-forward/src/serve/pace.rs
+++ b/bergamotshift-forward/src/serve/pace.rs
@@ -68,7 +68,7 @@
     /// Creates the estimate of a choice, before the request counts as in flight there.
     pub(super) fn new(choice: &Choice) -> Self {
         let (wait, read) = (choice.wait.as_millis() as u64, choice.read.as_millis() as u64);
-        let has_slot = choice.running < choice.endpoint.registration.slots;
+        let has_slot = choice.running < choice.endpoint.registration.slots.max(1);
         Self {
             endpoint: choice.endpoint.registration.id.clone(),
             expected_ms: choice.cost as u64,
