--- a/bergamotshift-forward/tests/kernel/shortage.rs
+++ b/bergamotshift-forward/tests/kernel/shortage.rs
@@ -3,7 +3,6 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use bergamotshift_core::prelude::*;
 use bergamotshift_forward::endpoint::Guard;
 use bergamotshift_forward::limits::Account;
 use bergamotshift_forward::limits::Quota;
@@ -21,8 +20,8 @@
 use bergamotshift_forward::view::View;
 use futures_util::FutureExt;
 
+use crate::choice::endpoints;
 use crate::frames::terms;
-use crate::speeds::endpoints;
 use crate::speeds::service;
 use crate::speeds::shared;
 
