fix(forward)!: an entry that starts learns which endpoints were removed

Cause: an entry remembers removed registrations for a minute, and does not take them back from a copy that the store is restored from. An entry that started after the removal has no such record: replies of other entries and the store's list hold what is registered, not what was removed. It used the endpoint once the restored copy listed it as ready. The entries that knew kept silent.

Decision: entries that know can tell, without a store of their own. A process that was first heard less than five seconds ago gets the removals of the last minute with each reply, the newest 64 at most, each with its registration (incarnation, position of the last write with its era, whether it announced that it leaves), its age, and the position up to which the store may hold it from a copy. An endpoint that announced that it leaves has left for good. Another one may have registered again, so one that the new entry knows is removed only if its registration may come from the copy. Without removals a reply is one byte longer.

Ruled out: telling of removals in registrations themselves. An entry with the same position gets none. Telling only after a restore leaves the time until the next exchange in which the endpoint is used.

Also left: an entry that finds the store restored before its first exchange, and a fleet of which all entries that knew have ended.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -297,7 +297,7 @@
     }
 
     /// Handles endpoints that stopped accepting requests.
-    fn handle_leaving(&mut self, now: Instant, shared: &Shared, leaving: &[Arc<Endpoint>], from: &str) {
+    pub(super) fn handle_leaving(&mut self, now: Instant, shared: &Shared, leaving: &[Arc<Endpoint>], from: &str) {
         for endpoint in leaving {
             self.record_departure(now, shared, endpoint);
             if let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::State) {
--- a/bergamotshift-forward/src/control/talk.rs
+++ b/bergamotshift-forward/src/control/talk.rs
@@ -149,6 +149,7 @@
     /// older.
     pub(super) fn handle_state(&mut self, now: Instant, shared: &Shared, state: State) -> Reply {
         let peer = (state.endpoints, state.endpoints_freshness);
+        let from = state.entry.clone();
         let recipient = Recipient {
             is_brief: state.is_brief(),
             needs_usage: state.holds_duties || !self.members.is_large(),
@@ -163,9 +164,15 @@
         } else {
             None
         };
+        let removals = if self.members.is_joining(now, &from) {
+            self.directory.removals(now)
+        } else {
+            Vec::new()
+        };
         Reply {
             state: recipient.select(self.state(now, shared)),
             endpoints,
+            removals,
         }
     }
 
@@ -187,7 +194,11 @@
 
     /// Applies another entry's reply, and its registrations if they are newer than this entry's.
     pub(super) fn handle_reply(&mut self, now: Instant, shared: &Shared, reply: Reply) {
-        let Reply { state, endpoints } = reply;
+        let Reply {
+            state,
+            endpoints,
+            removals,
+        } = reply;
         let from = state.entry.clone();
         let known = self.registrations_checkpoint.cursor();
         if let Some(endpoints) = endpoints
@@ -202,6 +213,8 @@
             self.apply_endpoints(now, shared, endpoints.into_event(), from.as_str());
             self.has_diverged = !is_whole && self.directory.digest() != state.endpoints;
         }
+        let leaving = self.directory.learn_removals(now, removals);
+        self.handle_leaving(now, shared, &leaving, from.as_str());
         self.apply_state(now, shared, state);
     }
 
--- a/bergamotshift-forward/src/endpoint/directory.rs
+++ b/bergamotshift-forward/src/endpoint/directory.rs
@@ -4,12 +4,15 @@
 
 use core::cell::Cell;
 use core::cmp::Ordering;
+use core::cmp::Reverse;
 use core::time::Duration;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use super::Endpoint;
@@ -24,6 +27,21 @@
 /// no outdated list can bring it back.
 const REMOVED_RETENTION: Duration = Duration::from_mins(1);
 
+/// Maximum number of removals that another entry is told, the newest ones; some 6 kB.
+const MAX_REMOVALS: usize = 64;
+
+/// Endpoint whose registration was removed, as entries tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Removal {
+    /// Its last registration, which says whether it announced that it leaves.
+    pub registration: Registration,
+    /// Time since the removal became known.
+    pub age: Duration,
+    /// Position up to which the store may contain the registration from a copy.
+    pub copied_until: Option<Cursor>,
+}
+
 /// One change of a registration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -218,6 +236,69 @@
         present.map(Record::registration).collect()
     }
 
+    /// Returns the newest removals, for entries that may not know of them.
+    pub fn removals(&self, now: Instant) -> Vec<Removal> {
+        let records = self.records.values();
+        let mut removed: Vec<_> = records
+            .filter_map(|record| Some((record.gone_since?, record)))
+            .collect();
+        removed.sort_by_key(|(since, _)| Reverse(*since));
+        let removal = |(since, record): (Instant, &Record)| Removal {
+            registration: record.registration(),
+            age: now.since(since),
+            copied_until: record.copied_until,
+        };
+        removed.into_iter().take(MAX_REMOVALS).map(removal).collect()
+    }
+
+    /// Records removals that another entry knows, and returns the endpoints that they remove from service.
+    ///
+    /// Otherwise an entry that started after a removal would use the endpoint once the store is restored from a copy that
+    /// contains its registration. An endpoint that announced that it is leaving has left for good. Another one may have
+    /// registered again, so one that is known here is removed only if its registration may come from the copy.
+    pub fn learn_removals(&mut self, now: Instant, removals: Vec<Removal>) -> Vec<Arc<Endpoint>> {
+        self.summary.set(None);
+        let mut leaving = Vec::new();
+        for removal in removals.into_iter().filter(|removal| removal.age < REMOVED_RETENTION) {
+            let Removal {
+                registration,
+                age,
+                copied_until,
+            } = removal;
+            let Some(record) = self.records.get_mut(&registration.id) else {
+                let endpoint = Arc::new(Endpoint::new(registration.clone()));
+                endpoint.mark_leaving();
+                let record = Record {
+                    endpoint,
+                    lapsed_since: None,
+                    gone_since: Some(now - age),
+                    copied_until,
+                    written: registration.written,
+                    changed: Cursor::default(),
+                    announced_leaving: registration.leaving,
+                };
+                self.records.insert(registration.id, record);
+                continue;
+            };
+            if record.endpoint.registration.born != registration.born {
+                continue;
+            }
+            record.announced_leaving |= registration.leaving;
+            record.copied_until = record.copied_until.max(copied_until);
+            let may_be_copied = copied_until.is_some_and(|until| record.written <= until);
+            if record.gone_since.is_some() || !registration.leaving && !may_be_copied {
+                continue;
+            }
+            record.lapsed_since = None;
+            record.gone_since = Some(now - age);
+            record.changed = self.position;
+            if record.endpoint.mark_leaving() {
+                leaving.push(Arc::clone(&record.endpoint));
+            }
+        }
+        leaving
+    }
+
     /// Returns whether no registration has lapsed without proof of removal. Until then this directory must not count as
     /// newer than that of other entries.
     pub fn is_settled(&self) -> bool {
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -24,6 +24,7 @@
 pub use self::directory::Change;
 pub use self::directory::Directory;
 pub use self::directory::Event;
+pub use self::directory::Removal;
 pub use self::health::Health;
 pub use self::ledger::Ledger;
 pub use self::signals::Signals;
--- a/bergamotshift-forward/src/peers/member.rs
+++ b/bergamotshift-forward/src/peers/member.rs
@@ -43,6 +43,10 @@
 /// was heard first, so a wrong order is not believed for longer.
 const MAX_LATENESS: Duration = Duration::from_secs(3);
 
+/// Time after a process was first heard during which it is told of removed endpoints. It covers replies that are lost, and
+/// removals that this entry learns of a moment later than the other one.
+const JOINING_PERIOD: Duration = Duration::from_secs(5);
+
 /// Backoff after a failed call to an entry.
 const BACKOFF: Duration = Duration::from_millis(500);
 
@@ -58,6 +62,8 @@
     pub last_state: Option<(Instant, State)>,
     /// The incarnation of its process before the last one, and the time at which the last one was first heard.
     former: Option<(u64, Instant)>,
+    /// The time at which its process was first heard.
+    process_heard: Instant,
     /// Its availability zone, if known.
     pub(super) zone: Option<name::Zone>,
     /// The share of a CPU core that it may use, in thousandths.
@@ -174,6 +180,7 @@
             address,
             last_state: None,
             former: None,
+            process_heard: Instant::ZERO,
             zone: None,
             core_share: 0,
             is_stopping: false,
@@ -221,6 +228,9 @@
         peer.is_stopping = state.stage == Stage::Stops;
         peer.last_heard = now;
         let last = peer.last_state.as_ref().map(|(_, last)| last.incarnation);
+        if last != Some(state.incarnation) {
+            peer.process_heard = now;
+        }
         let former = last.filter(|last| *last != state.incarnation);
         peer.former = former.map(|former| (former, now)).or(peer.former);
         peer.last_state = Some((now, state));
@@ -228,6 +238,12 @@
         is_new
     }
 
+    /// Returns whether an entry's process was first heard a moment ago, so that it may not know what the others do.
+    pub fn is_joining(&self, now: Instant, entry: &name::Entry) -> bool {
+        let peer = self.peers.get(entry);
+        peer.is_some_and(|peer| peer.last_state.is_some() && now.since(peer.process_heard) < JOINING_PERIOD)
+    }
+
     /// Returns whether a process has ended, as its entry started again a moment ago.
     pub fn is_superseded(&self, now: Instant, process: &Process) -> bool {
         let former = self.peers.get(&process.entry).and_then(|peer| peer.former);
--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -22,6 +22,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::Event;
 use crate::endpoint::Registration;
+use crate::endpoint::Removal;
 use crate::outside::Cursor;
 
 /// A request whose connection to an endpoint broke.
@@ -352,4 +353,6 @@
     pub state: State,
     /// Registrations, when the replying entry's are newer than the requester's and differ from them.
     pub endpoints: Option<Registrations>,
+    /// Endpoints whose registrations were removed lately, when the requester's process started a moment ago.
+    pub removals: Vec<Removal>,
 }
--- a/bergamotshift-forward/tests/fleet/restore.rs
+++ b/bergamotshift-forward/tests/fleet/restore.rs
@@ -250,6 +250,49 @@
     ]);
 }
 
+/// Guards against an entry that was down while an endpoint left and was removed, and uses it once a restored copy lists it as
+/// ready, because the entries that knew did not tell it.
+#[test]
+fn an_entry_that_starts_after_a_removal_learns_of_it_before_a_restore_undoes_it() {
+    play(vec![
+        Step::Kill(0),
+        Step::Copy,
+        Step::Leave(2),
+        Step::Remove(2),
+        Step::Start(0),
+        Step::Wait(1_126),
+        Step::Restore(248),
+        Step::Wait(1_004),
+    ]);
+}
+
+/// Guards against an entry that starts after a restore and uses an endpoint that left and was removed before, as the copy lists it
+/// as ready.
+#[test]
+fn an_entry_that_starts_after_a_restore_learns_of_the_removals_that_it_undid() {
+    run(async {
+        let mut checker = Checker::new();
+        checker.fleet.start().await;
+        sleep(CALM).await;
+        let mut copy = None;
+        for step in [
+            Step::Kill(0),
+            Step::Copy,
+            Step::Leave(2),
+            Step::Remove(2),
+            Step::Wait(1_000),
+            Step::Restore(400),
+            Step::Start(0),
+            Step::Wait(2_000),
+        ] {
+            checker.play(&step, &mut copy).await;
+            checker.check();
+        }
+        let node = &checker.fleet.nodes[0];
+        assert!(node.can_serve() && node.has_left(Checker::hash(2)));
+    });
+}
+
 /// Guards against a second restore that is taken for the first one.
 #[test]
 fn a_second_restore_soon_after_the_first_is_followed() {
--- a/bergamotshift-forward/tests/kernel/directory.rs
+++ b/bergamotshift-forward/tests/kernel/directory.rs
@@ -90,6 +90,50 @@
     assert_eq!(available(&directory), 2);
 }
 
+/// Guards against an entry that starts after a removal and takes the endpoint for ready, as the store is restored from a copy.
+#[test]
+fn a_removal_that_another_entry_told_outlasts_a_restore() {
+    let mut knowing = directory(at(0));
+    let leaving = Registration {
+        leaving: true,
+        ..registration("a", "one")
+    };
+    knowing.apply(at(100), Event::Changed(vec![Change::Written(leaving)]));
+    knowing.apply(at(200), Event::Changed(vec![Change::Removed("a".into())]));
+    let mut starting = Directory::default();
+    starting.apply(at(300), Event::Listed(vec![registration("b", "two")]));
+    assert!(starting.learn_removals(at(300), knowing.removals(at(300))).is_empty());
+    assert_eq!(starting.digest(), knowing.digest());
+    starting.apply(at(400), Event::Restored(Cursor { era: 1, version: 9 }));
+    starting.apply(at(400), Event::Listed(listed()));
+    assert_eq!(available(&starting), 1);
+    let mut late = directory(at(500));
+    assert_eq!(late.learn_removals(at(500), knowing.removals(at(500))).len(), 1);
+    assert_eq!(available(&late), 1);
+}
+
+/// Guards against an endpoint that registered again and is taken for removed, as an entry that does not know it yet tells of the
+/// removal.
+#[test]
+fn a_removal_without_an_announcement_ends_only_what_may_come_from_a_copy() {
+    let written = |version| Registration {
+        written: Cursor { era: 1, version },
+        ..registration("a", "one")
+    };
+    let mut knowing = directory(at(0));
+    knowing.apply(at(100), Event::Changed(vec![Change::Removed("a".into())]));
+    let mut starting = directory(at(200));
+    starting.learn_removals(at(200), knowing.removals(at(200)));
+    assert_eq!(available(&starting), 2, "it may have registered again");
+    knowing.apply(at(300), Event::Restored(Cursor { era: 1, version: 9 }));
+    let mut starting = Directory::default();
+    starting.apply(at(400), Event::Listed(vec![written(9), registration("b", "two")]));
+    starting.learn_removals(at(400), knowing.removals(at(400)));
+    assert_eq!(available(&starting), 1, "it comes from the copy");
+    starting.apply(at(500), Event::Changed(vec![Change::Written(written(10))]));
+    assert_eq!(available(&starting), 2, "it registered again");
+}
+
 /// An endpoint registers again two seconds after a store outage, and this entry has not read the store since. Time
 /// alone must not remove the endpoint; only a read after the grace period proves that it is gone.
 #[test]
