--- a/bergamotshift-forward/tests/daemon/unanswered.rs
+++ b/bergamotshift-forward/tests/daemon/unanswered.rs
@@ -1,5 +1,6 @@
 //! Questions to other entries that get no answer.
 
+use core::fmt::Write;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -44,9 +45,8 @@
 struct Pairs(String);
 
 impl slog::Serializer for Pairs {
-    fn emit_arguments(&mut self, key: slog::Key, value: &core::fmt::Arguments<'_>) -> slog::Result {
-        self.0.push_str(&format!(" {key}={value}"));
-        Ok(())
+    fn emit_arguments(&mut self, key: slog::Key, val: &core::fmt::Arguments<'_>) -> slog::Result {
+        write!(self.0, " {key}={val}").map_err(slog::Error::from)
     }
 }
 
