fix(entry): notes of other entries that cannot be decoded are logged

Cause: a suspicion and a configuration's head that cannot be decoded were dropped without a line; so was a suspicion that cannot be encoded.

Change: each is logged with its error. This daemon has no rate-limited log, and a note is handled once for each version of its key.

Read in both daemons, and left: the forwarding daemon answers a message of another entry that it cannot decode with status 400 and logs nothing (peers/question.rs); the sender logs the status. Answers that cannot be encoded get status 500 or 503 in the same way. The entry drops fetched configuration content that cannot be decoded (peers/content.rs, fetch).

Test: peers::notes_that_cannot_be_decoded_are_logged.

--- a/bergamotshift-entry/src/control/peers.rs
+++ b/bergamotshift-entry/src/control/peers.rs
@@ -80,8 +80,12 @@
         if note.topic != note::Topic::QUARANTINE {
             return;
         }
-        let Ok(mut suspicion) = postcard::from_bytes::<Suspicion>(&note.body) else {
-            return;
+        let mut suspicion = match postcard::from_bytes::<Suspicion>(&note.body) {
+            Ok(suspicion) => suspicion,
+            Err(error) => {
+                warn!(self.shared.settings.logger, "a suspicion cannot be decoded"; "error" => %error);
+                return;
+            }
         };
         for (_, age, _) in &mut suspicion.deaths {
             *age += core::time::Duration::from_secs(u64::from(note.age_s));
@@ -110,8 +114,12 @@
                     fingerprint: suspicion.fingerprint,
                     deaths: vec![death],
                 };
-                let Ok(body) = postcard::to_stdvec(&single) else {
-                    continue;
+                let body = match postcard::to_stdvec(&single) {
+                    Ok(body) => body,
+                    Err(error) => {
+                        warn!(self.shared.settings.logger, "a suspicion cannot be encoded"; "error" => %error);
+                        continue;
+                    }
                 };
                 peers.send(Request::NotePublished {
                     topic: note::Topic::QUARANTINE,
--- a/bergamotshift-entry/src/peers/content.rs
+++ b/bergamotshift-entry/src/peers/content.rs
@@ -14,6 +14,8 @@
 use bergamotshift_core::prelude::*;
 use bergamotshift_fleet::note;
 use futures_util::future::LocalBoxFuture;
+use slog::Logger;
+use slog::warn;
 use tokio::sync::oneshot;
 
 use super::Request;
@@ -51,9 +53,13 @@
     ///
     /// An entry that is not a known member yet cannot be asked for content, so its head counts as announced without
     /// content. The note is reported again once the entry is known.
-    pub(super) fn receive_head(&self, note: &note::Note, from: Option<name::Entry>) {
-        let Ok(mut announcement) = postcard::from_bytes::<Announcement>(&note.body) else {
-            return;
+    pub(super) fn receive_head(&self, note: &note::Note, from: Option<name::Entry>, logger: &Logger) {
+        let mut announcement = match postcard::from_bytes::<Announcement>(&note.body) {
+            Ok(announcement) => announcement,
+            Err(error) => {
+                warn!(logger, "a configuration's head cannot be decoded"; "error" => %error);
+                return;
+            }
         };
         announcement.holds &= from.is_some();
         let from = from.unwrap_or_default();
--- a/bergamotshift-entry/src/peers/driver.rs
+++ b/bergamotshift-entry/src/peers/driver.rs
@@ -140,7 +140,7 @@
             Action::Unwatch(endpoint) => Event::Watching(endpoint, false),
             Action::Marked(mark) => Event::Marked(mark),
             Action::NoteReceived { note, origin } if note.topic == note::Topic::CONFIG => {
-                return self.content.receive_head(&note, origin);
+                return self.content.receive_head(&note, origin, &self.shared.settings.logger);
             }
             Action::NoteReceived { note, origin } => Event::NoteReceived { note, origin },
             Action::LoadReceived { endpoint, report, age } => Event::LoadReceived { endpoint, report, age },
--- a/bergamotshift-entry/tests/peers.rs
+++ b/bergamotshift-entry/tests/peers.rs
@@ -1,7 +1,10 @@
 //! Tests of entries that form a fleet over real sockets.
 
 use core::time::Duration;
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Instant;
 
 use bergamotshift_config::accept::Timing;
 use bergamotshift_config::accept::proposer;
@@ -29,6 +32,7 @@
 use bergamotshift_fleet::handover::Progress;
 use bergamotshift_fleet::kernel::Status;
 use bergamotshift_fleet::member::State;
+use bergamotshift_fleet::note::Topic;
 use bergamotshift_link::identity::SERVER_NAME;
 use bergamotshift_standin::fault::Fault;
 use bergamotshift_standin::objects;
@@ -39,6 +43,12 @@
 use rcgen::CertifiedIssuer;
 use rcgen::IsCa;
 use rcgen::KeyPair;
+use slog::Drain;
+use slog::KV;
+use slog::Logger;
+use slog::OwnedKVList;
+use slog::Record;
+use slog::o;
 use tokio::sync::oneshot;
 
 const CONFIG: &str = r#"
@@ -360,6 +370,69 @@
     assert!(fresh.status().await.is_some_and(|status| status.ready));
 }
 
+/// Keeps the messages of log lines that have the pair `error`.
+#[derive(Clone, Debug, Default)]
+struct Journal(Arc<Mutex<BTreeSet<String>>>);
+
+/// Whether a line has the pair `error`.
+struct HasError(bool);
+
+impl slog::Serializer for HasError {
+    fn emit_arguments(&mut self, key: slog::Key, _val: &core::fmt::Arguments<'_>) -> slog::Result {
+        self.0 |= key == "error";
+        Ok(())
+    }
+}
+
+impl Drain for Journal {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), slog::Never> {
+        let mut pairs = HasError(false);
+        record.kv().serialize(record, &mut pairs).unwrap();
+        if pairs.0 {
+            self.0.lock().unwrap().insert(record.msg().to_string());
+        }
+        Ok(())
+    }
+}
+
+/// Guards against notes of other entries that are dropped without a line in the log, as they cannot be decoded.
+#[ntex::test]
+async fn notes_that_cannot_be_decoded_are_logged() {
+    /// Time after which the test gives up waiting for a line.
+    const LONGEST_WAIT: Duration = Duration::from_secs(20);
+    const LINES: [&str; 3] = [
+        "a configuration's head cannot be decoded",
+        "a suspicion cannot be decoded",
+        "evidence on a part cannot be decoded",
+    ];
+    let journal = Journal::default();
+    let authority = Authority::new();
+    let first = start("a", authority.issue(), None, None);
+    let second = Daemon::start(Settings {
+        logger: Logger::root(journal.clone(), o!()),
+        ..settings("b", authority.issue(), Some(&first))
+    });
+    let second = second.unwrap();
+    until_formed(&[&first, &second]).await;
+    for topic in [Topic::CONFIG, Topic::QUARANTINE, Topic::PARTS] {
+        first.peers().unwrap().send(Request::NotePublished {
+            topic,
+            key: 0,
+            version: u64::MAX,
+            body: vec![0xff],
+        });
+    }
+    let lines = || journal.0.lock().unwrap().clone();
+    let began = Instant::now();
+    while !LINES.iter().all(|line| lines().contains(*line)) && began.elapsed() < LONGEST_WAIT {
+        tokio::task::yield_now().await;
+    }
+    assert!(LINES.iter().all(|line| lines().contains(*line)), "{:?}", lines());
+}
+
 /// Drains an entry on a separate thread, because draining blocks.
 async fn drain(entry: Handle) -> (Handle, bergamotshift_entry::daemon::Drained) {
     let (done, drained) = oneshot::channel();
