fix(forward): replies with removals are read by entries of both versions

Cause: the field with removals made replies unreadable for entries of the previous version, although it stands at the end of the frame. Change: it is read as a tail, and left out when there are none.

--- a/bergamotshift-forward/src/peers/message.rs
+++ b/bergamotshift-forward/src/peers/message.rs
@@ -23,6 +23,7 @@
 use crate::endpoint::Event;
 use crate::endpoint::Registration;
 use crate::endpoint::Removal;
+use crate::limits::tail;
 use crate::outside::Cursor;
 
 /// A request whose connection to an endpoint broke.
@@ -354,5 +355,6 @@
     /// Registrations, when the replying entry's are newer than the requester's and differ from them.
     pub endpoints: Option<Registrations>,
     /// Endpoints whose registrations were removed lately, when the requester's process started a moment ago.
+    #[serde(deserialize_with = "tail::read", skip_serializing_if = "tail::is_default")]
     pub removals: Vec<Removal>,
 }
