--- a/bergamotshift-forward/src/document/route.rs
+++ b/bergamotshift-forward/src/document/route.rs
@@ -102,12 +102,6 @@
         }
     }
 
-    /// Returns whether a service receives some of its requests.
-    pub fn reaches(&self, service: &name::Service) -> bool {
-        let mut splits = self.splits.iter();
-        splits.any(|split| split.service == *service && split.weight > 0)
-    }
-
     /// Chooses a service for a request in proportion to the weights, by the hash of the request's identifier. Returns
     /// `None` when all weights are 0.
     pub fn service(&self, hash: u64) -> Option<&name::Service> {
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -14,6 +14,7 @@
 mod notice;
 mod origin;
 mod pace;
+mod record;
 mod refusal;
 mod speed;
 mod stream;
