--- a/bergamotshift-route/src/speed/incarnation.rs
+++ b/bergamotshift-route/src/speed/incarnation.rs
@@ -18,8 +18,9 @@
 /// Number of windows of which the usual pace is the median.
 const WINDOWS: usize = 4;
 
-/// Change of the lasting pace since the last report that is worth another one.
-const REPORTED_CHANGE: f64 = 0.2;
+/// Change of the lasting pace since the last report that is worth another one. Machines differ by a factor of two; a
+/// change of a fifth, which single samples bring about, gave a third as many lines as there are requests.
+const REPORTED_CHANGE: f64 = 0.5;
 
 /// Figures of one incarnation of an endpoint.
 #[derive(Debug)]
@@ -125,7 +126,7 @@
         self.correction.adjust(measured / self.correction.get(), gain * weight);
     }
 
-    /// Returns the lasting pace without the last stated value, if it has changed by a fifth since this function returned
+    /// Returns the lasting pace without the last stated value, if it has changed by a half since this function returned
     /// it last.
     pub fn take_change(&self) -> Option<f64> {
         let usual = f64::from(f32::from_bits(self.usual.load(Relaxed)));
