feat(limit,forward): logs tell why an attempt was given up and why no other follows

'request not sent again' names it (budget and its figure, no endpoint, attempts, suspicion, service gone, time), 'stream broke' the length of the silence, its limit and whether other answers of that endpoint to this entry went on, and attempts_given_up_total counts causes.

--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 
 use bergamotshift_core::prelude::*;
+use bergamotshift_limit::silence::Pulse;
 use bergamotshift_limit::tolerance::Room;
 use bergamotshift_route::speed::Speed;
 use serde::Deserialize;
@@ -100,6 +101,8 @@
     pub signals: Arc<Signals>,
     /// Its learned speed; kept like its signals.
     pub speed: Arc<Speed>,
+    /// Signs of life from its answers to this entry; kept like its signals.
+    pub pulse: Arc<Pulse>,
     /// Whether its registration is leaving or gone.
     leaving: AtomicBool,
     /// Whether its zone sent no recent update.
@@ -119,6 +122,7 @@
             health: Health::default(),
             signals: Arc::default(),
             speed: Arc::default(),
+            pulse: Arc::default(),
             silent: AtomicBool::new(false),
         }
     }
@@ -130,6 +134,7 @@
         Self {
             signals: Arc::clone(&self.signals),
             speed: Arc::clone(&self.speed),
+            pulse: Arc::clone(&self.pulse),
             ..Self::new(registration)
         }
     }
@@ -213,6 +218,8 @@
     unread: u64,
     /// Records the outcome of the request while two versions are compared.
     observer: Option<Observer>,
+    /// Whether events of its answer have arrived.
+    has_events: bool,
 }
 
 impl Guard {
@@ -224,6 +231,7 @@
             endpoint,
             unread,
             observer: None,
+            has_events: false,
         }
     }
 
@@ -259,6 +267,16 @@
         }
     }
 
+    /// Records that events of its answer arrived.
+    pub fn record_events(&mut self, now: Instant) {
+        if self.has_events {
+            self.endpoint.pulse.record(now);
+        } else {
+            self.has_events = true;
+            self.endpoint.pulse.begin(now);
+        }
+    }
+
     /// Returns the endpoint.
     pub const fn endpoint(&self) -> &Arc<Endpoint> {
         &self.endpoint
@@ -281,6 +299,9 @@
 impl Drop for Guard {
     fn drop(&mut self) {
         self.take_unread();
+        if self.has_events {
+            self.endpoint.pulse.end();
+        }
         self.endpoint.own.running.fetch_sub(1, Relaxed);
     }
 }
--- a/bergamotshift-forward/src/exchange/failure.rs
+++ b/bergamotshift-forward/src/exchange/failure.rs
@@ -27,6 +27,17 @@
 }
 
 impl Failure {
+    /// Returns the name of the failure in metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Connect(_) => "connect",
+            Self::Broken(_) => "broken",
+            Self::Silent => "silent",
+            Self::Slow { .. } => "slow",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+
     /// Returns whether the endpoint cannot have received the request.
     pub const fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect(_))
--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -54,6 +54,13 @@
     outcome: &'static str,
 }
 
+/// Label of attempts that were given up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct GivenUp {
+    cause: &'static str,
+}
+
 /// Labels of a stream that its caller took up.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -70,6 +77,7 @@
     permits: Family<Permit, Counter>,
     tunnels: Family<Permit, Counter>,
     origins: Family<Source, Counter>,
+    given_up: Family<GivenUp, Counter>,
     /// Metrics of admission in a shortage.
     pub shortage: Shortage,
     /// Metrics of learned speeds.
@@ -145,6 +153,7 @@
             permits: Family::default(),
             tunnels: Family::default(),
             origins: Family::default(),
+            given_up: Family::default(),
             shortage: Shortage::default(),
             speeds: Speeds::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
@@ -271,6 +280,8 @@
         registry.register("relays", help, metrics.relays.clone());
         let help = "Tunnels through other entries, by outcome";
         registry.register("tunnels", help, metrics.tunnels.clone());
+        let help = "Attempts that were given up, by cause";
+        registry.register("attempts_given_up", help, metrics.given_up.clone());
         let help = "Time to open a tunnel through another entry";
         registry.register("relay_latency_seconds", help, metrics.relay_latency.clone());
     }
@@ -331,6 +342,11 @@
         self.origins.get_or_create(&Source { source }).inc();
     }
 
+    /// Counts an attempt at an endpoint that was given up.
+    pub fn count_given_up(&self, cause: &'static str) {
+        self.given_up.get_or_create(&GivenUp { cause }).inc();
+    }
+
     /// Counts a request for a tunnel through another entry.
     pub fn count_tunnel(&self, outcome: &'static str) {
         self.tunnels.get_or_create(&Permit { outcome }).inc();
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -8,6 +8,7 @@
 use ntex::http::header;
 use slog::info;
 use smol_str::SmolStr;
+use thiserror::Error as ThisError;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -127,6 +128,30 @@
     Failed(Failure),
 }
 
+/// Cause for which a request is not sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(ThisError)]
+enum Stop {
+    /// The time left is too short for a response.
+    #[error("the time is over")]
+    Late,
+    /// The document has no such service any more.
+    #[error("the service is gone")]
+    NoService,
+    /// The request is suspected of crashing endpoints.
+    #[error("the request is suspected of crashing endpoints")]
+    Suspect,
+    /// No endpoint accepts the request, or none is expected to respond in time.
+    #[error("no endpoint accepts it in time")]
+    NoEndpoint,
+    /// The retry budget of the service is empty.
+    #[error("the retry budget is empty")]
+    Budget,
+    /// The route allows no further attempt, or the request may have run and must not be repeated.
+    #[error("no further attempt is allowed")]
+    Attempts,
+}
+
 /// Outcome of one attempt.
 enum Outcome {
     /// The response can be returned to the caller.
@@ -162,23 +187,23 @@
     /// Sends a request to one endpoint.
     async fn attempt(&self, job: &Job, history: &mut History, last_event: Option<u64>) -> Outcome {
         if job.deadline.since(self.shared.clock.now()) < MIN_TIME_LEFT {
-            return Outcome::Refused(history.refusal(true));
+            return self.stop(job, history, Stop::Late, history.refusal(true));
         }
         let view = self.shared.view.load_full();
         let Some(service) = view.services.get(&job.service) else {
-            return Outcome::Refused(history.refusal(false));
+            return self.stop(job, history, Stop::NoService, history.refusal(false));
         };
         if let Some(refusal) = self.refuse_suspect(&view, job, history) {
-            return Outcome::Refused(refusal);
+            return self.stop(job, history, Stop::Suspect, refusal);
         }
         let choice = match self.choose(service, job, history).await {
             Ok(choice) => choice,
-            Err(refusal) => return Outcome::Refused(refusal),
+            Err(refusal) => return self.stop(job, history, Stop::NoEndpoint, refusal),
         };
         // A retry loads the service even if the request has not run yet, so it draws from the retry budget.
         let is_retry = history.sends > 0;
         if is_retry && !service.budget.try_withdraw() {
-            return Outcome::Refused(history.refusal(false));
+            return self.stop(job, history, Stop::Budget, history.refusal(false));
         }
         let sends = history.sends;
         let error = match self.send(job, &choice, history, last_event).await {
@@ -195,8 +220,25 @@
         let timed_out = job.deadline.since(self.shared.clock.now()) < MIN_TIME_LEFT;
         match fallback {
             Some(exchange) => Outcome::Accepted(exchange),
-            None => Outcome::Refused(history.refusal(timed_out)),
+            None => self.stop(job, history, Stop::Attempts, history.refusal(timed_out)),
+        }
+    }
+
+    /// Returns the refusal of a request that is not sent again, and logs the cause if it was sent before.
+    fn stop(&self, job: &Job, history: &History, cause: Stop, refusal: Refusal) -> Outcome {
+        let now = self.shared.clock.now();
+        if history.sends > 0
+            && let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::Attempt)
+        {
+            let view = self.shared.view.load();
+            let service = view.services.get(&job.service);
+            info!(logger, "request not sent again"; "request" => job.metadata.id.as_str(),
+                "route" => job.route.name.as_str(), "cause" => %cause, "sends" => history.sends,
+                "attempts" => job.route.attempts, "version" => history.version(),
+                "retries_left" => service.map(|service| service.budget.available()),
+                "left_ms" => job.time_left_ms(now), "document" => self.document_version(), "left_out" => left_out);
         }
+        Outcome::Refused(refusal)
     }
 
     /// Sends a request to the chosen endpoint and checks the head of its response.
@@ -384,6 +426,7 @@
             }
             Error::Failed(failure) => {
                 endpoint.health.record_failure();
+                self.shared.metrics.count_given_up(failure.name());
                 self.report_broken(job, endpoint, &failure, false);
                 failure.to_string()
             }
--- a/bergamotshift-forward/src/serve/pace.rs
+++ b/bergamotshift-forward/src/serve/pace.rs
@@ -31,6 +31,11 @@
         self.first_event.map(|first| first.since(arrived).as_millis() as u64)
     }
 
+    /// Returns the time since the last events, in milliseconds; `None` without any.
+    pub(super) fn silence_ms(&self, now: Instant) -> Option<u64> {
+        self.first_event.map(|_| now.since(self.last_event).as_millis() as u64)
+    }
+
     /// Returns the longest time between events, in milliseconds; `None` without any.
     pub(super) fn pause_ms(&self) -> Option<u64> {
         self.first_event.map(|_| self.longest_pause.as_millis() as u64)
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -136,6 +136,7 @@
                 Err(failure) => failure,
             };
             self.guard.record_failure();
+            self.forwarder.shared.metrics.count_given_up(failure.name());
             self.forwarder
                 .report_broken(&self.job, self.guard.endpoint(), &failure, self.is_settled);
             self.resume(failure).await?;
@@ -160,6 +161,7 @@
     fn record_events(&mut self) {
         let now = self.forwarder.shared.clock.now();
         self.history.pace.record(now);
+        self.guard.record_events(now);
         if self.begun_at.is_none() {
             let endpoint = self.guard.endpoint();
             self.forwarder
@@ -260,9 +262,12 @@
                 "route" => self.job.route.name.as_str(),
                 "endpoint" => self.guard.endpoint().registration.id.as_str(),
                 "version" => self.history.version(), "cause" => %failure,
+                "silence_ms" => self.history.pace.silence_ms(now),
+                "limit_ms" => self.job.stall_timeout().map(|limit| limit.as_millis() as u64),
+                "endpoint_silence_ms" => self.guard.endpoint().pulse.silence(now).map(|silence| silence.as_millis() as u64),
                 "last_event" => self.events.last_id(), "sends" => self.history.sends,
-                "resumable" => self.job.route.resumable, "document" => self.forwarder.document_version(),
-                "left_out" => left_out);
+                "attempts" => self.job.route.attempts, "resumable" => self.job.route.resumable,
+                "document" => self.forwarder.document_version(), "left_out" => left_out);
         }
     }
 }
--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -1,4 +1,4 @@
-//! Fair sharing, admission, retry budgets, hedging and quarantine without I/O.
+//! Fair sharing, admission, retry budgets, hedging, silence of endpoints and quarantine without I/O.
 //!
 //! Events, readings and the current time go in; decisions come out. Types that worker threads use on the request path
 //! are atomic and take `&self`; types that the control thread updates take `&mut self`. [`limiter`] combines limits,
@@ -25,5 +25,6 @@
 pub mod retry;
 pub mod returns;
 pub mod share;
+pub mod silence;
 pub mod throttle;
 pub mod tolerance;
--- a/bergamotshift-limit/src/prelude.rs
+++ b/bergamotshift-limit/src/prelude.rs
@@ -19,5 +19,6 @@
 pub use crate::retry::Budget;
 pub use crate::share;
 pub use crate::share::Pool;
+pub use crate::silence;
 pub use crate::throttle;
 pub use crate::throttle::Throttle;
--- a/bergamotshift-limit/src/retry/budget.rs
+++ b/bergamotshift-limit/src/retry/budget.rs
@@ -28,6 +28,26 @@
     }
 }
 
+/// Extra attempt taken from a budget, which is given back on drop unless it is spent.
+#[derive(Debug)]
+#[must_use]
+pub struct Withdrawal<'a>(Option<&'a Budget>);
+
+impl Withdrawal<'_> {
+    /// Records that the attempt is sent.
+    pub fn spend(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for Withdrawal<'_> {
+    fn drop(&mut self) {
+        if let Some(budget) = self.0 {
+            budget.refund();
+        }
+    }
+}
+
 /// Budget for all retries and hedges of one service.
 ///
 /// Unbounded retries would multiply the load while some endpoints fail, until the healthy ones fail too. Each request
@@ -95,6 +115,11 @@
             .is_ok()
     }
 
+    /// Takes one extra attempt that is given back unless it is spent; `None` if none was available.
+    pub fn withdraw(&self) -> Option<Withdrawal<'_>> {
+        self.try_withdraw().then_some(Withdrawal(Some(self)))
+    }
+
     /// Gives back an extra attempt that was never sent.
     pub fn refund(&self) {
         let cap = self.cap.load(Relaxed);
--- a/bergamotshift-limit/src/retry/mod.rs
+++ b/bergamotshift-limit/src/retry/mod.rs
@@ -11,6 +11,7 @@
 
 pub use self::budget::Budget;
 pub use self::budget::Settings;
+pub use self::budget::Withdrawal;
 use crate::backoff::Backoff;
 
 /// Failure of an attempt that got no answer.
