--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -239,8 +239,6 @@
             "Whether this entry is cut off from endpoints that its callers need",
             metrics.stranded.clone(),
         );
-        let help = "Streams that their callers took up, by where the version was known from";
-        registry.register("streams_taken_up", help, metrics.origins.clone());
         metrics.register_engines();
         metrics.register_copies();
         metrics.register_suspicions();
@@ -280,6 +278,8 @@
         registry.register("relays", help, metrics.relays.clone());
         let help = "Tunnels through other entries, by outcome";
         registry.register("tunnels", help, metrics.tunnels.clone());
+        let help = "Streams that their callers took up, by where the version was known from";
+        registry.register("streams_taken_up", help, metrics.origins.clone());
         let help = "Attempts that were given up, by cause";
         registry.register("attempts_given_up", help, metrics.given_up.clone());
         let help = "Time to open a tunnel through another entry";
