test(entry): silences of sound endpoints that end answers

Callers of an entry get cut streams and failures when a sound endpoint is silent for longer than the stall timeout in the middle of an answer. The entry closes the connection and looks for budget, an endpoint and a connection afterwards; where one of them is missing, it has ended a sound answer itself.

--- a/bergamotshift-entry/tests/entry/endpoint.rs
+++ b/bergamotshift-entry/tests/entry/endpoint.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 use core::sync::atomic::AtomicUsize;
 use core::sync::atomic::Ordering;
+use core::time::Duration;
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
@@ -20,14 +21,21 @@
 
 impl Endpoint {
     /// Starts an endpoint; `answer` gets the attempt and counts the requests from 0. Load reports are not counted.
-    pub fn start(answer: impl Fn(&str, usize) -> String + Send + 'static) -> Self {
+    pub fn start(answer: impl Fn(&str, usize) -> String + Send + Sync + 'static) -> Self {
+        Self::start_pausing(Duration::ZERO, answer)
+    }
+
+    /// Starts an endpoint that is silent for a time in the middle of each body.
+    pub fn start_pausing(silence: Duration, answer: impl Fn(&str, usize) -> String + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let served = Arc::new(AtomicUsize::new(0));
         let count = Arc::clone(&served);
+        let answer = Arc::new(answer);
         thread::spawn(move || {
             for socket in listener.incoming() {
-                serve(socket.unwrap(), &answer, &count);
+                let (answer, count) = (Arc::clone(&answer), Arc::clone(&count));
+                thread::spawn(move || serve(socket.unwrap(), &*answer, &count, silence));
             }
         });
         Self { address, served }
@@ -42,7 +50,7 @@
     }
 }
 
-fn serve(mut socket: TcpStream, answer: &impl Fn(&str, usize) -> String, count: &AtomicUsize) {
+fn serve(mut socket: TcpStream, answer: &impl Fn(&str, usize) -> String, count: &AtomicUsize, silence: Duration) {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -55,12 +63,19 @@
     let attempt = head
         .lines()
         .find_map(|line| line.strip_prefix("x-bergamotshift-attempt: "));
-    let text = match attempt {
-        Some(attempt) => answer(attempt, count.fetch_add(1, Ordering::SeqCst)),
-        None => "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_owned(),
+    let (text, silence) = match attempt {
+        Some(attempt) => (answer(attempt, count.fetch_add(1, Ordering::SeqCst)), silence),
+        None => (
+            "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            Duration::ZERO,
+        ),
     };
+    let body = text.find("\r\n\r\n").map_or(text.len(), |end| end + 4);
+    let (first, second) = text.as_bytes().split_at(body + (text.len() - body) / 2);
     // The entry may have gone away in the middle.
-    drop(socket.write_all(text.as_bytes()));
+    drop(socket.write_all(first));
+    thread::sleep(silence);
+    drop(socket.write_all(second));
     drop(socket.shutdown(Shutdown::Write));
     drop(socket.read_to_end(&mut Vec::new()));
 }
--- a/bergamotshift-entry/tests/entry/main.rs
+++ b/bergamotshift-entry/tests/entry/main.rs
@@ -10,5 +10,6 @@
 mod path;
 mod plain;
 mod poison;
+mod silence;
 mod site;
 mod stream;
--- a/bergamotshift-entry/tests/entry/site.rs
+++ b/bergamotshift-entry/tests/entry/site.rs
@@ -40,6 +40,8 @@
     pub plain: plain::Settings,
     /// Another endpoint of the service `app`.
     pub raw: Option<SocketAddr>,
+    /// A further one.
+    pub second_raw: Option<SocketAddr>,
     /// More lines of the service `llm`.
     pub llm: &'static str,
     /// More lines of the service `app`.
@@ -57,6 +59,7 @@
             engine: engine::Settings::default(),
             plain: plain::Settings::default(),
             raw: None,
+            second_raw: None,
             llm: "",
             app: "",
             more: "",
@@ -399,6 +402,9 @@
     if let Some(address) = layout.raw {
         endpoint(&mut text, "raw", "app", 0, address);
     }
+    if let Some(address) = layout.second_raw {
+        endpoint(&mut text, "second-raw", "app", 1, address);
+    }
     text
 }
 
