fix(entry): an answer of a silent endpoint is read on until another attempt answers

What callers saw: event streams that ended without their terminal event, large answers that broke off and failures (502, 504) in place of buffered answers, when a sound endpoint was silent for longer than the stall timeout.

Cause: the stall timeout counted as a failure of the endpoint. `exchange::events`, `exchange::copy` and `exchange::whole` dropped the body first, which closed the connection, and asked for a withdrawal from the retry budget, an endpoint and a connection afterwards. If one of them was missing, or the request must not run twice, the entry had ended a sound answer itself.

Evidence: five tests, on the code before (the silence lasts 4 s, the stall timeout 3 s):

a_silence_of_all_engines_ends_no_event_stream a stream ends after 5 of 40 tokens, without [DONE] a_stream_stays_at_its_engine_until_another_answers left: 2, right: 1 (runs at the first engine) a_silence_ends_no_large_answer left: 0, right: 16 (whole answers) a_silence_ends_no_buffered_answer left: 0, right: 16 (answers) a_silence_ends_no_answer_to_a_request_that_must_not_run_twice left: (504, "... the endpoint took too long to answer; no further attempt: the request must not run more than once") right: (200, "confirmed")

Ruled out: an endpoint that fails. The stand-ins go on after the silence on the same connections, which is what the tests read now; the stream of one engine that is silent for good went on at another before, too, as budget and engines were left.

The readers share `exchange::source::Source`, which leaves the decisions to `bergamotshift_limit::silence`. An attempt ends by a reset or the end of its connection, by the request's deadline, if a later incarnation of the endpoint is known, or when another attempt has begun to answer: its head, for an event stream its next event, for a large answer all that was delivered already. Whichever goes on first serves; a withdrawal from the budget is given back if nothing was sent. An endpoint that accepts no connection may be replaced without a bound on the overlap, any other within 300 ms. While most endpoints that answer this entry are silent, no attempt moves, and their silence is not reported to the control thread, so it suspends no endpoint and accuses no request.

a_silence_of_all_engines_counts_against_none failed before with left: (25, 16), right: (16, 0) (attempts, broken attempts). an_answer_of_a_lost_endpoint_comes_from_one_that_begins_late passed before and guards the other direction.

The tests of the crate pass.

--- a/bergamotshift-entry/src/api/openai/answer.rs
+++ b/bergamotshift-entry/src/api/openai/answer.rs
@@ -109,7 +109,7 @@
             return Ok(Answer::Stream(Head { status, headers }, Box::new(events)));
         }
         // An engine refuses a request with a complete answer instead of a stream.
-        match whole::finish(&mut attempts, open.answer, open.running).await {
+        match whole::finish(&mut attempts, open, &body).await {
             Ok(Some(whole)) => {
                 attempts.count_whole(&whole.body);
                 return Ok(Answer::Whole(whole));
--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -167,7 +167,8 @@
         if !is_small(attempts.call(), &open, bound) {
             return Ok(Answer::Streamed(open));
         }
-        if let Some(whole) = whole::finish(attempts, open.answer, open.running).await? {
+        let sent = attempts.call().body.clone();
+        if let Some(whole) = whole::finish(attempts, open, &sent).await? {
             return Ok(Answer::Whole(whole));
         }
     }
--- a/bergamotshift-entry/src/api/request.rs
+++ b/bergamotshift-entry/src/api/request.rs
@@ -34,10 +34,10 @@
 /// Minimum timeout for the response head of an attempt.
 const MIN_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Factor of the latency target between two tokens after which a stalled stream times out.
+/// Factor of the latency target between two tokens after which the endpoint of a stream counts as silent.
 const STALL_TIMEOUT_FACTOR: u32 = 40;
 
-/// Minimum timeout for a stalled stream.
+/// Minimum time after which the endpoint of an answer counts as silent.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Returns the host from the `Host` header or else from the request's URI.
--- a/bergamotshift-entry/src/control/fleet.rs
+++ b/bergamotshift-entry/src/control/fleet.rs
@@ -7,6 +7,7 @@
 use bergamotshift_core::prelude::*;
 use bergamotshift_endpoint::call::Target;
 use bergamotshift_limit::quarantine::Instance;
+use bergamotshift_limit::silence::Pulse;
 use bergamotshift_route::registry::Registry;
 use bergamotshift_route::view;
 use slotmap::SecondaryMap;
@@ -64,6 +65,7 @@
                 service: listed.service.clone(),
                 target: Target::new(listed.address, tls),
                 isolation: sharing::Isolation::default(),
+                pulse: Arc::default(),
             };
             self.insert(config, endpoint, listed.class.clone(), listed.market);
         }
@@ -158,6 +160,16 @@
             .collect()
     }
 
+    /// Returns the signs of life of all endpoints by service.
+    pub(super) fn pulses(&self) -> BTreeMap<name::Service, Vec<Arc<Pulse>>> {
+        let mut pulses = BTreeMap::<_, Vec<_>>::new();
+        for record in self.records.values() {
+            let service = pulses.entry(record.endpoint.service.clone()).or_default();
+            service.push(Arc::clone(&record.endpoint.pulse));
+        }
+        pulses
+    }
+
     /// Returns the number of endpoints by service, zone and state.
     pub(super) fn census(&self) -> Census {
         let mut census = Census::new();
--- a/bergamotshift-entry/src/control/listing.rs
+++ b/bergamotshift-entry/src/control/listing.rs
@@ -1,6 +1,7 @@
 //! Handling of the platform's VM listings.
 
 use core::sync::atomic::Ordering;
+use std::sync::Arc;
 
 use bergamotshift_core::vm;
 use bergamotshift_core::vm::Listing;
@@ -25,6 +26,7 @@
                     service: service.clone(),
                     target: Target::new(vm.address, self.shared.settings.endpoints.tls.is_some()),
                     isolation: sharing::Isolation::default(),
+                    pulse: Arc::default(),
                 };
                 self.handle_endpoint(vm, &endpoint);
             }
--- a/bergamotshift-entry/src/control/publish.rs
+++ b/bergamotshift-entry/src/control/publish.rs
@@ -34,6 +34,7 @@
             config: Arc::clone(&self.config),
             view: self.fleet.registry.publish(self.shared.now()),
             endpoints: self.fleet.endpoints(),
+            pulses: self.fleet.pulses(),
             services,
             zones,
             quarantine: self.quarantine.table(),
--- a/bergamotshift-entry/src/exchange/attempts.rs
+++ b/bergamotshift-entry/src/exchange/attempts.rs
@@ -62,6 +62,8 @@
     pub(super) is_settled: bool,
     /// Whether it runs to find out whether a refused part of its prompt crashes endpoints.
     pub(super) is_trial: bool,
+    /// Whether the request body was streamed, so that it cannot be sent again.
+    pub(super) is_streamed: bool,
     /// Number of polls without any endpoint.
     pub(super) endpoint_polls: u32,
     /// Number of polls for an endpoint that runs no other suspected request.
@@ -93,6 +95,7 @@
             outcome: Outcome::NotRun,
             is_settled: false,
             is_trial: false,
+            is_streamed: false,
             endpoint_polls: 0,
             isolation_polls: 0,
             trace: Trace::default(),
@@ -185,6 +188,7 @@
                 Outgoing::Buffered(bytes) => call::Body::Buffered(bytes.clone()),
                 Outgoing::Streamed(payload) => call::Body::Streamed(payload.take()),
             };
+            self.is_streamed = matches!(body, Outgoing::Streamed(_));
             self.started += 1;
             self.is_settled = false;
             queue = None;
@@ -234,7 +238,11 @@
         if let Some(service) = snapshot.services.get(&self.call.service) {
             service.metrics.broken.inc();
         }
-        let verdict = self.request_verdict(&running, &failure).await;
+        let verdict = if self.is_common(&failure) {
+            Verdict::default()
+        } else {
+            self.request_verdict(&running, &failure).await
+        };
         let kind = match (&failure, verdict) {
             (Failure::Connect(_), _) => retry::Failure::Refused,
             (_, Verdict { announced: true, .. }) => retry::Failure::Moved,
@@ -256,11 +264,7 @@
     ) -> Result<(), Error> {
         self.tried.push(running.key);
         let service = snapshot.services.get(&self.call.service).ok_or(Error::NoService)?;
-        let request = retry::Request {
-            repeatable: self.call.repeatable,
-            attempts: self.started,
-            deadline: self.call.times.deadline,
-        };
+        let request = self.retry_request();
         let now = self.worker.shared.now();
         let decision = self
             .worker
@@ -276,4 +280,13 @@
             Decision::Stop(reason) => Err(error(reason)),
         }
     }
+
+    /// Returns the state of the request for the retry policy.
+    pub(super) fn retry_request(&self) -> retry::Request {
+        retry::Request {
+            repeatable: self.call.repeatable,
+            attempts: self.started,
+            deadline: self.call.times.deadline,
+        }
+    }
 }
--- a/bergamotshift-entry/src/exchange/choose.rs
+++ b/bergamotshift-entry/src/exchange/choose.rs
@@ -51,34 +51,10 @@
     pub(super) async fn choose(&mut self, snapshot: &Snapshot, service: &Service) -> Result<Option<Running>, Error> {
         let now = self.worker.shared.now();
         let isolate = self.must_isolate(snapshot, now);
-        let mut exclude = Cow::Borrowed(self.tried.as_slice());
-        if isolate {
-            let occupied = snapshot
-                .endpoints
-                .iter()
-                .filter(|(_, endpoint)| endpoint.isolation.is_acquired());
-            exclude.to_mut().extend(occupied.map(|(key, _)| key));
-        }
+        let exclude = excluded(snapshot, &self.tried, isolate);
         let has_occupied = exclude.len() > self.tried.len();
-        match self.try_choose(snapshot, service, now, &exclude) {
-            Ok((choice, guard)) => {
-                let Some(endpoint) = snapshot.endpoints.get(choice.key) else {
-                    return Ok(None);
-                };
-                let seat = if isolate {
-                    endpoint.isolation.try_acquire()
-                } else {
-                    None
-                };
-                // Another suspected request may have taken the endpoint first; the next try excludes that endpoint.
-                Ok((seat.is_some() || !isolate).then(|| Running {
-                    endpoint: Arc::clone(endpoint),
-                    key: choice.key,
-                    span: Span::default(),
-                    _guard: guard,
-                    _seat: seat,
-                }))
-            }
+        match self.try_start(snapshot, service, now, &exclude, isolate) {
+            Ok(running) => Ok(running),
             Err(Refusal::NoEndpoint) if has_occupied => {
                 self.isolation_polls += 1;
                 tokio::time::sleep(ENDPOINT_POLL_INTERVAL).await;
@@ -106,6 +82,53 @@
         }
     }
 
+    /// Chooses another endpoint than `silent` for an attempt beside the one there, and counts the attempt.
+    pub(super) fn choose_beside(
+        &self,
+        snapshot: &Snapshot,
+        service: &Service,
+        silent: key::Endpoint,
+    ) -> Option<Running> {
+        let now = self.worker.shared.now();
+        let isolate = self.must_isolate(snapshot, now);
+        let mut tried = self.tried.clone();
+        tried.push(silent);
+        let choose = |tried: &[key::Endpoint]| {
+            let exclude = excluded(snapshot, tried, isolate);
+            self.try_start(snapshot, service, now, &exclude, isolate)
+        };
+        // If all others were tried, a failed one may have recovered.
+        choose(&tried).or_else(|_| choose(&[silent])).ok().flatten()
+    }
+
+    /// Chooses an endpoint and counts the attempt there; returns `None` if another request took the endpoint first.
+    fn try_start(
+        &self,
+        snapshot: &Snapshot,
+        service: &Service,
+        now: Instant,
+        exclude: &[key::Endpoint],
+        isolate: bool,
+    ) -> Result<Option<Running>, Refusal> {
+        let (choice, guard) = self.try_choose(snapshot, service, now, exclude)?;
+        let Some(endpoint) = snapshot.endpoints.get(choice.key) else {
+            return Ok(None);
+        };
+        let seat = if isolate {
+            endpoint.isolation.try_acquire()
+        } else {
+            None
+        };
+        // Another suspected request may have taken the endpoint first; the next try excludes that endpoint.
+        Ok((seat.is_some() || !isolate).then(|| Running {
+            endpoint: Arc::clone(endpoint),
+            key: choice.key,
+            span: Span::default(),
+            _guard: guard,
+            _seat: seat,
+        }))
+    }
+
     /// Returns whether the request is suspected and has not yet waited [`ISOLATION_TIMEOUT`] for an endpoint without
     /// another suspected request.
     fn must_isolate(&self, snapshot: &Snapshot, now: Instant) -> bool {
@@ -147,3 +170,14 @@
         Ok((choice, guard))
     }
 }
+
+/// Returns the endpoints that were tried and, for a request to be isolated, those that run a suspected request.
+fn excluded<'a>(snapshot: &Snapshot, tried: &'a [key::Endpoint], isolate: bool) -> Cow<'a, [key::Endpoint]> {
+    let mut exclude = Cow::Borrowed(tried);
+    if isolate {
+        let endpoints = snapshot.endpoints.iter();
+        let occupied = endpoints.filter(|(_, endpoint)| endpoint.isolation.is_acquired());
+        exclude.to_mut().extend(occupied.map(|(key, _)| key));
+    }
+    exclude
+}
--- a/bergamotshift-entry/src/exchange/copy.rs
+++ b/bergamotshift-entry/src/exchange/copy.rs
@@ -1,7 +1,7 @@
 //! Forwards large plain answers while they arrive.
 
 use core::error;
-use core::mem;
+use core::time::Duration;
 use std::rc::Rc;
 
 use bergamotshift_endpoint::answer::Failure;
@@ -16,7 +16,11 @@
 use super::Open;
 use super::Outgoing;
 use super::attempts::Running;
-use super::whole;
+use super::replace::Beside;
+use super::source;
+use super::source::Part;
+use super::source::Replacement;
+use super::source::Source;
 use crate::observe::Hop;
 
 /// Forwards an answer and, if it breaks off, continues with a second answer that begins with the same bytes.
@@ -28,10 +32,38 @@
 #[derive(Debug)]
 pub struct Relay {
     attempts: Attempts,
-    body: Payload,
-    running: Option<Running>,
+    /// Answer that is read; `None` after a failure.
+    source: Option<Source>,
     delivered: u64,
     hash: Hash,
+    /// Bytes of the current answer that were delivered from an earlier one.
+    prefix: Prefix,
+}
+
+/// Beginning of an answer that has to equal the bytes delivered from an earlier one.
+#[derive(Debug, Default)]
+struct Prefix {
+    length: u64,
+    digest: u128,
+    seen: u64,
+    hash: Hash,
+}
+
+impl Prefix {
+    const fn is_complete(&self) -> bool {
+        self.seen == self.length
+    }
+
+    /// Takes the prefix's bytes from a chunk and returns the rest.
+    fn strip(&mut self, chunk: &Bytes) -> Result<Bytes, Error> {
+        let taken = (self.length - self.seen).min(chunk.len() as u64) as usize;
+        self.hash.0.update(&chunk[..taken]);
+        self.seen += taken as u64;
+        if self.is_complete() && self.hash.0.digest128() != self.digest {
+            return Err(Error::Diverged);
+        }
+        Ok(chunk.slice(taken..))
+    }
 }
 
 #[derive(Default)]
@@ -46,12 +78,13 @@
 impl Relay {
     /// Creates a relay for an answer whose head has been forwarded.
     pub fn new(attempts: Attempts, body: Payload, running: Running) -> Self {
+        let limit = attempts.call().times.stall_timeout;
         Self {
+            source: Some(Source::new(&attempts, body, running, limit)),
             attempts,
-            body,
-            running: Some(running),
             delivered: 0,
             hash: Hash::default(),
+            prefix: Prefix::default(),
         }
     }
 
@@ -67,75 +100,129 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, Error> {
-        let timeout = self.attempts.call().times.stall_timeout;
+        let next = self.read().await;
+        next.inspect_err(|_| self.attempts.record().failed())
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
-            match whole::next(&self.attempts, &mut self.body, timeout).await {
-                Ok(Some(chunk)) => {
-                    self.attempts.record().first();
-                    self.hash.0.update(&chunk);
-                    self.delivered += chunk.len() as u64;
-                    return Ok(Some(chunk));
+            let source = self.source.as_mut().ok_or(Error::Diverged)?;
+            let part = match source.next(&self.attempts).await {
+                Part::Silent { overlap } => Box::pin(self.replace(overlap)).await,
+                part => part,
+            };
+            match part {
+                Part::Chunk(Some(chunk)) => {
+                    let chunk = if self.prefix.is_complete() {
+                        chunk
+                    } else {
+                        self.prefix.strip(&chunk)?
+                    };
+                    if !chunk.is_empty() {
+                        self.attempts.record().first();
+                        self.hash.0.update(&chunk);
+                        self.delivered += chunk.len() as u64;
+                        return Ok(Some(chunk));
+                    }
                 }
-                Ok(None) => {
+                Part::Chunk(None) if !self.prefix.is_complete() => return Err(Error::Diverged),
+                Part::Chunk(None) => {
                     self.attempts.record().answered();
                     return Ok(None);
                 }
-                Err(failure) => {
-                    let resumed = self.resume(failure).await;
-                    resumed.inspect_err(|_| self.attempts.record().failed())?;
-                }
+                Part::Failed(failure) => Box::pin(self.resume(failure)).await?,
+                Part::Silent { .. } => {}
             }
         }
     }
 
-    /// Requests another answer and skips the bytes already delivered.
-    async fn resume(&mut self, mut failure: Failure) -> Result<(), Error> {
+    /// Requests another answer, whose beginning was delivered already.
+    async fn resume(&mut self, failure: Failure) -> Result<(), Error> {
         self.attempts.mark_ran();
         let _handover = self.attempts.trace().span(Hop::Handover);
-        loop {
-            drop(mem::take(&mut self.body));
-            let Some(running) = self.running.take() else {
-                return Err(Error::Diverged);
-            };
-            self.attempts.handle_failure(running, failure).await?;
-            let body = Outgoing::Buffered(self.attempts.call().body.clone());
-            let Open { answer, running } = self.attempts.open(body).await?;
-            if !answer.status.is_success() {
-                return Err(Error::Diverged);
-            }
-            self.body = answer.body;
-            self.running = Some(running);
-            match self.skip().await {
-                Ok(rest) => return rest,
-                Err(next) => failure = next,
-            }
+        let source = self.source.take().ok_or(Error::Diverged)?;
+        self.attempts.handle_failure(source.into_running(), failure).await?;
+        let body = Outgoing::Buffered(self.attempts.call().body.clone());
+        let Open { answer, running } = self.attempts.open(body).await?;
+        if !answer.status.is_success() {
+            return Err(Error::Diverged);
         }
+        self.prefix = self.delivered_prefix();
+        self.attach(answer.body, running);
+        Ok(())
     }
 
-    /// Skips the bytes already delivered and checks that they match.
+    /// Reads on from the silent endpoint until another one has sent what was delivered already.
     ///
-    /// The outer error means that this answer broke off too; the inner error means that it differs or is shorter.
-    async fn skip(&mut self) -> Result<Result<(), Error>, Failure> {
-        let mut skipped = 0;
-        let mut hash = Xxh3::new();
-        let timeout = self.attempts.call().times.stall_timeout;
-        while skipped < self.delivered {
-            let Some(chunk) = whole::next(&self.attempts, &mut self.body, timeout).await? else {
-                return Ok(Err(Error::Diverged));
-            };
-            let remaining = self.delivered - skipped;
-            let taken = remaining.min(chunk.len() as u64) as usize;
-            hash.update(&chunk[..taken]);
-            skipped += taken as u64;
-            if taken < chunk.len() {
-                let rest = chunk.slice(taken..);
-                let old = mem::take(&mut self.body);
-                self.body = Payload::from_stream(stream::iter([Ok(rest)]).chain(old));
+    /// Returns the next part of whichever went on, or [`Part::Silent`] if neither did.
+    async fn replace(&mut self, overlap: Option<Duration>) -> Part {
+        let body = self.attempts.call().body.clone();
+        let prefix = self.delivered_prefix();
+        let Some(source) = &mut self.source else {
+            return Part::Silent { overlap };
+        };
+        let open = async move |attempts: &mut Attempts, silent| {
+            let beside = attempts.open_beside(silent, body, overlap).await?;
+            Begun::read(attempts, beside, prefix).await
+        };
+        match source.replace(&mut self.attempts, open).await {
+            Replacement::Begun(begun) => {
+                let _handover = self.attempts.trace().span(Hop::Handover);
+                self.prefix = Prefix::default();
+                self.attach(begun.body, begun.running);
+                Part::Chunk(Some(begun.rest))
             }
+            Replacement::Overtaken(part) => part,
+            Replacement::Missed => Part::Silent { overlap },
+        }
+    }
+
+    fn attach(&mut self, body: Payload, running: Running) {
+        let limit = self.attempts.call().times.stall_timeout;
+        self.source = Some(Source::new(&self.attempts, body, running, limit));
+    }
+
+    /// Returns the bytes delivered so far as the beginning of another answer.
+    fn delivered_prefix(&self) -> Prefix {
+        Prefix {
+            length: self.delivered,
+            digest: self.hash.0.digest128(),
+            ..Prefix::default()
         }
-        let same = hash.digest128() == self.hash.0.digest128();
-        Ok(if same { Ok(()) } else { Err(Error::Diverged) })
     }
 }
 
-use futures_util::StreamExt;
+/// Answer of an attempt beside a silent one that has sent what was delivered already.
+struct Begun {
+    body: Payload,
+    running: Running,
+    /// Bytes that were read beyond the delivered ones.
+    rest: Bytes,
+}
+
+impl Begun {
+    /// Reads an answer to the end of `prefix`; returns `None` if it breaks off or differs.
+    async fn read(attempts: &Attempts, beside: Beside, mut prefix: Prefix) -> Option<Self> {
+        let Open { mut answer, running } = beside.open;
+        let times = attempts.call().times;
+        let mut rest = Bytes::new();
+        let mut failure =
+            (!answer.status.is_success()).then(|| Failure::Malformed(format!("status {}", answer.status.as_u16())));
+        while failure.is_none() && !prefix.is_complete() {
+            let stalled_at = attempts.worker().shared.now() + times.stall_timeout;
+            match source::read_until(attempts, &mut answer.body, stalled_at.min(times.deadline)).await {
+                Ok(chunk) => match prefix.strip(&chunk) {
+                    Ok(beyond) => rest = beyond,
+                    Err(error) => failure = Some(Failure::Malformed(error.to_string())),
+                },
+                Err(broken) => failure = Some(broken),
+            }
+        }
+        if let Some(failure) = failure {
+            attempts.drop_beside(running, &failure);
+            return None;
+        }
+        let body = answer.body;
+        Some(Self { body, running, rest })
+    }
+}
--- a/bergamotshift-entry/src/exchange/events.rs
+++ b/bergamotshift-entry/src/exchange/events.rs
@@ -1,5 +1,6 @@
 //! Reads the events of a completion, continued on other endpoints if its stream breaks.
 
+use core::time::Duration;
 use std::rc::Rc;
 
 use bergamotshift_core::prelude::*;
@@ -11,15 +12,17 @@
 use bergamotshift_endpoint::engine::resume;
 use bergamotshift_endpoint::engine::resume::Resumption;
 use bergamotshift_limit::quarantine::part;
-use ntex::http::Payload;
 use ntex::util::Bytes;
 
 use super::Attempts;
 use super::Error;
 use super::Open;
 use super::Outgoing;
-use super::attempts::Running;
-use super::whole;
+use super::replace::Beside;
+use super::source;
+use super::source::Part;
+use super::source::Replacement;
+use super::source::Source;
 use crate::observe::Hop;
 
 /// Reader of a completion's events that resumes on another endpoint if the stream breaks.
@@ -33,8 +36,8 @@
     adapter: Rc<dyn Adapter>,
     /// Body of the first attempt, from which continuations are built.
     sent: Bytes,
-    body: Payload,
-    running: Option<Running>,
+    /// Answer that is read; `None` after the end.
+    source: Option<Source>,
     splitter: Splitter,
     progress: Progress,
     /// Number of tokens that the current endpoint received in its prompt and did not generate.
@@ -48,19 +51,20 @@
 impl Events {
     /// Creates a reader of a stream whose head has arrived; `sent` is the body that requested it.
     pub fn new(attempts: Attempts, adapter: Rc<dyn Adapter>, sent: Bytes, open: Open) -> Self {
-        Self {
+        let mut events = Self {
             attempts,
             adapter,
             sent,
-            body: open.answer.body,
-            running: Some(open.running),
+            source: None,
             splitter: Splitter::default(),
             progress: Progress::default(),
             carried_tokens: 0,
             begun_at: None,
             resumed: false,
             done: false,
-        }
+        };
+        events.attach(open);
+        events
     }
 
     /// Returns the attempts that deliver the events.
@@ -85,25 +89,11 @@
     /// Returns an error if the completion cannot be finished.
     pub async fn read(&mut self, events: &mut Vec<Event>) -> Result<(), Error> {
         while events.is_empty() && !self.done {
-            let times = self.attempts.call().times;
-            // Before its first token a request may wait for a slot of the engine, which is not a stall.
-            let timeout = if self.has_started() {
-                times.stall_timeout
-            } else {
-                times.head_timeout.max(times.stall_timeout)
-            };
-            let failure = match whole::next(&self.attempts, &mut self.body, timeout).await {
-                Ok(Some(chunk)) => match self.splitter.push(&chunk) {
-                    Ok(()) => {
-                        self.drain(events);
-                        continue;
-                    }
-                    Err(error) => Failure::Malformed(error.to_string()),
-                },
-                Ok(None) => Failure::Broken("the stream ended without its terminal event".to_owned()),
-                Err(failure) => failure,
-            };
-            self.resume(failure, events).await?;
+            let source = self.source.as_mut().ok_or(Error::NoEndpoint)?;
+            match source.next(&self.attempts).await {
+                Part::Silent { overlap } => Box::pin(self.replace(overlap, events)).await?,
+                part => self.handle(part, events).await?,
+            }
         }
         if self.has_started() {
             self.attempts.record().first();
@@ -111,27 +101,78 @@
         Ok(())
     }
 
+    /// Returns the limit of normal silences.
+    fn limit(&self) -> Duration {
+        let times = self.attempts.call().times;
+        if self.has_started() {
+            return times.stall_timeout;
+        }
+        // Before its first token a request may wait for a slot of the engine.
+        times.head_timeout.max(times.stall_timeout)
+    }
+
+    /// Reads on from an answer whose head has arrived.
+    fn attach(&mut self, open: Open) {
+        let source = Source::new(&self.attempts, open.answer.body, open.running, self.limit());
+        self.source = Some(source);
+        self.splitter = Splitter::default();
+        self.begun_at = None;
+        if self.has_started() {
+            self.resumed = true;
+            self.carried_tokens = self.progress.tokens();
+            self.count_resumed();
+        }
+    }
+
+    /// Moves the events of a part of the answer into `events`, or continues on another endpoint if it broke.
+    async fn handle(&mut self, part: Part, events: &mut Vec<Event>) -> Result<(), Error> {
+        let failure = match part {
+            Part::Chunk(Some(chunk)) => match self.splitter.push(&chunk) {
+                Ok(()) => {
+                    self.drain(events);
+                    return Ok(());
+                }
+                Err(error) => Failure::Malformed(error.to_string()),
+            },
+            Part::Chunk(None) => Failure::Broken("the stream ended without its terminal event".to_owned()),
+            Part::Failed(failure) => failure,
+            Part::Silent { .. } => return Ok(()),
+        };
+        Box::pin(self.resume(failure, events)).await
+    }
+
     /// Moves the complete events that have arrived into `events`.
     fn drain(&mut self, events: &mut Vec<Event>) {
-        while let Some(event) = self.splitter.next() {
-            if event.is_done() {
-                self.finish();
-                return;
-            }
-            let event = if self.resumed {
-                resume::rewrite(event, self.progress.id(), self.carried_tokens)
-            } else {
-                Some(event)
-            };
-            if let Some(event) = event {
-                self.deliver(event, events);
-            }
+        while !self.done
+            && let Some(event) = self.splitter.next()
+        {
+            self.accept(event, events);
+        }
+    }
+
+    /// Moves an event that has arrived into `events`.
+    fn accept(&mut self, event: Event, events: &mut Vec<Event>) {
+        if event.is_done() {
+            self.finish();
+            return;
+        }
+        let event = if self.resumed {
+            resume::rewrite(event, self.progress.id(), self.carried_tokens)
+        } else {
+            Some(event)
+        };
+        if let Some(event) = event {
+            self.deliver(event, events);
         }
     }
 
     /// Records an event in the progress and adds it to `events`.
     fn deliver(&mut self, event: Event, events: &mut Vec<Event>) {
+        let is_first = !self.has_started();
         self.progress.record(&event);
+        if is_first && let Some(source) = &mut self.source {
+            source.set_limit(&self.attempts, self.attempts.call().times.stall_timeout);
+        }
         // Engines send one token per event, except in the first and the last.
         self.attempts.count_tokens(1);
         let now = self.attempts.worker().shared.now();
@@ -148,35 +189,59 @@
         self.attempts.record_answered();
         self.attempts.mark_ran();
         self.attempts.record().answered();
-        self.running = None;
-        self.body = Payload::None;
+        self.source = None;
     }
 
     /// Continues the completion on another endpoint, or adds the missing last events if every token was delivered.
     async fn resume(&mut self, mut failure: Failure, events: &mut Vec<Event>) -> Result<(), Error> {
-        self.body = Payload::None;
-        self.splitter = Splitter::default();
         let _handover = self.attempts.trace().span(Hop::Handover);
         loop {
-            let running = self.running.take().ok_or(Error::NoEndpoint)?;
-            self.attempts.handle_failure(running, failure).await?;
+            let source = self.source.take().ok_or(Error::NoEndpoint)?;
+            self.attempts.handle_failure(source.into_running(), failure).await?;
             let Some(body) = self.continuation(events)? else {
                 return Ok(());
             };
             let open = self.attempts.open(Outgoing::Buffered(body)).await?;
-            self.running = Some(open.running);
-            if !open.answer.status.is_success() {
-                failure = Failure::Malformed(format!("status {}", open.answer.status.as_u16()));
-                continue;
-            }
-            self.body = open.answer.body;
-            self.begun_at = None;
-            if self.has_started() {
-                self.resumed = true;
-                self.carried_tokens = self.progress.tokens();
-                self.count_resumed();
+            let status = open.answer.status;
+            if status.is_success() {
+                self.attach(open);
+                return Ok(());
             }
+            self.source = Some(Source::new(
+                &self.attempts,
+                open.answer.body,
+                open.running,
+                self.limit(),
+            ));
+            failure = Failure::Malformed(format!("status {}", status.as_u16()));
+        }
+    }
+
+    /// Reads on from the silent endpoint until another one has sent the next event.
+    async fn replace(&mut self, overlap: Option<Duration>, events: &mut Vec<Event>) -> Result<(), Error> {
+        let body = self.continuation(events);
+        let Some(source) = &mut self.source else {
             return Ok(());
+        };
+        let Ok(Some(body)) = body else {
+            source.postpone(&self.attempts);
+            return Ok(());
+        };
+        let open = async move |attempts: &mut Attempts, silent| {
+            let beside = attempts.open_beside(silent, body, overlap).await?;
+            Begun::read(attempts, beside).await
+        };
+        match source.replace(&mut self.attempts, open).await {
+            Replacement::Begun(begun) => {
+                let _handover = self.attempts.trace().span(Hop::Handover);
+                self.attach(begun.open);
+                self.splitter = begun.splitter;
+                self.accept(begun.first, events);
+                self.drain(events);
+                Ok(())
+            }
+            Replacement::Overtaken(part) => self.handle(part, events).await,
+            Replacement::Missed => Ok(()),
         }
     }
 
@@ -207,3 +272,37 @@
         }
     }
 }
+
+/// Stream of an attempt beside a silent one whose next event has arrived.
+#[derive(Debug)]
+struct Begun {
+    open: Open,
+    first: Event,
+    /// Bytes after the first event.
+    splitter: Splitter,
+}
+
+impl Begun {
+    /// Reads a stream to its first event; returns `None` if none arrives in time.
+    async fn read(attempts: &Attempts, beside: Beside) -> Option<Self> {
+        let Beside { mut open, begin_by } = beside;
+        let status = open.answer.status;
+        let mut failure = (!status.is_success()).then(|| Failure::Malformed(format!("status {}", status.as_u16())));
+        let mut splitter = Splitter::default();
+        while failure.is_none() {
+            match source::read_until(attempts, &mut open.answer.body, begin_by).await {
+                Ok(chunk) => {
+                    let error = splitter.push(&chunk).err();
+                    failure = error.map(|error| Failure::Malformed(error.to_string()));
+                }
+                Err(Failure::Timeout) => return None,
+                Err(broken) => failure = Some(broken),
+            }
+            if let Some(first) = splitter.next() {
+                return Some(Self { open, first, splitter });
+            }
+        }
+        attempts.drop_beside(open.running, &failure?);
+        None
+    }
+}
--- a/bergamotshift-entry/src/exchange/mod.rs
+++ b/bergamotshift-entry/src/exchange/mod.rs
@@ -3,7 +3,8 @@
 //! A [`Call`] holds everything that stays the same over all attempts. [`Attempts`] makes the attempts: it chooses an
 //! endpoint, sends the request, and after a failure decides whether another attempt may follow. [`whole`] buffers
 //! answers until they are complete, [`stream`] forwards a model's event stream, and [`copy`] forwards a large plain
-//! answer.
+//! answer. They read through a `Source`, which goes on with an answer whose endpoint is silent until another attempt has
+//! begun to answer.
 
 pub mod assemble;
 pub mod attempts;
@@ -11,7 +12,9 @@
 pub mod copy;
 pub mod events;
 mod part;
+mod replace;
 mod send;
+mod source;
 pub mod stream;
 pub mod whole;
 
@@ -51,7 +54,7 @@
     pub between_tokens: Duration,
     /// Timeout for the head of an attempt's answer.
     pub head_timeout: Duration,
-    /// Timeout for the next chunk of an answer that has started.
+    /// Limit of normal silences of an answer that has started.
     pub stall_timeout: Duration,
     /// Time after which the caller no longer needs the answer.
     pub deadline: Instant,
--- a/bergamotshift-entry/src/exchange/send.rs
+++ b/bergamotshift-entry/src/exchange/send.rs
@@ -68,8 +68,8 @@
         adapter.is_some_and(|adapter| adapter.is_refusal(answer))
     }
 
-    /// Asks the control thread what happened to an endpoint whose attempt failed.
-    pub(super) async fn request_verdict(&self, running: &Running, failure: &Failure) -> Verdict {
+    /// Reports a failed attempt to the control thread, which finds out what happened to the endpoint.
+    pub(super) fn report(&self, running: &Running, failure: &Failure) -> oneshot::Receiver<Verdict> {
         let (answer, verdict) = oneshot::channel();
         self.worker.shared.control.send(control::Request::AttemptFailed {
             endpoint: Arc::clone(&running.endpoint),
@@ -78,6 +78,12 @@
             parts: self.suspects(),
             answer,
         });
+        verdict
+    }
+
+    /// Asks the control thread what happened to an endpoint whose attempt failed.
+    pub(super) async fn request_verdict(&self, running: &Running, failure: &Failure) -> Verdict {
+        let verdict = self.report(running, failure);
         match tokio::time::timeout(VERDICT_TIMEOUT, verdict).await {
             Ok(Ok(verdict)) => verdict,
             Ok(Err(_)) | Err(_) => Verdict::default(),
--- a/bergamotshift-entry/src/exchange/whole.rs
+++ b/bergamotshift-entry/src/exchange/whole.rs
@@ -1,18 +1,12 @@
 //! Reads answers that are buffered until they are complete.
 
-use core::pin::pin;
-use core::task::Poll;
+use core::mem;
 use core::time::Duration;
 
-use bergamotshift_endpoint::answer::Answer;
 use bergamotshift_endpoint::answer::Failure;
-use futures_util::poll;
 use ntex::http::HeaderMap;
-use ntex::http::Payload;
 use ntex::http::StatusCode;
-use ntex::http::error::PayloadError;
 use ntex::http::header;
-use ntex::time::Millis;
 use ntex::util::Bytes;
 use ntex::util::BytesMut;
 
@@ -20,7 +14,9 @@
 use super::Error;
 use super::Open;
 use super::Outgoing;
-use super::attempts::Running;
+use super::source::Part;
+use super::source::Replacement;
+use super::source::Source;
 
 /// Maximum length of a buffered answer, in bytes.
 const MAX_BODY: usize = 64 * 1024 * 1024;
@@ -43,92 +39,141 @@
 /// Returns an error if no attempt brought a complete answer.
 pub async fn fetch(attempts: &mut Attempts) -> Result<Whole, Error> {
     loop {
-        let body = Outgoing::Buffered(attempts.call().body.clone());
-        let Open { answer, running } = attempts.open(body).await?;
-        if let Some(whole) = finish(attempts, answer, running).await? {
+        let body = attempts.call().body.clone();
+        let open = attempts.open(Outgoing::Buffered(body.clone())).await?;
+        if let Some(whole) = finish(attempts, open, &body).await? {
             return Ok(whole);
         }
     }
 }
 
-/// Reads the rest of an answer. Returns `None` if it broke off and another attempt may start.
+/// Reads the rest of an answer to a request with the body `sent`. Returns `None` if it broke off and another attempt may
+/// start.
 ///
 /// # Errors
 ///
 /// Returns an error if the answer is too large, or if it broke off and no further attempt is allowed.
-pub async fn finish(attempts: &mut Attempts, answer: Answer, running: Running) -> Result<Option<Whole>, Error> {
-    let Answer {
-        status,
-        headers,
-        mut body,
-    } = answer;
-    let timeout = attempts.call().times.stall_timeout;
-    let size = length(&headers).unwrap_or_default().min(MAX_BODY);
-    let mut collected = BytesMut::with_capacity(size);
+pub async fn finish(attempts: &mut Attempts, open: Open, sent: &Bytes) -> Result<Option<Whole>, Error> {
+    let (mut partial, mut source) = Partial::new(attempts, open);
     loop {
-        match next(attempts, &mut body, timeout).await {
-            Ok(Some(chunk)) if collected.is_empty() && chunk.len() == size => {
-                // A small answer usually arrives in one chunk, which is not copied.
-                if let Some(excess) = next(attempts, &mut body, timeout).await.transpose() {
-                    drop(body);
-                    let failure = excess.err().unwrap_or_else(|| {
-                        Failure::Malformed("the body is longer than its declared length".to_owned())
-                    });
-                    attempts.handle_failure(running, failure).await?;
-                    return Ok(None);
+        let part = match source.next(attempts).await {
+            Part::Silent { overlap } => match Box::pin(replace(attempts, &mut source, &partial, sent, overlap)).await {
+                Replacement::Begun(open) => {
+                    (partial, source) = Partial::new(attempts, open);
+                    continue;
                 }
-                return Ok(Some(complete(attempts, status, headers, chunk)));
-            }
-            Ok(Some(chunk)) if collected.len() + chunk.len() > MAX_BODY => {
+                Replacement::Overtaken(part) => part,
+                Replacement::Missed => continue,
+            },
+            part => part,
+        };
+        let failure = match part {
+            Part::Chunk(None) => return Ok(Some(partial.complete(attempts))),
+            Part::Chunk(Some(chunk)) if partial.len() + chunk.len() > MAX_BODY => {
                 attempts.mark_ran();
                 return Err(Error::TooLarge);
             }
-            Ok(Some(chunk)) => collected.extend_from_slice(&chunk),
-            Ok(None) => return Ok(Some(complete(attempts, status, headers, collected.freeze()))),
-            Err(failure) => {
-                drop(body);
-                attempts.handle_failure(running, failure).await?;
-                return Ok(None);
-            }
-        }
+            Part::Chunk(Some(chunk)) => match partial.push(chunk) {
+                Ok(()) => continue,
+                Err(failure) => failure,
+            },
+            Part::Failed(failure) => failure,
+            Part::Silent { .. } => continue,
+        };
+        attempts.handle_failure(source.into_running(), failure).await?;
+        return Ok(None);
     }
 }
 
-/// Reads the next chunk of an answer, waiting no longer than `timeout` or the request's deadline.
-///
-/// # Errors
-///
-/// Returns a failure if the answer broke off, stalled, or the deadline passed.
-pub async fn next(attempts: &Attempts, body: &mut Payload, timeout: Duration) -> Result<Option<Bytes>, Failure> {
-    // A chunk that has already arrived needs no timer; this is the common case for small answers.
-    let ready = poll!(pin!(body.recv()));
-    if let Poll::Ready(item) = ready {
-        return read(item);
+/// Reads on from the silent endpoint until another one has answered.
+async fn replace(
+    attempts: &mut Attempts,
+    source: &mut Source,
+    partial: &Partial,
+    sent: &Bytes,
+    overlap: Option<Duration>,
+) -> Replacement<Open> {
+    let open = async |attempts: &mut Attempts, silent| {
+        let Open { answer, running } = attempts.open_beside(silent, sent.clone(), overlap).await?.open;
+        if answer.status.is_success() || answer.status == partial.status {
+            return Some(Open { answer, running });
+        }
+        let failure = Failure::Malformed(format!("status {}", answer.status.as_u16()));
+        attempts.drop_beside(running, &failure);
+        None
+    };
+    source.replace(attempts, open).await
+}
+
+/// Part of an answer that has arrived.
+#[derive(Debug)]
+struct Partial {
+    status: StatusCode,
+    headers: HeaderMap,
+    /// Declared length, or zero.
+    size: usize,
+    /// Body, if it has arrived in one chunk. A small answer usually does, and is not copied.
+    single: Bytes,
+    /// Body, if it has arrived in several chunks.
+    joined: BytesMut,
+}
+
+impl Partial {
+    /// Returns the head of an answer and the source of its body.
+    fn new(attempts: &Attempts, open: Open) -> (Self, Source) {
+        let Open { answer, running } = open;
+        let limit = attempts.call().times.stall_timeout;
+        let partial = Self {
+            status: answer.status,
+            size: length(&answer.headers).unwrap_or_default().min(MAX_BODY),
+            headers: answer.headers,
+            single: Bytes::new(),
+            joined: BytesMut::new(),
+        };
+        (partial, Source::new(attempts, answer.body, running, limit))
     }
-    let times = attempts.call().times;
-    let remaining = times.deadline.since(attempts.worker().shared.now());
-    let bound = timeout.min(remaining);
-    let millis = Millis(u32::try_from(bound.as_millis()).unwrap_or(u32::MAX).max(1));
-    match ntex::time::timeout(millis, body.recv()).await {
-        Ok(item) => read(item),
-        Err(()) => Err(Failure::Timeout),
+
+    fn len(&self) -> usize {
+        self.single.len() + self.joined.len()
+    }
+
+    fn push(&mut self, chunk: Bytes) -> Result<(), Failure> {
+        if self.len() == 0 {
+            self.single = chunk;
+            return Ok(());
+        }
+        if self.joined.is_empty() && self.single.len() == self.size {
+            let text = "the body is longer than its declared length";
+            return Err(Failure::Malformed(text.to_owned()));
+        }
+        if self.joined.is_empty() {
+            self.joined = BytesMut::with_capacity(self.size);
+        }
+        self.joined.extend_from_slice(&mem::take(&mut self.single));
+        self.joined.extend_from_slice(&chunk);
+        Ok(())
     }
-}
 
-fn read(item: Option<Result<Bytes, PayloadError>>) -> Result<Option<Bytes>, Failure> {
-    item.transpose().map_err(|error| Failure::Broken(error.to_string()))
+    /// Records a complete answer and returns it. A successful one shows that the prompt crashes no endpoint.
+    fn complete(self, attempts: &mut Attempts) -> Whole {
+        attempts.record().answered();
+        if self.status.is_success() {
+            attempts.record_answered();
+        }
+        let body = if self.joined.is_empty() {
+            self.single
+        } else {
+            self.joined.freeze()
+        };
+        Whole {
+            status: self.status,
+            headers: self.headers,
+            body,
+        }
+    }
 }
 
 /// Returns the length that an answer declares in `Content-Length`.
 pub fn length(headers: &HeaderMap) -> Option<usize> {
     headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
-
-/// Records a complete answer and returns it. A successful one shows that the prompt crashes no endpoint.
-fn complete(attempts: &mut Attempts, status: StatusCode, headers: HeaderMap, body: Bytes) -> Whole {
-    attempts.record().answered();
-    if status.is_success() {
-        attempts.record_answered();
-    }
-    Whole { status, headers, body }
-}
--- a/bergamotshift-entry/src/snapshot/mod.rs
+++ b/bergamotshift-entry/src/snapshot/mod.rs
@@ -12,6 +12,7 @@
 use bergamotshift_endpoint::call::Target;
 use bergamotshift_limit::quarantine;
 use bergamotshift_limit::retry;
+use bergamotshift_limit::silence::Pulse;
 use bergamotshift_route::View;
 use bergamotshift_route::registry::Registry;
 use bergamotshift_route::set::Set;
@@ -37,6 +38,8 @@
     pub target: Target,
     /// Lock for the single request suspected of killing endpoints that may run there.
     pub isolation: sharing::Isolation,
+    /// Signs of life in its answers to this entry.
+    pub pulse: Arc<Pulse>,
 }
 
 /// State of a service on the request path, in addition to its configuration.
@@ -69,6 +72,8 @@
     pub view: View,
     /// Endpoints, with their addresses.
     pub endpoints: SecondaryMap<key::Endpoint, Arc<Endpoint>>,
+    /// Signs of life of all known endpoints by service, with those that are out of routing.
+    pub pulses: BTreeMap<name::Service, Vec<Arc<Pulse>>>,
     /// Services by name.
     pub services: BTreeMap<name::Service, Service>,
     /// Zones that each organisation's rules allow; an organisation that is missing here may use all zones of a service.
@@ -91,6 +96,7 @@
             config: Arc::clone(config),
             view: Registry::default().publish(Instant::ZERO),
             endpoints: SecondaryMap::new(),
+            pulses: BTreeMap::new(),
             services: BTreeMap::new(),
             zones: BTreeMap::new(),
             quarantine: quarantine::Table::default(),
@@ -100,6 +106,12 @@
         }
     }
 
+    /// Returns whether a later incarnation of an endpoint is known.
+    pub fn is_replaced(&self, endpoint: &Endpoint) -> bool {
+        let mut others = self.endpoints.values();
+        others.any(|other| other.vm == endpoint.vm && other.incarnation > endpoint.incarnation)
+    }
+
     /// Returns the zones in which a service may run for an organisation.
     pub fn zones_for(&self, service: &Service, organisation: &name::Organisation) -> Set {
         let Some(allowed) = self.zones.get(organisation) else {
--- a/bergamotshift-entry/tests/entry/silence.rs
+++ b/bergamotshift-entry/tests/entry/silence.rs
@@ -1,6 +1,15 @@
 //! Sound endpoints that fall silent in the middle of their answers.
 
+use core::net::SocketAddr;
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
 
 use bergamotshift_standin::engine;
 use bergamotshift_standin::engine::text;
@@ -172,3 +181,77 @@
     assert_eq!(reply.streamed(), (expected, true));
     assert_eq!(reply.completion_ids().len(), 1);
 }
+
+/// Guards against engines that count as faulty, and a retry budget that is used, after a silence of all engines.
+#[ntex::test]
+async fn a_silence_of_all_engines_counts_against_none() {
+    let site = Site::start(slow(3)).await;
+    let bodies: Vec<_> = (0..REQUESTS).map(chat).collect();
+    let mut streams = join_all(bodies.iter().map(|body| site.open_chat(body))).await;
+    for stream in &mut streams {
+        stream.events(5).await;
+    }
+    site.engines.iter().for_each(engine::Server::pause);
+    tokio::time::sleep(SILENCE).await;
+    site.engines.iter().for_each(engine::Server::resume);
+    join_all(streams.into_iter().map(crate::site::Incoming::rest)).await;
+    let attempts = site.counter("bergamotshift_attempts_total{service=\"llm\"}").await;
+    let broken = site
+        .counter("bergamotshift_broken_attempts_total{service=\"llm\"}")
+        .await;
+    assert_eq!((attempts, broken), (REQUESTS as u64, 0));
+}
+
+/// Starts an endpoint that stops listening at its first request, whose connection stays open without the rest of the answer.
+fn start_lost() -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let is_lost = Arc::new(AtomicBool::new(false));
+    let lost = Arc::clone(&is_lost);
+    thread::spawn(move || {
+        loop {
+            let (mut socket, _) = listener.accept().unwrap();
+            let head = BufReader::new(socket.try_clone().unwrap());
+            let lines = head.lines().map_while(Result::ok);
+            let lines: Vec<_> = lines.take_while(|line| !line.is_empty()).collect();
+            let attempt = lines
+                .iter()
+                .find_map(|line| line.strip_prefix("x-bergamotshift-attempt: "));
+            let Some(attempt) = attempt else {
+                let refusal = "HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+                drop(socket.write_all(refusal.as_bytes()));
+                continue;
+            };
+            let text = answer(attempt, "confirmed");
+            drop(listener);
+            socket.write_all(&text.as_bytes()[..text.len() - 4]).unwrap();
+            lost.store(true, Ordering::SeqCst);
+            thread::sleep(FOR_GOOD);
+            return;
+        }
+    });
+    (address, is_lost)
+}
+
+/// Guards against an answer that stays at a lost endpoint, as all others begin later than attempts may work side by side.
+#[ntex::test]
+async fn an_answer_of_a_lost_endpoint_comes_from_one_that_begins_late() {
+    const LATE: Duration = Duration::from_secs(1);
+    let (lost, is_lost) = start_lost();
+    let late = Endpoint::start_pausing(Duration::ZERO, |attempt, _| {
+        thread::sleep(LATE);
+        answer(attempt, "confirmed")
+    });
+    let site = Site::start(Layout {
+        engines: 0,
+        plains: 0,
+        raw: Some(lost),
+        second_raw: Some(late.address()),
+        ..Layout::default()
+    })
+    .await;
+    while !is_lost.load(Ordering::SeqCst) {
+        let reply = site.send(Method::GET, "/app/x", &[], "").await;
+        assert_eq!(reply.text(), "confirmed");
+    }
+}
