fix(forward): a stream that goes on is judged from its last event

The bound of the beginning of an answer, arrival + start_timeout, was also applied to streams that had begun seconds ago, so it lay in the past. Callers wait that long for the next event, too, so the bound counts from the last event. Requests without any event are judged as before.

--- a/bergamotshift-forward/src/serve/job.rs
+++ b/bergamotshift-forward/src/serve/job.rs
@@ -109,7 +109,8 @@
         self.route.resumable.then(|| self.route.pause * STALL_TIMEOUT_PAUSES)
     }
 
-    /// Returns the time after arrival within which the response has to begin.
+    /// Returns the time within which the response has to begin after arrival, or a stream has to go on after its last
+    /// event.
     ///
     /// Callers leave a stream that does not begin within a few objectives. Without this limit, every stream in an
     /// overload would begin after its caller has left: endpoints would read prompts for nobody, and nobody would be
--- a/bergamotshift-forward/src/serve/pace.rs
+++ b/bergamotshift-forward/src/serve/pace.rs
@@ -31,9 +31,14 @@
         self.first_event.map(|first| first.since(arrived).as_millis() as u64)
     }
 
+    /// Returns the time of the last events; `None` without any.
+    pub(super) fn last_event(&self) -> Option<Instant> {
+        self.first_event.map(|_| self.last_event)
+    }
+
     /// Returns the time since the last events, in milliseconds; `None` without any.
     pub(super) fn silence_ms(&self, now: Instant) -> Option<u64> {
-        self.first_event.map(|_| now.since(self.last_event).as_millis() as u64)
+        self.last_event().map(|last| now.since(last).as_millis() as u64)
     }
 
     /// Returns the longest time between events, in milliseconds; `None` without any.
