fix(forward): an attempt at a silent endpoint ends when its replacement has begun to answer

Cause: five pauses without an event counted as a failure of the endpoint. The entry closed the connection first, and looked for budget, endpoint and connection afterwards; with an empty budget or no endpoint in time it had ended a sound answer itself. When many engines paused together, all of their streams did so at once.

Now a silent attempt is read on while a replacement is looked for, and it ends when the replacement's next event has arrived; whichever has it first serves. The path to a silent endpoint is checked by one connection for all attempts, shortly before the limit: where none is accepted, the replacement has all the time that is left. If most endpoints are silent together, nobody moves and nothing counts against endpoints or versions. Requests that may run twice and wait for the head of their answer are treated alike, with the response timeout as the limit. The decisions are the kernel's (silence::Watch, Pulse, Census).

Ruled out: the document ends what runs (cuts come 1.25 s after the last event, not with the document).

--- a/bergamotshift-forward/src/observe/metrics.rs
+++ b/bergamotshift-forward/src/observe/metrics.rs
@@ -47,7 +47,8 @@
     service: String,
 }
 
-/// Label of a permit to send a request to an endpoint with a rate limit, and of a tunnel through another entry.
+/// Label of a permit to send a request to an endpoint with a rate limit, of a tunnel through another entry, and of a
+/// replacement of a silent attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct Permit {
@@ -78,6 +79,7 @@
     tunnels: Family<Permit, Counter>,
     origins: Family<Source, Counter>,
     given_up: Family<GivenUp, Counter>,
+    replacements: Family<Permit, Counter>,
     /// Metrics of admission in a shortage.
     pub shortage: Shortage,
     /// Metrics of learned speeds.
@@ -154,6 +156,7 @@
             tunnels: Family::default(),
             origins: Family::default(),
             given_up: Family::default(),
+            replacements: Family::default(),
             shortage: Shortage::default(),
             speeds: Speeds::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
@@ -282,6 +285,8 @@
         registry.register("streams_taken_up", help, metrics.origins.clone());
         let help = "Attempts that were given up, by cause";
         registry.register("attempts_given_up", help, metrics.given_up.clone());
+        let help = "Replacements of silent attempts, by outcome";
+        registry.register("replacements", help, metrics.replacements.clone());
         let help = "Time to open a tunnel through another entry";
         registry.register("relay_latency_seconds", help, metrics.relay_latency.clone());
     }
@@ -342,6 +347,11 @@
         self.origins.get_or_create(&Source { source }).inc();
     }
 
+    /// Counts a replacement of a silent attempt.
+    pub fn count_replacement(&self, outcome: &'static str) {
+        self.replacements.get_or_create(&Permit { outcome }).inc();
+    }
+
     /// Counts an attempt at an endpoint that was given up.
     pub fn count_given_up(&self, cause: &'static str) {
         self.given_up.get_or_create(&GivenUp { cause }).inc();
--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -3,7 +3,12 @@
 use core::time::Duration;
 use std::sync::Arc;
 
+use bergamotshift_core::prelude::*;
+use bergamotshift_limit::retry::Withdrawal;
+use bergamotshift_limit::silence::Action;
 use bergamotshift_rollout::evidence::Group;
+use futures_util::future::Either;
+use futures_util::future::select;
 use ntex::http::StatusCode;
 use ntex::http::header;
 use slog::info;
@@ -18,10 +23,12 @@
 use super::pace::Pace;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::stream::Replacement;
 use crate::choice::Choice;
 use crate::dialect::Envelope;
 use crate::dialect::Notice;
 use crate::document::Kind;
+use crate::endpoint::Endpoint;
 use crate::endpoint::Guard;
 use crate::endpoint::Unanswered;
 use crate::exchange;
@@ -30,6 +37,7 @@
 use crate::exchange::Head;
 use crate::observe::Topic;
 use crate::rollouts::Observer;
+use crate::view::View;
 
 /// Maximum number of attempts that end before a request is sent. Unreachable endpoints are skipped after their first
 /// failure.
@@ -107,6 +115,30 @@
     pub(super) head: Head,
     pub(super) connection: Connection,
     pub(super) guard: Guard,
+    pub(super) estimate: Estimate,
+}
+
+/// Attempt with an open connection, whose request is not sent yet.
+struct Prepared<'a> {
+    choice: Choice,
+    estimate: Estimate,
+    guard: Guard,
+    connection: Connection,
+    /// Retry that it takes from the budget; `None` for the first send.
+    withdrawal: Option<Withdrawal<'a>>,
+}
+
+/// Request that was sent to an endpoint, without a response yet.
+struct Sent {
+    choice: Choice,
+    estimate: Estimate,
+    connection: Connection,
+    guard: Guard,
+    unanswered: Unanswered,
+    /// Its bytes.
+    request: Vec<u8>,
+    /// Whether the connection was opened for it, directly.
+    is_new_path: bool,
 }
 
 /// Error of an attempt without an acceptable response.
@@ -152,6 +184,14 @@
     Attempts,
 }
 
+/// First response of an endpoint and its replacements.
+enum Winner {
+    /// Response of the endpoint, or its failure.
+    First(Result<Head, Failure>),
+    /// Response of a replacement.
+    Replacement(Box<Exchange>),
+}
+
 /// Outcome of one attempt.
 enum Outcome {
     /// The response can be returned to the caller.
@@ -162,6 +202,17 @@
     Refused(Refusal),
 }
 
+impl Outcome {
+    /// Keeps the server error of an earlier attempt in case no other endpoint responds.
+    fn or(self, fallback: Option<Box<Exchange>>) -> Self {
+        match (self, fallback) {
+            (Self::Retry(response), fallback) => Self::Retry(response.or(fallback)),
+            (Self::Refused(_), Some(exchange)) => Self::Accepted(exchange),
+            (outcome, _) => outcome,
+        }
+    }
+}
+
 impl Forwarder {
     /// Sends a request until an endpoint responds.
     ///
@@ -177,7 +228,10 @@
         let mut fallback = None;
         loop {
             match self.attempt(job, history, last_event).await {
-                Outcome::Accepted(exchange) => return Ok(*exchange),
+                Outcome::Accepted(exchange) => {
+                    history.estimate = Some(exchange.estimate.clone());
+                    return Ok(*exchange);
+                }
                 Outcome::Retry(response) => fallback = response.or(fallback),
                 Outcome::Refused(refusal) => return fallback.map(|exchange| *exchange).ok_or(refusal),
             }
@@ -186,34 +240,165 @@
 
     /// Sends a request to one endpoint.
     async fn attempt(&self, job: &Job, history: &mut History, last_event: Option<u64>) -> Outcome {
-        if job.deadline.since(self.shared.clock.now()) < MIN_TIME_LEFT {
-            return self.stop(job, history, Stop::Late, history.refusal(true));
+        let view = self.shared.view.load_full();
+        let prepared = match self.prepare(&view, job, history).await {
+            Ok(prepared) => prepared,
+            Err(outcome) => return outcome,
+        };
+        let mut sent = self.send(job, prepared, history, last_event);
+        if let Some(limit) = job.response_timeout() {
+            return self.receive_or_replace(job, sent, history, limit).await;
+        }
+        let received = self.receive(job, &mut sent).await;
+        self.conclude(job, history, sent, received)
+    }
+
+    /// Waits for the response to a request that may run twice. If its endpoint is silent for longer than `limit`, other
+    /// endpoints are tried meanwhile, and the first response is taken.
+    async fn receive_or_replace(&self, job: &Job, mut sent: Sent, history: &mut History, limit: Duration) -> Outcome {
+        let mut fallback = None;
+        match self.race(job, &mut sent, history, limit, &mut fallback).await {
+            Winner::First(received) => self.conclude(job, history, sent, received).or(fallback),
+            Winner::Replacement(exchange) => {
+                self.give_up(job, &mut sent.guard);
+                Outcome::Accepted(exchange)
+            }
         }
+    }
+
+    /// Waits for the response to a request and, while its endpoint is silent, for those of replacements.
+    async fn race(
+        &self,
+        job: &Job,
+        sent: &mut Sent,
+        history: &mut History,
+        limit: Duration,
+        fallback: &mut Option<Box<Exchange>>,
+    ) -> Winner {
+        let endpoint = Arc::clone(&sent.choice.endpoint);
+        let mut receiving = Box::pin(self.receive(job, sent));
+        let mut watch = self.watch(limit);
+        loop {
+            let may_repeat = history.can_retry(job) && history.sends < job.route.attempts;
+            let action = if may_repeat {
+                self.watch_attempt(job, &watch, &endpoint)
+            } else {
+                Action::Wait(Instant::MAX)
+            };
+            match action {
+                Action::Wait(until) => {
+                    let wait = until.since(self.shared.clock.now());
+                    if let Ok(received) = timeout(wait, &mut receiving).await {
+                        return Winner::First(received);
+                    }
+                }
+                Action::GiveUp => return Winner::First(Err(Failure::Silent)),
+                Action::Replace { .. } => {
+                    let sends = history.sends;
+                    let replacing = Box::pin(self.attempt(job, history, None));
+                    let failed = match select(receiving, replacing).await {
+                        Either::Left((received, _)) => {
+                            self.shared.metrics.count_replacement("overtaken");
+                            return Winner::First(received);
+                        }
+                        Either::Right((Outcome::Accepted(exchange), _)) => {
+                            self.shared.metrics.count_replacement("answered");
+                            return Winner::Replacement(exchange);
+                        }
+                        Either::Right((failed, first)) => {
+                            receiving = first;
+                            failed
+                        }
+                    };
+                    self.shared.metrics.count_replacement("failed");
+                    if let Outcome::Retry(response) = failed {
+                        *fallback = response.or(fallback.take());
+                    }
+                    watch.postpone(self.shared.clock.now(), history.sends > sends);
+                }
+            }
+        }
+    }
+
+    /// Sends a request that goes on after `last_event` to another endpoint than those tried, and waits until its stream has
+    /// begun. It has at most the time `overlap` after it is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome when no endpoint's stream began. An attempt that was not sent costs no retry.
+    pub(super) async fn replace_stream(
+        &self,
+        job: &Job,
+        history: &mut History,
+        last_event: Option<u64>,
+        overlap: Option<Duration>,
+    ) -> Result<Replacement, &'static str> {
         let view = self.shared.view.load_full();
-        let Some(service) = view.services.get(&job.service) else {
-            return self.stop(job, history, Stop::NoService, history.refusal(false));
+        history.unsent = 0;
+        let prepared = loop {
+            match self.prepare(&view, job, history).await {
+                Ok(prepared) => break prepared,
+                Err(Outcome::Retry(_)) => {}
+                Err(_) => return Err("refused"),
+            }
         };
-        if let Some(refusal) = self.refuse_suspect(&view, job, history) {
-            return self.stop(job, history, Stop::Suspect, refusal);
+        if overlap.is_some_and(|overlap| prepared.choice.cost > overlap.as_secs_f64() * 1e3) {
+            return Err("slow");
         }
-        let choice = match self.choose(service, job, history).await {
-            Ok(choice) => choice,
-            Err(refusal) => return self.stop(job, history, Stop::NoEndpoint, refusal),
+        let mut sent = self.send(job, prepared, history, last_event);
+        let beginning = async {
+            let received = self.receive(job, &mut sent).await;
+            match self.conclude(job, history, sent, received) {
+                Outcome::Accepted(exchange) => Replacement::begin(self, job, *exchange, last_event).await,
+                Outcome::Retry(_) | Outcome::Refused(_) => Err("failed"),
+            }
         };
-        // A retry loads the service even if the request has not run yet, so it draws from the retry budget.
-        let is_retry = history.sends > 0;
-        if is_retry && !service.budget.try_withdraw() {
-            return self.stop(job, history, Stop::Budget, history.refusal(false));
+        match overlap {
+            None => beginning.await,
+            Some(overlap) => timeout(overlap, beginning).await.unwrap_or(Err("late")),
         }
-        let sends = history.sends;
-        let error = match self.send(job, &choice, history, last_event).await {
-            Ok(exchange) => return Outcome::Accepted(Box::new(exchange)),
-            Err(error) => error,
+    }
+
+    /// Checks the response to a request, and returns what follows from it or from its failure.
+    fn conclude(&self, job: &Job, history: &mut History, sent: Sent, received: Result<Head, Failure>) -> Outcome {
+        let Sent {
+            choice,
+            estimate,
+            connection,
+            mut guard,
+            mut unanswered,
+            ..
+        } = sent;
+        let head = match received {
+            Ok(head) => head,
+            Err(failure) => {
+                if self.is_endpoints_failure(job, &failure) {
+                    guard.record_version_failure();
+                }
+                return self.retry_or_stop(job, &choice, history, Error::Failed(failure));
+            }
+        };
+        let notice = self.apply_notice(job, &choice, estimate.sent, &head);
+        let pace = self.apply_load(job, &choice.endpoint, &head);
+        if head.status == StatusCode::SERVICE_UNAVAILABLE && self.shared.dialect.says_not_run(&head.headers) {
+            unanswered.reject();
+        }
+        drop(unanswered);
+        let exchange = Exchange {
+            head,
+            connection,
+            guard,
+            estimate: Estimate { pace, ..estimate },
         };
-        if is_retry && history.sends == sends {
-            service.budget.refund();
+        match self.check_response(job, exchange, notice) {
+            Ok(exchange) => Outcome::Accepted(Box::new(exchange)),
+            Err(error) => self.retry_or_stop(job, &choice, history, error),
         }
-        let fallback = self.handle_error(job, &choice, history, error);
+    }
+
+    /// Returns what follows from the failure of an attempt.
+    fn retry_or_stop(&self, job: &Job, choice: &Choice, history: &mut History, error: Error) -> Outcome {
+        let fallback = self.handle_error(job, choice, history, error);
         if history.can_retry(job) {
             return Outcome::Retry(fallback);
         }
@@ -224,6 +409,64 @@
         }
     }
 
+    /// Chooses an endpoint, takes a retry from the budget, and opens a connection.
+    async fn prepare<'a>(&self, view: &'a View, job: &Job, history: &mut History) -> Result<Prepared<'a>, Outcome> {
+        if job.deadline.since(self.shared.clock.now()) < MIN_TIME_LEFT {
+            return Err(self.stop(job, history, Stop::Late, history.refusal(true)));
+        }
+        let Some(service) = view.services.get(&job.service) else {
+            return Err(self.stop(job, history, Stop::NoService, history.refusal(false)));
+        };
+        if let Some(refusal) = self.refuse_suspect(view, job, history) {
+            return Err(self.stop(job, history, Stop::Suspect, refusal));
+        }
+        let choice = match self.choose(service, job, history).await {
+            Ok(choice) => choice,
+            Err(refusal) => return Err(self.stop(job, history, Stop::NoEndpoint, refusal)),
+        };
+        // A retry loads the service even if the request has not run yet, so it draws from the retry budget.
+        let withdrawal = if history.sends == 0 {
+            None
+        } else {
+            let withdrawal = service.budget.withdraw();
+            if withdrawal.is_none() {
+                return Err(self.stop(job, history, Stop::Budget, history.refusal(false)));
+            }
+            withdrawal
+        };
+        let estimate = Estimate::new(&choice);
+        let guard = Guard::take(Arc::clone(&choice.endpoint), choice.unread);
+        history.tried.push(choice.endpoint.hash);
+        match self.open(job, &choice.endpoint).await {
+            Ok(connection) => Ok(Prepared {
+                choice,
+                estimate,
+                guard,
+                connection,
+                withdrawal,
+            }),
+            Err(error) => {
+                drop(withdrawal);
+                Err(self.retry_or_stop(job, &choice, history, error))
+            }
+        }
+    }
+
+    /// Opens a connection on which a request may be sent to an endpoint.
+    async fn open(&self, job: &Job, endpoint: &Endpoint) -> Result<Connection, Error> {
+        let connection = self.connect(job, endpoint).await?;
+        let now = self.shared.clock.now();
+        if job.deadline.since(now) < MIN_TIME_LEFT {
+            return Err(Error::Unreachable);
+        }
+        let is_closed = endpoint.signals.paused_until(now).is_some()
+            || endpoint.signals.tolerance.closed_until(now, endpoint.room()).is_some();
+        if endpoint.is_leaving() || is_closed {
+            return Err(Error::Unavailable);
+        }
+        Ok(connection)
+    }
+
     /// Returns the refusal of a request that is not sent again, and logs the cause if it was sent before.
     fn stop(&self, job: &Job, history: &History, cause: Stop, refusal: Refusal) -> Outcome {
         let now = self.shared.clock.now();
@@ -241,37 +484,27 @@
         Outcome::Refused(refusal)
     }
 
-    /// Sends a request to the chosen endpoint and checks the head of its response.
-    async fn send(
-        &self,
-        job: &Job,
-        choice: &Choice,
-        history: &mut History,
-        last_event: Option<u64>,
-    ) -> Result<Exchange, Error> {
+    /// Counts a request as sent, and returns what its endpoint is to receive.
+    fn send(&self, job: &Job, prepared: Prepared<'_>, history: &mut History, last_event: Option<u64>) -> Sent {
+        let Prepared {
+            choice,
+            estimate,
+            guard,
+            connection,
+            withdrawal,
+        } = prepared;
         let endpoint = &choice.endpoint;
-        let estimate = Estimate::new(choice);
-        let mut guard = Guard::take(Arc::clone(endpoint), choice.unread);
-        history.tried.push(endpoint.hash);
-        let mut connection = self.connect(job, endpoint).await?;
         let now = self.shared.clock.now();
-        let time_left = job.deadline.since(now);
-        if time_left < MIN_TIME_LEFT {
-            return Err(Error::Unreachable);
-        }
-        let is_closed = endpoint.signals.paused_until(now).is_some()
-            || endpoint.signals.tolerance.closed_until(now, endpoint.room()).is_some();
-        if endpoint.is_leaving() || is_closed {
-            return Err(Error::Unavailable);
-        }
-        let mut unanswered = Unanswered::begin(endpoint, self.shared.clock, now);
+        let unanswered = Unanswered::begin(endpoint, self.shared.clock, now);
         history.sends += 1;
-        history.estimate = Some(Estimate { sent: now, ..estimate });
+        if let Some(withdrawal) = withdrawal {
+            withdrawal.spend();
+        }
         self.shared.metrics.sends.inc();
         self.shared
             .cache_index()
             .record_choice(now, endpoint.hash, &job.metadata.parts);
-        guard = guard.with_observer(self.observer(job, choice));
+        let guard = guard.with_observer(self.observer(job, &choice));
         let envelope = Envelope {
             expected: &endpoint.registration.id,
             organisation: job.organisation.as_ref(),
@@ -281,43 +514,28 @@
             last_event,
         };
         let headers = self.shared.dialect.towards_endpoint(&job.headers, &envelope);
-        let request = exchange::encode(&job.method, &job.path, &headers, &job.body);
+        Sent {
+            request: exchange::encode(&job.method, &job.path, &headers, &job.body),
+            is_new_path: !connection.is_tunnel() && connection.bytes_received() == 0,
+            choice,
+            estimate: Estimate { sent: now, ..estimate },
+            connection,
+            guard,
+            unanswered,
+        }
+    }
+
+    /// Sends the bytes of a request, and returns the head of the response.
+    async fn receive(&self, job: &Job, sent: &mut Sent) -> Result<Head, Failure> {
         let dialect = &self.shared.dialect;
         let is_expected = |head: &Head| dialect.echoes(&head.headers, &job.metadata.id);
-        let can_repeat = job.route.attempts > history.sends;
-        let response_timeout = job
-            .response_timeout()
-            .filter(|_| can_repeat)
-            .map_or(time_left, |limit| limit.min(time_left));
-        let is_new_path = !connection.is_tunnel() && connection.bytes_received() == 0;
-        let exchange = connection.send(&request, &job.method, is_expected);
-        let exchanged = timeout(response_timeout, exchange)
-            .await
-            .unwrap_or(Err(Failure::Silent));
-        if is_new_path {
-            self.record_path(endpoint, &connection, exchanged.as_ref().err());
+        let time_left = job.deadline.since(sent.estimate.sent);
+        let exchange = sent.connection.send(&sent.request, &job.method, is_expected);
+        let received = timeout(time_left, exchange).await.unwrap_or(Err(Failure::Silent));
+        if sent.is_new_path {
+            self.record_path(&sent.choice.endpoint, &sent.connection, received.as_ref().err());
         }
-        let head = match exchanged {
-            Ok(head) => head,
-            Err(failure) => {
-                guard.record_version_failure();
-                return Err(Error::Failed(failure));
-            }
-        };
-        let notice = self.apply_notice(job, choice, now, &head);
-        if let Some(estimate) = &mut history.estimate {
-            estimate.pace = self.apply_load(job, endpoint, &head);
-        }
-        if head.status == StatusCode::SERVICE_UNAVAILABLE && self.shared.dialect.says_not_run(&head.headers) {
-            unanswered.reject();
-        }
-        drop(unanswered);
-        let exchange = Exchange {
-            head,
-            connection,
-            guard,
-        };
-        self.check_response(job, exchange, notice)
+        received
     }
 
     /// Returns an observer of the response while two versions of the service are compared.
@@ -425,7 +643,9 @@
                 cause
             }
             Error::Failed(failure) => {
-                endpoint.health.record_failure();
+                if self.is_endpoints_failure(job, &failure) {
+                    endpoint.health.record_failure();
+                }
                 self.shared.metrics.count_given_up(failure.name());
                 self.report_broken(job, endpoint, &failure, false);
                 failure.to_string()
--- a/bergamotshift-forward/src/serve/job.rs
+++ b/bergamotshift-forward/src/serve/job.rs
@@ -23,7 +23,8 @@
 /// Minimum of that timeout; in less, a round trip and a busy endpoint cannot be told from silence.
 const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// Timeout for the next event of a resumable stream, in multiples of the longest pause that is still on time.
+/// Time without events from which a stream's endpoint counts as silent, in multiples of the longest pause that is still on
+/// time.
 const STALL_TIMEOUT_PAUSES: u32 = 5;
 
 /// Time that callers wait for the beginning of a stream, in multiples of the objective.
@@ -103,10 +104,15 @@
         })
     }
 
-    /// Returns the timeout for the next event of a stream before it is resumed elsewhere; `None` to wait until the
+    /// Returns the time without events from which a stream's endpoint counts as silent.
+    pub(super) fn silence_limit(&self) -> Duration {
+        self.route.pause * STALL_TIMEOUT_PAUSES
+    }
+
+    /// Returns the timeout for the next event of a stream before another endpoint is tried; `None` to wait until the
     /// deadline.
     pub(super) fn stall_timeout(&self) -> Option<Duration> {
-        self.route.resumable.then(|| self.route.pause * STALL_TIMEOUT_PAUSES)
+        self.route.resumable.then(|| self.silence_limit())
     }
 
     /// Returns the time within which the response has to begin after arrival, or a stream has to go on after its last
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -16,6 +16,7 @@
 mod pace;
 mod record;
 mod refusal;
+mod silence;
 mod speed;
 mod stream;
 mod suspect;
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -1,12 +1,17 @@
 //! Event streams, forwarded event by event; a stream that breaks off is resumed elsewhere if its route allows it.
 
 use core::error::Error as StdError;
+use core::time::Duration;
 use std::rc::Rc;
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::quarantine::part;
+use bergamotshift_limit::silence::Action;
+use bergamotshift_limit::silence::Watch;
 use bytes::Bytes;
 use futures_util::Stream;
+use futures_util::future::Either;
+use futures_util::future::select;
 use futures_util::stream;
 use ntex::http::HeaderMap;
 use ntex::http::Response;
@@ -79,6 +84,7 @@
             head,
             connection,
             guard,
+            ..
         } = exchange;
         let events = Events::after(job.metadata.last_event);
         let mut relay = Self {
@@ -117,7 +123,7 @@
     /// Returns the next complete events, or `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
-            let failure = match self.read_events().await {
+            let failure = match self.read().await {
                 Ok(Some(events)) => {
                     if self.guard.mark_prompt_read() {
                         self.forwarder.shared.in_flight_changed.notify_one();
@@ -135,7 +141,9 @@
                 },
                 Err(failure) => failure,
             };
-            self.guard.record_failure();
+            if self.forwarder.is_endpoints_failure(&self.job, &failure) {
+                self.guard.record_failure();
+            }
             self.forwarder.shared.metrics.count_given_up(failure.name());
             self.forwarder
                 .report_broken(&self.job, self.guard.endpoint(), &failure, self.is_settled);
@@ -184,35 +192,121 @@
         self.history.version = Some(version);
     }
 
-    /// Reads until at least one event is complete; returns `None` at the end of the stream.
+    /// Reads until at least one event is complete; returns `None` at the end of the stream. If the endpoint is silent,
+    /// another one is looked for meanwhile.
+    async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
+        let Some(limit) = self.job.stall_timeout() else {
+            return self.read_events().await;
+        };
+        let mut watch = self.forwarder.watch(limit);
+        loop {
+            let may_move = self.history.sends < self.job.route.attempts && self.events.last_id().is_some();
+            let action = if may_move {
+                let endpoint = self.guard.endpoint();
+                self.forwarder.watch_attempt(&self.job, &watch, endpoint)
+            } else {
+                Action::Wait(Instant::MAX)
+            };
+            match action {
+                Action::Wait(until) => {
+                    let wait = until.since(self.forwarder.shared.clock.now());
+                    if let Ok(read) = timeout(wait, self.read_events()).await {
+                        return read;
+                    }
+                }
+                Action::GiveUp => return Err(Failure::Silent),
+                Action::Replace { overlap } => {
+                    if let Some(read) = self.replace(&mut watch, overlap).await {
+                        return read;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads until at least one event is complete or the request's time is over.
     async fn read_events(&mut self) -> Result<Option<Bytes>, Failure> {
         let Some(connection) = &mut self.connection else {
             return Ok(None);
         };
-        loop {
-            let time_left = self.job.deadline.since(self.forwarder.shared.clock.now());
-            let can_repeat = self.history.sends < self.job.route.attempts;
-            let stall_timeout = self
-                .job
-                .stall_timeout()
-                .filter(|_| can_repeat && self.events.last_id().is_some());
-            let read_timeout = stall_timeout.map_or(time_left, |limit| limit.min(time_left));
-            let piece = match timeout(read_timeout, connection.body(&mut self.framing)).await {
-                Ok(piece) => piece?,
-                Err(_) => return Err(Failure::Silent),
-            };
-            let Some(piece) = piece else {
-                return Ok(None);
-            };
-            if let Some(events) = self.events.push(&piece) {
-                return Ok(Some(events));
+        read_events(
+            &self.forwarder,
+            &self.job,
+            connection,
+            &mut self.framing,
+            &mut self.events,
+        )
+        .await
+    }
+
+    /// Looks for another endpoint while the silent one is still read, and returns the next events of whichever has them
+    /// first; `None` if the silent one has to be read on.
+    async fn replace(
+        &mut self,
+        watch: &mut Watch,
+        overlap: Option<Duration>,
+    ) -> Option<Result<Option<Bytes>, Failure>> {
+        let forwarder = Rc::clone(&self.forwarder);
+        let job = Rc::clone(&self.job);
+        let sends = self.history.sends;
+        let last_event = self.events.last_id();
+        let connection = self.connection.as_mut()?;
+        let reading = Box::pin(read_events(
+            &forwarder,
+            &job,
+            connection,
+            &mut self.framing,
+            &mut self.events,
+        ));
+        let replacing = Box::pin(forwarder.replace_stream(&job, &mut self.history, last_event, overlap));
+        let (outcome, result) = match select(reading, replacing).await {
+            Either::Left((read, replacing)) => {
+                drop(replacing);
+                ("overtaken", Ok(read))
             }
-            if self.events.is_oversized() {
-                return Err(Failure::Malformed("an event is too large"));
+            Either::Right((Ok(replacement), reading)) => {
+                drop(reading);
+                ("answered", Err(Some(replacement)))
+            }
+            Either::Right((Err(cause), reading)) => {
+                drop(reading);
+                (cause, Err(None))
+            }
+        };
+        forwarder.shared.metrics.count_replacement(outcome);
+        self.log_replacement(outcome, watch.heard(), overlap);
+        match result {
+            Ok(read) => Some(read),
+            Err(Some(replacement)) => {
+                forwarder.give_up(&job, &mut self.guard);
+                Some(Ok(Some(self.adopt(replacement))))
+            }
+            Err(None) => {
+                watch.postpone(forwarder.shared.clock.now(), self.history.sends > sends);
+                None
             }
         }
     }
 
+    /// Goes on with the stream of a replacement, and returns its first events.
+    fn adopt(&mut self, replacement: Replacement) -> Bytes {
+        let Replacement {
+            exchange,
+            events,
+            first,
+        } = replacement;
+        self.forwarder.shared.metrics.resumed.inc();
+        self.framing = exchange.head.framing;
+        self.is_framed = self.framing.is_framed();
+        self.connection = Some(exchange.connection);
+        self.guard = exchange.guard;
+        self.history.estimate = Some(exchange.estimate);
+        self.events = events;
+        self.begun_at = None;
+        self.is_settled = false;
+        first
+    }
+
     /// Resumes the stream at another endpoint after the last complete event.
     ///
     /// The broken connection is closed first: an endpoint stops its work when its connection closes, and two of them
@@ -254,6 +348,21 @@
         }
     }
 
+    /// Logs what became of the search for a replacement of a silent stream.
+    fn log_replacement(&self, outcome: &'static str, heard: Instant, overlap: Option<Duration>) {
+        let shared = &self.forwarder.shared;
+        let now = shared.clock.now();
+        if let Some((logger, left_out)) = shared.log.rate_limited(now, Topic::Attempt) {
+            info!(logger, "replacement of a silent stream"; "request" => self.job.metadata.id.as_str(),
+                "route" => self.job.route.name.as_str(), "outcome" => outcome,
+                "silent" => self.guard.endpoint().registration.id.as_str(),
+                "path" => self.guard.endpoint().pulse.path(heard).as_str(),
+                "silence_ms" => now.since(heard).as_millis() as u64,
+                "overlap_ms" => overlap.map(|overlap| overlap.as_millis() as u64),
+                "sends" => self.history.sends, "left_out" => left_out);
+        }
+    }
+
     /// Logs that a stream broke off.
     fn log_break(&self, now: Instant, failure: &Failure) {
         let shared = &self.forwarder.shared;
@@ -272,6 +381,66 @@
     }
 }
 
+/// Stream that another endpoint has begun in place of a silent one.
+pub(super) struct Replacement {
+    exchange: Exchange,
+    events: Events,
+    first: Bytes,
+}
+
+impl Replacement {
+    /// Waits for the first events of an answer that goes on after `last_event`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause when the answer is no such stream.
+    pub(super) async fn begin(
+        forwarder: &Forwarder,
+        job: &Job,
+        mut exchange: Exchange,
+        last_event: Option<u64>,
+    ) -> Result<Self, &'static str> {
+        if !exchange.head.status.is_success() || !exchange.head.is_event_stream() {
+            return Err("failed");
+        }
+        let mut events = Events::after(last_event);
+        let Exchange { head, connection, .. } = &mut exchange;
+        let first = read_events(forwarder, job, connection, &mut head.framing, &mut events).await;
+        let first = first.ok().flatten().ok_or("failed")?;
+        Ok(Self {
+            exchange,
+            events,
+            first,
+        })
+    }
+}
+
+/// Reads until at least one event is complete or the request's time is over; returns `None` at the end of the stream.
+/// Nothing that was read is lost when the future is dropped.
+async fn read_events(
+    forwarder: &Forwarder,
+    job: &Job,
+    connection: &mut Connection,
+    framing: &mut exchange::Framing,
+    events: &mut Events,
+) -> Result<Option<Bytes>, Failure> {
+    loop {
+        let time_left = job.deadline.since(forwarder.shared.clock.now());
+        let Ok(piece) = timeout(time_left, connection.body(framing)).await else {
+            return Err(Failure::Silent);
+        };
+        let Some(piece) = piece? else {
+            return Ok(None);
+        };
+        if let Some(events) = events.push(&piece) {
+            return Ok(Some(events));
+        }
+        if events.is_oversized() {
+            return Err(Failure::Malformed("an event is too large"));
+        }
+    }
+}
+
 /// Returns a body that relays the events of a stream to its caller.
 fn relay_events(relay: Relay, first: Option<Bytes>, caller: Option<IoRef>) -> impl Stream<Item = Item> {
     let ended = first.is_none();
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -82,6 +82,7 @@
             head,
             mut connection,
             mut guard,
+            ..
         } = exchange;
         let mut framing = head.framing;
         let mut body = BytesMut::new();
--- a/bergamotshift-limit/src/silence/pulse.rs
+++ b/bergamotshift-limit/src/silence/pulse.rs
@@ -24,6 +24,18 @@
     Gone,
 }
 
+impl Path {
+    /// Returns the name of the path's state in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Reached => "reached",
+            Self::Unreached => "unreached",
+            Self::Gone => "gone",
+        }
+    }
+}
+
 /// Check of the path to an endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 struct Check {
--- a/bergamotshift-limit/src/silence/watch.rs
+++ b/bergamotshift-limit/src/silence/watch.rs
@@ -54,6 +54,11 @@
         self.heard
     }
 
+    /// Returns the time up to which silence is normal.
+    pub const fn limit(&self) -> Duration {
+        self.limit
+    }
+
     /// Returns the time from which the path to the endpoint is to be checked.
     pub fn check_at(&self) -> Instant {
         self.heard + self.limit.saturating_sub(self.settings.check_lead).max(self.limit / 2)
