fix(limit): the outcome of the latest check of a path counts

A check that gets no answer takes 250 ms. An attempt that falls silent meanwhile has a check of its own made; if that one is answered at once, its outcome is recorded first, and the slow one's outcome replaced it. Seen in the test before the fix: checks from 950 ms (unreached) and 1,100 ms (reached) left the path unreached for the first attempt, whose replacement then has no overlap bound, and unknown for the second for as long as the check's ttl.

An outcome is now recorded only if its check began no earlier than that of the known one.

--- a/bergamotshift-limit/src/silence/pulse.rs
+++ b/bergamotshift-limit/src/silence/pulse.rs
@@ -76,9 +76,12 @@
         is_due
     }
 
-    /// Records the outcome of a check that began at `began`.
+    /// Records the outcome of a check that began at `began`, unless that of a later one is known.
     pub fn record_path(&self, began: Instant, path: Path) {
-        self.lock().outcome = Some((began, path));
+        let mut check = self.lock();
+        if check.outcome.is_none_or(|(latest, _)| latest <= began) {
+            check.outcome = Some((began, path));
+        }
     }
 
     /// Returns the outcome of the last check, if it began after `since`.
--- a/bergamotshift-limit/tests/silence.rs
+++ b/bergamotshift-limit/tests/silence.rs
@@ -55,6 +55,17 @@
     assert_eq!(pulse.path(at(0)), Path::Unreached);
 }
 
+/// Guards against a slow check whose outcome replaces that of a later one.
+#[test]
+fn the_outcome_of_the_latest_check_counts() {
+    let pulse = Pulse::default();
+    assert!(pulse.claim_check(at(950), at(0), TTL));
+    assert!(pulse.claim_check(at(1_100), at(1_000), TTL));
+    pulse.record_path(at(1_100), Path::Reached);
+    pulse.record_path(at(950), Path::Unreached);
+    assert_eq!([at(0), at(1_000)].map(|since| pulse.path(since)), [Path::Reached; 2]);
+}
+
 /// Guards against endpoints without answers that count as silent.
 #[test]
 fn an_endpoint_is_silent_only_while_it_answers() {
