fix(limit): a silent endpoint is looked at while a search is postponed

After a replacement that was sent and failed, the next decision was due a whole limit later. No check of the path was renewed until then, and the decision used the outcome from before: with a limit of 3 s, an endpoint that was cut off then, and that accepts connections again, got a replacement without an overlap bound.

The wait for the next search is now cut into the interval of looks.

--- a/bergamotshift-limit/src/silence/watch.rs
+++ b/bergamotshift-limit/src/silence/watch.rs
@@ -85,7 +85,7 @@
             (Path::Unknown | Path::Reached, Extent::Single) => Some(self.settings.max_overlap),
         };
         if now < self.next_search {
-            return Action::Wait(self.next_search);
+            return Action::Wait(self.next_search.min(now + self.settings.interval));
         }
         Action::Replace { overlap }
     }
--- a/bergamotshift-limit/tests/silence.rs
+++ b/bergamotshift-limit/tests/silence.rs
@@ -154,6 +154,17 @@
     }
 }
 
+/// Guards against a replacement that is sent, or not sent, by what a check found a whole limit ago.
+#[test]
+fn a_silent_endpoint_is_looked_at_while_the_next_search_waits() {
+    let mut watch = Watch::new(Settings::default(), Duration::from_secs(3), at(0));
+    watch.postpone(at(3_000), true);
+    let waits = Action::Wait(at(3_250));
+    assert_eq!(watch.decide(at(3_000), Path::Reached, Extent::Single), waits);
+    let waits = Action::Wait(at(6_000));
+    assert_eq!(watch.decide(at(5_900), Path::Reached, Extent::Single), waits);
+}
+
 /// Guards against a budget that is used up by replacements that were never sent.
 #[test]
 fn a_withdrawal_is_given_back_unless_it_is_spent() {
