fix(limit): an endpoint found unreached is left soon after a replacement was dropped

A bounded replacement is sent while the path is unknown or believed to be reached. If a check then finds that the endpoint accepts no connection, the dropped replacement still held the next search for a whole limit. Smallest case: limit 420 ms, heard at 7.55 s, cut off at 7.56 s, checked from 7.76 s; at 7.97 s the path is unknown and a replacement with 300 ms of overlap is sent, at 8.01 s the check ends (unreached), at 8.27 s the replacement is dropped, and the next search is due at 8.69 s.

A search is now postponed by the limit only while the endpoint may still work on the answer, else by the interval. Attempts and the budget bound the replacements as before.

--- a/bergamotshift-limit/src/silence/watch.rs
+++ b/bergamotshift-limit/src/silence/watch.rs
@@ -29,7 +29,8 @@
     settings: Settings,
     limit: Duration,
     heard: Instant,
-    next_search: Instant,
+    /// Time of the last search that failed in this silence, and whether a replacement was sent.
+    searched: Option<(Instant, bool)>,
 }
 
 impl Watch {
@@ -39,14 +40,14 @@
             settings,
             limit,
             heard: now,
-            next_search: Instant::ZERO,
+            searched: None,
         }
     }
 
     /// Records bytes of the attempt.
     pub const fn record(&mut self, now: Instant) {
         self.heard = now;
-        self.next_search = Instant::ZERO;
+        self.searched = None;
     }
 
     /// Returns the time of the attempt's last bytes.
@@ -65,10 +66,9 @@
     }
 
     /// Records that a search for a replacement failed; `was_sent` is whether one was sent, which is not repeated before the
-    /// limit is over once more.
-    pub fn postpone(&mut self, now: Instant, was_sent: bool) {
-        let pause = if was_sent { self.limit } else { self.settings.interval };
-        self.next_search = now + pause;
+    /// limit is over once more, unless the endpoint is not reached.
+    pub const fn postpone(&mut self, now: Instant, was_sent: bool) {
+        self.searched = Some((now, was_sent));
     }
 
     /// Decides on the attempt, by the path to its endpoint and the extent of the silence.
@@ -84,9 +84,22 @@
             (Path::Unknown | Path::Reached, Extent::Common) => return Action::Wait(now + self.settings.interval),
             (Path::Unknown | Path::Reached, Extent::Single) => Some(self.settings.max_overlap),
         };
-        if now < self.next_search {
-            return Action::Wait(self.next_search.min(now + self.settings.interval));
+        let next_search = self.next_search(overlap.is_some());
+        if now < next_search {
+            return Action::Wait(next_search.min(now + self.settings.interval));
         }
         Action::Replace { overlap }
     }
+
+    /// Returns the time from which a replacement may be looked for; `may_work` is whether the endpoint may still work.
+    fn next_search(&self, may_work: bool) -> Instant {
+        self.searched.map_or(Instant::ZERO, |(searched, was_sent)| {
+            let pause = if was_sent && may_work {
+                self.limit
+            } else {
+                self.settings.interval
+            };
+            searched + pause
+        })
+    }
 }
--- a/bergamotshift-limit/tests/silence.rs
+++ b/bergamotshift-limit/tests/silence.rs
@@ -165,6 +165,17 @@
     assert_eq!(watch.decide(at(5_900), Path::Reached, Extent::Single), waits);
 }
 
+/// Guards against callers who wait a limit longer as a replacement was dropped before a check found the endpoint cut off.
+#[test]
+fn an_endpoint_found_unreached_is_left_soon_after_a_replacement_was_dropped() {
+    let mut watch = watch();
+    watch.postpone(at(1_550), true);
+    let decide = |now, path| watch.decide(at(now), path, Extent::Single);
+    assert_eq!(decide(1_799, Path::Unreached), Action::Wait(at(1_800)));
+    assert_eq!(decide(1_800, Path::Unreached), Action::Replace { overlap: None });
+    assert_eq!(decide(2_799, Path::Reached), Action::Wait(at(2_800)));
+}
+
 /// Guards against a budget that is used up by replacements that were never sent.
 #[test]
 fn a_withdrawal_is_given_back_unless_it_is_spent() {
