fix(limit): a check of a path is believed for at most half of the limit

A check's outcome was believed for 1 s whatever the limit. Smallest case, three endpoints, limit 460 ms, most of them silent: heard at 5.82 s, checked and reached at 6.05 s, cut off at 6.37 s; the next check began at 7.05 s and ended at 7.30 s, while the limit and a connect timeout after the cut were over at 7.08 s.

The time is not shortened below the interval of looks, or each attempt with a short limit would make a check of its own. At the usual limit of 1,250 ms a check is believed for 625 ms.

--- a/bergamotshift-limit/src/silence/watch.rs
+++ b/bergamotshift-limit/src/silence/watch.rs
@@ -35,9 +35,13 @@
 
 impl Watch {
     /// Creates a watch over an attempt that was heard now, whose silence is normal up to `limit`.
-    pub const fn new(settings: Settings, limit: Duration, now: Instant) -> Self {
+    ///
+    /// A check is believed for at most half of the limit, so that an endpoint that is cut off after one is left in time, but
+    /// for at least the time between two looks.
+    pub fn new(settings: Settings, limit: Duration, now: Instant) -> Self {
+        let check_ttl = settings.check_ttl.min((limit / 2).max(settings.interval));
         Self {
-            settings,
+            settings: Settings { check_ttl, ..settings },
             limit,
             heard: now,
             searched: None,
--- a/bergamotshift-limit/tests/silence.rs
+++ b/bergamotshift-limit/tests/silence.rs
@@ -55,6 +55,20 @@
     assert_eq!(pulse.path(at(0)), Path::Unreached);
 }
 
+/// Guards against a short limit that is held up by a check from before the endpoint was cut off.
+#[test]
+fn a_check_is_believed_for_at_most_half_of_the_limit() {
+    let ttl = |limit| {
+        Watch::new(Settings::default(), Duration::from_millis(limit), at(0))
+            .settings()
+            .check_ttl
+    };
+    assert_eq!(
+        [400, 1_250, 3_000].map(ttl),
+        [250, 625, 1_000].map(Duration::from_millis)
+    );
+}
+
 /// Guards against a slow check whose outcome replaces that of a later one.
 #[test]
 fn the_outcome_of_the_latest_check_counts() {
