test(forward): an old stream goes on after its engine crashed

A resumable stream of an engine lasts two seconds, then its endpoint resets the connection. Another endpoint is sound and the retry budget is full, but the stream is cut, since its next attempt is judged by the time after arrival within which a stream has to begin (1.5 s here):

assertion `left == right` failed: streams of 1 were ended left: 1 right: 0

The scripts of the endpoints now say what an endpoint does when an event is due; the other tests send the same bytes as before, and requests state 5,000 tokens.

--- a/bergamotshift-forward/tests/daemon/silence.rs
+++ b/bergamotshift-forward/tests/daemon/silence.rs
@@ -1,14 +1,20 @@
 //! Sound endpoints that fall silent for a second and go on.
 
+use std::io;
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
+use bergamotshift_forward::document::Engine;
+use socket2::SockRef;
+
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Request;
+use crate::large::ENGINE;
 use crate::outside::lock;
+use crate::site::Answer;
 use crate::site::Caller;
 use crate::site::Daemon;
 use crate::site::Site;
@@ -25,21 +31,48 @@
 /// Maximum number of extra attempts that a daemon's retry budget of a service lends at the start.
 const RESERVE: usize = 5;
 
-/// Sends the events after the caller's last one, and calls `before` with the number of each before it is sent.
-fn stream(request: &Request, stream: &mut TcpStream, before: impl Fn(u32)) -> std::io::Result<Connection> {
+/// What an endpoint does when an event of a stream is due.
+enum Step {
+    Send,
+    /// The stream is complete.
+    End,
+    /// The endpoint resets the connection.
+    Reset,
+}
+
+/// Returns the step of an endpoint that sends all events.
+fn step(event: u32) -> Step {
+    if event > EVENTS { Step::End } else { Step::Send }
+}
+
+/// Sends the events after the caller's last one, as the steps for their numbers say.
+fn stream(request: &Request, stream: &mut TcpStream, step: impl Fn(u32) -> Step) -> io::Result<Connection> {
     const HEAD: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-    let last = request
-        .header("last-event-id")
-        .and_then(|last| last.parse().ok())
-        .unwrap_or(0);
     stream.write_all(request.answer_head("200 OK", HEAD).as_bytes())?;
-    for number in last + 1..=EVENTS {
-        before(number);
-        let text = format!("id: {number}\ndata: {number}\n\n");
-        write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
+    let mut event = last_event(request);
+    loop {
+        event += 1;
+        match step(event) {
+            Step::Send => {
+                let text = format!("id: {event}\ndata: {event}\n\n");
+                write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
+            }
+            Step::End => {
+                stream.write_all(b"0\r\n\r\n")?;
+                return Ok(Connection::Keep);
+            }
+            Step::Reset => {
+                SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
+                return Ok(Connection::Close);
+            }
+        }
     }
-    stream.write_all(b"0\r\n\r\n")?;
-    Ok(Connection::Keep)
+}
+
+/// Returns the number of the last event that the caller of a stream has, 0 for a stream that begins.
+fn last_event(request: &Request) -> u32 {
+    let last = request.header("last-event-id");
+    last.and_then(|last| last.parse().ok()).unwrap_or(0)
 }
 
 /// Starts endpoints, the first `silent` of which fall silent before the third event of their streams.
@@ -50,6 +83,7 @@
                 if number < silent && event == 3 {
                     thread::sleep(SILENCE);
                 }
+                step(event)
             })
         };
         Endpoint::start(&format!("e{number}"), script)
@@ -57,36 +91,50 @@
     (0..count).map(start).collect()
 }
 
-/// Creates a site on whose routes [`SILENCE`] is longer than the limit after which a stream may go on elsewhere.
-fn strict_site(endpoints: &[Endpoint]) -> Site {
+/// Returns the number of requests that endpoints received.
+fn count(endpoints: &[Endpoint]) -> usize {
+    endpoints.iter().map(Endpoint::count).sum()
+}
+
+/// Creates a site on whose routes streams may go on elsewhere after a silence of five times `pause`.
+fn site(endpoints: &[Endpoint], pause: Duration, engine: Option<Engine>) -> Site {
     let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
     let mut document = crate::site::document(2);
+    document.services[0].engine = engine;
     for route in &mut document.routes {
-        route.pause = SILENCE / 10;
+        route.pause = pause;
     }
     lock(&site.backend).put_document(document);
     site
 }
 
-/// Sends streams at once, and checks that their callers get every event once and in order.
-fn play(daemon: &Daemon, path: &str, streams: usize) {
-    let mut callers: Vec<_> = (0..streams).map(|_| Caller::new(daemon)).collect();
+/// Sends requests at once.
+fn send(daemon: &Daemon, path: &str, requests: usize) -> Vec<Caller> {
+    let mut callers: Vec<_> = (0..requests).map(|_| Caller::new(daemon)).collect();
     for (number, caller) in callers.iter_mut().enumerate() {
-        caller.send("POST", path, &format!("r-{number}"), "", &format!("{number}"));
+        let size = "bergamotshift-size: 5000,10\r\n";
+        caller.send("POST", path, &format!("r-{number}"), size, &format!("{number}"));
     }
-    let answers = callers
-        .iter_mut()
-        .map(|caller| caller.read_answer().expect("an answer comes"));
-    let answers: Vec<_> = answers.collect();
+    callers
+}
+
+/// Reads the answers to requests.
+fn answers(mut callers: Vec<Caller>) -> Vec<Answer> {
+    let answers = callers.iter_mut().map(Caller::read_answer);
+    answers.map(|answer| answer.expect("an answer comes")).collect()
+}
+
+/// Checks that callers get whole streams with every event once and in order.
+fn check(callers: Vec<Caller>) {
+    let answers = answers(callers);
     let ended = answers.iter().filter(|answer| !answer.is_complete).count();
-    assert_eq!(ended, 0, "streams of {streams} were ended");
+    assert_eq!(ended, 0, "streams of {} were ended", answers.len());
     for answer in answers {
         let text = answer.text();
-        let events: Vec<u32> = text
-            .lines()
-            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
-            .collect();
-        assert_eq!(events, Vec::from_iter(1..=EVENTS));
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        let events: Vec<u32> = ids.filter_map(|id| id.parse().ok()).collect();
+        assert!(events.len() >= EVENTS as usize, "{} {events:?}", answer.status);
+        assert!(events.iter().copied().eq(1..=events.len() as u32), "{events:?}");
     }
 }
 
@@ -95,9 +143,9 @@
     let endpoints = endpoints(6, silent);
     let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
     let daemon = site.start();
-    play(&daemon, path, STREAMS);
+    check(send(&daemon, path, STREAMS));
     assert_eq!(daemon.death_count(), Some(0));
-    endpoints.iter().map(Endpoint::count).sum()
+    count(&endpoints)
 }
 
 /// Guards against streams that are ended, or requests that are sent again, because their endpoint is silent for a second.
@@ -118,10 +166,35 @@
 #[test]
 fn a_silence_beyond_the_limit_with_an_empty_retry_budget_ends_no_stream() {
     let endpoints = endpoints(3, 3);
-    let site = strict_site(&endpoints);
+    let site = site(&endpoints, SILENCE / 10, None);
     let daemon = site.start();
     let streams = 6 * RESERVE;
-    play(&daemon, "/draft/1", streams);
-    assert!(endpoints.iter().map(Endpoint::count).sum::<usize>() < streams + RESERVE);
+    check(send(&daemon, "/draft/1", streams));
+    assert!(count(&endpoints) < streams + RESERVE);
     assert_eq!(daemon.death_count(), Some(0));
 }
+
+/// Guards against a stream that is cut when its endpoint crashes after the time within which a stream has to begin.
+#[test]
+fn a_stream_older_than_its_start_timeout_goes_on_after_a_crash() {
+    let start = |id| {
+        Endpoint::start(id, |request, _, connection| {
+            let is_first = last_event(request) == 0;
+            stream(request, connection, |event| {
+                if is_first && event > 1 {
+                    thread::sleep(SILENCE / 2);
+                }
+                if is_first && event == EVENTS {
+                    Step::Reset
+                } else {
+                    step(event)
+                }
+            })
+        })
+    };
+    let endpoints = [start("e1"), start("e2")];
+    let site = site(&endpoints, SILENCE / 5, Some(ENGINE));
+    let daemon = site.start();
+    check(send(&daemon, "/draft/1", 1));
+    assert_eq!((endpoints[0].count(), endpoints[1].count()), (1, 1));
+}
