--- a/bergamotshift-forward/tests/daemon/silence.rs
+++ b/bergamotshift-forward/tests/daemon/silence.rs
@@ -198,3 +198,33 @@
     check(send(&daemon, "/draft/1", 1));
     assert_eq!((endpoints[0].count(), endpoints[1].count()), (1, 1));
 }
+
+/// Sends idempotent requests at once to endpoints that answer after their response timeout.
+fn late_answers(endpoints: usize, requests: usize) {
+    let start = |number| {
+        Endpoint::start(&format!("e{number}"), |request, _, connection| {
+            thread::sleep(SILENCE);
+            connection.write_all(request.answer("200 OK", "", "done").as_bytes())?;
+            Ok(Connection::Keep)
+        })
+    };
+    let endpoints: Vec<_> = (0..endpoints).map(start).collect();
+    let site = site(&endpoints, SILENCE / 10, None);
+    let daemon = site.start();
+    let answers = answers(send(&daemon, "/checkin/1", requests));
+    let refused = answers.iter().filter(|answer| answer.status != 200).count();
+    assert_eq!(refused, 0, "requests of {requests} were refused");
+    assert!(count(&endpoints) < requests + RESERVE);
+}
+
+/// Guards against an idempotent request that is refused when its endpoint answers late and there is no other.
+#[test]
+fn a_late_answer_of_the_only_endpoint_reaches_its_caller() {
+    late_answers(1, 1);
+}
+
+/// Guards against idempotent requests that are refused when their endpoints answer late and the retry budget is empty.
+#[test]
+fn late_answers_with_an_empty_retry_budget_reach_their_callers() {
+    late_answers(2, 6 * RESERVE);
+}
