refactor(forward): tests of the daemon share the script of a stream

The script of endpoints that send a stream step by step and the callers that check it go to a module of their own.

--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -20,6 +20,7 @@
 mod port;
 mod restore;
 mod rollouts;
+mod script;
 mod shortage;
 mod silence;
 mod site;
