test(forward): a change of the document ends no running stream

Streams of a resumable and of another route run without a pause while documents come into force that change the pause, the time limit and the service of their route, and that have no routes and no services any more.

--- a/bergamotshift-forward/tests/daemon/silence.rs
+++ b/bergamotshift-forward/tests/daemon/silence.rs
@@ -1,10 +1,16 @@
 //! Sound endpoints that fall silent for a second and go on.
 
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use bergamotshift_forward::document::Document;
 use bergamotshift_forward::document::Engine;
+use bergamotshift_forward::document::Service;
 
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
@@ -21,6 +27,7 @@
 use crate::script::step;
 use crate::script::stream;
 use crate::site::Site;
+use crate::site::wait_until;
 
 /// Time for which an endpoint is silent.
 const SILENCE: Duration = Duration::from_secs(1);
@@ -139,3 +146,68 @@
 fn late_answers_with_an_empty_retry_budget_reach_their_callers() {
     late_answers(2, 6 * RESERVE);
 }
+
+/// Guards against streams without a pause that end, or start anew, when a change of the document concerns their route.
+#[test]
+fn a_change_of_the_document_ends_no_running_stream() {
+    const CALLERS: usize = 4;
+    let changes: [fn(&mut Document); 5] = [
+        |document| document.routes.iter_mut().for_each(|route| route.pause = SILENCE / 100),
+        |document| {
+            document
+                .routes
+                .iter_mut()
+                .for_each(|route| route.timeout = SILENCE / 10)
+        },
+        |document| {
+            document
+                .routes
+                .iter_mut()
+                .for_each(|route| route.splits[0].service = "other".into())
+        },
+        |document| document.routes.clear(),
+        |document| document.services.clear(),
+    ];
+    for path in ["/chat/1", "/draft/1"] {
+        let events = Arc::new(AtomicUsize::new(0));
+        let is_over = Arc::new(AtomicBool::new(false));
+        let (counter, end) = (Arc::clone(&events), Arc::clone(&is_over));
+        let endpoints = start(1, move |_, request, connection| {
+            stream(request, connection, |_| {
+                thread::sleep(SILENCE / 100);
+                counter.fetch_add(1, Ordering::Relaxed);
+                if end.load(Ordering::Relaxed) {
+                    Step::End
+                } else {
+                    Step::Send
+                }
+            })
+        });
+        let site = site(&endpoints, SILENCE, None);
+        let daemon = site.start();
+        let callers = send(&daemon, path, CALLERS);
+        let run_on = || {
+            let more = events.load(Ordering::Relaxed) + CALLERS * EVENTS as usize;
+            wait_until("the streams run", || events.load(Ordering::Relaxed) > more);
+        };
+        run_on();
+        let mut document = crate::site::document(2);
+        let other = Service {
+            name: "other".into(),
+            ..document.services[0].clone()
+        };
+        document.services.push(other);
+        for change in changes {
+            change(&mut document);
+            document.version += 1;
+            lock(&site.backend).put_document(document.clone());
+            let version = Some(document.version as usize);
+            let is_current = || daemon.value("bergamotshift_forward_document_version") == version;
+            wait_until("the change is in force", is_current);
+            run_on();
+        }
+        is_over.store(true, Ordering::Relaxed);
+        check(callers);
+        assert_eq!(count(&endpoints), CALLERS);
+    }
+}
