--- a/bergamotshift-forward/tests/daemon/silence.rs
+++ b/bergamotshift-forward/tests/daemon/silence.rs
@@ -1,103 +1,75 @@
 //! Sound endpoints that fall silent for a second and go on.
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use bergamotshift_forward::document::Document;
+use bergamotshift_forward::document::Engine;
+use bergamotshift_forward::document::Service;
+
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
-use crate::endpoint::Request;
+use crate::large::ENGINE;
 use crate::outside::lock;
-use crate::site::Caller;
-use crate::site::Daemon;
+use crate::script::EVENTS;
+use crate::script::Step;
+use crate::script::answers;
+use crate::script::check;
+use crate::script::count;
+use crate::script::last_event;
+use crate::script::send;
+use crate::script::start;
+use crate::script::step;
+use crate::script::stream;
 use crate::site::Site;
+use crate::site::wait_until;
 
 /// Time for which an endpoint is silent.
 const SILENCE: Duration = Duration::from_secs(1);
 
-/// Number of events of a stream.
-const EVENTS: u32 = 5;
-
 /// Number of streams.
 const STREAMS: usize = 12;
 
-/// Extra attempts that the retry budget of a service lends at the start.
-const RESERVE: usize = 10;
-
-/// Sends the events after the caller's last one, and calls `before` with the number of each before it is sent.
-fn stream(request: &Request, stream: &mut TcpStream, before: impl Fn(u32)) -> std::io::Result<Connection> {
-    const HEAD: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-    let last = request
-        .header("last-event-id")
-        .and_then(|last| last.parse().ok())
-        .unwrap_or(0);
-    stream.write_all(request.answer_head("200 OK", HEAD).as_bytes())?;
-    for number in last + 1..=EVENTS {
-        before(number);
-        let text = format!("id: {number}\ndata: {number}\n\n");
-        write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
-    }
-    stream.write_all(b"0\r\n\r\n")?;
-    Ok(Connection::Keep)
-}
+/// Maximum number of extra attempts that a daemon's retry budget of a service lends at the start.
+const RESERVE: usize = 5;
 
 /// Starts endpoints, the first `silent` of which fall silent before the third event of their streams.
 fn endpoints(count: usize, silent: usize) -> Vec<Endpoint> {
-    let start = |number: usize| {
-        let script = move |request: &Request, _: usize, connection: &mut TcpStream| {
-            stream(request, connection, |event| {
-                if number < silent && event == 3 {
-                    thread::sleep(SILENCE);
-                }
-            })
-        };
-        Endpoint::start(&format!("e{number}"), script)
-    };
-    (0..count).map(start).collect()
+    start(count, move |number, request, connection| {
+        stream(request, connection, |event| {
+            if number < silent && event == 3 {
+                thread::sleep(SILENCE);
+            }
+            step(event)
+        })
+    })
 }
 
-/// Creates a site on whose routes [`SILENCE`] is longer than the limit after which a stream may go on elsewhere.
-fn strict_site(endpoints: &[Endpoint]) -> Site {
+/// Creates a site on whose routes streams may go on elsewhere after a silence of five times `pause`.
+fn site(endpoints: &[Endpoint], pause: Duration, engine: Option<Engine>) -> Site {
     let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
     let mut document = crate::site::document(2);
+    document.services[0].engine = engine;
     for route in &mut document.routes {
-        route.pause = SILENCE / 10;
+        route.pause = pause;
     }
     lock(&site.backend).put_document(document);
     site
 }
 
-/// Sends streams at once, and checks that their callers get every event once and in order.
-fn play(daemon: &Daemon, path: &str, streams: usize) {
-    let mut callers: Vec<_> = (0..streams).map(|_| Caller::new(daemon)).collect();
-    for (number, caller) in callers.iter_mut().enumerate() {
-        caller.send("POST", path, &format!("r-{number}"), "", &format!("{number}"));
-    }
-    let answers = callers
-        .iter_mut()
-        .map(|caller| caller.read_answer().expect("an answer comes"));
-    let answers: Vec<_> = answers.collect();
-    let ended = answers.iter().filter(|answer| !answer.is_complete).count();
-    assert_eq!(ended, 0, "streams of {streams} were ended");
-    for answer in answers {
-        let text = answer.text();
-        let events: Vec<u32> = text
-            .lines()
-            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
-            .collect();
-        assert_eq!(events, Vec::from_iter(1..=EVENTS));
-    }
-}
-
 /// Sends streams at once while `silent` of six endpoints fall silent, and returns the number of requests at endpoints.
 fn streams(path: &str, silent: usize) -> usize {
     let endpoints = endpoints(6, silent);
     let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
     let daemon = site.start();
-    play(&daemon, path, STREAMS);
+    check(send(&daemon, path, STREAMS));
     assert_eq!(daemon.death_count(), Some(0));
-    endpoints.iter().map(Endpoint::count).sum()
+    count(&endpoints)
 }
 
 /// Guards against streams that are ended, or requests that are sent again, because their endpoint is silent for a second.
@@ -118,10 +90,124 @@
 #[test]
 fn a_silence_beyond_the_limit_with_an_empty_retry_budget_ends_no_stream() {
     let endpoints = endpoints(3, 3);
-    let site = strict_site(&endpoints);
+    let site = site(&endpoints, SILENCE / 10, None);
     let daemon = site.start();
-    let streams = 3 * RESERVE;
-    play(&daemon, "/draft/1", streams);
-    assert!(endpoints.iter().map(Endpoint::count).sum::<usize>() < streams + RESERVE);
+    let streams = 6 * RESERVE;
+    check(send(&daemon, "/draft/1", streams));
+    assert!(count(&endpoints) < streams + RESERVE);
     assert_eq!(daemon.death_count(), Some(0));
 }
+
+/// Guards against a stream that is cut when its endpoint crashes after the time within which a stream has to begin.
+#[test]
+fn a_stream_older_than_its_start_timeout_goes_on_after_a_crash() {
+    let endpoints = start(2, |_, request, connection| {
+        let is_first = last_event(request) == 0;
+        stream(request, connection, |event| {
+            if is_first && event > 1 {
+                thread::sleep(SILENCE / 2);
+            }
+            if is_first && event == EVENTS {
+                Step::Reset
+            } else {
+                step(event)
+            }
+        })
+    });
+    let site = site(&endpoints, SILENCE / 5, Some(ENGINE));
+    let daemon = site.start();
+    check(send(&daemon, "/draft/1", 1));
+    assert_eq!((endpoints[0].count(), endpoints[1].count()), (1, 1));
+}
+
+/// Sends idempotent requests at once to endpoints that answer after their response timeout.
+fn late_answers(endpoints: usize, requests: usize) {
+    let endpoints = start(endpoints, |_, request, connection| {
+        thread::sleep(SILENCE);
+        connection.write_all(request.answer("200 OK", "", "done").as_bytes())?;
+        Ok(Connection::Keep)
+    });
+    let site = site(&endpoints, SILENCE / 10, None);
+    let daemon = site.start();
+    let answers = answers(send(&daemon, "/checkin/1", requests));
+    let refused = answers.iter().filter(|answer| answer.status != 200).count();
+    assert_eq!(refused, 0, "requests of {requests} were refused");
+    assert!(count(&endpoints) < requests + RESERVE);
+}
+
+/// Guards against an idempotent request that is refused when its endpoint answers late and there is no other.
+#[test]
+fn a_late_answer_of_the_only_endpoint_reaches_its_caller() {
+    late_answers(1, 1);
+}
+
+/// Guards against idempotent requests that are refused when their endpoints answer late and the retry budget is empty.
+#[test]
+fn late_answers_with_an_empty_retry_budget_reach_their_callers() {
+    late_answers(2, 6 * RESERVE);
+}
+
+/// Guards against streams without a pause that end, or start anew, when a change of the document concerns their route.
+#[test]
+fn a_change_of_the_document_ends_no_running_stream() {
+    const CALLERS: usize = 4;
+    let changes: [fn(&mut Document); 5] = [
+        |document| document.routes.iter_mut().for_each(|route| route.pause = SILENCE / 100),
+        |document| {
+            document
+                .routes
+                .iter_mut()
+                .for_each(|route| route.timeout = SILENCE / 10)
+        },
+        |document| {
+            document
+                .routes
+                .iter_mut()
+                .for_each(|route| route.splits[0].service = "other".into())
+        },
+        |document| document.routes.clear(),
+        |document| document.services.clear(),
+    ];
+    for path in ["/chat/1", "/draft/1"] {
+        let events = Arc::new(AtomicUsize::new(0));
+        let is_over = Arc::new(AtomicBool::new(false));
+        let (counter, end) = (Arc::clone(&events), Arc::clone(&is_over));
+        let endpoints = start(1, move |_, request, connection| {
+            stream(request, connection, |_| {
+                thread::sleep(SILENCE / 100);
+                counter.fetch_add(1, Ordering::Relaxed);
+                if end.load(Ordering::Relaxed) {
+                    Step::End
+                } else {
+                    Step::Send
+                }
+            })
+        });
+        let site = site(&endpoints, SILENCE, None);
+        let daemon = site.start();
+        let callers = send(&daemon, path, CALLERS);
+        let run_on = || {
+            let more = events.load(Ordering::Relaxed) + CALLERS * EVENTS as usize;
+            wait_until("the streams run", || events.load(Ordering::Relaxed) > more);
+        };
+        run_on();
+        let mut document = crate::site::document(2);
+        let other = Service {
+            name: "other".into(),
+            ..document.services[0].clone()
+        };
+        document.services.push(other);
+        for change in changes {
+            change(&mut document);
+            document.version += 1;
+            lock(&site.backend).put_document(document.clone());
+            let version = Some(document.version as usize);
+            let is_current = || daemon.value("bergamotshift_forward_document_version") == version;
+            wait_until("the change is in force", is_current);
+            run_on();
+        }
+        is_over.store(true, Ordering::Relaxed);
+        check(callers);
+        assert_eq!(count(&endpoints), CALLERS);
+    }
+}
