--- a/bergamotshift-limit/src/silence/pulse.rs
+++ b/bergamotshift-limit/src/silence/pulse.rs
@@ -24,6 +24,18 @@
     Gone,
 }
 
+impl Path {
+    /// Returns the name of the path's state in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Reached => "reached",
+            Self::Unreached => "unreached",
+            Self::Gone => "gone",
+        }
+    }
+}
+
 /// Check of the path to an endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 struct Check {
@@ -76,9 +88,12 @@
         is_due
     }
 
-    /// Records the outcome of a check that began at `began`.
+    /// Records the outcome of a check that began at `began`, unless that of a later one is known.
     pub fn record_path(&self, began: Instant, path: Path) {
-        self.lock().outcome = Some((began, path));
+        let mut check = self.lock();
+        if check.outcome.is_none_or(|(latest, _)| latest <= began) {
+            check.outcome = Some((began, path));
+        }
     }
 
     /// Returns the outcome of the last check, if it began after `since`.
--- a/bergamotshift-limit/src/silence/watch.rs
+++ b/bergamotshift-limit/src/silence/watch.rs
@@ -29,24 +29,29 @@
     settings: Settings,
     limit: Duration,
     heard: Instant,
-    next_search: Instant,
+    /// Time of the last search that failed in this silence, and whether a replacement was sent.
+    searched: Option<(Instant, bool)>,
 }
 
 impl Watch {
     /// Creates a watch over an attempt that was heard now, whose silence is normal up to `limit`.
-    pub const fn new(settings: Settings, limit: Duration, now: Instant) -> Self {
+    ///
+    /// A check is believed for at most half of the limit, so that an endpoint that is cut off after one is left in time, but
+    /// for at least the time between two looks.
+    pub fn new(settings: Settings, limit: Duration, now: Instant) -> Self {
+        let check_ttl = settings.check_ttl.min((limit / 2).max(settings.interval));
         Self {
-            settings,
+            settings: Settings { check_ttl, ..settings },
             limit,
             heard: now,
-            next_search: Instant::ZERO,
+            searched: None,
         }
     }
 
     /// Records bytes of the attempt.
     pub const fn record(&mut self, now: Instant) {
         self.heard = now;
-        self.next_search = Instant::ZERO;
+        self.searched = None;
     }
 
     /// Returns the time of the attempt's last bytes.
@@ -54,6 +59,11 @@
         self.heard
     }
 
+    /// Returns the time up to which silence is normal.
+    pub const fn limit(&self) -> Duration {
+        self.limit
+    }
+
     /// Returns the time from which the path to the endpoint is to be checked.
     pub fn check_at(&self) -> Instant {
         self.heard + self.limit.saturating_sub(self.settings.check_lead).max(self.limit / 2)
@@ -65,10 +75,9 @@
     }
 
     /// Records that a search for a replacement failed; `was_sent` is whether one was sent, which is not repeated before the
-    /// limit is over once more.
-    pub fn postpone(&mut self, now: Instant, was_sent: bool) {
-        let pause = if was_sent { self.limit } else { self.settings.interval };
-        self.next_search = now + pause;
+    /// limit is over once more, unless the endpoint is not reached.
+    pub const fn postpone(&mut self, now: Instant, was_sent: bool) {
+        self.searched = Some((now, was_sent));
     }
 
     /// Decides on the attempt, by the path to its endpoint and the extent of the silence.
@@ -84,9 +93,22 @@
             (Path::Unknown | Path::Reached, Extent::Common) => return Action::Wait(now + self.settings.interval),
             (Path::Unknown | Path::Reached, Extent::Single) => Some(self.settings.max_overlap),
         };
-        if now < self.next_search {
-            return Action::Wait(self.next_search);
+        let next_search = self.next_search(overlap.is_some());
+        if now < next_search {
+            return Action::Wait(next_search.min(now + self.settings.interval));
         }
         Action::Replace { overlap }
     }
+
+    /// Returns the time from which a replacement may be looked for; `may_work` is whether the endpoint may still work.
+    fn next_search(&self, may_work: bool) -> Instant {
+        self.searched.map_or(Instant::ZERO, |(searched, was_sent)| {
+            let pause = if was_sent && may_work {
+                self.limit
+            } else {
+                self.settings.interval
+            };
+            searched + pause
+        })
+    }
 }
