--- a/bergamotshift-limit/src/retry/budget.rs
+++ b/bergamotshift-limit/src/retry/budget.rs
@@ -117,7 +117,7 @@
 
     /// Takes one extra attempt that is given back unless it is spent; `None` if none was available.
     pub fn withdraw(&self) -> Option<Withdrawal<'_>> {
-        self.try_withdraw().then_some(Withdrawal(Some(self)))
+        self.try_withdraw().then(|| Withdrawal(Some(self)))
     }
 
     /// Gives back an extra attempt that was never sent.
--- a/bergamotshift-limit/tests/silence.rs
+++ b/bergamotshift-limit/tests/silence.rs
@@ -200,6 +200,7 @@
     });
     let withdrawal = budget.withdraw().unwrap();
     assert!(budget.withdraw().is_none(), "a withdrawal leaves some of the balance");
+    assert!(budget.withdraw().is_none(), "a refused withdrawal gives nothing back");
     drop(withdrawal);
     assert_eq!(budget.available(), 1);
     budget.withdraw().unwrap().spend();
