refactor(forward): the tests of silent streams build their documents in one place

The document with another pause goes to the shared script, and the five changes of a document are listed before the streams that live through them.

--- a/bergamotshift-forward/tests/daemon/script.rs
+++ b/bergamotshift-forward/tests/daemon/script.rs
@@ -5,14 +5,17 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use bergamotshift_forward::document::Engine;
 use socket2::SockRef;
 
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Request;
+use crate::outside::lock;
 use crate::site::Answer;
 use crate::site::Caller;
 use crate::site::Daemon;
+use crate::site::Site;
 
 /// Number of events of a stream.
 pub const EVENTS: u32 = 5;
@@ -80,6 +83,18 @@
     endpoints.iter().map(Endpoint::count).sum()
 }
 
+/// Creates a site on whose routes streams may go on elsewhere after a silence of five times `pause`.
+pub fn site(endpoints: &[Endpoint], pause: Duration, engine: Option<Engine>) -> Site {
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let mut document = crate::site::document(2);
+    document.services[0].engine = engine;
+    for route in &mut document.routes {
+        route.pause = pause;
+    }
+    lock(&site.backend).put_document(document);
+    site
+}
+
 /// Sends requests at once.
 pub fn send(daemon: &Daemon, path: &str, requests: usize) -> Vec<Caller> {
     let mut callers: Vec<_> = (0..requests).map(|_| Caller::new(daemon)).collect();
--- a/bergamotshift-forward/tests/daemon/silence.rs
+++ b/bergamotshift-forward/tests/daemon/silence.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bergamotshift_forward::document::Document;
-use bergamotshift_forward::document::Engine;
+use bergamotshift_forward::document::Route;
 use bergamotshift_forward::document::Service;
 
 use crate::endpoint::Connection;
@@ -23,6 +23,7 @@
 use crate::script::count;
 use crate::script::last_event;
 use crate::script::send;
+use crate::script::site;
 use crate::script::start;
 use crate::script::step;
 use crate::script::stream;
@@ -50,18 +51,6 @@
     })
 }
 
-/// Creates a site on whose routes streams may go on elsewhere after a silence of five times `pause`.
-fn site(endpoints: &[Endpoint], pause: Duration, engine: Option<Engine>) -> Site {
-    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
-    let mut document = crate::site::document(2);
-    document.services[0].engine = engine;
-    for route in &mut document.routes {
-        route.pause = pause;
-    }
-    lock(&site.backend).put_document(document);
-    site
-}
-
 /// Sends streams at once while `silent` of six endpoints fall silent, and returns the number of requests at endpoints.
 fn streams(path: &str, silent: usize) -> usize {
     let endpoints = endpoints(6, silent);
@@ -151,23 +140,26 @@
 #[test]
 fn a_change_of_the_document_ends_no_running_stream() {
     const CALLERS: usize = 4;
-    let changes: [fn(&mut Document); 5] = [
-        |document| document.routes.iter_mut().for_each(|route| route.pause = SILENCE / 100),
-        |document| {
-            document
-                .routes
-                .iter_mut()
-                .for_each(|route| route.timeout = SILENCE / 10)
-        },
-        |document| {
-            document
-                .routes
-                .iter_mut()
-                .for_each(|route| route.splits[0].service = "other".into())
-        },
-        |document| document.routes.clear(),
-        |document| document.services.clear(),
+    let changes: [fn(&mut Route); 3] = [
+        |route| route.pause = SILENCE / 100,
+        |route| route.timeout = SILENCE / 10,
+        |route| route.splits[0].service = "other".into(),
     ];
+    let mut document = crate::site::document(2);
+    let name = "other".into();
+    document.services.push(Service {
+        name,
+        ..document.services[0].clone()
+    });
+    let mut documents = Vec::new();
+    for change in changes {
+        document.routes.iter_mut().for_each(change);
+        documents.push(document.clone());
+    }
+    document.routes.clear();
+    documents.push(document.clone());
+    document.services.clear();
+    documents.push(document);
     for path in ["/chat/1", "/draft/1"] {
         let events = Arc::new(AtomicUsize::new(0));
         let is_over = Arc::new(AtomicBool::new(false));
@@ -191,19 +183,11 @@
             wait_until("the streams run", || events.load(Ordering::Relaxed) > more);
         };
         run_on();
-        let mut document = crate::site::document(2);
-        let other = Service {
-            name: "other".into(),
-            ..document.services[0].clone()
-        };
-        document.services.push(other);
-        for change in changes {
-            change(&mut document);
-            document.version += 1;
-            lock(&site.backend).put_document(document.clone());
-            let version = Some(document.version as usize);
-            let is_current = || daemon.value("bergamotshift_forward_document_version") == version;
-            wait_until("the change is in force", is_current);
+        for (version, document) in (3..).zip(documents.clone()) {
+            lock(&site.backend).put_document(Document { version, ..document });
+            wait_until("the change is in force", || {
+                daemon.value("bergamotshift_forward_document_version") == Some(version as usize)
+            });
             run_on();
         }
         is_over.store(true, Ordering::Relaxed);
