test(forward): a stream leaves a silent endpoint that accepts no connections

The endpoint of a resumable stream closes its listener and sends nothing more, while the connection stays open. The stream goes on at the other endpoint, is sent twice in all, and the connection to the first is closed. Passes on the present code; it guards the other side of a rule by which silence alone ends nothing.

--- a/bergamotshift-forward/tests/daemon/script.rs
+++ b/bergamotshift-forward/tests/daemon/script.rs
@@ -27,6 +27,8 @@
     End,
     /// The endpoint resets the connection.
     Reset,
+    /// The endpoint sends nothing more and keeps the connection open.
+    Hang,
 }
 
 /// Returns the step of an endpoint that sends all events.
@@ -54,6 +56,7 @@
                 SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
                 return Ok(Connection::Close);
             }
+            Step::Hang => return Ok(Connection::Keep),
         }
     }
 }
--- a/bergamotshift-forward/tests/daemon/silence.rs
+++ b/bergamotshift-forward/tests/daemon/silence.rs
@@ -195,3 +195,41 @@
         assert_eq!(count(&endpoints), CALLERS);
     }
 }
+
+/// Plays a stream at two endpoints, the first of which `is_gone` if its listener is closed, and returns the number of runs.
+fn runs(is_gone: bool, steps: impl Fn(bool, u32) -> Step + Clone + Send + Sync + 'static) -> usize {
+    let broken = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&broken);
+    let endpoints = start(2, move |_, request, connection| {
+        let is_first = last_event(request) == 0;
+        let run = stream(request, connection, |event| steps(is_first, event));
+        run.inspect_err(|_| _ = counter.fetch_add(1, Ordering::Relaxed))
+    });
+    let site = site(&endpoints, SILENCE / 10, None);
+    let daemon = site.start();
+    let callers = send(&daemon, "/draft/1", 1);
+    wait_until("the stream runs", || count(&endpoints) == 1);
+    for first in endpoints.iter().filter(|one| is_gone && one.count() == 1) {
+        first.crash();
+    }
+    check(callers);
+    let runs = count(&endpoints);
+    wait_until("the replaced run is closed", || {
+        let closed: usize = endpoints.iter().map(|endpoint| *lock(&endpoint.closed)).sum();
+        closed + broken.load(Ordering::Relaxed) + 1 >= runs
+    });
+    runs
+}
+
+/// Guards against a stream that stays with a silent endpoint whose listener is closed while its connections are open.
+#[test]
+fn a_stream_leaves_a_silent_endpoint_that_accepts_no_connections() {
+    let hang = |is_first, event| {
+        if is_first && event == 3 {
+            Step::Hang
+        } else {
+            step(event)
+        }
+    };
+    assert_eq!(runs(true, hang), 2);
+}
