test(forward): two silent runs of a stream deliver each event once

A stream's first endpoint is silent for twice the limit, with its listener open or closed, and its second for as long or just until the first goes on, so that both have the next event at about the same time. The caller gets each event once and in order, and at most one run goes on.

--- a/bergamotshift-forward/tests/daemon/silence.rs
+++ b/bergamotshift-forward/tests/daemon/silence.rs
@@ -233,3 +233,25 @@
     };
     assert_eq!(runs(true, hang), 2);
 }
+
+/// Guards against repeated events, and a second run that goes on, when a stream's next endpoint is as silent as its first.
+#[test]
+fn two_silent_runs_of_a_stream_deliver_each_event_once() {
+    let play = |delay, is_gone| {
+        let silent = move |is_first, event| {
+            match event {
+                3 => thread::sleep(if is_first { SILENCE } else { delay }),
+                4.. => thread::sleep(SILENCE / 50),
+                _ => {}
+            }
+            step(event)
+        };
+        runs(is_gone, silent);
+    };
+    thread::scope(|scope| {
+        for delay in [SILENCE, SILENCE / 2] {
+            scope.spawn(move || play(delay, false));
+            scope.spawn(move || play(delay, true));
+        }
+    });
+}
