test(forward): a replacement goes on when the silent run of a stream breaks

The caller gets the whole stream from the second. Passes on the present code, which has given up the first by then.

--- a/bergamotshift-forward/tests/daemon/script.rs
+++ b/bergamotshift-forward/tests/daemon/script.rs
@@ -3,6 +3,9 @@
 use std::io;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bergamotshift_forward::document::Engine;
@@ -16,6 +19,7 @@
 use crate::site::Caller;
 use crate::site::Daemon;
 use crate::site::Site;
+use crate::site::wait_until;
 
 /// Number of events of a stream.
 pub const EVENTS: u32 = 5;
@@ -127,3 +131,37 @@
         assert!(events.iter().copied().eq(1..=events.len() as u32), "{events:?}");
     }
 }
+
+/// Plays a stream at two endpoints, the first of which `is_gone` if its listener is closed, and returns the number of runs.
+///
+/// The steps are those of the first or a later run. Streams may go on elsewhere after a silence of five times `pause`.
+pub fn runs(
+    pause: Duration,
+    is_gone: bool,
+    steps: impl Fn(bool, u32) -> Step + Clone + Send + Sync + 'static,
+) -> usize {
+    let broken = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&broken);
+    let endpoints = start(2, move |_, request, connection| {
+        let is_first = last_event(request) == 0;
+        let run = stream(request, connection, |event| steps(is_first, event));
+        if !matches!(run, Ok(Connection::Keep)) {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+        run
+    });
+    let site = site(&endpoints, pause, None);
+    let daemon = site.start();
+    let callers = send(&daemon, "/draft/1", 1);
+    wait_until("the stream runs", || count(&endpoints) == 1);
+    for first in endpoints.iter().filter(|one| is_gone && one.count() == 1) {
+        first.crash();
+    }
+    check(callers);
+    let runs = count(&endpoints);
+    wait_until("the replaced run is closed", || {
+        let closed: usize = endpoints.iter().map(|endpoint| *lock(&endpoint.closed)).sum();
+        closed + broken.load(Ordering::Relaxed) + 1 >= runs
+    });
+    runs
+}
--- a/bergamotshift-forward/tests/daemon/silence.rs
+++ b/bergamotshift-forward/tests/daemon/silence.rs
@@ -22,6 +22,7 @@
 use crate::script::check;
 use crate::script::count;
 use crate::script::last_event;
+use crate::script::runs;
 use crate::script::send;
 use crate::script::site;
 use crate::script::start;
@@ -196,31 +197,6 @@
     }
 }
 
-/// Plays a stream at two endpoints, the first of which `is_gone` if its listener is closed, and returns the number of runs.
-fn runs(is_gone: bool, steps: impl Fn(bool, u32) -> Step + Clone + Send + Sync + 'static) -> usize {
-    let broken = Arc::new(AtomicUsize::new(0));
-    let counter = Arc::clone(&broken);
-    let endpoints = start(2, move |_, request, connection| {
-        let is_first = last_event(request) == 0;
-        let run = stream(request, connection, |event| steps(is_first, event));
-        run.inspect_err(|_| _ = counter.fetch_add(1, Ordering::Relaxed))
-    });
-    let site = site(&endpoints, SILENCE / 10, None);
-    let daemon = site.start();
-    let callers = send(&daemon, "/draft/1", 1);
-    wait_until("the stream runs", || count(&endpoints) == 1);
-    for first in endpoints.iter().filter(|one| is_gone && one.count() == 1) {
-        first.crash();
-    }
-    check(callers);
-    let runs = count(&endpoints);
-    wait_until("the replaced run is closed", || {
-        let closed: usize = endpoints.iter().map(|endpoint| *lock(&endpoint.closed)).sum();
-        closed + broken.load(Ordering::Relaxed) + 1 >= runs
-    });
-    runs
-}
-
 /// Guards against a stream that stays with a silent endpoint whose listener is closed while its connections are open.
 #[test]
 fn a_stream_leaves_a_silent_endpoint_that_accepts_no_connections() {
@@ -231,7 +207,7 @@
             step(event)
         }
     };
-    assert_eq!(runs(true, hang), 2);
+    assert_eq!(runs(SILENCE / 10, true, hang), 2);
 }
 
 /// Guards against repeated events, and a second run that goes on, when a stream's next endpoint is as silent as its first.
@@ -246,7 +222,7 @@
             }
             step(event)
         };
-        runs(is_gone, silent);
+        runs(SILENCE / 10, is_gone, silent);
     };
     thread::scope(|scope| {
         for delay in [SILENCE, SILENCE / 2] {
@@ -255,3 +231,22 @@
         }
     });
 }
+
+/// Guards against a stream that is cut, although its replacement runs, when the silent endpoint crashes.
+#[test]
+fn a_replacement_goes_on_when_the_silent_run_breaks() {
+    let is_replaced = Arc::new(AtomicBool::new(false));
+    let steps = move |is_first, event| match (is_first, event) {
+        (true, 3) => {
+            wait_until("the replacement runs", || is_replaced.load(Ordering::Relaxed));
+            Step::Reset
+        }
+        (false, 3) => {
+            is_replaced.store(true, Ordering::Relaxed);
+            thread::sleep(SILENCE / 5);
+            step(event)
+        }
+        _ => step(event),
+    };
+    assert_eq!(runs(SILENCE / 10, false, steps), 2);
+}
