fix(entry): a replacement goes on when the connection to the silent endpoint breaks

The reader took the broken connection for the end of the race and dropped the other attempt, which was under way: with no attempt left the caller got a cut answer from two sound attempts. The tests of silences in the crate do not play it.

--- a/bergamotshift-entry/src/exchange/source.rs
+++ b/bergamotshift-entry/src/exchange/source.rs
@@ -150,6 +150,7 @@
         let raced = {
             let replacement = pin!(open(attempts, self.running.key));
             match select(pin!(self.body.recv()), replacement).await {
+                Either::Left((Some(Err(error)), replacement)) => replacement.await.ok_or(Some(Some(Err(error)))),
                 Either::Left((item, _)) => Err(Some(item)),
                 Either::Right((Some(begun), _)) => Ok(begun),
                 Either::Right((None, _)) => Err(None),
