fix(forward): replacements outlive a broken first, and searches that send nothing use up nothing

The first's failure is now only taken if the replacement fails too, and the bound on the overlap is lifted then; a refusal of the first is treated alike. - a search that found its endpoint too slow, or an endpoint that was late once, ruled the endpoint out for good (replacements::searches_that_send_nothing_use_up_no_endpoint, a_late_replacement_does_not_bar_its_endpoint).

--- a/bergamotshift-forward/src/serve/choose.rs
+++ b/bergamotshift-forward/src/serve/choose.rs
@@ -247,9 +247,11 @@
                 return Ok(());
             }
         }
-        // The caller of a stream that has begun waits from its last event on.
-        let waits_since = history.pace.last_event().unwrap_or(job.arrived);
-        let respond_by = (waits_since + job.start_timeout()).min(job.deadline);
+        let respond_by = match history.pace.last_event() {
+            Some(last) => last + job.patience(),
+            None => job.arrived + job.start_timeout(),
+        };
+        let respond_by = respond_by.min(job.deadline);
         let time_left = respond_by.since(now).as_secs_f64() * 1e3;
         if service.engine.is_some() && choice.cost > time_left {
             self.log_overload(now, job, choice, time_left);
--- a/bergamotshift-forward/src/serve/job.rs
+++ b/bergamotshift-forward/src/serve/job.rs
@@ -115,8 +115,7 @@
         self.route.resumable.then(|| self.silence_limit())
     }
 
-    /// Returns the time within which the response has to begin after arrival, or a stream has to go on after its last
-    /// event.
+    /// Returns the time after arrival within which the response has to begin.
     ///
     /// Callers leave a stream that does not begin within a few objectives. Without this limit, every stream in an
     /// overload would begin after its caller has left: endpoints would read prompts for nobody, and nobody would be
@@ -125,6 +124,11 @@
         start_timeout(&self.route)
     }
 
+    /// Returns the time for which the caller of a stream waits for its next event.
+    pub(super) fn patience(&self) -> Duration {
+        patience(&self.route)
+    }
+
     /// Returns whether the caller takes up a stream that began before.
     pub(super) const fn is_resumed(&self) -> bool {
         is_resumed(&self.metadata)
@@ -141,8 +145,13 @@
     if route.kind != Kind::Stream {
         return route.timeout;
     }
+    patience(route).mul_f64(START_TIMEOUT_SHARE)
+}
+
+/// Returns the time for which callers wait for the beginning or the next event of a stream.
+fn patience(route: &Route) -> Duration {
     let timeout = (route.objective * START_TIMEOUT_OBJECTIVES).max(route.pause * START_TIMEOUT_PAUSES);
-    timeout.max(MIN_START_TIMEOUT).mul_f64(START_TIMEOUT_SHARE)
+    timeout.max(MIN_START_TIMEOUT)
 }
 
 /// Returns whether a caller takes up a stream that began before.
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -16,6 +16,8 @@
 mod pace;
 mod record;
 mod refusal;
+mod replace;
+mod send;
 mod silence;
 mod speed;
 mod stream;
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -1,5 +1,6 @@
 //! Event streams, forwarded event by event; a stream that breaks off is resumed elsewhere if its route allows it.
 
+use core::cell::Cell;
 use core::error::Error as StdError;
 use core::time::Duration;
 use std::rc::Rc;
@@ -141,12 +142,7 @@
                 },
                 Err(failure) => failure,
             };
-            if self.forwarder.is_endpoints_failure(&self.job, &failure) {
-                self.guard.record_failure();
-            }
-            self.forwarder.shared.metrics.count_given_up(failure.name());
-            self.forwarder
-                .report_broken(&self.job, self.guard.endpoint(), &failure, self.is_settled);
+            self.record_broken(&failure);
             self.resume(failure).await?;
         }
     }
@@ -203,7 +199,7 @@
             let may_move = self.history.sends < self.job.route.attempts && self.events.last_id().is_some();
             let action = if may_move {
                 let endpoint = self.guard.endpoint();
-                self.forwarder.watch_attempt(&self.job, &watch, endpoint)
+                self.forwarder.watch_attempt(&self.job, &watch, endpoint, true)
             } else {
                 Action::Wait(Instant::MAX)
             };
@@ -249,6 +245,7 @@
         let forwarder = Rc::clone(&self.forwarder);
         let job = Rc::clone(&self.job);
         let sends = self.history.sends;
+        let tried = self.history.tried.len();
         let last_event = self.events.last_id();
         let connection = self.connection.as_mut()?;
         let reading = Box::pin(read_events(
@@ -258,34 +255,40 @@
             &mut self.framing,
             &mut self.events,
         ));
-        let replacing = Box::pin(forwarder.replace_stream(&job, &mut self.history, last_event, overlap));
-        let (outcome, result) = match select(reading, replacing).await {
-            Either::Left((read, replacing)) => {
-                drop(replacing);
-                ("overtaken", Ok(read))
-            }
-            Either::Right((Ok(replacement), reading)) => {
-                drop(reading);
-                ("answered", Err(Some(replacement)))
-            }
-            Either::Right((Err(cause), reading)) => {
-                drop(reading);
-                (cause, Err(None))
+        let bound = Cell::new(overlap);
+        let replacing = Box::pin(forwarder.replace_stream(&job, &mut self.history, last_event, &bound));
+        let (read, replaced) = match select(reading, replacing).await {
+            Either::Left((Err(failure), replacing)) => {
+                bound.set(None);
+                (Some(Err(failure)), replacing.await)
             }
+            Either::Left((read, _)) => (Some(read), Err("overtaken")),
+            Either::Right((replaced, _)) => (None, replaced),
         };
+        let outcome = replaced.as_ref().err().copied().unwrap_or("answered");
         forwarder.shared.metrics.count_replacement(outcome);
         self.log_replacement(outcome, watch.heard(), overlap);
-        match result {
-            Ok(read) => Some(read),
-            Err(Some(replacement)) => {
-                forwarder.give_up(&job, &mut self.guard);
-                Some(Ok(Some(self.adopt(replacement))))
-            }
-            Err(None) => {
-                watch.postpone(forwarder.shared.clock.now(), self.history.sends > sends);
-                None
-            }
+        let Ok(replacement) = replaced else {
+            // An endpoint that was only too late for this silence may go on with the stream later.
+            self.history.tried.truncate(tried);
+            watch.postpone(forwarder.shared.clock.now(), self.history.sends > sends);
+            return read;
+        };
+        match &read {
+            Some(Err(failure)) => self.record_broken(failure),
+            _ => forwarder.give_up(&job, &mut self.guard),
+        }
+        Some(Ok(Some(self.adopt(replacement))))
+    }
+
+    /// Records that the endpoint's answer failed.
+    fn record_broken(&mut self, failure: &Failure) {
+        if self.forwarder.is_endpoints_failure(&self.job, failure) {
+            self.guard.record_failure();
         }
+        self.forwarder.shared.metrics.count_given_up(failure.name());
+        self.forwarder
+            .report_broken(&self.job, self.guard.endpoint(), failure, self.is_settled);
     }
 
     /// Goes on with the stream of a replacement, and returns its first events.
@@ -320,6 +323,7 @@
             return Err(failure);
         }
         self.events.drop_partial();
+        self.history.unsent = 0;
         let forwarder = Rc::clone(&self.forwarder);
         let job = Rc::clone(&self.job);
         let exchange = forwarder
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -1,5 +1,7 @@
 //! Responses that are read completely before they are returned to the caller.
 
+use std::rc::Rc;
+
 use bytes::BytesMut;
 use ntex::http::HeaderMap;
 use ntex::http::Method;
@@ -57,7 +59,7 @@
     ///
     /// Returns the refusal when the response is cut off and the request cannot be repeated.
     pub(super) async fn read_with_retries(
-        &self,
+        self: &Rc<Self>,
         job: &Job,
         history: &mut History,
         exchange: Exchange,
@@ -114,7 +116,9 @@
                 })
             }
             Err(failure) => {
-                guard.record_failure();
+                if self.is_endpoints_failure(job, &failure) {
+                    guard.record_failure();
+                }
                 self.report_broken(job, guard.endpoint(), &failure, false);
                 Err(failure)
             }
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -18,6 +18,7 @@
 mod outside;
 mod parts;
 mod port;
+mod replacements;
 mod restore;
 mod rollouts;
 mod script;
