--- a/bergamotshift-soak/src/caller.rs
+++ b/bergamotshift-soak/src/caller.rs
@@ -31,22 +31,20 @@
 use crate::ledger::Outcome;
 use crate::site;
 use crate::site::CRASHING_PART;
-use crate::site::EVENTS;
 use crate::site::HOST;
 use crate::site::Kind;
-use crate::site::PATIENCE;
 use crate::site::SHARED_PART;
 use crate::site::Tenant;
 use crate::site::VERSIONS;
 
 /// How long after its own time limit a caller still listens.
-const BEYOND: Duration = Duration::from_secs(1);
+pub(crate) const BEYOND: Duration = Duration::from_secs(1);
 
 /// The longest pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: u64 = 40;
 
-/// The pause between two requests that crash endpoints, in milliseconds.
-const CRASH_PAUSE_MS: Range<u64> = 100..300;
+/// The pause between two requests of one kind, in milliseconds.
+const SAME_KIND_PAUSE_MS: Range<u64> = 100..300;
 
 /// Which entry a connection goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -142,14 +140,14 @@
         }
     }
 
-    /// Sends requests of a kind that crashes endpoints again and again, until told to stop.
-    pub fn crash_repeatedly(mut self, kind: Kind, doors: &Doors, stop: &AtomicBool) {
+    /// Sends requests of a kind again and again, until told to stop.
+    pub fn ask_repeatedly(mut self, kind: Kind, doors: &Doors, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
             if let Some(door) = self.door(doors) {
                 self.ask_at(door, kind, Tenant::Free);
             }
             thread::sleep(Duration::from_millis(
-                CRASH_PAUSE_MS.start + self.below(CRASH_PAUSE_MS.end),
+                SAME_KIND_PAUSE_MS.start + self.below(SAME_KIND_PAUSE_MS.end),
             ));
         }
     }
@@ -222,7 +220,7 @@
         let sent = self.ledger.now();
         let asked = stream.get_mut().write_all(text.as_bytes());
         let mut answer = Answer::default();
-        let read = asked.and_then(|()| read(&mut stream, &mut answer));
+        let read = asked.and_then(|()| read(&mut stream, &mut answer, kind.patience() + BEYOND));
         let outcome = match &read {
             Ok(()) => self.judge(&answer, id, kind, part),
             Err(error) => failed(error),
@@ -265,7 +263,7 @@
              {time_left}: {}\r\n{rest}{}content-length: 2\r\n\r\n{{}}",
             kind.prefix(),
             tenant.key(),
-            PATIENCE.as_millis(),
+            kind.patience().as_millis(),
             self.prompt(kind, tenant),
         )
     }
@@ -291,10 +289,10 @@
             return Outcome::Wrong("it belongs to another request".to_owned());
         }
         let is_expected = match (kind, part) {
-            (Kind::Draft, None) | (Kind::Generate, _) => VERSIONS
+            (Kind::Draft, None) | (Kind::Generate | Kind::Schedule, _) => VERSIONS
                 .iter()
-                .any(|version| answer.body == events(id, 0, version).as_bytes()),
-            (Kind::Draft, Some(part)) => answer.body == events(id, part.last, part.version).as_bytes(),
+                .any(|version| answer.body == events(id, kind, 0, version).as_bytes()),
+            (Kind::Draft, Some(part)) => answer.body == events(id, kind, part.last, part.version).as_bytes(),
             (Kind::Checkin | Kind::Confirm | Kind::Moving | Kind::Crash | Kind::Part, _) => {
                 answer.body == endpoint::body(id).as_bytes()
             }
@@ -308,8 +306,8 @@
 }
 
 /// Returns the events of a stream after the last one that came before, as a version writes them.
-fn events(id: &str, last: u64, version: &str) -> String {
-    (last + 1..=EVENTS)
+fn events(id: &str, kind: Kind, last: u64, version: &str) -> String {
+    (last + 1..=kind.events())
         .map(|number| endpoint::event(id, number, version))
         .collect()
 }
@@ -329,8 +327,9 @@
 }
 
 /// Reads an answer; what came of its body stays in it if it breaks off.
-fn read(stream: &mut BufReader<TcpStream>, answer: &mut Answer) -> io::Result<()> {
-    let until = Instant::now() + PATIENCE + BEYOND;
+fn read(stream: &mut BufReader<TcpStream>, answer: &mut Answer, patience: Duration) -> io::Result<()> {
+    stream.get_mut().set_read_timeout(Some(patience))?;
+    let until = Instant::now() + patience;
     let head = &mut answer.head;
     while !head.ends_with("\r\n\r\n") {
         if line(stream, head, until)? == 0 {
@@ -353,7 +352,6 @@
 fn open(door: Door) -> io::Result<(Door, BufReader<TcpStream>)> {
     let stream = TcpStream::connect_timeout(&door.address, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(PATIENCE + BEYOND))?;
     Ok((door, BufReader::new(stream)))
 }
 
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -19,6 +19,7 @@
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::thread;
+use std::time::Instant;
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_forward::dialect::Dialect;
@@ -33,12 +34,14 @@
 use crate::ledger::Ledger;
 use crate::proxy::Proxy;
 use crate::site::CRASHING_PART;
-use crate::site::EVENTS;
 use crate::site::Kind;
 
 /// How long a request takes, and how far apart the events of a stream are.
 const WORK: Duration = Duration::from_millis(8);
 
+/// How far apart the events of a schedule are.
+const SCHEDULE_WORK: Duration = Duration::from_millis(25);
+
 /// How many requests an endpoint has room for, as it registers that.
 pub const SLOTS: u32 = 64;
 
@@ -133,6 +136,8 @@
     ledger: Arc<Ledger>,
     habit: AtomicU8,
     notice: Mutex<Notice>,
+    /// Until when it stands still.
+    paused_until: Mutex<Instant>,
     /// The requests that it runs.
     running: AtomicUsize,
     is_gone: AtomicBool,
@@ -175,6 +180,7 @@
             ledger,
             habit: AtomicU8::new(0),
             notice: Mutex::default(),
+            paused_until: Mutex::new(Instant::now()),
             running: AtomicUsize::new(0),
             is_gone: AtomicBool::new(false),
             proxy: OnceLock::new(),
@@ -243,6 +249,12 @@
         *self.shared.notice()
     }
 
+    /// Lets it stand still for a while: connections stay open, others are accepted, and it sends nothing.
+    pub fn pause(&self, span: Duration) {
+        let mut until = self.shared.paused_until();
+        *until = (*until).max(Instant::now() + span);
+    }
+
     /// Returns whether it ended by itself, with a request that crashed it.
     pub fn has_crashed(&self) -> bool {
         self.shared.is_gone.load(Ordering::Relaxed)
@@ -265,6 +277,27 @@
         self.notice.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn paused_until(&self) -> MutexGuard<'_, Instant> {
+        self.paused_until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for the end of a pause.
+    fn stand_still(&self) {
+        loop {
+            let left = self.paused_until().saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            thread::sleep(left);
+        }
+    }
+
+    /// Sends bytes once no pause is under way.
+    fn send(&self, stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+        self.stand_still();
+        stream.write_all(bytes)
+    }
+
     /// Ends all connections, and takes no further ones.
     fn end(&self, proxy: &Proxy) {
         self.is_gone.store(true, Ordering::Relaxed);
@@ -277,7 +310,10 @@
     /// Ends with a request, in one of two cases after the head of its answer.
     fn crash_with(&self, stream: &mut TcpStream, id: &str, said: Notice) -> io::Result<()> {
         if id.ends_with(['0', '2', '4', '6', '8']) {
-            stream.write_all(self.head("200 OK", id, said, "content-length: 100\r\n").as_bytes())?;
+            self.send(
+                stream,
+                self.head("200 OK", id, said, "content-length: 100\r\n").as_bytes(),
+            )?;
         }
         if let Some(proxy) = self.proxy.get() {
             self.end(proxy);
@@ -308,7 +344,7 @@
             if !runs {
                 let status = if is_meant { "503 Full" } else { "421 Another" };
                 let not_run = format!("{}: 1\r\ncontent-length: 0\r\n", self.dialect.not_run);
-                stream.write_all(self.head(status, &id, said, &not_run).as_bytes())?;
+                self.send(&mut stream, self.head(status, &id, said, &not_run).as_bytes())?;
                 continue;
             }
             if let Some(engine) = &self.engine {
@@ -321,12 +357,16 @@
                 self.stream(&mut stream, &call, &id, said, habit)?;
                 continue;
             }
+            self.stand_still();
             thread::sleep(WORK);
             let prompt = call.header(self.dialect.prompt.as_str()).unwrap_or_default();
             if call.request_line.contains(Kind::Crash.prefix()) || prompt.contains(CRASHING_PART) {
                 return self.crash_with(&mut stream, &id, said);
             }
-            if call.request_line.contains(Kind::Draft.prefix()) {
+            if [Kind::Draft, Kind::Schedule]
+                .iter()
+                .any(|kind| call.request_line.contains(kind.prefix()))
+            {
                 self.stream(&mut stream, &call, &id, said, habit)?;
             } else {
                 self.whole(&mut stream, &id, said, habit)?;
@@ -374,37 +414,42 @@
         let answer = self.head("200 OK", id, said, &length) + &body;
         match habit {
             Habit::Breaks => {
-                stream.write_all(&answer.as_bytes()[..answer.len() - body.len() / 2])?;
+                self.send(stream, &answer.as_bytes()[..answer.len() - body.len() / 2])?;
                 Err(io::ErrorKind::ConnectionAborted.into())
             }
-            Habit::Repeats => stream.write_all(answer.repeat(2).as_bytes()),
+            Habit::Repeats => self.send(stream, answer.repeat(2).as_bytes()),
             Habit::Stalls => {
                 thread::sleep(Duration::from_secs(2));
-                stream.write_all(answer.as_bytes())
+                self.send(stream, answer.as_bytes())
             }
-            Habit::Sound | Habit::Refuses => stream.write_all(answer.as_bytes()),
+            Habit::Sound | Habit::Refuses => self.send(stream, answer.as_bytes()),
         }
     }
 
     fn stream(&self, stream: &mut TcpStream, call: &Call, id: &str, said: Notice, habit: Habit) -> io::Result<()> {
         let last = call.header(LAST_EVENT.as_str()).and_then(|text| text.parse().ok());
         let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-        stream.write_all(self.head("200 OK", id, said, framing).as_bytes())?;
-        let step = || self.engine.as_ref().map_or(WORK, |engine| engine.time(WORK));
-        for number in last.unwrap_or(0) + 1..=EVENTS {
+        self.send(stream, self.head("200 OK", id, said, framing).as_bytes())?;
+        let (kind, work) = if call.request_line.contains(Kind::Schedule.prefix()) {
+            (Kind::Schedule, SCHEDULE_WORK)
+        } else {
+            (Kind::Draft, WORK)
+        };
+        let step = || self.engine.as_ref().map_or(work, |engine| engine.time(work));
+        for number in last.unwrap_or(0) + 1..=kind.events() {
             let event = event(id, number, self.version);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            if number == EVENTS / 2 && habit == Habit::Breaks {
-                stream.write_all(&chunk.as_bytes()[..chunk.len() / 2])?;
+            if number == kind.events() / 2 && habit == Habit::Breaks {
+                self.send(stream, &chunk.as_bytes()[..chunk.len() / 2])?;
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            if number == EVENTS / 2 && habit == Habit::Stalls {
+            if number == kind.events() / 2 && habit == Habit::Stalls {
                 thread::sleep(Duration::from_secs(2));
             }
-            stream.write_all(chunk.as_bytes())?;
+            self.send(stream, chunk.as_bytes())?;
             thread::sleep(step());
         }
-        stream.write_all(b"0\r\n\r\n")
+        self.send(stream, b"0\r\n\r\n")
     }
 }
 
--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -35,8 +35,13 @@
 }
 
 impl Fleet {
-    /// Starts an endpoint of a service and registers it.
-    pub(super) fn endpoint(&mut self, service: &'static str, usual_pace: Option<u32>) -> io::Result<Endpoint> {
+    /// Starts an endpoint of a service at a place and registers it.
+    pub(super) fn endpoint(
+        &mut self,
+        place: usize,
+        service: &'static str,
+        usual_pace: Option<u32>,
+    ) -> io::Result<Endpoint> {
         self.named += 1;
         let id = site::endpoint_id(self.seed, service, self.named);
         let version = if self.has_versions {
@@ -45,6 +50,7 @@
             VERSIONS[0]
         };
         let endpoint = Endpoint::start(id, service, version, usual_pace, Arc::clone(&self.ledger))?;
+        self.ledger.book().places.insert(endpoint.id().clone(), place);
         for entry in &self.entries {
             if let (Some(process), Some(cut)) = (&entry.process, entry.cut) {
                 endpoint.proxy.set_cut(process.id(), Some(cut));
@@ -57,7 +63,7 @@
     pub(super) fn replace(&mut self, place: usize) -> io::Result<Endpoint> {
         let old = &self.endpoints[place];
         let (service, usual_pace) = (old.service(), old.engine().map(|engine| engine.usual));
-        let next = self.endpoint(service, usual_pace)?;
+        let next = self.endpoint(place, service, usual_pace)?;
         Ok(core::mem::replace(&mut self.endpoints[place], next))
     }
 
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 use crate::ledger::Overload;
 use crate::ledger::Place;
 use crate::ledger::Version;
+use crate::pause::PAUSED;
 use crate::plan::Step;
 use crate::process;
 use crate::proxy::Mode;
@@ -38,6 +39,7 @@
 use crate::run::Settings;
 use crate::site;
 use crate::site::ENGINES;
+use crate::site::Limits;
 use crate::site::SERVICES;
 use crate::site::Tenant;
 
@@ -68,6 +70,8 @@
     has_versions: bool,
     /// Whether there are model engines.
     has_engines: bool,
+    /// The limits of the route of schedules, if there is one.
+    limits: Option<Limits>,
 }
 
 impl Fleet {
@@ -102,14 +106,15 @@
             connects: settings.connects,
             has_versions: settings.versions,
             has_engines: settings.hard_load,
+            limits: settings.pauses.then(Limits::default),
         };
         fleet.document();
         for number in 0..size.endpoints * SERVICES.len() {
-            let endpoint = fleet.endpoint(SERVICES[number % SERVICES.len()], None)?;
+            let endpoint = fleet.endpoint(number, SERVICES[number % SERVICES.len()], None)?;
             fleet.endpoints.push(endpoint);
         }
         for pace in PACES.into_iter().filter(|_| settings.hard_load) {
-            let engine = fleet.endpoint(ENGINES, Some(pace))?;
+            let engine = fleet.endpoint(fleet.endpoints.len(), ENGINES, Some(pace))?;
             fleet.endpoints.push(engine);
         }
         for number in 0..size.entries {
@@ -212,6 +217,14 @@
             }
             Step::Overload(team) => self.overload(team),
             Step::Move => self.document(),
+            Step::Pause(place, span) => {
+                self.ledger.during(Place::Endpoint(place), PAUSED, span);
+                self.endpoints[place].pause(span);
+            }
+            Step::Limit(limits) => {
+                self.limits = Some(limits);
+                self.document();
+            }
         }
         Ok(())
     }
@@ -303,7 +316,7 @@
     /// Writes the newest document, in which the moving route goes to `service`.
     fn write_document(&self, service: &'static str) {
         self.store
-            .put_document(&site::document(self.version, service, self.has_engines));
+            .put_document(&site::document(self.version, service, self.has_engines, self.limits));
     }
 }
 
--- a/bergamotshift-soak/src/ledger.rs
+++ b/bergamotshift-soak/src/ledger.rs
@@ -1,6 +1,7 @@
 //! What callers, endpoints and the soak itself saw, with the time at which each saw it.
 
 use core::time::Duration;
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -165,6 +166,8 @@
     pub overloads: Vec<Overload>,
     /// What the soak did.
     pub disruptions: Vec<Disruption>,
+    /// The place of each incarnation of an endpoint.
+    pub places: BTreeMap<SmolStr, usize>,
     /// The documents, oldest first.
     pub versions: Vec<Version>,
     /// Endpoints that left in order.
--- a/bergamotshift-soak/src/lib.rs
+++ b/bergamotshift-soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod ledger;
 pub mod notice;
 pub mod owner;
+pub mod pause;
 pub mod plan;
 pub mod process;
 pub mod promise;
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -73,8 +73,16 @@
         no_short
     )]
     hard_load: bool,
+    #[options(
+        help = "let endpoints pause, one, half or all of a service at a time, while limits change",
+        no_short
+    )]
+    pauses: bool,
 }
 
+/// The endpoints of each service with `--pauses`.
+const PAUSING: usize = 4;
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     let next = AtomicU64::new(arguments.seed);
@@ -117,6 +125,10 @@
     settings.parts = arguments.parts;
     settings.versions = arguments.versions;
     settings.hard_load = arguments.hard_load;
+    settings.pauses = arguments.pauses;
+    if arguments.pauses {
+        settings.size.endpoints = PAUSING;
+    }
     settings.size.entries = arguments.entries;
     settings.size.span = Duration::from_secs(arguments.seconds);
     if arguments.unbalanced {
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -1,5 +1,7 @@
 //! What happens in a run, and when: drawn from a seed.
 
+mod pause;
+
 use core::ops::Range;
 use core::time::Duration;
 
@@ -13,6 +15,7 @@
 use crate::proxy::Cut;
 use crate::proxy::Mode;
 use crate::proxy::Way;
+use crate::site::Limits;
 use crate::site::SERVICES;
 use crate::site::TEAMS;
 
@@ -63,6 +66,10 @@
     Overload(Option<usize>),
     /// Moves the moving route to another service.
     Move,
+    /// Lets an endpoint stand still for a while, as a suspended process does.
+    Pause(usize, Duration),
+    /// Changes the limits of the route of schedules, and moves the moving route.
+    Limit(Limits),
 }
 
 /// How large a run is.
--- a/bergamotshift-soak/src/promise.rs
+++ b/bergamotshift-soak/src/promise.rs
@@ -32,7 +32,7 @@
 const DRAINED: Duration = Duration::from_secs(2);
 
 /// How soon a request may be cut that was not passed on.
-const UNREAD: Duration = Duration::from_millis(200);
+pub(crate) const UNREAD: Duration = Duration::from_millis(200);
 
 /// The window over which an organisation's limit holds.
 const QUOTA: Duration = Duration::from_secs(8);
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -23,6 +23,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
 use crate::notice;
+use crate::pause;
 use crate::plan::Plan;
 use crate::plan::Size;
 use crate::process;
@@ -47,6 +48,12 @@
 /// The number of the first caller that asks model engines.
 const ENGINE_CALLER: u64 = 3_000_000;
 
+/// The number of the first caller that asks for schedules.
+const SCHEDULE_CALLER: u64 = 4_000_000;
+
+/// How many callers ask for schedules.
+const SCHEDULE_CALLERS: u64 = 16;
+
 /// What a run is made of.
 #[expect(clippy::struct_excessive_bools, reason = "each is a switch of its own")]
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,6 +87,8 @@
     pub versions: bool,
     /// Whether there are model engines whose speeds differ and change, and organisations that overload them.
     pub hard_load: bool,
+    /// Whether endpoints pause, while operators change the limits of a route of streams.
+    pub pauses: bool,
 }
 
 impl Default for Settings {
@@ -103,6 +112,7 @@
             parts: false,
             versions: false,
             hard_load: false,
+            pauses: false,
         }
     }
 }
@@ -161,6 +171,9 @@
     if settings.hard_load {
         plan = plan.with_hard_load(settings.seed, settings.size);
     }
+    if settings.pauses {
+        plan = plan.with_pauses(settings.seed, settings.size);
+    }
     let ledger = Arc::new(Ledger::default());
     let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
     let mut late = recover(&mut fleet, &ledger, settings.seed, CHECKER)?;
@@ -176,18 +189,19 @@
         callers.extend(demand(&fleet, &ledger, settings.seed, &stop));
     }
     let calm = Arc::new(AtomicBool::new(false));
+    let repeat = |number, kind| {
+        let caller = Caller::new(number, settings.seed, Arc::clone(&ledger));
+        let (doors, ended) = (Arc::clone(&fleet.doors), Arc::clone(&calm));
+        thread::spawn(move || caller.ask_repeatedly(kind, &doors, &ended))
+    };
+    let schedules = if settings.pauses { SCHEDULE_CALLERS } else { 0 };
+    callers.extend((0..schedules).map(|number| repeat(SCHEDULE_CALLER + number, Kind::Schedule)));
     let crashers = [
         (settings.crashes, Kind::Crash, CRASHER),
         (settings.parts, Kind::Part, CRASHER + 1),
     ];
     let crashers = crashers.into_iter().filter(|(is_wanted, ..)| *is_wanted);
-    let crashers: Vec<_> = crashers
-        .map(|(_, kind, number)| {
-            let crasher = Caller::new(number, settings.seed, Arc::clone(&ledger));
-            let (doors, ended) = (Arc::clone(&fleet.doors), Arc::clone(&calm));
-            thread::spawn(move || crasher.crash_repeatedly(kind, &doors, &ended))
-        })
-        .collect();
+    let crashers: Vec<_> = crashers.map(|(_, kind, number)| repeat(number, kind)).collect();
     follow(&mut fleet, &plan, settings.size.span)?;
     calm.store(true, Ordering::Relaxed);
     for crasher in crashers {
@@ -209,6 +223,7 @@
     broken.extend(crash::check(&book));
     broken.extend(cut::check(&book));
     broken.extend(demand::check(&book));
+    broken.extend(pause::check(&book));
     broken.extend(late);
     let served = |outcome: &Outcome| *outcome == Outcome::Answered(200);
     Ok(Report {
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -22,6 +22,9 @@
 /// How many events a whole stream has.
 pub const EVENTS: u64 = 12;
 
+/// How many events a whole schedule has.
+const SCHEDULE_EVENTS: u64 = 100;
+
 /// The services; the moving route goes from one to the next.
 pub const SERVICES: [&str; 3] = ["alpha", "beta", "gamma"];
 
@@ -42,6 +45,9 @@
 /// The longest time that a caller waits.
 pub const PATIENCE: Duration = Duration::from_secs(4);
 
+/// The longest time that a caller waits for a schedule; no limit of its route is shorter.
+const SCHEDULE_PATIENCE: Duration = Duration::from_secs(6);
+
 /// The target time for an answer.
 const OBJECTIVE: Duration = Duration::from_millis(500);
 
@@ -77,6 +83,8 @@
     Moving,
     /// A stream of a model engine.
     Generate,
+    /// A stream of some seconds that may go on elsewhere, on a route whose limits the operators change.
+    Schedule,
     /// As a checkin, with the same content each time; it crashes each endpoint that runs it.
     Crash,
     /// As a checkin, no two alike; a part of its prompt crashes each endpoint that runs it.
@@ -100,10 +108,45 @@
             Self::Draft => "/draft/",
             Self::Moving => "/moving/",
             Self::Generate => "/generate/",
+            Self::Schedule => "/schedule/",
             Self::Crash => CRASH_PATH,
             Self::Part => "/checkin/part-",
         }
     }
+
+    /// Returns how long a caller waits.
+    pub const fn patience(self) -> Duration {
+        match self {
+            Self::Schedule => SCHEDULE_PATIENCE,
+            _ => PATIENCE,
+        }
+    }
+
+    /// Returns how many events a whole stream has.
+    pub const fn events(self) -> u64 {
+        match self {
+            Self::Schedule => SCHEDULE_EVENTS,
+            _ => EVENTS,
+        }
+    }
+}
+
+/// The limits of the route of schedules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The longest time that a caller waits.
+    pub timeout: Duration,
+    /// The longest pause of a stream that is on time.
+    pub pause: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            timeout: Duration::from_secs(12),
+            pause: Duration::from_millis(250),
+        }
+    }
 }
 
 /// Whose request it is.
@@ -151,8 +194,9 @@
     format_smolstr!("{service}-s{seed}-{number}")
 }
 
-/// Returns the operators' document under a version, in which the moving route goes to `service`.
-pub fn document(version: u64, service: &str, has_engines: bool) -> Document {
+/// Returns the operators' document under a version, in which the moving route goes to `service` and that of schedules has
+/// these limits; without limits it has no such route.
+pub fn document(version: u64, service: &str, has_engines: bool, limits: Option<Limits>) -> Document {
     let mut document = Document {
         version,
         routes: Kind::ALL.map(|kind| route(kind, service)).to_vec(),
@@ -163,6 +207,14 @@
         ],
         ..Document::default()
     };
+    if let Some(Limits { timeout, pause }) = limits {
+        document.routes.push(Route {
+            timeout,
+            pause,
+            attempts: 2,
+            ..route(Kind::Schedule, service)
+        });
+    }
     if has_engines {
         document.routes.push(route(Kind::Generate, service));
         document.services.push(Service {
@@ -209,7 +261,7 @@
     let (repeat, resumable) = match kind {
         Kind::Checkin | Kind::Moving | Kind::Crash | Kind::Part => (Repeat::Idempotent, false),
         Kind::Confirm => (Repeat::Once, false),
-        Kind::Draft | Kind::Generate => (Repeat::Stream, true),
+        Kind::Draft | Kind::Generate | Kind::Schedule => (Repeat::Stream, true),
     };
     let service = match kind {
         Kind::Moving => moving,
--- a/bergamotshift-soak/tests/plan.rs
+++ b/bergamotshift-soak/tests/plan.rs
@@ -2,6 +2,8 @@
 
 use core::mem;
 use core::time::Duration;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 
 use bergamotshift_soak::engine::PACES;
@@ -112,3 +114,53 @@
     assert_ne!(request_id(1, 2, 3), request_id(2, 2, 3));
     assert_ne!(endpoint_id(1, "alpha", 3), endpoint_id(2, "alpha", 3));
 }
+
+/// Guards against kept seeds that mean something else, and against pauses that outlast the run.
+#[test]
+fn pauses_are_added_and_change_nothing_else() {
+    for seed in 1..=50 {
+        let plain = Plan::draw(seed, SIZE);
+        let added = Plan::default().with_pauses(seed, SIZE).steps;
+        let mut paused = plain.clone().with_pauses(seed, SIZE);
+        paused.steps.retain(|step| !added.contains(step));
+        assert_eq!(paused, plain);
+        for (at, step) in added {
+            if let Step::Pause(place, span) = step {
+                assert!(place < 3 * SIZE.endpoints);
+                assert!((Duration::from_millis(300)..Duration::from_secs(3)).contains(&span));
+                assert!(at + span < SIZE.span);
+            }
+        }
+    }
+}
+
+/// Guards against pauses that leave an endpoint to go on with each time, or come one after the other, or apart from changes of
+/// the document.
+#[test]
+fn pauses_of_one_some_and_all_endpoints_overlap_and_meet_changes() {
+    let size = Size { endpoints: 4, ..SIZE };
+    for seed in 1..=50 {
+        let steps = Plan::default().with_pauses(seed, size).steps;
+        let mut pauses: BTreeMap<(Duration, usize), (usize, Duration)> = BTreeMap::new();
+        for (at, step) in &steps {
+            if let Step::Pause(place, span) = step {
+                let (count, end) = pauses.entry((*at, place % 3)).or_insert((0, *at + *span));
+                *count += 1;
+                *end = (*end).max(*at + *span);
+            }
+        }
+        let counts: BTreeSet<usize> = pauses.values().map(|(count, _)| *count).collect();
+        assert!(
+            [1, 2, 4].iter().all(|count| counts.contains(count)),
+            "seed {seed}: {counts:?}"
+        );
+        let starts: Vec<Duration> = pauses.keys().map(|(at, _)| *at).collect();
+        let is_met = |at: Duration| pauses.iter().any(|((from, _), (_, end))| *from < at && at < *end);
+        assert!(starts.into_iter().any(is_met), "seed {seed}");
+        let is_change = |step: &Step| matches!(step, Step::Limit(_));
+        assert!(
+            steps.iter().any(|(at, step)| is_change(step) && is_met(*at)),
+            "seed {seed}"
+        );
+    }
+}
