--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -351,7 +351,7 @@
                 let size = call.header(self.dialect.size.as_str()).unwrap_or_default();
                 let tokens = size.split(',').next().and_then(|text| text.parse().ok());
                 // The connection of a caller that has left is closed.
-                if !engine.read(tokens.unwrap_or(0), || is_open(&stream)) {
+                if !engine.read(tokens.unwrap_or(0), || is_open(&stream), || self.stand_still()) {
                     return Ok(());
                 }
                 self.stream(&mut stream, &call, &id, said, habit)?;
--- a/bergamotshift-soak/src/engine.rs
+++ b/bergamotshift-soak/src/engine.rs
@@ -79,8 +79,8 @@
     }
 
     /// Reads a prompt after those that came before it. Leaves it out if it is no longer wanted when its turn comes, and
-    /// returns whether it read it.
-    pub fn read(&self, tokens: u64, is_wanted: impl FnOnce() -> bool) -> bool {
+    /// returns whether it read it. `stand_still` waits while the engine pauses.
+    pub fn read(&self, tokens: u64, is_wanted: impl FnOnce() -> bool, stand_still: impl Fn()) -> bool {
         let mut queue = self.queue();
         let place = queue.joined;
         queue.joined += 1;
@@ -90,6 +90,7 @@
         while unread > 0 {
             let piece = unread.min(PIECE);
             thread::sleep(self.time(Duration::from_micros(piece * 1_000 / TOKENS_PER_MS)));
+            stand_still();
             unread -= piece;
         }
         self.queue().left += 1;
--- a/bergamotshift-soak/src/pause.rs
+++ b/bergamotshift-soak/src/pause.rs
@@ -14,6 +14,7 @@
 use crate::ledger::Place;
 use crate::promise::Broken;
 use crate::promise::UNREAD;
+use crate::site::ENGINES;
 use crate::site::Kind;
 use crate::site::SERVICES;
 
@@ -55,9 +56,14 @@
 
 /// Returns the places of all endpoints that may get requests of a kind.
 fn places(book: &Book, kind: Kind) -> Vec<usize> {
-    let last = book.places.values().max().map_or(0, |last| last + 1);
-    let step = if kind == Kind::Moving { 1 } else { SERVICES.len() };
-    (0..last).step_by(step).collect()
+    let services: &[&str] = match kind {
+        Kind::Moving => &SERVICES,
+        Kind::Generate => &[ENGINES],
+        _ => &SERVICES[..1],
+    };
+    let serves = |id: &str| id.split('-').next().is_some_and(|service| services.contains(&service));
+    let own = book.places.iter().filter(|(id, _)| serves(id));
+    own.map(|(_, place)| *place).collect()
 }
 
 /// Returns whether one of an exchange's endpoints paused, and neither they nor its entry were harmed in another way.
--- a/bergamotshift-soak/src/plan/pause.rs
+++ b/bergamotshift-soak/src/plan/pause.rs
@@ -8,6 +8,7 @@
 use super::Plan;
 use super::Size;
 use super::Step;
+use crate::engine::PACES;
 use crate::site::Limits;
 use crate::site::SERVICES;
 
@@ -27,12 +28,13 @@
 const IDLE_MS: [u64; 3] = [200, 250, 300];
 
 impl Plan {
-    /// Draws endpoints that pause and changes of limits, and adds them; the other steps stay as they are.
+    /// Draws endpoints that pause, model engines too if there are any, and changes of limits, and adds them; the other steps
+    /// stay as they are.
     #[must_use]
-    pub fn with_pauses(mut self, seed: u64, size: Size) -> Self {
+    pub fn with_pauses(mut self, seed: u64, size: Size, has_engines: bool) -> Self {
         // Other numbers than those of the steps before.
         let mut draw = Draw::new(seed, size, 7);
-        draw.pauses();
+        draw.pauses(has_engines);
         draw.changes();
         self.steps.extend(draw.steps);
         self.steps.sort_by_key(|(at, _)| *at);
@@ -42,16 +44,21 @@
 
 impl Draw {
     /// Draws one, half or all of the endpoints of a service again and again; all pauses end within the run.
-    fn pauses(&mut self) {
-        let endpoints = self.size.endpoints;
+    fn pauses(&mut self, has_engines: bool) {
+        let services = SERVICES.len();
         let mut at = CALM + Duration::from_millis(self.below(2 * GAP_MS));
         while at + Duration::from_millis(PAUSE_MS.end) < self.size.span {
-            let service = self.below(SERVICES.len() as u64) as usize;
+            let service = self.below((services + usize::from(has_engines)) as u64) as usize;
+            let (base, step, endpoints) = if service == services {
+                (services * self.size.endpoints, 1, PACES.len())
+            } else {
+                (service, services, self.size.endpoints)
+            };
             let first = self.below(endpoints as u64) as usize;
             let count = [1, endpoints.div_ceil(2), endpoints][self.below(3) as usize];
             let span = self.within(PAUSE_MS);
             for number in first..first + count {
-                let place = service + number % endpoints * SERVICES.len();
+                let place = base + number % endpoints * step;
                 self.push(at, Step::Pause(place, span));
             }
             at += Duration::from_millis(self.below(2 * GAP_MS));
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -172,7 +172,7 @@
         plan = plan.with_hard_load(settings.seed, settings.size);
     }
     if settings.pauses {
-        plan = plan.with_pauses(settings.seed, settings.size);
+        plan = plan.with_pauses(settings.seed, settings.size, settings.hard_load);
     }
     let ledger = Arc::new(Ledger::default());
     let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
--- a/bergamotshift-soak/tests/demand.rs
+++ b/bergamotshift-soak/tests/demand.rs
@@ -194,7 +194,7 @@
     engine.set_slow(true);
     assert_eq!(engine.load(70), "64,6,64,125");
     assert_eq!(engine.time(at(8)), at(10));
-    assert!(engine.read(400, || true));
-    assert!(!engine.read(400, || false));
-    assert!(engine.read(400, || true), "the turn passes on");
+    assert!(engine.read(400, || true, || ()));
+    assert!(!engine.read(400, || false, || ()));
+    assert!(engine.read(400, || true, || ()), "the turn passes on");
 }
--- a/bergamotshift-soak/tests/plan.rs
+++ b/bergamotshift-soak/tests/plan.rs
@@ -120,13 +120,13 @@
 fn pauses_are_added_and_change_nothing_else() {
     for seed in 1..=50 {
         let plain = Plan::draw(seed, SIZE);
-        let added = Plan::default().with_pauses(seed, SIZE).steps;
-        let mut paused = plain.clone().with_pauses(seed, SIZE);
+        let added = Plan::default().with_pauses(seed, SIZE, true).steps;
+        let mut paused = plain.clone().with_pauses(seed, SIZE, true);
         paused.steps.retain(|step| !added.contains(step));
         assert_eq!(paused, plain);
         for (at, step) in added {
             if let Step::Pause(place, span) = step {
-                assert!(place < 3 * SIZE.endpoints);
+                assert!(place < 3 * SIZE.endpoints + PACES.len());
                 assert!((Duration::from_millis(300)..Duration::from_secs(3)).contains(&span));
                 assert!(at + span < SIZE.span);
             }
@@ -140,7 +140,7 @@
 fn pauses_of_one_some_and_all_endpoints_overlap_and_meet_changes() {
     let size = Size { endpoints: 4, ..SIZE };
     for seed in 1..=50 {
-        let steps = Plan::default().with_pauses(seed, size).steps;
+        let steps = Plan::default().with_pauses(seed, size, false).steps;
         let mut pauses: BTreeMap<(Duration, usize), (usize, Duration)> = BTreeMap::new();
         for (at, step) in &steps {
             if let Step::Pause(place, span) = step {
@@ -164,3 +164,20 @@
         );
     }
 }
+
+#[test]
+fn model_engines_pause_if_there_are_any() {
+    let first = 3 * SIZE.endpoints;
+    let places = |has_engines| {
+        let steps = (1..=50).flat_map(move |seed| Plan::default().with_pauses(seed, SIZE, has_engines).steps);
+        steps.filter_map(|(_, step)| match step {
+            Step::Pause(place, _) if place >= first => Some(place),
+            _ => None,
+        })
+    };
+    assert_eq!(places(false).count(), 0);
+    assert_eq!(
+        places(true).collect::<BTreeSet<_>>(),
+        (first..first + PACES.len()).collect()
+    );
+}
