--- a/bergamotshift-soak/src/pause.rs
+++ b/bergamotshift-soak/src/pause.rs
@@ -31,9 +31,11 @@
         let place = book.places.get(&arrival.endpoint).copied();
         runs.entry(&arrival.id).or_default().extend(place);
     }
+    // A caller that returns has less time left.
+    let left: BTreeMap<&SmolStr, Duration> = book.attempts.iter().map(|one| (&one.id, one.left)).collect();
     let asked = book.exchanges.iter().filter(|exchange| !exchange.kind.is_crashing());
     let broken = asked.filter_map(|exchange| {
-        let limit = exchange.kind.patience();
+        let limit = left.get(&exchange.id).copied().unwrap_or(exchange.kind.patience());
         let lasted = exchange.ended.saturating_sub(exchange.sent);
         let promise = match exchange.outcome {
             Outcome::Cut | Outcome::Answered(502) if lasted < limit => "a pause alone cuts no answer",
--- a/bergamotshift-soak/tests/pause.rs
+++ b/bergamotshift-soak/tests/pause.rs
@@ -4,6 +4,7 @@
 
 use bergamotshift_soak::endpoint::Notice;
 use bergamotshift_soak::ledger::Arrival;
+use bergamotshift_soak::ledger::Attempt;
 use bergamotshift_soak::ledger::Book;
 use bergamotshift_soak::ledger::Disruption;
 use bergamotshift_soak::ledger::Exchange;
@@ -115,3 +116,21 @@
     book.disruptions.clear();
     assert_eq!(broken(&book), [""; 0]);
 }
+
+/// Guards against a limit that is taken for the kind's, although a caller that returns has less time left.
+#[test]
+fn the_time_that_a_returning_caller_has_left_is_its_limit() {
+    let mut book = book(3_000, Outcome::Cut);
+    let attempt = |left| Attempt {
+        id: "a".into(),
+        request: "b".into(),
+        left: at(left),
+        retry_after: None,
+    };
+    book.attempts = vec![attempt(3_001)];
+    assert_eq!(broken(&book), [CUTS]);
+    book.attempts = vec![attempt(3_000)];
+    assert_eq!(broken(&book), [""; 0]);
+    book.attempts = vec![attempt(1_999)];
+    assert_eq!(broken(&book), [LATE]);
+}
