--- a/bergamotshift-forward/src/serve/replace.rs
+++ b/bergamotshift-forward/src/serve/replace.rs
@@ -138,7 +138,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the outcome when no endpoint's stream began. An attempt that was not sent costs no retry.
+    /// Returns the cause when no endpoint's stream began. An attempt that was not sent costs no retry.
     pub(super) async fn replace_stream(
         self: &Rc<Self>,
         job: &Job,
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -269,8 +269,10 @@
         forwarder.shared.metrics.count_replacement(outcome);
         self.log_replacement(outcome, watch.heard(), overlap);
         let Ok(replacement) = replaced else {
-            // An endpoint that was only too late for this silence may go on with the stream later.
-            self.history.tried.truncate(tried);
+            if matches!(outcome, "late" | "overtaken") {
+                // An endpoint that was only too late for this silence may go on with the stream later.
+                self.history.tried.truncate(tried);
+            }
             watch.postpone(forwarder.shared.clock.now(), self.history.sends > sends);
             return read;
         };
