--- a/bergamotshift-forward/tests/daemon/script.rs
+++ b/bergamotshift-forward/tests/daemon/script.rs
@@ -3,16 +3,23 @@
 use std::io;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bergamotshift_forward::document::Engine;
 use socket2::SockRef;
 
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
 use crate::endpoint::Request;
+use crate::outside::lock;
 use crate::site::Answer;
 use crate::site::Caller;
 use crate::site::Daemon;
+use crate::site::Site;
+use crate::site::wait_until;
 
 /// Number of events of a stream.
 pub const EVENTS: u32 = 5;
@@ -24,6 +31,8 @@
     End,
     /// The endpoint resets the connection.
     Reset,
+    /// The endpoint sends nothing more and keeps the connection open.
+    Hang,
 }
 
 /// Returns the step of an endpoint that sends all events.
@@ -51,6 +60,7 @@
                 SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
                 return Ok(Connection::Close);
             }
+            Step::Hang => return Ok(Connection::Keep),
         }
     }
 }
@@ -80,6 +90,18 @@
     endpoints.iter().map(Endpoint::count).sum()
 }
 
+/// Creates a site on whose routes streams may go on elsewhere after a silence of five times `pause`.
+pub fn site(endpoints: &[Endpoint], pause: Duration, engine: Option<Engine>) -> Site {
+    let site = Site::new(&endpoints.iter().collect::<Vec<_>>());
+    let mut document = crate::site::document(2);
+    document.services[0].engine = engine;
+    for route in &mut document.routes {
+        route.pause = pause;
+    }
+    lock(&site.backend).put_document(document);
+    site
+}
+
 /// Sends requests at once.
 pub fn send(daemon: &Daemon, path: &str, requests: usize) -> Vec<Caller> {
     let mut callers: Vec<_> = (0..requests).map(|_| Caller::new(daemon)).collect();
@@ -109,3 +131,37 @@
         assert!(events.iter().copied().eq(1..=events.len() as u32), "{events:?}");
     }
 }
+
+/// Plays a stream at two endpoints, the first of which `is_gone` if its listener is closed, and returns the number of runs.
+///
+/// The steps are those of the first or a later run. Streams may go on elsewhere after a silence of five times `pause`.
+pub fn runs(
+    pause: Duration,
+    is_gone: bool,
+    steps: impl Fn(bool, u32) -> Step + Clone + Send + Sync + 'static,
+) -> usize {
+    let broken = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&broken);
+    let endpoints = start(2, move |_, request, connection| {
+        let is_first = last_event(request) == 0;
+        let run = stream(request, connection, |event| steps(is_first, event));
+        if !matches!(run, Ok(Connection::Keep)) {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+        run
+    });
+    let site = site(&endpoints, pause, None);
+    let daemon = site.start();
+    let callers = send(&daemon, "/draft/1", 1);
+    wait_until("the stream runs", || count(&endpoints) == 1);
+    for first in endpoints.iter().filter(|one| is_gone && one.count() == 1) {
+        first.crash();
+    }
+    check(callers);
+    let runs = count(&endpoints);
+    wait_until("the replaced run is closed", || {
+        let closed: usize = endpoints.iter().map(|endpoint| *lock(&endpoint.closed)).sum();
+        closed + broken.load(Ordering::Relaxed) + 1 >= runs
+    });
+    runs
+}
--- a/bergamotshift-soak/tests/plan.rs
+++ b/bergamotshift-soak/tests/plan.rs
@@ -2,6 +2,8 @@
 
 use core::mem;
 use core::time::Duration;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 
 use bergamotshift_soak::engine::PACES;
@@ -112,3 +114,70 @@
     assert_ne!(request_id(1, 2, 3), request_id(2, 2, 3));
     assert_ne!(endpoint_id(1, "alpha", 3), endpoint_id(2, "alpha", 3));
 }
+
+/// Guards against kept seeds that mean something else, and against pauses that outlast the run.
+#[test]
+fn pauses_are_added_and_change_nothing_else() {
+    for seed in 1..=50 {
+        let plain = Plan::draw(seed, SIZE);
+        let added = Plan::default().with_pauses(seed, SIZE, true).steps;
+        let mut paused = plain.clone().with_pauses(seed, SIZE, true);
+        paused.steps.retain(|step| !added.contains(step));
+        assert_eq!(paused, plain);
+        for (at, step) in added {
+            if let Step::Pause(place, span) = step {
+                assert!(place < 3 * SIZE.endpoints + PACES.len());
+                assert!((Duration::from_millis(300)..Duration::from_secs(3)).contains(&span));
+                assert!(at + span < SIZE.span);
+            }
+        }
+    }
+}
+
+/// Guards against pauses that leave an endpoint to go on with each time, or come one after the other, or apart from changes of
+/// the document.
+#[test]
+fn pauses_of_one_some_and_all_endpoints_overlap_and_meet_changes() {
+    let size = Size { endpoints: 4, ..SIZE };
+    for seed in 1..=50 {
+        let steps = Plan::default().with_pauses(seed, size, false).steps;
+        let mut pauses: BTreeMap<(Duration, usize), (usize, Duration)> = BTreeMap::new();
+        for (at, step) in &steps {
+            if let Step::Pause(place, span) = step {
+                let (count, end) = pauses.entry((*at, place % 3)).or_insert((0, *at + *span));
+                *count += 1;
+                *end = (*end).max(*at + *span);
+            }
+        }
+        let counts: BTreeSet<usize> = pauses.values().map(|(count, _)| *count).collect();
+        assert!(
+            [1, 2, 4].iter().all(|count| counts.contains(count)),
+            "seed {seed}: {counts:?}"
+        );
+        let starts: Vec<Duration> = pauses.keys().map(|(at, _)| *at).collect();
+        let is_met = |at: Duration| pauses.iter().any(|((from, _), (_, end))| *from < at && at < *end);
+        assert!(starts.into_iter().any(is_met), "seed {seed}");
+        let is_change = |step: &Step| matches!(step, Step::Limit(_));
+        assert!(
+            steps.iter().any(|(at, step)| is_change(step) && is_met(*at)),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn model_engines_pause_if_there_are_any() {
+    let first = 3 * SIZE.endpoints;
+    let places = |has_engines| {
+        let steps = (1..=50).flat_map(move |seed| Plan::default().with_pauses(seed, SIZE, has_engines).steps);
+        steps.filter_map(|(_, step)| match step {
+            Step::Pause(place, _) if place >= first => Some(place),
+            _ => None,
+        })
+    };
+    assert_eq!(places(false).count(), 0);
+    assert_eq!(
+        places(true).collect::<BTreeSet<_>>(),
+        (first..first + PACES.len()).collect()
+    );
+}
