review: case 2, waves that an idle machine shows too

With 200 clients in waves of 250 ms an idle machine lost requests at 4 of 80 stops only; 400 clients in waves of 500 ms, as many requests a second, queue longer.

Command: sh review/build.sh && review/2/run.sh

--- a/review/rig/src/bin/roll.rs
+++ b/review/rig/src/bin/roll.rs
@@ -52,7 +52,7 @@
 const GRACE: Duration = Duration::from_secs(8);
 
 /// Interval at which the clients ask, all at about the same moment.
-const WAVE: Duration = Duration::from_millis(250);
+const WAVE: Duration = Duration::from_millis(500);
 
 /// Figures of a run.
 struct Figures {
@@ -138,10 +138,10 @@
     let record = Record::create(&PathBuf::from(record))?;
     let has_trouble = env::var("TROUBLE").map_or(true, |text| text != "0");
     let figures = Figures {
-        clients: figure("CLIENTS", 200) as usize,
+        clients: figure("CLIENTS", 400) as usize,
         spread_us: figure("SPREAD_US", 4_000),
         work_ms: figure("WORK_MS", 20),
-        rounds: figure("ROUNDS", 80) as usize,
+        rounds: figure("ROUNDS", 56) as usize,
     };
     let store = Store::start()?;
     let runs = Runs::default();
