feat(forward): each end of an answer without framing is logged with what it was believed for

The new line names the state of the endpoint, the outcome of the check and the last event; it has a bound of its own.

--- a/bergamotshift-forward/src/observe/log.rs
+++ b/bergamotshift-forward/src/observe/log.rs
@@ -35,10 +35,12 @@
     Loss,
     /// Requests that were refused in a shortage.
     Shortage,
+    /// Ends of answers without framing.
+    End,
 }
 
 /// Number of topics.
-const TOPICS: usize = 9;
+const TOPICS: usize = 10;
 
 /// Logger that limits the rate of each topic's lines and counts the omitted ones.
 #[derive(Debug)]
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -155,7 +155,10 @@
         match &self.connection {
             Some(connection) if !self.is_framed => {
                 let endpoint = self.guard.endpoint();
-                self.forwarder.check_end(&self.job, endpoint, connection).await
+                let last_event = self.events.last_id();
+                self.forwarder
+                    .check_end(&self.job, endpoint, connection, last_event)
+                    .await
             }
             _ => Ok(()),
         }
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -100,7 +100,7 @@
         };
         let mut read = timeout(time_left, reading).await.unwrap_or(Err(Failure::Silent));
         if read.is_ok() && !head.framing.is_framed() {
-            read = self.check_end(job, guard.endpoint(), &connection).await;
+            read = self.check_end(job, guard.endpoint(), &connection, None).await;
         }
         match read {
             Ok(()) => {
