test(forward): ends of leaving and of restarted endpoints within answers without framing

Two tests fail on this code, each time (listed): an endpoint that was given notice is killed within its answer, and one that crashes has its address taken by another process at once. Streams and plain answers, to be repeated or not. A third holds: an endpoint that leaves in order, its listener closed first or last, is neither asked again nor broken off.

The stand-in's crash now ends all connections of the endpoint, as the end of a process does; before, only that of the answer.

--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -66,8 +67,12 @@
 pub enum Connection {
     Keep,
     Close,
-    /// The endpoint crashes: it stops listening, and the connection ends afterwards.
+    /// The endpoint crashes: it stops listening, and all its connections end afterwards.
     Crash,
+    /// The endpoint crashes, and another process with the same script listens on its address at once.
+    Restart,
+    /// The endpoint stops listening, and closes the connection. Its other connections stand.
+    Retire,
 }
 
 /// Endpoint that runs until the test process ends.
@@ -81,6 +86,8 @@
     zone: &'static str,
     version: &'static str,
     crashed: Arc<AtomicBool>,
+    /// Connections that it accepted.
+    accepted: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Endpoint {
@@ -98,6 +105,7 @@
             zone: "one",
             version: "v1",
             crashed: Arc::default(),
+            accepted: Arc::default(),
         };
         let server = endpoint.clone();
         let script = Arc::new(script);
@@ -106,6 +114,7 @@
                 if server.crashed.load(Ordering::Acquire) {
                     return;
                 }
+                lock(&server.accepted).extend(stream.try_clone());
                 let server = server.clone();
                 let script = Arc::clone(&script);
                 thread::spawn(move || server.serve(stream, &*script));
@@ -167,13 +176,26 @@
             };
             match script(&request, earlier, &mut stream) {
                 Ok(Connection::Keep) => {}
-                Ok(Connection::Crash) => return self.crash(),
-                Ok(Connection::Close) | Err(_) => return,
+                Ok(Connection::Crash) => {
+                    self.crash();
+                    return self.end_connections();
+                }
+                Ok(Connection::Restart) => return self.end_connections(),
+                Ok(Connection::Retire) => {
+                    self.crash();
+                    return end(&stream);
+                }
+                Ok(Connection::Close) | Err(_) => return end(&stream),
             }
         }
         *lock(&self.closed) += 1;
     }
 
+    /// Ends all connections as the end of a process does.
+    fn end_connections(&self) {
+        lock(&self.accepted).drain(..).for_each(|stream| end(&stream));
+    }
+
     /// Ends the listener; its port stays reserved.
     pub fn crash(&self) {
         self.crashed.store(true, Ordering::Release);
@@ -183,6 +205,12 @@
     }
 }
 
+/// Ends a connection, of which the list of accepted ones holds a handle.
+fn end(stream: &TcpStream) {
+    // An error means that it has ended.
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
 /// Reads one request; `None` when the connection has ended.
 fn read_request(stream: &mut TcpStream) -> io::Result<Option<Request>> {
     let Some(head) = read_head(stream)? else {
--- a/bergamotshift-forward/tests/daemon/unframed.rs
+++ b/bergamotshift-forward/tests/daemon/unframed.rs
@@ -1,6 +1,10 @@
 //! Answers without a length or chunks, which end with their connection.
 
+use std::io;
 use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
 
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
@@ -11,6 +15,12 @@
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
 
+/// Header by which an endpoint announces that it leaves.
+const LEAVING: &str = "bergamotshift-leaving: 1\r\n";
+
+/// Time between the parts of an answer.
+const PACE: Duration = Duration::from_millis(50);
+
 /// Returns an answer without framing.
 fn unframed(request: &Request, extra: &str, body: &str) -> String {
     request.answer_head("200 OK", extra) + body
@@ -146,3 +156,112 @@
     }
     assert!(reached() <= 3, "it reached {} endpoints", reached());
 }
+
+/// Sends the parts of an answer without framing at an endpoint's pace.
+fn send_parts(request: &Request, stream: &mut TcpStream, extra: &str, parts: &[&str]) -> io::Result<()> {
+    stream.write_all(request.answer_head("200 OK", extra).as_bytes())?;
+    for part in parts {
+        thread::sleep(PACE);
+        stream.write_all(part.as_bytes())?;
+    }
+    thread::sleep(PACE);
+    Ok(())
+}
+
+/// Starts an endpoint that sends the parts of its answers and then does `end`.
+fn pacing(
+    id: &str,
+    extra: &'static str,
+    stream_parts: [String; 2],
+    body_parts: [&'static str; 2],
+    end: Connection,
+) -> Endpoint {
+    Endpoint::start(id, move |request, _, stream| {
+        if is_stream(request) {
+            let parts = stream_parts.each_ref().map(String::as_str);
+            send_parts(request, stream, &format!("{extra}{EVENT_STREAM}"), &parts)?;
+        } else {
+            send_parts(request, stream, extra, &body_parts)?;
+        }
+        Ok(end)
+    })
+}
+
+/// Starts an endpoint whose answers break off.
+fn breaking(id: &str, extra: &'static str, end: Connection) -> Endpoint {
+    pacing(id, extra, [events(1..=1), events(2..=2)], ["h", "a"], end)
+}
+
+fn is_stream(request: &Request) -> bool {
+    !request.path().starts_with("/checkin") && !request.path().starts_with("/confirm")
+}
+
+/// Starts an endpoint in another zone that answers whole, and goes on with streams after event 2.
+fn sound(id: &str) -> Endpoint {
+    let endpoint = Endpoint::start(id, move |request, _, stream| {
+        let (kind, body) = match (is_stream(request), request.header("last-event-id")) {
+            (false, _) => ("", "whole".to_owned()),
+            (true, None) => (EVENT_STREAM, events(1..=5)),
+            (true, Some(last)) => (EVENT_STREAM, events(last.parse::<u32>().unwrap_or(0) + 1..=5)),
+        };
+        stream.write_all(unframed(request, kind, &body).as_bytes())?;
+        Ok(Connection::Close)
+    });
+    endpoint.in_other_zone()
+}
+
+/// Checks what callers get whose answers break off at an endpoint, by the kind of their request.
+fn check_broken_answers(extra: &'static str, end: Connection) {
+    let whole = events(1..=5);
+    for (path, expected) in [
+        ("/draft/1", Some(whole.as_str())),
+        ("/checkin/1", Some("whole")),
+        ("/chat/1", None),
+        ("/confirm/1", None),
+    ] {
+        let (one, two) = (breaking("e1", extra, end), sound("e2"));
+        let site = Site::new(&[&one, &two]);
+        let daemon = site.start();
+        let answer = Caller::new(&daemon).ask("POST", path, "r-1", "x");
+        match expected {
+            Some(text) => {
+                assert_eq!((answer.status, answer.is_complete), (200, true), "{path}");
+                assert_eq!(answer.text(), text, "{path}");
+            }
+            None => assert!(answer.status == 502 || !answer.is_complete, "{path}: {}", answer.text()),
+        }
+        assert_eq!(one.count(), 1, "{path}");
+    }
+}
+
+/// Guards against part of an answer that looks complete, because its endpoint was killed at the end of its notice.
+#[test]
+fn what_the_end_of_a_notice_leaves_of_an_answer_is_not_given_out_as_whole() {
+    check_broken_answers(LEAVING, Connection::Crash);
+}
+
+/// Guards against part of an answer that looks complete, because another process listened on the address of its endpoint when
+/// its end was checked.
+#[test]
+fn what_a_crash_leaves_is_not_given_out_as_whole_if_the_endpoint_starts_again_at_once() {
+    check_broken_answers("", Connection::Restart);
+    check_broken_answers(LEAVING, Connection::Restart);
+}
+
+/// Guards against complete answers that run again or are broken off, because their endpoint leaves.
+#[test]
+fn answers_of_an_endpoint_that_leaves_in_order_are_complete() {
+    for end in [Connection::Retire, Connection::Close] {
+        for path in ["/draft/1", "/chat/1", "/checkin/1", "/confirm/1"] {
+            let one = pacing("e1", LEAVING, [events(1..=2), events(3..=5)], ["who", "le"], end);
+            let two = sound("e2");
+            let site = Site::new(&[&one, &two]);
+            let daemon = site.start();
+            let answer = Caller::new(&daemon).ask("POST", path, "r-1", "x");
+            assert_eq!((answer.status, answer.is_complete), (200, true), "{path}");
+            let whole = [events(1..=5), "whole".to_owned()];
+            assert!(whole.contains(&answer.text()), "{path}: {}", answer.text());
+            assert_eq!((one.count(), two.count()), (1, 0), "{path}");
+        }
+    }
+}
