fix(forward): an answer without framing is complete only if its endpoint's process lived on

Cause: the end of a connection was taken for the end of the answer, on evidence that does not come from the process that sent it. An endpoint that leaves was believed without a check; for others, anything that accepted a connection within 100 ms, or gave no sign, was evidence of life. Class: the end of a process and the end of an answer look the same, and the check asked another process.

Change: the identity of the process decides, not its address. While an answer without framing is read, the entry holds a second connection to the same process (a witness, one for all such answers of an endpoint, renewed while they last); the end of the process ends it as well, whoever has the address. The system closes the sockets of a process one after the other and in any order, so witness and check are looked at again after 100 ms (20 ms for plain answers). An endpoint that leaves in order with its listener closed is recognised by the witness. Where nothing tells, the answer is not complete. The rule is bergamotshift_limit::ending, without I/O, with a model in which processes end, close their listeners and are replaced at any time; bergamotshift-entry refuses answers without a declared end, so it has no such decision. A stream whose connection was given up no longer counts as ended.

--- a/bergamotshift-forward/src/exchange/connection.rs
+++ b/bergamotshift-forward/src/exchange/connection.rs
@@ -30,6 +30,17 @@
 /// Maximum body size of a response to another request that is skipped, in bytes.
 const MAX_SKIPPED: u64 = 64 * 1024;
 
+/// State of an idle connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// It stands, as far as bytes that have arrived tell.
+    Open,
+    /// The peer closed it in order.
+    Ended,
+    /// It was reset, or the peer sent bytes that belong to nothing.
+    Broken,
+}
+
 /// Connection to an endpoint or another entry, with the received bytes that have not been consumed yet.
 #[derive(Debug)]
 pub struct Connection {
@@ -112,16 +123,21 @@
         self.total_received
     }
 
+    /// Returns the state of a connection on which nothing is expected.
+    pub fn liveness(&self) -> Liveness {
+        match self.stream.try_read(&mut [0]) {
+            Ok(0) => Liveness::Ended,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Liveness::Open,
+            Ok(_) | Err(_) => Liveness::Broken,
+        }
+    }
+
     /// Returns whether another exchange may follow on the connection.
     ///
     /// If an endpoint closes an idle connection or sends a second response after a complete one, the next request would
     /// be lost or get the response to another request. An end or bytes on the idle connection reveal both.
     pub fn is_reusable(&self) -> bool {
-        if self.unusable || !self.received.is_empty() {
-            return false;
-        }
-        let mut byte = [0];
-        matches!(self.stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        !self.unusable && self.received.is_empty() && self.liveness() == Liveness::Open
     }
 
     /// Sends a request and returns the head of the response for which `is_expected` returns `true`.
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -27,6 +27,7 @@
 use super::speed::Samples;
 use super::stream::Relay;
 use super::suspect::Content;
+use super::witness::Witnesses;
 use crate::choice;
 use crate::dialect::Metadata;
 use crate::document::Bounds;
@@ -78,6 +79,7 @@
     pub(super) pool: RefCell<Pool>,
     /// Connections to endpoints through other entries, by the address of the endpoint.
     pub(super) tunnels: RefCell<Pool>,
+    pub(super) witnesses: Witnesses,
     pub(super) choice_settings: choice::Settings,
     pub(super) permits: Permits,
     pub(super) origins: Origins,
@@ -99,6 +101,7 @@
             shared,
             pool: RefCell::default(),
             tunnels: RefCell::default(),
+            witnesses: Witnesses::default(),
             choice_settings: choice::Settings::default(),
             callers: Callers::default(),
             keeper_backoff: Cell::default(),
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -24,6 +24,7 @@
 mod suspect;
 mod unframed;
 mod whole;
+mod witness;
 
 pub(crate) use self::active::Active;
 pub use self::cut::flush_and_terminate;
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -33,6 +33,8 @@
 use super::job::Job;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::unframed;
+use super::witness::Witness;
 use crate::endpoint::Guard;
 use crate::exchange;
 use crate::exchange::Connection;
@@ -54,8 +56,8 @@
     history: History,
     connection: Option<Connection>,
     framing: exchange::Framing,
-    /// Whether the end of the answer is marked other than by the end of its connection.
-    is_framed: bool,
+    /// Witness of the endpoint's process, if nothing but the end of the connection marks the end of the answer.
+    witness: Option<Rc<Witness>>,
     headers: HeaderMap,
     guard: Guard,
     events: Events,
@@ -88,13 +90,14 @@
             ..
         } = exchange;
         let events = Events::after(job.metadata.last_event);
+        let witness = forwarder.witness_of(&job, guard.endpoint(), &connection, head.framing);
         let mut relay = Self {
             forwarder,
             job,
             history,
             connection: Some(connection),
             framing: head.framing,
-            is_framed: head.framing.is_framed(),
+            witness,
             headers: head.headers,
             guard,
             events,
@@ -152,12 +155,12 @@
         if !self.events.is_at_boundary() {
             return Err(Failure::Broken("it ended within an event".to_owned()));
         }
-        match &self.connection {
-            Some(connection) if !self.is_framed => {
+        match (&self.connection, &self.witness) {
+            (Some(connection), Some(witness)) => {
                 let endpoint = self.guard.endpoint();
-                let last_event = self.events.last_id();
+                let answer = unframed::Kind::Stream(self.events.last_id());
                 self.forwarder
-                    .check_end(&self.job, endpoint, connection, last_event)
+                    .check_end(&self.job, endpoint, connection, witness, answer)
                     .await
             }
             _ => Ok(()),
@@ -226,7 +229,7 @@
     /// Reads until at least one event is complete or the request's time is over.
     async fn read_events(&mut self) -> Result<Option<Bytes>, Failure> {
         let Some(connection) = &mut self.connection else {
-            return Ok(None);
+            return Err(Failure::Broken("its connection was given up".to_owned()));
         };
         read_events(
             &self.forwarder,
@@ -304,14 +307,9 @@
             first,
         } = replacement;
         self.forwarder.shared.metrics.resumed.inc();
-        self.framing = exchange.head.framing;
-        self.is_framed = self.framing.is_framed();
-        self.connection = Some(exchange.connection);
-        self.guard = exchange.guard;
-        self.history.estimate = Some(exchange.estimate);
+        self.history.estimate = Some(exchange.estimate.clone());
+        self.read_from(exchange);
         self.events = events;
-        self.begun_at = None;
-        self.is_settled = false;
         first
     }
 
@@ -339,13 +337,25 @@
             return Err(failure);
         }
         forwarder.shared.metrics.resumed.inc();
-        self.framing = exchange.head.framing;
-        self.is_framed = self.framing.is_framed();
-        self.connection = Some(exchange.connection);
-        self.guard = exchange.guard;
+        self.read_from(exchange);
+        Ok(())
+    }
+
+    /// Reads on from another endpoint.
+    fn read_from(&mut self, exchange: Exchange) {
+        let Exchange {
+            head,
+            connection,
+            guard,
+            ..
+        } = exchange;
+        self.framing = head.framing;
+        let forwarder = &self.forwarder;
+        self.witness = forwarder.witness_of(&self.job, guard.endpoint(), &connection, head.framing);
+        self.connection = Some(connection);
+        self.guard = guard;
         self.begun_at = None;
         self.is_settled = false;
-        Ok(())
     }
 
     /// Records a complete stream and returns the connection to the pool.
--- a/bergamotshift-forward/src/serve/unframed.rs
+++ b/bergamotshift-forward/src/serve/unframed.rs
@@ -1,16 +1,24 @@
 //! Answers without a length or chunks, which end with their connection.
 
 use core::time::Duration;
+use std::rc::Rc;
+use std::sync::Arc;
 
+use bergamotshift_limit::ending;
+use bergamotshift_limit::ending::Check;
+use bergamotshift_limit::ending::Decision;
 use ntex::http::HeaderMap;
 use slog::info;
 use tokio::time::timeout;
 
 use super::Forwarder;
 use super::job::Job;
+use super::witness::Witness;
 use crate::endpoint::Endpoint;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
+use crate::exchange::Framing;
+use crate::exchange::Liveness;
 use crate::observe::Topic;
 use crate::relay;
 
@@ -18,67 +26,117 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl Forwarder {
+    /// Returns a witness of the process that sends an answer; `None` if the answer itself marks its end.
+    pub(super) fn witness_of(
+        self: &Rc<Self>,
+        job: &Job,
+        endpoint: &Arc<Endpoint>,
+        answer: &Connection,
+        framing: Framing,
+    ) -> Option<Rc<Witness>> {
+        (!framing.is_framed()).then(|| self.witness(endpoint, &job.metadata.id, answer))
+    }
+
     /// Checks that an answer without framing did not end because its endpoint did: the end of the connection looks the
-    /// same. An endpoint that gives no sign may live, and one that leaves may have ended in order.
+    /// same.
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Broken`] when the endpoint accepts no connection any more.
+    /// Returns [`Failure::Broken`] when the endpoint ended with the answer, or nothing shows that it did not.
     pub(super) async fn check_end(
         &self,
         job: &Job,
         endpoint: &Endpoint,
         ended: &Connection,
-        last_event: Option<u64>,
+        witness: &Witness,
+        answer: Kind,
     ) -> Result<(), Failure> {
+        let settings = ending::Settings::default();
         let began = self.shared.clock.now();
-        let checked = self.check_endpoint(job, endpoint, ended).await;
+        let check = self.check_endpoint(job, endpoint, ended).await;
+        let is_urgent = answer == Kind::Whole && !endpoint.is_leaving();
+        let (seen, decided) = loop {
+            let seen = ending::Observation {
+                check: check.outcome(),
+                witness: witness.state(),
+                is_urgent,
+            };
+            match ending::decide(&settings, &seen, self.shared.clock.now().since(began)) {
+                Decision::Complete => break (seen, Ok(())),
+                Decision::Incomplete(cause) => break (seen, Err(cause)),
+                Decision::LookAgain(pause) => tokio::time::sleep(pause).await,
+            }
+        };
+        if let Probe::Open(connection) = check {
+            // It serves the next request in place of the one that ended.
+            self.keep_connection(endpoint, connection, &HeaderMap::new());
+        }
         let now = self.shared.clock.now();
         if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::End) {
-            let (outcome, is_believed) = checked;
             info!(logger, "answer without framing ended"; "request" => job.metadata.id.as_str(),
                 "endpoint" => endpoint.registration.id.as_str(), "leaving" => endpoint.is_leaving(),
-                "tunnel" => ended.is_tunnel(), "check" => outcome, "complete" => is_believed,
-                "last_event" => last_event, "ms" => now.since(began).as_millis() as u64, "left_out" => left_out);
+                "tunnel" => ended.is_tunnel(), "check" => seen.check.as_str(), "witness" => seen.witness.as_str(),
+                "complete" => decided.is_ok(), "cause" => decided.err(), "last_event" => answer.last_event(),
+                "ms" => now.since(began).as_millis() as u64, "left_out" => left_out);
+        }
+        decided.map_err(|cause| Failure::Broken(format!("it has no length, and {cause}")))
+    }
+
+    /// Opens a connection to the endpoint of an answer that ended.
+    async fn check_endpoint(&self, job: &Job, endpoint: &Endpoint, ended: &Connection) -> Probe {
+        if ended.is_tunnel() {
+            if endpoint.is_leaving() {
+                // Other entries open no tunnels to it.
+                return Probe::Unknown;
+            }
+            return match relay::open(&self.shared, endpoint, &job.metadata.id, CHECK_TIMEOUT).await {
+                Ok(connection) => Probe::Open(connection),
+                Err(relay::Error::NoEntry) => Probe::Unknown,
+                Err(relay::Error::Unreached) => Probe::Refused,
+            };
         }
-        match checked {
-            (_, true) => Ok(()),
-            (_, false) => Err(self.ended_with_endpoint(job, endpoint)),
+        self.shared.metrics.connections.inc();
+        let opening = Connection::open(endpoint.registration.address, CHECK_TIMEOUT * 2);
+        match timeout(CHECK_TIMEOUT, opening).await {
+            Ok(Ok(connection)) => Probe::Open(connection),
+            Ok(Err(_refused)) => Probe::Refused,
+            Err(_silent) => Probe::Unknown,
         }
     }
+}
+
+/// Kind of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// Its caller waits for all of it.
+    Whole,
+    /// Its caller has its events, of which this is the last one that has a number.
+    Stream(Option<u64>),
+}
 
-    /// Opens a connection to the endpoint of an answer that ended; returns the outcome and whether the answer counts as
-    /// complete.
-    async fn check_endpoint(&self, job: &Job, endpoint: &Endpoint, ended: &Connection) -> (&'static str, bool) {
-        if endpoint.is_leaving() {
-            return ("none", true);
+impl Kind {
+    const fn last_event(self) -> Option<u64> {
+        match self {
+            Self::Whole => None,
+            Self::Stream(last) => last,
         }
-        let address = endpoint.registration.address;
-        let opened = if ended.is_tunnel() {
-            match relay::open(&self.shared, endpoint, &job.metadata.id, CHECK_TIMEOUT).await {
-                Ok(connection) => connection,
-                Err(relay::Error::NoEntry) => return ("no_entry", true),
-                Err(relay::Error::Unreached) => return ("refused", false),
-            }
-        } else {
-            self.shared.metrics.connections.inc();
-            match timeout(CHECK_TIMEOUT, Connection::open(address, CHECK_TIMEOUT * 2)).await {
-                Ok(Ok(connection)) => connection,
-                Ok(Err(_refused)) => return ("refused", false),
-                Err(_silent) => return ("silent", true),
-            }
-        };
-        // It serves the next request in place of the one that ended.
-        self.keep_connection(endpoint, opened, &HeaderMap::new());
-        ("accepted", true)
     }
+}
+
+/// Connection that is opened after the end of an answer.
+enum Probe {
+    Open(Connection),
+    Refused,
+    Unknown,
+}
 
-    /// Logs and returns the failure of an answer whose endpoint ended with it.
-    fn ended_with_endpoint(&self, job: &Job, endpoint: &Endpoint) -> Failure {
-        if let Some((logger, left_out)) = self.shared.log.rate_limited(self.shared.clock.now(), Topic::Attempt) {
-            info!(logger, "answer ended with its endpoint"; "request" => job.metadata.id.as_str(),
-                "endpoint" => endpoint.registration.id.as_str(), "left_out" => left_out);
+impl Probe {
+    /// Returns its outcome so far.
+    fn outcome(&self) -> Check {
+        match self {
+            Self::Open(connection) if connection.liveness() == Liveness::Open => Check::Accepted,
+            Self::Open(_) | Self::Refused => Check::Refused,
+            Self::Unknown => Check::Unknown,
         }
-        Failure::Broken("it has no length and ended with the endpoint".to_owned())
     }
 }
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -16,6 +16,7 @@
 use super::job::Job;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::unframed;
 use crate::exchange::Failure;
 
 /// Maximum size of a response body, in bytes; plain services respond with a few kilobytes.
@@ -79,7 +80,7 @@
     }
 
     /// Reads the body of a response, and returns the connection to the pool.
-    async fn read_reply(&self, job: &Job, exchange: Exchange) -> Result<Reply, Failure> {
+    async fn read_reply(self: &Rc<Self>, job: &Job, exchange: Exchange) -> Result<Reply, Failure> {
         let Exchange {
             head,
             mut connection,
@@ -87,6 +88,7 @@
             ..
         } = exchange;
         let mut framing = head.framing;
+        let witness = self.witness_of(job, guard.endpoint(), &connection, framing);
         let mut body = BytesMut::new();
         let time_left = job.deadline.since(self.shared.clock.now());
         let reading = async {
@@ -99,8 +101,12 @@
             Ok(())
         };
         let mut read = timeout(time_left, reading).await.unwrap_or(Err(Failure::Silent));
-        if read.is_ok() && !head.framing.is_framed() {
-            read = self.check_end(job, guard.endpoint(), &connection, None).await;
+        if read.is_ok()
+            && let Some(witness) = witness
+        {
+            read = self
+                .check_end(job, guard.endpoint(), &connection, &witness, unframed::Kind::Whole)
+                .await;
         }
         match read {
             Ok(()) => {
--- a/bergamotshift-forward/tests/daemon/cut_off.rs
+++ b/bergamotshift-forward/tests/daemon/cut_off.rs
@@ -1,12 +1,14 @@
 //! Entries that are cut off from all endpoints, while callers, the store and the other entries reach them.
 
 use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Request;
 use crate::gate::Gate;
 use crate::gate::State;
 use crate::outside::lock;
@@ -14,6 +16,8 @@
 use crate::site::Daemon;
 use crate::site::Site;
 use crate::site::wait_until;
+use crate::unframed;
+use crate::unframed::events;
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
 
@@ -338,3 +342,34 @@
     }
     assert_eq!(cut.runs(), 0);
 }
+
+/// Guards against part of a stream that looks complete, because its endpoint crashed behind another entry, which reaches the
+/// process that took the address.
+#[test]
+fn what_a_crash_leaves_of_a_stream_behind_another_entry_is_not_given_out_as_whole() {
+    let script = |request: &Request, _, stream: &mut TcpStream| {
+        if !request.path().starts_with("/draft") {
+            stream.write_all(request.answer("200 OK", "", "done").as_bytes())?;
+            return Ok(Connection::Keep);
+        }
+        if request.header("last-event-id").is_none() {
+            unframed::send_parts(
+                request,
+                stream,
+                unframed::EVENT_STREAM,
+                &[&events(1..=1), &events(2..=2)],
+            )?;
+            return Ok(Connection::Restart);
+        }
+        stream.write_all(unframed::unframed(request, unframed::EVENT_STREAM, &events(3..=5)).as_bytes())?;
+        Ok(Connection::Close)
+    };
+    let endpoints = (0..6).map(|number| Endpoint::start(&format!("e{number}"), script));
+    let cut = Cut::new(endpoints.collect());
+    cut.set(State::Refusing);
+    cut.ask("/checkin/1", 100, 6);
+    assert_eq!(cut.ask("/checkin/1", 200, 6), [200; 6]);
+    let answer = Caller::new(cut.first()).ask("POST", "/draft/1", "r-1", "x");
+    assert!(answer.is_complete);
+    assert_eq!(answer.text(), events(1..=5));
+}
--- a/bergamotshift-forward/tests/daemon/unframed.rs
+++ b/bergamotshift-forward/tests/daemon/unframed.rs
@@ -13,7 +13,8 @@
 use crate::site::Site;
 use crate::site::wait_until;
 
-const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
+/// Header of an event stream.
+pub const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
 
 /// Header by which an endpoint announces that it leaves.
 const LEAVING: &str = "bergamotshift-leaving: 1\r\n";
@@ -22,11 +23,12 @@
 const PACE: Duration = Duration::from_millis(50);
 
 /// Returns an answer without framing.
-fn unframed(request: &Request, extra: &str, body: &str) -> String {
+pub fn unframed(request: &Request, extra: &str, body: &str) -> String {
     request.answer_head("200 OK", extra) + body
 }
 
-fn events(numbers: core::ops::RangeInclusive<u32>) -> String {
+/// Returns events with these numbers.
+pub fn events(numbers: core::ops::RangeInclusive<u32>) -> String {
     let events: Vec<_> = numbers
         .map(|number| format!("id: {number}\ndata: {number}\n\n"))
         .collect();
@@ -158,7 +160,7 @@
 }
 
 /// Sends the parts of an answer without framing at an endpoint's pace.
-fn send_parts(request: &Request, stream: &mut TcpStream, extra: &str, parts: &[&str]) -> io::Result<()> {
+pub fn send_parts(request: &Request, stream: &mut TcpStream, extra: &str, parts: &[&str]) -> io::Result<()> {
     stream.write_all(request.answer_head("200 OK", extra).as_bytes())?;
     for part in parts {
         thread::sleep(PACE);
--- /dev/null
+++ b/bergamotshift-limit/src/ending/mod.rs
@@ -0,0 +1,131 @@
+//! Ends of answers that are marked by nothing but the end of their connection.
+//!
+//! A process that ends closes its connections as one that has sent a complete answer does. Two observations tell them
+//! apart. A *witness* is a second connection to the same process, opened before the answer ended: the end of the process
+//! ends it too, also if another process takes over the address at once. A *check* is a connection that is opened after the
+//! end: it shows whether a process listens on the address. The system closes the sockets of a process one after the other
+//! and in any order, so both are looked at again after a moment. Where nothing tells, the answer does not count as complete.
+//!
+//! ```
+//! use core::time::Duration;
+//! use bergamotshift_limit::ending::{Check, Decision, Observation, Settings, Witness, decide};
+//!
+//! let settings = Settings::default();
+//! let seen = Observation { check: Check::Accepted, witness: Witness::Open, is_urgent: false };
+//! assert!(matches!(decide(&settings, &seen, Duration::ZERO), Decision::LookAgain(_)));
+//! assert_eq!(decide(&settings, &seen, settings.settle), Decision::Complete);
+//! let seen = Observation { witness: Witness::Ended, ..seen };
+//! assert!(matches!(decide(&settings, &seen, Duration::ZERO), Decision::Incomplete(_)));
+//! ```
+
+use core::time::Duration;
+
+/// Settings of [`decide`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Time after the end of an answer within which the other connections of its process end too, if the process ended.
+    pub settle: Duration,
+    /// The same for an urgent answer whose endpoint still accepts connections.
+    pub urgent_settle: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            settle: Duration::from_millis(100),
+            urgent_settle: Duration::from_millis(20),
+        }
+    }
+}
+
+/// Outcome of a connection that was opened to the endpoint's address after the end of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// A process accepted it, and it stands.
+    Accepted,
+    /// No process listens on the address, or the one that accepted it has closed it.
+    Refused,
+    /// It was not opened, or nothing came of it in time.
+    Unknown,
+}
+
+impl Check {
+    /// Returns the name of the outcome in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// State of a connection that was opened to the endpoint's process before the end of the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Witness {
+    /// It stands.
+    Open,
+    /// The endpoint's side closed it in order, as the end of a process does.
+    Ended,
+    /// There is none, or it was reset, which says nothing of the process: endpoints and relays reset connections too.
+    Missing,
+}
+
+impl Witness {
+    /// Returns the name of the state in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Ended => "ended",
+            Self::Missing => "missing",
+        }
+    }
+}
+
+/// Decision on an answer whose connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The process lived on, so it ended the answer itself.
+    Complete,
+    /// The answer may lack its end, for this reason.
+    Incomplete(&'static str),
+    /// Look at the witness once more after this time.
+    LookAgain(Duration),
+}
+
+/// What is known of the endpoint of an answer whose connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// Connection that was opened after the end.
+    pub check: Check,
+    /// Connection that was opened before it.
+    pub witness: Witness,
+    /// Whether a caller waits for the whole answer, and its endpoint has not announced that it leaves.
+    pub is_urgent: bool,
+}
+
+/// Decides whether an answer is complete. `waited` is the time since its end.
+///
+/// An endpoint that is about to end may listen no more and still complete its answers, so a refused connection decides only
+/// where no witness does.
+pub fn decide(settings: &Settings, seen: &Observation, waited: Duration) -> Decision {
+    match (seen.witness, seen.check) {
+        (Witness::Ended, _) => return Decision::Incomplete("the endpoint ended with it"),
+        (Witness::Missing, Check::Refused) => {
+            return Decision::Incomplete("the endpoint accepts no connection any more");
+        }
+        (Witness::Missing, Check::Unknown) => {
+            return Decision::Incomplete("nothing shows that the endpoint lived on");
+        }
+        (Witness::Open, _) | (Witness::Missing, Check::Accepted) => {}
+    }
+    let settle = if seen.is_urgent && seen.check == Check::Accepted {
+        settings.urgent_settle
+    } else {
+        settings.settle
+    };
+    if waited < settle {
+        return Decision::LookAgain(settle.saturating_sub(waited));
+    }
+    Decision::Complete
+}
--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -1,4 +1,4 @@
-//! Fair sharing, admission, retry budgets, hedging, silence of endpoints and quarantine without I/O.
+//! Fair sharing, admission, retry budgets, hedging, silence of endpoints, ends of answers and quarantine without I/O.
 //!
 //! Events, readings and the current time go in; decisions come out. Types that worker threads use on the request path
 //! are atomic and take `&self`; types that the control thread updates take `&mut self`. [`limiter`] combines limits,
@@ -17,6 +17,7 @@
 pub mod bucket;
 pub mod defer;
 pub mod demand;
+pub mod ending;
 pub mod hedge;
 pub mod limiter;
 pub mod prelude;
--- a/bergamotshift-limit/src/prelude.rs
+++ b/bergamotshift-limit/src/prelude.rs
@@ -6,6 +6,7 @@
 pub use crate::backoff::Backoff;
 pub use crate::defer;
 pub use crate::demand;
+pub use crate::ending;
 pub use crate::hedge;
 pub use crate::hedge::Hedge;
 pub use crate::limiter;
