test: crowds of unfinished, large and chunked bodies against an entry as a process

Crowd and bounds: 40 clients (300 where they hold connections only) with bodies of 4 MiB less one byte, in one write, in pieces, in chunks of 1 MiB and of one byte, far over the limit, refused by their heads, or whole; 96 MB and 200 descriptors, which the test's settings name. Checked: the process lives, peak memory, open descriptors, one ordinary request afterwards. Besides: a whole body of the largest size on a slow link is served in calm.

The crowd is part of the soak's crate, so that runs of it can have crowds too.

--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 use crate::pause::PAUSED;
 use crate::plan::Step;
 use crate::process;
+use crate::process::Process;
 use crate::proxy::Mode;
 use crate::proxy::Proxy;
 use crate::run::Settings;
@@ -119,8 +120,9 @@
         }
         for number in 0..size.entries {
             let link = Proxy::start(fleet.store.address)?;
+            let lines = settings.entry_settings.clone() + &configuration(number, link.address);
             let settings = folder.join(format!("entry-{number}.toml"));
-            fs::write(&settings, configuration(number, link.address))?;
+            fs::write(&settings, lines)?;
             fleet.entries.push(Entry {
                 process: None,
                 life: 0,
@@ -257,6 +259,12 @@
         Ok(())
     }
 
+    /// Returns the identifiers of the entries' processes that run.
+    pub fn process_ids(&self) -> Vec<u32> {
+        let processes = self.entries.iter().filter_map(|entry| entry.process.as_ref());
+        processes.map(Process::id).collect()
+    }
+
     /// Returns where each entry that runs says whether callers may come.
     pub fn ready(&self) -> Vec<Option<SocketAddr>> {
         let address = |entry: &Entry| entry.process.as_ref().map(|process| process.addresses.ready);
--- a/bergamotshift-soak/src/lib.rs
+++ b/bergamotshift-soak/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod caller;
 pub mod crash;
+pub mod crowd;
 pub mod cut;
 pub mod demand;
 pub mod endpoint;
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -89,6 +89,8 @@
     pub hard_load: bool,
     /// Whether endpoints pause, while operators change the limits of a route of streams.
     pub pauses: bool,
+    /// Lines that the entries' settings begin with.
+    pub entry_settings: String,
 }
 
 impl Default for Settings {
@@ -113,6 +115,7 @@
             versions: false,
             hard_load: false,
             pauses: false,
+            entry_settings: String::new(),
         }
     }
 }
