fix(forward): callers' connections are bounded, and the one without a request for longest yields

Cause: nothing bounded connections of callers; each stays open for 5 s without a head and 75 s after a request. Beyond that the connection without a request for longest is closed for the new one, so ordinary callers are served at once; if all have requests, the new one is closed.

Ruled out: the library's own limit, as it stops accepting on all listeners, readiness among them.

--- a/bergamotshift-forward/src/daemon/server.rs
+++ b/bergamotshift-forward/src/daemon/server.rs
@@ -15,7 +15,10 @@
 use ntex::http::Request;
 use ntex::http::Response;
 use ntex::http::StatusCode;
+use ntex::http::error::DispatchError;
+use ntex::io::Io;
 use ntex::server::Server;
+use ntex::service::chain_factory;
 use ntex::time::Millis;
 use ntex::time::Seconds;
 
@@ -86,10 +89,15 @@
             ntex::rt::spawn(Rc::clone(&forwarder).report_in_flight());
             let telling = Rc::clone(&forwarder);
             ntex::rt::spawn(async move { telling.tell_origins().await });
-            HttpService::new(fn_service(move |request: Request| {
+            let admitting = Rc::clone(&forwarder);
+            let admit = fn_service(move |connection: Io| {
+                admitting.admit_connection(&connection.get_ref());
+                async move { Ok::<_, DispatchError>(connection) }
+            });
+            chain_factory(admit).and_then(HttpService::new(fn_service(move |request: Request| {
                 let forwarder = Rc::clone(&forwarder);
                 async move { Ok::<_, io::Error>(forwarder.serve(request).await) }
-            }))
+            })))
         })
         .map_err(Error::Server)?
         .config("callers", SharedCfg::new("callers").add(config()));
--- a/bergamotshift-forward/src/serve/callers.rs
+++ b/bergamotshift-forward/src/serve/callers.rs
@@ -3,12 +3,22 @@
 use core::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use ntex::io::IoRef;
 
-/// Connections of one thread on which requests arrived, with the number of requests in flight on each.
+/// Connections of callers to one thread.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Callers(Rc<RefCell<HashMap<IoRef, u32>>>);
+pub(super) struct Callers(Rc<RefCell<HashMap<IoRef, State>>>);
+
+/// State of a connection.
+#[derive(Clone, Copy, Debug)]
+struct State {
+    /// Number of requests in flight.
+    in_flight: u32,
+    /// Time at which it was accepted or its last request ended.
+    since: Instant,
+}
 
 /// Guard that counts one request as in flight on a connection until it is dropped.
 #[derive(Debug)]
@@ -17,16 +27,64 @@
     connection: IoRef,
 }
 
+/// Admission of a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// There was room.
+    Free,
+    /// An idle connection was closed for it.
+    Replaced,
+    /// It was closed.
+    Refused,
+}
+
 impl Callers {
     /// Counts a request as in flight on a connection.
     pub(super) fn track(&self, connection: &IoRef) -> Guard {
-        *self.0.borrow_mut().entry(connection.clone()).or_default() += 1;
+        let mut connections = self.0.borrow_mut();
+        let state = connections.entry(connection.clone()).or_insert(State {
+            in_flight: 0,
+            since: Instant::now(),
+        });
+        state.in_flight += 1;
+        drop(connections);
         Guard {
             callers: self.clone(),
             connection: connection.clone(),
         }
     }
 
+    /// Admits a new connection. If there are `max` of them, the one that has been without a request for longest is closed for
+    /// it; if there is none, the new one is.
+    pub(super) fn admit(&self, connection: &IoRef, max: usize) -> Admission {
+        let mut admission = Admission::Free;
+        if self.0.borrow().len() >= max {
+            self.forget_closed();
+        }
+        let mut connections = self.0.borrow_mut();
+        if connections.len() >= max {
+            let idle = connections.iter().filter(|(_, state)| state.in_flight == 0);
+            let oldest = idle
+                .min_by_key(|(_, state)| state.since)
+                .map(|(oldest, _)| oldest.clone());
+            let Some(oldest) = oldest else {
+                connection.terminate();
+                return Admission::Refused;
+            };
+            oldest.terminate();
+            connections.remove(&oldest);
+            admission = Admission::Replaced;
+        }
+        connections.insert(
+            connection.clone(),
+            State {
+                in_flight: 0,
+                since: Instant::now(),
+            },
+        );
+        admission
+    }
+
     /// Closes the connections without requests in flight, after flushing what was written to them.
     ///
     /// Otherwise, a caller could send a request on an idle connection just before the process ends, and the request
@@ -34,8 +92,8 @@
     /// was never forwarded, so its caller may send it again.
     pub(super) fn close_idle(&self) {
         self.forget_closed();
-        for (connection, in_flight) in self.0.borrow().iter() {
-            if *in_flight == 0 {
+        for (connection, state) in self.0.borrow().iter() {
+            if state.in_flight == 0 {
                 connection.close();
             }
         }
@@ -45,14 +103,15 @@
     pub(super) fn forget_closed(&self) {
         self.0
             .borrow_mut()
-            .retain(|connection, in_flight| *in_flight > 0 || !connection.is_closed());
+            .retain(|connection, state| state.in_flight > 0 || !connection.is_closed());
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if let Some(in_flight) = self.callers.0.borrow_mut().get_mut(&self.connection) {
-            *in_flight -= 1;
+        if let Some(state) = self.callers.0.borrow_mut().get_mut(&self.connection) {
+            state.in_flight -= 1;
+            state.since = Instant::now();
         }
     }
 }
