fix(forward): an answer counts as in flight until its last byte has left the process

Cause: the count of requests in flight was given up when the response was made, and the HTTP library writes it only then. Class: 'done' is taken from a count at another moment than that at which the bytes move. Change: bodies above 64 KiB, and all while the entry stops, are written in pieces as their caller reads them, and the request and its connection count as in flight until the last byte has left the process. Such a body is also no longer copied whole into the library's buffer. Streams did so before.

No test stopped an entry under an answer that does not fit into the system's buffers.

--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -122,7 +122,8 @@
         let metadata = Metadata::read(&self.shared.dialect, request.headers());
         let id = metadata.id.clone();
         let caller = request.io().cloned();
-        let mut response = match self.read_job(&mut request, metadata, arrived).await {
+        let read = self.read_job(&mut request, metadata, arrived).await;
+        let mut response = match read {
             Ok(job) => self.respond(Rc::new(job), caller, active).await,
             Err(rejection) => {
                 let Rejection { route, refusal, .. } = &rejection;
@@ -415,7 +416,7 @@
         self.record_start(job);
         let reply = self.read_with_retries(job, history, exchange).await?;
         self.record_served(job, history, reply.status());
-        Ok(reply.response(&job.method))
+        Ok(reply.response(&job.method, caller, active, self.shared.is_stopping()))
     }
 
     /// Admits a caller's connection, or closes it or an idle one if there are too many.
--- a/bergamotshift-forward/src/serve/mod.rs
+++ b/bergamotshift-forward/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod choose;
 mod connect;
 mod cut;
+mod delivery;
 mod forwarder;
 mod job;
 mod keeper;
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -8,11 +8,14 @@
 use ntex::http::Response;
 use ntex::http::StatusCode;
 use ntex::http::body::Body;
+use ntex::io::IoRef;
 use tokio::time::timeout;
 
 use super::Forwarder;
+use super::active::Active;
 use super::attempt::Exchange;
 use super::attempt::History;
+use super::delivery::Delivery;
 use super::job::Job;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -22,6 +25,10 @@
 /// Maximum size of a response body, in bytes; plain services respond with a few kilobytes.
 const MAX_BODY: usize = 8 << 20;
 
+/// Maximum size of a body that is handed to the system at once, in bytes. While the entry does not stop, its request need not be
+/// counted as in flight until it is written.
+const MAX_UNHELD: usize = 64 << 10;
+
 /// Complete response of an endpoint.
 #[derive(Debug)]
 pub(super) struct Reply {
@@ -36,8 +43,15 @@
         self.status
     }
 
-    /// Returns the response to the caller.
-    pub(super) fn response(self, method: &Method) -> Response {
+    /// Returns the response to the caller. If its body is large or the entry is stopping, the request counts as in flight until
+    /// the body is written.
+    pub(super) fn response(
+        self,
+        method: &Method,
+        caller: Option<IoRef>,
+        active: Active,
+        is_stopping: bool,
+    ) -> Response {
         let mut response = Response::new(self.status);
         let mut headers = bergamotshift_endpoint::header::towards_caller(&self.headers);
         if *method != Method::HEAD {
@@ -47,6 +61,8 @@
         let bodiless = *method == Method::HEAD || self.status == StatusCode::NO_CONTENT;
         response.set_body(if bodiless {
             Body::None
+        } else if is_stopping || self.body.len() > MAX_UNHELD {
+            Body::from_message(Delivery::new(self.body, caller, active))
         } else {
             Body::Bytes(ntex::util::Bytes::copy_from_slice(&self.body))
         })
--- a/bergamotshift-forward/tests/daemon/stop.rs
+++ b/bergamotshift-forward/tests/daemon/stop.rs
@@ -43,3 +43,35 @@
     assert_eq!((answer.status, answer.text().as_str()), (200, "done"));
     assert_eq!(daemon.join(), 0);
 }
+
+/// Guards against answers that a stopping entry cuts, because it ends while it still writes them to slow callers.
+#[test]
+fn an_answer_that_is_still_being_written_is_not_cut_by_a_stop() {
+    const LENGTH: usize = 8_000_000;
+    const PIECE: usize = 64 << 10;
+    let body = "x".repeat(LENGTH);
+    let endpoint = Endpoint::start("e1", move |request, _, stream| {
+        stream.write_all(request.answer("200 OK", "", &body).as_bytes())?;
+        Ok(Connection::Keep)
+    });
+    let site = Site::new(&[&endpoint]);
+    let daemon = site.start();
+    let mut caller = Caller::new(&daemon);
+    let socket = socket2::SockRef::from(&caller.0);
+    socket.set_recv_buffer_size(PIECE).expect("a socket takes the option");
+    caller.send("POST", "/confirm/1", "r-1", "", "x");
+    let head = crate::endpoint::read_head(&mut caller.0)
+        .expect("an answer comes")
+        .expect("a head");
+    assert!(head.contains("200 OK"));
+    daemon.stop();
+    let mut received = 0;
+    let mut piece = vec![0; PIECE];
+    while received < LENGTH {
+        let length = caller.0.read(&mut piece).expect("the connection stands");
+        assert!(length > 0, "it ended after {received} of {LENGTH} bytes");
+        received += length;
+        std::thread::sleep(std::time::Duration::from_millis(25));
+    }
+    assert_eq!(daemon.join(), 0);
+}
