fix(forward): a connection with bytes that were read is not idle, and what crosses its close does not run

Cause: a connection counted as idle while no request had been dispatched on it. A request that the HTTP library had read, and not dispatched yet, was dispatched after the close and sent on. Class: 'idle' is taken from a count at another moment than that at which the bytes move. Change: each connection has one state (no request, requests in flight, being closed). One whose bytes have been read is left open and its request served or refused; a request that arrives on one that is being closed is not sent to an endpoint.

--- a/bergamotshift-forward/src/serve/callers.rs
+++ b/bergamotshift-forward/src/serve/callers.rs
@@ -18,6 +18,19 @@
     in_flight: u32,
     /// Time at which it was accepted or its last request ended.
     since: Instant,
+    /// Whether it is being closed.
+    is_closing: bool,
+}
+
+impl State {
+    /// Returns the state of a connection without a request.
+    fn idle() -> Self {
+        Self {
+            in_flight: 0,
+            since: Instant::now(),
+            is_closing: false,
+        }
+    }
 }
 
 /// Guard that counts one request as in flight on a connection until it is dropped.
@@ -42,10 +55,7 @@
     /// Counts a request as in flight on a connection.
     pub(super) fn track(&self, connection: &IoRef) -> Guard {
         let mut connections = self.0.borrow_mut();
-        let state = connections.entry(connection.clone()).or_insert(State {
-            in_flight: 0,
-            since: Instant::now(),
-        });
+        let state = connections.entry(connection.clone()).or_insert_with(State::idle);
         state.in_flight += 1;
         drop(connections);
         Guard {
@@ -75,25 +85,22 @@
             connections.remove(&oldest);
             admission = Admission::Replaced;
         }
-        connections.insert(
-            connection.clone(),
-            State {
-                in_flight: 0,
-                since: Instant::now(),
-            },
-        );
+        connections.insert(connection.clone(), State::idle());
         admission
     }
 
     /// Closes the connections without requests in flight, after flushing what was written to them.
     ///
     /// Otherwise, a caller could send a request on an idle connection just before the process ends, and the request
-    /// would be cut. A caller whose connection is closed connects to another entry. A request that crosses the close
-    /// was never forwarded, so its caller may send it again.
+    /// would be cut. A caller whose connection is closed connects to another entry. Bytes that have been read are a request
+    /// that is about to begin, or the beginning of one, so their connection is left open. A request that crosses the
+    /// close is not forwarded, so its caller may send it again.
     pub(super) fn close_idle(&self) {
         self.forget_closed();
-        for (connection, state) in self.0.borrow().iter() {
-            if state.in_flight == 0 {
+        for (connection, state) in self.0.borrow_mut().iter_mut() {
+            let has_unread = connection.with_read_src_buf(|buffer| !buffer.is_empty());
+            if state.in_flight == 0 && !has_unread {
+                state.is_closing = true;
                 connection.close();
             }
         }
@@ -107,6 +114,14 @@
     }
 }
 
+impl Guard {
+    /// Returns whether the connection was being closed when the request arrived.
+    pub(super) fn is_closing(&self) -> bool {
+        let connections = self.callers.0.borrow();
+        connections.get(&self.connection).is_some_and(|state| state.is_closing)
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         if let Some(state) = self.callers.0.borrow_mut().get_mut(&self.connection) {
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -20,6 +20,7 @@
 use super::attempt::History;
 use super::body;
 use super::body::Body;
+use super::callers;
 use super::callers::Admission;
 use super::callers::Callers;
 use super::charge::Applicant;
@@ -118,11 +119,17 @@
     pub async fn serve(self: &Rc<Self>, mut request: Request) -> Response {
         let arrived = self.shared.clock.now();
         let connection = request.io().map(|connection| self.callers.track(connection));
+        let is_closing = connection.as_ref().is_some_and(callers::Guard::is_closing);
         let active = Active::new(&self.shared, connection);
         let metadata = Metadata::read(&self.shared.dialect, request.headers());
         let id = metadata.id.clone();
         let caller = request.io().cloned();
-        let read = self.read_job(&mut request, metadata, arrived).await;
+        let read = if is_closing {
+            // Its caller gets no answer on this connection, so it must not run.
+            Err(Reason::Stopping.into())
+        } else {
+            self.read_job(&mut request, metadata, arrived).await
+        };
         let mut response = match read {
             Ok(job) => self.respond(Rc::new(job), caller, active).await,
             Err(rejection) => {
--- a/bergamotshift-forward/tests/daemon/stop.rs
+++ b/bergamotshift-forward/tests/daemon/stop.rs
@@ -10,6 +10,7 @@
 use crate::endpoint::Endpoint;
 use crate::outside::lock;
 use crate::site::Caller;
+use crate::site::KEY;
 use crate::site::Site;
 use crate::site::wait_until;
 
@@ -75,3 +76,46 @@
     }
     assert_eq!(daemon.join(), 0);
 }
+
+/// Guards against requests that run although their connection is closed without an answer, because a stopping entry took it for
+/// idle when it had read them.
+#[test]
+fn a_request_that_crosses_the_close_of_its_connection_does_not_run() {
+    const CALLERS: usize = 150;
+    const ROUNDS: usize = 4;
+    for round in 0..ROUNDS {
+        let endpoint = Endpoint::plain("e1", "done");
+        let site = Site::new(&[&endpoint]);
+        let daemon = site.start();
+        let mut callers: Vec<_> = (0..CALLERS).map(|_| Caller::new(&daemon)).collect();
+        for (number, caller) in callers.iter_mut().enumerate() {
+            assert_eq!(
+                caller.ask("POST", "/confirm/1", &format!("first-{number}"), "x").status,
+                200
+            );
+        }
+        for (number, caller) in callers.iter_mut().enumerate() {
+            if number == CALLERS * round / ROUNDS {
+                daemon.stop();
+            }
+            let text = format!(
+                "POST /confirm/1 HTTP/1.1\r\nhost: staff.example\r\nauthorization: Bearer {KEY}\r\n\
+                 bergamotshift-request: second-{number}\r\ncontent-length: 1\r\n\r\nx"
+            );
+            // The entry may have closed the connection.
+            let _ = caller.0.write_all(text.as_bytes());
+        }
+        let unanswered: Vec<_> = callers
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(number, caller)| caller.read_answer().is_none().then_some(format!("second-{number}")))
+            .collect();
+        daemon.join();
+        let ran = lock(&endpoint.requests)
+            .iter()
+            .filter_map(|request| request.header("bergamotshift-request").map(str::to_owned))
+            .filter(|id| unanswered.contains(id))
+            .count();
+        assert_eq!(ran, 0, "of {} that got no answer", unanswered.len());
+    }
+}
