--- a/bergamotshift-soak/src/crowd.rs
+++ b/bergamotshift-soak/src/crowd.rs
@@ -1,5 +1,7 @@
 //! Crowds of clients that hold requests open, or send more than they may.
 
+use core::sync::atomic::AtomicBool;
+use core::sync::atomic::Ordering;
 use core::time::Duration;
 use std::io;
 use std::io::Read;
@@ -9,6 +11,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 
+use crate::fleet::Doors;
 use crate::site::HOST;
 use crate::site::Kind;
 use crate::site::Tenant;
@@ -19,6 +22,33 @@
 /// Size of the writes of clients that send piece by piece, in bytes.
 const PIECE: usize = 16 * 1024;
 
+/// Shapes that hold requests open, none of which reaches an endpoint.
+const UNFINISHED: [Shape; 5] = [
+    Shape::Announced,
+    Shape::Pieces,
+    Shape::Chunks(64 << 10),
+    Shape::NoRoute,
+    Shape::Head,
+];
+
+/// Clients of a crowd of a run, and the largest body that they begin, in bytes.
+const PRESSING: (usize, usize) = (12, 1 << 20);
+
+/// Lets crowds press on the entries of a run, one after the other, until `ended`.
+pub fn press(seed: u64, doors: &Doors, ended: &AtomicBool) {
+    const PAUSE: Duration = Duration::from_millis(300);
+    let (clients, limit) = PRESSING;
+    let mut number = seed as usize;
+    while !ended.load(Ordering::Relaxed) {
+        let open = doors.open();
+        if let Some(door) = open.get(number % open.len().max(1)) {
+            Crowd::start(door.address, UNFINISHED[number % UNFINISHED.len()], clients, limit).settle();
+        }
+        number += 1;
+        thread::sleep(PAUSE);
+    }
+}
+
 /// What the clients of a crowd send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shape {
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -30,6 +30,7 @@
 use smol_str::SmolStr;
 
 use crate::engine::Engine;
+pub use crate::habit::Habit;
 use crate::ledger::Arrival;
 use crate::ledger::Ledger;
 use crate::proxy::Proxy;
@@ -48,38 +49,6 @@
 /// How many requests an endpoint runs at a time while it tolerates few rejections.
 const SCARCE_ROOM: usize = 1;
 
-/// How an endpoint answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Habit {
-    /// As it should.
-    Sound,
-    /// It breaks off within its answer.
-    Breaks,
-    /// It sends the answer to a request twice.
-    Repeats,
-    /// It refuses before it runs anything.
-    Refuses,
-    /// It takes the request and says nothing for long.
-    Stalls,
-}
-
-impl Habit {
-    /// All that are wrong.
-    pub const WRONG: [Self; 4] = [Self::Breaks, Self::Repeats, Self::Refuses, Self::Stalls];
-
-    fn of(number: u8) -> Self {
-        match number {
-            0 => Self::Sound,
-            number => Self::WRONG[usize::from(number - 1) % Self::WRONG.len()],
-        }
-    }
-
-    fn number(self) -> u8 {
-        let place = Self::WRONG.iter().position(|habit| *habit == self);
-        place.map_or(0, |place| place as u8 + 1)
-    }
-}
-
 /// What an endpoint says of itself in its answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Notice {
@@ -141,6 +110,8 @@
     /// The requests that it runs.
     running: AtomicUsize,
     is_gone: AtomicBool,
+    /// Whether its answers have neither a length nor chunks.
+    is_unframed: AtomicBool,
     /// What all entries' connections go through.
     proxy: OnceLock<Proxy>,
     /// The connections that stand, by the port at the other side.
@@ -183,6 +154,7 @@
             paused_until: Mutex::new(Instant::now()),
             running: AtomicUsize::new(0),
             is_gone: AtomicBool::new(false),
+            is_unframed: AtomicBool::new(false),
             proxy: OnceLock::new(),
             streams: Mutex::default(),
         });
@@ -255,6 +227,16 @@
         *until = (*until).max(Instant::now() + span);
     }
 
+    /// Sets whether its answers have neither a length nor chunks.
+    pub fn set_unframed(&self, is_unframed: bool) {
+        self.shared.is_unframed.store(is_unframed, Ordering::Relaxed);
+    }
+
+    /// Ends its process with all that it has under way; another process has its address and its name at once.
+    pub fn restart(&self) {
+        self.shared.end_streams();
+    }
+
     /// Returns whether it ended by itself, with a request that crashed it.
     pub fn has_crashed(&self) -> bool {
         self.shared.is_gone.load(Ordering::Relaxed)
@@ -302,11 +284,27 @@
     fn end(&self, proxy: &Proxy) {
         self.is_gone.store(true, Ordering::Relaxed);
         proxy.close();
+        self.end_streams();
+    }
+
+    fn end_streams(&self) {
         for stream in mem::take(&mut *self.streams()).values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
+    /// Returns whether an answer has no framing. One that breaks off alone, or comes twice, could not be told from a whole one.
+    fn is_unframed(&self, habit: Habit) -> bool {
+        !matches!(habit, Habit::Breaks | Habit::Repeats) && self.is_unframed.load(Ordering::Relaxed)
+    }
+
+    /// Ends a connection whose answer has no other end.
+    fn end_answer(&self, stream: &TcpStream) -> io::Result<()> {
+        self.stand_still();
+        stream.shutdown(Shutdown::Write)?;
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
     /// Ends with a request, in one of two cases after the head of its answer.
     fn crash_with(&self, stream: &mut TcpStream, id: &str, said: Notice) -> io::Result<()> {
         if id.ends_with(['0', '2', '4', '6', '8']) {
@@ -410,7 +408,12 @@
 
     fn whole(&self, stream: &mut TcpStream, id: &str, said: Notice, habit: Habit) -> io::Result<()> {
         let body = body(id);
-        let length = format!("content-length: {}\r\n", body.len());
+        let is_unframed = self.is_unframed(habit);
+        let length = if is_unframed {
+            "connection: close\r\n".to_owned()
+        } else {
+            format!("content-length: {}\r\n", body.len())
+        };
         let answer = self.head("200 OK", id, said, &length) + &body;
         match habit {
             Habit::Breaks => {
@@ -423,12 +426,18 @@
                 self.send(stream, answer.as_bytes())
             }
             Habit::Sound | Habit::Refuses => self.send(stream, answer.as_bytes()),
-        }
+        }?;
+        if is_unframed { self.end_answer(stream) } else { Ok(()) }
     }
 
     fn stream(&self, stream: &mut TcpStream, call: &Call, id: &str, said: Notice, habit: Habit) -> io::Result<()> {
         let last = call.header(LAST_EVENT.as_str()).and_then(|text| text.parse().ok());
-        let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        let is_unframed = self.is_unframed(habit);
+        let framing = if is_unframed {
+            "content-type: text/event-stream\r\nconnection: close\r\n"
+        } else {
+            "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
+        };
         self.send(stream, self.head("200 OK", id, said, framing).as_bytes())?;
         let (kind, work) = if call.request_line.contains(Kind::Schedule.prefix()) {
             (Kind::Schedule, SCHEDULE_WORK)
@@ -438,7 +447,11 @@
         let step = || self.engine.as_ref().map_or(work, |engine| engine.time(work));
         for number in last.unwrap_or(0) + 1..=kind.events() {
             let event = event(id, number, self.version);
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let chunk = if is_unframed {
+                event
+            } else {
+                format!("{:x}\r\n{event}\r\n", event.len())
+            };
             if number == kind.events() / 2 && habit == Habit::Breaks {
                 self.send(stream, &chunk.as_bytes()[..chunk.len() / 2])?;
                 return Err(io::ErrorKind::ConnectionAborted.into());
@@ -449,6 +462,9 @@
             self.send(stream, chunk.as_bytes())?;
             thread::sleep(step());
         }
+        if is_unframed {
+            return self.end_answer(stream);
+        }
         self.send(stream, b"0\r\n\r\n")
     }
 }
--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -50,6 +50,7 @@
             VERSIONS[0]
         };
         let endpoint = Endpoint::start(id, service, version, usual_pace, Arc::clone(&self.ledger))?;
+        endpoint.set_unframed(self.is_unframed);
         self.ledger.book().places.insert(endpoint.id().clone(), place);
         for entry in &self.entries {
             if let (Some(process), Some(cut)) = (&entry.process, entry.cut) {
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -69,6 +69,8 @@
     connects: Duration,
     /// Whether endpoints of two versions serve side by side.
     has_versions: bool,
+    /// Whether endpoints answer without framing.
+    is_unframed: bool,
     /// Whether there are model engines.
     has_engines: bool,
     /// The limits of the route of schedules, if there is one.
@@ -106,6 +108,7 @@
             copy: None,
             connects: settings.connects,
             has_versions: settings.versions,
+            is_unframed: settings.unframed,
             has_engines: settings.hard_load,
             limits: settings.pauses.then(Limits::default),
         };
@@ -223,6 +226,10 @@
                 self.ledger.during(Place::Endpoint(place), PAUSED, span);
                 self.endpoints[place].pause(span);
             }
+            Step::Restart(place) => {
+                self.ledger.note(Place::Endpoint(place), "crash", false);
+                self.endpoints[place].restart();
+            }
             Step::Limit(limits) => {
                 self.limits = Some(limits);
                 self.document();
--- a/bergamotshift-soak/src/lib.rs
+++ b/bergamotshift-soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod endpoint;
 pub mod engine;
 pub mod fleet;
+pub mod habit;
 pub mod ledger;
 pub mod notice;
 pub mod owner;
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -78,6 +78,13 @@
         no_short
     )]
     pauses: bool,
+    #[options(
+        help = "let endpoints answer without framing, and end or start again within answers",
+        no_short
+    )]
+    unframed: bool,
+    #[options(help = "let crowds of clients hold unfinished requests open", no_short)]
+    crowds: bool,
 }
 
 /// The endpoints of each service with `--pauses`.
@@ -126,6 +133,8 @@
     settings.versions = arguments.versions;
     settings.hard_load = arguments.hard_load;
     settings.pauses = arguments.pauses;
+    settings.unframed = arguments.unframed;
+    settings.crowds = arguments.crowds;
     if arguments.pauses {
         settings.size.endpoints = PAUSING;
     }
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! What happens in a run, and when: drawn from a seed.
 
+mod ending;
 mod pause;
 
 use core::ops::Range;
@@ -68,6 +69,8 @@
     Move,
     /// Lets an endpoint stand still for a while, as a suspended process does.
     Pause(usize, Duration),
+    /// Ends the process of an endpoint and starts it again on its address at once.
+    Restart(usize),
     /// Changes the limits of the route of schedules, and moves the moving route.
     Limit(Limits),
 }
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -17,6 +17,7 @@
 use crate::caller::Caller;
 use crate::caller::Door;
 use crate::crash;
+use crate::crowd;
 use crate::cut;
 use crate::demand;
 use crate::fleet::Fleet;
@@ -89,6 +90,10 @@
     pub hard_load: bool,
     /// Whether endpoints pause, while operators change the limits of a route of streams.
     pub pauses: bool,
+    /// Whether endpoints answer without framing, and their processes end within answers.
+    pub unframed: bool,
+    /// Whether crowds of clients hold unfinished requests open.
+    pub crowds: bool,
     /// Lines that the entries' settings begin with.
     pub entry_settings: String,
 }
@@ -115,6 +120,8 @@
             versions: false,
             hard_load: false,
             pauses: false,
+            unframed: false,
+            crowds: false,
             entry_settings: String::new(),
         }
     }
@@ -177,6 +184,9 @@
     if settings.pauses {
         plan = plan.with_pauses(settings.seed, settings.size, settings.hard_load);
     }
+    if settings.unframed {
+        plan = plan.with_ends(settings.seed, settings.size);
+    }
     let ledger = Arc::new(Ledger::default());
     let mut fleet = Fleet::start(settings, Arc::clone(&ledger))?;
     let mut late = recover(&mut fleet, &ledger, settings.seed, CHECKER)?;
@@ -192,6 +202,11 @@
         callers.extend(demand(&fleet, &ledger, settings.seed, &stop));
     }
     let calm = Arc::new(AtomicBool::new(false));
+    let crowds = settings.crowds.then(|| {
+        let (doors, ended) = (Arc::clone(&fleet.doors), Arc::clone(&calm));
+        let seed = settings.seed;
+        thread::spawn(move || crowd::press(seed, &doors, &ended))
+    });
     let repeat = |number, kind| {
         let caller = Caller::new(number, settings.seed, Arc::clone(&ledger));
         let (doors, ended) = (Arc::clone(&fleet.doors), Arc::clone(&calm));
@@ -207,7 +222,7 @@
     let crashers: Vec<_> = crashers.map(|(_, kind, number)| repeat(number, kind)).collect();
     follow(&mut fleet, &plan, settings.size.span)?;
     calm.store(true, Ordering::Relaxed);
-    for crasher in crashers {
+    for crasher in crashers.into_iter().chain(crowds) {
         // It has said so if it panicked.
         let _ = crasher.join();
     }
--- a/bergamotshift/tests/soak.rs
+++ b/bergamotshift/tests/soak.rs
@@ -85,3 +85,23 @@
         ..Settings::default()
     });
 }
+
+/// Guards against part of an answer without framing that looks complete, as its endpoint's process ends or starts again within it.
+#[test]
+fn answers_without_framing_are_whole_while_endpoints_end_within_them() {
+    soak(&Settings {
+        seed: 1202,
+        unframed: true,
+        ..Settings::default()
+    });
+}
+
+/// Guards against promises that are broken while crowds of clients hold unfinished requests open.
+#[test]
+fn promises_hold_beside_crowds() {
+    soak(&Settings {
+        seed: 1201,
+        crowds: true,
+        ..Settings::default()
+    });
+}
