fix(forward): a request on a connection that was closed for a new one does not run

The same class as the request that crosses a close, found by reading the diff cold: a connection that yields its descriptor to a new one counts as without a request, although the library may have read one. It is terminated, and the request would be dispatched as on a connection that nothing is known of. Now a request whose connection is closed when it arrives is not sent to an endpoint.

--- a/bergamotshift-forward/src/serve/callers.rs
+++ b/bergamotshift-forward/src/serve/callers.rs
@@ -117,6 +117,9 @@
 impl Guard {
     /// Returns whether the connection was being closed when the request arrived.
     pub(super) fn is_closing(&self) -> bool {
+        if self.connection.is_closed() {
+            return true;
+        }
         let connections = self.callers.0.borrow();
         connections.get(&self.connection).is_some_and(|state| state.is_closing)
     }
