fix(forward): the witness is opened when the request is sent, where answers lately had no framing

A stream of which one event had come ended as complete. Traced by its line: check accepted, witness open, 102 ms after the end, which came 1 ms after the first event. The entry read the head late, when the endpoint had started again, so the witness was opened to the new process.

Class: as the incident, evidence from another process. Change: for 30 s after an answer without framing of a service, the witness of an endpoint is opened (or shared) when a request is sent there, not when the answer begins. Other services are not concerned. What remains: the first such answer of a service, and a connection that still waits to be accepted when the process ends.

--- a/bergamotshift-forward/src/serve/send.rs
+++ b/bergamotshift-forward/src/serve/send.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a chosen endpoint.
 
 use core::time::Duration;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bergamotshift_limit::retry::Withdrawal;
@@ -17,6 +18,7 @@
 use super::attempt::Stop;
 use super::job::Job;
 use super::pace::Estimate;
+use super::witness::Witness;
 use crate::choice::Choice;
 use crate::dialect::Envelope;
 use crate::endpoint::Endpoint;
@@ -58,6 +60,8 @@
     pub(super) body: Bytes,
     /// Whether the connection was opened for it, directly.
     pub(super) is_new_path: bool,
+    /// Keeps the witness of the endpoint's process open, if the answer is expected to have no framing.
+    _witness: Option<Rc<Witness>>,
 }
 
 impl Forwarder {
@@ -126,7 +130,7 @@
 
     /// Counts a request as sent, and returns what its endpoint is to receive.
     pub(super) fn send(
-        &self,
+        self: &Rc<Self>,
         job: &Job,
         prepared: Prepared<'_>,
         history: &mut History,
@@ -171,6 +175,7 @@
         Sent {
             request,
             body,
+            _witness: self.early_witness(endpoint, &job.metadata.id, &connection),
             is_new_path: !connection.is_tunnel() && connection.bytes_received() == 0,
             choice,
             estimate: Estimate { sent: now, ..estimate },
--- a/bergamotshift-forward/src/serve/witness.rs
+++ b/bergamotshift-forward/src/serve/witness.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bergamotshift_core::prelude::*;
 use bergamotshift_limit::ending;
 use smol_str::SmolStr;
 
@@ -22,6 +23,9 @@
 /// Time after which a witness is replaced, since endpoints close connections that are idle for longer.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time for which answers of a service are expected to have no framing after one that had none.
+const UNFRAMED_TTL: Duration = Duration::from_secs(30);
+
 /// Idle connection to the process of an endpoint, which ends when the process does.
 #[derive(Debug, Default)]
 pub(super) struct Witness {
@@ -53,20 +57,48 @@
     }
 }
 
-/// Witnesses of one thread, by the hash of the endpoint.
+/// Witnesses of one thread.
 #[derive(Debug, Default)]
-pub(super) struct Witnesses(RefCell<HashMap<u64, Rc<Witness>>>);
+pub(super) struct Witnesses {
+    /// Witnesses by the hash of the endpoint.
+    by_endpoint: RefCell<HashMap<u64, Rc<Witness>>>,
+    /// Time of the last answer without framing, by service.
+    unframed: RefCell<HashMap<name::Service, Instant>>,
+}
 
 impl Forwarder {
-    /// Returns a witness of an endpoint's process, which is opened if there is none yet in the way of the answer's
-    /// connection. Until it is open, an idle connection of the pool takes its place.
+    /// Returns a witness for a request that is about to be sent on a connection, if answers of its service lately had no
+    /// framing. One that is opened later misses a process that ends soon after the answer has begun.
+    pub(super) fn early_witness(
+        self: &Rc<Self>,
+        endpoint: &Arc<Endpoint>,
+        request: &SmolStr,
+        connection: &Connection,
+    ) -> Option<Rc<Witness>> {
+        let unframed = self.witnesses.unframed.borrow();
+        let last = *unframed.get(&endpoint.registration.service)?;
+        drop(unframed);
+        let is_recent = self.shared.clock.now().since(last) < UNFRAMED_TTL;
+        is_recent.then(|| self.open_or_share(endpoint, request, connection))
+    }
+
+    /// Returns a witness of the process that sends an answer without framing.
     pub(super) fn witness(
         self: &Rc<Self>,
         endpoint: &Arc<Endpoint>,
         request: &SmolStr,
         answer: &Connection,
     ) -> Rc<Witness> {
-        let mut witnesses = self.witnesses.0.borrow_mut();
+        let service = endpoint.registration.service.clone();
+        let now = self.shared.clock.now();
+        self.witnesses.unframed.borrow_mut().insert(service, now);
+        self.open_or_share(endpoint, request, answer)
+    }
+
+    /// Returns a witness of an endpoint's process, which is opened if there is none yet in the way of another connection.
+    /// Until it is open, an idle connection of the pool takes its place.
+    fn open_or_share(self: &Rc<Self>, endpoint: &Arc<Endpoint>, request: &SmolStr, answer: &Connection) -> Rc<Witness> {
+        let mut witnesses = self.witnesses.by_endpoint.borrow_mut();
         if let Some(witness) = witnesses.get(&endpoint.hash).filter(|witness| witness.is_usable()) {
             return Rc::clone(witness);
         }
@@ -108,7 +140,7 @@
         if witness.connection.borrow().is_none() {
             witness.ended.set(Some(ending::Witness::Missing));
         }
-        let mut witnesses = self.witnesses.0.borrow_mut();
+        let mut witnesses = self.witnesses.by_endpoint.borrow_mut();
         if witnesses.get(&hash).is_some_and(|listed| Rc::ptr_eq(listed, &witness)) {
             witnesses.remove(&hash);
         }
