fix(forward): the witness of the sending counts, also if it has ended when the answer begins

Traced by the lines of the endpoint: other answers of it ended with 'witness ended' at 20.947, this one 11 ms later with 'witness open'. Cause: the answer began after the endpoint had started again; the witness of the sending had ended, so it was replaced by a new one, of the new process. Change: an answer keeps the witness of its sending.

unframed::what_a_crash_leaves_of_a_beginning_is_not_given_out_as_whole_if_the_endpoint_starts_again_at_once fails without the change of serve/ and holds with it, 3 of 3.

--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -16,6 +16,7 @@
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::send::Sent;
+use super::witness::Witness;
 use crate::choice::Choice;
 use crate::dialect::Notice;
 use crate::document::Kind;
@@ -99,6 +100,8 @@
     pub(super) connection: Connection,
     pub(super) guard: Guard,
     pub(super) estimate: Estimate,
+    /// Witness of the endpoint's process that was opened when the request was sent.
+    pub(super) witness: Option<Rc<Witness>>,
 }
 
 /// Error of an attempt without an acceptable response.
@@ -222,6 +225,7 @@
             connection,
             mut guard,
             mut unanswered,
+            witness,
             ..
         } = sent;
         let head = match received {
@@ -244,6 +248,7 @@
             connection,
             guard,
             estimate: Estimate { pace, ..estimate },
+            witness,
         };
         match self.check_response(job, exchange, notice) {
             Ok(exchange) => Outcome::Accepted(Box::new(exchange)),
--- a/bergamotshift-forward/src/serve/send.rs
+++ b/bergamotshift-forward/src/serve/send.rs
@@ -60,8 +60,8 @@
     pub(super) body: Bytes,
     /// Whether the connection was opened for it, directly.
     pub(super) is_new_path: bool,
-    /// Keeps the witness of the endpoint's process open, if the answer is expected to have no framing.
-    _witness: Option<Rc<Witness>>,
+    /// Witness of the endpoint's process, if the answer is expected to have no framing.
+    pub(super) witness: Option<Rc<Witness>>,
 }
 
 impl Forwarder {
@@ -175,7 +175,7 @@
         Sent {
             request,
             body,
-            _witness: self.early_witness(endpoint, &job.metadata.id, &connection),
+            witness: self.early_witness(endpoint, &job.metadata.id, &connection),
             is_new_path: !connection.is_tunnel() && connection.bytes_received() == 0,
             choice,
             estimate: Estimate { sent: now, ..estimate },
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -85,6 +85,7 @@
         exchange: Exchange,
         active: Active,
     ) -> Result<(Self, Option<Bytes>), Refusal> {
+        let witness = forwarder.witness_of(&job, &exchange);
         let Exchange {
             head,
             connection,
@@ -92,7 +93,6 @@
             ..
         } = exchange;
         let events = Events::after(job.metadata.last_event);
-        let witness = forwarder.witness_of(&job, guard.endpoint(), &connection, head.framing);
         let mut relay = Self {
             forwarder,
             job,
@@ -345,6 +345,7 @@
 
     /// Reads on from another endpoint.
     fn read_from(&mut self, exchange: Exchange) {
+        self.witness = self.forwarder.witness_of(&self.job, &exchange);
         let Exchange {
             head,
             connection,
@@ -352,8 +353,6 @@
             ..
         } = exchange;
         self.framing = head.framing;
-        let forwarder = &self.forwarder;
-        self.witness = forwarder.witness_of(&self.job, guard.endpoint(), &connection, head.framing);
         self.connection = Some(connection);
         self.guard = guard;
         self.begun_at = None;
--- a/bergamotshift-forward/src/serve/unframed.rs
+++ b/bergamotshift-forward/src/serve/unframed.rs
@@ -2,7 +2,6 @@
 
 use core::time::Duration;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use bergamotshift_limit::ending;
 use bergamotshift_limit::ending::Check;
@@ -12,12 +11,12 @@
 use tokio::time::timeout;
 
 use super::Forwarder;
+use super::attempt::Exchange;
 use super::job::Job;
 use super::witness::Witness;
 use crate::endpoint::Endpoint;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
-use crate::exchange::Framing;
 use crate::exchange::Liveness;
 use crate::observe::Topic;
 use crate::relay;
@@ -27,14 +26,15 @@
 
 impl Forwarder {
     /// Returns a witness of the process that sends an answer; `None` if the answer itself marks its end.
-    pub(super) fn witness_of(
-        self: &Rc<Self>,
-        job: &Job,
-        endpoint: &Arc<Endpoint>,
-        answer: &Connection,
-        framing: Framing,
-    ) -> Option<Rc<Witness>> {
-        (!framing.is_framed()).then(|| self.witness(endpoint, &job.metadata.id, answer))
+    pub(super) fn witness_of(self: &Rc<Self>, job: &Job, exchange: &Exchange) -> Option<Rc<Witness>> {
+        if exchange.head.framing.is_framed() {
+            return None;
+        }
+        let endpoint = exchange.guard.endpoint();
+        self.record_unframed(&endpoint.registration.service);
+        // A witness that has ended since the request was sent tells more than a new one.
+        let early = exchange.witness.clone();
+        Some(early.unwrap_or_else(|| self.witness(endpoint, &job.metadata.id, &exchange.connection)))
     }
 
     /// Checks that an answer without framing did not end because its endpoint did: the end of the connection looks the
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -97,6 +97,7 @@
 
     /// Reads the body of a response, and returns the connection to the pool.
     async fn read_reply(self: &Rc<Self>, job: &Job, exchange: Exchange) -> Result<Reply, Failure> {
+        let witness = self.witness_of(job, &exchange);
         let Exchange {
             head,
             mut connection,
@@ -104,7 +105,6 @@
             ..
         } = exchange;
         let mut framing = head.framing;
-        let witness = self.witness_of(job, guard.endpoint(), &connection, framing);
         let mut body = BytesMut::new();
         let time_left = job.deadline.since(self.shared.clock.now());
         let reading = async {
--- a/bergamotshift-forward/src/serve/witness.rs
+++ b/bergamotshift-forward/src/serve/witness.rs
@@ -79,25 +79,23 @@
         let last = *unframed.get(&endpoint.registration.service)?;
         drop(unframed);
         let is_recent = self.shared.clock.now().since(last) < UNFRAMED_TTL;
-        is_recent.then(|| self.open_or_share(endpoint, request, connection))
+        is_recent.then(|| self.witness(endpoint, request, connection))
     }
 
-    /// Returns a witness of the process that sends an answer without framing.
+    /// Records that an answer of a service has no framing.
+    pub(super) fn record_unframed(&self, service: &name::Service) {
+        let now = self.shared.clock.now();
+        self.witnesses.unframed.borrow_mut().insert(service.clone(), now);
+    }
+
+    /// Returns a witness of an endpoint's process, which is opened if there is none yet in the way of another connection.
+    /// Until it is open, an idle connection of the pool takes its place.
     pub(super) fn witness(
         self: &Rc<Self>,
         endpoint: &Arc<Endpoint>,
         request: &SmolStr,
         answer: &Connection,
     ) -> Rc<Witness> {
-        let service = endpoint.registration.service.clone();
-        let now = self.shared.clock.now();
-        self.witnesses.unframed.borrow_mut().insert(service, now);
-        self.open_or_share(endpoint, request, answer)
-    }
-
-    /// Returns a witness of an endpoint's process, which is opened if there is none yet in the way of another connection.
-    /// Until it is open, an idle connection of the pool takes its place.
-    fn open_or_share(self: &Rc<Self>, endpoint: &Arc<Endpoint>, request: &SmolStr, answer: &Connection) -> Rc<Witness> {
         let mut witnesses = self.witnesses.by_endpoint.borrow_mut();
         if let Some(witness) = witnesses.get(&endpoint.hash).filter(|witness| witness.is_usable()) {
             return Rc::clone(witness);
--- a/bergamotshift-forward/tests/daemon/unframed.rs
+++ b/bergamotshift-forward/tests/daemon/unframed.rs
@@ -267,3 +267,28 @@
         }
     }
 }
+
+/// Guards against part of a stream that looks complete, because its beginning was read when another process already had the
+/// address of its endpoint.
+#[test]
+fn what_a_crash_leaves_of_a_beginning_is_not_given_out_as_whole_if_the_endpoint_starts_again_at_once() {
+    let one = Endpoint::start("e1", |request, earlier, stream| {
+        let (numbers, end) = if earlier == 0 {
+            (1..=5, Connection::Close)
+        } else {
+            (1..=2, Connection::Restart)
+        };
+        thread::sleep(PACE);
+        stream.write_all(unframed(request, EVENT_STREAM, &events(numbers)).as_bytes())?;
+        Ok(end)
+    });
+    let two = sound("e2");
+    let site = Site::new(&[&one, &two]);
+    let daemon = site.start();
+    for number in 0..2 {
+        let answer = Caller::new(&daemon).ask("POST", "/draft/1", &format!("r-{number}"), "x");
+        assert!(answer.is_complete);
+        assert_eq!(answer.text(), events(1..=5), "answer {number}");
+    }
+    assert_eq!((one.count(), two.count()), (2, 1));
+}
