--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::config::KEY;
+use crate::config::request;
+use crate::config::route;
+use crate::config::tenant;
 use crate::fleet::Fleet;
-use crate::fleet::KEY;
-use crate::fleet::request;
-use crate::fleet::route;
-use crate::fleet::tenant;
 use crate::http::Answer;
 use crate::http::Channel;
 use crate::record::Record;
@@ -365,16 +365,22 @@
     Ok(Verdict::broken_if(late > MOST))
 }
 
-/// Workers crash while the links of their zone lose packets, and their answers end with their channels.
+/// Workers crash while the links of their zone lose packets, and their answers end with their channels. With the variable
+/// `TROUBLE` set to `crashes`, no packets are lost.
 pub fn lossy(fleet: &mut Fleet, has_trouble: bool) -> io::Result<Verdict> {
-    const WORKERS: usize = 8;
-    const CALLERS: usize = 24;
-    const ROUNDS: u32 = 18;
+    const WORKERS: usize = 12;
+    const CALLERS: usize = 60;
+    const ROUNDS: u32 = 28;
     /// Packets lost of a thousand.
     const LOST: u32 = 25;
-    const CALM: Duration = Duration::from_millis(1_500);
-    const SPELL: Duration = Duration::from_secs(1);
+    const CALM: Duration = Duration::from_millis(1_200);
+    const SPELL: Duration = Duration::from_millis(600);
     const BACK: Duration = Duration::from_secs(2);
+    let lost = if std::env::var("TROUBLE").is_ok_and(|trouble| trouble == "crashes") {
+        0
+    } else {
+        LOST
+    };
     fleet.has_links = true;
     add_workers(fleet, WORKERS, |number| Habit {
         is_unframed: true,
@@ -410,9 +416,9 @@
     for round in 0..ROUNDS as usize {
         thread::sleep(CALM);
         // The workers of one zone.
-        let zone = [round % ZONES.len(), round % ZONES.len() + ZONES.len()];
+        let zone: Vec<usize> = (round % ZONES.len()..WORKERS).step_by(ZONES.len()).collect();
         if has_trouble {
-            fleet.lose(&zone, LOST);
+            fleet.lose(&zone, lost);
             thread::sleep(SPELL);
             fleet.crash_workers(&zone, BACK)?;
         } else {
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -26,16 +26,12 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::config::KEY;
+use crate::config::tenant;
 use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::worker::Habit;
 
-/// Key of the tenant.
-pub const KEY: &str = "key-of-hule";
-
-/// Host of all routes.
-pub const HOST: &str = "mapa.example";
-
 /// Time after which the store drops the entry of a worker that is silent: three heartbeats.
 const LAPSE: Duration = Duration::from_millis(3_600);
 
@@ -97,35 +93,6 @@
     seed: u64,
 }
 
-/// Returns a route of the operator's config.
-pub fn route(name: &str, kind: &str, attempts: u32) -> Value {
-    json!({
-        "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 10_000,
-        "target_latency_ms": 1_200, "priority": 1, "service": "app", "max_attempts": attempts, "public": false,
-        "sticky_sessions": false, "stream_resume": false, "gap_aim_ms": 250,
-    })
-}
-
-/// Returns a tenant of the operator's config with one key.
-pub fn tenant(name: &str, key: &str) -> Value {
-    json!({
-        "name": name, "api_keys": [key], "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 0, "burst": 0,
-    })
-}
-
-/// Returns the request of a caller.
-pub fn request(method: &str, path: &str, id: &str, fields: &str) -> String {
-    let length = if method == "POST" {
-        "Content-Length: 2\r\n\r\nhi"
-    } else {
-        "\r\n"
-    };
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 9000\r\nAuthorization: Token \
-         {KEY}\r\n{fields}{length}"
-    )
-}
-
 /// Returns five free ports for the daemon of a number. They lie below those that the system gives to connections.
 fn free_ports(number: usize) -> io::Result<Vec<u16>> {
     const FIRST: usize = 12_000;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 //! the variable `TROUBLE` set to `0` it does the same without the disruption.
 
 mod cases;
+mod config;
 mod fleet;
 mod http;
 mod proxy;
