fix(forward): an endpoint's own 503 after a run is not passed on as "not run"

Cause: the status of an answer that calls for no further attempt was never compared with what is known of the sends.

Now `bergamotshift_limit::guarantee` decides by the outcome of all sends, at the one place where answers and refusals leave. The caller gets 502 without seal, body or time to return, as a failure may not bear a seal beside another status (MIXED). Callers of repeatable requests get the endpoint's status as before. The log says `status withheld`.

--- a/bergamotshift-forward/src/serve/attempt.rs
+++ b/bergamotshift-forward/src/serve/attempt.rs
@@ -3,6 +3,8 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use bergamotshift_core::outcome;
+use bergamotshift_limit::guarantee;
 use ntex::http::StatusCode;
 use ntex::http::header;
 use slog::info;
@@ -73,6 +75,16 @@
         self.sends > self.not_run
     }
 
+    /// Returns whether the caller may get a status, which may guarantee that its request has not run.
+    pub(super) fn may_state(&self, job: &Job, status: StatusCode) -> bool {
+        let outcome = if self.may_have_run() {
+            outcome::Outcome::Unknown
+        } else {
+            outcome::Outcome::NotRun
+        };
+        guarantee::may_state(status.as_u16(), outcome, job.route.is_repeatable())
+    }
+
     /// Returns whether another endpoint may be tried.
     ///
     /// A route limits the number of endpoints that may have run a request. An endpoint that proves that it did not run
--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -406,6 +406,8 @@
             Err(history.refusal_at_end())
         });
         result.unwrap_or_else(|refusal| {
+            let is_true = history.may_state(&job, refusal.reason.status());
+            let refusal = if is_true { refusal } else { Reason::Broken.into() };
             if history.may_have_run() {
                 let lasted = self.shared.clock.now().since(job.arrived);
                 self.shared.drain.record(&job.route.name, lasted);
@@ -439,6 +441,10 @@
         }
         self.record_start(job);
         let reply = self.read_with_retries(job, history, exchange).await?;
+        if !history.may_state(job, reply.status()) {
+            self.log_withheld(job, history, reply.status());
+            return Err(Reason::FailedRun.into());
+        }
         self.record_served(job, history, reply.status());
         active.measure(job);
         Ok(reply.response(&job.method, caller, active, self.shared.is_stopping()))
--- a/bergamotshift-forward/src/serve/record.rs
+++ b/bergamotshift-forward/src/serve/record.rs
@@ -58,6 +58,17 @@
         }
     }
 
+    /// Logs that a caller does not get an endpoint's status, which would guarantee that its request has not run.
+    pub(super) fn log_withheld(&self, job: &Job, history: &History, status: StatusCode) {
+        let now = self.shared.clock.now();
+        if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::Attempt) {
+            info!(logger, "status withheld"; "request" => job.metadata.id.as_str(),
+                "route" => job.route.name.as_str(), "status" => status.as_u16(), "sends" => history.sends,
+                "endpoint" => history.estimate.as_ref().map(|estimate| estimate.endpoint.as_str()),
+                "document" => self.document_version(), "left_out" => left_out);
+        }
+    }
+
     /// Records a stream that its caller does not get completely.
     pub(super) fn record_cut(&self, job: &Job, history: &History, failure: &Failure) {
         self.shared.metrics.count_request(&job.route.name, "cut");
--- a/bergamotshift-forward/src/serve/refusal.rs
+++ b/bergamotshift-forward/src/serve/refusal.rs
@@ -83,6 +83,9 @@
     /// The endpoint's response was cut off or invalid.
     #[error("the endpoint gave no whole answer")]
     Broken,
+    /// The endpoint failed a request that it may have run, with a status that would tell the caller that it did not run.
+    #[error("the endpoint failed the request, which may have run")]
+    FailedRun,
 }
 
 impl Reason {
@@ -110,6 +113,7 @@
             Self::Unsent => "unsent",
             Self::TimedOut => "timed_out",
             Self::Broken => "broken",
+            Self::FailedRun => "failed_run",
         }
     }
 
@@ -135,7 +139,7 @@
             | Self::Stopping
             | Self::Unsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Ended | Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::Broken => StatusCode::BAD_GATEWAY,
+            Self::Broken | Self::FailedRun => StatusCode::BAD_GATEWAY,
         }
     }
 }
--- a/bergamotshift-forward/tests/daemon/main.rs
+++ b/bergamotshift-forward/tests/daemon/main.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod gate;
 mod growth;
+mod guarantees;
 mod large;
 mod leaving;
 mod limits;
--- a/bergamotshift-limit/src/lib.rs
+++ b/bergamotshift-limit/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod defer;
 pub mod demand;
 pub mod ending;
+pub mod guarantee;
 pub mod hedge;
 pub mod intake;
 pub mod limiter;
