fix(forward): a document with an empty list of organisations lets no key in

Cause: an empty list of organisations counted as none, and without a list callers need no key.

`Organisations` distinguishes the two in the operators' format and in what entries tell each other.

--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -261,7 +261,7 @@
         }
         info!(shared.log.always(), "document in force"; "version" => document.version,
             "before" => self.document.version, "from" => from, "routes" => document.routes.len(),
-            "organisations" => document.organisations.len());
+            "organisations" => document.organisations.len(), "keys_required" => document.organisations.require_keys());
         let version = i64::try_from(document.version).unwrap_or(i64::MAX);
         shared.metrics.document_version.set(version);
         let steps = steps.unwrap_or_else(|| vec![Difference::between(&self.document, &document)]);
--- a/bergamotshift-forward/src/control/organisation.rs
+++ b/bergamotshift-forward/src/control/organisation.rs
@@ -164,7 +164,7 @@
         };
         info!(shared.log.always(), "limits remembered"; "busy" => busy.len(),
             "organisations" => self.organisations.len(), "document" => self.document.version);
-        for declared in &Arc::clone(&self.document).organisations {
+        for declared in Arc::clone(&self.document).organisations.iter() {
             let organisation = self.organisations.entry(declared.name.clone()).or_default();
             if busy.contains(&declared.name) {
                 organisation.last_busy = Some(now);
@@ -216,7 +216,7 @@
         let zones = self.members.zones().len();
         let is_large = self.members.is_large();
         let is_lost = self.is_lost(now);
-        for declared in &document.organisations {
+        for declared in document.organisations.iter() {
             let organisation = self.organisations.entry(declared.name.clone()).or_default();
             let limit = declared.limit.filter(|limit| limit.rate > 0.0);
             if is_lost {
--- a/bergamotshift-forward/src/document/difference.rs
+++ b/bergamotshift-forward/src/document/difference.rs
@@ -19,7 +19,7 @@
 
 use super::Bounds;
 use super::Document;
-use super::Organisation;
+use super::Organisations;
 use super::Route;
 use super::Service;
 
@@ -62,7 +62,7 @@
     pub version: u64,
     routes: Vec<Run>,
     services: Vec<Service>,
-    organisations: Vec<Organisation>,
+    organisations: Organisations,
     bounds: Bounds,
 }
 
--- a/bergamotshift-forward/src/document/mod.rs
+++ b/bergamotshift-forward/src/document/mod.rs
@@ -2,6 +2,7 @@
 
 mod difference;
 mod organisation;
+mod organisations;
 mod route;
 mod service;
 
@@ -16,6 +17,7 @@
 pub use self::organisation::Limit;
 pub use self::organisation::Organisation;
 pub use self::organisation::Unit;
+pub use self::organisations::Organisations;
 pub use self::route::Kind;
 pub use self::route::Objective;
 pub use self::route::Route;
@@ -34,8 +36,8 @@
     pub routes: Vec<Route>,
     /// The services.
     pub services: Vec<Service>,
-    /// The organisations. Without any, callers need no key.
-    pub organisations: Vec<Organisation>,
+    /// The organisations.
+    pub organisations: Organisations,
     /// Limits on the size of requests.
     pub bounds: Bounds,
 }
--- a/bergamotshift-forward/src/routes/mod.rs
+++ b/bergamotshift-forward/src/routes/mod.rs
@@ -100,8 +100,8 @@
         Some(&self.document.organisations[*index])
     }
 
-    /// Returns whether callers need a key, which is so when there are organisations.
+    /// Returns whether callers need a key, which is so when the document lists organisations, be it none.
     pub fn requires_keys(&self) -> bool {
-        !self.document.organisations.is_empty()
+        self.document.organisations.require_keys()
     }
 }
--- a/bergamotshift-forward/tests/daemon/callers.rs
+++ b/bergamotshift-forward/tests/daemon/callers.rs
@@ -2,6 +2,8 @@
 
 use std::io::Write;
 
+use bergamotshift_forward::document::Organisations;
+
 use crate::endpoint::Endpoint;
 use crate::outside::lock;
 use crate::site::Caller;
@@ -112,3 +114,45 @@
         "{text}"
     );
 }
+
+/// Guards against requests that run without a valid key, as the last organisation left the document.
+#[test]
+fn a_document_with_an_empty_list_of_organisations_lets_no_key_in() {
+    let endpoint = Endpoint::plain("e1", "done");
+    let site = Site::new(&[&endpoint]);
+    lock(&site.backend).disconnected.push("entry-2".into());
+    let running = site.start();
+    let told = site.launch("entry-2", &[running.listen.peers]);
+    wait_until("the second one is ready", || told.is_ready());
+    assert_eq!(Caller::new(&told).ask("GET", "/checkin/1", "r-1", "").status, 200);
+    let mut next = crate::site::document(2);
+    next.organisations = Vec::new().into();
+    lock(&site.backend).put_document(next);
+    for daemon in [&running, &told] {
+        wait_until("the key is taken away", || {
+            Caller::new(daemon).ask("GET", "/checkin/1", "r-2", "").status == 401
+        });
+    }
+    let started = site.launch("entry-3", &[]);
+    wait_until("the third one is ready", || started.is_ready());
+    let before = endpoint.count();
+    for daemon in [&running, &told, &started] {
+        let mut caller = Caller::new(daemon);
+        assert_eq!(caller.ask("GET", "/checkin/1", "r-3", "").status, 401);
+        assert_eq!(caller.ask("POST", "/confirm/1", "r-4", "x").status, 401);
+    }
+    assert_eq!(endpoint.count(), before);
+    assert_eq!(Caller::new(&running).ask("GET", "/open/1", "r-5", "").status, 200);
+}
+
+/// Guards against callers that are turned away by a document that lists no organisations at all.
+#[test]
+fn a_document_without_a_list_of_organisations_needs_no_keys() {
+    let endpoint = Endpoint::plain("e1", "done");
+    let site = Site::new(&[&endpoint]);
+    let mut open = crate::site::document(2);
+    open.organisations = Organisations::default();
+    lock(&site.backend).put_document(open);
+    let daemon = site.start();
+    assert_eq!(Caller::new(&daemon).ask("GET", "/checkin/1", "r-1", "").status, 200);
+}
--- a/bergamotshift-forward/tests/daemon/site.rs
+++ b/bergamotshift-forward/tests/daemon/site.rs
@@ -312,7 +312,8 @@
             keys: vec![KEY.into()],
             urgency: None,
             limit: None,
-        }],
+        }]
+        .into(),
         ..Document::default()
     }
 }
--- a/bergamotshift-forward/tests/kernel/routes.rs
+++ b/bergamotshift-forward/tests/kernel/routes.rs
@@ -57,7 +57,8 @@
             keys: vec!["secret".into()],
             urgency: None,
             limit: None,
-        }],
+        }]
+        .into(),
         ..Document::default()
     };
     Table::new(Arc::new(document))
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -212,14 +212,17 @@
 /// Returns the operators' document under a version, in which the moving route goes to `service` and that of schedules has
 /// these limits; without limits it has no such route.
 pub fn document(version: u64, service: &str, has_engines: bool, limits: Option<Limits>) -> Document {
+    let teams = if has_engines { TEAMS.len() } else { 0 };
+    let teams = (0..teams).map(|number| organisation(Tenant::Team(number), None));
+    let tenants = [
+        organisation(Tenant::Free, None),
+        organisation(Tenant::Limited, Some(LIMIT)),
+    ];
     let mut document = Document {
         version,
         routes: Kind::ALL.map(|kind| route(kind, service)).to_vec(),
         services: SERVICES.map(self::service).to_vec(),
-        organisations: vec![
-            organisation(Tenant::Free, None),
-            organisation(Tenant::Limited, Some(LIMIT)),
-        ],
+        organisations: tenants.into_iter().chain(teams).collect(),
         ..Document::default()
     };
     if let Some(Limits { timeout, pause }) = limits {
@@ -240,8 +243,6 @@
             engine: Some(ENGINE),
             ..self::service(ENGINES)
         });
-        let teams = (0..TEAMS.len()).map(|number| organisation(Tenant::Team(number), None));
-        document.organisations.extend(teams);
     }
     document
 }
