fix(limit): a request that endpoints answer whole is not accused for long by deaths of another cause

Cause: the quarantine kept the deaths with which a request was involved, and nothing that speaks for it.

A whole answer excuses the deaths before it, of endpoints of the same version: a request that crashes one version stays refused although another one answers it (a test). A request that was answered whole before and is accused again is refused for 2 s, and twice as long with each further death; one that never was, for ten minutes as before.

Between entries "excused" takes the place of "announced" with the same encoding and meaning, that a death does not count, so entries of earlier versions understand it. Times of whole answers are kept to 8 ms in place of 64, as deaths may follow answers closely. The log says `excused` where it said `announced`.

--- a/bergamotshift-core/src/fingerprint.rs
+++ b/bergamotshift-core/src/fingerprint.rs
@@ -33,6 +33,15 @@
         Self(hasher.digest128())
     }
 
+    /// Returns the fingerprint of the same request at endpoints of one version, which is given as a digest.
+    #[must_use]
+    pub fn at_version(self, version: u64) -> Self {
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.0.to_le_bytes());
+        hasher.update(&version.to_le_bytes());
+        Self(hasher.digest128())
+    }
+
     /// Computes the fingerprint of a part of prompts at a service, by the identifier of its content.
     pub fn of_part(service: &str, id: u64) -> Self {
         let mut hasher = Xxh3::new();
--- a/bergamotshift-entry/src/control/death.rs
+++ b/bergamotshift-entry/src/control/death.rs
@@ -146,7 +146,11 @@
         if !is_new && death.running.is_empty() {
             return;
         }
-        self.quarantine.record_death(self.shared.now(), death);
+        let now = self.shared.now();
+        self.quarantine
+            .record_version(now, death.instance.clone(), endpoint.statement.digest(now));
+        self.quarantine.record_death(now, death);
+        self.quarantine.apply_answers(&self.shared.completed);
         self.log_verdict(endpoint, fingerprint);
         self.share_suspicions();
         self.schedule(Due::Now);
@@ -170,7 +174,10 @@
             return;
         };
         let now = self.shared.now();
+        self.quarantine
+            .record_version(now, instance.clone(), endpoint.statement.digest(now));
         self.quarantine.record_unconfirmed(now, &instance, &[fingerprint]);
+        self.quarantine.apply_answers(&self.shared.completed);
         self.log_verdict(endpoint, Some(fingerprint));
         self.share_suspicions();
         self.schedule(Due::Now);
--- a/bergamotshift-entry/src/control/parts.rs
+++ b/bergamotshift-entry/src/control/parts.rs
@@ -75,6 +75,10 @@
     /// before.
     pub(super) fn update_parts(&mut self) {
         let now = self.shared.now();
+        if self.quarantine.apply_answers(&self.shared.completed) {
+            self.share_suspicions();
+            self.schedule(Due::Now);
+        }
         if self.quarantine.part_count() == 0 && self.announcer.refused.is_empty() {
             return;
         }
@@ -122,7 +126,7 @@
                 let version = match attribution {
                     Attribution::Unconfirmed => 1,
                     Attribution::Counted | Attribution::Forgiven => 2,
-                    Attribution::Announced => 3,
+                    Attribution::Excused => 3,
                 };
                 let single = part::Suspicion {
                     answered: None,
--- a/bergamotshift-entry/src/control/peers.rs
+++ b/bergamotshift-entry/src/control/peers.rs
@@ -107,7 +107,7 @@
                     Attribution::Unconfirmed => 1,
                     Attribution::Counted => 2,
                     Attribution::Forgiven => 3,
-                    Attribution::Announced => 4,
+                    Attribution::Excused => 4,
                 };
                 let key = suspicion.fingerprint.get() ^ u128::from(hash);
                 let single = Suspicion {
--- a/bergamotshift-entry/src/daemon/mod.rs
+++ b/bergamotshift-entry/src/daemon/mod.rs
@@ -133,6 +133,7 @@
             publisher: Publisher::new(Snapshot::empty(&config)),
             control: sender,
             answered: bergamotshift_limit::quarantine::Completed::default(),
+            completed: bergamotshift_limit::quarantine::Completed::default(),
             metrics: Metrics::new(),
             reports: Reports::default(),
             peers: OnceLock::new(),
--- a/bergamotshift-entry/src/exchange/events.rs
+++ b/bergamotshift-entry/src/exchange/events.rs
@@ -224,6 +224,11 @@
     fn finish(&mut self) {
         self.done = true;
         self.attempts.record_answered();
+        if self.attempts.started() == 1
+            && let Some(source) = &self.source
+        {
+            self.attempts.record_whole(source.running());
+        }
         self.attempts.mark_ran();
         self.attempts.record().answered();
         self.source = None;
--- a/bergamotshift-entry/src/exchange/part.rs
+++ b/bergamotshift-entry/src/exchange/part.rs
@@ -6,6 +6,7 @@
 use super::Attempts;
 use super::Call;
 use super::Error;
+use super::attempts::Running;
 use crate::snapshot::Snapshot;
 
 impl Call {
@@ -56,6 +57,17 @@
         }
     }
 
+    /// Records that an endpoint answered the request whole, so that the request does not crash endpoints of that version.
+    pub(super) fn record_whole(&self, running: &Running) {
+        let shared = &self.worker.shared;
+        let now = shared.now();
+        let fingerprint = self.call.fingerprint;
+        shared.completed.record(now, fingerprint);
+        if let Some(version) = running.endpoint.statement.digest(now) {
+            shared.completed.record(now, fingerprint.at_version(version));
+        }
+    }
+
     /// Returns the parts that a failed attempt accuses.
     pub(super) fn suspects(&self) -> Vec<part::Part> {
         if self.is_settled { Vec::new() } else { self.call.parts() }
--- a/bergamotshift-entry/src/exchange/whole.rs
+++ b/bergamotshift-entry/src/exchange/whole.rs
@@ -14,6 +14,7 @@
 use super::Error;
 use super::Open;
 use super::Outgoing;
+use super::attempts::Running;
 use super::source::Part;
 use super::source::Replacement;
 use super::source::Source;
@@ -68,7 +69,7 @@
             part => part,
         };
         let failure = match part {
-            Part::Chunk(None) => return Ok(Some(partial.complete(attempts))),
+            Part::Chunk(None) => return Ok(Some(partial.complete(attempts, source.running()))),
             Part::Chunk(Some(chunk)) if partial.len() + chunk.len() > MAX_BODY => {
                 attempts.mark_ran();
                 return Err(Error::TooLarge);
@@ -155,10 +156,11 @@
     }
 
     /// Records a complete answer and returns it. A successful one shows that the prompt crashes no endpoint.
-    fn complete(self, attempts: &mut Attempts) -> Whole {
+    fn complete(self, attempts: &mut Attempts, running: &Running) -> Whole {
         attempts.record().answered();
         if self.status.is_success() {
             attempts.record_answered();
+            attempts.record_whole(running);
         }
         let body = if self.joined.is_empty() {
             self.single
--- a/bergamotshift-entry/src/snapshot/statement.rs
+++ b/bergamotshift-entry/src/snapshot/statement.rs
@@ -6,6 +6,8 @@
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_endpoint::engine::version::Version;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time after which a statement no longer counts, as the endpoint may have been replaced on its address.
 const TTL: Duration = Duration::from_secs(10);
@@ -23,6 +25,15 @@
         *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some((version, now));
     }
 
+    /// Returns a digest of the version that the endpoint states; `None` if it stated none lately.
+    pub fn digest(&self, now: Instant) -> Option<u64> {
+        let stated = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let (version, _) = stated.as_ref().filter(|(_, at)| now.since(*at) < TTL)?;
+        let [model, fingerprint] =
+            [&version.model, &version.fingerprint].map(|text| text.as_deref().unwrap_or_default());
+        Some(xxh3_64_with_seed(fingerprint.as_bytes(), xxh3_64(model.as_bytes())))
+    }
+
     /// Returns whether the endpoint states a version that is `wanted`; `None` if it stated none lately.
     pub fn is_wanted(&self, now: Instant, wanted: impl FnOnce(&Version) -> bool) -> Option<bool> {
         let stated = self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/bergamotshift-entry/src/worker/mod.rs
+++ b/bergamotshift-entry/src/worker/mod.rs
@@ -58,6 +58,8 @@
     pub recordings: AtomicU64,
     /// Parts of prompts whose requests endpoints began to answer.
     pub answered: quarantine::Completed,
+    /// Requests that endpoints answered whole, by themselves and at the versions that the endpoints stated.
+    pub completed: quarantine::Completed,
     /// Metrics of the entry.
     pub metrics: Metrics,
     /// Reports of the entry's parts for its status page.
--- a/bergamotshift-entry/tests/entry/poison.rs
+++ b/bergamotshift-entry/tests/entry/poison.rs
@@ -97,6 +97,34 @@
     }
 }
 
+/// Guards against a request of many callers that all are refused, as endpoints died of another cause while they ran it.
+#[ntex::test]
+async fn a_popular_request_is_served_although_endpoints_died_with_it() {
+    let site = Site::start(Layout {
+        engines: 8,
+        plains: 0,
+        engine: engine::Settings {
+            token_interval: Duration::from_millis(4),
+            ..engine::Settings::default()
+        },
+        ..Layout::default()
+    })
+    .await;
+    let messages = json!([{"role": "user", "content": "menu"}]);
+    let body = json!({"model": "tiny", "messages": messages, "max_tokens": 40, "stream": true});
+    for engine in &site.engines[..4] {
+        let mut streams = join_all((0..8).map(|_| site.open_chat(&body))).await;
+        for stream in &mut streams {
+            stream.events(5).await;
+        }
+        engine.kill();
+        let replies = join_all(streams.into_iter().map(Incoming::rest)).await;
+        for reply in replies {
+            assert_eq!(reply.streamed(), (text::expected(&body, 40).unwrap(), true));
+        }
+    }
+}
+
 #[ntex::test]
 async fn uploads_that_stream_through_are_not_taken_for_one_another() {
     // Two uploads too large to be held kill an endpoint each. A third, to the same path and with another body, is
--- a/bergamotshift-forward/src/control/inner.rs
+++ b/bergamotshift-forward/src/control/inner.rs
@@ -392,6 +392,7 @@
             .set(self.members.recent_states(now, STATE_TTL).count() as i64);
         self.quarantine.expire(now);
         self.log_quarantined(now, shared, "time");
+        self.apply_answers(now, shared);
         self.update_parts(now, shared, "time");
     }
 
--- a/bergamotshift-forward/src/control/mod.rs
+++ b/bergamotshift-forward/src/control/mod.rs
@@ -281,12 +281,11 @@
         }
     }
 
-    /// Records that an endpoint died while it was running a request; `is_confirmed` is whether that cannot be a cut.
-    pub fn endpoint_died(&self, endpoint: u64, fingerprint: Fingerprint, is_confirmed: bool) {
-        let now = self.now();
+    /// Records that an endpoint died at `at` while it was running a request; `is_confirmed` is whether that cannot be a cut.
+    pub fn endpoint_died(&self, endpoint: u64, at: Instant, fingerprint: Fingerprint, is_confirmed: bool) {
         let mut inner = self.inner.borrow_mut();
         if let Some(endpoint) = inner.directory.by_hash(endpoint).cloned() {
-            inner.record_death(now, &self.shared, &endpoint, fingerprint, is_confirmed);
+            inner.record_death(at, &self.shared, &endpoint, fingerprint, is_confirmed);
         }
     }
 
--- a/bergamotshift-forward/src/control/suspects.rs
+++ b/bergamotshift-forward/src/control/suspects.rs
@@ -30,6 +30,8 @@
     ) {
         let instance = instance(endpoint);
         let vm = instance.vm.clone();
+        self.quarantine
+            .record_version(now, instance.clone(), Some(endpoint.version_digest()));
         let running = vec![fingerprint];
         if is_confirmed {
             let death = Death {
@@ -41,11 +43,12 @@
         } else {
             self.quarantine.record_unconfirmed(now, &instance, &running);
         }
+        self.quarantine.apply_answers(&shared.completed);
         shared.metrics.endpoint_deaths.inc();
         let tally = self.quarantine.tally(fingerprint);
         info!(shared.log.always(), "endpoint ended with a request"; "endpoint" => vm.as_str(),
             "fingerprint" => digits(fingerprint), "confirmed" => is_confirmed, "counted" => tally.counted, "correlated" => tally.correlated,
-            "forgiven" => tally.forgiven, "announced" => tally.announced,
+            "forgiven" => tally.forgiven, "excused" => tally.excused,
             "unconfirmed" => tally.unconfirmed, "removed" => tally.removed);
         self.publish_suspects(now, shared, "death");
     }
@@ -56,9 +59,26 @@
             return;
         }
         self.quarantine.merge(now, suspicions);
+        for (died, ..) in suspicions.iter().flat_map(|suspicion| &suspicion.deaths) {
+            if self.quarantine.knows_version(died) {
+                continue;
+            }
+            if let Some(endpoint) = self.directory.endpoints().find(|endpoint| instance(endpoint) == *died) {
+                let version = Some(endpoint.version_digest());
+                self.quarantine.record_version(now, died.clone(), version);
+            }
+        }
+        self.quarantine.apply_answers(&shared.completed);
         self.publish_suspects(now, shared, from);
     }
 
+    /// Excuses deaths after which the same requests were answered whole, and publishes what follows.
+    pub(super) fn apply_answers(&mut self, now: Instant, shared: &Shared) {
+        if self.quarantine.apply_answers(&shared.completed) {
+            self.publish_suspects(now, shared, "answer");
+        }
+    }
+
     /// Records that an endpoint stopped accepting requests, by an announcement or because its registration was removed.
     pub(super) fn record_departure(&mut self, now: Instant, shared: &Shared, endpoint: &Endpoint) {
         let instance = instance(endpoint);
@@ -105,7 +125,7 @@
             };
             info!(logger, "suspicion changed"; "fingerprint" => digits(*fingerprint), "verdict" => verdict,
                 "from" => from, "counted" => tally.counted, "correlated" => tally.correlated,
-                "forgiven" => tally.forgiven, "announced" => tally.announced, "unconfirmed" => tally.unconfirmed,
+                "forgiven" => tally.forgiven, "excused" => tally.excused, "unconfirmed" => tally.unconfirmed,
                 "removed" => tally.removed, "left_out" => left_out);
         }
         self.quarantined = refused;
--- a/bergamotshift-forward/src/endpoint/mod.rs
+++ b/bergamotshift-forward/src/endpoint/mod.rs
@@ -22,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 pub use self::directory::Change;
@@ -143,6 +144,12 @@
         }
     }
 
+    /// Returns a digest of its service and the version of its software, the same on every entry.
+    pub fn version_digest(&self) -> u64 {
+        let Registration { service, version, .. } = &self.registration;
+        xxh3_64_with_seed(version.as_bytes(), xxh3_64(service.as_str().as_bytes()))
+    }
+
     /// Returns whether a request may go to its version.
     pub fn is_wanted(&self, wanted: Wanted<&str>) -> bool {
         wanted.admits(&self.registration.version, self.declared.load(Relaxed))
--- a/bergamotshift-forward/src/follow/notes.rs
+++ b/bergamotshift-forward/src/follow/notes.rs
@@ -79,9 +79,8 @@
     let is_confirmed = fate == Fate::Died;
     // What completed before crashes no endpoints.
     let is_suspect = |fingerprint: &Fingerprint| is_confirmed || !shared.completed.contains(*fingerprint);
-    let running = losses.iter().map(|loss| loss.fingerprint);
-    for fingerprint in running.filter(is_suspect) {
-        control.endpoint_died(hash, fingerprint, is_confirmed);
+    for loss in losses.iter().filter(|loss| is_suspect(&loss.fingerprint)) {
+        control.endpoint_died(hash, loss.at, loss.fingerprint, is_confirmed);
     }
     let waiting = losses.iter().filter(|loss| !loss.has_begun);
     let parts: Vec<_> = waiting.clone().flat_map(|loss| loss.suspects.iter().copied()).collect();
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -366,6 +366,9 @@
     /// Records a complete stream and returns the connection to the pool.
     fn finish(&mut self) {
         self.guard.record_success();
+        if self.history.sends == 1 && !self.job.is_resumed() {
+            self.forwarder.record_whole(&self.job, self.guard.endpoint());
+        }
         if let Some(connection) = self.connection.take() {
             let endpoint = self.guard.endpoint();
             self.forwarder.keep_connection(endpoint, connection, &self.headers);
--- a/bergamotshift-forward/src/serve/suspect.rs
+++ b/bergamotshift-forward/src/serve/suspect.rs
@@ -11,6 +11,7 @@
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use crate::dialect::Metadata;
+use crate::endpoint::Endpoint;
 use crate::observe::Topic;
 use crate::view::View;
 
@@ -117,6 +118,13 @@
         Some(refusal(retry_after))
     }
 
+    /// Records that an endpoint answered a request whole, so that the request does not crash endpoints of that version.
+    pub(super) fn record_whole(&self, job: &Job, endpoint: &Endpoint) {
+        let now = self.shared.clock.now();
+        let fingerprint = job.content.fingerprint.at_version(endpoint.version_digest());
+        self.shared.completed.record(now, fingerprint);
+    }
+
     /// Records that an endpoint's answer to a request went on long enough to show that its parts crash no endpoint.
     pub(super) fn record_answered(&self, job: &Job) {
         let now = self.shared.clock.now();
--- a/bergamotshift-forward/src/serve/whole.rs
+++ b/bergamotshift-forward/src/serve/whole.rs
@@ -130,6 +130,7 @@
             Ok(()) => {
                 guard.record_start();
                 if !head.status.is_server_error() {
+                    self.record_whole(job, guard.endpoint());
                     guard.record_success();
                 }
                 self.keep_connection(guard.endpoint(), connection, &head.headers);
--- a/bergamotshift-forward/tests/daemon/crashing.rs
+++ b/bergamotshift-forward/tests/daemon/crashing.rs
@@ -1,6 +1,11 @@
 //! Requests that crash each endpoint that runs them.
 
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::Relaxed;
+use std::thread;
 
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
@@ -132,3 +137,88 @@
     }
     assert_eq!(daemon.death_count(), Some(0));
 }
+
+/// Guards against a request of many callers that all are refused, as endpoints died of another cause while they ran it.
+#[test]
+fn a_popular_request_is_served_although_endpoints_died_with_it() {
+    const CALLERS: usize = 6;
+    const DEATHS: usize = 4;
+    const SERVED: usize = 30;
+    let doomed = Arc::new(AtomicUsize::new(usize::MAX));
+    let start = |number| {
+        let doomed = Arc::clone(&doomed);
+        Endpoint::start(&format!("e{number}"), move |request, _, stream| {
+            let is_doomed = doomed.compare_exchange(number, usize::MAX, Relaxed, Relaxed).is_ok();
+            if is_doomed {
+                return Ok(Connection::Crash);
+            }
+            stream.write_all(request.answer("200 OK", "", "done").as_bytes())?;
+            Ok(Connection::Keep)
+        })
+    };
+    let endpoints: Vec<_> = (0..ENDPOINTS).map(start).collect();
+    let all: Vec<_> = endpoints.iter().collect();
+    let site = Site::new(&all);
+    let daemon = site.start();
+    let (served, is_over) = (AtomicUsize::new(0), AtomicBool::new(false));
+    thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let (daemon, served, is_over) = (&daemon, &served, &is_over);
+            scope.spawn(move || {
+                for number in (0..).take_while(|_| !is_over.load(Relaxed)) {
+                    let id = format!("r-{caller}-{number}");
+                    if Caller::new(daemon).ask("GET", "/checkin/home", &id, "").status == 200 {
+                        served.fetch_add(1, Relaxed);
+                    }
+                }
+            });
+        }
+        let _over = Over(&is_over);
+        for number in 0..DEATHS {
+            doomed.store(number, Relaxed);
+            wait_until("an endpoint died with it", || {
+                daemon.death_count().is_some_and(|count| count > number)
+            });
+            let before = served.load(Relaxed);
+            wait_until("it is served again", || served.load(Relaxed) > before + SERVED);
+        }
+    });
+}
+
+/// Ends the callers of a test, also if it fails.
+struct Over<'a>(&'a AtomicBool);
+
+impl Drop for Over<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Relaxed);
+    }
+}
+
+/// Guards against a request that crashes each endpoint of one version, and is excused by whole answers of another version.
+#[test]
+fn a_request_that_crashes_one_version_is_refused_although_another_one_answers_it() {
+    let crashing: Vec<_> = endpoints(None).into_iter().map(|one| one.with_version("v2")).collect();
+    let sound = Endpoint::plain("sound", "done");
+    let site = Site::new(&[&sound]);
+    let daemon = site.start();
+    let reached = || crashing.iter().map(Endpoint::count).sum::<usize>();
+    assert_eq!(Caller::new(&daemon).ask("POST", "/checkin/1", "r", "crash").status, 200);
+    for endpoint in &crashing {
+        lock(&site.backend).register(endpoint.registration("staff"));
+    }
+    let mut attempt = 0;
+    wait_until("it reaches the other version", || {
+        let mut caller = Caller::new(&daemon);
+        caller.send("POST", "/checkin/1", &format!("r-{attempt}"), "", "crash");
+        attempt += 1;
+        let _ = caller.read_answer();
+        reached() > 0
+    });
+    for repeat in 0..REPEATS {
+        let mut caller = Caller::new(&daemon);
+        caller.send("POST", "/checkin/1", &format!("s-{repeat}"), "", "crash");
+        let _ = caller.read_answer();
+        wait_until("the deaths are recorded", || daemon.death_count() == Some(reached()));
+    }
+    assert!((1..=3).contains(&reached()), "it reached {} endpoints", reached());
+}
--- a/bergamotshift-forward/tests/fleet/quarantine.rs
+++ b/bergamotshift-forward/tests/fleet/quarantine.rs
@@ -37,7 +37,7 @@
 fn crash(fleet: &Fleet, entry: usize, endpoint: usize) {
     let hash = Endpoint::new(registration(endpoint)).hash;
     let control = fleet.nodes[entry].control().expect("the entry runs");
-    control.endpoint_died(hash, CRASHING, true);
+    control.endpoint_died(hash, control.shared().clock.now(), CRASHING, true);
 }
 
 /// Guards against a crashing request that is admitted again as soon as the registrations of the endpoints that it crashed
--- a/bergamotshift-limit/src/quarantine/completed.rs
+++ b/bergamotshift-limit/src/quarantine/completed.rs
@@ -9,7 +9,7 @@
 const CAPACITY: usize = 4_096;
 
 /// Resolution of the times, in milliseconds.
-const TICK_MS: u64 = 64;
+const TICK_MS: u64 = 8;
 
 /// Number of bits of a slot that hold the time; the others hold digits of the fingerprint.
 const TIME_BITS: u32 = 32;
@@ -54,7 +54,7 @@
         self.latest(fingerprint).is_some()
     }
 
-    /// Returns the time at which a request with this fingerprint last completed, rounded down to 64 ms.
+    /// Returns the time at which a request with this fingerprint last completed, rounded down to 8 ms.
     pub fn latest(&self, fingerprint: Fingerprint) -> Option<Instant> {
         let (slot, tag) = self.locate(fingerprint);
         let value = slot.load(Ordering::Relaxed);
--- a/bergamotshift-limit/src/quarantine/mod.rs
+++ b/bergamotshift-limit/src/quarantine/mod.rs
@@ -5,6 +5,10 @@
 //! distinct deaths they are refused for some time. Deaths with another explanation do not count: announced deaths, and
 //! correlated ones ([`Settings::correlated_deaths`]) up to a limit ([`Settings::max_deaths`]).
 //!
+//! A request that crashes endpoints is never answered whole, while one that many callers send is running wherever an endpoint
+//! dies of another cause. So a whole answer excuses the deaths before it ([`Quarantine::apply_answers`]), of endpoints of the
+//! same version: a request may crash one version and no other.
+//!
 //! Parts that several prompts share are judged by themselves ([`part`]).
 //!
 //! The control thread records deaths in a [`Quarantine`] and publishes a [`Table`] for the workers. Entries exchange
@@ -25,6 +29,7 @@
 //! assert!(matches!(verdict, Verdict::Refused { .. }));
 //! ```
 
+mod answers;
 mod completed;
 pub mod part;
 mod record;
@@ -86,6 +91,12 @@
     pub max_deaths: usize,
     /// Time for which a request is refused after its last death.
     pub hold: Duration,
+    /// Time for which a request is refused after its second death if endpoints of that version answered it whole before; it
+    /// doubles with each further death, up to `hold`.
+    ///
+    /// Such a request is probably sound, and nothing can answer it while it is refused. But what it makes endpoints do may have
+    /// changed since.
+    pub answered_hold: Duration,
     /// Time for which a request is refused after its last death if the refusal rests on deaths that nobody confirmed.
     ///
     /// A cut from all endpoints breaks connections like deaths do, so harmless requests may be among them. They have to be
@@ -111,6 +122,7 @@
             deaths: 2,
             max_deaths: 3,
             hold: Duration::from_mins(10),
+            answered_hold: Duration::from_secs(2),
             unconfirmed_hold: Duration::from_mins(1),
             memory: Duration::from_mins(20),
             window: Duration::from_secs(3),
@@ -122,6 +134,14 @@
 }
 
 impl Settings {
+    /// Returns the time for which a request is refused after a number of deaths that count, the last one included, if it was
+    /// answered whole before.
+    fn answered_hold(&self, deaths: usize) -> Duration {
+        let further = u32::try_from(deaths.saturating_sub(self.deaths)).unwrap_or(u32::MAX);
+        let factor = 2_u32.checked_pow(further).unwrap_or(u32::MAX);
+        self.answered_hold.saturating_mul(factor).min(self.hold)
+    }
+
     /// Returns the time for which a death is stored.
     ///
     /// A death counts for `memory` and may then still be the first one of a refusal that lasts `hold`.
@@ -149,6 +169,9 @@
     announcements: BTreeMap<Instance, Instant>,
     /// Times at which registrations were removed without an announcement; later deaths do not count.
     removals: BTreeMap<Instance, Instant>,
+    /// Versions of instances that died, as [`Fingerprint::at_version`] takes them, with the times at which they were recorded;
+    /// `None` for one that does not state its version.
+    versions: BTreeMap<Instance, (Instant, Option<u64>)>,
     /// Evidence on parts of prompts.
     parts: Parts,
 }
@@ -162,6 +185,7 @@
             recent: Vec::new(),
             announcements: BTreeMap::new(),
             removals: BTreeMap::new(),
+            versions: BTreeMap::new(),
             parts: Parts::default(),
         }
     }
@@ -315,6 +339,7 @@
         self.forgive_settled(now);
         self.announcements.retain(|_, at| now.since(*at) <= lifetime);
         self.removals.retain(|_, at| now.since(*at) <= lifetime);
+        self.versions.retain(|_, (at, _)| now.since(*at) <= lifetime);
         self.parts.expire(now, &self.removals);
     }
 
--- a/bergamotshift-limit/src/quarantine/part/evidence.rs
+++ b/bergamotshift-limit/src/quarantine/part/evidence.rs
@@ -103,7 +103,7 @@
     pub(super) fn unannounced(&self) -> impl Iterator<Item = &Instance> {
         let none = const { &Removals::new() };
         let present = self.deaths.present(none);
-        let unannounced = present.filter(|(_, _, attribution)| *attribution != Attribution::Announced);
+        let unannounced = present.filter(|(_, _, attribution)| *attribution != Attribution::Excused);
         unannounced.map(|(instance, ..)| instance)
     }
 
@@ -117,7 +117,7 @@
                 && match attribution {
                     Attribution::Unconfirmed => self.answered.is_none(),
                     Attribution::Counted | Attribution::Forgiven => true,
-                    Attribution::Announced => false,
+                    Attribution::Excused => false,
                 }
         });
         accusing.map(|(instance, at, _)| (at, instance))
--- a/bergamotshift-limit/src/quarantine/record.rs
+++ b/bergamotshift-limit/src/quarantine/record.rs
@@ -24,8 +24,18 @@
     Counted,
     /// The death was correlated with others and does not count.
     Forgiven,
-    /// The death was announced and does not count.
-    Announced,
+    /// The death was announced, or an endpoint of the same version answered the same request whole after it. It does not
+    /// count.
+    Excused,
+}
+
+/// Last whole answer to a request, beside the death of an instance that was running it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Answer {
+    /// An endpoint of the same version answered at this time.
+    SameVersion(Instant),
+    /// Some endpoint answered, and the version of the instance is not known.
+    AnyVersion,
 }
 
 /// Suspicion of one request, as entries exchange it.
@@ -49,8 +59,8 @@
     pub correlated: usize,
     /// Number of deaths that were forgiven, as they were correlated.
     pub forgiven: usize,
-    /// Number of deaths that were announced.
-    pub announced: usize,
+    /// Number of deaths that were announced, or after which the request was answered whole.
+    pub excused: usize,
     /// Number of deaths that nobody could confirm.
     pub unconfirmed: usize,
     /// Number of deaths of instances whose registrations had been removed before, as far as this entry knows.
@@ -79,6 +89,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Record {
     deaths: BTreeMap<Instance, (Instant, Attribution)>,
+    /// Whether an endpoint that may have the version of one that died is known to have answered the request whole.
+    is_answered: bool,
 }
 
 impl Record {
@@ -101,17 +113,14 @@
         let all_counted = present.filter(|(_, _, attribution)| *attribution == Attribution::Counted);
         let all_counted = all_counted.count();
         let counted = self.counted(excuses).count();
-        let unannounced = self.deaths.len() - self.times(Attribution::Announced).count();
+        let unexcused = self.deaths.len() - self.times(Attribution::Excused).count();
         Tally {
             counted,
             correlated: all_counted - counted,
             forgiven: self.times(Attribution::Forgiven).count(),
-            announced: self.times(Attribution::Announced).count(),
+            excused: self.times(Attribution::Excused).count(),
             unconfirmed: self.times(Attribution::Unconfirmed).count(),
-            removed: unannounced
-                - self
-                    .unannounced_times(Attribution::Unconfirmed, excuses.removals)
-                    .count(),
+            removed: unexcused - self.unexcused_times(Attribution::Unconfirmed, excuses.removals).count(),
         }
     }
 
@@ -120,17 +129,17 @@
         self.counted(excuses).max()
     }
 
-    /// Returns the number of unannounced deaths within `memory` of the latest one, including correlated ones and those of
-    /// at least this attribution.
-    pub(super) fn unannounced(&self, memory: Duration, least: Attribution, excuses: &Excuses<'_>) -> usize {
-        let latest = self.latest_unannounced(excuses).unwrap_or_default();
+    /// Returns the number of deaths within `memory` of the latest one that are not excused and have at least this
+    /// attribution, including correlated ones.
+    pub(super) fn unexcused(&self, memory: Duration, least: Attribution, excuses: &Excuses<'_>) -> usize {
+        let latest = self.latest_unexcused(excuses).unwrap_or_default();
         let recent = |at: &Instant| latest.since(*at) <= memory;
-        self.unannounced_times(least, excuses.removals).filter(recent).count()
+        self.unexcused_times(least, excuses.removals).filter(recent).count()
     }
 
-    /// Returns the time of the latest unannounced death.
-    pub(super) fn latest_unannounced(&self, excuses: &Excuses<'_>) -> Option<Instant> {
-        self.unannounced_times(Attribution::Unconfirmed, excuses.removals).max()
+    /// Returns the time of the latest death that is not excused.
+    pub(super) fn latest_unexcused(&self, excuses: &Excuses<'_>) -> Option<Instant> {
+        self.unexcused_times(Attribution::Unconfirmed, excuses.removals).max()
     }
 
     /// Returns whether another instance died before, and that death counts.
@@ -177,11 +186,34 @@
         }
     }
 
+    /// Excuses the deaths after which an endpoint answered the request whole; `answer` returns the last whole answer that speaks
+    /// for the request at an instance. Returns whether any was excused.
+    pub(super) fn apply_answers(&mut self, answer: impl Fn(&Instance) -> Option<Answer>) -> bool {
+        let mut has_changed = false;
+        for (instance, (died, attribution)) in &mut self.deaths {
+            let answer = answer(instance);
+            self.is_answered |= answer.is_some();
+            if let Some(Answer::SameVersion(at)) = answer
+                && at > *died
+                && *attribution < Attribution::Excused
+            {
+                *attribution = Attribution::Excused;
+                has_changed = true;
+            }
+        }
+        has_changed
+    }
+
+    /// Returns whether an endpoint that may have the version of one that died is known to have answered the request whole.
+    pub(super) const fn is_answered(&self) -> bool {
+        self.is_answered
+    }
+
     /// Marks the deaths of instances whose end was announced.
     pub(super) fn apply_announcements(&mut self, announcements: &BTreeMap<Instance, Instant>) {
         for (instance, (_, attribution)) in &mut self.deaths {
             if announcements.contains_key(instance) {
-                *attribution = Attribution::Announced;
+                *attribution = Attribution::Excused;
             }
         }
     }
@@ -233,17 +265,16 @@
         }
     }
 
-    /// Returns the times of the unannounced deaths of at least this attribution, of instances that had not been removed
+    /// Returns the times of the deaths that are not excused and have at least this attribution, of instances that had not been removed
     /// before.
-    fn unannounced_times(
+    fn unexcused_times(
         &self,
         least: Attribution,
         removals: &BTreeMap<Instance, Instant>,
     ) -> impl Iterator<Item = Instant> {
         let present = self.present(removals);
-        present.filter_map(move |(_, at, attribution)| {
-            (least..Attribution::Announced).contains(&attribution).then_some(at)
-        })
+        present
+            .filter_map(move |(_, at, attribution)| (least..Attribution::Excused).contains(&attribution).then_some(at))
     }
 
     /// Returns the times of the deaths with an attribution.
--- a/bergamotshift-limit/src/quarantine/table.rs
+++ b/bergamotshift-limit/src/quarantine/table.rs
@@ -40,17 +40,19 @@
 impl Table {
     pub(super) fn new(settings: &Settings, records: &BTreeMap<Fingerprint, Record>, excuses: &Excuses<'_>) -> Self {
         let row = |(fingerprint, record): (&Fingerprint, &Record)| {
-            let is_repeated = |least| record.unannounced(settings.memory, least, excuses) >= settings.max_deaths;
+            let repeated = |least| record.unexcused(settings.memory, least, excuses);
+            let is_repeated = |least| repeated(least) >= settings.max_deaths;
             let is_unconfirmed = is_repeated(Attribution::Unconfirmed);
             let is_refused =
                 is_repeated(Attribution::Counted) || record.count(settings.memory, excuses) >= settings.deaths;
             let hold = match (is_refused, is_unconfirmed) {
+                (true, _) if record.is_answered() => Some(settings.answered_hold(repeated(Attribution::Counted))),
                 (true, _) => Some(settings.hold),
                 (false, true) => Some(settings.unconfirmed_hold),
                 (false, false) => None,
             };
             let latest = if is_unconfirmed {
-                record.latest_unannounced(excuses)?
+                record.latest_unexcused(excuses)?
             } else {
                 record.latest_counted(excuses)?
             };
