fix(forward): a number out of range in the operators' document does not end the process

Cause: `Duration::from_secs_f64` panics beyond its range, and was called with numbers of the document.

--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -72,10 +72,18 @@
 
     /// Returns the time in which the rate, which must not be zero, pays for a number of bursts.
     fn burst_duration(self, bursts: f64) -> Duration {
-        Duration::from_secs_f64(self.share_burst / self.rate).mul_f64(bursts)
+        pay_time(self.share_burst, self.rate).mul_f64(bursts)
     }
 }
 
+/// Longest time in which a rate pays for units; an operator may state a rate that is next to nothing.
+const MAX_PAY_TIME: Duration = Duration::from_hours(24);
+
+/// Returns the time in which a rate, which must not be zero, pays for a number of units.
+fn pay_time(units: f64, rate: f64) -> Duration {
+    Duration::from_secs_f64((units / rate).clamp(0.0, MAX_PAY_TIME.as_secs_f64()))
+}
+
 /// Refusal of a request, as its organisation exceeds this entry's share of its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refused {
@@ -131,7 +139,7 @@
         }
         self.bucket
             .set_rate_keeping(now, quota.rate, quota.burst, self.assumed(now));
-        let length = Duration::from_secs_f64(quota.burst / quota.rate);
+        let length = pay_time(quota.burst, quota.rate);
         let nanos = u64::try_from(length.as_nanos()).unwrap_or(CLOSED).min(CLOSED - 1);
         self.burst.store(nanos, Relaxed);
         if !self.had_quota.swap(true, Relaxed) {
