--- a/bergamotshift-entry/tests/entry/plain.rs
+++ b/bergamotshift-entry/tests/entry/plain.rs
@@ -285,3 +285,30 @@
         assert_eq!(after(answer).await, (200, "whole".to_owned()), "{answer}");
     }
 }
+
+/// Guards against an empty or short answer that looks whole, as its endpoint stopped within the head.
+#[ntex::test]
+async fn part_of_a_head_is_no_answer() {
+    for fields in ["content-length: 5", "transfer-encoding: chunked", "connection: close"] {
+        let head = move |attempt: &str| {
+            format!("HTTP/1.1 200 OK\r\nx-bergamotshift-attempt: {attempt}\r\n{fields}\r\nx-last: 1\r\n\r\n")
+        };
+        let cut = Endpoint::start(move |attempt, number| {
+            let mut head = head(attempt);
+            head.truncate((number * 3).min(head.len() - 1));
+            head
+        });
+        let site = Site::start(Layout {
+            raw: Some(cut.address()),
+            ..plain(0)
+        })
+        .await;
+        for number in 0..45 {
+            let key = format!("confirm-{number}");
+            let key = [("idempotency-key", key.as_str())];
+            let reply = site.send(Method::POST, "/app/confirm", &key, "{}").await;
+            assert!(!reply.status.is_success(), "{fields} {number}: {}", reply.status);
+        }
+        assert!(cut.served() > 30, "{} requests were sent", cut.served());
+    }
+}
--- a/bergamotshift-forward/tests/daemon/cut_off.rs
+++ b/bergamotshift-forward/tests/daemon/cut_off.rs
@@ -29,15 +29,15 @@
 const STABLE: Duration = Duration::from_secs(3);
 
 /// Site of two entries, of which the first reaches its endpoints through gates.
-struct Cut {
+pub struct Cut {
     site: Site,
     gates: Vec<Gate>,
-    endpoints: Vec<Endpoint>,
+    pub endpoints: Vec<Endpoint>,
     entries: Vec<Daemon>,
 }
 
 impl Cut {
-    fn new(endpoints: Vec<Endpoint>) -> Self {
+    pub fn new(endpoints: Vec<Endpoint>) -> Self {
         let all: Vec<_> = endpoints.iter().collect();
         let site = Site::new(&all);
         let gates: Vec<_> = endpoints.iter().map(|endpoint| Gate::to(endpoint.address)).collect();
@@ -61,11 +61,11 @@
         cut
     }
 
-    fn set(&self, state: State) {
+    pub fn set(&self, state: State) {
         self.gates.iter().for_each(|gate| gate.set(state));
     }
 
-    fn first(&self) -> &Daemon {
+    pub fn first(&self) -> &Daemon {
         &self.entries[0]
     }
 
--- a/bergamotshift-forward/tests/fleet/streams/mod.rs
+++ b/bergamotshift-forward/tests/fleet/streams/mod.rs
@@ -1,5 +1,6 @@
 //! Streams that begin at one entry and are taken up at another, through any series of trouble.
 
+mod out_of_step;
 mod restored;
 mod series;
 mod site;
