fix(entry): an engine's own 503 does not send a request on that must not run twice

A request to a model service that a rule declares not repeatable ran at a second engine, and its caller was told `not-run`, when the first engine had failed it with 503 or 429 after it ran.

Cause: the adapter of engines takes these statuses for a refusal before any work, since engines queue or refuse; an engine that fails in the middle uses them too.

Evidence: the new test of two engines failed before (`not-run`, two runs) and passes. Plain services were right already: they have to say `not-run`. For a request that must not run twice an engine has to as well now; repeatable ones go on to the next engine as before.

--- a/bergamotshift-entry/src/exchange/send.rs
+++ b/bergamotshift-entry/src/exchange/send.rs
@@ -6,6 +6,7 @@
 use bergamotshift_endpoint::answer::Answer;
 use bergamotshift_endpoint::answer::Failure;
 use bergamotshift_endpoint::call;
+use bergamotshift_endpoint::header;
 use ntex::http::header::HeaderName;
 use ntex::http::header::HeaderValue;
 use tokio::sync::oneshot;
@@ -64,10 +65,12 @@
         sent.unwrap_or(Err(Failure::Timeout))
     }
 
-    /// Returns whether an answer means that the endpoint refused the request before any work.
+    /// Returns whether an answer means that the endpoint refused the request before any work. For a request that must not run
+    /// twice, the endpoint has to say so: an engine may answer with the same status when it fails in the middle.
     pub(super) fn is_refusal(&self, service: &Service, answer: &Answer) -> bool {
         let adapter = self.worker.adapter(&service.adapter);
-        adapter.is_some_and(|adapter| adapter.is_refusal(answer))
+        let is_refusal = adapter.is_some_and(|adapter| adapter.is_refusal(answer));
+        is_refusal && (self.call.repeatable || header::says_not_run(&answer.headers))
     }
 
     /// Reports a failed attempt to the control thread, which finds out what happened to the endpoint.
--- a/bergamotshift-entry/tests/entry/claims.rs
+++ b/bergamotshift-entry/tests/entry/claims.rs
@@ -9,6 +9,7 @@
 use futures_util::future::join_all;
 use ntex::http::Method;
 
+use crate::endpoint::Endpoint;
 use crate::site::KEY;
 use crate::site::Layout;
 use crate::site::OTHER_KEY;
@@ -330,3 +331,30 @@
     assert_eq!(pair.runs(), 1);
     assert!(pair.first.table.rows().is_empty());
 }
+
+/// Guards against a request that runs twice, as an engine's own 503 after a run counts as a refusal before it.
+#[ntex::test]
+async fn an_engine_that_fails_with_the_status_of_a_refusal_has_run_the_request() {
+    for status in ["503 Service Unavailable", "429 Too Many Requests"] {
+        let failing = || {
+            Endpoint::start(move |attempt, _| {
+                format!("HTTP/1.1 {status}\r\nx-bergamotshift-attempt: {attempt}\r\ncontent-length: 2\r\n\r\n{{}}")
+            })
+        };
+        let engines = [failing(), failing()];
+        let site = Site::start(Layout {
+            engines: 0,
+            plains: 0,
+            raw_engines: engines.iter().map(Endpoint::address).collect(),
+            more: "[[route]]\nservice = \"llm\"\nmethod = \"POST\"\npath = \"/v1/chat/completions\"\nrepeatable = false\n",
+            ..Layout::default()
+        })
+        .await;
+        let body = r#"{"model": "tiny", "messages": [{"role": "user", "content": "hello"}]}"#;
+        let fields = [("content-type", "application/json"), ("idempotency-key", "week-7")];
+        let reply = site.send(Method::POST, "/v1/chat/completions", &fields, body).await;
+        assert_ne!(reply.header("x-bergamotshift-outcome"), Some("not-run"));
+        let runs: usize = engines.iter().map(Endpoint::served).sum();
+        assert_eq!(runs, 1, "{status}");
+    }
+}
--- a/bergamotshift-entry/tests/entry/site.rs
+++ b/bergamotshift-entry/tests/entry/site.rs
@@ -44,6 +44,8 @@
     pub raw: Option<SocketAddr>,
     /// A further one.
     pub second_raw: Option<SocketAddr>,
+    /// Engines that answer with bytes as they are.
+    pub raw_engines: Vec<SocketAddr>,
     /// More lines of the service `llm`.
     pub llm: &'static str,
     /// More lines of the service `app`.
@@ -63,6 +65,7 @@
             plain: plain::Settings::default(),
             raw: None,
             second_raw: None,
+            raw_engines: Vec::new(),
             llm: "",
             app: "",
             more: "",
@@ -410,6 +413,9 @@
     for (number, plain) in plains.iter().enumerate() {
         endpoint(&mut text, &format!("plain-{number}"), "app", number, plain.address());
     }
+    for (number, address) in layout.raw_engines.iter().enumerate() {
+        endpoint(&mut text, &format!("raw-engine-{number}"), "llm", number, *address);
+    }
     if let Some(address) = layout.raw {
         endpoint(&mut text, "raw", "app", 0, address);
     }
