fix(forward): an identifier that outlives its process does not show that the process lived on

What a crash left of a stream without a length was given out as whole when the endpoint had started again on its address under its identifier, and its witness had ended.

Cause: asks the endpoint who it is; the answer names an identifier, which is the process's only where each start has a new one. Registrations that state a start time have identifiers that may stay the same.

The new test failed before ("id: 1" is given out as whole) and passes. Such endpoints are not asked, and nothing shows then that the process lived on.

--- a/bergamotshift-forward/src/serve/unframed.rs
+++ b/bergamotshift-forward/src/serve/unframed.rs
@@ -112,7 +112,9 @@
         let view = self.shared.view.load_full();
         let table = view.table.as_ref();
         let path = table.and_then(|table| table.health_path(&endpoint.registration.service));
-        let (Some(path), Probe::Open(connection)) = (path, &mut *check) else {
+        // A registration with a start time has an identifier that outlives the process.
+        let is_named = endpoint.registration.born == 0;
+        let (Some(path), Probe::Open(connection), true) = (path, &mut *check, is_named) else {
             return Identity::Unknown;
         };
         let time_left = job.deadline.since(self.shared.clock.now()).min(IDENTIFY_TIMEOUT);
--- a/bergamotshift-forward/tests/daemon/endpoint.rs
+++ b/bergamotshift-forward/tests/daemon/endpoint.rs
@@ -8,6 +8,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -97,6 +98,8 @@
     accepted: Arc<Mutex<Vec<TcpStream>>>,
     /// Number of processes that listened on its address before.
     restarts: Arc<AtomicUsize>,
+    /// Whether its identifier outlives its processes.
+    is_lasting: Arc<AtomicBool>,
     /// Time without a request after which it closes a connection.
     idle: Arc<Mutex<Option<Duration>>>,
 }
@@ -151,6 +154,7 @@
             acceptor: Arc::default(),
             accepted: Arc::default(),
             restarts: Arc::default(),
+            is_lasting: Arc::default(),
             idle: Arc::default(),
         };
         let server = endpoint.clone();
@@ -178,6 +182,12 @@
         self
     }
 
+    /// Returns the endpoint with an identifier that outlives its processes; its registrations state a start time from then on.
+    pub fn with_lasting_identifier(self) -> Self {
+        self.is_lasting.store(true, Ordering::Relaxed);
+        self
+    }
+
     /// Returns the endpoint with another version of its software; its registrations name it from then on.
     pub fn with_version(self, version: &'static str) -> Self {
         Self { version, ..self }
@@ -187,7 +197,7 @@
     pub fn registration(&self, service: &str) -> Registration {
         Registration {
             id: self.id.as_str().into(),
-            born: 0,
+            born: self.is_lasting.load(Ordering::Relaxed).into(),
             version: self.version.into(),
             service: service.into(),
             address: self.address,
@@ -257,6 +267,7 @@
     fn answer_health(&self, stream: &mut TcpStream, restarts: usize) -> io::Result<()> {
         let incarnation = match restarts {
             0 => self.id.clone(),
+            _ if self.is_lasting.load(Ordering::Relaxed) => self.id.clone(),
             _ => format!("{}-{restarts}", self.id),
         };
         let text =
--- a/bergamotshift-forward/tests/daemon/idle.rs
+++ b/bergamotshift-forward/tests/daemon/idle.rs
@@ -80,3 +80,16 @@
         }
     });
 }
+
+/// Guards against part of an answer that looks complete, as another process has the address and the identifier of its endpoint.
+#[test]
+fn an_identifier_that_outlives_a_process_does_not_name_it() {
+    for path in ["/chat/1", "/confirm/1"] {
+        let idle = Duration::from_millis(300);
+        let endpoint = slow("e1", idle, Connection::Restart).with_lasting_identifier();
+        let site = Site::new(&[&endpoint]);
+        let daemon = site.start();
+        let answer = Caller::new(&daemon).ask("POST", path, "r-1", "x");
+        assert!(answer.status != 200 || !answer.is_complete, "{path}: {}", answer.text());
+    }
+}
