test(soak): endpoints that fail requests they have run, close idle connections, and odd registrations (`--failures`)

The soak's endpoints state their health, so that a daemon can ask who they are; their registrations state a start time, as they start again under their names. Not brought about by the soak: an empty list of organisations, deaths beside one popular request, and idle connections beside answers without a length (tests of the daemon have these).

--- a/bergamotshift-forward/tests/kernel/limits.rs
+++ b/bergamotshift-forward/tests/kernel/limits.rs
@@ -165,7 +165,7 @@
         .quickcheck(most_used as fn(Vec<(u8, u8)>) -> bool);
 }
 
-fn quota(rate: f64, burst: f64) -> Quota {
+pub fn quota(rate: f64, burst: f64) -> Quota {
     Quota {
         rate,
         burst,
@@ -174,22 +174,6 @@
     }
 }
 
-/// Guards against a process that ends as an operator's limit is out of range.
-#[test]
-fn odd_limits_are_borne() {
-    let figures = [0.0, f64::MIN_POSITIVE, 1e-300, 1.0, 1e300, f64::MAX];
-    for (rate, burst) in figures.iter().flat_map(|rate| figures.map(|burst| (*rate, burst))) {
-        let account = Account::default();
-        account.set(at(0), Some(quota(rate, burst)));
-        for millis in [0, 10, 1_000, 1_000_000] {
-            let _ = account.take(at(millis), 1, Kind::New);
-            account.charge(at(millis), u64::MAX);
-            account.refund(1);
-        }
-        account.cap_debt(at(1_000_000), quota(rate, burst), INITIAL_DEBT_CALM);
-    }
-}
-
 /// Guards against an entry that applies no limit, as it has just started and has no share yet.
 #[test]
 fn a_quota_of_nothing_admits_no_request() {
--- a/bergamotshift-forward/tests/kernel/main.rs
+++ b/bergamotshift-forward/tests/kernel/main.rs
@@ -16,6 +16,7 @@
 mod ledger;
 mod limits;
 mod members;
+mod odd_limits;
 mod organisations;
 mod origins;
 mod progress;
--- a/bergamotshift-soak/src/endpoint.rs
+++ b/bergamotshift-soak/src/endpoint.rs
@@ -33,12 +33,15 @@
 use crate::answer::body;
 use crate::answer::event;
 use crate::engine::Engine;
+use crate::engine::is_open;
 pub use crate::habit::Habit;
 use crate::ledger::Arrival;
 use crate::ledger::Ledger;
 use crate::proxy::Proxy;
 use crate::site::CRASHING_PART;
+use crate::site::HEALTH;
 use crate::site::Kind;
+pub use crate::statement::Notice;
 
 /// How long a request takes, and how far apart the events of a stream are.
 const WORK: Duration = Duration::from_millis(8);
@@ -52,35 +55,6 @@
 /// How many requests an endpoint runs at a time while it tolerates few rejections.
 const SCARCE_ROOM: usize = 1;
 
-/// What an endpoint says of itself in its answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Notice {
-    /// Nothing.
-    #[default]
-    Quiet,
-    /// The requests a minute that it takes from all entries together.
-    Rate(u32),
-    /// That it leaves.
-    Leaves,
-    /// It turns requests away, and wants nothing from that entry for so long.
-    Pause(Duration),
-    /// How many requests it may reject in a second, from all entries together; it has little room meanwhile.
-    Tolerates(u32),
-}
-
-impl Notice {
-    /// Returns the header lines that say so.
-    fn lines(self, dialect: &Dialect) -> String {
-        match self {
-            Self::Quiet => String::new(),
-            Self::Rate(minute) => format!("{}: {:.3}\r\n", dialect.rate, f64::from(minute) / 60.0),
-            Self::Leaves => format!("{}: 1\r\n", dialect.leaving),
-            Self::Pause(pause) => format!("retry-after: {:.3}\r\n", pause.as_secs_f64()),
-            Self::Tolerates(rejections) => format!("{}: {rejections}\r\n", dialect.tolerance),
-        }
-    }
-}
-
 /// A request that an endpoint runs.
 struct Run<'a>(&'a AtomicUsize);
 
@@ -115,6 +89,8 @@
     is_gone: AtomicBool,
     /// Whether its answers have neither a length nor chunks.
     is_unframed: AtomicBool,
+    /// Time without a request after which it closes a connection; `None` for ever.
+    idle: Mutex<Option<Duration>>,
     /// What all entries' connections go through.
     proxy: OnceLock<Proxy>,
     /// The connections that stand, by the port at the other side.
@@ -158,6 +134,7 @@
             running: AtomicUsize::new(0),
             is_gone: AtomicBool::new(false),
             is_unframed: AtomicBool::new(false),
+            idle: Mutex::default(),
             proxy: OnceLock::new(),
             streams: Mutex::default(),
         });
@@ -201,7 +178,8 @@
     pub fn registration(&self, zone: &str, leaving: bool) -> Registration {
         Registration {
             id: self.shared.id.clone(),
-            born: 0,
+            // Its identifier outlives its process ([`Endpoint::restart`]).
+            born: 1,
             version: self.shared.version.clone(),
             service: self.shared.service.into(),
             address: self.proxy.address,
@@ -240,6 +218,11 @@
         self.shared.is_unframed.store(is_unframed, Ordering::Relaxed);
     }
 
+    /// Sets the time without a request after which it closes a connection; `None` for ever.
+    pub fn set_idle(&self, idle: Option<Duration>) {
+        *self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner) = idle;
+    }
+
     /// Ends its process with all that it has under way; another process has its address and its name at once.
     ///
     /// # Errors
@@ -346,7 +329,16 @@
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
-        while let Some(call) = Call::read(&mut stream)? {
+        loop {
+            stream.set_read_timeout(*self.idle.lock().unwrap_or_else(PoisonError::into_inner))?;
+            let Some(call) = Call::read(&mut stream)? else {
+                return Ok(());
+            };
+            if call.request_line.contains(HEALTH) {
+                let own = format!("{}: {}\r\ncontent-length: 0\r\n", self.dialect.incarnation, self.id);
+                self.send(&mut stream, format!("HTTP/1.1 200 OK\r\n{own}\r\n").as_bytes())?;
+                continue;
+            }
             let habit = Habit::of(self.habit.load(Ordering::Relaxed));
             let id: SmolStr = call.header(self.dialect.request.as_str()).unwrap_or_default().into();
             let is_meant = call.header(self.dialect.expected.as_str()) == Some(self.id.as_str());
@@ -377,6 +369,10 @@
             if call.request_line.contains(Kind::Crash.prefix()) || prompt.contains(CRASHING_PART) {
                 return self.crash_with(&mut stream, &id, said);
             }
+            if Habit::FAILING.contains(&habit) {
+                self.fail(&mut stream, &id, said, habit)?;
+                continue;
+            }
             if [Kind::Draft, Kind::Schedule]
                 .iter()
                 .any(|kind| call.request_line.contains(kind.prefix()))
@@ -386,7 +382,17 @@
                 self.whole(&mut stream, &id, said, habit)?;
             }
         }
-        Ok(())
+    }
+
+    /// Fails a request that it has run.
+    fn fail(&self, stream: &mut TcpStream, id: &str, said: Notice, habit: Habit) -> io::Result<()> {
+        if habit == Habit::Fails {
+            let head = self.head("503 Failed", id, said, "content-length: 0\r\n");
+            return self.send(stream, head.as_bytes());
+        }
+        let head = self.head("200 OK", id, said, "content-length: 100\r\n");
+        self.send(stream, &head.as_bytes()[..head.len() / 2])?;
+        Err(io::ErrorKind::ConnectionAborted.into())
     }
 
     fn has_room(&self, said: Notice) -> bool {
@@ -441,7 +447,7 @@
                 thread::sleep(Duration::from_secs(2));
                 self.send(stream, answer.as_bytes())
             }
-            Habit::Sound | Habit::Refuses => self.send(stream, answer.as_bytes()),
+            Habit::Sound | Habit::Refuses | Habit::Fails | Habit::Stops => self.send(stream, answer.as_bytes()),
         }?;
         if is_unframed { self.end_answer(stream) } else { Ok(()) }
     }
@@ -484,17 +490,3 @@
         self.send(stream, b"0\r\n\r\n")
     }
 }
-
-/// Returns whether the other side of a connection still waits.
-fn is_open(stream: &TcpStream) -> bool {
-    let peek = || {
-        stream.set_nonblocking(true)?;
-        let peeked = stream.peek(&mut [0]);
-        stream.set_nonblocking(false)?;
-        peeked
-    };
-    match peek() {
-        Ok(length) => length > 0,
-        Err(error) => error.kind() == io::ErrorKind::WouldBlock,
-    }
-}
--- a/bergamotshift-soak/src/engine.rs
+++ b/bergamotshift-soak/src/engine.rs
@@ -3,6 +3,8 @@
 use core::sync::atomic::AtomicBool;
 use core::sync::atomic::Ordering;
 use core::time::Duration;
+use std::io;
+use std::net::TcpStream;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -102,3 +104,17 @@
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns whether the other side of a connection still waits.
+pub(crate) fn is_open(stream: &TcpStream) -> bool {
+    let peek = || {
+        stream.set_nonblocking(true)?;
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false)?;
+        peeked
+    };
+    match peek() {
+        Ok(length) => length > 0,
+        Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+    }
+}
--- a/bergamotshift-soak/src/fleet/endpoints.rs
+++ b/bergamotshift-soak/src/fleet/endpoints.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use serde_json::json;
 use smol_str::SmolStr;
 
 use super::Fleet;
@@ -54,6 +55,7 @@
         let version = version.unwrap_or_else(|| site::version(if self.has_versions { side + 1 } else { 1 }));
         let endpoint = Endpoint::start(id, service, version, usual_pace, Arc::clone(&self.ledger))?;
         endpoint.set_unframed(self.is_unframed);
+        endpoint.set_idle(self.idle);
         self.ledger.book().places.insert(endpoint.id().clone(), place);
         for entry in &self.entries {
             if let (Some(process), Some(cut)) = (&entry.process, entry.cut) {
@@ -63,6 +65,19 @@
         Ok(endpoint)
     }
 
+    /// Leaves rows of another writer among the registrations: nested deeply, with a number and with a port out of range.
+    pub(super) fn leave_odd_rows(&self) {
+        const DEPTH: usize = 1_000;
+        let mut sound = json!({"service": SERVICES[0], "address": "127.0.0.1:99999", "zone": "one", "version": "v1",
+            "slots": 1, "state": "ready", "cold_left_ms": 0, "seq": 1});
+        self.store.put("servers", "odd-port", &sound);
+        sound["address"] = json!("127.0.0.1:1");
+        sound["slots"] = json!(u64::MAX);
+        self.store.put("servers", "odd-number", &sound);
+        let nested = "[".repeat(DEPTH) + &"]".repeat(DEPTH);
+        self.store.put_bytes("servers", "odd-depth", nested.as_bytes());
+    }
+
     /// Registers an endpoint.
     pub(super) fn join(&self, endpoint: &Endpoint) {
         self.store.register(&endpoint.registration("one", false));
--- a/bergamotshift-soak/src/fleet/mod.rs
+++ b/bergamotshift-soak/src/fleet/mod.rs
@@ -46,6 +46,9 @@
 use crate::site::SERVICES;
 use crate::site::Tenant;
 
+/// Time without a request after which endpoints that close idle connections do.
+const IDLE: Duration = Duration::from_millis(300);
+
 /// How long an endpoint that leaves goes on serving: as long as its requests last that came while entries learned of it.
 const LEAVING: Duration = Duration::from_secs(3);
 const LONG_LEAVING: Duration = Duration::from_secs(6);
@@ -81,6 +84,8 @@
     leaving: Duration,
     /// Whether endpoints answer without framing.
     is_unframed: bool,
+    /// Time without a request after which endpoints close connections; `None` for ever.
+    idle: Option<Duration>,
     /// Whether there are model engines.
     has_engines: bool,
     /// The limits of the route of schedules, if there is one.
@@ -121,10 +126,15 @@
             min_timeout: settings.min_timeout,
             leaving: if settings.releases { LONG_LEAVING } else { LEAVING },
             is_unframed: settings.unframed,
+            // Nothing tells an endpoint that closes idle connections from one that has started again under its name.
+            idle: (settings.failures && !settings.unframed).then_some(IDLE),
             has_engines: settings.hard_load,
             limits: (settings.pauses || settings.releases).then(Limits::default),
         };
         fleet.document();
+        if settings.failures {
+            fleet.leave_odd_rows();
+        }
         for number in 0..size.endpoints * SERVICES.len() {
             let endpoint = fleet.endpoint(number, SERVICES[number % SERVICES.len()], None, None)?;
             fleet.join(&endpoint);
--- a/bergamotshift-soak/src/lib.rs
+++ b/bergamotshift-soak/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod release;
 pub mod run;
 pub mod site;
+mod statement;
 
 pub use self::run::Report;
 pub use self::run::Settings;
--- a/bergamotshift-soak/src/main.rs
+++ b/bergamotshift-soak/src/main.rs
@@ -91,6 +91,11 @@
         no_short
     )]
     unframed: bool,
+    #[options(
+        help = "let endpoints fail requests that they have run and close idle connections, beside odd registrations",
+        no_short
+    )]
+    failures: bool,
     #[options(help = "let crowds of clients hold unfinished requests open", no_short)]
     crowds: bool,
 }
@@ -144,6 +149,7 @@
     settings.hard_load = arguments.hard_load;
     settings.pauses = arguments.pauses;
     settings.unframed = arguments.unframed;
+    settings.failures = arguments.failures;
     settings.crowds = arguments.crowds;
     if arguments.pauses || arguments.releases {
         settings.size.endpoints = MORE;
--- a/bergamotshift-soak/src/plan.rs
+++ b/bergamotshift-soak/src/plan.rs
@@ -1,6 +1,7 @@
 //! What happens in a run, and when: drawn from a seed.
 
 mod ending;
+mod failure;
 mod partition;
 mod pause;
 mod release;
--- a/bergamotshift-soak/src/run.rs
+++ b/bergamotshift-soak/src/run.rs
@@ -103,6 +103,9 @@
     pub pauses: bool,
     /// Whether endpoints answer without framing, and their processes end within answers.
     pub unframed: bool,
+    /// Whether endpoints fail requests that they have run, stop within heads of answers and close idle connections, and another
+    /// writer leaves odd rows among their registrations.
+    pub failures: bool,
     /// Whether crowds of clients hold unfinished requests open.
     pub crowds: bool,
     /// Lines that the entries' settings begin with.
@@ -136,6 +139,7 @@
             hard_load: false,
             pauses: false,
             unframed: false,
+            failures: false,
             crowds: false,
             entry_settings: String::new(),
             min_timeout: Duration::ZERO,
@@ -298,6 +302,9 @@
     if settings.unframed {
         plan = plan.with_ends(settings.seed, settings.size);
     }
+    if settings.failures {
+        plan = plan.with_failures(settings.seed, settings.size);
+    }
     if settings.releases {
         plan = plan.with_releases(settings.seed, settings.size);
     }
--- a/bergamotshift-soak/src/site.rs
+++ b/bergamotshift-soak/src/site.rs
@@ -259,13 +259,16 @@
     unit: Unit::Requests,
 };
 
+/// Path at which endpoints state their health.
+pub const HEALTH: &str = "/health";
+
 fn service(name: &str) -> Service {
     Service {
         name: name.into(),
         connections: 200,
         engine: None,
         scale: None,
-        health: None,
+        health: Some(HEALTH.into()),
     }
 }
 
