--- a/bergamotshift-limit/tests/ending.rs
+++ b/bergamotshift-limit/tests/ending.rs
@@ -207,6 +207,34 @@
     }
 }
 
+/// Guards against part of an answer that looks complete, as the packet with the end of its witness was lost.
+#[test]
+fn a_witness_whose_end_is_lost_is_waited_for() {
+    let process = |lost| Process {
+        ended: Some(500),
+        completed: 900,
+        closed_listener: None,
+        replaced: None,
+        delay: 5,
+        closing: [0, 0],
+        is_urgent: false,
+        is_leaving: false,
+        lateness: 0,
+        has_witness: true,
+        idle: None,
+        lost,
+    };
+    for lost in [0, 205, 605] {
+        for is_urgent in [false, true] {
+            let process = Process {
+                is_urgent,
+                ..process(lost)
+            };
+            assert!(!process.judge(), "{process:?}");
+        }
+    }
+}
+
 /// Guards against witnesses that endpoints close before they are renewed, each time.
 #[test]
 fn witnesses_are_renewed_before_endpoints_close_them() {
--- a/bergamotshift/tests/soak.rs
+++ b/bergamotshift/tests/soak.rs
@@ -105,3 +105,13 @@
         ..Settings::default()
     });
 }
+
+/// Guards against requests that ran and are called unrun, as their endpoints failed them with a status of a refusal.
+#[test]
+fn what_endpoints_fail_after_a_run_is_not_called_unrun() {
+    soak(&Settings {
+        seed: 7_001,
+        failures: true,
+        ..Settings::default()
+    });
+}
