fix(forward): a replacement that is sent late works beside a silent run for the bounded time only

Cause: whether a replacement's time is bounded was decided when the search began, by the path to the silent endpoint. If connections to others failed first, 250 ms each, the replacement was sent when that endpoint was reached again.

The model did what the daemon did; both renew the bound now before each further endpoint (`Watch::overlap`). `bergamotshift-entry` sends once for each decision.

The property itself is unchanged; its model was changed as the daemon was.

--- a/bergamotshift-forward/src/serve/replace.rs
+++ b/bergamotshift-forward/src/serve/replace.rs
@@ -7,6 +7,7 @@
 
 use bergamotshift_core::prelude::*;
 use bergamotshift_limit::silence::Action;
+use bergamotshift_limit::silence::Watch;
 use futures_util::future::Either;
 use futures_util::future::select;
 use ntex::http::StatusCode;
@@ -20,6 +21,7 @@
 use super::replacement::Replacement;
 use super::send::Sent;
 use crate::document::Kind;
+use crate::endpoint::Endpoint;
 use crate::exchange::Failure;
 use crate::exchange::Head;
 
@@ -31,6 +33,45 @@
     Replacement(Box<Exchange>, Option<Result<Head, Failure>>),
 }
 
+/// Time for which a replacement may work beside a silent attempt.
+pub(super) struct Overlap<'a> {
+    bound: Cell<Option<Duration>>,
+    is_lifted: Cell<bool>,
+    watch: &'a Watch,
+    silent: Arc<Endpoint>,
+}
+
+impl<'a> Overlap<'a> {
+    /// Creates the overlap with an attempt at an endpoint, with the bound that was decided on.
+    pub(super) const fn new(bound: Option<Duration>, watch: &'a Watch, silent: Arc<Endpoint>) -> Self {
+        Self {
+            bound: Cell::new(bound),
+            is_lifted: Cell::new(false),
+            watch,
+            silent,
+        }
+    }
+
+    /// Returns the time; `None` without a bound.
+    fn get(&self) -> Option<Duration> {
+        self.bound.get()
+    }
+
+    /// Lifts the bound for good, as the silent attempt has ended.
+    pub(super) fn lift(&self) {
+        self.is_lifted.set(true);
+        self.bound.set(None);
+    }
+
+    /// Sets the bound by what is known now of the path to the silent endpoint.
+    fn renew(&self) {
+        if !self.is_lifted.get() {
+            let path = self.silent.pulse.path(self.watch.heard());
+            self.bound.set(self.watch.overlap(path));
+        }
+    }
+}
+
 impl Forwarder {
     /// Waits for the response to a request that may run twice. If its endpoint is silent for longer than `limit`, other
     /// endpoints are tried meanwhile, and the first response that a caller may get is taken.
@@ -134,7 +175,8 @@
     }
 
     /// Sends a request that goes on after `last_event` to another endpoint than those tried, and waits until its stream has
-    /// begun. It has at most the time `overlap` after it is sent, unless the bound is lifted by then.
+    /// begun. It has at most the time `overlap` after it is sent, unless the bound is lifted by then; the bound is renewed before
+    /// each further endpoint is tried.
     ///
     /// # Errors
     ///
@@ -144,14 +186,14 @@
         job: &Job,
         history: &mut History,
         last_event: Option<u64>,
-        overlap: &Cell<Option<Duration>>,
+        overlap: &Overlap<'_>,
     ) -> Result<Replacement, &'static str> {
         let view = self.shared.view.load_full();
         history.unsent = 0;
         let prepared = loop {
             match self.prepare(&view, job, history, overlap.get()).await {
                 Ok(prepared) => break prepared,
-                Err(Outcome::Retry(_)) => {}
+                Err(Outcome::Retry(_)) => overlap.renew(),
                 Err(_) => return Err("refused"),
             }
         };
--- a/bergamotshift-forward/src/serve/stream.rs
+++ b/bergamotshift-forward/src/serve/stream.rs
@@ -1,6 +1,5 @@
 //! Event streams, forwarded event by event; a stream that breaks off is resumed elsewhere if its route allows it.
 
-use core::cell::Cell;
 use core::error::Error as StdError;
 use core::time::Duration;
 use std::rc::Rc;
@@ -34,6 +33,7 @@
 use super::job::Job;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::replace::Overlap;
 use super::replacement::Replacement;
 use super::replacement::read_events;
 use super::unframed;
@@ -259,6 +259,7 @@
         let sends = self.history.sends;
         let tried = self.history.tried.len();
         let last_event = self.events.last_id();
+        let bound = Overlap::new(overlap, watch, Arc::clone(self.guard.endpoint()));
         let connection = self.connection.as_mut()?;
         let reading = Box::pin(read_events(
             &forwarder,
@@ -267,11 +268,10 @@
             &mut self.framing,
             &mut self.events,
         ));
-        let bound = Cell::new(overlap);
         let replacing = Box::pin(forwarder.replace_stream(&job, &mut self.history, last_event, &bound));
         let (read, replaced) = match select(reading, replacing).await {
             Either::Left((Err(failure), replacing)) => {
-                bound.set(None);
+                bound.lift();
                 (Some(Err(failure)), replacing.await)
             }
             Either::Left((read, _)) => (Some(read), Err("overtaken")),
--- a/bergamotshift-limit/src/silence/watch.rs
+++ b/bergamotshift-limit/src/silence/watch.rs
@@ -80,6 +80,16 @@
         self.searched = Some((now, was_sent));
     }
 
+    /// Returns the time for which a replacement that is sent now may work beside the attempt, by the path to its endpoint; `None`
+    /// without a bound. A replacement that is sent later than it was decided on needs a new bound: a path that was not
+    /// reached may be reached again.
+    pub const fn overlap(&self, path: Path) -> Option<Duration> {
+        match path {
+            Path::Unreached | Path::Gone => None,
+            Path::Unknown | Path::Reached => Some(self.settings.max_overlap),
+        }
+    }
+
     /// Decides on the attempt, by the path to its endpoint and the extent of the silence.
     pub fn decide(&self, now: Instant, path: Path, extent: Extent) -> Action {
         let expires = self.heard + self.limit;
@@ -87,12 +97,12 @@
             let check_at = self.check_at();
             return Action::Wait(if now < check_at { check_at } else { expires });
         }
-        let overlap = match (path, extent) {
+        match (path, extent) {
             (Path::Gone, _) => return Action::GiveUp,
-            (Path::Unreached, _) => None,
             (Path::Unknown | Path::Reached, Extent::Common) => return Action::Wait(now + self.settings.interval),
-            (Path::Unknown | Path::Reached, Extent::Single) => Some(self.settings.max_overlap),
-        };
+            (Path::Unreached, _) | (Path::Unknown | Path::Reached, Extent::Single) => {}
+        }
+        let overlap = self.overlap(path);
         let next_search = self.next_search(overlap.is_some());
         if now < next_search {
             return Action::Wait(next_search.min(now + self.settings.interval));
--- a/bergamotshift-limit/tests/silence_client/client.rs
+++ b/bergamotshift-limit/tests/silence_client/client.rs
@@ -161,6 +161,12 @@
         if let Some((end, _)) = replacement.refused {
             if now >= end {
                 stream.replacement = None;
+                // The bound is that of the path as it is known now, unless the attempt has ended.
+                let silent = stream.endpoint.map(|index| &self.endpoints[index]);
+                let overlap = silent.and_then(|silent| {
+                    let path = silent.pulse.path(stream.watch.heard());
+                    stream.watch.overlap(path)
+                });
                 if !self.search(stream, overlap) {
                     stream.postpone(now, false);
                 }
--- a/bergamotshift-limit/tests/silence_client/main.rs
+++ b/bergamotshift-limit/tests/silence_client/main.rs
@@ -76,3 +76,15 @@
     }
     assert!(counts.iter().all(|count| *count > 10), "{counts:?}");
 }
+
+/// Guards against a replacement that works for too long beside an attempt whose endpoint is reached again, as connections to
+/// others failed since it was decided on.
+#[test]
+fn a_replacement_that_is_sent_late_has_the_bound_of_that_moment() {
+    for (seed, endpoints, streams) in [(13_926_792_326_604_476_070, 33, 130), (11_177, 5, 19)] {
+        let budget = draw_budget(seed);
+        let client = Client::play(seed, endpoints, streams, &budget);
+        let overlap = client.faults.iter().find(|(fault, _)| *fault == Fault::Overlap);
+        assert_eq!(overlap, None);
+    }
+}
