fix(limit): a stream leaves an endpoint that is cut off right after a check in time, with short limits too

A stream stayed 10 to 20 ms longer than promised at an endpoint that was cut off right after its path was checked, while most endpoints were silent.

Cause: a check is renewed at a look. With limits of silence below 0.5 s, looks were as far apart (250 ms) as the time for which a check is believed, and its outcome was seen at the next one. With limits of a second and more nothing changes.

--- a/bergamotshift-limit/src/silence/watch.rs
+++ b/bergamotshift-limit/src/silence/watch.rs
@@ -99,17 +99,22 @@
         }
         match (path, extent) {
             (Path::Gone, _) => return Action::GiveUp,
-            (Path::Unknown | Path::Reached, Extent::Common) => return Action::Wait(now + self.settings.interval),
+            (Path::Unknown | Path::Reached, Extent::Common) => return Action::Wait(now + self.look_interval()),
             (Path::Unreached, _) | (Path::Unknown | Path::Reached, Extent::Single) => {}
         }
         let overlap = self.overlap(path);
         let next_search = self.next_search(overlap.is_some());
         if now < next_search {
-            return Action::Wait(next_search.min(now + self.settings.interval));
+            return Action::Wait(next_search.min(now + self.look_interval()));
         }
         Action::Replace { overlap }
     }
 
+    /// Returns the time between two looks. A check is renewed at a look, so with longer ones its outcome would be known too late.
+    fn look_interval(&self) -> Duration {
+        self.settings.interval.min(self.settings.check_ttl / 2)
+    }
+
     /// Returns the time from which a replacement may be looked for; `may_work` is whether the endpoint may still work.
     fn next_search(&self, may_work: bool) -> Instant {
         self.searched.map_or(Instant::ZERO, |(searched, was_sent)| {
--- a/bergamotshift-limit/tests/silence_client/main.rs
+++ b/bergamotshift-limit/tests/silence_client/main.rs
@@ -88,3 +88,14 @@
         assert_eq!(overlap, None);
     }
 }
+
+/// Guards against a stream that stays at an endpoint which is cut off right after a check, as the next one comes too late.
+#[test]
+fn an_endpoint_that_is_cut_off_after_a_check_is_left_in_time() {
+    for (seed, endpoints, streams) in [(30_509, 5, 22), (51_256, 4, 23), (73_133, 5, 22)] {
+        let budget = draw_budget(seed);
+        let client = Client::play(seed, endpoints, streams, &budget);
+        let late = client.faults.iter().find(|(fault, _)| *fault == Fault::Late);
+        assert_eq!(late, None);
+    }
+}
