--- a/bergamotshift-forward/src/limits/account.rs
+++ b/bergamotshift-forward/src/limits/account.rs
@@ -76,8 +76,9 @@
     }
 }
 
-/// Longest time in which a rate pays for units; an operator may state a rate that is next to nothing.
-const MAX_PAY_TIME: Duration = Duration::from_hours(24);
+/// Longest time in which a rate pays for units, which can be converted and multiplied safely: a century. An operator may state a
+/// rate that is next to nothing beside its burst, and the whole burst has to count.
+const MAX_PAY_TIME: Duration = Duration::from_hours(24 * 365 * 100);
 
 /// Returns the time in which a rate, which must not be zero, pays for a number of units.
 fn pay_time(units: f64, rate: f64) -> Duration {
