--- a/bergamotshift-forward/src/serve/unframed.rs
+++ b/bergamotshift-forward/src/serve/unframed.rs
@@ -113,8 +113,8 @@
         let table = view.table.as_ref();
         let path = table.and_then(|table| table.health_path(&endpoint.registration.service));
         // A registration with a start time has an identifier that outlives the process.
-        let is_named = endpoint.registration.born == 0;
-        let (Some(path), Probe::Open(connection), true) = (path, &mut *check, is_named) else {
+        let names_process = endpoint.registration.born == 0;
+        let (Some(path), Probe::Open(connection), true) = (path, &mut *check, names_process) else {
             return Identity::Unknown;
         };
         let time_left = job.deadline.since(self.shared.clock.now()).min(IDENTIFY_TIMEOUT);
