fix(limit): a request that crashes one version is refused for long beside a death of another version

Cause: one death whose version had answered the request shortened the refusal; now all deaths that are not excused have to be of such versions.

--- a/bergamotshift-entry/src/exchange/attempts.rs
+++ b/bergamotshift-entry/src/exchange/attempts.rs
@@ -154,11 +154,6 @@
         self.outcome
     }
 
-    /// Returns the number of attempts that were started.
-    pub(super) const fn started(&self) -> u32 {
-        self.started
-    }
-
     /// Returns the versions that the request may go to.
     pub(super) fn wanted(&self) -> Wanted<&Version> {
         Wanted::new(self.version.as_ref(), false)
--- a/bergamotshift-entry/src/exchange/events.rs
+++ b/bergamotshift-entry/src/exchange/events.rs
@@ -224,7 +224,7 @@
     fn finish(&mut self) {
         self.done = true;
         self.attempts.record_answered();
-        if self.attempts.started() == 1
+        if self.attempts.started == 1
             && let Some(source) = &self.source
         {
             self.attempts.record_whole(source.running());
--- a/bergamotshift-limit/src/quarantine/record.rs
+++ b/bergamotshift-limit/src/quarantine/record.rs
@@ -89,7 +89,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Record {
     deaths: BTreeMap<Instance, (Instant, Attribution)>,
-    /// Whether an endpoint that may have the version of one that died is known to have answered the request whole.
+    /// Whether endpoints that may have the versions of those that died are known to have answered the request whole, for all
+    /// deaths that are not excused.
     is_answered: bool,
 }
 
@@ -190,21 +191,24 @@
     /// for the request at an instance. Returns whether any was excused.
     pub(super) fn apply_answers(&mut self, answer: impl Fn(&Instance) -> Option<Answer>) -> bool {
         let mut has_changed = false;
-        for (instance, (died, attribution)) in &mut self.deaths {
+        self.is_answered = true;
+        let counting = self.deaths.iter_mut();
+        let counting = counting.filter(|(_, (_, attribution))| *attribution < Attribution::Excused);
+        for (instance, (died, attribution)) in counting {
             let answer = answer(instance);
-            self.is_answered |= answer.is_some();
             if let Some(Answer::SameVersion(at)) = answer
                 && at > *died
-                && *attribution < Attribution::Excused
             {
                 *attribution = Attribution::Excused;
                 has_changed = true;
             }
+            self.is_answered &= answer.is_some();
         }
         has_changed
     }
 
-    /// Returns whether an endpoint that may have the version of one that died is known to have answered the request whole.
+    /// Returns whether endpoints that may have the versions of those that died are known to have answered the request whole, for
+    /// all deaths that are not excused.
     pub(super) const fn is_answered(&self) -> bool {
         self.is_answered
     }
--- a/bergamotshift-limit/tests/quarantine_answers.rs
+++ b/bergamotshift-limit/tests/quarantine_answers.rs
@@ -110,6 +110,20 @@
     assert_eq!(holds, [2, 4, 8, 16, 32, 64, 128, 256, 512, 600, 600]);
 }
 
+/// Guards against a short refusal of a request that crashes each endpoint of one version, as another version answers it and an
+/// endpoint of that one died too.
+#[test]
+fn a_request_that_crashes_one_version_is_refused_for_long_beside_a_death_of_another_one() {
+    let mut quarantine = Quarantine::new(Settings::default());
+    let completed = Completed::default();
+    answer(&completed, 500, OTHER_VERSION);
+    for (number, version) in [(1, OTHER_VERSION), (2, VERSION), (3, VERSION)] {
+        die(&mut quarantine, 8_000 * u64::from(number), number, version);
+        quarantine.apply_answers(&completed);
+    }
+    assert_eq!(refusal(&quarantine, 24_000), Some(Settings::default().hold));
+}
+
 /// Guards against a long refusal of a request of many callers where endpoints do not state their versions.
 #[test]
 fn an_answer_of_an_unknown_version_shortens_a_refusal_and_excuses_no_death() {
