fix(entry): large answers that are streamed through speak for their requests too

A request of many callers was refused for ten minutes after two deaths of endpoints if its answers are too large to be held, though endpoints had answered it whole.

Cause: recorded whole answers where they are held, and not where they are streamed through.

--- a/bergamotshift-entry/src/api/plain.rs
+++ b/bergamotshift-entry/src/api/plain.rs
@@ -188,6 +188,6 @@
 fn stream_answer(attempts: Attempts, open: Open, id: attempt::Id, active: Active) -> Response {
     let Open { answer, running } = open;
     let length = whole::length(&answer.headers).map(|length| length as u64);
-    let stream = Relay::new(attempts, answer.body, running).into_stream();
+    let stream = Relay::new(attempts, answer.status, answer.body, running).into_stream();
     reply::streaming(answer.status, &answer.headers, length, id, stream, active)
 }
--- a/bergamotshift-entry/src/exchange/copy.rs
+++ b/bergamotshift-entry/src/exchange/copy.rs
@@ -8,6 +8,7 @@
 use futures_util::Stream;
 use futures_util::stream;
 use ntex::http::Payload;
+use ntex::http::StatusCode;
 use ntex::util::Bytes;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -32,6 +33,8 @@
 #[derive(Debug)]
 pub struct Relay {
     attempts: Attempts,
+    /// Whether the answer is a success.
+    is_success: bool,
     /// Answer that is read; `None` after a failure.
     source: Option<Source>,
     delivered: u64,
@@ -77,11 +80,12 @@
 
 impl Relay {
     /// Creates a relay for an answer whose head has been forwarded.
-    pub fn new(attempts: Attempts, body: Payload, running: Running) -> Self {
+    pub fn new(attempts: Attempts, status: StatusCode, body: Payload, running: Running) -> Self {
         let limit = attempts.call().times.stall_timeout;
         Self {
             source: Some(Source::new(&attempts, body, running, limit)),
             attempts,
+            is_success: status.is_success(),
             delivered: 0,
             hash: Hash::default(),
             prefix: Prefix::default(),
@@ -127,6 +131,11 @@
                 }
                 Part::Chunk(None) if !self.prefix.is_complete() => return Err(Error::Diverged),
                 Part::Chunk(None) => {
+                    if self.is_success
+                        && let Some(source) = &self.source
+                    {
+                        self.attempts.record_whole(source.running());
+                    }
                     self.attempts.record().answered();
                     return Ok(None);
                 }
--- a/bergamotshift-entry/tests/entry/poison.rs
+++ b/bergamotshift-entry/tests/entry/poison.rs
@@ -1,6 +1,7 @@
 //! Requests that kill endpoints, and zones that are lost with innocent requests in them.
 
 use core::time::Duration;
+use std::time::Instant;
 
 use bergamotshift_standin::engine;
 use bergamotshift_standin::engine::text;
@@ -226,3 +227,38 @@
         assert_eq!(reply.status, 200, "after {} deaths: {}", number + 1, reply.text());
     }
 }
+
+/// Guards against a long refusal of a request of many callers whose answers are too large to be held.
+#[ntex::test]
+async fn a_popular_request_with_large_answers_is_refused_for_a_short_time() {
+    const DEATHS: usize = 2;
+    const SENDS: usize = 500;
+    const SHORT: Duration = Duration::from_secs(10);
+    let mut layout = Layout {
+        engines: 0,
+        plains: 6,
+        ..Layout::default()
+    };
+    layout.settings.bounds.max_buffered_answer = 0;
+    let site = Site::start(layout).await;
+    let send = || site.send(Method::PUT, "/app/menu", &[], "menu");
+    assert_eq!(send().await.status, 200);
+    for plain in &site.plains[..DEATHS] {
+        plain.fault(Fault::CrashOn {
+            marker: "menu".to_owned(),
+        });
+        let before = plain.ledger().len();
+        for _ in 0..SENDS {
+            if plain.ledger().len() > before {
+                break;
+            }
+            send().await;
+        }
+        assert!(plain.ledger().len() > before, "the endpoint did not get it");
+    }
+    let refused = Instant::now();
+    while send().await.status != 200 {
+        assert!(refused.elapsed() < SHORT, "it is refused for long");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
