--- a/bergamotshift-forward/src/serve/forwarder.rs
+++ b/bergamotshift-forward/src/serve/forwarder.rs
@@ -406,8 +406,7 @@
             Err(history.refusal_at_end())
         });
         result.unwrap_or_else(|refusal| {
-            let is_true = history.may_state(&job, refusal.reason.status());
-            let refusal = if is_true { refusal } else { Reason::Broken.into() };
+            let refusal = self.guaranteed(&job, &history, refusal);
             if history.may_have_run() {
                 let lasted = self.shared.clock.now().since(job.arrived);
                 self.shared.drain.record(&job.route.name, lasted);
--- a/bergamotshift-forward/src/serve/record.rs
+++ b/bergamotshift-forward/src/serve/record.rs
@@ -8,6 +8,7 @@
 use super::Forwarder;
 use super::attempt::History;
 use super::job::Job;
+use super::refusal::Reason;
 use super::refusal::Refusal;
 use crate::dialect::Metadata;
 use crate::document::Organisation;
@@ -58,7 +59,17 @@
         }
     }
 
-    /// Logs that a caller does not get an endpoint's status, which would guarantee that its request has not run.
+    /// Returns a refusal whose status is true of the request: 502 in place of one that would guarantee that it has not run.
+    pub(super) fn guaranteed(&self, job: &Job, history: &History, refusal: Refusal) -> Refusal {
+        let status = refusal.reason.status();
+        if history.may_state(job, status) {
+            return refusal;
+        }
+        self.log_withheld(job, history, status);
+        Reason::Broken.into()
+    }
+
+    /// Logs that a caller does not get a status which would guarantee that its request has not run.
     pub(super) fn log_withheld(&self, job: &Job, history: &History, status: StatusCode) {
         let now = self.shared.clock.now();
         if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::Attempt) {
