fix(forward): an entry finds its paths again to endpoints that close idle connections

An entry that took itself for cut off from a service stayed so for good, although its paths were back, where endpoints close idle connections within 0.5 s: its callers were served through other entries only, or not at all.

Cause: such an entry opens a connection every 250 ms, which has to stay open for twice the time after which others broke, up to 500 ms. One that the endpoint closes as idle counts as broken, and keeps that time long.

Endpoints are asked for their health on that connection now, and an answer shows the path. Where the path of the health check is not known, it is as before.

--- a/bergamotshift-forward/src/exchange/mod.rs
+++ b/bergamotshift-forward/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 mod event;
 mod failure;
 mod head;
+mod health;
 mod pool;
 
 pub use self::body::Framing;
@@ -24,4 +25,5 @@
 pub use self::head::Head;
 pub use self::head::encode;
 pub use self::head::encode_head;
+pub use self::health::check_health;
 pub use self::pool::Pool;
--- a/bergamotshift-forward/src/relay/probe.rs
+++ b/bergamotshift-forward/src/relay/probe.rs
@@ -10,7 +10,9 @@
 
 use super::reach::MIN_STAY;
 use crate::endpoint::Endpoint;
+use crate::exchange;
 use crate::exchange::Connection;
+use crate::exchange::Failure;
 use crate::view::Shared;
 
 /// Interval of the probes of each service that this entry is cut off from.
@@ -38,10 +40,41 @@
         return;
     };
     let opened = shared.clock.now();
-    if stays_open_for(&connection, shared.reach.stay(service)).await {
-        shared.record_open(service, shared.clock.now().since(opened));
+    let path = examine(shared, &endpoint, connection, shared.reach.stay(service)).await;
+    let open_for = shared.clock.now().since(opened);
+    match path {
+        Path::Answers => shared.record_reached(service),
+        Path::StaysOpen => shared.record_open(service, open_for),
+        Path::Breaks => shared.record_broken(&endpoint, open_for),
+    }
+}
+
+/// What became of a connection to an endpoint.
+enum Path {
+    /// The endpoint answered on it.
+    Answers,
+    /// It stayed open.
+    StaysOpen,
+    /// It ended.
+    Breaks,
+}
+
+/// Finds out what becomes of a connection within a time. The endpoint is asked for its health if it can be: one that closes idle
+/// connections may do so sooner.
+async fn examine(shared: &Shared, endpoint: &Endpoint, mut connection: Connection, stay: Duration) -> Path {
+    let view = shared.view.load_full();
+    let table = view.table.as_ref();
+    if let Some(path) = table.and_then(|table| table.health_path(&endpoint.registration.service)) {
+        return match exchange::check_health(&mut connection, &shared.dialect, endpoint, path, stay).await {
+            Ok(_) => Path::Answers,
+            Err(Failure::Silent) => Path::StaysOpen,
+            Err(_) => Path::Breaks,
+        };
+    }
+    if stays_open_for(&connection, stay).await {
+        Path::StaysOpen
     } else {
-        shared.record_broken(&endpoint, shared.clock.now().since(opened));
+        Path::Breaks
     }
 }
 
--- a/bergamotshift-forward/src/serve/unframed.rs
+++ b/bergamotshift-forward/src/serve/unframed.rs
@@ -8,9 +8,7 @@
 use bergamotshift_limit::ending::Close;
 use bergamotshift_limit::ending::Decision;
 use bergamotshift_limit::ending::Identity;
-use bytes::Bytes;
 use ntex::http::HeaderMap;
-use ntex::http::Method;
 use ntex::http::StatusCode;
 use ntex::http::header::HeaderValue;
 use slog::info;
@@ -118,21 +116,12 @@
             return Identity::Unknown;
         };
         let time_left = job.deadline.since(self.shared.clock.now()).min(IDENTIFY_TIMEOUT);
-        let headers = self.shared.dialect.health_check(endpoint, time_left);
-        let request = exchange::encode_head(&Method::GET, path, &headers, 0);
-        let exchange = async {
-            let head = connection
-                .send([request.into(), Bytes::new()], &Method::GET, |_| true)
-                .await?;
-            let mut framing = head.framing;
-            while connection.body(&mut framing).await?.is_some() {}
-            Ok::<_, Failure>(head)
-        };
-        let Ok(Ok(head)) = timeout(time_left, exchange).await else {
+        let dialect = &self.shared.dialect;
+        let Ok(head) = exchange::check_health(connection, dialect, endpoint, path, time_left).await else {
             *check = Probe::Unknown;
             return Identity::Unknown;
         };
-        let incarnation = head.headers.get(&self.shared.dialect.incarnation);
+        let incarnation = head.headers.get(&dialect.incarnation);
         match incarnation.map(HeaderValue::as_bytes) {
             _ if head.status == StatusCode::MISDIRECTED_REQUEST => Identity::Other,
             Some(id) if id == endpoint.registration.id.as_bytes() => Identity::Same,
--- a/bergamotshift-forward/tests/daemon/idle.rs
+++ b/bergamotshift-forward/tests/daemon/idle.rs
@@ -4,10 +4,13 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::cut_off::Cut;
 use crate::endpoint::Connection;
 use crate::endpoint::Endpoint;
+use crate::gate::State;
 use crate::site::Caller;
 use crate::site::Site;
+use crate::site::wait_until;
 use crate::unframed::EVENT_STREAM;
 use crate::unframed::events;
 use crate::unframed::unframed;
@@ -93,3 +96,20 @@
         assert!(answer.status != 200 || !answer.is_complete, "{path}: {}", answer.text());
     }
 }
+
+/// Guards against an entry that counts as cut off for good, as endpoints close the connections by which it looks for its paths.
+#[test]
+fn an_entry_finds_its_paths_again_to_endpoints_that_close_idle_connections() {
+    let idle = Duration::from_millis(300);
+    let endpoint = |number| Endpoint::plain(&format!("e{number}"), "done").closing_idle(idle);
+    let cut = Cut::new((0..6).map(endpoint).collect());
+    cut.set(State::ResettingLate(idle));
+    wait_until("it is cut off", || {
+        Caller::new(cut.first()).ask("GET", "/checkin/1", "r", "");
+        cut.first().value("bergamotshift_forward_cut_off") == Some(1)
+    });
+    cut.set(State::Open);
+    wait_until("it uses its own paths again", || {
+        cut.first().value("bergamotshift_forward_cut_off") == Some(0)
+    });
+}
