--- a/bergamotshift-forward/src/control/behind.rs
+++ b/bergamotshift-forward/src/control/behind.rs
@@ -93,7 +93,7 @@
     pub fn apply_update(&self, holder: &Holder, download: Download, took: Duration) -> Result<(), Mismatch> {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
-        let (document, steps) = download.update.apply(&inner.document)?;
+        let (document, steps) = download.transfer.apply(&inner.document)?;
         let version = document.version;
         if let Some((logger, left_out)) = self.shared.log.rate_limited(now, Topic::Peers) {
             info!(logger, "document given"; "version" => version, "from" => holder.entry.as_str(),
--- a/bergamotshift-forward/src/peers/update.rs
+++ b/bergamotshift-forward/src/peers/update.rs
@@ -185,7 +185,7 @@
     /// The freshness of the sender's document when it began its response.
     pub freshness: Option<Freshness>,
     /// The changes.
-    pub update: Transfer,
+    pub transfer: Transfer,
     /// The size of the response, in bytes.
     pub bytes: usize,
 }
@@ -214,7 +214,7 @@
     let (freshness, update) = postcard::take_from_bytes(&answer.body)?;
     Ok(Download {
         freshness,
-        update: Transfer::decode(update)?,
+        transfer: Transfer::decode(update)?,
         bytes: answer.body.len(),
     })
 }
--- a/bergamotshift-forward/src/serve/refusal.rs
+++ b/bergamotshift-forward/src/serve/refusal.rs
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Returns the HTTP status. The statuses 408, 429 and 503 promise that the request has not run and never will.
+    /// Returns the HTTP status. The statuses 408, 429 and 503 guarantee that the request has not run and never will.
     pub const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/bergamotshift-forward/tests/fleet/network.rs
+++ b/bergamotshift-forward/tests/fleet/network.rs
@@ -328,7 +328,7 @@
                 drop(permit);
                 Ok(Download {
                     freshness,
-                    update: Transfer::decode(&encoded)?,
+                    transfer: Transfer::decode(&encoded)?,
                     bytes: encoded.len(),
                 })
             }
